--- /dev/null
+++ b/pathsaddle/__init__.py
@@ -0,0 +1,1 @@
+"""pathsaddle: a dispatcher that pushes jobs to workers."""
--- /dev/null
+++ b/pathsaddle/choice.py
@@ -0,0 +1,402 @@
+"""All decisions of one dispatcher.
+
+How it is called: `loop.Loop` makes one Choice and tells it what it sees (`listed`, `ended`, `noted`, `probed`,
+`closed`). `serve(txn)` is the life of a txn, read top to bottom; it yields the orders of `trade` and is resumed
+with what came of them. After each group of events `grant()` names the next held txn and the worker it gets, until
+it says None, and `housekeeping()` does what is due (the list, probes) and tells when it wants to be called again.
+The interface, both ways, is in `trade.py`: Terms and Door at the bottom. Times are tenths of a millisecond.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Generator, Iterable
+from random import Random
+from typing import Any
+
+from pathsaddle.trade import (MILLISECOND, SECOND, Cancel, Customer, Decline, Door, Group, ListNews, Order,
+                              Outcome, Post, Posting, Report, Reverse, Scheme, Semantics, Standing, Terms, Txn,
+                              Wait, Worker)
+
+Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
+FAR = 1 << 60
+
+
+class Book:
+    """What this dispatcher knows of one worker from its own traffic."""
+
+    def __init__(self, worker: Worker) -> None:
+        self.worker = worker
+        self.out: list[Posting] = []
+        self.owed: dict[Type, int] = {}  # backlogged work by type: added at each send, removed at its outcome
+        self.report: Report | None = None
+        self.reported = 0  # when the report came
+        self.own_then = 0  # own postings out as it came
+        self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
+        self.alive = 0  # last sign of life: an answer or a progress note
+        self.probing = False
+        self.asked = 0  # when it was last probed
+        self.failed = 0  # failures in a row
+        self.shut_until = 0  # after failures: nothing before this moment
+        self.suspect = False  # silent for too long: one posting at a time until it speaks
+        self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
+        self.started: int | None = worker.started
+
+    def slots(self) -> float:
+        return max(self.sizes, default=0.0)
+
+
+class Choice:
+    def __init__(self, terms: Terms, seed: int, now: int, door: Door) -> None:
+        chance = Random(seed)
+        self.random, self.choose = chance.random, chance.choice
+        self.door = door
+        self.now = self.born = now
+        self.books: dict[Worker, Book] = {}
+        self.home = terms.zone
+        self.waiting: list[Txn] = []
+        # Rules.
+        self.max_postings = terms.max_postings
+        self.two_at_once = terms.two_at_once
+        self.may_cancel = terms.may_cancel
+        self.tick = max(1, terms.tick)
+        self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
+        self.cold_part = 0.5 * terms.fall_multiple * terms.fall_time / terms.dispatchers
+        # Prices, in units of the mean txn's worth.
+        self.by_work = terms.value_by_work
+        self.cross_price = terms.price_cross
+        self.over_share = terms.over_share
+        self.come_back = terms.come_back_most
+        # Customers' parts of their allowance.
+        self.purse: dict[Customer, float] = {}
+        self.purse_at: dict[Customer, int] = {}
+        self.income = {c: c.allowance / terms.dispatchers / SECOND for c in terms.customers if c.allowance > 0}
+        # Looking.
+        self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
+            SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
+        self.probe_always = not terms.reports_in_answers
+        self.silence = terms.progress_every + terms.progress_every // 2
+        self.must_ask = terms.must_ask
+        self.list_due = FAR
+        self.list_failures = 0
+        self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
+        self.worths: deque[float] = deque(maxlen=96)
+        if self.must_ask:
+            door.subscribe()
+
+    # The life of a txn.
+
+    def serve(self, txn: Txn) -> Generator[Order, Any, None]:
+        self.appraise(txn)
+        last = txn.expires - self.tick
+        while True:
+            self.hold(txn)
+            until = self.give_up_at(txn)
+            news = None
+            while self.now < until:
+                news = yield Wait(until)
+                if isinstance(news, Worker):
+                    break
+            self.release(txn)
+            if not isinstance(news, Worker):
+                break
+            posting = yield Post(news, txn.expires - self.now)
+            self.sent(posting)
+            while posting.out and self.now < last:
+                yield Wait(min(last, self.look_again_at(posting)))
+                if posting.out and self.now < last and self.elsewhere(txn, posting):
+                    break
+            if posting.out and self.now >= last:
+                break
+        while any(p.out for p in txn.postings) and self.now < last and not self.may_decline(txn):
+            yield Wait(last)
+        if self.may_decline(txn):
+            yield Decline(self.come_back)
+        else:
+            yield Reverse()
+
+    def may_post(self, txn: Txn, worker: Worker) -> bool:
+        """Rule 2, the first half: whether another posting, to this worker, can do no harm."""
+        if len(txn.postings) >= self.max_postings or self.now >= txn.expires - self.tick:
+            return False
+        risky = [p for p in txn.postings if p.may_have_run]
+        if not risky:
+            return True
+        scheme = txn.scheme
+        if scheme.semantics is Semantics.ONCE_ONLY:
+            return False
+        if not self.two_at_once and any(p.out for p in risky):
+            return False
+        if scheme.semantics is Semantics.REPEATABLE:
+            return True
+        return all(self.same_group(scheme, p.worker, worker) and self.now + self.tick < p.sent + scheme.window
+                   for p in risky)
+
+    def may_decline(self, txn: Txn) -> bool:
+        """Rule 2, the second half: whether telling the client to try again can do no harm."""
+        scheme = txn.scheme
+        return (scheme.semantics is Semantics.REPEATABLE
+                or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL
+                or not any(p.may_have_run for p in txn.postings))
+
+    def same_group(self, scheme: Scheme, one: Worker, other: Worker) -> bool:
+        if scheme.group is Group.ZONE:
+            return one.zone == other.zone
+        if scheme.group is Group.CELL:
+            return one.cell == other.cell
+        return True
+
+    # Choosing a worker.
+
+    def type_of(self, txn: Txn) -> Type:
+        return (txn.slots, txn.scheme.machine)
+
+    def work_of(self, txn: Txn) -> int:
+        return max(1, int(txn.hint * txn.slots)) if txn.hint is not None else 1
+
+    def room(self, book: Book) -> float:
+        """Free slots there now: the last report, less what was sent since, plus what ended since."""
+        report = book.report
+        if report is None or report.free is None:
+            return 1.0 if len(book.out) < 2 else 0.0
+        return report.free - (report.waiting or 0.0) + book.own_then - len(book.out)
+
+    def open(self, book: Book) -> bool:
+        worker = book.worker
+        return (worker.standing is Standing.READY and self.now >= book.shut_until
+                and not (book.suspect and book.out) and self.room(book) >= 0.5)
+
+    def load(self, book: Book, txn: Txn) -> float:
+        kind = self.type_of(txn)
+        own = book.owed.get(kind, 0) + self.work_of(txn)
+        report = book.report
+        crowd = 0.0
+        if report is not None:
+            crowd = max(0.0, (report.held or 0.0) + (report.waiting or 0.0) + len(book.out) - book.own_then)
+        return own * (1.0 + crowd)
+
+    def best(self, txn: Txn, books: list[Book]) -> Worker | None:
+        """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
+        machine = txn.scheme.machine
+        afford = self.crossing_pays(txn)
+        least, winners = float("inf"), []
+        for book in books:
+            worker = book.worker
+            if machine is not None and worker.machine != machine:
+                continue
+            if worker.zone != self.home and not afford or not self.may_post(txn, worker):
+                continue
+            if any(p.out and p.worker is worker for p in txn.postings) or not self.cold_allows(book, txn):
+                continue
+            load = self.load(book, txn) * (1.0 if worker.zone == self.home else 1e6)
+            if load < least:
+                least, winners = load, [worker]
+            elif load == least:
+                winners.append(worker)
+        if not winners:
+            return None
+        return winners[0] if len(winners) == 1 else self.choose(winners)
+
+    def crossing_pays(self, txn: Txn) -> bool:
+        if self.cross_price <= 0:
+            return True
+        mean = sum(self.worths) / len(self.worths) if self.worths else 1.0
+        used = (self.now - txn.arrived) / max(1, self.give_up_at(txn) - txn.arrived)
+        return self.worth(txn) / mean * (0.3 + 0.7 * used) > self.cross_price
+
+    def grant(self) -> tuple[Txn, Worker] | None:
+        """The next held txn that gets a worker: the most valuable first, then the most urgent."""
+        if not self.waiting:
+            return None
+        books = [book for book in self.books.values() if self.open(book)]
+        if not books:
+            return None
+        self.waiting.sort(key=self.rank)
+        for txn in self.waiting:
+            worker = self.best(txn, books)
+            if worker is not None:
+                return txn, worker
+        return None
+
+    def rank(self, txn: Txn) -> tuple[float, int]:
+        return -self.worth(txn) / self.run_of(txn), self.give_up_at(txn)
+
+    # What a txn is worth, and how long it is worth holding.
+
+    def appraise(self, txn: Txn) -> None:
+        self.worths.append(self.worth(txn))
+        customer = txn.customer
+        txn_share = True
+        if customer is not None and customer in self.income:
+            income = self.income[customer]
+            purse = self.purse.get(customer, income * SECOND)
+            purse = min(income * SECOND, purse + (self.now - self.purse_at.get(customer, self.now)) * income)
+            txn_share = purse >= 1.0
+            self.purse[customer] = purse - 1.0 if txn_share else purse
+            self.purse_at[customer] = self.now
+        txn.over = not txn_share
+
+    def worth(self, txn: Txn) -> float:
+        worth = txn.scheme.value * (txn.hint or 1 if self.by_work else 1)
+        return worth * self.over_share if txn.over else worth
+
+    def run_of(self, txn: Txn) -> float:
+        if txn.hint is not None:
+            return float(txn.hint)
+        runs = self.runs[txn.scheme]
+        return sum(runs) / len(runs) if runs else float(max(1, txn.scheme.sla_time))
+
+    def give_up_at(self, txn: Txn) -> int:
+        last = txn.expires - self.tick
+        if any(p.may_have_run for p in txn.postings):
+            return last
+        scheme = txn.scheme
+        slack = scheme.sla_time + max(0.0, scheme.stretch - 1.0) * self.run_of(txn)
+        if scheme.late_value > 0:
+            return int(last - self.run_of(txn))
+        return min(last, txn.arrived + int(slack))
+
+    def hold(self, txn: Txn) -> None:
+        self.waiting.append(txn)
+
+    def release(self, txn: Txn) -> None:
+        if txn in self.waiting:
+            self.waiting.remove(txn)
+
+    # Watching postings.
+
+    def look_again_at(self, posting: Posting) -> int:
+        if not self.silence:
+            return FAR
+        book = self.books[posting.worker]
+        return max(self.now + self.silence // 8, max(book.alive, posting.sent) + self.silence)
+
+    def elsewhere(self, txn: Txn, posting: Posting) -> bool:
+        """A silent worker has the txn: whether to look for another that can run it too."""
+        book = self.books[posting.worker]
+        self.judge_silence(book)
+        return (book.suspect and self.two_at_once and txn.scheme.semantics is not Semantics.ONCE_ONLY
+                and len(txn.postings) < self.max_postings)
+
+    def judge_silence(self, book: Book) -> None:
+        if self.silence and book.out:
+            if self.now - max(book.alive, book.out[0].sent) >= self.silence:
+                book.suspect = True
+
+    # Cold workers.
+
+    def cold_for(self, book: Book) -> int:
+        started = book.worker.started
+        return 0 if started is None else max(0, started + self.cold_time - self.now)
+
+    def cold_allows(self, book: Book, txn: Txn) -> bool:
+        """Rule 4: our part of what a worker that has just started can bear, over any span."""
+        left = self.cold_for(book)
+        if not left:
+            return True
+        if self.now < self.born + self.fall_time:
+            return False  # what we sent before our own restart may still weigh on it
+        if txn.hint is None and not self.runs[txn.scheme]:
+            return False
+        able = self.cold_share + (1.0 - self.cold_share) * (1.0 - left / self.cold_time)
+        while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
+            book.cold_sent.popleft()
+        spent = sum(work for _, work in book.cold_sent)
+        sizes = [b.slots() for b in self.books.values() if b.slots() > 0]
+        slots = min(sizes) if sizes else 1.0
+        return spent + self.run_of(txn) * txn.slots <= self.cold_part * able * slots
+
+    # What is seen.
+
+    def sent(self, posting: Posting) -> None:
+        book = self.books[posting.worker]
+        posting.work = self.work_of(posting.txn)
+        kind = self.type_of(posting.txn)
+        book.out.append(posting)
+        book.owed[kind] = book.owed.get(kind, 0) + posting.work
+        if self.cold_for(book):
+            book.cold_sent.append((self.now, int(self.run_of(posting.txn) * posting.txn.slots)))
+
+    def ended(self, posting: Posting, spent: int, report: Report | None) -> None:
+        book = self.books[posting.worker]
+        book.out.remove(posting)
+        book.owed[self.type_of(posting.txn)] -= posting.work
+        outcome = posting.outcome
+        if outcome is Outcome.SETTLED:
+            self.runs[posting.txn.scheme].append(max(1, spent))
+            book.alive = self.now
+            book.suspect = False
+            book.failed = 0
+        elif outcome in (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET):
+            book.failed += 1
+            book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
+        if report is not None:
+            self.read(book, report)
+        elif outcome is Outcome.FULL:
+            self.read(book, Report(free=0.0, waiting=0.0))
+            book.shut_until = max(book.shut_until, self.now + 20 * MILLISECOND)
+
+    def read(self, book: Book, report: Report) -> None:
+        book.report, book.reported, book.own_then = report, self.now, len(book.out)
+        if report.free is not None and report.held is not None:
+            book.sizes.append(report.free + report.held - (report.waiting or 0.0))
+        elif report.free is not None:
+            book.sizes.append(report.free + len(book.out))
+
+    def noted(self, posting: Posting) -> None:
+        book = self.books[posting.worker]
+        book.alive = self.now
+        book.suspect = False
+
+    def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
+        book = self.books[worker]
+        book.probing = False
+        if report is not None:
+            self.read(book, report)
+
+    def closed(self, txn: Txn) -> None:
+        self.release(txn)
+
+    # The list, and what is due.
+
+    def listed(self, news: ListNews, workers: Iterable[Worker]) -> None:
+        if news is ListNews.FAILED:
+            self.list_failures += 1
+            wait = min(2 * SECOND, (SECOND // 4) << min(self.list_failures, 4))
+            self.list_due = self.now + int(wait * (0.5 + self.random() / 2))
+            return
+        if news is not ListNews.REMEMBERED:
+            self.list_failures, self.list_due = 0, FAR
+        told = list(workers)
+        if news is not ListNews.CHANGES:
+            for worker in self.books:
+                if worker not in told:
+                    worker.standing = Standing.GONE
+        for worker in told:
+            book = self.books.get(worker)
+            if book is None:
+                book = self.books[worker] = Book(worker)
+            if worker.started != book.started:
+                book.started = worker.started
+                book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
+
+    def housekeeping(self) -> int:
+        due = FAR
+        if self.must_ask:
+            if self.now >= self.list_due:
+                self.list_due = FAR
+                self.door.subscribe()
+            due = self.list_due
+        if self.probe_every and (self.waiting or self.probe_always):
+            for book in self.books.values():
+                if book.worker.standing is not Standing.READY or book.probing:
+                    continue
+                next_look = max(book.asked, book.reported) + self.probe_every
+                if self.now >= next_look:
+                    book.probing, book.asked = True, self.now
+                    self.door.probe(book.worker)
+                else:
+                    due = min(due, next_look)
+        if self.waiting:
+            due = min(due, self.now + 10 * MILLISECOND)
+        return due
--- /dev/null
+++ b/pathsaddle/trade.py
@@ -0,0 +1,243 @@
+"""The plain types that the decisions, the loop and every door share.
+
+Times are whole tenths of a millisecond. Objects point to each other; a door that speaks a protocol keeps
+its ids in `tag` fields, and nobody but that door reads them.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Generator
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Any, Protocol
+
+MILLISECOND = 10
+SECOND = 10_000
+
+
+class Semantics(Enum):
+    REPEATABLE = "may run again"
+    REFERENCED = "carries a mark by which a group of workers knows a repeat"
+    ONCE_ONLY = "must never run twice"
+
+
+class Group(Enum):
+    """The workers that drop a referenced txn's repeats together."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Outcome(Enum):
+    """How a posting ended."""
+
+    SETTLED = "settled"
+    ERROR = "the worker answered with an error"
+    FULL = "turned away unseen"
+    TIMED_OUT = "no answer in time"
+    UNCONNECTED = "no connection"
+    RESET = "connection lost"
+    CANCELLED = "cancelled"
+    MOOT = "never sent"
+
+    @property
+    def never_ran(self) -> bool:
+        return self in (Outcome.FULL, Outcome.UNCONNECTED, Outcome.MOOT)
+
+
+class Standing(Enum):
+    """What the list says of a worker."""
+
+    READY = "ready"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListNews(Enum):
+    """What kind of word came from the list."""
+
+    CHANGES = "changed entries only"
+    WHOLE = "the complete list"
+    REMEMBERED = "the complete list as last held, maybe out of date"
+    FAILED = "a call failed or the subscription broke"
+
+
+@dataclass(slots=True, eq=False)
+class Scheme:
+    """A kind of txn: what it is worth, how long it may take, how often it may run."""
+
+    index: int
+    semantics: Semantics
+    sla_time: int
+    expiry: int
+    value: float
+    late_value: float
+    stretch: float
+    group: Group
+    window: int
+    machine: int | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Customer:
+    index: int
+    allowance: float  # txns a second within its share, over all dispatchers; 0 where none is set
+    portion: float
+
+
+@dataclass(slots=True, eq=False)
+class Worker:
+    """A worker as the list describes it."""
+
+    tag: str
+    zone: int = 0
+    cell: int = 0
+    machine: int = 0
+    weight: float = 1.0
+    started: int | None = None  # when its process last started; None: long ago
+    standing: Standing = Standing.READY
+
+
+@dataclass(slots=True)
+class Report:
+    """A worker's word on its load; None where the site's reports leave a figure out."""
+
+    free: float | None = None
+    waiting: float | None = None
+    held: float | None = None
+    errors: float | None = None
+    rate: float | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Txn:
+    tag: str
+    scheme: Scheme
+    customer: Customer | None
+    arrived: int
+    expires: int  # the last moment for its final answer
+    hint: int | None = None
+    slots: float = 1.0
+    memory: float | None = None
+    repeat: bool = False
+    postings: list[Posting] = field(default_factory=list)
+    closed: bool = False
+    run: Generator[Order, Any, None] | None = None
+    over: bool = False  # beyond its customer's share
+    pending: int = 0  # which of its waits is the current one; a timer of an older one is stale
+
+
+@dataclass(slots=True, eq=False)
+class Posting:
+    txn: Txn
+    worker: Worker
+    number: int
+    sent: int
+    outcome: Outcome | None = None
+    ended: int = 0
+    started: int | None = None
+    noted: int | None = None  # the last sign of life
+    level: float = 0.0
+    work: int = 0
+    cancelled: bool = False
+
+    @property
+    def out(self) -> bool:
+        return self.outcome is None
+
+    @property
+    def may_have_run(self) -> bool:
+        return self.outcome is None or not self.outcome.never_ran
+
+
+@dataclass(slots=True, frozen=True)
+class Post:
+    """Send the txn to a worker; the txn is resumed at once with its Posting."""
+
+    worker: Worker
+    within: int
+
+
+@dataclass(slots=True, frozen=True)
+class Cancel:
+    """Stop waiting on a posting; its outcome still comes."""
+
+    posting: Posting
+
+
+@dataclass(slots=True, frozen=True)
+class Wait:
+    """Resumed with a Posting that has news, with a Worker that has room, or with None at `until`."""
+
+    until: int
+
+
+@dataclass(slots=True, frozen=True)
+class Decline:
+    """Final answer: not done, and trying again is harmless."""
+
+    come_back: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class Reverse:
+    """Final answer: it failed, and nothing is promised of its effect."""
+
+
+Order = Post | Cancel | Wait | Decline | Reverse
+
+
+class Door(Protocol):
+    """What a protocol offers the dispatcher behind it."""
+
+    def post(self, posting: Posting, within: int) -> None: ...
+
+    def cancel(self, posting: Posting) -> None: ...
+
+    def decline(self, txn: Txn, come_back: int) -> None: ...
+
+    def reverse(self, txn: Txn) -> None: ...
+
+    def probe(self, worker: Worker) -> None: ...
+
+    def subscribe(self) -> None: ...
+
+    def wake(self, delay: int) -> None: ...
+
+    def note(self, text: str) -> None: ...
+
+
+@dataclass(slots=True)
+class Terms:
+    """What a dispatcher is told at its start. The decisions turn it into what they use and let it go."""
+
+    schemes: list[Scheme]
+    customers: list[Customer]
+    dispatchers: int
+    zone: int
+    tick: int
+    must_ask: bool  # the list speaks only when asked
+    ask_within: int
+    answer_slack: int
+    drain_grace: int
+    cold_share: float
+    cold_time: int
+    fall_multiple: float
+    fall_time: int
+    max_postings: int
+    two_at_once: bool
+    may_cancel: bool
+    may_probe: bool
+    come_back_most: int  # 0 where clients take no advice
+    progress_every: int  # 0 where workers send no progress
+    tells_start: bool
+    over_share: float
+    value_by_work: bool
+    price_cross: float
+    price_probe: float
+    price_waste: float
+    price_late: float
+    price_handshake: float
+    reports_in_answers: bool
+    reports_in_probes: bool
--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,97 @@
+"""Stories of the four rules: one answer, no effect twice, drains kept, cold workers spared."""
+
+import unittest
+
+from pathsaddle.trade import SECOND, Group, ListNews, Outcome, Standing
+from tests.fakehost import ONCE_ONLY, REFERENCED, FakeHost, idle, scheme
+
+
+class OneAnswer(unittest.TestCase):
+    def test_a_silent_fleet_still_yields_one_answer_before_the_expiry(self) -> None:
+        host = FakeHost(scheme(ONCE_ONLY))
+        host.ask("a")
+        host.passes(10 * SECOND)
+        self.assertEqual(host.answers, {"a": ["reversed"]})
+
+    def test_no_worker_at_all_is_declined(self) -> None:
+        host = FakeHost(workers=0)
+        host.ask("a")
+        host.passes(10 * SECOND)
+        self.assertEqual(host.answers, {"a": ["declined"]})
+
+    def test_nothing_follows_a_hang_up(self) -> None:
+        host = FakeHost(workers=0)
+        txn = host.ask("a")
+        host.loop.hang_up(txn)
+        host.list(ListNews.CHANGES, *FakeHost().workers)
+        host.passes(10 * SECOND)
+        self.assertEqual((host.posted, host.answers), ([], {}))
+
+
+class NoEffectTwice(unittest.TestCase):
+    def test_once_only_moves_on_after_a_rejection_but_not_after_an_error(self) -> None:
+        host = FakeHost(scheme(ONCE_ONLY))
+        host.ask("a")
+        host.end(host.posted[0], Outcome.FULL)
+        host.passes(SECOND // 2)
+        self.assertEqual(len(host.posted), 2)
+        host.end(host.posted[1], Outcome.ERROR)
+        host.passes(10 * SECOND)
+        self.assertEqual((len(host.posted), host.answers), (2, {"a": ["reversed"]}))
+
+    def test_a_referenced_repeat_stays_in_its_group_and_window(self) -> None:
+        host = FakeHost(scheme(REFERENCED, group=Group.CELL, window=2 * SECOND), workers=4)
+        for index, worker in enumerate(host.workers):
+            worker.cell = index % 2
+        host.ask("a")
+        first = host.posted[0]
+        host.end(first, Outcome.ERROR)
+        host.passes(SECOND)
+        self.assertEqual(host.posted[1].worker.cell, first.worker.cell)
+        host.passes(SECOND)
+        host.end(host.posted[1], Outcome.RESET)
+        host.passes(10 * SECOND)
+        self.assertEqual((len(host.posted), host.answers), (2, {"a": ["reversed"]}))
+
+
+class DrainsKept(unittest.TestCase):
+    def test_a_held_txn_does_not_go_to_a_worker_that_drains(self) -> None:
+        host = FakeHost(workers=1)
+        host.standing(host.workers[0], Standing.DRAINING)
+        host.ask("a")
+        host.passes(SECOND)
+        self.assertEqual(host.posted, [])
+
+    def test_a_worker_missing_from_the_whole_list_is_gone(self) -> None:
+        host = FakeHost(workers=2)
+        host.list(ListNews.WHOLE, host.workers[1])
+        for tag in "abcdef":
+            host.ask(tag)
+            host.end(host.posted[-1], report=idle())
+        self.assertEqual({p.worker for p in host.posted}, {host.workers[1]})
+
+
+class ColdSpared(unittest.TestCase):
+    def test_a_cold_worker_gets_no_more_than_our_part(self) -> None:
+        host = FakeHost(workers=1, dispatchers=2)
+        host.now += 3 * SECOND
+        host.workers[0].started = host.now
+        host.list(ListNews.CHANGES, host.workers[0])
+        for tag in "abcdefghij":
+            host.ask(tag, hint=SECOND // 2)
+            for posting in host.posted:
+                if posting.out:
+                    host.end(posting, report=idle())
+        self.assertLessEqual(sum(p.txn.hint or 0 for p in host.posted), 4 * 0.3 * 2 * 2 * SECOND / 2)
+
+    def test_our_own_restart_does_not_renew_the_part(self) -> None:
+        host = FakeHost(workers=1, news=ListNews.REMEMBERED)
+        host.workers[0].started = host.now - SECOND
+        host.list(ListNews.CHANGES, host.workers[0])
+        host.ask("a", hint=SECOND // 10)
+        host.passes(SECOND)
+        self.assertEqual(host.posted, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
