Judge the age of reports by what they imply of others' load

Cause: reports describe a moment 5 ms to 5 s old; own postings since were counted wrongly, and a full answer was undone by an older report.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Generator, Iterable
 from random import Random
@@ -20,6 +21,7 @@
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
 FAR = 1 << 60
+AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))  # guesses of a report's age
 
 
 class Book:
@@ -29,9 +31,12 @@
         self.worker = worker
         self.out: list[Posting] = []
         self.owed: dict[Type, int] = {}  # backlogged work by type: added at each send, removed at its outcome
+        self.past: deque[tuple[int, int]] = deque([(-FAR, 0)], maxlen=512)  # (when, own postings out from then)
         self.report: Report | None = None
         self.reported = 0  # when the report came
-        self.own_then = 0  # own postings out as it came
+        self.seen = -FAR  # the moment that it describes
+        self.own_then = 0  # own postings out at that moment
+        self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
         self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
         self.alive = 0  # last sign of life: an answer or a progress note
         self.probing = False
@@ -42,6 +47,12 @@
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
 
+    def own_at(self, moment: int) -> int:
+        for when, count in reversed(self.past):
+            if when <= moment:
+                return count
+        return self.past[0][1]
+
     def slots(self) -> float:
         return max(self.sizes, default=0.0)
 
@@ -54,7 +65,8 @@
         self.now = self.born = now
         self.books: dict[Worker, Book] = {}
         self.home = terms.zone
-        self.waiting: list[Txn] = []
+        self.held = 0
+        self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
         self.max_postings = terms.max_postings
         self.two_at_once = terms.two_at_once
@@ -75,6 +87,11 @@
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
         self.probe_always = not terms.reports_in_answers
+        self.tells_start = terms.tells_start
+        self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.age = AGES[0]
+        self.misses: deque[list[float]] = deque(maxlen=48)
+        self.judged = now
         self.silence = terms.progress_every + terms.progress_every // 2
         self.must_ask = terms.must_ask
         self.list_due = FAR
@@ -159,7 +176,29 @@
         report = book.report
         if report is None or report.free is None:
             return 1.0 if len(book.out) < 2 else 0.0
-        return report.free - (report.waiting or 0.0) + book.own_then - len(book.out)
+        if self.tells_start and self.queued(book):
+            return 0.0
+        room = report.free - (report.waiting or 0.0) + book.own_then - len(book.out)
+        if room < 0.5 and not self.waiting_for_word(book):
+            # Nobody tells us of others' jobs that end there: without this a worker once full stays shut.
+            others = max(0.0, book.slots() - book.own_then)
+            room += 0.5 * others * (self.now - book.seen) / self.mean_run()
+        return room
+
+    def waiting_for_word(self, book: Book) -> bool:
+        return bool(self.probe_every) and self.age <= self.probe_every
+
+    def queued(self, book: Book) -> bool:
+        """Own postings that should have started by now and have not stand in a queue there."""
+        late = 2 * self.typical_start() + 2 * self.tick
+        return any(p.started is None and self.now - p.sent > late for p in book.out)
+
+    def typical_start(self) -> int:
+        return sorted(self.starts)[len(self.starts) // 4] if self.starts else 20 * MILLISECOND
+
+    def mean_run(self) -> float:
+        runs = [run for runs in self.runs.values() for run in runs]
+        return sum(runs) / len(runs) if runs else float(SECOND)
 
     def open(self, book: Book) -> bool:
         worker = book.worker
@@ -170,9 +209,9 @@
         kind = self.type_of(txn)
         own = book.owed.get(kind, 0) + self.work_of(txn)
         report = book.report
-        crowd = 0.0
-        if report is not None:
-            crowd = max(0.0, (report.held or 0.0) + (report.waiting or 0.0) + len(book.out) - book.own_then)
+        crowd = float(len(book.out))
+        if report is not None and report.free is not None:
+            crowd = max(0.0, book.slots() - self.room(book))
         return own * (1.0 + crowd)
 
     def best(self, txn: Txn, books: list[Book]) -> Worker | None:
@@ -211,8 +250,7 @@
         books = [book for book in self.books.values() if self.open(book)]
         if not books:
             return None
-        self.waiting.sort(key=self.rank)
-        for txn in self.waiting:
+        for _, _, txn in self.waiting[:64]:
             worker = self.best(txn, books)
             if worker is not None:
                 return txn, worker
@@ -257,11 +295,14 @@
         return min(last, txn.arrived + int(slack))
 
     def hold(self, txn: Txn) -> None:
-        self.waiting.append(txn)
+        self.held += 1
+        txn.place = (self.rank(txn), self.held, txn)
+        insort(self.waiting, txn.place)
 
     def release(self, txn: Txn) -> None:
-        if txn in self.waiting:
-            self.waiting.remove(txn)
+        if txn.place is not None:
+            del self.waiting[bisect_left(self.waiting, txn.place)]
+            txn.place = None
 
     # Watching postings.
 
@@ -313,6 +354,7 @@
         posting.work = self.work_of(posting.txn)
         kind = self.type_of(posting.txn)
         book.out.append(posting)
+        book.past.append((self.now, len(book.out)))
         book.owed[kind] = book.owed.get(kind, 0) + posting.work
         if self.cold_for(book):
             book.cold_sent.append((self.now, int(self.run_of(posting.txn) * posting.txn.slots)))
@@ -320,6 +362,7 @@
     def ended(self, posting: Posting, spent: int, report: Report | None) -> None:
         book = self.books[posting.worker]
         book.out.remove(posting)
+        book.past.append((self.now, len(book.out)))
         book.owed[self.type_of(posting.txn)] -= posting.work
         outcome = posting.outcome
         if outcome is Outcome.SETTLED:
@@ -332,21 +375,40 @@
             book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
         if report is not None:
             self.read(book, report)
-        elif outcome is Outcome.FULL:
-            self.read(book, Report(free=0.0, waiting=0.0))
-            book.shut_until = max(book.shut_until, self.now + 20 * MILLISECOND)
+        if outcome is Outcome.FULL:
+            # Told now and at first hand: older word that there is room is no longer believed.
+            book.report = Report(free=0.0, waiting=report.waiting if report is not None else 0.0)
+            book.seen = book.reported = self.now
+            book.own_then = len(book.out)
 
     def read(self, book: Book, report: Report) -> None:
-        book.report, book.reported, book.own_then = report, self.now, len(book.out)
-        if report.free is not None and report.held is not None:
-            book.sizes.append(report.free + report.held - (report.waiting or 0.0))
-        elif report.free is not None:
-            book.sizes.append(report.free + len(book.out))
+        if report.free is None:
+            return
+        load = (report.waiting or 0.0) - report.free
+        others = [load - book.own_at(self.now - age) for age in AGES]
+        if book.others is not None and self.now - book.others[0] < 3 * SECOND:
+            self.misses.append([(a - b) ** 2 for a, b in zip(others, book.others[1])])
+        book.others = (self.now, others)
+        book.sizes.append(report.free + (report.held - (report.waiting or 0.0) if report.held is not None
+                                         else book.own_at(self.now - self.age)))
+        if self.now - self.age >= book.seen:
+            book.report, book.reported = report, self.now
+            book.seen = self.now - self.age
+            book.own_then = book.own_at(book.seen)
+
+    def judge_age(self) -> None:
+        """How old reports are on arrival: the age at which others' load, as they imply it, jumps least."""
+        if len(self.misses) >= 8:
+            sums = [sum(column) for column in zip(*self.misses)]
+            least = min(sums)
+            self.age = next(age for age, total in zip(AGES, sums) if total <= 1.1 * least + 0.01)
 
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
         book.alive = self.now
         book.suspect = False
+        if posting.started == self.now:
+            self.starts.append(self.now - posting.sent)
 
     def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
         book = self.books[worker]
@@ -387,6 +449,9 @@
                 self.list_due = FAR
                 self.door.subscribe()
             due = self.list_due
+        if self.now >= self.judged + SECOND // 4:
+            self.judged = self.now
+            self.judge_age()
         if self.probe_every and (self.waiting or self.probe_always):
             for book in self.books.values():
                 if book.worker.standing is not Standing.READY or book.probing:
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -124,6 +124,7 @@
     postings: list[Posting] = field(default_factory=list)
     closed: bool = False
     run: Generator[Order, Any, None] | None = None
+    place: tuple[tuple[float, int], int, Txn] | None = None  # where it stands among the held
     over: bool = False  # beyond its customer's share
     pending: int = 0  # which of its waits is the current one; a timer of an older one is stale
 
