--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -57,6 +57,28 @@
         return max(self.sizes, default=0.0)
 
 
+class Account:
+    """A customer's use of its share, as far as it comes through us."""
+
+    def __init__(self, allowance: float, now: int) -> None:
+        self.allowance = allowance  # txns in a tenth of a millisecond, over all dispatchers
+        self.purse = 1.0
+        self.filled = now
+        self.asked: deque[int] = deque(maxlen=64)
+
+    def rate(self, now: int) -> float:
+        return len(self.asked) / max(1, now - self.asked[0]) if len(self.asked) > 7 else 0.0
+
+    def pays(self, now: int, part: float) -> bool:
+        income = self.allowance * part
+        self.purse = min(max(1.0, income * SECOND), self.purse + (now - self.filled) * income)
+        self.filled = now
+        if self.purse < 1.0:
+            return False
+        self.purse -= 1.0
+        return True
+
+
 class Choice:
     def __init__(self, terms: Terms, seed: int, now: int, door: Door) -> None:
         chance = Random(seed)
@@ -80,9 +102,10 @@
         self.over_share = terms.over_share
         self.come_back = terms.come_back_most
         # Customers' parts of their allowance.
-        self.purse: dict[Customer, float] = {}
-        self.purse_at: dict[Customer, int] = {}
-        self.income = {c: c.allowance / terms.dispatchers / SECOND for c in terms.customers if c.allowance > 0}
+        self.accounts = {c: Account(c.allowance / SECOND, now) for c in terms.customers if c.allowance > 0}
+        self.even_part = 1.0 / terms.dispatchers
+        self.part = self.even_part  # what part of the tier's traffic seems to come through us
+        self.reserve = 1.5
         # Looking.
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
@@ -203,7 +226,7 @@
     def open(self, book: Book) -> bool:
         worker = book.worker
         return (worker.standing is Standing.READY and self.now >= book.shut_until
-                and not (book.suspect and book.out) and self.room(book) >= 0.5)
+                and not (book.suspect and book.out))
 
     def load(self, book: Book, txn: Txn) -> float:
         kind = self.type_of(txn)
@@ -214,13 +237,16 @@
             crowd = max(0.0, book.slots() - self.room(book))
         return own * (1.0 + crowd)
 
-    def best(self, txn: Txn, books: list[Book]) -> Worker | None:
+    def best(self, txn: Txn, books: list[tuple[Book, float]]) -> Worker | None:
         """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
         machine = txn.scheme.machine
         afford = self.crossing_pays(txn)
         least, winners = float("inf"), []
-        for book in books:
+        need = 0.5 + 0.25 * len(txn.postings) + (self.reserve if txn.over else 0.0)
+        for book, room in books:
             worker = book.worker
+            if room < need:
+                continue
             if machine is not None and worker.machine != machine:
                 continue
             if worker.zone != self.home and not afford or not self.may_post(txn, worker):
@@ -247,7 +273,8 @@
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
         if not self.waiting:
             return None
-        books = [book for book in self.books.values() if self.open(book)]
+        books = [(book, room) for book in self.books.values()
+                 if self.open(book) and (room := self.room(book)) >= 0.5]
         if not books:
             return None
         for _, _, txn in self.waiting[:64]:
@@ -263,16 +290,18 @@
 
     def appraise(self, txn: Txn) -> None:
         self.worths.append(self.worth(txn))
-        customer = txn.customer
-        txn_share = True
-        if customer is not None and customer in self.income:
-            income = self.income[customer]
-            purse = self.purse.get(customer, income * SECOND)
-            purse = min(income * SECOND, purse + (self.now - self.purse_at.get(customer, self.now)) * income)
-            txn_share = purse >= 1.0
-            self.purse[customer] = purse - 1.0 if txn_share else purse
-            self.purse_at[customer] = self.now
-        txn.over = not txn_share
+        account = self.accounts.get(txn.customer) if txn.customer is not None else None
+        if account is not None:
+            account.asked.append(self.now)
+            txn.over = not account.pays(self.now, 1.3 * self.part)
+
+    def judge_part(self) -> None:
+        """The share is the whole tier's and we see a part of it, not always an even one: the middle customer's
+        traffic tells which. One that floods us does not move the middle."""
+        rates = sorted(account.rate(self.now) / account.allowance for account in self.accounts.values())
+        if len(rates) > 1:
+            middle = (rates[(len(rates) - 1) // 2] + rates[len(rates) // 2]) / 2
+            self.part = min(2.0 * self.even_part, max(0.5 * self.even_part, middle))
 
     def worth(self, txn: Txn) -> float:
         worth = txn.scheme.value * (txn.hint or 1 if self.by_work else 1)
@@ -452,7 +481,8 @@
         if self.now >= self.judged + SECOND // 4:
             self.judged = self.now
             self.judge_age()
-        if self.probe_every and (self.waiting or self.probe_always):
+            self.judge_part()
+        if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
             for book in self.books.values():
                 if book.worker.standing is not Standing.READY or book.probing:
                     continue
