Over-share txns go only where postings lately started at once

Cause: the heavy customer's excess stood in the workers' queues (tap: median wait 70 ms there) and everybody was late.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -39,6 +39,7 @@
         self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
         self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
         self.alive = 0  # last sign of life: an answer or a progress note
+        self.delays: deque[int] = deque(maxlen=8)  # from posting to start, of the last postings here
         self.probing = False
         self.asked = 0  # when it was last probed
         self.failed = 0  # failures in a row
@@ -213,9 +214,17 @@
 
     def queued(self, book: Book) -> bool:
         """Own postings that should have started by now and have not stand in a queue there."""
-        late = 2 * self.typical_start() + 2 * self.tick
+        late = self.late_start()
         return any(p.started is None and self.now - p.sent > late for p in book.out)
 
+    def late_start(self) -> int:
+        return 2 * self.typical_start() + 2 * self.tick
+
+    def crowded(self, book: Book) -> bool:
+        """Postings there have lately stood in its queue: no place for what others would lose by."""
+        late = self.late_start()
+        return sum(delay > late for delay in book.delays) > 0
+
     def typical_start(self) -> int:
         return sorted(self.starts)[len(self.starts) // 4] if self.starts else 20 * MILLISECOND
 
@@ -245,7 +254,7 @@
         need = 0.5 + 0.25 * len(txn.postings) + (self.reserve if txn.over else 0.0)
         for book, room in books:
             worker = book.worker
-            if room < need:
+            if room < need or txn.over and self.tells_start and self.crowded(book):
                 continue
             if machine is not None and worker.machine != machine:
                 continue
@@ -438,6 +447,7 @@
         book.suspect = False
         if posting.started == self.now:
             self.starts.append(self.now - posting.sent)
+            book.delays.append(self.now - posting.sent)
 
     def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
         book = self.books[worker]
