--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -21,6 +21,7 @@
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
 FAR = 1 << 60
+LOOK = 10 * MILLISECOND  # how often held txns are looked at when nothing has happened
 AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))  # guesses of a report's age
 
 
@@ -89,6 +90,8 @@
         self.books: dict[Worker, Book] = {}
         self.home = terms.zone
         self.held = 0
+        self.stirred = True  # something has happened since the last look at held txns
+        self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
         self.max_postings = terms.max_postings
@@ -113,6 +116,7 @@
         self.probe_always = not terms.reports_in_answers
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.late_start = 40 * MILLISECOND + 2 * self.tick
         self.age = AGES[0]
         self.misses: deque[list[float]] = deque(maxlen=48)
         self.judged = now
@@ -214,19 +218,15 @@
 
     def queued(self, book: Book) -> bool:
         """Own postings that should have started by now and have not stand in a queue there."""
-        late = self.late_start()
-        return any(p.started is None and self.now - p.sent > late for p in book.out)
-
-    def late_start(self) -> int:
-        return 2 * self.typical_start() + 2 * self.tick
+        return any(p.started is None and self.now - p.sent > self.late_start for p in book.out)
 
     def crowded(self, book: Book) -> bool:
         """Postings there have lately stood in its queue: no place for what others would lose by."""
-        late = self.late_start()
-        return sum(delay > late for delay in book.delays) > 0
+        return any(delay > self.late_start for delay in book.delays)
 
-    def typical_start(self) -> int:
-        return sorted(self.starts)[len(self.starts) // 4] if self.starts else 20 * MILLISECOND
+    def judge_starts(self) -> None:
+        typical = sorted(self.starts)[len(self.starts) // 4] if self.starts else 20 * MILLISECOND
+        self.late_start = 2 * typical + 2 * self.tick
 
     def mean_run(self) -> float:
         runs = [run for runs in self.runs.values() for run in runs]
@@ -280,16 +280,24 @@
 
     def grant(self) -> tuple[Txn, Worker] | None:
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
-        if not self.waiting:
+        if not self.waiting or not self.stirred and self.now < self.look_due:
             return None
-        books = [(book, room) for book in self.books.values()
+        rooms = [(book, room) for book in self.books.values()
                  if self.open(book) and (room := self.room(book)) >= 0.5]
-        if not books:
+        self.stirred, self.look_due = False, self.now + LOOK
+        if not rooms:
             return None
+        barred: dict[tuple[Scheme, bool, bool, int], None] = {}
         for _, _, txn in self.waiting[:64]:
-            worker = self.best(txn, books)
+            # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
+            alike = (txn.scheme, txn.over, self.crossing_pays(txn), len(txn.postings))
+            if alike in barred:
+                continue
+            worker = self.best(txn, rooms)
             if worker is not None:
                 return txn, worker
+            if not any(p.may_have_run for p in txn.postings):
+                barred[alike] = None
         return None
 
     def rank(self, txn: Txn) -> tuple[float, int]:
@@ -333,6 +341,7 @@
         return min(last, txn.arrived + int(slack))
 
     def hold(self, txn: Txn) -> None:
+        self.stirred = True
         self.held += 1
         txn.place = (self.rank(txn), self.held, txn)
         insort(self.waiting, txn.place)
@@ -388,6 +397,7 @@
     # What is seen.
 
     def sent(self, posting: Posting) -> None:
+        self.stirred = True
         book = self.books[posting.worker]
         posting.work = self.work_of(posting.txn)
         kind = self.type_of(posting.txn)
@@ -398,6 +408,7 @@
             book.cold_sent.append((self.now, int(self.run_of(posting.txn) * posting.txn.slots)))
 
     def ended(self, posting: Posting, spent: int, report: Report | None) -> None:
+        self.stirred = True
         book = self.books[posting.worker]
         book.out.remove(posting)
         book.past.append((self.now, len(book.out)))
@@ -452,6 +463,7 @@
     def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
         book = self.books[worker]
         book.probing = False
+        self.stirred = True
         if report is not None:
             self.read(book, report)
 
@@ -469,6 +481,7 @@
         if news is not ListNews.REMEMBERED:
             self.list_failures, self.list_due = 0, FAR
         told = list(workers)
+        self.stirred = True
         if news is not ListNews.CHANGES:
             for worker in self.books:
                 if worker not in told:
@@ -492,6 +505,7 @@
             self.judged = self.now
             self.judge_age()
             self.judge_part()
+            self.judge_starts()
         if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
             for book in self.books.values():
                 if book.worker.standing is not Standing.READY or book.probing:
@@ -503,5 +517,5 @@
                 else:
                     due = min(due, next_look)
         if self.waiting:
-            due = min(due, self.now + 10 * MILLISECOND)
+            due = min(due, self.look_due)
         return due
