--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -12,6 +12,7 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Generator, Iterable
+from math import exp, log
 from random import Random
 from typing import Any
 
@@ -40,6 +41,8 @@
         self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
         self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
         self.alive = 0  # last sign of life: an answer or a progress note
+        self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
+        self.pace = 1.0
         self.delays: deque[int] = deque(maxlen=8)  # from posting to start, of the last postings here
         self.probing = False
         self.asked = 0  # when it was last probed
@@ -116,6 +119,7 @@
         self.probe_always = not terms.reports_in_answers
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
         self.age = AGES[0]
         self.misses: deque[list[float]] = deque(maxlen=48)
@@ -150,7 +154,10 @@
             while posting.out and self.now < last:
                 yield Wait(min(last, self.look_again_at(posting)))
                 if posting.out and self.now < last and self.elsewhere(txn, posting):
-                    break
+                    if self.two_at_once:
+                        break
+                    if not posting.cancelled:
+                        yield Cancel(posting)
             if posting.out and self.now >= last:
                 break
         while any(p.out for p in txn.postings) and self.now < last and not self.may_decline(txn):
@@ -244,7 +251,11 @@
         crowd = float(len(book.out))
         if report is not None and report.free is not None:
             crowd = max(0.0, book.slots() - self.room(book))
-        return own * (1.0 + crowd)
+        return own * (1.0 + crowd) * book.pace
+
+    def fits(self, book: Book, txn: Txn) -> bool:
+        """Whether it would end in time there; the paper's workers are alike, ours are not, nor always the same."""
+        return self.run_of(txn) * book.pace <= self.wanted_by(txn) - self.now
 
     def best(self, txn: Txn, books: list[tuple[Book, float]]) -> Worker | None:
         """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
@@ -263,6 +274,8 @@
             if any(p.out and p.worker is worker for p in txn.postings) or not self.cold_allows(book, txn):
                 continue
             load = self.load(book, txn) * (1.0 if worker.zone == self.home else 1e6)
+            if not self.fits(book, txn):
+                load *= 1e12
             if load < least:
                 least, winners = load, [worker]
             elif load == least:
@@ -324,6 +337,10 @@
         worth = txn.scheme.value * (txn.hint or 1 if self.by_work else 1)
         return worth * self.over_share if txn.over else worth
 
+    def wanted_by(self, txn: Txn) -> int:
+        scheme = txn.scheme
+        return txn.arrived + scheme.sla_time + int(scheme.stretch * self.run_of(txn))
+
     def run_of(self, txn: Txn) -> float:
         if txn.hint is not None:
             return float(txn.hint)
@@ -363,8 +380,8 @@
         """A silent worker has the txn: whether to look for another that can run it too."""
         book = self.books[posting.worker]
         self.judge_silence(book)
-        return (book.suspect and self.two_at_once and txn.scheme.semantics is not Semantics.ONCE_ONLY
-                and len(txn.postings) < self.max_postings)
+        return (book.suspect and (self.two_at_once or self.may_cancel)
+                and txn.scheme.semantics is not Semantics.ONCE_ONLY and len(txn.postings) < self.max_postings)
 
     def judge_silence(self, book: Book) -> None:
         if self.silence and book.out:
@@ -390,9 +407,7 @@
         while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
             book.cold_sent.popleft()
         spent = sum(work for _, work in book.cold_sent)
-        sizes = [b.slots() for b in self.books.values() if b.slots() > 0]
-        slots = min(sizes) if sizes else 1.0
-        return spent + self.run_of(txn) * txn.slots <= self.cold_part * able * slots
+        return spent + self.run_of(txn) * txn.slots <= self.cold_part * able * self.least_slots
 
     # What is seen.
 
@@ -415,7 +430,11 @@
         book.owed[self.type_of(posting.txn)] -= posting.work
         outcome = posting.outcome
         if outcome is Outcome.SETTLED:
-            self.runs[posting.txn.scheme].append(max(1, spent))
+            took = self.now - (posting.started or posting.sent)
+            book.paces.append(max(0.1, min(10.0, took / self.run_of(posting.txn))))
+            # Few samples of work this uneven say little: lean on the middle of the road.
+            book.pace = exp(sum(map(log, book.paces)) / (len(book.paces) + 3))
+            self.runs[posting.txn.scheme].append(max(1, took))
             book.alive = self.now
             book.suspect = False
             book.failed = 0
@@ -506,6 +525,7 @@
             self.judge_age()
             self.judge_part()
             self.judge_starts()
+            self.least_slots = min((size for b in self.books.values() if (size := b.slots()) > 0), default=1.0)
         if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
             for book in self.books.values():
                 if book.worker.standing is not Standing.READY or book.probing:
