--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -129,6 +129,8 @@
         self.list_due = FAR
         self.list_failures = 0
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
+        self.home_ends: deque[int] = deque(maxlen=16)  # when own postings last ended at home
+        self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
         if self.must_ask:
             door.subscribe()
@@ -260,16 +262,16 @@
     def best(self, txn: Txn, books: list[tuple[Book, float]]) -> Worker | None:
         """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
         machine = txn.scheme.machine
-        afford = self.crossing_pays(txn)
+        far_need = self.room_to_cross(txn)
         least, winners = float("inf"), []
         need = 0.5 + 0.25 * len(txn.postings) + (self.reserve if txn.over else 0.0)
         for book, room in books:
             worker = book.worker
-            if room < need or txn.over and self.tells_start and self.crowded(book):
+            if room < (need if worker.zone == self.home else max(need, far_need)) or txn.over and self.tells_start and self.crowded(book):
                 continue
             if machine is not None and worker.machine != machine:
                 continue
-            if worker.zone != self.home and not afford or not self.may_post(txn, worker):
+            if not self.may_post(txn, worker):
                 continue
             if any(p.out and p.worker is worker for p in txn.postings) or not self.cold_allows(book, txn):
                 continue
@@ -284,12 +286,19 @@
             return None
         return winners[0] if len(winners) == 1 else self.choose(winners)
 
-    def crossing_pays(self, txn: Txn) -> bool:
+    def room_to_cross(self, txn: Txn) -> float:
+        """How much room a worker in another zone must show before the price of going there is worth paying.
+
+        What is lost by staying is the txn's worth times the chance that nothing frees at home in time; what is
+        gained grows with the chance that the room is still there on arrival.
+        """
         if self.cross_price <= 0:
-            return True
-        mean = sum(self.worths) / len(self.worths) if self.worths else 1.0
-        used = (self.now - txn.arrived) / max(1, self.give_up_at(txn) - txn.arrived)
-        return self.worth(txn) / mean * (0.3 + 0.7 * used) > self.cross_price
+            return 0.0
+        stake = self.worth(txn) / self.mean_worth
+        if len(self.home_ends) > 3:
+            pause = (self.now - self.home_ends[0]) / len(self.home_ends) * max(1, len(self.waiting))
+            stake *= exp(-max(0, self.give_up_at(txn) - self.now) / max(1.0, pause))
+        return 1.5 * self.cross_price / stake if stake > self.cross_price else FAR
 
     def grant(self) -> tuple[Txn, Worker] | None:
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
@@ -303,7 +312,7 @@
         barred: dict[tuple[Scheme, bool, bool, int], None] = {}
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
-            alike = (txn.scheme, txn.over, self.crossing_pays(txn), len(txn.postings))
+            alike = (txn.scheme, txn.over, self.room_to_cross(txn) < 4, len(txn.postings))
             if alike in barred:
                 continue
             worker = self.best(txn, rooms)
@@ -320,6 +329,7 @@
 
     def appraise(self, txn: Txn) -> None:
         self.worths.append(self.worth(txn))
+        self.mean_worth = sum(self.worths) / len(self.worths)
         account = self.accounts.get(txn.customer) if txn.customer is not None else None
         if account is not None:
             account.asked.append(self.now)
@@ -430,6 +440,8 @@
         book.owed[self.type_of(posting.txn)] -= posting.work
         outcome = posting.outcome
         if outcome is Outcome.SETTLED:
+            if posting.worker.zone == self.home:
+                self.home_ends.append(self.now)
             took = self.now - (posting.started or posting.sent)
             book.paces.append(max(0.1, min(10.0, took / self.run_of(posting.txn))))
             # Few samples of work this uneven say little: lean on the middle of the road.
