--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -130,6 +130,7 @@
         self.list_failures = 0
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.home_ends: deque[int] = deque(maxlen=16)  # when own postings last ended at home
+        self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
         self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
         if self.must_ask:
@@ -294,7 +295,7 @@
         """
         if self.cross_price <= 0:
             return 0.0
-        stake = self.worth(txn) / self.mean_worth
+        stake = self.worth(txn) / self.mean_worth * (1 + sum(self.landed)) / (1 + len(self.landed))
         if len(self.home_ends) > 3:
             pause = (self.now - self.home_ends[0]) / len(self.home_ends) * max(1, len(self.waiting))
             stake *= exp(-max(0, self.give_up_at(txn) - self.now) / max(1.0, pause))
@@ -439,6 +440,8 @@
         book.past.append((self.now, len(book.out)))
         book.owed[self.type_of(posting.txn)] -= posting.work
         outcome = posting.outcome
+        if posting.worker.zone != self.home:
+            self.landed.append(outcome is None or not outcome.never_ran)
         if outcome is Outcome.SETTLED:
             if posting.worker.zone == self.home:
                 self.home_ends.append(self.now)
