--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -116,6 +116,9 @@
         # Looking.
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
+        # Probes may cost one point in a hundred of what is asked for, and no more.
+        self.probe_income = 0.01 / terms.price_probe if terms.price_probe > 0 else 100.0
+        self.probe_purse = 10 * self.probe_income
         self.probe_always = not terms.reports_in_answers
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
@@ -329,6 +332,7 @@
     # What a txn is worth, and how long it is worth holding.
 
     def appraise(self, txn: Txn) -> None:
+        self.probe_purse = min(self.probe_purse + self.probe_income, 20 * self.probe_income)
         self.worths.append(self.worth(txn))
         self.mean_worth = sum(self.worths) / len(self.worths)
         account = self.accounts.get(txn.customer) if txn.customer is not None else None
@@ -542,11 +546,14 @@
             self.judge_starts()
             self.least_slots = min((size for b in self.books.values() if (size := b.slots()) > 0), default=1.0)
         if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
-            for book in self.books.values():
+            for book in sorted(self.books.values(), key=lambda b: b.worker.zone != self.home):
                 if book.worker.standing is not Standing.READY or book.probing:
                     continue
                 next_look = max(book.asked, book.reported) + self.probe_every
                 if self.now >= next_look:
+                    if self.probe_purse < 1.0:
+                        break
+                    self.probe_purse -= 1.0
                     book.probing, book.asked = True, self.now
                     self.door.probe(book.worker)
                 else:
