--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -122,6 +122,7 @@
         self.probe_always = not terms.reports_in_answers
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick that hints are given in
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
         self.age = AGES[0]
@@ -327,7 +328,8 @@
         return None
 
     def rank(self, txn: Txn) -> tuple[float, int]:
-        return -self.worth(txn) / self.run_of(txn), self.give_up_at(txn)
+        # Among txns of like worth the customer that has used least of its share goes first.
+        return -self.worth(txn) / self.run_of(txn) * (1.0 + min(1.0, txn.thrift)), self.give_up_at(txn)
 
     # What a txn is worth, and how long it is worth holding.
 
@@ -338,7 +340,8 @@
         account = self.accounts.get(txn.customer) if txn.customer is not None else None
         if account is not None:
             account.asked.append(self.now)
-            txn.over = not account.pays(self.now, 1.3 * self.part)
+            txn.over = not account.pays(self.now, 1.15 * self.part)
+            txn.thrift = account.purse / max(1.0, account.allowance * self.part * SECOND)
 
     def judge_part(self) -> None:
         """The share is the whole tier's and we see a part of it, not always an even one: the middle customer's
@@ -354,7 +357,8 @@
 
     def wanted_by(self, txn: Txn) -> int:
         scheme = txn.scheme
-        return txn.arrived + scheme.sla_time + int(scheme.stretch * self.run_of(txn))
+        alone = self.run_of(txn) * (1.0 if txn.hint is not None else self.best_pace)
+        return txn.arrived + scheme.sla_time + int(scheme.stretch * alone)
 
     def run_of(self, txn: Txn) -> float:
         if txn.hint is not None:
@@ -367,10 +371,11 @@
         if any(p.may_have_run for p in txn.postings):
             return last
         scheme = txn.scheme
-        slack = scheme.sla_time + max(0.0, scheme.stretch - 1.0) * self.run_of(txn)
         if scheme.late_value > 0:
             return int(last - self.run_of(txn))
-        return min(last, txn.arrived + int(slack))
+        # Past its SLA time an unhinted txn is in time only if it happens to be a long one: not worth the whole wait.
+        spare = self.wanted_by(txn) - txn.arrived - scheme.sla_time - int(self.run_of(txn))
+        return min(last, txn.arrived + scheme.sla_time + max(0, spare // (1 if txn.hint is not None else 2)))
 
     def hold(self, txn: Txn) -> None:
         self.stirred = True
@@ -544,6 +549,7 @@
             self.judge_age()
             self.judge_part()
             self.judge_starts()
+            self.best_pace = min((b.pace for b in self.books.values()), default=1.0)
             self.least_slots = min((size for b in self.books.values() if (size := b.slots()) > 0), default=1.0)
         if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
             for book in sorted(self.books.values(), key=lambda b: b.worker.zone != self.home):
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -125,6 +125,7 @@
     closed: bool = False
     run: Generator[Order, Any, None] | None = None
     place: tuple[tuple[float, int], int, Txn] | None = None  # where it stands among the held
+    thrift: float = 0.0  # what part of its customer's share for the moment was left as it came
     over: bool = False  # beyond its customer's share
     pending: int = 0  # which of its waits is the current one; a timer of an older one is stale
 
