--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -39,6 +39,7 @@
         self.seen = -FAR  # the moment that it describes
         self.own_then = 0  # own postings out at that moment
         self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
+        self.readings: deque[float] = deque(maxlen=8)  # others' jobs there over the free slots, by the last reports
         self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
         self.alive = 0  # last sign of life: an answer or a progress note
         self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
@@ -122,6 +123,7 @@
         self.probe_always = not terms.reports_in_answers
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.usual_run = float(SECOND)
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick that hints are given in
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
@@ -220,15 +222,12 @@
             return 1.0 if len(book.out) < 2 else 0.0
         if self.tells_start and self.queued(book):
             return 0.0
-        room = report.free - (report.waiting or 0.0) + book.own_then - len(book.out)
-        if room < 0.5 and not self.waiting_for_word(book):
-            # Nobody tells us of others' jobs that end there: without this a worker once full stays shut.
-            others = max(0.0, book.slots() - book.own_then)
-            room += 0.5 * others * (self.now - book.seen) / self.mean_run()
-        return room
-
-    def waiting_for_word(self, book: Book) -> bool:
-        return bool(self.probe_every) and self.age <= self.probe_every
+        # Word of others' jobs there fades as those end and others come: back to what it mostly is at this worker.
+        told = (report.waiting or 0.0) - report.free - book.own_then
+        kept = exp(-(self.now - book.seen) / self.usual_run)
+        if book.readings:
+            told = kept * told + (1.0 - kept) * sum(book.readings) / len(book.readings)
+        return -told - len(book.out)
 
     def queued(self, book: Book) -> bool:
         """Own postings that should have started by now and have not stand in a queue there."""
@@ -481,6 +480,7 @@
         if book.others is not None and self.now - book.others[0] < 3 * SECOND:
             self.misses.append([(a - b) ** 2 for a, b in zip(others, book.others[1])])
         book.others = (self.now, others)
+        book.readings.append(load - book.own_at(self.now - self.age))
         book.sizes.append(report.free + (report.held - (report.waiting or 0.0) if report.held is not None
                                          else book.own_at(self.now - self.age)))
         if self.now - self.age >= book.seen:
@@ -549,6 +549,7 @@
             self.judge_age()
             self.judge_part()
             self.judge_starts()
+            self.usual_run = self.mean_run()
             self.best_pace = min((b.pace for b in self.books.values()), default=1.0)
             self.least_slots = min((size for b in self.books.values() if (size := b.slots()) > 0), default=1.0)
         if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
