--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -472,7 +472,7 @@
             book.seen = book.reported = self.now
             book.own_then = len(book.out)
 
-    def read(self, book: Book, report: Report) -> None:
+    def read(self, book: Book, report: Report, on_call: bool = False) -> None:
         if report.free is None:
             return
         load = (report.waiting or 0.0) - report.free
@@ -480,7 +480,8 @@
         if book.others is not None and self.now - book.others[0] < 3 * SECOND:
             self.misses.append([(a - b) ** 2 for a, b in zip(others, book.others[1])])
         book.others = (self.now, others)
-        book.readings.append(load - book.own_at(self.now - self.age))
+        if not on_call:
+            book.readings.append(load - book.own_at(self.now - self.age))
         book.sizes.append(report.free + (report.held - (report.waiting or 0.0) if report.held is not None
                                          else book.own_at(self.now - self.age)))
         if self.now - self.age >= book.seen:
@@ -508,7 +509,8 @@
         book.probing = False
         self.stirred = True
         if report is not None:
-            self.read(book, report)
+            # Probes sent because nothing has room find workers fuller than they mostly are.
+            self.read(book, report, on_call=not self.probe_always)
 
     def closed(self, txn: Txn) -> None:
         self.release(txn)
