Try a worker from 0.3 expected free slots

Cause: an expected number of free slots under a half still lands often, and a rejection costs little beside a hold.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -22,6 +22,7 @@
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
 FAR = 1 << 60
+ENOUGH = 0.3  # free slots, as expected, that make a posting worth a try
 LOOK = 10 * MILLISECOND  # how often held txns are looked at when nothing has happened
 AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))  # guesses of a report's age
 
@@ -268,7 +269,7 @@
         machine = txn.scheme.machine
         far_need = self.room_to_cross(txn)
         least, winners = float("inf"), []
-        need = 0.5 + 0.25 * len(txn.postings) + (self.reserve if txn.over else 0.0)
+        need = ENOUGH + 0.25 * len(txn.postings) + (self.reserve if txn.over else 0.0)
         for book, room in books:
             worker = book.worker
             if room < (need if worker.zone == self.home else max(need, far_need)) or txn.over and self.tells_start and self.crowded(book):
@@ -309,7 +310,7 @@
         if not self.waiting or not self.stirred and self.now < self.look_due:
             return None
         rooms = [(book, room) for book in self.books.values()
-                 if self.open(book) and (room := self.room(book)) >= 0.5]
+                 if self.open(book) and (room := self.room(book)) >= ENOUGH]
         self.stirred, self.look_due = False, self.now + LOOK
         if not rooms:
             return None
