--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -51,6 +51,7 @@
         self.failed = 0  # failures in a row
         self.shut_until = 0  # after failures: nothing before this moment
         self.suspect = False  # silent for too long: one posting at a time until it speaks
+        self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
 
@@ -276,7 +277,7 @@
                 continue
             if machine is not None and worker.machine != machine:
                 continue
-            if not self.may_post(txn, worker):
+            if not self.may_post(txn, worker) or book.suspect and not self.may_try(txn):
                 continue
             if any(p.out and p.worker is worker for p in txn.postings) or not self.cold_allows(book, txn):
                 continue
@@ -403,6 +404,12 @@
         return (book.suspect and (self.two_at_once or self.may_cancel)
                 and txn.scheme.semantics is not Semantics.ONCE_ONLY and len(txn.postings) < self.max_postings)
 
+    def may_try(self, txn: Txn) -> bool:
+        """Only what can be posted again anywhere is risked on a suspect."""
+        scheme = txn.scheme
+        return (scheme.semantics is Semantics.REPEATABLE
+                or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL)
+
     def judge_silence(self, book: Book) -> None:
         if self.silence and book.out:
             if self.now - max(book.alive, book.out[0].sent) >= self.silence:
@@ -460,8 +467,11 @@
             book.pace = exp(sum(map(log, book.paces)) / (len(book.paces) + 3))
             self.runs[posting.txn.scheme].append(max(1, took))
             book.alive = self.now
-            book.suspect = False
-            book.failed = 0
+            book.suspect, book.failed, book.trials = False, 0, 0
+        elif book.suspect and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
+            # A worker that stands still takes each new posting for good: the next trial waits, and grows rarer.
+            book.trials += 1
+            book.shut_until = self.now + (self.silence << min(book.trials - 1, 2))
         elif outcome in (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET):
             book.failed += 1
             book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
@@ -500,7 +510,7 @@
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
         book.alive = self.now
-        book.suspect = False
+        book.suspect, book.trials = False, 0
         if posting.started == self.now:
             self.starts.append(self.now - posting.sent)
             book.delays.append(self.now - posting.sent)
