--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -125,6 +125,7 @@
         self.probe_always = not terms.reports_in_answers
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
         self.usual_run = float(SECOND)
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick that hints are given in
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
@@ -150,6 +151,8 @@
         self.appraise(txn)
         last = txn.expires - self.tick
         while True:
+            if len(txn.postings) >= self.max_postings:
+                break  # nothing more can be done for it: say so now, not when its time is up
             self.hold(txn)
             until = self.give_up_at(txn)
             news = None
@@ -261,6 +264,10 @@
             crowd = max(0.0, book.slots() - self.room(book))
         return own * (1.0 + crowd) * book.pace
 
+    def doubt(self) -> float:
+        """Rejections by several workers at once say that all are fuller than believed, not those few alone."""
+        return sum(exp(-(self.now - when) / self.usual_run) for when in self.turned_away) / 8
+
     def fits(self, book: Book, txn: Txn) -> bool:
         """Whether it would end in time there; the paper's workers are alike, ours are not, nor always the same."""
         return self.run_of(txn) * book.pace <= self.wanted_by(txn) - self.now
@@ -270,7 +277,7 @@
         machine = txn.scheme.machine
         far_need = self.room_to_cross(txn)
         least, winners = float("inf"), []
-        need = ENOUGH + 0.25 * len(txn.postings) + (self.reserve if txn.over else 0.0)
+        need = ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings) + (self.reserve if txn.over else 0.0)
         for book, room in books:
             worker = book.worker
             if room < (need if worker.zone == self.home else max(need, far_need)) or txn.over and self.tells_start and self.crowded(book):
@@ -478,6 +485,7 @@
         if report is not None:
             self.read(book, report)
         if outcome is Outcome.FULL:
+            self.turned_away.append(self.now)
             # Told now and at first hand: older word that there is room is no longer believed.
             book.report = Report(free=0.0, waiting=report.waiting if report is not None else 0.0)
             book.seen = book.reported = self.now
