--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -126,6 +126,7 @@
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
+        self.steep = 2.0  # how sharply the chance falls with the time needed: the more, the less uneven the work
         self.usual_run = float(SECOND)
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick that hints are given in
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
@@ -262,56 +263,65 @@
         crowd = float(len(book.out))
         if report is not None and report.free is not None:
             crowd = max(0.0, book.slots() - self.room(book))
-        return own * (1.0 + crowd) * book.pace
+        return own * (1.0 + crowd) * book.pace / self.chance(book, txn)
 
     def doubt(self) -> float:
         """Rejections by several workers at once say that all are fuller than believed, not those few alone."""
         return sum(exp(-(self.now - when) / self.usual_run) for when in self.turned_away) / 8
 
-    def fits(self, book: Book, txn: Txn) -> bool:
-        """Whether it would end in time there; the paper's workers are alike, ours are not, nor always the same."""
-        return self.run_of(txn) * book.pace <= self.wanted_by(txn) - self.now
+    def chance(self, book: Book, txn: Txn) -> float:
+        """That it would end in time there. The paper's workers are alike; ours are not, nor always the same."""
+        left = self.wanted_by(txn) - self.now
+        if left <= 0:
+            return 0.01
+        odds = (left / (self.run_of(txn) * book.pace)) ** self.steep
+        return max(0.01, odds / (1.0 + odds))
 
-    def best(self, txn: Txn, books: list[tuple[Book, float]]) -> Worker | None:
-        """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
+    def eligible(self, book: Book, txn: Txn) -> bool:
+        worker = book.worker
         machine = txn.scheme.machine
-        far_need = self.room_to_cross(txn)
-        least, winners = float("inf"), []
+        return ((machine is None or worker.machine == machine) and self.may_post(txn, worker)
+                and not (book.suspect and not self.may_try(txn))
+                and not (txn.over and self.tells_start and self.crowded(book))
+                and not any(p.out and p.worker is worker for p in txn.postings) and self.cold_allows(book, txn))
+
+    def best(self, txn: Txn, rooms: list[tuple[Book, float]]) -> Worker | None:
         need = ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings) + (self.reserve if txn.over else 0.0)
-        for book, room in books:
-            worker = book.worker
-            if room < (need if worker.zone == self.home else max(need, far_need)) or txn.over and self.tells_start and self.crowded(book):
-                continue
-            if machine is not None and worker.machine != machine:
-                continue
-            if not self.may_post(txn, worker) or book.suspect and not self.may_try(txn):
-                continue
-            if any(p.out and p.worker is worker for p in txn.postings) or not self.cold_allows(book, txn):
-                continue
-            load = self.load(book, txn) * (1.0 if worker.zone == self.home else 1e6)
-            if not self.fits(book, txn):
-                load *= 1e12
+        books = [book for book, room in rooms if room >= need and self.eligible(book, txn)]
+        if self.cross_price <= 0:
+            book = self.least(books, txn)
+        else:
+            book = self.least([book for book in books if book.worker.zone == self.home], txn)
+            far = self.least([book for book in books if book.worker.zone != self.home], txn)
+            if far is not None and self.crossing_pays(txn, book, far):
+                book = far
+        return book.worker if book is not None else None
+
+    def least(self, books: list[Book], txn: Txn) -> Book | None:
+        """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
+        least, winners = float("inf"), []
+        for book in books:
+            load = self.load(book, txn)
             if load < least:
-                least, winners = load, [worker]
+                least, winners = load, [book]
             elif load == least:
-                winners.append(worker)
-        if not winners:
-            return None
-        return winners[0] if len(winners) == 1 else self.choose(winners)
+                winners.append(book)
+        return self.choose(winners) if len(winners) > 1 else winners[0] if winners else None
 
-    def room_to_cross(self, txn: Txn) -> float:
-        """How much room a worker in another zone must show before the price of going there is worth paying.
+    def crossing_pays(self, txn: Txn, near: Book | None, far: Book) -> bool:
+        """Whether another zone's worker raises the chance of ending in time by more than the crossing costs.
 
-        What is lost by staying is the txn's worth times the chance that nothing frees at home in time; what is
-        gained grows with the chance that the room is still there on arrival.
+        Without room at home that chance is that something frees there before the txn is given up.
         """
-        if self.cross_price <= 0:
-            return 0.0
-        stake = self.worth(txn) / self.mean_worth * (1 + sum(self.landed)) / (1 + len(self.landed))
-        if len(self.home_ends) > 3:
+        if near is not None:
+            stay = self.chance(near, txn)
+        elif len(self.home_ends) > 3:
             pause = (self.now - self.home_ends[0]) / len(self.home_ends) * max(1, len(self.waiting))
-            stake *= exp(-max(0, self.give_up_at(txn) - self.now) / max(1.0, pause))
-        return 1.5 * self.cross_price / stake if stake > self.cross_price else FAR
+            stay = 1.0 - exp(-max(0, self.give_up_at(txn) - self.now) / max(1.0, pause))
+        else:
+            stay = 0.0
+        taken = (1 + sum(self.landed)) / (1 + len(self.landed))
+        return self.worth(txn) / self.mean_worth * (self.chance(far, txn) * taken - stay) > self.cross_price
 
     def grant(self) -> tuple[Txn, Worker] | None:
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
@@ -322,10 +332,10 @@
         self.stirred, self.look_due = False, self.now + LOOK
         if not rooms:
             return None
-        barred: dict[tuple[Scheme, bool, bool, int], None] = {}
+        barred: dict[tuple[Scheme, bool, int, int], None] = {}
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
-            alike = (txn.scheme, txn.over, self.room_to_cross(txn) < 4, len(txn.postings))
+            alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings))
             if alike in barred:
                 continue
             worker = self.best(txn, rooms)
