--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -139,7 +139,7 @@
         self.list_due = FAR
         self.list_failures = 0
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
-        self.home_ends: deque[int] = deque(maxlen=16)  # when own postings last ended at home
+        self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
         self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
@@ -155,13 +155,15 @@
             if len(txn.postings) >= self.max_postings:
                 break  # nothing more can be done for it: say so now, not when its time is up
             self.hold(txn)
-            until = self.give_up_at(txn)
+            held_at, until = self.now, self.give_up_at(txn)
             news = None
             while self.now < until:
                 news = yield Wait(until)
                 if isinstance(news, Worker):
                     break
             self.release(txn)
+            if self.now > held_at and (not isinstance(news, Worker) or news.zone == self.home):
+                self.stayed.append(isinstance(news, Worker))
             if not isinstance(news, Worker):
                 break
             posting = yield Post(news, txn.expires - self.now)
@@ -311,15 +313,13 @@
     def crossing_pays(self, txn: Txn, near: Book | None, far: Book) -> bool:
         """Whether another zone's worker raises the chance of ending in time by more than the crossing costs.
 
-        Without room at home that chance is that something frees there before the txn is given up.
+        Without room at home, go by what came of the last txns that waited for it.
         """
         if near is not None:
             stay = self.chance(near, txn)
-        elif len(self.home_ends) > 3:
-            pause = (self.now - self.home_ends[0]) / len(self.home_ends) * max(1, len(self.waiting))
-            stay = 1.0 - exp(-max(0, self.give_up_at(txn) - self.now) / max(1.0, pause))
         else:
-            stay = 0.0
+            left = (self.give_up_at(txn) - self.now) / max(1, self.give_up_at(txn) - txn.arrived)
+            stay = left * (1 + sum(self.stayed)) / (2 + len(self.stayed))
         taken = (1 + sum(self.landed)) / (1 + len(self.landed))
         return self.worth(txn) / self.mean_worth * (self.chance(far, txn) * taken - stay) > self.cross_price
 
@@ -367,7 +367,7 @@
         rates = sorted(account.rate(self.now) / account.allowance for account in self.accounts.values())
         if len(rates) > 1:
             middle = (rates[(len(rates) - 1) // 2] + rates[len(rates) // 2]) / 2
-            self.part = min(2.0 * self.even_part, max(0.5 * self.even_part, middle))
+            self.part = min(2.0 * self.even_part, max(self.even_part, middle))
 
     def worth(self, txn: Txn) -> float:
         worth = txn.scheme.value * (txn.hint or 1 if self.by_work else 1)
@@ -476,8 +476,6 @@
         if posting.worker.zone != self.home:
             self.landed.append(outcome is None or not outcome.never_ran)
         if outcome is Outcome.SETTLED:
-            if posting.worker.zone == self.home:
-                self.home_ends.append(self.now)
             took = self.now - (posting.started or posting.sent)
             book.paces.append(max(0.1, min(10.0, took / self.run_of(posting.txn))))
             # Few samples of work this uneven say little: lean on the middle of the road.
