--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -79,7 +79,7 @@
 
     def pays(self, now: int, part: float) -> bool:
         income = self.allowance * part
-        self.purse = min(max(1.0, income * SECOND), self.purse + (now - self.filled) * income)
+        self.purse = min(max(1.0, 4 * income * SECOND), self.purse + (now - self.filled) * income)
         self.filled = now
         if self.purse < 1.0:
             return False
@@ -359,7 +359,7 @@
         if account is not None:
             account.asked.append(self.now)
             txn.over = not account.pays(self.now, 1.15 * self.part)
-            txn.thrift = account.purse / max(1.0, account.allowance * self.part * SECOND)
+            txn.thrift = account.purse / max(1.0, 4 * account.allowance * self.part * SECOND)
 
     def judge_part(self) -> None:
         """The share is the whole tier's and we see a part of it, not always an even one: the middle customer's
