--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -70,7 +70,7 @@
 
     def __init__(self, allowance: float, now: int) -> None:
         self.allowance = allowance  # txns in a tenth of a millisecond, over all dispatchers
-        self.purse = 1.0
+        self.purse = float("inf")  # full at the start, whatever its size turns out to be
         self.filled = now
         self.asked: deque[int] = deque(maxlen=64)
 
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,154 @@
+"""Stories of failures met: one for each, told against the tiny host."""
+
+import unittest
+from unittest import mock
+
+from pathsaddle.choice import Book
+from pathsaddle.trade import SECOND, Customer, Group, ListNews, Outcome, Report, Standing, Worker
+from tests.fakehost import ONCE_ONLY, REFERENCED, FakeHost, full, idle, scheme
+
+
+class WrongWord(unittest.TestCase):
+    def test_a_rejection_outweighs_the_report_that_came_with_it(self) -> None:
+        """Late reports: a full worker kept its old report of free slots and got every posting of a txn."""
+        host = FakeHost(workers=1)
+        host.ask("a")
+        host.end(host.posted[0], Outcome.FULL, Report(free=2.0, waiting=0.0, held=0.0))
+        self.assertEqual(len(host.posted), 1)
+
+    def test_a_worker_once_full_is_not_shut_for_good(self) -> None:
+        """Nobody tells us when others' jobs end there: the word that it is full has to fade."""
+        host = FakeHost(workers=1)
+        host.ask("a")
+        host.end(host.posted[0], report=idle())
+        host.ask("b")
+        host.end(host.posted[1], Outcome.FULL, full())
+        host.passes(2 * SECOND)
+        host.ask("c")
+        host.passes(SECOND // 2)
+        self.assertIn("c", [p.txn.tag for p in host.posted])
+
+
+class Rejections(unittest.TestCase):
+    def test_a_txn_out_of_postings_is_declined_at_once(self) -> None:
+        """It was held to its expiry with nothing left that could be done for it."""
+        host = FakeHost(workers=4, max_postings=1)
+        host.ask("a")
+        host.end(host.posted[0], Outcome.FULL)
+        self.assertEqual(host.answers, {"a": ["declined"]})
+
+    def test_postings_are_not_burnt_within_moments(self) -> None:
+        """All workers full at once: four postings were gone within milliseconds."""
+        host = FakeHost(workers=8)
+        for worker in host.workers:
+            host.loop.choice.read(host.loop.choice.books[worker], Report(free=1.0, waiting=0.0, held=1.0))
+        for tag in ("a", "b", "c"):
+            host.ask(tag)
+            while host.posted[-1].out:
+                host.end(host.posted[-1], Outcome.FULL)
+        self.assertLess(len([p for p in host.posted if p.txn.tag == "c"]), 4)
+
+    def test_errors_do_not_make_a_worker_the_favourite(self) -> None:
+        """A worker that fails quickly sheds its backlog and drew every txn in."""
+        host = FakeHost(scheme(REFERENCED, group=Group.ALL), workers=2)
+        host.ask("a")
+        bad = host.posted[0].worker
+        host.end(host.posted[0], Outcome.ERROR)
+        for tag in "bcdef":
+            host.ask(tag)
+            host.end(host.posted[-1], Outcome.SETTLED, idle())
+        self.assertNotIn(bad, [p.worker for p in host.posted[1:]])
+
+
+class Silence(unittest.TestCase):
+    def test_a_silent_workers_txn_gets_a_second_posting_elsewhere(self) -> None:
+        host = FakeHost()
+        host.ask("a")
+        host.passes(4 * SECOND)
+        self.assertEqual([p.worker for p in host.posted if p.txn.tag == "a"][1:],
+                         [w for w in host.workers if w is not host.posted[0].worker])
+
+    def test_progress_keeps_a_long_job_where_it_is(self) -> None:
+        host = FakeHost()
+        host.ask("a")
+        for _ in range(3):
+            host.passes(2 * SECOND)
+            host.progress(host.posted[0])
+        self.assertEqual(len(host.posted), 1)
+
+    def test_where_one_at_a_time_is_the_rule_it_is_cancelled_first(self) -> None:
+        host = FakeHost(two_at_once=False)
+        host.ask("a")
+        host.passes(4 * SECOND)
+        self.assertEqual((len(host.posted), host.cancelled), (1, [host.posted[0]]))
+        host.end(host.posted[0], Outcome.CANCELLED)
+        self.assertNotEqual(host.posted[1].worker, host.posted[0].worker)
+
+    def test_a_once_only_txn_is_not_risked_on_a_suspect(self) -> None:
+        host = FakeHost(scheme(), scheme(ONCE_ONLY, index=1), workers=1, two_at_once=False)
+        host.ask("a", lasts=4 * SECOND)
+        host.passes(4 * SECOND)
+        host.end(host.posted[0], Outcome.TIMED_OUT)
+        host.ask("b", of=1)
+        host.passes(9 * SECOND)
+        self.assertEqual(len(host.posted), 1)
+
+
+class Shares(unittest.TestCase):
+    def test_the_thrifty_customer_goes_before_the_heavy_one(self) -> None:
+        """One customer at three times its share filled the queues and made everybody late."""
+        heavy, thrifty = Customer(0, 1.0, 0.5), Customer(1, 1.0, 0.5)
+        host = FakeHost(workers=1, customers=[heavy, thrifty])
+        host.standing(host.workers[0], Standing.DRAINING)
+        for tag in "abcd":
+            host.ask(tag, customer=heavy)
+        host.ask("x", customer=thrifty)
+        host.standing(host.workers[0], Standing.READY)
+        self.assertEqual([p.txn.tag for p in host.posted], ["a", "x"])  # each one's first, not the heavy one's next
+
+    def test_light_traffic_puts_nobody_over_share(self) -> None:
+        """With little traffic the middle customer is far below its share; all were taken to be over theirs."""
+        light = [Customer(0, 10.0, 0.5), Customer(1, 10.0, 0.5)]
+        host = FakeHost(customers=light)
+        over = []
+        for number in range(40):
+            over.append(host.ask(f"t{number}", customer=light[number % 2]).over)
+            host.end(host.posted[-1], report=idle())
+            host.passes(SECOND)
+        self.assertNotIn(True, over)
+
+
+class Zones(unittest.TestCase):
+    def test_a_small_txn_waits_at_home_and_a_large_one_crosses(self) -> None:
+        host = FakeHost(workers=2, price_cross=0.3, value_by_work=True)
+        host.workers[1].zone = 1
+        host.ask("first", hint=SECOND)
+        host.loop.choice.read(host.loop.choice.books[host.workers[0]], full())
+        host.ask("small", hint=SECOND // 10)
+        host.ask("large", hint=2 * SECOND)
+        self.assertEqual([p.txn.tag for p in host.posted], ["first", "large"])
+        self.assertEqual(host.posted[1].worker.zone, 1)
+
+
+class TheList(unittest.TestCase):
+    def test_a_failed_subscription_is_asked_for_again(self) -> None:
+        host = FakeHost(must_ask=True)
+        host.list(ListNews.FAILED)
+        host.passes(2 * SECOND)
+        self.assertEqual(host.subscribed, 2)
+
+
+class LargeFleets(unittest.TestCase):
+    def test_the_cold_check_does_not_look_at_every_pair_of_workers(self) -> None:
+        """Incident i6d62e5: with 59 workers the decisions took longer than the day."""
+        host = FakeHost(workers=0)
+        fleet = [Worker(f"w{i}", started=host.now) for i in range(60)]
+        host.now += 5 * SECOND
+        host.list(ListNews.CHANGES, *fleet)
+        with mock.patch.object(Book, "slots", autospec=True, return_value=2.0) as slots:
+            host.ask("a", hint=SECOND // 10)
+        self.assertLess(slots.call_count, 5 * len(fleet))
+
+
+if __name__ == "__main__":
+    unittest.main()
