--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -141,6 +141,7 @@
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
+        self.known: dict[Any, int] = {}  # what was declined lately, and when it was first asked for
         self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
         if self.must_ask:
@@ -180,6 +181,7 @@
         while any(p.out for p in txn.postings) and self.now < last and not self.may_decline(txn):
             yield Wait(last)
         if self.may_decline(txn):
+            self.remember(txn)
             yield Decline(self.come_back)
         else:
             yield Reverse()
@@ -318,7 +320,7 @@
         if near is not None:
             stay = self.chance(near, txn)
         else:
-            left = (self.give_up_at(txn) - self.now) / max(1, self.give_up_at(txn) - txn.arrived)
+            left = (self.give_up_at(txn) - self.now) / max(1, self.give_up_at(txn) - txn.first)
             stay = left * (1 + sum(self.stayed)) / (2 + len(self.stayed))
         taken = (1 + sum(self.landed)) / (1 + len(self.landed))
         return self.worth(txn) / self.mean_worth * (self.chance(far, txn) * taken - stay) > self.cross_price
@@ -352,6 +354,8 @@
     # What a txn is worth, and how long it is worth holding.
 
     def appraise(self, txn: Txn) -> None:
+        txn.mark = (txn.scheme, txn.customer, txn.hint, txn.slots, txn.memory)
+        txn.first = self.first_asked(txn)
         self.probe_purse = min(self.probe_purse + self.probe_income, 20 * self.probe_income)
         self.worths.append(self.worth(txn))
         self.mean_worth = sum(self.worths) / len(self.worths)
@@ -369,6 +373,17 @@
             middle = (rates[(len(rates) - 1) // 2] + rates[len(rates) // 2]) / 2
             self.part = min(2.0 * self.even_part, max(self.even_part, middle))
 
+    def remember(self, txn: Txn) -> None:
+        self.known[txn.mark] = txn.first
+        if len(self.known) > 512:
+            del self.known[next(iter(self.known))]
+
+    def first_asked(self, txn: Txn) -> int:
+        """The SLA time runs from a client's first try. Its next try has another id, but is known by its hint:
+        in overload half of what arrived was tries that could no longer be in time (incident i8141a7)."""
+        first = self.known.pop(txn.mark, self.now) if txn.hint is not None else self.now
+        return first if self.now - first < txn.scheme.expiry else self.now
+
     def worth(self, txn: Txn) -> float:
         worth = txn.scheme.value * (txn.hint or 1 if self.by_work else 1)
         return worth * self.over_share if txn.over else worth
@@ -376,7 +391,7 @@
     def wanted_by(self, txn: Txn) -> int:
         scheme = txn.scheme
         alone = self.run_of(txn) * (1.0 if txn.hint is not None else self.best_pace)
-        return txn.arrived + scheme.sla_time + int(scheme.stretch * alone)
+        return txn.first + scheme.sla_time + int(scheme.stretch * alone)
 
     def run_of(self, txn: Txn) -> float:
         if txn.hint is not None:
@@ -392,8 +407,8 @@
         if scheme.late_value > 0:
             return int(last - self.run_of(txn))
         # Past its SLA time an unhinted txn is in time only if it happens to be a long one: not worth the whole wait.
-        spare = self.wanted_by(txn) - txn.arrived - scheme.sla_time - int(self.run_of(txn))
-        return min(last, txn.arrived + scheme.sla_time + max(0, spare // (1 if txn.hint is not None else 2)))
+        spare = self.wanted_by(txn) - txn.first - scheme.sla_time - int(self.run_of(txn))
+        return min(last, txn.first + scheme.sla_time + max(0, spare // (1 if txn.hint is not None else 2)))
 
     def hold(self, txn: Txn) -> None:
         self.stirred = True
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -125,6 +125,8 @@
     closed: bool = False
     run: Generator[Order, Any, None] | None = None
     place: tuple[tuple[float, int], int, Txn] | None = None  # where it stands among the held
+    first: int = 0  # when its client first asked, as far as we know
+    mark: tuple[Any, ...] = ()  # what its client's next try would have in common with it
     thrift: float = 0.0  # what part of its customer's share for the moment was left as it came
     over: bool = False  # beyond its customer's share
     pending: int = 0  # which of its waits is the current one; a timer of an older one is stale
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -130,6 +130,18 @@
         self.assertEqual(host.posted[1].worker.zone, 1)
 
 
+class NextTries(unittest.TestCase):
+    def test_a_declined_txns_next_try_counts_from_the_first(self) -> None:
+        """Incident i8141a7: tries past their SLA time took the slots of those still in time."""
+        host = FakeHost(workers=0)
+        host.ask("a", hint=SECOND)
+        host.passes(2 * SECOND)
+        host.list(ListNews.CHANGES, Worker("late"))
+        host.ask("again", hint=SECOND)
+        host.ask("other", hint=SECOND + 1)
+        self.assertEqual(([p.txn.tag for p in host.posted], host.answers["again"]), (["other"], ["declined"]))
+
+
 class TheList(unittest.TestCase):
     def test_a_failed_subscription_is_asked_for_again(self) -> None:
         host = FakeHost(must_ask=True)
