--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -33,6 +33,7 @@
     def __init__(self, worker: Worker) -> None:
         self.worker = worker
         self.out: list[Posting] = []
+        self.head: dict[Type, float] = {}  # what a new worker starts with on top, fading as own jobs finish
         self.owed: dict[Type, int] = {}  # backlogged work by type: added at each send, removed at its outcome
         self.past: deque[tuple[int, int]] = deque([(-FAR, 0)], maxlen=512)  # (when, own postings out from then)
         self.report: Report | None = None
@@ -262,7 +263,7 @@
 
     def load(self, book: Book, txn: Txn) -> float:
         kind = self.type_of(txn)
-        own = book.owed.get(kind, 0) + self.work_of(txn)
+        own = book.owed.get(kind, 0) + book.head.get(kind, 0.0) + self.work_of(txn)
         report = book.report
         crowd = float(len(book.out))
         if report is not None and report.free is not None:
@@ -498,6 +499,7 @@
             self.runs[posting.txn.scheme].append(max(1, took))
             book.alive = self.now
             book.suspect, book.failed, book.trials = False, 0, 0
+            book.head = {kind: work / 2 for kind, work in book.head.items() if work > 1}
         elif book.suspect and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
             # A worker that stands still takes each new posting for good: the next trial waits, and grows rarer.
             book.trials += 1
@@ -577,10 +579,19 @@
             book = self.books.get(worker)
             if book is None:
                 book = self.books[worker] = Book(worker)
+                self.head_start(book)
             if worker.started != book.started:
+                self.head_start(book)
                 book.started = worker.started
                 book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
 
+    def head_start(self, book: Book) -> None:
+        """The design: a worker not yet heard from starts at the others' mean backlog, or all would go there."""
+        others = [other for other in self.books.values()
+                  if other is not book and other.worker.standing is Standing.READY]
+        kinds = dict.fromkeys(kind for other in others for kind in other.owed)
+        book.head = {kind: sum(other.owed.get(kind, 0) for other in others) / len(others) for kind in kinds}
+
     def housekeeping(self) -> int:
         due = FAR
         if self.must_ask:
