--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -160,9 +160,12 @@
             held_at, until = self.now, self.give_up_at(txn)
             news = None
             while self.now < until:
-                news = yield Wait(until)
+                in_time = self.in_time_until(txn)
+                news = yield Wait(min(until, in_time) if self.now < in_time else until)
                 if isinstance(news, Worker):
                     break
+                self.release(txn)  # a late answer is worth less: it stands back behind those still in time
+                self.hold(txn)
             self.release(txn)
             if self.now > held_at and (not isinstance(news, Worker) or news.zone == self.home):
                 self.stayed.append(isinstance(news, Worker))
@@ -350,7 +353,8 @@
 
     def rank(self, txn: Txn) -> tuple[float, int]:
         # Among txns of like worth the customer that has used least of its share goes first.
-        return -self.worth(txn) / self.run_of(txn) * (1.0 + min(1.0, txn.thrift)), self.give_up_at(txn)
+        worth = self.worth(txn) * (1.0 if self.now < self.in_time_until(txn) else txn.scheme.late_value)
+        return -worth / self.run_of(txn) * (1.0 + min(1.0, txn.thrift)), self.give_up_at(txn)
 
     # What a txn is worth, and how long it is worth holding.
 
@@ -404,12 +408,13 @@
         last = txn.expires - self.tick
         if any(p.may_have_run for p in txn.postings):
             return last
+        return int(last - self.run_of(txn)) if txn.scheme.late_value > 0 else min(last, self.in_time_until(txn))
+
+    def in_time_until(self, txn: Txn) -> int:
         scheme = txn.scheme
-        if scheme.late_value > 0:
-            return int(last - self.run_of(txn))
         # Past its SLA time an unhinted txn is in time only if it happens to be a long one: not worth the whole wait.
         spare = self.wanted_by(txn) - txn.first - scheme.sla_time - int(self.run_of(txn))
-        return min(last, txn.first + scheme.sla_time + max(0, spare // (1 if txn.hint is not None else 2)))
+        return txn.first + scheme.sla_time + max(0, spare // (1 if txn.hint is not None else 2))
 
     def hold(self, txn: Txn) -> None:
         self.stirred = True
