--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -387,6 +387,8 @@
         """The SLA time runs from a client's first try. Its next try has another id, but is known by its hint:
         in overload half of what arrived was tries that could no longer be in time (incident i8141a7)."""
         first = self.known.pop(txn.mark, self.now) if txn.hint is not None else self.now
+        if txn.repeat and first == self.now:
+            first -= txn.scheme.sla_time  # its earlier try was held at least this long before it was declined
         return first if self.now - first < txn.scheme.expiry else self.now
 
     def worth(self, txn: Txn) -> float:
