Nothing is held that no posting may follow

A once-only txn after an error, or a referenced one past its window, was held to its expiry before it was reversed; now at once. No second copy for what can no longer be in time.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -1,9 +1,10 @@
 """All decisions of one dispatcher.
 
-How it is called: `loop.Loop` makes one Choice and tells it what it sees (`listed`, `ended`, `noted`, `probed`,
-`closed`). `serve(txn)` is the life of a txn, read top to bottom; it yields the orders of `trade` and is resumed
-with what came of them. After each group of events `grant()` names the next held txn and the worker it gets, until
-it says None, and `housekeeping()` does what is due (the list, probes) and tells when it wants to be called again.
+How it is called: `loop.Loop` makes one Choice and tells it what it sees (`listed`, `ended`, `noted`,
+`probed`, `closed`). `serve(txn)` is the life of a txn, read top to bottom; it yields the orders of `trade`
+and is resumed with what came of them. After each group of events `grant()` names the next held txn and the
+worker it gets, until it says None, and `housekeeping()` does what is due (the list, probes) and tells when
+it wants to be called again.
 The interface, both ways, is in `trade.py`: Terms and Door at the bottom. Times are tenths of a millisecond.
 """
 
@@ -16,15 +17,35 @@
 from random import Random
 from typing import Any
 
-from pathsaddle.trade import (MILLISECOND, SECOND, Cancel, Customer, Decline, Door, Group, ListNews, Order,
-                              Outcome, Post, Posting, Report, Reverse, Scheme, Semantics, Standing, Terms, Txn,
-                              Wait, Worker)
+from pathsaddle.trade import (
+    MILLISECOND,
+    SECOND,
+    Cancel,
+    Decline,
+    Door,
+    Group,
+    ListNews,
+    Order,
+    Outcome,
+    Post,
+    Posting,
+    Report,
+    Reverse,
+    Scheme,
+    Semantics,
+    Standing,
+    Terms,
+    Txn,
+    Wait,
+    Worker,
+)
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
 FAR = 1 << 60
 ENOUGH = 0.3  # free slots, as expected, that make a posting worth a try
 LOOK = 10 * MILLISECOND  # how often held txns are looked at when nothing has happened
-AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))  # guesses of a report's age
+# Guesses of a report's age.
+AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))
 
 
 class Book:
@@ -35,13 +56,13 @@
         self.out: list[Posting] = []
         self.head: dict[Type, float] = {}  # what a new worker starts with on top, fading as own jobs finish
         self.owed: dict[Type, int] = {}  # backlogged work by type: added at each send, removed at its outcome
-        self.past: deque[tuple[int, int]] = deque([(-FAR, 0)], maxlen=512)  # (when, own postings out from then)
+        self.past: deque[tuple[int, int]] = deque([(-FAR, 0)], maxlen=512)  # (when, own out from then)
         self.report: Report | None = None
         self.reported = 0  # when the report came
         self.seen = -FAR  # the moment that it describes
         self.own_then = 0  # own postings out at that moment
         self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
-        self.readings: deque[float] = deque(maxlen=8)  # others' jobs there over the free slots, by the last reports
+        self.readings: deque[float] = deque(maxlen=8)  # others' jobs there less the slots, as reported
         self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
         self.alive = 0  # last sign of life: an answer or a progress note
         self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
@@ -127,9 +148,9 @@
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
-        self.steep = 2.0  # how sharply the chance falls with the time needed: the more, the less uneven the work
+        self.steep = 2.0  # how sharply the chance falls with the time needed
         self.usual_run = float(SECOND)
-        self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick that hints are given in
+        self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick of hints
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
         self.age = AGES[0]
@@ -154,10 +175,11 @@
         self.appraise(txn)
         last = txn.expires - self.tick
         while True:
-            if len(txn.postings) >= self.max_postings:
+            until = min(self.give_up_at(txn), self.may_go_on_until(txn))
+            if self.now >= until:
                 break  # nothing more can be done for it: say so now, not when its time is up
             self.hold(txn)
-            held_at, until = self.now, self.give_up_at(txn)
+            held_at = self.now
             news = None
             while self.now < until:
                 in_time = self.in_time_until(txn)
@@ -180,9 +202,7 @@
                         break
                     if not posting.cancelled:
                         yield Cancel(posting)
-            if posting.out and self.now >= last:
-                break
-        while any(p.out for p in txn.postings) and self.now < last and not self.may_decline(txn):
+        while any(p.out for p in txn.postings) and self.now < last:
             yield Wait(last)
         if self.may_decline(txn):
             self.remember(txn)
@@ -207,6 +227,15 @@
         return all(self.same_group(scheme, p.worker, worker) and self.now + self.tick < p.sent + scheme.window
                    for p in risky)
 
+    def may_go_on_until(self, txn: Txn) -> int:
+        """Until when `may_post` could still say yes to some worker."""
+        risky = [p for p in txn.postings if p.may_have_run]
+        if len(txn.postings) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
+            return 0
+        if risky and txn.scheme.semantics is Semantics.REFERENCED:
+            return min(p.sent for p in risky) + txn.scheme.window - self.tick
+        return FAR
+
     def may_decline(self, txn: Txn) -> bool:
         """Rule 2, the second half: whether telling the client to try again can do no harm."""
         scheme = txn.scheme
@@ -236,7 +265,7 @@
             return 1.0 if len(book.out) < 2 else 0.0
         if self.tells_start and self.queued(book):
             return 0.0
-        # Word of others' jobs there fades as those end and others come: back to what it mostly is at this worker.
+        # Word of others' jobs fades as those end and others come: back to what it mostly is here.
         told = (report.waiting or 0.0) - report.free - book.own_then
         kept = exp(-(self.now - book.seen) / self.usual_run)
         if book.readings:
@@ -274,16 +303,16 @@
         return own * (1.0 + crowd) * book.pace / self.chance(book, txn)
 
     def doubt(self) -> float:
-        """Rejections by several workers at once say that all are fuller than believed, not those few alone."""
+        """Rejections by several workers at once say that all are fuller than believed."""
         return sum(exp(-(self.now - when) / self.usual_run) for when in self.turned_away) / 8
 
     def chance(self, book: Book, txn: Txn) -> float:
-        """That it would end in time there. The paper's workers are alike; ours are not, nor always the same."""
+        """That it would end in time there: the paper's workers are alike, ours are not."""
         left = self.wanted_by(txn) - self.now
         if left <= 0:
             return 0.01
         odds = (left / (self.run_of(txn) * book.pace)) ** self.steep
-        return max(0.01, odds / (1.0 + odds))
+        return float(max(0.01, odds / (1.0 + odds)))
 
     def eligible(self, book: Book, txn: Txn) -> bool:
         worker = book.worker
@@ -291,7 +320,8 @@
         return ((machine is None or worker.machine == machine) and self.may_post(txn, worker)
                 and not (book.suspect and not self.may_try(txn))
                 and not (txn.over and self.tells_start and self.crowded(book))
-                and not any(p.out and p.worker is worker for p in txn.postings) and self.cold_allows(book, txn))
+                and not any(p.out and p.worker is worker for p in txn.postings)
+                and self.cold_allows(book, txn))
 
     def best(self, txn: Txn, rooms: list[tuple[Book, float]]) -> Worker | None:
         need = ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings) + (self.reserve if txn.over else 0.0)
@@ -371,8 +401,8 @@
             txn.thrift = account.purse / max(1.0, 4 * account.allowance * self.part * SECOND)
 
     def judge_part(self) -> None:
-        """The share is the whole tier's and we see a part of it, not always an even one: the middle customer's
-        traffic tells which. One that floods us does not move the middle."""
+        """The share is the whole tier's and we see a part of it, not always an even one: the middle
+        customer's traffic tells which. One that floods us does not move the middle."""
         rates = sorted(account.rate(self.now) / account.allowance for account in self.accounts.values())
         if len(rates) > 1:
             middle = (rates[(len(rates) - 1) // 2] + rates[len(rates) // 2]) / 2
@@ -408,13 +438,13 @@
 
     def give_up_at(self, txn: Txn) -> int:
         last = txn.expires - self.tick
-        if any(p.may_have_run for p in txn.postings):
-            return last
-        return int(last - self.run_of(txn)) if txn.scheme.late_value > 0 else min(last, self.in_time_until(txn))
+        if txn.scheme.late_value > 0:
+            return int(last - self.run_of(txn))
+        return min(last, self.in_time_until(txn))
 
     def in_time_until(self, txn: Txn) -> int:
         scheme = txn.scheme
-        # Past its SLA time an unhinted txn is in time only if it happens to be a long one: not worth the whole wait.
+        # Past its SLA time an unhinted txn is in time only if it happens to be a long one.
         spare = self.wanted_by(txn) - txn.first - scheme.sla_time - int(self.run_of(txn))
         return txn.first + scheme.sla_time + max(0, spare // (1 if txn.hint is not None else 2))
 
@@ -442,7 +472,7 @@
         book = self.books[posting.worker]
         self.judge_silence(book)
         return (book.suspect and (self.two_at_once or self.may_cancel)
-                and txn.scheme.semantics is not Semantics.ONCE_ONLY and len(txn.postings) < self.max_postings)
+                and self.now < min(self.give_up_at(txn), self.may_go_on_until(txn)))
 
     def may_try(self, txn: Txn) -> bool:
         """Only what can be posted again anywhere is risked on a suspect."""
@@ -508,7 +538,7 @@
             book.suspect, book.failed, book.trials = False, 0, 0
             book.head = {kind: work / 2 for kind, work in book.head.items() if work > 1}
         elif book.suspect and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
-            # A worker that stands still takes each new posting for good: the next trial waits, and grows rarer.
+            # A worker that stands still keeps each new posting: trials grow rarer.
             book.trials += 1
             book.shut_until = self.now + (self.silence << min(book.trials - 1, 2))
         elif outcome in (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET):
@@ -593,7 +623,7 @@
                 book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
 
     def head_start(self, book: Book) -> None:
-        """The design: a worker not yet heard from starts at the others' mean backlog, or all would go there."""
+        """The design: a worker not yet heard from starts at the others' mean backlog."""
         others = [other for other in self.books.values()
                   if other is not book and other.worker.standing is Standing.READY]
         kinds = dict.fromkeys(kind for other in others for kind in other.owed)
@@ -613,7 +643,8 @@
             self.judge_starts()
             self.usual_run = self.mean_run()
             self.best_pace = min((b.pace for b in self.books.values()), default=1.0)
-            self.least_slots = min((size for b in self.books.values() if (size := b.slots()) > 0), default=1.0)
+            sizes = [size for book in self.books.values() if (size := book.slots()) > 0]
+            self.least_slots = min(sizes, default=1.0)
         if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
             for book in sorted(self.books.values(), key=lambda b: b.worker.zone != self.home):
                 if book.worker.standing is not Standing.READY or book.probing:
--- a/pathsaddle/drill/__main__.py
+++ b/pathsaddle/drill/__main__.py
@@ -2,7 +2,8 @@
 
 import sys
 
-from pathsaddle.drill.stand import Malformed, Stand
+from pathsaddle.drill.codec import Malformed
+from pathsaddle.drill.stand import Stand
 
 
 def main() -> int:
--- a/pathsaddle/drill/codec.py
+++ b/pathsaddle/drill/codec.py
@@ -9,8 +9,18 @@
 import json
 from typing import Any
 
-from pathsaddle.trade import (Customer, Group, ListNews, Outcome, Report, Scheme, Semantics, Standing, Terms,
-                              Worker)
+from pathsaddle.trade import (
+    Customer,
+    Group,
+    ListNews,
+    Outcome,
+    Report,
+    Scheme,
+    Semantics,
+    Standing,
+    Terms,
+    Worker,
+)
 
 TICK = 100_000  # nanoseconds in a tenth of a millisecond
 
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -11,8 +11,21 @@
 from typing import Any
 
 from pathsaddle.choice import Choice
-from pathsaddle.trade import (Cancel, Decline, Door, ListNews, Outcome, Post, Posting, Report, Reverse, Terms,
-                              Txn, Wait, Worker)
+from pathsaddle.trade import (
+    Cancel,
+    Decline,
+    Door,
+    ListNews,
+    Outcome,
+    Post,
+    Posting,
+    Report,
+    Reverse,
+    Terms,
+    Txn,
+    Wait,
+    Worker,
+)
 
 
 class Loop:
