--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -137,7 +137,7 @@
         self.accounts = {c: Account(c.allowance / SECOND, now) for c in terms.customers if c.allowance > 0}
         self.even_part = 1.0 / terms.dispatchers
         self.part = self.even_part  # what part of the tier's traffic seems to come through us
-        self.reserve = 1.5
+        self.reserve = 1.5  # slots kept free of what is over its customer's share
         # Looking.
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
@@ -324,7 +324,9 @@
                 and self.cold_allows(book, txn))
 
     def best(self, txn: Txn, rooms: list[tuple[Book, float]]) -> Worker | None:
-        need = ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings) + (self.reserve if txn.over else 0.0)
+        need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
+        if txn.over:
+            need += self.reserve
         books = [book for book, room in rooms if room >= need and self.eligible(book, txn)]
         if self.cross_price <= 0:
             book = self.least(books, txn)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -60,6 +60,14 @@
         self.assertNotIn(bad, [p.worker for p in host.posted[1:]])
 
 
+    def test_a_wide_job_is_not_sent_where_only_one_slot_is_free(self) -> None:
+        host = FakeHost()
+        for worker, free in zip(host.workers, (1.0, 4.0)):
+            host.loop.choice.read(host.loop.choice.books[worker], Report(free=free, waiting=0.0, held=4.0 - free))
+        host.ask("wide", slots=4.0)
+        self.assertEqual([p.worker for p in host.posted], [host.workers[1]])
+
+
 class Silence(unittest.TestCase):
     def test_a_silent_workers_txn_gets_a_second_posting_elsewhere(self) -> None:
         host = FakeHost(scheme(sla_time=6 * SECOND))
