--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -166,7 +166,10 @@
         self.known: dict[Any, int] = {}  # what was declined lately, and when it was first asked for
         self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
+        # A call that is never answered must not leave us without word until we are deemed told.
+        self.ask_again = max(1, terms.ask_within // 2)
         if self.must_ask:
+            self.list_due = now + self.ask_again
             door.subscribe()
 
     # The life of a txn.
@@ -635,7 +638,7 @@
         due = FAR
         if self.must_ask:
             if self.now >= self.list_due:
-                self.list_due = FAR
+                self.list_due = self.now + self.ask_again
                 self.door.subscribe()
             due = self.list_due
         if self.now >= self.judged + SECOND // 4:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -158,6 +158,12 @@
         self.assertEqual(host.subscribed, 2)
 
 
+    def test_a_call_without_any_answer_is_made_again_in_time(self) -> None:
+        host = FakeHost(must_ask=True, news=ListNews.REMEMBERED)
+        host.passes(9 * SECOND)
+        self.assertEqual(host.subscribed, 2)
+
+
 class LargeFleets(unittest.TestCase):
     def test_the_cold_check_does_not_look_at_every_pair_of_workers(self) -> None:
         """Incident i6d62e5: with 59 workers the decisions took longer than the day."""
