--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -83,6 +83,10 @@
                 return count
         return self.past[0][1]
 
+    def lives(self, now: int) -> None:
+        self.alive = now
+        self.suspect, self.trials = False, 0
+
     def slots(self) -> float:
         return max(self.sizes, default=0.0)
 
@@ -99,9 +103,11 @@
     def rate(self, now: int) -> float:
         return len(self.asked) / max(1, now - self.asked[0]) if len(self.asked) > 7 else 0.0
 
+    def size(self, part: float) -> float:
+        return max(1.0, 4 * self.allowance * part * SECOND)
+
     def pays(self, now: int, part: float) -> bool:
-        income = self.allowance * part
-        self.purse = min(max(1.0, 4 * income * SECOND), self.purse + (now - self.filled) * income)
+        self.purse = min(self.size(part), self.purse + (now - self.filled) * self.allowance * part)
         self.filled = now
         if self.purse < 1.0:
             return False
@@ -178,7 +184,7 @@
         self.appraise(txn)
         last = txn.expires - self.tick
         while True:
-            until = min(self.give_up_at(txn), self.may_go_on_until(txn))
+            until = self.worth_posting_until(txn)
             if self.now >= until:
                 break  # nothing more can be done for it: say so now, not when its time is up
             self.hold(txn)
@@ -215,23 +221,16 @@
 
     def may_post(self, txn: Txn, worker: Worker) -> bool:
         """Rule 2, the first half: whether another posting, to this worker, can do no harm."""
-        if len(txn.postings) >= self.max_postings or self.now >= txn.expires - self.tick:
+        if self.now >= min(txn.expires - self.tick, self.may_go_on_until(txn)):
             return False
         risky = [p for p in txn.postings if p.may_have_run]
-        if not risky:
-            return True
-        scheme = txn.scheme
-        if scheme.semantics is Semantics.ONCE_ONLY:
-            return False
         if not self.two_at_once and any(p.out for p in risky):
             return False
-        if scheme.semantics is Semantics.REPEATABLE:
-            return True
-        return all(self.same_group(scheme, p.worker, worker) and self.now + self.tick < p.sent + scheme.window
-                   for p in risky)
+        return (txn.scheme.semantics is not Semantics.REFERENCED
+                or all(self.same_group(txn.scheme, p.worker, worker) for p in risky))
 
     def may_go_on_until(self, txn: Txn) -> int:
-        """Until when `may_post` could still say yes to some worker."""
+        """Until when another posting, to some worker, could still do no harm."""
         risky = [p for p in txn.postings if p.may_have_run]
         if len(txn.postings) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
             return 0
@@ -241,10 +240,11 @@
 
     def may_decline(self, txn: Txn) -> bool:
         """Rule 2, the second half: whether telling the client to try again can do no harm."""
-        scheme = txn.scheme
+        return self.runs_again_anywhere(txn.scheme) or not any(p.may_have_run for p in txn.postings)
+
+    def runs_again_anywhere(self, scheme: Scheme) -> bool:
         return (scheme.semantics is Semantics.REPEATABLE
-                or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL
-                or not any(p.may_have_run for p in txn.postings))
+                or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL)
 
     def same_group(self, scheme: Scheme, one: Worker, other: Worker) -> bool:
         if scheme.group is Group.ZONE:
@@ -296,13 +296,13 @@
         return (worker.standing is Standing.READY and self.now >= book.shut_until
                 and not (book.suspect and book.out))
 
-    def load(self, book: Book, txn: Txn) -> float:
+    def load(self, book: Book, room: float, txn: Txn) -> float:
         kind = self.type_of(txn)
         own = book.owed.get(kind, 0) + book.head.get(kind, 0.0) + self.work_of(txn)
         report = book.report
         crowd = float(len(book.out))
         if report is not None and report.free is not None:
-            crowd = max(0.0, book.slots() - self.room(book))
+            crowd = max(0.0, book.slots() - room)
         return own * (1.0 + crowd) * book.pace / self.chance(book, txn)
 
     def doubt(self) -> float:
@@ -321,30 +321,31 @@
         worker = book.worker
         machine = txn.scheme.machine
         return ((machine is None or worker.machine == machine) and self.may_post(txn, worker)
-                and not (book.suspect and not self.may_try(txn))
+                # Only what can be posted again anywhere is risked on a suspect.
+                and (not book.suspect or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
                 and not any(p.out and p.worker is worker for p in txn.postings)
                 and self.cold_allows(book, txn))
 
-    def best(self, txn: Txn, rooms: list[tuple[Book, float]]) -> Worker | None:
+    def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
         need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
         if txn.over:
             need += self.reserve
-        books = [book for book, room in rooms if room >= need and self.eligible(book, txn)]
+        books = [book for book, room in rooms.items() if room >= need and self.eligible(book, txn)]
         if self.cross_price <= 0:
-            book = self.least(books, txn)
+            book = self.least(books, rooms, txn)
         else:
-            book = self.least([book for book in books if book.worker.zone == self.home], txn)
-            far = self.least([book for book in books if book.worker.zone != self.home], txn)
+            book = self.least([book for book in books if book.worker.zone == self.home], rooms, txn)
+            far = self.least([book for book in books if book.worker.zone != self.home], rooms, txn)
             if far is not None and self.crossing_pays(txn, book, far):
                 book = far
         return book.worker if book is not None else None
 
-    def least(self, books: list[Book], txn: Txn) -> Book | None:
+    def least(self, books: list[Book], rooms: dict[Book, float], txn: Txn) -> Book | None:
         """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
         least, winners = float("inf"), []
         for book in books:
-            load = self.load(book, txn)
+            load = self.load(book, rooms[book], txn)
             if load < least:
                 least, winners = load, [book]
             elif load == least:
@@ -368,8 +369,8 @@
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
         if not self.waiting or not self.stirred and self.now < self.look_due:
             return None
-        rooms = [(book, room) for book in self.books.values()
-                 if self.open(book) and (room := self.room(book)) >= ENOUGH]
+        rooms = {book: room for book in self.books.values()
+                 if self.open(book) and (room := self.room(book)) >= ENOUGH}
         self.stirred, self.look_due = False, self.now + LOOK
         if not rooms:
             return None
@@ -403,7 +404,7 @@
         if account is not None:
             account.asked.append(self.now)
             txn.over = not account.pays(self.now, 1.15 * self.part)
-            txn.thrift = account.purse / max(1.0, 4 * account.allowance * self.part * SECOND)
+            txn.thrift = account.purse / account.size(self.part)
 
     def judge_part(self) -> None:
         """The share is the whole tier's and we see a part of it, not always an even one: the middle
@@ -447,6 +448,9 @@
             return int(last - self.run_of(txn))
         return min(last, self.in_time_until(txn))
 
+    def worth_posting_until(self, txn: Txn) -> int:
+        return min(self.give_up_at(txn), self.may_go_on_until(txn))
+
     def in_time_until(self, txn: Txn) -> int:
         scheme = txn.scheme
         # Past its SLA time an unhinted txn is in time only if it happens to be a long one.
@@ -477,13 +481,7 @@
         book = self.books[posting.worker]
         self.judge_silence(book)
         return (book.suspect and (self.two_at_once or self.may_cancel)
-                and self.now < min(self.give_up_at(txn), self.may_go_on_until(txn)))
-
-    def may_try(self, txn: Txn) -> bool:
-        """Only what can be posted again anywhere is risked on a suspect."""
-        scheme = txn.scheme
-        return (scheme.semantics is Semantics.REPEATABLE
-                or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL)
+                and self.now < self.worth_posting_until(txn))
 
     def judge_silence(self, book: Book) -> None:
         if self.silence and book.out:
@@ -532,15 +530,15 @@
         book.owed[self.type_of(posting.txn)] -= posting.work
         outcome = posting.outcome
         if posting.worker.zone != self.home:
-            self.landed.append(outcome is None or not outcome.never_ran)
+            self.landed.append(posting.may_have_run)
         if outcome is Outcome.SETTLED:
             took = self.now - (posting.started or posting.sent)
             book.paces.append(max(0.1, min(10.0, took / self.run_of(posting.txn))))
             # Few samples of work this uneven say little: lean on the middle of the road.
             book.pace = exp(sum(map(log, book.paces)) / (len(book.paces) + 3))
             self.runs[posting.txn.scheme].append(max(1, took))
-            book.alive = self.now
-            book.suspect, book.failed, book.trials = False, 0, 0
+            book.lives(self.now)
+            book.failed = 0
             book.head = {kind: work / 2 for kind, work in book.head.items() if work > 1}
         elif book.suspect and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
             # A worker that stands still keeps each new posting: trials grow rarer.
@@ -584,8 +582,7 @@
 
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
-        book.alive = self.now
-        book.suspect, book.trials = False, 0
+        book.lives(self.now)
         if posting.started == self.now:
             self.starts.append(self.now - posting.sent)
             book.delays.append(self.now - posting.sent)
--- a/pathsaddle/drill/stand.py
+++ b/pathsaddle/drill/stand.py
@@ -118,8 +118,8 @@
 
     def ping_result(self, parts: list[str]) -> None:
         decide(self.loop.probed, self.workers[parts[2]], codec.OUTCOMES[parts[3]],
-                         codec.passed(int(codec.optional(parts[4]) or 0)),
-                         codec.report(parts[5] if len(parts) > 5 else "-", self.fields))
+               codec.passed(int(codec.optional(parts[4]) or 0)),
+               codec.report(parts[5] if len(parts) > 5 else "-", self.fields))
 
     def list_news(self, parts: list[str], rows: list[Worker]) -> None:
         """The worker object stays the same for as long as we live; the list's rows only say what changed."""
