--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -63,7 +63,8 @@
     def test_a_wide_job_is_not_sent_where_only_one_slot_is_free(self) -> None:
         host = FakeHost()
         for worker, free in zip(host.workers, (1.0, 4.0)):
-            host.loop.choice.read(host.loop.choice.books[worker], Report(free=free, waiting=0.0, held=4.0 - free))
+            report = Report(free=free, waiting=0.0, held=4.0 - free)
+            host.loop.choice.read(host.loop.choice.books[worker], report)
         host.ask("wide", slots=4.0)
         self.assertEqual([p.worker for p in host.posted], [host.workers[1]])
 
