Fresh word of a few before a posting, usual load by zone, rooms kept between events

Cause: at size the own backlog is mostly zero and all unheard workers tied as idle; every event ranked the fleet anew; where reports come by probes only, 3.3 probes a txn took work and CPU. Waiting jobs before free slots (memory) and late word are now told by what rejections carry.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -42,7 +42,9 @@
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
 FAR = 1 << 60
+STEEP = 2  # how sharply the chance of ending in time falls with the time needed
 ENOUGH = 0.3  # free slots, as expected, that make a posting worth a try
+LOOKS, FEW = 3, 3  # how often, and at how many workers, a txn has a look before it is posted
 LOOK = 10 * MILLISECOND  # how often held txns are looked at when nothing has happened
 # Guesses of a report's age.
 AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))
@@ -67,6 +69,9 @@
         self.alive = 0  # last sign of life: an answer or a progress note
         self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
         self.pace = 1.0
+        self.size = 0.0  # slots: the most that the last reports add up to
+        self.believed = 0.0  # free slots, as last worked out, and until when that holds if nothing happens here
+        self.believed_until = 0
         self.delays: deque[int] = deque(maxlen=8)  # from posting to start, of the last postings here
         self.probing = False
         self.asked = 0  # when it was last probed
@@ -86,9 +91,8 @@
     def lives(self, now: int) -> None:
         self.alive = now
         self.suspect, self.trials = False, 0
+        self.believed_until = 0
 
-    def slots(self) -> float:
-        return max(self.sizes, default=0.0)
 
 
 class Account:
@@ -115,6 +119,24 @@
         return True
 
 
+class Usual:
+    """What the last looks at one zone's workers found: what is believed of those not heard from."""
+
+    def __init__(self) -> None:
+        self.seen: deque[tuple[int, float]] = deque(maxlen=32)  # (when, others' jobs less slots)
+        self.told = -1.0
+
+    def learns(self, now: int, told: float) -> None:
+        self.seen.append((now, told))
+        self.judge(now)
+
+    def judge(self, now: int, lasts: float = FAR) -> None:
+        while self.seen and now - self.seen[0][0] > lasts:
+            self.seen.popleft()
+        # A few samples say little: lean on one free slot, which is where a look begins.
+        self.told = (sum(told for _, told in self.seen) - 3.0) / (len(self.seen) + 3)
+
+
 class Choice:
     def __init__(self, terms: Terms, seed: int, now: int, door: Door) -> None:
         chance = Random(seed)
@@ -125,6 +147,8 @@
         self.home = terms.zone
         self.held = 0
         self.stirred = True  # something has happened since the last look at held txns
+        self.granted = False  # somebody has just got a worker: the next may get one too
+        self.barred: dict[tuple[Scheme, bool, int, int], None] = {}  # what found no worker since it last stirred
         self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
@@ -148,19 +172,24 @@
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
         # Probes may cost one point in a hundred of what is asked for, and no more.
-        self.probe_income = 0.01 / terms.price_probe if terms.price_probe > 0 else 100.0
+        self.probe_price = terms.price_probe
+        self.probe_income = min(100.0, 0.01 / max(0.0001, terms.price_probe))
         self.probe_purse = 10 * self.probe_income
         self.probe_always = not terms.reports_in_answers
+        self.probe_due = now
+        self.probe_times: deque[int] = deque([self.tick], maxlen=16)
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
-        self.steep = 2.0  # how sharply the chance falls with the time needed
         self.usual_run = float(SECOND)
+        self.keep_for = LOOK  # how long a worked out room holds, against ranking a large fleet anew each event
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick of hints
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
         self.age = AGES[0]
         self.misses: deque[list[float]] = deque(maxlen=48)
+        self.usual: dict[int, Usual] = {}  # by zone
+        self.denied: deque[bool] = deque(maxlen=6)  # whether the last that turned us away claimed to have room
         self.judged = now
         self.silence = terms.progress_every + terms.progress_every // 2
         self.must_ask = terms.must_ask
@@ -263,18 +292,37 @@
 
     def room(self, book: Book) -> float:
         """Free slots there now: the last report, less what was sent since, plus what ended since."""
+        if self.now >= book.believed_until:
+            book.believed = self.room_now(book)
+            book.believed_until = self.now + self.keep_for
+        return book.believed
+
+    def room_now(self, book: Book) -> float:
         report = book.report
+        usual = self.usual.get(book.worker.zone)
         if report is None or report.free is None:
+            # Of a worker not heard from we know what is usual elsewhere, not that it is idle.
+            if usual is not None:
+                return -usual.told - len(book.out)
             return 1.0 if len(book.out) < 2 else 0.0
         if self.tells_start and self.queued(book):
             return 0.0
         # Word of others' jobs fades as those end and others come: back to what it mostly is here.
-        told = (report.waiting or 0.0) - report.free - book.own_then
+        told = self.burden(report) - book.own_then
         kept = exp(-(self.now - book.seen) / self.usual_run)
-        if book.readings:
-            told = kept * told + (1.0 - kept) * sum(book.readings) / len(book.readings)
+        if usual is not None:
+            # Few own readings say less than what is usual in its zone.
+            mostly = (sum(book.readings) + 2.0 * usual.told) / (len(book.readings) + 2)
+            told = kept * told + (1.0 - kept) * mostly
         return -told - len(book.out)
 
+    def burden(self, report: Report) -> float:
+        """Jobs there less slots. Free slots behind a waiting job are no room: a third of those turned away had
+        gone to workers whose first in line waited for memory."""
+        if report.waiting is not None and report.waiting >= 0.5:
+            return report.waiting
+        return -(report.free or 0.0)
+
     def queued(self, book: Book) -> bool:
         """Own postings that should have started by now and have not stand in a queue there."""
         return any(p.started is None and self.now - p.sent > self.late_start for p in book.out)
@@ -297,12 +345,10 @@
                 and not (book.suspect and book.out))
 
     def load(self, book: Book, room: float, txn: Txn) -> float:
-        kind = self.type_of(txn)
-        own = book.owed.get(kind, 0) + book.head.get(kind, 0.0) + self.work_of(txn)
-        report = book.report
-        crowd = float(len(book.out))
-        if report is not None and report.free is not None:
-            crowd = max(0.0, book.slots() - room)
+        own = book.owed.get(txn.kind, 0) + txn.work
+        if book.head:
+            own += book.head.get(txn.kind, 0.0)
+        crowd = max(0.0, (book.size or self.least_slots) - room)
         return own * (1.0 + crowd) * book.pace / self.chance(book, txn)
 
     def doubt(self) -> float:
@@ -311,26 +357,30 @@
 
     def chance(self, book: Book, txn: Txn) -> float:
         """That it would end in time there: the paper's workers are alike, ours are not."""
-        left = self.wanted_by(txn) - self.now
-        if left <= 0:
-            return 0.01
-        odds = (left / (self.run_of(txn) * book.pace)) ** self.steep
+        if txn.eased != self.now:
+            # The same to every worker: worked out once a scan.
+            txn.eased = self.now
+            txn.ease = max(0.0, (self.wanted_by(txn) - self.now) / self.run_of(txn))
+        odds = (txn.ease / book.pace) ** STEEP
         return float(max(0.01, odds / (1.0 + odds)))
 
     def eligible(self, book: Book, txn: Txn) -> bool:
         worker = book.worker
         machine = txn.scheme.machine
-        return ((machine is None or worker.machine == machine) and self.may_post(txn, worker)
+        return ((machine is None or worker.machine == machine)
+                and (not txn.postings or self.may_post(txn, worker)
+                     and not any(p.out and p.worker is worker for p in txn.postings))
                 # Only what can be posted again anywhere is risked on a suspect.
                 and (not book.suspect or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
-                and not any(p.out and p.worker is worker for p in txn.postings)
-                and self.cold_allows(book, txn))
+                and (worker.started is None or self.cold_allows(book, txn)))
 
-    def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
+    def need(self, txn: Txn) -> float:
         need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
-        if txn.over:
-            need += self.reserve
+        return need + self.reserve if txn.over else need
+
+    def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
+        need = self.need(txn)
         books = [book for book, room in rooms.items() if room >= need and self.eligible(book, txn)]
         if self.cross_price <= 0:
             book = self.least(books, rooms, txn)
@@ -367,26 +417,62 @@
 
     def grant(self) -> tuple[Txn, Worker] | None:
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
-        if not self.waiting or not self.stirred and self.now < self.look_due:
+        if not self.waiting or not self.stirred and not self.granted and self.now < self.look_due:
             return None
-        rooms = {book: room for book in self.books.values()
-                 if self.open(book) and (room := self.room(book)) >= ENOUGH}
-        self.stirred, self.look_due = False, self.now + LOOK
-        if not rooms:
-            return None
-        barred: dict[tuple[Scheme, bool, int, int], None] = {}
+        if self.stirred or self.now >= self.look_due:
+            self.barred.clear()
+        rooms = {book: self.room(book) for book in self.books.values() if self.open(book)}
+        self.stirred, self.granted, self.look_due = False, False, self.now + LOOK
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
             alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings))
-            if alike in barred:
+            if alike in self.barred:
+                continue
+            if self.now < txn.looks_until and any(book.probing for book in txn.looks):
                 continue
             worker = self.best(txn, rooms)
             if worker is not None:
+                if self.look(txn, self.books[worker], rooms):
+                    continue
+                self.granted = True
                 return txn, worker
+            self.look(txn, None, rooms)
             if not any(p.may_have_run for p in txn.postings):
-                barred[alike] = None
+                self.barred[alike] = None
         return None
 
+    def fresh(self, book: Book) -> bool:
+        return self.now - book.reported < self.probe_every
+
+    def look(self, txn: Txn, chosen: Book | None, rooms: dict[Book, float]) -> bool:
+        """Buys fresh word of the few that the scan ranks first, where it would go by stale word or by none.
+
+        With hundreds of dispatchers the own backlog is mostly zero and the last answer from a worker long
+        past: without this the scan is a draw among all that are not known to be full.
+        """
+        if not self.probe_every or self.probe_always or self.age > self.probe_every or self.probe_purse < 1.0:
+            return False
+        if chosen is not None and (self.fresh(chosen) or txn.looked >= LOOKS):
+            return False
+        home = chosen is None or chosen.worker.zone == self.home
+        need = self.need(txn) if chosen is not None else -FAR
+        ranked = [(self.load(book, room, txn), self.random(), book) for book, room in rooms.items()
+                  if room >= need and not self.fresh(book) and not book.probing
+                  and (self.cross_price <= 0 or (book.worker.zone == self.home) == home)
+                  and self.eligible(book, txn)]
+        ranked.sort(key=lambda entry: entry[:2])
+        txn.looks = [book for _, _, book in ranked[:min(FEW, int(self.probe_purse))]]
+        for book in txn.looks:
+            self.probe(book)
+        txn.looked += 1
+        txn.looks_until = self.now + 2 * max(self.probe_times) + self.tick
+        return bool(txn.looks)
+
+    def probe(self, book: Book) -> None:
+        self.probe_purse -= 1.0
+        book.probing, book.asked = True, self.now
+        self.door.probe(book.worker)
+
     def rank(self, txn: Txn) -> tuple[float, int]:
         # Among txns of like worth the customer that has used least of its share goes first.
         worth = self.worth(txn) * (1.0 if self.now < self.in_time_until(txn) else txn.scheme.late_value)
@@ -395,6 +481,7 @@
     # What a txn is worth, and how long it is worth holding.
 
     def appraise(self, txn: Txn) -> None:
+        txn.kind, txn.work = self.type_of(txn), self.work_of(txn)
         txn.mark = (txn.scheme, txn.customer, txn.hint, txn.slots, txn.memory)
         txn.first = self.first_asked(txn)
         self.probe_purse = min(self.probe_purse + self.probe_income, 20 * self.probe_income)
@@ -512,10 +599,10 @@
     # What is seen.
 
     def sent(self, posting: Posting) -> None:
-        self.stirred = True
         book = self.books[posting.worker]
-        posting.work = self.work_of(posting.txn)
-        kind = self.type_of(posting.txn)
+        book.believed_until = 0
+        posting.work = posting.txn.work
+        kind = posting.txn.kind
         book.out.append(posting)
         book.past.append((self.now, len(book.out)))
         book.owed[kind] = book.owed.get(kind, 0) + posting.work
@@ -527,7 +614,8 @@
         book = self.books[posting.worker]
         book.out.remove(posting)
         book.past.append((self.now, len(book.out)))
-        book.owed[self.type_of(posting.txn)] -= posting.work
+        book.believed_until = 0
+        book.owed[posting.txn.kind] -= posting.work
         outcome = posting.outcome
         if posting.worker.zone != self.home:
             self.landed.append(posting.may_have_run)
@@ -551,23 +639,26 @@
             self.read(book, report)
         if outcome is Outcome.FULL:
             self.turned_away.append(self.now)
+            if report is not None and report.free is not None:
+                self.denied.append(report.free >= 0.5 and (report.waiting or 0.0) < 0.5)
             # Told now and at first hand: older word that there is room is no longer believed.
             book.report = Report(free=0.0, waiting=report.waiting if report is not None else 0.0)
             book.seen = book.reported = self.now
             book.own_then = len(book.out)
 
-    def read(self, book: Book, report: Report, on_call: bool = False) -> None:
+    def read(self, book: Book, report: Report) -> None:
         if report.free is None:
             return
-        load = (report.waiting or 0.0) - report.free
+        load = self.burden(report)
         others = [load - book.own_at(self.now - age) for age in AGES]
         if book.others is not None and self.now - book.others[0] < 3 * SECOND:
             self.misses.append([(a - b) ** 2 for a, b in zip(others, book.others[1])])
         book.others = (self.now, others)
-        if not on_call:
-            book.readings.append(load - book.own_at(self.now - self.age))
+        book.readings.append(load - book.own_at(self.now - self.age))
+        self.usual.setdefault(book.worker.zone, Usual()).learns(self.now, book.readings[-1])
         book.sizes.append(report.free + (report.held - (report.waiting or 0.0) if report.held is not None
                                          else book.own_at(self.now - self.age)))
+        book.size, book.believed_until = max(book.sizes), 0
         if self.now - self.age >= book.seen:
             book.report, book.reported = report, self.now
             book.seen = self.now - self.age
@@ -575,10 +666,17 @@
 
     def judge_age(self) -> None:
         """How old reports are on arrival: the age at which others' load, as they imply it, jumps least."""
+        for usual in self.usual.values():
+            usual.judge(self.now, 8 * self.usual_run)
         if len(self.misses) >= 8:
             sums = [sum(column) for column in zip(*self.misses)]
             least = min(sums)
             self.age = next(age for age, total in zip(AGES, sums) if total <= 1.1 * least + 0.01)
+        if 2 * sum(self.denied) > max(2, len(self.denied)):
+            # Turned away by workers that claim to be idle: their word is old, and looking again buys nothing.
+            self.age = max(self.age, SECOND)
+        elif len(self.misses) < 8:
+            self.age = AGES[0]
 
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
@@ -592,8 +690,8 @@
         book.probing = False
         self.stirred = True
         if report is not None:
-            # Probes sent because nothing has room find workers fuller than they mostly are.
-            self.read(book, report, on_call=not self.probe_always)
+            self.probe_times.append(spent)
+            self.read(book, report)
 
     def closed(self, txn: Txn) -> None:
         self.release(txn)
@@ -623,6 +721,7 @@
                 self.head_start(book)
                 book.started = worker.started
                 book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
+                book.believed_until = 0
 
     def head_start(self, book: Book) -> None:
         """The design: a worker not yet heard from starts at the others' mean backlog."""
@@ -644,22 +743,31 @@
             self.judge_part()
             self.judge_starts()
             self.usual_run = self.mean_run()
+            # What a probe takes of a worker is not told; it is no more than the shortest of the last ones took.
+            self.probe_income = min(100.0, 0.01 / max(
+                0.0001, self.probe_price + min(self.probe_times) / self.usual_run))
+            self.keep_for = max(LOOK, int(self.usual_run / 16))
             self.best_pace = min((b.pace for b in self.books.values()), default=1.0)
-            sizes = [size for book in self.books.values() if (size := book.slots()) > 0]
-            self.least_slots = min(sizes, default=1.0)
-        if self.probe_every and (self.probe_always or self.waiting and self.age <= self.probe_every):
-            for book in sorted(self.books.values(), key=lambda b: b.worker.zone != self.home):
-                if book.worker.standing is not Standing.READY or book.probing:
-                    continue
-                next_look = max(book.asked, book.reported) + self.probe_every
-                if self.now >= next_look:
-                    if self.probe_purse < 1.0:
-                        break
-                    self.probe_purse -= 1.0
-                    book.probing, book.asked = True, self.now
-                    self.door.probe(book.worker)
-                else:
-                    due = min(due, next_look)
+            self.least_slots = min((b.size for b in self.books.values() if b.size > 0), default=1.0)
+        if self.probe_always and self.probe_every:
+            if self.now >= self.probe_due:
+                self.probe_due = self.probe_around()
+            due = min(due, self.probe_due)
         if self.waiting:
             due = min(due, self.look_due)
         return due
+
+    def probe_around(self) -> int:
+        """The workers heard from longest ago, home ones first, as far as the purse goes."""
+        due = self.now + self.probe_every
+        for book in sorted(self.books.values(), key=lambda b: (b.worker.zone != self.home, b.asked)):
+            if book.worker.standing is not Standing.READY or book.probing:
+                continue
+            next_look = max(book.asked, book.reported) + self.probe_every
+            if self.now < next_look:
+                due = min(due, next_look)
+            elif self.probe_purse < 1.0:
+                return self.now + self.probe_every // 8
+            else:
+                self.probe(book)
+        return due
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -129,6 +129,13 @@
     mark: tuple[Any, ...] = ()  # what its client's next try would have in common with it
     thrift: float = 0.0  # what part of its customer's share for the moment was left as it came
     over: bool = False  # beyond its customer's share
+    kind: Any = None  # its type and work, to the design
+    work: int = 1
+    ease: float = 0.0  # time left over time needed, and when that was worked out
+    eased: int = -1
+    looks: list[Any] = field(default_factory=list)  # what its last look asked, and until when that counts
+    looks_until: int = 0
+    looked: int = 0
     pending: int = 0  # which of its waits is the current one; a timer of an older one is stale
 
 
