--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -42,6 +42,7 @@
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
 FAR = 1 << 60
+FEW_TURNED_AWAY = 0.3  # doubt below which a try without prompt word is better than holding
 HANDFUL = 8.0  # txns that must come in excess before a customer is taken to be over its share
 STEEP = 2  # how sharply the chance of ending in time falls with the time needed
 ENOUGH = 0.3  # free slots, as expected, that make a posting worth a try
@@ -77,6 +78,7 @@
         self.probing = False
         self.asked = 0  # when it was last probed
         self.failed = 0  # failures in a row
+        self.full_at = -FAR  # when it last turned us away
         self.shut_until = 0  # after failures: nothing before this moment
         self.suspect = False  # silent for too long: one posting at a time until it speaks
         self.trials = 0  # postings in a row that a suspect has swallowed
@@ -190,9 +192,9 @@
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
         self.age = AGES[0]
-        self.misses: deque[list[float]] = deque(maxlen=48)
+        self.misses: deque[tuple[int, list[float]]] = deque(maxlen=48)  # (when, by how much each age is off)
         self.usual: dict[int, Usual] = {}  # by zone
-        self.denied: deque[bool] = deque(maxlen=6)  # whether the last that turned us away claimed to have room
+        self.belied_until = -FAR  # a worker turned us away and claimed room: until when that speaks of all
         self.judged = now
         self.silence = terms.progress_every + terms.progress_every // 2
         self.must_ask = terms.must_ask
@@ -384,7 +386,10 @@
 
     def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
         need = self.need(txn)
-        books = [book for book, room in rooms.items() if room >= need and self.eligible(book, txn)]
+        blind = self.age > self.usual_run / 2 and self.doubt() < FEW_TURNED_AWAY
+        books = [book for book, room in rooms.items()
+                 if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
+                 and self.eligible(book, txn)]
         if self.cross_price <= 0:
             book = self.least(books, rooms, txn)
         else:
@@ -638,16 +643,23 @@
         elif outcome in (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET):
             book.failed += 1
             book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
-        if report is not None:
-            self.read(book, report)
         if outcome is Outcome.FULL:
             self.turned_away.append(self.now)
-            if report is not None and report.free is not None:
-                self.denied.append(report.free >= 0.5 and (report.waiting or 0.0) < 0.5)
+            book.full_at = self.now
+            told = report if report is not None and report.free is not None else None
+            if told is not None and told.free >= 0.5 and (told.waiting or 0.0) < 0.5:
+                # It claims room and turns us away: the claim is old, and so is everybody's (judge_age).
+                self.belied_until = self.now + int(8 * self.usual_run)
+                self.judge_age()
+                told = None
             # Told now and at first hand: older word that there is room is no longer believed.
-            book.report = Report(free=0.0, waiting=report.waiting if report is not None else 0.0)
-            book.seen = book.reported = self.now
+            full = Report(free=0.0, waiting=max(1.0, told.waiting or 0.0) if told is not None else 1.0)
+            book.readings.append(self.burden(full) - len(book.out))
+            self.usual.setdefault(book.worker.zone, Usual()).learns(self.now, book.readings[-1])
+            book.report, book.seen, book.reported = full, self.now, self.now
             book.own_then = len(book.out)
+        elif report is not None:
+            self.read(book, report)
 
     def read(self, book: Book, report: Report) -> None:
         if report.free is None:
@@ -655,7 +667,7 @@
         load = self.burden(report)
         others = [load - book.own_at(self.now - age) for age in AGES]
         if book.others is not None and self.now - book.others[0] < 3 * SECOND:
-            self.misses.append([(a - b) ** 2 for a, b in zip(others, book.others[1])])
+            self.misses.append((self.now, [(a - b) ** 2 for a, b in zip(others, book.others[1])]))
         book.others = (self.now, others)
         book.readings.append(load - book.own_at(self.now - self.age))
         self.usual.setdefault(book.worker.zone, Usual()).learns(self.now, book.readings[-1])
@@ -671,15 +683,19 @@
         """How old reports are on arrival: the age at which others' load, as they imply it, jumps least."""
         for usual in self.usual.values():
             usual.judge(self.now, 8 * self.usual_run)
+        # With few txns a late spell would be remembered for most of the day.
+        while self.misses and self.now - self.misses[0][0] > 8 * self.usual_run:
+            self.misses.popleft()
+        self.age = AGES[0]
         if len(self.misses) >= 8:
-            sums = [sum(column) for column in zip(*self.misses)]
-            least = min(sums)
-            self.age = next(age for age, total in zip(AGES, sums) if total <= 1.1 * least + 0.01)
-        if 2 * sum(self.denied) > max(2, len(self.denied)):
-            # Turned away by workers that claim to be idle: their word is old, and looking again buys nothing.
-            self.age = max(self.age, SECOND)
-        elif len(self.misses) < 8:
-            self.age = AGES[0]
+            sums = [sum(column) for column in zip(*(off for _, off in self.misses))]
+            # Few samples fit some age by chance: it has to fit far better than a prompt one.
+            enough = min(sums) * (2.1 - len(self.misses) / 48) + 0.01
+            self.age = next(age for age, total in zip(AGES, sums) if total <= enough)
+        if self.now < self.belied_until:
+            # Turned away by a worker that claims to be idle: word is old, nobody knows how old, and a look
+            # buys more of the same; all who believe it meet at the same few workers.
+            self.age = AGES[-1]
 
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
