--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -384,9 +384,17 @@
         need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
         return need + self.reserve if txn.over else need
 
+    def blind(self, rooms: dict[Book, float]) -> bool:
+        """Word is late and most jobs are others': a try tells more than the expected room that holding
+        goes by, as long as few were turned away lately."""
+        if self.age <= self.usual_run / 2 or self.doubt() >= FEW_TURNED_AWAY:
+            return False
+        jobs = sum(max(0.0, book.size - room) for book, room in rooms.items())
+        return 4 * sum(len(book.out) for book in rooms) < jobs
+
     def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
         need = self.need(txn)
-        blind = self.age > self.usual_run / 2 and self.doubt() < FEW_TURNED_AWAY
+        blind = self.blind(rooms)
         books = [book for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  and self.eligible(book, txn)]
@@ -653,9 +661,11 @@
                 self.judge_age()
                 told = None
             # Told now and at first hand: older word that there is room is no longer believed.
-            full = Report(free=0.0, waiting=max(1.0, told.waiting or 0.0) if told is not None else 1.0)
-            book.readings.append(self.burden(full) - len(book.out))
-            self.usual.setdefault(book.worker.zone, Usual()).learns(self.now, book.readings[-1])
+            full = Report(free=0.0, waiting=told.waiting if told is not None else 0.0)
+            if report is not None:
+                # Counts among the answers' reports; where only probes report, those are the fairer sample.
+                book.readings.append(max(1.0, self.burden(full)) - len(book.out))
+                self.usual.setdefault(book.worker.zone, Usual()).learns(self.now, book.readings[-1])
             book.report, book.seen, book.reported = full, self.now, self.now
             book.own_then = len(book.out)
         elif report is not None:
@@ -684,7 +694,7 @@
         for usual in self.usual.values():
             usual.judge(self.now, 8 * self.usual_run)
         # With few txns a late spell would be remembered for most of the day.
-        while self.misses and self.now - self.misses[0][0] > 8 * self.usual_run:
+        while self.misses and self.now - self.misses[0][0] > 8 * SECOND:
             self.misses.popleft()
         self.age = AGES[0]
         if len(self.misses) >= 8:
