--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -437,7 +437,10 @@
             return None
         if self.stirred or self.now >= self.look_due:
             self.barred.clear()
-        rooms = {book: self.room(book) for book in self.books.values() if self.open(book)}
+        # Whoever has not answered a look in the time that looks take may be gone: not now.
+        overdue = self.now - 2 * max(self.probe_times) - self.tick
+        rooms = {book: self.room(book) for book in self.books.values()
+                 if self.open(book) and not (book.probing and book.asked < overdue)}
         self.stirred, self.granted, self.look_due = False, False, self.now + LOOK
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
@@ -649,8 +652,7 @@
             book.trials += 1
             book.shut_until = self.now + (self.silence << min(book.trials - 1, 2))
         elif outcome in (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET):
-            book.failed += 1
-            book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
+            self.fails(book)
         if outcome is Outcome.FULL:
             self.turned_away.append(self.now)
             book.full_at = self.now
@@ -671,6 +673,10 @@
         elif report is not None:
             self.read(book, report)
 
+    def fails(self, book: Book) -> None:
+        book.failed += 1
+        book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
+
     def read(self, book: Book, report: Report) -> None:
         if report.free is None:
             return
@@ -721,6 +727,9 @@
         if report is not None:
             self.probe_times.append(spent)
             self.read(book, report)
+        elif outcome is not Outcome.SETTLED:
+            # It drains or is gone before the list says so: known at the price of a look, not of a posting.
+            self.fails(book)
 
     def closed(self, txn: Txn) -> None:
         self.release(txn)
