--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -473,6 +473,8 @@
             return False
         if chosen is not None and (self.fresh(chosen) or txn.looked >= LOOKS):
             return False
+        if chosen is None and (self.now < txn.looks_until + self.keep_for or self.probe_purse < 2 * FEW):
+            return False  # all full: what a wait may spend must not be missing when there is a choice
         home = chosen is None or chosen.worker.zone == self.home
         need = self.need(txn) if chosen is not None else -FAR
         ranked = [(self.load(book, room, txn), self.random(), book) for book, room in rooms.items()
@@ -483,7 +485,7 @@
         txn.looks = [book for _, _, book in ranked[:min(FEW, int(self.probe_purse))]]
         for book in txn.looks:
             self.probe(book)
-        txn.looked += 1
+        txn.looked += chosen is not None
         txn.looks_until = self.now + 2 * max(self.probe_times) + self.tick
         return bool(txn.looks)
 
