Turns for cold workers; blind tries never for what is over its share

Cause: an even share of a cold worker's budget held no whole job with hundreds of dispatchers. Turns by the clock and the worker's start, alike at all, allow whole jobs; the sum stays under three quarters of the budget with the even shares.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -162,7 +162,8 @@
         self.may_cancel = terms.may_cancel
         self.tick = max(1, terms.tick)
         self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
-        self.cold_part = 0.5 * terms.fall_multiple * terms.fall_time / terms.dispatchers
+        self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
+        self.number, self.dispatchers = terms.number, terms.dispatchers
         # Prices, in units of the mean txn's worth.
         self.by_work = terms.value_by_work
         self.cross_price = terms.price_cross
@@ -394,7 +395,7 @@
 
     def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
         need = self.need(txn)
-        blind = self.blind(rooms)
+        blind = not txn.over and self.blind(rooms)
         books = [book for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  and self.eligible(book, txn)]
@@ -438,7 +439,7 @@
         if self.stirred or self.now >= self.look_due:
             self.barred.clear()
         # Whoever has not answered a look in the time that looks take may be gone: not now.
-        overdue = self.now - 2 * max(self.probe_times) - self.tick
+        overdue = -FAR if self.probe_always else self.now - 2 * max(self.probe_times) - self.tick
         rooms = {book: self.room(book) for book in self.books.values()
                  if self.open(book) and not (book.probing and book.asked < overdue)}
         self.stirred, self.granted, self.look_due = False, False, self.now + LOOK
@@ -614,8 +615,17 @@
         able = self.cold_share + (1.0 - self.cold_share) * (1.0 - left / self.cold_time)
         while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
             book.cold_sent.popleft()
-        spent = sum(work for _, work in book.cold_sent)
-        return spent + self.run_of(txn) * txn.slots <= self.cold_part * able * self.least_slots
+        spent = sum(work for _, work in book.cold_sent) + self.run_of(txn) * txn.slots
+        whole = self.cold_whole * able * self.least_slots
+        return spent <= whole / self.dispatchers or self.cold_turn(book) and spent <= whole / 4
+
+    def cold_turn(self, book: Book) -> bool:
+        """With hundreds of dispatchers an even share holds no whole job. By the clock, the worker's start and
+        its lot, alike for all, one at a time has a turn as long as the span in which a worker falls over: a
+        span touches two turns, so half of what the even shares may sum to can come on top of them."""
+        assert book.worker.started is not None
+        turn = (self.now - book.worker.started) // max(1, self.fall_time)
+        return (book.worker.lot + turn) % self.dispatchers == self.number
 
     # What is seen.
 
@@ -729,7 +739,7 @@
         if report is not None:
             self.probe_times.append(spent)
             self.read(book, report)
-        elif outcome is not Outcome.SETTLED:
+        elif outcome is not Outcome.SETTLED and not self.probe_always:
             # It drains or is gone before the list says so: known at the price of a look, not of a posting.
             self.fails(book)
 
--- a/pathsaddle/drill/codec.py
+++ b/pathsaddle/drill/codec.py
@@ -8,6 +8,7 @@
 
 import json
 from typing import Any
+from zlib import crc32
 
 from pathsaddle.trade import (
     Customer,
@@ -79,6 +80,7 @@
         customers=[Customer(i, float(row.get("AllowancePerS") or 0), float(row.get("Portion") or 0))
                    for i, row in enumerate(told.get("Customers") or [])],
         dispatchers=max(1, told.get("Balancers") or 1),
+        number=told.get("Me") or 0,
         zone=told.get("Zone") or 0,
         tick=passed(told.get("Period") or 0),
         must_ask=told.get("Discovery") == "subscribe",
@@ -129,4 +131,5 @@
     share, boot, kind, zone, cell, health, tag = parts[1:8]
     started = int(optional(boot) or 0)
     return Worker(tag, int(optional(zone) or 0), int(optional(cell) or 0), int(optional(kind) or 0),
-                  float(optional(share) or 1), passed(started) if started > 0 else None, STANDINGS[health])
+                  float(optional(share) or 1), passed(started) if started > 0 else None, STANDINGS[health],
+                  crc32(tag.encode()))
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -97,6 +97,7 @@
     weight: float = 1.0
     started: int | None = None  # when its process last started; None: long ago
     standing: Standing = Standing.READY
+    lot: int = 0  # a number drawn from its name, alike at every dispatcher
 
 
 @dataclass(slots=True)
@@ -226,6 +227,7 @@
     schemes: list[Scheme]
     customers: list[Customer]
     dispatchers: int
+    number: int  # ours among them, from 0
     zone: int
     tick: int
     must_ask: bool  # the list speaks only when asked
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -83,6 +83,28 @@
                     host.end(posting, report=idle())
         self.assertLessEqual(sum(p.txn.hint or 0 for p in host.posted), 4 * 0.3 * 2 * 2 * SECOND / 2)
 
+    def test_hundreds_of_dispatchers_take_turns_with_whole_jobs(self) -> None:
+        """An even share of a cold worker held no job, and nobody sent it any; in any span the sum must hold."""
+        sent = []
+        for number in range(40):
+            host = FakeHost(workers=1, dispatchers=40, number=number)
+            host.now += 3 * SECOND
+            host.workers[0].started = host.now
+            host.list(ListNews.CHANGES, host.workers[0])
+            for _ in range(16):
+                host.ask("a", hint=SECOND // 4)
+                host.passes(SECOND // 2)
+                for posting in host.posted:
+                    if posting.out:
+                        host.end(posting, report=idle())
+            sent += [posting.sent - host.workers[0].started for posting in host.posted
+                     if posting.sent < host.workers[0].started + 8 * SECOND]
+        self.assertGreater(len(sent), 4)
+        for at in sent:
+            span = [other for other in sent if at <= other < at + 2 * SECOND]
+            able = 0.3 + 0.7 * at / (9 * SECOND)
+            self.assertLessEqual(len(span) * SECOND // 4, 4 * able * 2 * 2 * SECOND / 2)
+
     def test_our_own_restart_does_not_renew_the_part(self) -> None:
         host = FakeHost(workers=1, news=ListNews.REMEMBERED)
         host.workers[0].started = host.now - SECOND
