--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -355,7 +355,7 @@
         if book.head:
             own += book.head.get(txn.kind, 0.0)
         crowd = max(0.0, (book.size or self.least_slots) - room)
-        return own * (1.0 + crowd) * book.pace / self.chance(book, txn)
+        return own * (1.0 + crowd) * book.pace * min(100.0, 1.0 + (book.pace / txn.ease) ** STEEP)
 
     def doubt(self) -> float:
         """Rejections by several workers at once say that all are fuller than believed."""
@@ -363,12 +363,11 @@
 
     def chance(self, book: Book, txn: Txn) -> float:
         """That it would end in time there: the paper's workers are alike, ours are not."""
-        if txn.eased != self.now:
-            # The same to every worker: worked out once a scan.
-            txn.eased = self.now
-            txn.ease = max(0.0, (self.wanted_by(txn) - self.now) / self.run_of(txn))
-        odds = (txn.ease / book.pace) ** STEEP
-        return float(max(0.01, odds / (1.0 + odds)))
+        return 1.0 / min(100.0, 1.0 + (book.pace / txn.ease) ** STEEP)
+
+    def ease(self, txn: Txn) -> float:
+        """Time left over time needed."""
+        return max(0.001, (self.wanted_by(txn) - self.now) / self.run_of(txn))
 
     def eligible(self, book: Book, txn: Txn) -> bool:
         worker = book.worker
@@ -393,26 +392,22 @@
         jobs = sum(max(0.0, book.size - room) for book, room in rooms.items())
         return 4 * sum(len(book.out) for book in rooms) < jobs
 
-    def best(self, txn: Txn, rooms: dict[Book, float]) -> Worker | None:
+    def best(self, txn: Txn, rooms: dict[Book, float]) -> Book | None:
         need = self.need(txn)
         blind = not txn.over and self.blind(rooms)
-        books = [book for book, room in rooms.items()
+        loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  and self.eligible(book, txn)]
         if self.cross_price <= 0:
-            book = self.least(books, rooms, txn)
-        else:
-            book = self.least([book for book in books if book.worker.zone == self.home], rooms, txn)
-            far = self.least([book for book in books if book.worker.zone != self.home], rooms, txn)
-            if far is not None and self.crossing_pays(txn, book, far):
-                book = far
-        return book.worker if book is not None else None
+            return self.least(loads)
+        near = self.least([entry for entry in loads if entry[1].worker.zone == self.home])
+        far = self.least([entry for entry in loads if entry[1].worker.zone != self.home])
+        return far if far is not None and self.crossing_pays(txn, near, far) else near
 
-    def least(self, books: list[Book], rooms: dict[Book, float], txn: Txn) -> Book | None:
+    def least(self, loads: list[tuple[float, Book]]) -> Book | None:
         """The design: full scan for the least scaled backlog of the txn's own type, ties at random."""
         least, winners = float("inf"), []
-        for book in books:
-            load = self.load(book, rooms[book], txn)
+        for load, book in loads:
             if load < least:
                 least, winners = load, [book]
             elif load == least:
@@ -438,11 +433,8 @@
             return None
         if self.stirred or self.now >= self.look_due:
             self.barred.clear()
-        # Whoever has not answered a look in the time that looks take may be gone: not now.
-        overdue = -FAR if self.probe_always else self.now - 2 * max(self.probe_times) - self.tick
-        rooms = {book: self.room(book) for book in self.books.values()
-                 if self.open(book) and not (book.probing and book.asked < overdue)}
         self.stirred, self.granted, self.look_due = False, False, self.now + LOOK
+        rooms: dict[Book, float] | None = None
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
             alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings))
@@ -450,17 +442,26 @@
                 continue
             if self.now < txn.looks_until and any(book.probing for book in txn.looks):
                 continue
-            worker = self.best(txn, rooms)
-            if worker is not None:
-                if self.look(txn, self.books[worker], rooms):
+            rooms = rooms if rooms is not None else self.rooms()
+            txn.ease = self.ease(txn)
+            book = self.best(txn, rooms)
+            if book is not None:
+                if self.look(txn, book, rooms):
                     continue
                 self.granted = True
-                return txn, worker
+                return txn, book.worker
             self.look(txn, None, rooms)
             if not any(p.may_have_run for p in txn.postings):
                 self.barred[alike] = None
         return None
 
+    def rooms(self) -> dict[Book, float]:
+        # Whoever has not answered a look in the time that looks take may be gone: not now.
+        overdue = -FAR if self.probe_always else self.now - 2 * max(self.probe_times) - self.tick
+        return {book: book.believed if self.now < book.believed_until else self.room(book)
+                for book in self.books.values()
+                if self.open(book) and not (book.probing and book.asked < overdue)}
+
     def fresh(self, book: Book) -> bool:
         return self.now - book.reported < self.probe_every
 
@@ -756,29 +757,31 @@
             return
         if news is not ListNews.REMEMBERED:
             self.list_failures, self.list_due = 0, FAR
-        told = list(workers)
+        told = dict.fromkeys(workers)
         self.stirred = True
         if news is not ListNews.CHANGES:
             for worker in self.books:
                 if worker not in told:
                     worker.standing = Standing.GONE
+        mean: dict[Type, float] | None = None  # worked out once a list: a pass for each entry was quadratic
         for worker in told:
             book = self.books.get(worker)
             if book is None:
                 book = self.books[worker] = Book(worker)
-                self.head_start(book)
-            if worker.started != book.started:
-                self.head_start(book)
-                book.started = worker.started
-                book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
-                book.believed_until = 0
-
-    def head_start(self, book: Book) -> None:
-        """The design: a worker not yet heard from starts at the others' mean backlog."""
-        others = [other for other in self.books.values()
-                  if other is not book and other.worker.standing is Standing.READY]
-        kinds = dict.fromkeys(kind for other in others for kind in other.owed)
-        book.head = {kind: sum(other.owed.get(kind, 0) for other in others) / len(others) for kind in kinds}
+            elif worker.started == book.started:
+                continue
+            mean = mean if mean is not None else self.mean_backlog(told)
+            # The design: a worker not yet heard from starts at the others' mean backlog.
+            book.head = dict(mean)
+            book.started = worker.started
+            book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
+            book.believed_until = 0
+
+    def mean_backlog(self, but: dict[Worker, None]) -> dict[Type, float]:
+        others = [book for worker, book in self.books.items()
+                  if worker not in but and worker.standing is Standing.READY]
+        kinds = dict.fromkeys(kind for book in others for kind in book.owed)
+        return {kind: sum(book.owed.get(kind, 0) for book in others) / len(others) for kind in kinds}
 
     def housekeeping(self) -> int:
         due = FAR
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -132,8 +132,7 @@
     over: bool = False  # beyond its customer's share
     kind: Any = None  # its type and work, to the design
     work: int = 1
-    ease: float = 0.0  # time left over time needed, and when that was worked out
-    eased: int = -1
+    ease: float = 1.0  # time left over time needed, as of this scan
     looks: list[Any] = field(default_factory=list)  # what its last look asked, and until when that counts
     looks_until: int = 0
     looked: int = 0
