--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -84,6 +84,7 @@
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
+        self.plain = worker.started is None  # it can't be cold
 
     def own_at(self, moment: int) -> int:
         for when, count in reversed(self.past):
@@ -153,6 +154,7 @@
         self.held = 0
         self.stirred = True  # something has happened since the last look at held txns
         self.granted = False  # somebody has just got a worker: the next may get one too
+        self.ranked: list[tuple[float, Book]] = []  # the last scan: who competed, with what load
         self.barred: dict[tuple[Scheme, bool, int, int], None] = {}  # what found no worker since it last stirred
         self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
@@ -345,11 +347,6 @@
         runs = [run for runs in self.runs.values() for run in runs]
         return sum(runs) / len(runs) if runs else float(SECOND)
 
-    def open(self, book: Book) -> bool:
-        worker = book.worker
-        return (worker.standing is Standing.READY and self.now >= book.shut_until
-                and not (book.suspect and book.out))
-
     def load(self, book: Book, room: float, txn: Txn) -> float:
         own = book.owed.get(txn.kind, 0) + txn.work
         if book.head:
@@ -395,9 +392,12 @@
     def best(self, txn: Txn, rooms: dict[Book, float]) -> Book | None:
         need = self.need(txn)
         blind = not txn.over and self.blind(rooms)
+        plain = not txn.postings and not txn.over and txn.scheme.machine is None
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
-                 and self.eligible(book, txn)]
+                 # What nearly all workers pass at once, against a call for each of them.
+                 and (plain and book.plain and not book.suspect or self.eligible(book, txn))]
+        self.ranked = loads
         if self.cross_price <= 0:
             return self.least(loads)
         near = self.least([entry for entry in loads if entry[1].worker.zone == self.home])
@@ -433,7 +433,7 @@
             return None
         if self.stirred or self.now >= self.look_due:
             self.barred.clear()
-        self.stirred, self.granted, self.look_due = False, False, self.now + LOOK
+        self.stirred, self.granted, self.look_due = False, False, self.now + max(LOOK, self.keep_for // 4)
         rooms: dict[Book, float] | None = None
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
@@ -441,6 +441,7 @@
             if alike in self.barred:
                 continue
             if self.now < txn.looks_until and any(book.probing for book in txn.looks):
+                self.look_due = min(self.look_due, txn.looks_until)
                 continue
             rooms = rooms if rooms is not None else self.rooms()
             txn.ease = self.ease(txn)
@@ -456,11 +457,14 @@
         return None
 
     def rooms(self) -> dict[Book, float]:
+        """The workers that compete, with their room; not one of them is ranked before a txn needs it."""
+        now = self.now
         # Whoever has not answered a look in the time that looks take may be gone: not now.
-        overdue = -FAR if self.probe_always else self.now - 2 * max(self.probe_times) - self.tick
-        return {book: book.believed if self.now < book.believed_until else self.room(book)
-                for book in self.books.values()
-                if self.open(book) and not (book.probing and book.asked < overdue)}
+        overdue = -FAR if self.probe_always else now - 2 * max(self.probe_times) - self.tick
+        return {book: book.believed if now < book.believed_until else self.room(book)
+                for worker, book in self.books.items()
+                if worker.standing is Standing.READY and now >= book.shut_until
+                and not (book.suspect and book.out) and not (book.probing and book.asked < overdue)}
 
     def fresh(self, book: Book) -> bool:
         return self.now - book.reported < self.probe_every
@@ -478,11 +482,11 @@
         if chosen is None and (self.now < txn.looks_until + self.keep_for or self.probe_purse < 2 * FEW):
             return False  # all full: what a wait may spend must not be missing when there is a choice
         home = chosen is None or chosen.worker.zone == self.home
-        need = self.need(txn) if chosen is not None else -FAR
-        ranked = [(self.load(book, room, txn), self.random(), book) for book, room in rooms.items()
-                  if room >= need and not self.fresh(book) and not book.probing
-                  and (self.cross_price <= 0 or (book.worker.zone == self.home) == home)
-                  and self.eligible(book, txn)]
+        loads = self.ranked if chosen is not None else [
+            (self.load(book, room, txn), book) for book, room in rooms.items() if self.eligible(book, txn)]
+        ranked = [(load, self.random(), book) for load, book in loads
+                  if not self.fresh(book) and not book.probing
+                  and (self.cross_price <= 0 or (book.worker.zone == self.home) == home)]
         ranked.sort(key=lambda entry: entry[:2])
         txn.looks = [book for _, _, book in ranked[:min(FEW, int(self.probe_purse))]]
         for book in txn.looks:
@@ -773,7 +777,7 @@
             mean = mean if mean is not None else self.mean_backlog(told)
             # The design: a worker not yet heard from starts at the others' mean backlog.
             book.head = dict(mean)
-            book.started = worker.started
+            book.started, book.plain = worker.started, worker.started is None
             book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
             book.believed_until = 0
 
