--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -389,9 +389,9 @@
         jobs = sum(max(0.0, book.size - room) for book, room in rooms.items())
         return 4 * sum(len(book.out) for book in rooms) < jobs
 
-    def best(self, txn: Txn, rooms: dict[Book, float]) -> Book | None:
+    def best(self, txn: Txn, rooms: dict[Book, float], blind: bool) -> Book | None:
         need = self.need(txn)
-        blind = not txn.over and self.blind(rooms)
+        blind = blind and not txn.over
         plain = not txn.postings and not txn.over and txn.scheme.machine is None
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
@@ -435,6 +435,7 @@
             self.barred.clear()
         self.stirred, self.granted, self.look_due = False, False, self.now + max(LOOK, self.keep_for // 4)
         rooms: dict[Book, float] | None = None
+        most, blind = -float(FAR), False
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
             alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings))
@@ -443,9 +444,12 @@
             if self.now < txn.looks_until and any(book.probing for book in txn.looks):
                 self.look_due = min(self.look_due, txn.looks_until)
                 continue
-            rooms = rooms if rooms is not None else self.rooms()
+            if rooms is None:
+                rooms = self.rooms()
+                most, blind = max(rooms.values(), default=-FAR), self.blind(rooms)
             txn.ease = self.ease(txn)
-            book = self.best(txn, rooms)
+            # Where nobody has the room it needs no scan is made for it: many are held when all are full.
+            book = self.best(txn, rooms, blind) if blind or most >= self.need(txn) else None
             if book is not None:
                 if self.look(txn, book, rooms):
                     continue
