--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -147,10 +147,12 @@
         """A release: each dispatcher paid a posting and a connect time-out for every worker gone."""
         host = FakeHost(workers=2, may_probe=True)
         host.ask("a")
-        gone, there = list(host.probes)
-        host.tell(gone, None, Outcome.UNCONNECTED)
-        host.tell(there, full(0.0))
-        host.passes(SECOND // 50)
+        gone, told = host.probes[0], 0
+        for _ in range(6):
+            for worker in host.probes[told:]:
+                told += 1
+                host.tell(worker, *((None, Outcome.UNCONNECTED) if worker is gone else (full(),)))
+            host.passes(SECOND // 500)
         self.assertNotIn(gone, [p.worker for p in host.posted])
 
     def test_word_belied_by_a_rejection_is_no_longer_bought(self) -> None:
