--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -72,7 +72,7 @@
         self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
         self.pace = 1.0
         self.size = 0.0  # slots: the most that the last reports add up to
-        self.believed = 0.0  # free slots, as last worked out, and until when that holds if nothing happens here
+        self.believed = 0.0  # free slots as last worked out, and until when that holds if nothing happens
         self.believed_until = 0
         self.delays: deque[int] = deque(maxlen=8)  # from posting to start, of the last postings here
         self.probing = False
@@ -155,7 +155,7 @@
         self.stirred = True  # something has happened since the last look at held txns
         self.granted = False  # somebody has just got a worker: the next may get one too
         self.ranked: list[tuple[float, Book]] = []  # the last scan: who competed, with what load
-        self.barred: dict[tuple[Scheme, bool, int, int], None] = {}  # what found no worker since it last stirred
+        self.barred: dict[tuple[Scheme, bool, int, int], None] = {}  # what found no worker
         self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
@@ -190,7 +190,7 @@
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
         self.usual_run = float(SECOND)
-        self.keep_for = LOOK  # how long a worked out room holds, against ranking a large fleet anew each event
+        self.keep_for = LOOK  # how long a worked out room holds, against ranking a fleet anew each event
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick of hints
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
         self.late_start = 40 * MILLISECOND + 2 * self.tick
@@ -325,8 +325,8 @@
         return -told - len(book.out)
 
     def burden(self, report: Report) -> float:
-        """Jobs there less slots. Free slots behind a waiting job are no room: a third of those turned away had
-        gone to workers whose first in line waited for memory."""
+        """Jobs there less slots. Free slots behind a waiting job are no room: a third of those turned away
+        had gone to workers whose first in line waited for memory."""
         if report.waiting is not None and report.waiting >= 0.5:
             return report.waiting
         return -(report.free or 0.0)
@@ -804,7 +804,7 @@
             self.judge_part()
             self.judge_starts()
             self.usual_run = self.mean_run()
-            # What a probe takes of a worker is not told; it is no more than the shortest of the last ones took.
+            # What a probe takes of a worker is not told; no more than the shortest of the last ones took.
             self.probe_income = min(100.0, 0.01 / max(
                 0.0001, self.probe_price + min(self.probe_times) / self.usual_run))
             self.keep_for = max(LOOK, int(self.usual_run / 16))
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -34,8 +34,9 @@
     def __init__(self, *schemes: Scheme, workers: int = 2, customers: list[Customer] | None = None,
                  news: ListNews = ListNews.WHOLE, **terms: object) -> None:
         given = dict(
-            schemes=list(schemes) or [scheme()], customers=customers or [], dispatchers=1, number=0, zone=0, tick=20,
-            must_ask=False, ask_within=10 * SECOND, answer_slack=80, drain_grace=5000, cold_share=0.3,
+            schemes=list(schemes) or [scheme()], customers=customers or [], dispatchers=1, number=0, zone=0,
+            tick=20, must_ask=False, ask_within=10 * SECOND, answer_slack=80, drain_grace=5000,
+            cold_share=0.3,
             cold_time=9 * SECOND, fall_multiple=4.0, fall_time=2 * SECOND, max_postings=4, two_at_once=True,
             may_cancel=True, may_probe=False, come_back_most=0, progress_every=2 * SECOND, tells_start=False,
             over_share=0.1, value_by_work=False, price_cross=0.0, price_probe=0.0, price_waste=0.0,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -84,7 +84,7 @@
         self.assertLessEqual(sum(p.txn.hint or 0 for p in host.posted), 4 * 0.3 * 2 * 2 * SECOND / 2)
 
     def test_hundreds_of_dispatchers_take_turns_with_whole_jobs(self) -> None:
-        """An even share of a cold worker held no job, and nobody sent it any; in any span the sum must hold."""
+        """An even share of a cold worker held no job and nobody sent any; in any span the sum must hold."""
         sent = []
         for number in range(40):
             host = FakeHost(workers=1, dispatchers=40, number=number)
