--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -36,9 +36,9 @@
         given = dict(
             schemes=list(schemes) or [scheme()], customers=customers or [], dispatchers=1, number=0, zone=0,
             tick=20, must_ask=False, ask_within=10 * SECOND, answer_slack=80, drain_grace=5000,
-            cold_share=0.3,
-            cold_time=9 * SECOND, fall_multiple=4.0, fall_time=2 * SECOND, max_postings=4, two_at_once=True,
-            may_cancel=True, may_probe=False, come_back_most=0, progress_every=2 * SECOND, tells_start=False,
+            cold_share=0.3, cold_time=9 * SECOND, fall_multiple=4.0, fall_time=2 * SECOND,
+            max_postings=4, two_at_once=True, may_cancel=True, may_probe=False, come_back_most=0,
+            progress_every=2 * SECOND, tells_start=False,
             over_share=0.1, value_by_work=False, price_cross=0.0, price_probe=0.0, price_waste=0.0,
             price_late=0.0, price_handshake=0.0, reports_in_answers=True, reports_in_probes=True)
         self.terms = Terms(**{**given, **terms})  # type: ignore[arg-type]
