A new worker starts at the others' mean backlog in complete lists too

The pass once a list left out every worker that the list named, so with a complete list a new worker started at nothing, against the design; only those new or restarted are left out now, as before. A flag that said what the start already says is gone.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -84,7 +84,6 @@
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
-        self.plain = worker.started is None  # it can't be cold
 
     def own_at(self, moment: int) -> int:
         for when, count in reversed(self.past):
@@ -396,7 +395,7 @@
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  # What nearly all workers pass at once, against a call for each of them.
-                 and (plain and book.plain and not book.suspect or self.eligible(book, txn))]
+                 and (plain and book.started is None and not book.suspect or self.eligible(book, txn))]
         self.ranked = loads
         if self.cross_price <= 0:
             return self.least(loads)
@@ -774,20 +773,20 @@
         mean: dict[Type, float] | None = None  # worked out once a list: a pass for each entry was quadratic
         for worker in told:
             book = self.books.get(worker)
+            if book is not None and worker.started == book.started:
+                continue
+            mean = mean if mean is not None else self.mean_backlog()
             if book is None:
                 book = self.books[worker] = Book(worker)
-            elif worker.started == book.started:
-                continue
-            mean = mean if mean is not None else self.mean_backlog(told)
             # The design: a worker not yet heard from starts at the others' mean backlog.
             book.head = dict(mean)
-            book.started, book.plain = worker.started, worker.started is None
+            book.started = worker.started
             book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
             book.believed_until = 0
 
-    def mean_backlog(self, but: dict[Worker, None]) -> dict[Type, float]:
+    def mean_backlog(self) -> dict[Type, float]:
         others = [book for worker, book in self.books.items()
-                  if worker not in but and worker.standing is Standing.READY]
+                  if worker.started == book.started and worker.standing is Standing.READY]
         kinds = dict.fromkeys(kind for book in others for kind in book.owed)
         return {kind: sum(book.owed.get(kind, 0) for book in others) / len(others) for kind in kinds}
 
