--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -203,6 +203,13 @@
         host.passes(9 * SECOND)
         self.assertEqual(host.subscribed, 2)
 
+    def test_a_new_worker_in_a_complete_list_starts_at_the_others_mean(self) -> None:
+        """Read once a list, the mean had left out all whom a complete list names, and was nothing."""
+        host = FakeHost()
+        host.ask("a")
+        host.list(ListNews.WHOLE, *host.workers, new := Worker("new"))
+        self.assertEqual(list(host.loop.choice.books[new].head.values()), [0.5])
+
 
 class LargeFleets(unittest.TestCase):
     def test_a_fleet_is_not_ranked_anew_for_every_event(self) -> None:
