SIGHUP rereads the file and moves the watch to its discovery; nothing ends

Cause: start.py Dispatcher.run set handlers for SIGTERM, SIGINT and SIGUSR1 only, so SIGHUP's default ended the process. Ruled out: a wait before the new watch (list_due = now).

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -770,6 +770,10 @@
             wait = min(2 * SECOND, (SECOND // 4) << min(self.list_failures, 4))
             self.list_due = self.now + int(wait * (0.5 + self.random() / 2))
             return
+        if news is ListNews.MOVED:
+            # At once: what the new place tells counts as told soon, and failures of the old say nothing of it.
+            self.list_failures, self.list_due = 0, self.now
+            return
         if news is not ListNews.REMEMBERED:
             self.list_failures, self.list_due = 0, FAR
         told = dict.fromkeys(workers)
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -7,15 +7,12 @@
 
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.wire.ring import Ring
-
-Peer = tuple[str, int]
-
+from pathsaddle.net.wire.terms import Peer, peer_of
 
 def stream(address: str) -> tuple[socket.socket, Peer]:
     """A socket of the address's family, and the address as sockets want it."""
-    host, _, port = address.rpartition(":")
-    peer = (host.strip("[]"), int(port))  # first: what is no address must not cost a descriptor
-    sock = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    peer = peer_of(address)  # first: what is no address must not cost a descriptor
+    sock = socket.socket(socket.AF_INET6 if ":" in peer[0] else socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
     return sock, peer
 
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -34,14 +34,21 @@
         self.stop("replaced")
         self._task = asyncio.get_running_loop().create_task(self._follow())
 
+    def move(self, address: str) -> None:
+        """Another address, maybe with versions of its own: the whole list is asked for, when the module asks."""
+        if address != self.address:
+            self.address, self.index = address, 0
+            self.stop("moved")
+            self.desk.listed(ListNews.MOVED, [])
+
     def stop(self, why: str) -> None:
         if self._task is not None:
             self._task.cancel(why)
 
     async def _follow(self) -> None:
-        code, sock = "fault", None
+        code, sock, address = "fault", None, self.address
         try:
-            sock, peer = outgoing(self.address)
+            sock, peer = outgoing(address)
             code = await self._watch(sock, peer)
         except TimeoutError:
             code = "silent"
@@ -57,7 +64,7 @@
             logger.exception("fault on the watch")
         finally:
             self.counters.add(f"watch_end.{code}")
-            logger.info("end side=discovery code={} peer={} index={}", code, self.address, self.index)
+            logger.info("end side=discovery code={} peer={} index={}", code, address, self.index)
             if sock is not None:
                 asyncio.get_running_loop().call_soon(sock.close)
         self.desk.listed(ListNews.FAILED, [])
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -17,7 +17,7 @@
 from pathsaddle.net.service.front import Front
 from pathsaddle.net.service.roster import Roster
 from pathsaddle.net.service.workers import Workers
-from pathsaddle.net.wire.birth import WHERE, Birth, birth
+from pathsaddle.net.wire.birth import WHERE, Birth, birth, moved_to
 from pathsaddle.trade import MILLISECOND, SECOND, ListNews
 
 SPARE = 12  # descriptors for the listener, discovery's watch and connections on their way out
@@ -51,6 +51,7 @@
         events.add_signal_handler(signal.SIGTERM, self._stop.set)
         events.add_signal_handler(signal.SIGINT, self._stop.set)
         events.add_signal_handler(signal.SIGUSR1, self.report)
+        events.add_signal_handler(signal.SIGHUP, self.reread)
         logger.info("serving")
         watching = events.create_task(self._look_after())
         await self._stop.wait()
@@ -89,6 +90,19 @@
             if memory > 0.9 * self.memory_mb:
                 logger.warning("memory {:.0f} of {:.0f} MB", memory, self.memory_mb)
 
+    def reread(self) -> None:
+        """Of a file that was replaced only discovery's address is taken over: nothing else can change under
+        what is open. One that can't be read leaves all as it is."""
+        self.counters.add("reread")
+        try:
+            address = moved_to(read())
+        except (OSError, ValueError) as fault:
+            self.counters.add("reread.failed")
+            logger.warning("configuration not read again, the old one holds: {}", fault)
+            return
+        logger.info("configuration read again discovery={}", address)
+        self.roster.move(address)
+
     def report(self) -> None:
         logger.info("counters {}", self.counters.text())
 
@@ -98,15 +112,25 @@
         return int(file.read().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-async def serve() -> None:
+def read() -> str:
     with open(os.environ[WHERE], encoding="utf-8") as file:
-        dispatcher = Dispatcher(birth(file.read()))
+        return file.read()
+
+
+async def serve() -> None:
+    dispatcher = Dispatcher(birth(read()))
     gc.collect()
     gc.freeze()  # what is made at start stays: no later collection walks it
-    await dispatcher.run()
+    try:
+        await dispatcher.run()
+    finally:
+        # The event loop puts back the default as it closes, and that would end us with the signal's code.
+        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
 
 
 def main() -> int:
+    # Until there is a file in use there is none to read again.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     logger.remove()
     logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
                diagnose=False)
--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -7,7 +7,7 @@
 
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
-from pathsaddle.net.wire.terms import Reach
+from pathsaddle.net.wire.terms import Reach, peer_of
 from pathsaddle.trade import SECOND, Terms
 
 WHERE = "GW_CONFIG"  # the variable that says where the rest stands
@@ -27,6 +27,19 @@
     rows: list[Row]
 
 
+def moved_to(text: str) -> str:
+    """Where discovery is by the file as it stands now; raises ValueError where it does not say.
+
+    Everything else in it holds from the start to the end: open txns stand on it.
+    """
+    told = json.loads(text)
+    where = told.get("discovery") if isinstance(told, dict) else None
+    if not isinstance(where, str):
+        raise ValueError("it names no discovery")
+    peer_of(where)
+    return where
+
+
 def birth(text: str) -> Birth:
     told = json.loads(text)
     given, limits = told.get("settings") or {}, told.get("limits") or {}
--- a/pathsaddle/net/wire/terms.py
+++ b/pathsaddle/net/wire/terms.py
@@ -18,6 +18,17 @@
                  "err_rps": "errors", "eps": "errors", "rps": "rate", "qps": "rate"}
 
 
+Peer = tuple[str, int]
+
+
+def peer_of(address: str) -> Peer:
+    """An address as sockets want it; raises ValueError where it is none."""
+    host, _, port = address.rpartition(":")
+    if not host or not 0 <= int(port) < 1 << 16:
+        raise ValueError(f"no address: {address[:80]!r}")
+    return host.strip("[]"), int(port)
+
+
 def limit(ns: int) -> int:
     return ns // TICK
 
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -61,6 +61,7 @@
     WHOLE = "the complete list"
     REMEMBERED = "the complete list as last held, maybe out of date"
     FAILED = "a call failed or the subscription broke"
+    MOVED = "it is to be had elsewhere from now on"
 
 
 @dataclass(slots=True, eq=False)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -38,14 +38,14 @@
         self.port = free_port()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
-        config = Path(folder.name) / "config.json"
-        config.write_text(json.dumps({
+        self.config = Path(folder.name) / "config.json"
+        self.config.write_text(json.dumps({
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
             "discovery": "%s:%d" % discovery.sockets[0].getsockname(),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 0, "snapshot": True, "endpoints": []}, "settings": SETTINGS}))
         self.program = await asyncio.create_subprocess_shell(
-            RUN, cwd=ROOT, env={**os.environ, "GW_CONFIG": str(config)}, stderr=asyncio.subprocess.PIPE)
+            RUN, cwd=ROOT, env={**os.environ, "GW_CONFIG": str(self.config)}, stderr=asyncio.subprocess.PIPE)
         self.addAsyncCleanup(self.stopped)
         for _ in range(200):
             try:
@@ -186,6 +186,38 @@
         self.assertIn("stopped unanswered=0", log)
         idle.close()
 
+    async def test_told_to_read_again_it_watches_the_new_place_and_keeps_what_is_open(self) -> None:
+        self.mood = "hold"
+        runs = asyncio.create_task(self.call(self.job("runs")))
+        await asyncio.sleep(0.1)
+        told = json.loads(self.config.read_text())
+        lists: asyncio.Queue[None] = asyncio.Queue()
+
+        async def elsewhere(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            lists.put_nowait(None)
+            await self.list(reader, writer)
+
+        for text in ("{", "[]", "{}", '{"discovery": 7}', '{"discovery": "nowhere"}', '{"discovery": ":80"}'):
+            self.config.write_text(text)
+            self.program.send_signal(signal.SIGHUP)
+            await asyncio.sleep(0.03)
+        for _ in range(3):
+            server = await asyncio.start_server(elsewhere, "127.0.0.1", 0)
+            self.addCleanup(server.close)
+            self.config.write_text(json.dumps({**told, "discovery": "%s:%d" % server.sockets[0].getsockname()}))
+            self.program.send_signal(signal.SIGHUP)
+            await asyncio.wait_for(lists.get(), 0.5)
+        self.config.unlink()
+        self.program.send_signal(signal.SIGHUP)
+        await self.back("runs", result="?")
+        self.assertEqual((await runs)[2], b"?")
+        self.mood = "done"
+        self.assertEqual((await self.call(self.job("next")))[0], 200)
+        self.program.send_signal(signal.SIGTERM)
+        self.program.send_signal(signal.SIGHUP)
+        code, log = await self.stopped()
+        self.assertEqual((code, log.count("reread.failed=8 "), log.count("code=moved")), (0, 1, 3))
+
     async def test_counters_are_printed_on_a_signal_and_at_exit(self) -> None:
         await self.call(self.job("a"))
         self.program.send_signal(signal.SIGUSR1)
