What can't be read or used is never passed on; a worker's 4xx shuts no worker

Workers answered each with 400, forms.outcome_of made that an ERROR, choice.ended shut the worker for 40 ms and up and posted the same again, up to four times: healthy workers were excluded for what a client had sent. Ruled out: the parser; llhttp objects to both lengths in either order. Now: figures are digits, ids are new, kind and path agree, the owner is known, no trailer counts, nothing that speaks of the job comes twice, only chunked is undone, a line or framing without end is objected to at 16 KiB or half a MB. Two workers' 4xx answer the txn at once and shut nobody; a worker alone in it is shut when another settles that txn.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -251,7 +251,7 @@
                         yield Cancel(posting)
         while any(p.out for p in txn.postings) and self.now < self.last(txn):
             yield Wait(self.last(txn))
-        if self.may_decline(txn):
+        if self.may_decline(txn) and not self.unusable(txn):
             self.remember(txn)
             yield Decline(self.come_back)
         else:
@@ -274,6 +274,8 @@
     def may_go_on_until(self, txn: Txn) -> int:
         """Until when another posting, to some worker, could still do no harm."""
         risky = [p for p in txn.postings if p.may_have_run]
+        if self.unusable(txn):
+            return 0
         if len(txn.postings) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
             return 0
         if risky and txn.scheme.semantics is Semantics.REFERENCED:
@@ -284,6 +286,10 @@
         """Rule 2, the second half: whether telling the client to try again can do no harm."""
         return self.runs_again_anywhere(txn.scheme) or not any(p.may_have_run for p in txn.postings)
 
+    def unusable(self, txn: Txn) -> bool:
+        """Two workers agree that it can't be used: nobody's fault here, and coming back is no use."""
+        return sum(p.outcome is Outcome.UNUSABLE for p in txn.postings) > 1
+
     def runs_again_anywhere(self, scheme: Scheme) -> bool:
         return (scheme.semantics is Semantics.REPEATABLE
                 or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL)
@@ -673,6 +679,10 @@
             self.runs[posting.txn.scheme].append(max(1, took))
             book.lives(self.now)
             book.failed = 0
+            # Whoever found unusable what this one has done was at fault itself, and is known for it only now.
+            for earlier in posting.txn.postings:
+                if earlier.outcome is Outcome.UNUSABLE:
+                    self.fails(self.books[earlier.worker])
             book.head = {kind: work / 2 for kind, work in book.head.items() if work > 1}
         elif book.suspect and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
             # A worker that stands still keeps each new posting: trials grow rarer.
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -9,6 +9,7 @@
 from pathsaddle.net.wire.http import Message
 from pathsaddle.trade import Posting, Txn
 
+SPENT = 4096  # ids of txns that are over: as many as come in the longest expiry, and no memory to speak of
 Answer = Callable[[int, bytes, tuple[str, ...]], None]
 
 
@@ -43,6 +44,12 @@
 class Ledger:
     def __init__(self) -> None:
         self._entries: dict[str, Entry] = {}
+        self._spent: dict[str, None] = {}
+
+    def knows(self, tag: str) -> bool:
+        """Open, or over lately. An id is new with every call: what runs again under an old one is somebody
+        else's, and its postings would be taken for repeats of the first."""
+        return tag in self._entries or tag in self._spent
 
     def __contains__(self, tag: str) -> bool:
         return tag in self._entries
@@ -55,8 +62,10 @@
 
     def close(self, entry: Entry) -> None:
         """Forgotten once the final answer is out and nothing runs for it any more."""
-        if entry.done:
-            self._entries.pop(entry.txn.tag, None)
+        if entry.done and self._entries.pop(entry.txn.tag, None) is not None:
+            self._spent[entry.txn.tag] = None
+            if len(self._spent) > SPENT:
+                del self._spent[next(iter(self._spent))]
 
     def errand(self, tag: str, worker: str) -> Errand | None:
         """The posting that a worker's callback speaks of: the one that is out there, if any."""
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -104,8 +104,8 @@
         """A client's call, whole; raises Broken where it is no txn."""
         self._at()
         txn = self.words.txn(call, self.loop.now)
-        if txn.tag in self.ledger:
-            raise Broken(409, "this id is open already")
+        if self.ledger.knows(txn.tag):
+            raise Broken(409, "this id is not new")
         if self.stopping is not None:
             txn.expires = min(txn.expires, self.stopping)
         entry = Entry(txn, call, answer)
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import re
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import quote
@@ -31,6 +32,9 @@
        b"req-deadline-ms", b"te", b"trailer", b"transfer-encoding", b"upgrade")
 STANDINGS = {"active": Standing.READY, "leaving": Standing.DRAINING, "left": Standing.GONE}
 ENDS = {"done": Outcome.SETTLED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
+ID = re.compile(r"[!-~]{1,128}")
+FIGURE = re.compile(r"[0-9]{1,12}([.][0-9]{1,9})?")
+LONGEST = 24 * 3600 * SECOND  # no client means to wait for longer
 STARTED, RUNNING = "started", "running"
 
 
@@ -55,6 +59,13 @@
     address: str
 
 
+def figure(text: str) -> float:
+    """A figure as the wire writes it; Python would also read nan, inf, 1e99, 1_0 and a sign."""
+    if not FIGURE.fullmatch(text):
+        raise ValueError(f"{text[:20]!r}")
+    return float(text)
+
+
 def pairs(text: str) -> dict[str, str]:
     """name=value,name=value; what has no value is passed over."""
     return dict(part.strip().split("=", 1) for part in text.split(",") if "=" in part)
@@ -76,22 +87,29 @@
     def txn(self, call: Message, now: int) -> Txn:
         tag, kind = call.text(b"req-id"), call.text(b"req-kind")
         path = call.target.partition(b"?")[0].lstrip(b"/").partition(b"/")[0].decode("latin-1")
-        scheme = self.schemes.get(kind if kind is not None else path)
-        if not tag:
+        scheme = self.schemes.get(path)
+        customer = self.customers.get(call.text(b"req-owner") or "")
+        if not tag or not ID.fullmatch(tag):
             raise Broken(400, "no Req-Id")
-        if scheme is None:
+        if scheme is None or kind is not None and kind not in self.schemes:
             raise Broken(404, "no such kind of job")
+        if kind is not None and kind != path:
+            raise Broken(400, "two kinds of job at once")
+        if customer is None and self.customers:
+            raise Broken(403, "no such owner")
         try:
             within = call.text(b"req-deadline-ms")
-            lasts = scheme.expiry if within is None else int(float(within) * MILLISECOND)
-            cost = call.text(b"req-cost")
+            lasts = scheme.expiry if within is None else int(figure(within) * MILLISECOND)
+            cost = figure(call.text(b"req-cost") or "0")
             extra = pairs(call.text(b"req-extra") or "")
-            memory = extra.get("memory")
-            return Txn(tag, scheme, self.customers.get(call.text(b"req-owner") or ""), now, now + lasts,
-                       hint=max(1, -(-int(float(cost)) // 100)) if cost and float(cost) > 0 else None,
-                       slots=float(extra.get("slots", 1)), memory=None if memory is None else float(memory),
+            slots, memory = figure(extra.get("slots", "1")), extra.get("memory")
+            if lasts > LONGEST or slots <= 0:
+                raise ValueError("out of all bounds")
+            return Txn(tag, scheme, customer, now, now + min(lasts, scheme.expiry or lasts),
+                       hint=max(1, -(-int(cost) // 100)) if cost > 0 else None,
+                       slots=slots, memory=None if memory is None else figure(memory),
                        repeat=call.text(b"req-retry") == "1")
-        except (ValueError, OverflowError) as fault:
+        except ValueError as fault:
             raise Broken(400, f"a figure that is none: {fault}") from None
 
     # From workers.
@@ -108,7 +126,7 @@
                 str(told["id"]), str(told["from"]), state if outcome or note else "other", outcome, note,
                 state == STARTED, float(told.get("share") or 0.0), result.encode("utf-8", "surrogatepass"),
                 self.report(load) if load is not None else None)
-        except (ValueError, KeyError, TypeError, AttributeError) as fault:
+        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
             raise Broken(400, f"no callback: {type(fault).__name__}") from None
 
     def report(self, load: Any) -> Report | None:
@@ -180,7 +198,8 @@
         return None
     if answer.status in (503, 504) and answer.headers.get(b"srv-declined") == b"1":
         return Outcome.FULL
-    return Outcome.ERROR
+    # Of the codes that blame the caller two speak of the moment, not of what was sent.
+    return Outcome.UNUSABLE if 400 <= answer.status < 500 and answer.status not in (408, 429) else Outcome.ERROR
 
 
 def look_target(reports: bool) -> bytes:
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -9,9 +9,12 @@
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
-REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 409: "Conflict", 413: "Content Too Large",
-           431: "Request Header Fields Too Large", 500: "Internal Server Error", 503: "Service Unavailable"}
+MOST_RAW = 8 * MOST_BODY  # with its framing, in however small chunks
+REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+           405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
+           431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
+           503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+ONCE = (b"host", b"content-type")  # and all that speak of the job: said twice, which one counts is a guess
 
 
 class Broken(Exception):
@@ -45,13 +48,16 @@
     def __init__(self) -> None:
         self.messages: deque[Message] = deque()
         self.part: Message | None = None  # the message under way
+        self.headed = False  # its head is here whole
+        self.fed = 0  # bytes of it so far, as they came: the parser keeps a line until its end is here
         self.head = 0
         self.size = 0
         self.chunks: list[bytes] = []
         self.fault: Broken | None = None
 
     def on_message_begin(self) -> None:
-        self.part, self.head, self.size, self.chunks = Message(), 0, 0, []
+        self.part, self.headed, self.fed, self.head = Message(), False, 0, 0
+        self.size, self.chunks = 0, []
 
     def on_url(self, url: bytes) -> None:
         assert self.part is not None
@@ -61,6 +67,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self.part is not None
         self._head(len(name) + len(value))
+        if self.headed:
+            return  # a trailer, behind what was read as the head: it changes nothing any more
         self.part.headers[name.lower()] = value
         self.part.lines.append((name, value))
 
@@ -113,10 +121,32 @@
     def feed(self, data: bytes | memoryview) -> None:
         if self.fault is None and not self.over:
             self._parse(self._parser, data)
+            self.fed += len(data)
+            if self.part is not None and self.fault is None:
+                if self.fed > (MOST_RAW if self.headed else MOST_HEAD):
+                    self.fault = Broken(413 if self.headed else 431, "a head or framing without end")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        assert self.part is not None
+        lower = name.lower()
+        twice = not self.headed and lower in self.part.headers
+        if twice and (lower in ONCE or lower.startswith(b"req-")):
+            self._object(400, "a header twice")
+        super().on_header(name, value)
 
     def on_headers_complete(self) -> None:
         assert self.part is not None
-        length = self.part.headers.get(b"content-length", b"0")
+        self.headed = True
+        version, headers = self._parser.get_http_version(), self.part.headers
+        if version not in ("1.0", "1.1"):
+            self._object(505, "neither HTTP/1.0 nor HTTP/1.1")
+        if (coding := headers.get(b"transfer-encoding")) is not None:
+            # Both lengths may hide another call in the body, from whoever believes the other of the two.
+            if b"content-length" in headers or version == "1.0":
+                self._object(400, "two lengths, or one that HTTP/1.0 has not")
+            if coding.strip().lower() != b"chunked":
+                self._object(501, "no coding but chunked is undone here")
+        length = headers.get(b"content-length", b"0").strip()
         if length.isdigit() and int(length) > MOST_BODY:
             self._object(413, "body over 64 KiB")
         if self.part.headers.get(b"expect", b"").lower() == b"100-continue":
@@ -199,7 +229,7 @@
         return self.messages.popleft()
 
     def on_headers_complete(self) -> None:
-        self.status = self._parser.get_status_code()
+        self.headed, self.status = True, self._parser.get_status_code()
 
     def on_body(self, chunk: bytes) -> None:
         if self.streams:
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -34,6 +34,7 @@
 
     SETTLED = "settled"
     ERROR = "the worker answered with an error"
+    UNUSABLE = "the worker says that the call itself is none"
     FULL = "turned away unseen"
     TIMED_OUT = "no answer in time"
     UNCONNECTED = "no connection"
