After SIGTERM clients' kept connections are served for three seconds more

Our own log: every idle connection closed half a second after SIGTERM, the process up to 3.35 s; the next one ready 4.5 to 4.9 s after SIGTERM, whether ours ended after 2.4 or 3.4 s, so ending sooner gains nothing (ruled out). Lines at fault: start.py _finish set front.stopping at once, which closes kept connections and marks each answer as the last, while clients go on with what they have and the zone had nobody else. Now they are served until 3 s after SIGTERM; held txns that can't end by then are declined a mean run before.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -228,7 +228,7 @@
             self.hold(txn)
             held_at = self.now
             news = None
-            while self.now < (until := min(until, self.last(txn))):
+            while self.now < (until := min(until, self.give_up_at(txn) if txn.cut else self.last(txn))):
                 in_time = self.in_time_until(txn)
                 news = yield Wait(min(until, in_time) if self.now < in_time else until)
                 if isinstance(news, Worker):
@@ -576,6 +576,8 @@
         last = self.last(txn)
         if txn.scheme.late_value > 0:
             return int(last - self.run_of(txn))
+        if txn.cut:  # what can't end before we do is told so while it can be had elsewhere
+            last = int(last - self.run_of(txn))
         return min(last, self.in_time_until(txn))
 
     def worth_posting_until(self, txn: Txn) -> int:
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -51,7 +51,7 @@
     def hasten(self, txn: Txn, by: int) -> None:
         """We are to end: its final answer is due by then, however long its client would wait."""
         if not txn.closed and by < txn.expires:
-            txn.expires = by
+            txn.expires, txn.cut = by, True
             self._resume(txn, None)
 
     def ended(self, posting: Posting, outcome: Outcome, spent: int, closes: bool,
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -106,8 +106,8 @@
         txn = self.words.txn(call, self.loop.now)
         if self.ledger.knows(txn.tag):
             raise Broken(409, "this id is not new")
-        if self.stopping is not None:
-            txn.expires = min(txn.expires, self.stopping)
+        if self.stopping is not None and self.stopping < txn.expires:
+            txn.expires, txn.cut = self.stopping, True
         entry = Entry(txn, call, answer)
         self.ledger.open(entry)
         self.counters.add("txn.taken")
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -337,6 +337,10 @@
         logger.info("end side=client code={} peer={} calls={}", visit.code, visit.peer, visit.calls)
         self.freed()
 
+    def in_use(self) -> bool:
+        """Whether a connection is open on which a client's next txn may come."""
+        return any(visit.machine.busy or visit.known and not visit.worker for visit in self.visits)
+
     def quiet(self) -> bool:
         """Closes what is idle; whether nothing is left that a client waits on."""
         for visit in [visit for visit in self.visits if visit.idle and not visit.worker]:
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -67,10 +67,14 @@
     async def _finish(self) -> None:
         logger.info("stopping unanswered={}", len(self.desk.ledger.unanswered()))
         begun = self.clock.now()
-        self.front.stopping = True
         by = begun + self.longest + LATER
         self.desk.stop(by)
-        await asyncio.sleep(seconds(COMING))
+        # Clients go on with the connections they have, and nobody else may be there for them: closed at once,
+        # four in ten txns of a zone with one dispatcher failed until the next was ready.
+        while self.clock.now() < begun + self.longest and (
+                self.clock.now() < begun + COMING or self.front.in_use()):
+            await asyncio.sleep(seconds(LAST_BYTES) / 5)
+        self.front.stopping = True
         while not self.front.quiet() and self.clock.now() < by + LAST_BYTES:
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         logger.info("stopped unanswered={}", len(self.desk.ledger.unanswered()))
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -131,6 +131,7 @@
     repeat: bool = False
     postings: list[Posting] = field(default_factory=list)
     closed: bool = False
+    cut: bool = False  # its expiry was brought forward, since we are to end
     run: Generator[Order, Any, None] | None = None
     place: tuple[tuple[float, int], int, Txn] | None = None  # where it stands among the held
     first: int = 0  # when its client first asked, as far as we know
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,6 +19,15 @@
         host.passes(10 * SECOND)
         self.assertEqual(host.answers, {"a": ["declined"]})
 
+    def test_told_to_end_what_can_not_run_by_then_is_declined_at_once_and_what_can_is_not(self) -> None:
+        host = FakeHost(scheme(sla_time=5 * SECOND), workers=0)
+        for tag, run in (("long", 3 * SECOND), ("short", SECOND // 2)):
+            host.loop.hasten(host.ask(tag, hint=run), host.now + 2 * SECOND)
+        host.passes(SECOND // 10)
+        self.assertEqual(host.answers, {"long": ["declined"]})
+        host.passes(2 * SECOND)
+        self.assertEqual(host.answers, {"long": ["declined"], "short": ["declined"]})
+
     def test_nothing_follows_a_hang_up(self) -> None:
         host = FakeHost(workers=0)
         txn = host.ask("a")
