Told to end, a decline that only our end is the reason for closes its connection

Lines at fault: front.py Visit._answer knew no reason of a decline. The module now says it (Decline.elsewhere).

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -253,7 +253,7 @@
             yield Wait(self.last(txn))
         if self.may_decline(txn) and not self.unusable(txn):
             self.remember(txn)
-            yield Decline(self.come_back)
+            yield Decline(self.come_back, txn.cut and self.give_up_at(txn) < self.in_time_until(txn))
         else:
             yield Reverse()
 
--- a/pathsaddle/drill/stand.py
+++ b/pathsaddle/drill/stand.py
@@ -54,7 +54,7 @@
     def cancel(self, posting: Posting) -> None:
         self.out.append(f"CANCEL {self.number} {posting.txn.tag} {posting.number}")
 
-    def decline(self, txn: Txn, come_back: int) -> None:
+    def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None:
         self.out.append(f"PUSH_BACK {self.number} {txn.tag} {come_back * TICK}")
 
     def reverse(self, txn: Txn) -> None:
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -116,8 +116,8 @@
                         posting.cancelled = True
                         self.door.cancel(posting)
                         result = None
-                    case Decline(come_back):
-                        self.door.decline(txn, come_back)
+                    case Decline(come_back, elsewhere):
+                        self.door.decline(txn, come_back, elsewhere)
                         break
                     case Reverse():
                         self.door.reverse(txn)
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -10,7 +10,7 @@
 from pathsaddle.trade import Posting, Txn
 
 SPENT = 4096  # ids of txns that are over: as many as come in the longest expiry, and no memory to speak of
-Answer = Callable[[int, bytes, tuple[str, ...]], None]
+Answer = Callable[[int, bytes, tuple[str, ...], bool], None]
 
 
 @dataclass(slots=True, eq=False)
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -75,8 +75,8 @@
             self._events.call_later(seconds(ON_ITS_WAY if errand.sent and not self.two_at_once else 0),
                                     self._end, errand, Outcome.CANCELLED if errand.sent else Outcome.MOOT)
 
-    def decline(self, txn: Txn, come_back: int) -> None:
-        self._answer(txn, "declined", 503, b"", forms.come_back_header(come_back))
+    def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None:
+        self._answer(txn, "declined", 503, b"", forms.come_back_header(come_back), keep=not elsewhere)
 
     def reverse(self, txn: Txn) -> None:
         self._answer(txn, "reversed", 500)
@@ -311,12 +311,12 @@
         self.loop.hang_up(txn)
 
     def _answer(self, txn: Txn, kind: str, status: int, body: bytes = b"",
-                headers: tuple[str, ...] = ()) -> None:
+                headers: tuple[str, ...] = (), keep: bool = True) -> None:
         entry = self.ledger[txn.tag]
         answer, entry.answer = entry.answer, None
         if answer is not None:
             self.counters.add(f"txn.{kind}")
-            answer(status, body, headers)
+            answer(status, body, headers, keep)
         # The loop closes the txn right after this; whatever is still out keeps the entry.
         self._events.call_soon(self.ledger.close, entry)
 
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -161,15 +161,17 @@
             self.front.counters.add(f"malformed.{fault.status}")
             self._answer(fault.status, str(fault).encode())
 
-    def answer(self, status: int, body: bytes, headers: tuple[str, ...]) -> None:
+    def answer(self, status: int, body: bytes, headers: tuple[str, ...], keep: bool) -> None:
         """The final answer of the txn that waits here."""
         self.entry = None
         if self.code is None:
-            self._answer(status, body, headers)
+            self._answer(status, body, headers, keep)
             self._events.call_soon(self.work)
 
-    def _answer(self, status: int, body: bytes = b"", headers: tuple[str, ...] = ()) -> None:
-        self._put(self.machine.answer(status, body, headers, keep=not self.front.stopping or self.worker))
+    def _answer(self, status: int, body: bytes = b"", headers: tuple[str, ...] = (),
+                keep: bool = True) -> None:
+        keep = self.worker or keep and not self.front.stopping
+        self._put(self.machine.answer(status, body, headers, keep))
         self.idle_since = self.front.clock.now()
         self.front.weigh(self)
 
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -197,6 +197,7 @@
     """Final answer: not done, and trying again is harmless."""
 
     come_back: int = 0
+    elsewhere: bool = False  # only our own end is in its way: its client had better not come back here
 
 
 @dataclass(slots=True, frozen=True)
@@ -214,7 +215,7 @@
 
     def cancel(self, posting: Posting) -> None: ...
 
-    def decline(self, txn: Txn, come_back: int) -> None: ...
+    def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None: ...
 
     def reverse(self, txn: Txn) -> None: ...
 
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -64,6 +64,7 @@
         self.posted: list[Posting] = []
         self.answers: dict[str, list[str]] = {}
         self.cancelled: list[Posting] = []
+        self.sent_on: list[str] = []
         self.probes: list[Worker] = []
         self.subscribed = 0
         self.alarm: int | None = None
@@ -80,7 +81,9 @@
     def cancel(self, posting: Posting) -> None:
         self.cancelled.append(posting)
 
-    def decline(self, txn: Txn, come_back: int) -> None:
+    def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None:
+        if elsewhere:
+            self.sent_on.append(txn.tag)
         self.answers.setdefault(txn.tag, []).append("declined")
 
     def reverse(self, txn: Txn) -> None:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -74,7 +74,7 @@
         call = Message(b"POST", f"/{kind}".encode(), headers={
             b"req-id": tag.encode(), b"req-kind": kind.encode(), b"req-owner": b"acme",
             b"req-deadline-ms": within.encode()})
-        entry = self.desk.take(call, lambda *answer: self.answers.append(answer))
+        entry = self.desk.take(call, lambda *answer: self.answers.append(answer[:3]))
         await self.settle()
         return entry
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -27,6 +27,7 @@
         self.assertEqual(host.answers, {"long": ["declined"]})
         host.passes(2 * SECOND)
         self.assertEqual(host.answers, {"long": ["declined"], "short": ["declined"]})
+        self.assertEqual(host.sent_on, ["long", "short"], "elsewhere they may still be in time")
 
     def test_nothing_follows_a_hang_up(self) -> None:
         host = FakeHost(workers=0)
