What a worker leaves untaken goes elsewhere, and its scheme stays away from there

Trace: 41 postings of that scheme, and of no other, ended TIMED_OUT at the txn's expiry, never taken (no 202), at 7 of 12 workers that settled all else meanwhile. Ruled out: answers of ours (no 5xx was sent), links (76 of 384). Lines at fault: choice.py look_again_at and judge_silence go by the worker's last sign of life, which other schemes' postings renewed; the door did not tell the module that a posting was taken. Now the 202 is told (Loop.taken); untaken after three times the longest of the last takes (150 ms to 1 s) a posting is withdrawn and posted elsewhere, and that scheme keeps away from that worker for 2 s and up.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -81,6 +81,7 @@
         self.full_at = -FAR  # when it last turned us away
         self.shut_until = 0  # after failures: nothing before this moment
         self.suspect = False  # silent for too long: one posting at a time until it speaks
+        self.mute: dict[Scheme, tuple[int, int]] = {}  # left untaken here: (until when none go, how often)
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
@@ -188,6 +189,7 @@
         self.probe_times: deque[int] = deque([self.tick], maxlen=16)
         self.tells_start = terms.tells_start
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
+        self.takes: deque[int] = deque(maxlen=32)  # from posting to the worker's word that it has it
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
         self.usual_run = float(SECOND)
         self.keep_for = LOOK  # how long a worked out room holds, against ranking a fleet anew each event
@@ -245,7 +247,7 @@
             while posting.out and self.now < self.last(txn):
                 yield Wait(min(self.last(txn), self.look_again_at(posting)))
                 if posting.out and self.now < self.last(txn) and self.elsewhere(txn, posting):
-                    if self.two_at_once:
+                    if self.two_at_once and not (self.may_cancel and self.untaken(posting)):
                         break
                     if not posting.cancelled:
                         yield Cancel(posting)
@@ -385,6 +387,7 @@
                 and (not txn.postings or self.may_post(txn, worker)
                      and not any(p.out and p.worker is worker for p in txn.postings))
                 # Only what can be posted again anywhere is risked on a suspect.
+                and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
                 and (not book.suspect or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
                 and (worker.started is None or self.cold_allows(book, txn)))
@@ -408,7 +411,8 @@
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  # What nearly all workers pass at once, against a call for each of them.
-                 and (plain and book.started is None and not book.suspect or self.eligible(book, txn))]
+                 and (plain and book.started is None and not book.suspect and not book.mute
+                      or self.eligible(book, txn))]
         self.ranked = loads
         if self.cross_price <= 0:
             return self.least(loads)
@@ -603,6 +607,9 @@
     # Watching postings.
 
     def look_again_at(self, posting: Posting) -> int:
+        due = posting.sent + self.late_take()
+        if posting.taken is None and posting.noted is None and self.takes and self.now < due:
+            return due
         if not self.silence:
             return FAR
         book = self.books[posting.worker]
@@ -612,9 +619,22 @@
         """A silent worker has the txn: whether to look for another that can run it too."""
         book = self.books[posting.worker]
         self.judge_silence(book)
-        return (book.suspect and (self.two_at_once or self.may_cancel)
+        untaken = self.untaken(posting)
+        if untaken and not posting.cancelled:
+            _, times = book.mute.get(txn.scheme, (0, 0))
+            book.mute[txn.scheme] = (self.now + (2 * SECOND << min(times, 3)), times + 1)
+        return ((book.suspect or untaken) and (self.two_at_once or self.may_cancel)
                 and self.now < self.worth_posting_until(txn))
 
+    def late_take(self) -> int:
+        return min(SECOND, max(150 * MILLISECOND, 3 * max(self.takes, default=0)))
+
+    def untaken(self, posting: Posting) -> bool:
+        """Workers say at once that they have it. One may serve all schemes but this, and by those look alive:
+        a third of one scheme's txns waited out their expiry at such workers."""
+        return (posting.taken is None and posting.noted is None and bool(self.takes)
+                and self.now - posting.sent >= self.late_take())
+
     def judge_silence(self, book: Book) -> None:
         if self.silence and book.out:
             if self.now - max(book.alive, book.out[0].sent) >= self.silence:
@@ -752,6 +772,10 @@
             # buys more of the same; all who believe it meet at the same few workers.
             self.age = AGES[-1]
 
+    def taken(self, posting: Posting) -> None:
+        self.takes.append(self.now - posting.sent)
+        self.books[posting.worker].mute.pop(posting.txn.scheme, None)
+
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
         book.lives(self.now)
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -64,6 +64,10 @@
         elif not posting.txn.closed:
             self._resume(posting.txn, posting)
 
+    def taken(self, posting: Posting) -> None:
+        posting.taken = self.now
+        self.choice.taken(posting)
+
     def news(self, posting: Posting, started: bool, level: float) -> None:
         posting.noted = self.now
         if started and posting.started is None:
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -191,6 +191,9 @@
             outcome = forms.outcome_of(answer)
             if outcome is None:
                 errand.accepted = True
+                if posting.out:
+                    self._at()
+                    self._guard(posting.txn, lambda: self.loop.taken(posting))
             else:
                 self._end(errand, outcome, self.words.report_in(answer))
 
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -156,6 +156,7 @@
     outcome: Outcome | None = None
     ended: int = 0
     started: int | None = None
+    taken: int | None = None  # when the worker said that it has it, where workers say so
     noted: int | None = None  # the last sign of life
     level: float = 0.0
     work: int = 0
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -120,6 +120,10 @@
         self.loop.ended(posting, outcome, self.now - posting.sent, done, report)
         self.loop.turn()
 
+    def take(self, posting: Posting) -> None:
+        self.loop.at(self.now)
+        self.loop.taken(posting)
+
     def tell(self, worker: Worker, report: Report | None, outcome: Outcome = Outcome.SETTLED) -> None:
         """What a look at a worker finds."""
         self.loop.at(self.now)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -229,6 +229,37 @@
         self.assertNotIn("d", host.answers)
 
 
+class LeftUntaken(unittest.TestCase):
+    def test_what_a_worker_leaves_untaken_goes_elsewhere_and_only_its_scheme_stays_away(self) -> None:
+        """A worker took all schemes but one and looked alive by them; that one's txns waited out their expiry."""
+        host = FakeHost(scheme(sla_time=5 * SECOND), scheme(index=1), workers=2)
+        for tag in ("a", "b"):
+            host.ask(tag)
+            host.take(host.posted[-1])
+            host.end(host.posted[-1])
+        host.ask("left")
+        left = host.posted[-1]
+        host.passes(SECOND // 4)
+        self.assertEqual(host.cancelled, [left])
+        host.end(left, Outcome.CANCELLED)
+        self.assertEqual((host.posted[-1].txn.tag, len(host.posted)), ("left", 4))
+        self.assertIsNot(host.posted[-1].worker, left.worker)
+        host.take(host.posted[-1])
+        for tag in ("c", "d", "e"):
+            host.ask(tag)
+            self.assertIsNot(host.posted[-1].worker, left.worker)
+            host.end(host.posted[-1])
+        for tag in ("x", "y"):
+            host.ask(tag, 1)
+        self.assertIn(left.worker, [p.worker for p in host.posted if p.txn.scheme.index == 1])
+
+    def test_where_workers_do_not_say_that_they_have_it_nothing_is_left_untaken(self) -> None:
+        host = FakeHost(workers=2)
+        host.ask("a")
+        host.passes(SECOND)
+        self.assertEqual((len(host.posted), host.cancelled), (1, []))
+
+
 class LargeFleets(unittest.TestCase):
     def test_a_fleet_is_not_ranked_anew_for_every_event(self) -> None:
         """Incident i6d62e5 and the first full-size days: the decisions took longer than the day."""
