--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -807,7 +807,7 @@
             self.list_due = self.now + int(wait * (0.5 + self.random() / 2))
             return
         if news is ListNews.MOVED:
-            # At once: what the new place tells counts as told soon, and failures of the old say nothing of it.
+            # At once: what the new place tells counts as told soon; failures of the old say nothing of it.
             self.list_failures, self.list_due = 0, self.now
             return
         if news is not ListNews.REMEMBERED:
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -24,7 +24,7 @@
 COMES = 5 * SECOND // 2  # in which a call must be here whole, from the accept or from its first byte
 QUIET = SECOND  # of silence after which a peer whose call was no good is taken to have our answer
 LINGER = 5 * SECOND  # and for so long what it still sends is read and thrown away
-FIRST = SECOND // 5  # in which a stranger's first bytes come, if any do: before that it is not closed for room
+FIRST = SECOND // 5  # in which a stranger's first bytes come, if any do: not closed for room before
 NO_ROOM = 50 * MILLISECOND  # between accepts that the kernel fails, and between looks for room
 
 
@@ -49,7 +49,7 @@
         self.calls = 0
         self.worker = False  # it has brought a worker's callbacks: it stays open until we end
         self.known = False  # it has brought a txn or a callback, as usual peers do first of all
-        self.since: int | None = front.clock.now()  # when the call that is to come began to; None: between calls
+        self.since: int | None = front.clock.now()  # when the next call began to come; None: none did
         self.idle_since = self.since
         self.heard = self.since  # when the last bytes came
         self.held = 0  # bytes of its bodies that count for us all
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -35,7 +35,7 @@
         self._task = asyncio.get_running_loop().create_task(self._follow())
 
     def move(self, address: str) -> None:
-        """Another address, maybe with versions of its own: the whole list is asked for, when the module asks."""
+        """Another address, maybe with versions of its own: asked for whole, and when the module says so."""
         if address != self.address:
             self.address, self.index = address, 0
             self.stop("moved")
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -40,7 +40,8 @@
         free = told.sockets - len(os.listdir("/proc/self/fd")) - SPARE
         # So is memory: a part of what is left goes to connections, one to bodies, the rest is for all else.
         spare = max(0.0, 0.9 * told.memory_mb - memory_mb())
-        room = Room(max(FEW, int(min(free, spare / 3 / VISIT_MB))), int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
+        room = Room(max(FEW, int(min(free, spare / 3 / VISIT_MB))),
+                    int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
         self.workers = Workers(told.reach, free // 4, self.clock, self.counters)
         told.terms.most_open = min(told.terms.most_open, min(room.visits, free - free // 4) * 3 // 4)
         self.desk = Desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -199,7 +199,8 @@
     if answer.status in (503, 504) and answer.headers.get(b"srv-declined") == b"1":
         return Outcome.FULL
     # Of the codes that blame the caller two speak of the moment, not of what was sent.
-    return Outcome.UNUSABLE if 400 <= answer.status < 500 and answer.status not in (408, 429) else Outcome.ERROR
+    blames = 400 <= answer.status < 500 and answer.status not in (408, 429)
+    return Outcome.UNUSABLE if blames else Outcome.ERROR
 
 
 def look_target(reports: bool) -> bytes:
