--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -247,7 +247,7 @@
             while posting.out and self.now < self.last(txn):
                 yield Wait(min(self.last(txn), self.look_again_at(posting)))
                 if posting.out and self.now < self.last(txn) and self.elsewhere(txn, posting):
-                    if self.two_at_once and not (self.may_cancel and self.untaken(posting)):
+                    if self.two_at_once and not (self.may_cancel and self.now >= self.take_due(posting)):
                         break
                     if not posting.cancelled:
                         yield Cancel(posting)
@@ -386,8 +386,8 @@
         return ((machine is None or worker.machine == machine)
                 and (not txn.postings or self.may_post(txn, worker)
                      and not any(p.out and p.worker is worker for p in txn.postings))
-                # Only what can be posted again anywhere is risked on a suspect.
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
+                # Only what can be posted again anywhere is risked on a suspect.
                 and (not book.suspect or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
                 and (worker.started is None or self.cold_allows(book, txn)))
@@ -578,11 +578,10 @@
 
     def give_up_at(self, txn: Txn) -> int:
         last = self.last(txn)
-        if txn.scheme.late_value > 0:
-            return int(last - self.run_of(txn))
-        if txn.cut:  # what can't end before we do is told so while it can be had elsewhere
+        late_counts = txn.scheme.late_value > 0
+        if late_counts or txn.cut:  # what can't end before we do is told so while it can be had elsewhere
             last = int(last - self.run_of(txn))
-        return min(last, self.in_time_until(txn))
+        return last if late_counts else min(last, self.in_time_until(txn))
 
     def worth_posting_until(self, txn: Txn) -> int:
         return min(self.give_up_at(txn), self.may_go_on_until(txn))
@@ -607,8 +606,7 @@
     # Watching postings.
 
     def look_again_at(self, posting: Posting) -> int:
-        due = posting.sent + self.late_take()
-        if posting.taken is None and posting.noted is None and self.takes and self.now < due:
+        if self.now < (due := self.take_due(posting)) < FAR:
             return due
         if not self.silence:
             return FAR
@@ -619,21 +617,19 @@
         """A silent worker has the txn: whether to look for another that can run it too."""
         book = self.books[posting.worker]
         self.judge_silence(book)
-        untaken = self.untaken(posting)
+        untaken = self.now >= self.take_due(posting)
         if untaken and not posting.cancelled:
             _, times = book.mute.get(txn.scheme, (0, 0))
             book.mute[txn.scheme] = (self.now + (2 * SECOND << min(times, 3)), times + 1)
         return ((book.suspect or untaken) and (self.two_at_once or self.may_cancel)
                 and self.now < self.worth_posting_until(txn))
 
-    def late_take(self) -> int:
-        return min(SECOND, max(150 * MILLISECOND, 3 * max(self.takes, default=0)))
-
-    def untaken(self, posting: Posting) -> bool:
+    def take_due(self, posting: Posting) -> int:
         """Workers say at once that they have it. One may serve all schemes but this, and by those look alive:
         a third of one scheme's txns waited out their expiry at such workers."""
-        return (posting.taken is None and posting.noted is None and bool(self.takes)
-                and self.now - posting.sent >= self.late_take())
+        if posting.taken is not None or posting.noted is not None or not self.takes:
+            return FAR
+        return posting.sent + min(SECOND, max(150 * MILLISECOND, 3 * max(self.takes)))
 
     def judge_silence(self, book: Book) -> None:
         if self.silence and book.out:
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -50,8 +50,7 @@
 
     def hasten(self, txn: Txn, by: int) -> None:
         """We are to end: its final answer is due by then, however long its client would wait."""
-        if not txn.closed and by < txn.expires:
-            txn.expires, txn.cut = by, True
+        if not txn.closed and txn.cut_to(by):
             self._resume(txn, None)
 
     def ended(self, posting: Posting, outcome: Outcome, spent: int, closes: bool,
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -106,8 +106,8 @@
         txn = self.words.txn(call, self.loop.now)
         if self.ledger.knows(txn.tag):
             raise Broken(409, "this id is not new")
-        if self.stopping is not None and self.stopping < txn.expires:
-            txn.expires, txn.cut = self.stopping, True
+        if self.stopping is not None:
+            txn.cut_to(self.stopping)
         entry = Entry(txn, call, answer)
         self.ledger.open(entry)
         self.counters.add("txn.taken")
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -48,7 +48,6 @@
         self.entry: Entry | None = None  # the txn that waits for its answer here
         self.calls = 0
         self.worker = False  # it has brought a worker's callbacks: it stays open until we end
-        self.known = False  # it has brought a txn or a callback, as usual peers do first of all
         self.since: int | None = front.clock.now()  # when the next call began to come; None: none did
         self.idle_since = self.since
         self.heard = self.since  # when the last bytes came
@@ -64,6 +63,11 @@
     def idle(self) -> bool:
         return not self.machine.busy and not self.machine.midway and not self.inward and not self.outward
 
+    @property
+    def known(self) -> bool:
+        """It has brought a txn or a callback, as usual peers do first of all."""
+        return self not in self.front.strangers
+
     async def _read(self) -> None:
         try:
             while True:
@@ -315,7 +319,6 @@
         return True
 
     def knows(self, visit: Visit) -> None:
-        visit.known = True
         self.strangers.pop(visit, None)
 
     def weigh(self, visit: Visit) -> None:
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -9,6 +9,7 @@
 from pathsaddle.net.wire.ring import Ring
 from pathsaddle.net.wire.terms import Peer, peer_of
 
+
 def stream(address: str) -> tuple[socket.socket, Peer]:
     """A socket of the address's family, and the address as sockets want it."""
     peer = peer_of(address)  # first: what is no address must not cost a descriptor
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -93,18 +93,22 @@
         if self.head > MOST_HEAD:
             self._object(431, "head over 16 KiB")
 
+    def object(self, status: int, why: str) -> Broken:
+        """The message under way will not be taken, whatever more of it comes."""
+        self.fault = self.fault or Broken(status, why)
+        return self.fault
+
     def _object(self, status: int, why: str) -> None:
-        self.fault = Broken(status, why)
-        raise self.fault
+        raise self.object(status, why)
 
     def _parse(self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser,
                data: bytes | memoryview) -> None:
         try:
             parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self.fault = Broken(400, "no other protocol is spoken here")
+            self.object(400, "no other protocol is spoken here")
         except httptools.HttpParserError as fault:
-            self.fault = self.fault or Broken(400, str(fault)[:80])
+            self.object(400, str(fault)[:80])
 
 
 class Called(Reader):
@@ -124,18 +128,14 @@
         if self.fault is None and not self.over:
             self._parse(self._parser, data)
             self.fed += len(data)
-            if self.part is not None and self.fault is None:
-                if self.fed > (MOST_RAW if self.headed else MOST_HEAD):
-                    self.fault = Broken(413 if self.headed else 431, "a head or framing without end")
+            most, status = (MOST_RAW, 413) if self.headed else (MOST_HEAD, 431)
+            if self.part is not None and self.fed > most:
+                self.object(status, "a head or framing without end")
 
     def on_body(self, chunk: bytes) -> None:
         super().on_body(chunk)
         self.held += len(chunk)
 
-    def object(self, status: int, why: str) -> None:
-        """The call under way will not be taken, whatever more of it comes."""
-        self.fault = self.fault or Broken(status, why)
-
     def on_header(self, name: bytes, value: bytes) -> None:
         assert self.part is not None
         lower = name.lower()
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -146,6 +146,13 @@
     looked: int = 0
     pending: int = 0  # which of its waits is the current one; a timer of an older one is stale
 
+    def cut_to(self, by: int) -> bool:
+        """Whether its final answer is due earlier by this, since we are to end."""
+        if by >= self.expires:
+            return False
+        self.expires, self.cut = by, True
+        return True
+
 
 @dataclass(slots=True, eq=False)
 class Posting:
