--- /dev/null
+++ b/pathsaddle/charter/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's file: what may stand in it, and what is made of it."""
--- /dev/null
+++ b/pathsaddle/charter/form.py
@@ -0,0 +1,268 @@
+"""What may stand in an operator's file. `check --explain` and docs/charter.md are made from these docstrings."""
+
+from __future__ import annotations
+
+import re
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta, Struct, field
+
+from pathsaddle.charter.units import Duration, Size
+
+Part = Annotated[float, Meta(ge=0, le=1)]
+Count = Annotated[int, Meta(ge=1)]
+Some = Annotated[float, Meta(ge=0)]
+MS, S = 10, 10_000
+MIB = 1 << 20
+
+
+class Form(Struct, kw_only=True, forbid_unknown_fields=True):
+    """A table of the file."""
+
+
+class Limits(Form):
+    """What the process may take of its machine.
+
+    sockets: descriptors it may hold; a quarter of what is free at start is for connections to workers.
+    memory: its own pages at most; a third of what is free at start bounds the connections accepted, a quarter
+      the bodies held.
+    open: txns open at once at most; beyond, they are declined at once.
+    """
+
+    sockets: Annotated[int, Meta(ge=64)] = 1024
+    memory: Size = Size(192 * MIB)
+    open: Count | None = None
+
+
+class Scheme(Form):
+    """A kind of job.
+
+    name: as the first part of a call's path says it.
+    semantics: whether a job may run again. Referenced jobs carry a mark by which a group of workers drops
+      repeats.
+    sla: the time within which an answer is wanted, before `stretch` is added.
+    stretch: how many times its own running time is added to `sla`.
+    expiry: the time after which its client gives up.
+    value: what an answer in time is worth.
+    late_value: what an answer after the SLA time and before expiry is worth.
+    group: which workers drop a referenced job's repeats together.
+    window: for how long they remember it.
+    machine: the only kind of machine that can run it, by its place in `machines`.
+    """
+
+    name: str
+    semantics: Literal["repeatable", "referenced", "once-only"]
+    expiry: Duration
+    sla: Duration | None = None
+    stretch: Some = 0.0
+    value: Some = 1.0
+    late_value: Some = 0.0
+    group: Literal["all", "zone", "cell"] = "all"
+    window: Duration = Duration(0)
+    machine: str | None = None
+
+    def __post_init__(self) -> None:
+        if not re.fullmatch(r"[A-Za-z0-9._~-]+", self.name) or self.name in ("ready", "callback"):
+            raise ValueError(f'name: "{self.name}" stands there; what a path may begin with may, not ready or '
+                             "callback")
+        if self.semantics == "referenced" and not self.window:
+            raise ValueError("a referenced scheme needs a window")
+
+
+class Customer(Form):
+    """Who sends jobs.
+
+    name: as the header of a call says it.
+    allowance: jobs a second within its share, over all dispatchers; 0 sets none.
+    portion: its part of all value.
+    """
+
+    name: str
+    allowance: Some = 0.0
+    portion: Part = 0.0
+
+
+class Rules(Form):
+    """The figures of the rules.
+
+    answer_slack: by how much a final answer may come after expiry.
+    drain_grace: for how long something new may still go to a worker after we are told that it drains.
+    ask_within: the list must be watched or asked for at least this often.
+    cold_share: what part of its work a worker can do that has just started.
+    cold_time: how long until it can do all.
+    fall_multiple: sent more than so many times what it can do ...
+    fall_time: ... for so long, by all dispatchers together, a cold worker falls over.
+    """
+
+    answer_slack: Duration = Duration(0)
+    drain_grace: Duration = Duration(500 * MS)
+    ask_within: Duration = Duration(10 * S)
+    cold_share: Part = 0.3
+    cold_time: Duration = Duration(9 * S)
+    fall_multiple: Some = 4.0
+    fall_time: Duration = Duration(2 * S)
+
+
+class Allowed(Form):
+    """What a dispatcher may do.
+
+    postings: for one txn at most.
+    two_at_once: whether a second posting may go out while the first runs, where the scheme allows a repeat.
+    cancel: whether postings may be withdrawn.
+    probe: whether workers may be looked at.
+    come_back: the longest wait that a declined client may be told; "0s" where clients take no advice.
+    """
+
+    postings: Count = 4
+    two_at_once: bool = True
+    cancel: bool = True
+    probe: bool = True
+    come_back: Duration = Duration(2 * S)
+
+
+class Reports(Form):
+    """What workers tell of themselves.
+
+    source: where their load reports stand.
+    fields: the names of a report's figures.
+    progress: how often they tell of running jobs; "0s" never.
+    starts: whether they tell when a job starts.
+    """
+
+    source: Literal["none", "answers", "probe"] = "answers"
+    fields: list[str] = field(default_factory=lambda: ["x0", "queue", "inflight"])
+    progress: Duration = Duration(2 * S)
+    starts: bool = False
+
+
+class Prices(Form):
+    """What things cost, in units of the mean job's value.
+
+    cross: a job that crosses zones.
+    probe: a look at a worker.
+    waste: work done in vain, as much as was asked for.
+    late: all failing only after the SLA time.
+    handshake: a new connection for each job.
+    over_share: what part of the usual value a customer's jobs have beyond its share.
+    by_work: whether value is counted for each unit of work.
+    """
+
+    cross: Some = 0.0
+    probe: Some = 0.0
+    waste: Some = 0.0
+    late: Some = 0.0
+    handshake: Some = 0.0
+    over_share: Part = 0.1
+    by_work: bool = False
+
+
+class Reach(Form):
+    """Connections to workers.
+
+    connect: how long one may take to come up.
+    idle: how long one may stand idle before the worker closes it.
+    """
+
+    connect: Duration = Duration(S)
+    idle: Duration = Duration(60 * S)
+
+
+class Log(Form):
+    """What is logged, to standard error.
+
+    level: the least that is logged; may change in service.
+    form: text for people, or one JSON object a line.
+    """
+
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+    form: Literal["text", "json"] = "text"
+
+
+class Charter(Form):
+    """One dispatcher, as its operator wants it.
+
+    name: its name, in its log.
+    listen: where clients and workers' callbacks connect, host:port.
+    discovery: where the list of workers is watched, host:port; may change in service.
+    seed: hexadecimal; all chance comes from it.
+    number: which of the dispatchers this is, from 0.
+    dispatchers: how many there are.
+    zones: the zones' names; workers elsewhere are in further ones.
+    zone: the one that this dispatcher is in.
+    machines: the kinds of machine that schemes may ask for.
+    tick: the decisions' finest step of time.
+    limits: what the process may take of its machine.
+    schemes: the kinds of job.
+    customers: who sends them; none: anybody.
+    rules: the figures of the rules.
+    allowed: what a dispatcher may do.
+    reports: what workers tell of themselves.
+    prices: what things cost.
+    reach: connections to workers.
+    log: what is logged.
+    """
+
+    listen: str
+    discovery: str
+    schemes: list[Scheme]
+    name: str = "pathsaddle"
+    seed: str = "0"
+    number: Annotated[int, Meta(ge=0)] = 0
+    dispatchers: Count = 1
+    zones: list[str] = field(default_factory=lambda: ["here"])
+    zone: str | None = None
+    machines: list[str] = field(default_factory=list)
+    tick: Duration = Duration(2 * MS)
+    limits: Limits = field(default_factory=Limits)
+    customers: list[Customer] = field(default_factory=list)
+    rules: Rules = field(default_factory=Rules)
+    allowed: Allowed = field(default_factory=Allowed)
+    reports: Reports = field(default_factory=Reports)
+    prices: Prices = field(default_factory=Prices)
+    reach: Reach = field(default_factory=Reach)
+    log: Log = field(default_factory=Log)
+
+    def __post_init__(self) -> None:
+        from pathsaddle.net.wire.terms import peer_of
+        for key in ("listen", "discovery"):
+            try:
+                peer_of(getattr(self, key))
+            except ValueError:
+                raise ValueError(f'{key}: "{getattr(self, key)}" stands there; host:port may') from None
+        if not re.fullmatch(r"[0-9a-fA-F]{1,64}", self.seed):
+            raise ValueError(f'seed: "{self.seed}" stands there; hexadecimal digits may')
+        if self.number >= self.dispatchers:
+            raise ValueError(f"number: {self.number} stands there; less than dispatchers ({self.dispatchers}) may")
+        if not self.schemes:
+            raise ValueError("schemes: none stands there; at least one must")
+        for key, names in (("schemes", [s.name for s in self.schemes]), ("zones", self.zones),
+                           ("customers", [c.name for c in self.customers]), ("machines", self.machines)):
+            for name in dict.fromkeys(names):
+                if names.count(name) > 1:
+                    raise ValueError(f'{key}: "{name}" stands there twice')
+        if self.zone is not None and self.zone not in self.zones:
+            raise ValueError(f'zone: "{self.zone}" stands there; one of zones may: {", ".join(self.zones)}')
+        for scheme in self.schemes:
+            if scheme.machine is not None and scheme.machine not in self.machines:
+                raise ValueError(f'schemes: "{scheme.name}" asks for the machine "{scheme.machine}", which is '
+                                 "none of machines")
+
+
+IN_SERVICE = ("discovery", "log.level")  # what a reread file may change
+
+
+def changes(before: Charter, after: Charter) -> list[str]:
+    """The key paths at which two charters differ."""
+    def flat(form: Struct, path: str) -> dict[str, object]:
+        rows: dict[str, object] = {}
+        for one in msgspec.structs.fields(form):
+            value = getattr(form, one.name)
+            if isinstance(value, Struct):
+                rows |= flat(value, f"{path}{one.name}.")
+            else:
+                rows[path + one.name] = value
+        return rows
+
+    old, new = flat(before, ""), flat(after, "")
+    return [path for path, value in new.items() if old[path] != value]
--- a/pathsaddle/net/service/clock.py
+++ b/pathsaddle/net/service/clock.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Callable
 
 from pathsaddle.trade import SECOND
 
@@ -10,11 +11,13 @@
 class Clock:
     """Workers' starts come as Unix time; everything else is measured from here, and must never step back."""
 
-    def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+    def __init__(self, wall: Callable[[], float] = time.time,
+                 steady: Callable[[], float] = time.monotonic) -> None:
+        self._steady = steady
+        self._offset = wall() - steady()
 
     def now(self) -> int:
-        return int((time.monotonic() + self._offset) * SECOND)
+        return int((self._steady() + self._offset) * SECOND)
 
 
 def seconds(ticks: int) -> float:
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -13,7 +13,7 @@
 from pathsaddle.net.memory.ledger import Entry
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.desk import Desk
-from pathsaddle.net.service.pump import drain, stream
+from pathsaddle.net.service.pump import Opening, drain, stream
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Called, Message
 from pathsaddle.net.wire.ring import Ring
@@ -252,7 +252,7 @@
 
 class Front:
     def __init__(self, listen: str, free: int, room: Room, desk: Desk, clock: Clock,
-                 counters: Counters) -> None:
+                 counters: Counters, opening: Opening = stream) -> None:
         self.desk = desk
         self.clock = clock
         self.counters = counters
@@ -264,7 +264,7 @@
         self.waste = memoryview(bytearray(64 * 1024))  # where what nobody will read goes, from all of them
         self.stopping = False
         self._room = asyncio.Event()
-        self.sock, address = stream(listen)
+        self.sock, address = opening(listen)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
         self.sock.listen(BACKLOG)
--- /dev/null
+++ b/pathsaddle/net/service/ground.py
@@ -0,0 +1,41 @@
+"""What a dispatcher takes from the machine under it: time, sockets, its own size, the file that tells it.
+
+All of it is handed in, so that the same code stands on another ground too, where time is virtual and
+connections are in memory.
+"""
+
+from __future__ import annotations
+
+import os
+import socket
+
+from pathsaddle.net.service import pump
+from pathsaddle.net.service.clock import Clock
+from pathsaddle.net.wire.birth import WHERE
+from pathsaddle.net.wire.terms import Peer
+
+
+class Ground:
+    """The kernel's."""
+
+    def __init__(self, clock: Clock | None = None) -> None:
+        self.clock = clock or Clock()
+
+    def stream(self, address: str) -> tuple[socket.socket, Peer]:
+        """A new TCP socket that doesn't block, and the address as it wants it; ValueError where it is none."""
+        return pump.stream(address)
+
+    def descriptors(self) -> int:
+        """How many are in use."""
+        return len(os.listdir("/proc/self/fd"))
+
+    def memory_mb(self) -> float:
+        """Our own: what libraries' files take is shared with all who run them."""
+        with open("/proc/self/statm", encoding="ascii") as file:
+            resident, shared = file.read().split()[1:3]
+        return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+    def told(self) -> str:
+        """What the dispatcher is told, as it stands now; raises OSError, UnicodeDecodeError (a ValueError)."""
+        with open(os.environ[WHERE], encoding="utf-8") as file:
+            return file.read()
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -4,12 +4,16 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
 
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.wire.ring import Ring
 from pathsaddle.net.wire.terms import Peer, peer_of
 
 
+Opening = Callable[[str], tuple[socket.socket, Peer]]  # how sockets are come by: the kernel's, or others
+
+
 def stream(address: str) -> tuple[socket.socket, Peer]:
     """A socket of the address's family, and the address as sockets want it."""
     peer = peer_of(address)  # first: what is no address must not cost a descriptor
@@ -18,8 +22,8 @@
     return sock, peer
 
 
-def outgoing(address: str) -> tuple[socket.socket, Peer]:
-    sock, peer = stream(address)
+def outgoing(address: str, opening: Opening = stream) -> tuple[socket.socket, Peer]:
+    sock, peer = opening(address)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock, peer
 
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -10,7 +10,7 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
-from pathsaddle.net.service.pump import outgoing
+from pathsaddle.net.service.pump import Opening, outgoing, stream
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Calling
 from pathsaddle.net.wire.ring import Ring
@@ -22,7 +22,9 @@
 
 
 class Roster:
-    def __init__(self, address: str, index: int, desk: Desk, counters: Counters) -> None:
+    def __init__(self, address: str, index: int, desk: Desk, counters: Counters,
+                 opening: Opening = stream) -> None:
+        self.opening = opening
         self.address = address
         self.index = index  # the version of the list that we hold
         self.desk = desk
@@ -48,7 +50,7 @@
     async def _follow(self) -> None:
         code, sock, address = "fault", None, self.address
         try:
-            sock, peer = outgoing(address)
+            sock, peer = outgoing(address, self.opening)
             code = await self._watch(sock, peer)
         except TimeoutError:
             code = "silent"
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -12,9 +12,10 @@
 from loguru import logger
 
 from pathsaddle.net.memory.counters import Counters
-from pathsaddle.net.service.clock import Clock, seconds
+from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.front import Front, Room
+from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.roster import Roster
 from pathsaddle.net.service.workers import Workers
 from pathsaddle.net.wire.birth import WHERE, Birth, birth, moved_to
@@ -32,23 +33,25 @@
 
 
 class Dispatcher:
-    def __init__(self, told: Birth) -> None:
-        self.clock = Clock()
+    def __init__(self, told: Birth, ground: Ground) -> None:
+        self.ground = ground
+        self.clock = ground.clock
         self.counters = Counters()
         self.memory_mb = told.memory_mb
         # What the event loop and the log hold already is counted, not guessed.
-        free = told.sockets - len(os.listdir("/proc/self/fd")) - SPARE
+        free = told.sockets - ground.descriptors() - SPARE
         # So is memory: a part of what is left goes to connections, one to bodies, the rest is for all else.
-        spare = max(0.0, 0.9 * told.memory_mb - memory_mb())
+        spare = max(0.0, 0.9 * told.memory_mb - ground.memory_mb())
         room = Room(max(FEW, int(min(free, spare / 3 / VISIT_MB))),
                     int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
-        self.workers = Workers(told.reach, free // 4, self.clock, self.counters)
+        self.workers = Workers(told.reach, free // 4, self.clock, self.counters, ground.stream)
         told.terms.most_open = min(told.terms.most_open, min(room.visits, free - free // 4) * 3 // 4)
         self.desk = Desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
                          lambda: self.roster.ask())
-        self.roster = Roster(told.discovery, told.index, self.desk, self.counters)
+        self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
         self.desk.listed(ListNews.REMEMBERED, told.rows)
-        self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters)
+        self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
+                           ground.stream)
         self.longest = min(LONGEST, max((scheme.expiry for scheme in told.terms.schemes), default=LONGEST))
         self._stop = asyncio.Event()
 
@@ -96,7 +99,7 @@
             self.workers.links.sweep(self.clock.now())
             self.front.sweep()
             self.counters.most("links_most", self.workers.links.count)
-            memory = memory_mb()
+            memory = self.ground.memory_mb()
             self.counters.most("memory_mb_most", memory)
             if memory > 0.9 * self.memory_mb:
                 logger.warning("memory {:.0f} of {:.0f} MB", memory, self.memory_mb)
@@ -106,7 +109,7 @@
         what is open. One that can't be read leaves all as it is."""
         self.counters.add("reread")
         try:
-            address = moved_to(read())
+            address = moved_to(self.ground.told())
         except (OSError, ValueError) as fault:
             self.counters.add("reread.failed")
             logger.warning("configuration not read again, the old one holds: {}", fault)
@@ -118,20 +121,9 @@
         logger.info("counters {}", self.counters.text())
 
 
-def memory_mb() -> float:
-    """Our own: what libraries' files take is shared with all who run them."""
-    with open("/proc/self/statm", encoding="ascii") as file:
-        resident, shared = file.read().split()[1:3]
-    return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
-def read() -> str:
-    with open(os.environ[WHERE], encoding="utf-8") as file:
-        return file.read()
-
-
 async def serve() -> None:
-    dispatcher = Dispatcher(birth(read()))
+    ground = Ground()
+    dispatcher = Dispatcher(birth(ground.told()), ground)
     gc.collect()
     gc.freeze()  # what is made at start stays: no later collection walks it
     try:
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -11,7 +11,7 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.links import Links
 from pathsaddle.net.service.clock import Clock, seconds
-from pathsaddle.net.service.pump import drain, outgoing
+from pathsaddle.net.service.pump import Opening, drain, outgoing, stream
 from pathsaddle.net.wire.http import Broken, Calling, Message
 from pathsaddle.net.wire.ring import Ring
 from pathsaddle.net.wire.terms import Reach
@@ -100,7 +100,9 @@
 
 
 class Workers:
-    def __init__(self, reach: Reach, sockets: int, clock: Clock, counters: Counters) -> None:
+    def __init__(self, reach: Reach, sockets: int, clock: Clock, counters: Counters,
+                 opening: Opening = stream) -> None:
+        self.opening = opening
         self.clock = clock
         self.counters = counters
         self.connect_within = reach.connect_within
@@ -160,7 +162,7 @@
         address = self.addresses[worker]
         sock = None
         try:
-            sock, peer = outgoing(address)
+            sock, peer = outgoing(address, self.opening)
             await asyncio.get_running_loop().sock_connect(sock, peer)
         except BaseException:
             if sock is not None:
--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -4,6 +4,7 @@
 
 import json
 from dataclasses import dataclass
+from typing import Any
 
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
@@ -41,7 +42,11 @@
 
 
 def birth(text: str) -> Birth:
-    told = json.loads(text)
+    return born(json.loads(text))
+
+
+def born(told: dict[str, Any]) -> Birth:
+    """From what is told, in the platform's form, whichever file said it."""
     given, limits = told.get("settings") or {}, told.get("limits") or {}
     known = terms.terms(given)
     # A list that comes unasked on the bench's wire comes over a watch here, and that has to be asked for.
