Emulator: workers, roster, clients, faults on virtual time and on sockets, and a judge of its events

Change: emulated peers on the loop's sock_* calls, so that the same peers and the same plan run against unchanged net/ code on the virtual loop and against real processes on the loopback; a judge that reads the event log alone.

--- /dev/null
+++ b/pathsaddle/emulator/faults.py
@@ -0,0 +1,258 @@
+"""What goes wrong, and when: the plan's faults turned into moments, drawn by the seed."""
+
+from __future__ import annotations
+
+import asyncio
+import fnmatch
+import signal
+from typing import TYPE_CHECKING
+
+from pathsaddle.emulator.plan import FAULTS, Trouble
+from pathsaddle.emulator.world import TICKS, World
+
+if TYPE_CHECKING:
+    from pathsaddle.emulator.stage import Stage
+
+DRAIN_END = 0.05  # seconds between looks whether a drained worker has finished
+BACK_AFTER = 2.0  # seconds until a drained worker's process starts anew
+
+
+class Faults:
+    def __init__(self, world: World, stage: Stage) -> None:
+        self.world = world
+        self.stage = stage
+        self.place = stage.place("faults", "")
+        self.count = 0
+        self.busy: dict[tuple[str, str], None] = {}  # whom something strikes that ends by itself
+
+    def begin(self) -> None:
+        for number, trouble in enumerate(self.world.plan.faults):
+            self.place.start(self._come(number, trouble))
+
+    async def _come(self, number: int, trouble: Trouble) -> None:
+        """One line of the plan: once, again and again, or at random."""
+        chance = self.world.chance(f"fault {number}")
+        end = self.world.plan.seconds * TICKS
+        last = min(end, trouble.until or end)
+        due = trouble.at if trouble.at is not None else 0
+        while True:
+            if trouble.at is None:
+                due = due + int(chance.expovariate(trouble.rate / 60.0) * TICKS)
+            if due >= last:
+                return
+            await asyncio.sleep(max(0, due - self.world.now()) / TICKS)
+            names = self._names(trouble)
+            if names:
+                whom = names if trouble.of and trouble.at is not None and "*" in trouble.of else [
+                    chance.choice(names)]
+                for name in whom:
+                    self.place.start(self._strike(trouble, name))
+            if trouble.at is not None and not trouble.every:
+                return
+            if trouble.at is not None:
+                due = due + trouble.every
+
+    def _names(self, trouble: Trouble) -> list[str]:
+        """Whom it may strike now: nobody who is struck already by what can't come twice."""
+        of = FAULTS[trouble.kind]
+        names = {"worker": list(self.stage.workers), "dispatcher": [f"d{d}" for d in self.stage.numbers],
+                 "zone": list(self.world.charter.zones)}.get(of, [trouble.of])
+        if of in ("worker", "dispatcher", "zone") and trouble.of:
+            names = fnmatch.filter(names, trouble.of)
+        return [name for name in names if (of, name) not in self.busy]
+
+    async def _strike(self, trouble: Trouble, name: str) -> None:
+        of = FAULTS[trouble.kind]
+        whole = of in ("worker", "dispatcher")
+        if whole:
+            self.busy[of, name] = None
+        self.count += 1
+        self.world.add("fault", kind=trouble.kind, of=name, lasts=int(trouble.for_))
+        try:
+            method = getattr(self, "_" + trouble.kind.replace("-", "_"))
+            await method(trouble, name)
+        finally:
+            if whole:
+                self.busy.pop((of, name), None)
+        self.world.add("fault_over", kind=trouble.kind, of=name)
+
+    async def _lasts(self, trouble: Trouble) -> None:
+        if not trouble.for_:
+            await self.world.loop.create_future()
+        await asyncio.sleep(trouble.for_ / TICKS)
+
+    # Workers.
+
+    async def _freeze(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.freeze()
+        await self._lasts(trouble)
+        worker.thaw()
+
+    async def _silent(self, trouble: Trouble, name: str) -> None:
+        """It goes on accepting and answers nothing, then its process is found dead."""
+        worker = self.stage.workers[name]
+        worker.freeze()
+        await self._lasts(trouble)
+        worker.crash()
+        self.stage.roster.change(name, "left")
+        await asyncio.sleep(1.0)
+        await self._again(name)
+
+    async def _crash(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.crash()
+        self.stage.roster.change(name, "left")
+        await self._lasts(trouble)
+        await self._again(name)
+
+    async def _again(self, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.restart()
+        if worker.place.alive:
+            self.stage.roster.change(name, "active", since=worker.started)
+
+    async def _drain(self, trouble: Trouble, name: str) -> None:
+        """Marked as leaving for a while; then its process ends once its jobs have, and later starts anew."""
+        worker = self.stage.workers[name]
+        self.stage.roster.change(name, "leaving")
+        await self._lasts(trouble)
+        while worker.jobs and worker.place.alive:
+            await asyncio.sleep(DRAIN_END)
+        worker.crash(told=False)
+        self.stage.roster.change(name, "left")
+        await asyncio.sleep(BACK_AFTER)
+        await self._again(name)
+
+    async def _slow(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.hinder(trouble.strength)
+        await self._lasts(trouble)
+        worker.hinder(0.0)
+
+    async def _errors(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.errors = trouble.strength
+        await self._lasts(trouble)
+        worker.errors = 0.0
+
+    async def _untaken(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        scheme = trouble.scheme or self.world.charter.schemes[0].name
+        worker.untaken[scheme] = None
+        await self._lasts(trouble)
+        worker.untaken.pop(scheme, None)
+
+    async def _lie(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.lies = True
+        await self._lasts(trouble)
+        worker.lies = False
+
+    async def _late_reports(self, trouble: Trouble, name: str) -> None:
+        """By `strength` seconds."""
+        worker = self.stage.workers[name]
+        worker.late = int(trouble.strength * TICKS)
+        await self._lasts(trouble)
+        worker.late = 0
+
+    async def _full_accept(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        listeners = worker.listeners
+        for listener in listeners:
+            listener.deafen()
+        await self._lasts(trouble)
+        if worker.place.alive and worker.listeners is listeners:
+            for listener in listeners:
+                listener.hear()
+
+    async def _callbacks_twice(self, trouble: Trouble, name: str) -> None:
+        worker = self.stage.workers[name]
+        worker.twice = True
+        await self._lasts(trouble)
+        worker.twice = False
+
+    # Dispatchers.
+
+    async def _kill(self, trouble: Trouble, name: str) -> None:
+        number = int(name[1:])
+        self.stage.kill(number)
+        self.stage.front.died(number)
+        await self._lasts(trouble)
+        await self.stage.start(number, again=True)
+
+    async def _term(self, trouble: Trouble, name: str) -> None:
+        """A planned restart: SIGTERM, and a new one once it has ended."""
+        number = int(name[1:])
+        self.world.add("stopping", dispatcher=number)
+        self.stage.signal(number, signal.SIGTERM)
+        self.stage.front.died(number)
+        await self.stage.gone(number)
+        await self._lasts(trouble)
+        await self.stage.start(number, again=True)
+
+    async def _hup(self, trouble: Trouble, name: str) -> None:
+        self.stage.signal(int(name[1:]), signal.SIGHUP)
+
+    # The roster.
+
+    async def _outage(self, trouble: Trouble, name: str) -> None:
+        self.stage.roster.outage()
+        await self._lasts(trouble)
+        self.stage.roster.back()
+
+    async def _roster_restart(self, trouble: Trouble, name: str) -> None:
+        self.stage.roster.restart()
+
+    async def _roster_moves(self, trouble: Trouble, name: str) -> None:
+        """To another address; the operator tells every dispatcher after `for`."""
+        self.stage.roster.move()
+        await self._lasts(trouble)
+        for number in self.stage.numbers:
+            self.stage.tell(number)
+            self.stage.signal(number, signal.SIGHUP)
+
+    async def _roster_late(self, trouble: Trouble, name: str) -> None:
+        """By `strength` seconds."""
+        self.stage.roster.extra += int(trouble.strength * TICKS)
+        await self._lasts(trouble)
+        self.stage.roster.extra -= int(trouble.strength * TICKS)
+
+    # The network.
+
+    async def _reset(self, trouble: Trouble, name: str) -> None:
+        """Messages break their connection at some byte, with the chance `strength`."""
+        self.world.weather.resets = min(1.0, trouble.strength)
+        await self._lasts(trouble)
+        self.world.weather.resets = 0.0
+
+    async def _cut(self, trouble: Trouble, name: str) -> None:
+        """A zone is cut off from all others and comes back."""
+        await self._silence(trouble, name)
+
+    async def _cut_worker(self, trouble: Trouble, name: str) -> None:
+        await self._silence(trouble, name)
+
+    async def _silence(self, trouble: Trouble, name: str) -> None:
+        self.world.weather.cut[name] = None
+        self.stage.parted()
+        await self._lasts(trouble)
+        self.world.weather.heal(name)
+        self.stage.parted()
+
+    # The load.
+
+    async def _heavy(self, trouble: Trouble, name: str) -> None:
+        """One scheme's jobs cost `strength` times the usual."""
+        scheme = trouble.scheme or self.world.charter.schemes[0].name
+        self.stage.clients.heavy[scheme] = max(1.0, trouble.strength)
+        await self._lasts(trouble)
+        self.stage.clients.heavy.pop(scheme, None)
+
+    async def _surge(self, trouble: Trouble, name: str) -> None:
+        """One customer (`of`), or the first, sends `strength` times the usual."""
+        customers = self.world.charter.customers
+        whom = name or (customers[0].name if customers else "all")
+        self.stage.clients.surge[whom] = max(1.0, trouble.strength)
+        await self._lasts(trouble)
+        self.stage.clients.surge.pop(whom, None)
--- a/pathsaddle/emulator/links.py
+++ b/pathsaddle/emulator/links.py
@@ -30,11 +30,11 @@
 class Host:
     """One emulated process: its tasks, its sockets, its signals."""
 
-    def __init__(self, net: Net, name: str, descriptors: int = 1 << 20) -> None:
+    def __init__(self, net: Net, name: str, zone: str = "", descriptors: int = 1 << 20) -> None:
         self.net = net
         self.name = name
+        self.zone = zone
         self.alive = True
-        self.cut = False  # nothing reaches it and nothing leaves: open connections are silent
         self.most = descriptors
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.sockets: dict[LinkedSocket, None] = {}
@@ -82,6 +82,7 @@
         self.digest = hashlib.blake2b(digest_size=16)
         self.ports = 20_000
         self.connections = 0
+        self.parted: Callable[[Host, Host], bool] = lambda one, other: False  # no new connection comes up
 
     def stream(self, host: Host) -> LinkedSocket:
         if len(host.sockets) + USUAL_DESCRIPTORS >= host.most:
@@ -234,7 +235,7 @@
 
     def _reach(self, address: Peer) -> LinkedSocket | None:
         listener = self.net.listeners.get(address)
-        if self.host.cut or listener is not None and listener.host.cut:
+        if listener is not None and self.net.parted(self.host, listener.host):
             return None
         if listener is None:
             raise ConnectionRefusedError(errno.ECONNREFUSED, f"nobody listens at {address[0]}:{address[1]}")
--- /dev/null
+++ b/pathsaddle/emulator/plan.py
@@ -0,0 +1,310 @@
+"""What a run is told: the fleet, the load, the faults, the bounds. Checked whole before anything starts."""
+
+from __future__ import annotations
+
+import copy
+import fnmatch
+from pathlib import Path
+from typing import Annotated, Any, Literal
+
+from msgspec import Meta, field
+
+from pathsaddle.charter.check import Fault, Faulty, check, load
+from pathsaddle.charter.form import Charter, Form
+from pathsaddle.charter.units import Duration
+
+MS, S = 10, 10_000
+Part = Annotated[float, Meta(ge=0, le=1)]
+Span = Annotated[list[float], Meta(min_length=2, max_length=2)]
+Times = Annotated[list[Duration], Meta(min_length=2, max_length=2)]
+
+
+class Machines(Form):
+    """Workers of one kind.
+
+    count: how many; they are named kind-0, kind-1 ... and spread over the zones in turn.
+    kind: their kind of machine.
+    slots: how many jobs each runs at once.
+    speed: from, to; each worker's own is drawn between. Hints count work at speed 1.
+    line: how many jobs may wait; more are turned away.
+    memory: what its jobs together may take; 0 is no bound.
+    cell: how many neighbours share a small group.
+    zones: where they stand; none: in all zones in turn.
+    """
+
+    count: Annotated[int, Meta(ge=1, le=5000)]
+    kind: str = "node"
+    slots: Annotated[int, Meta(ge=1)] = 2
+    speed: Span = field(default_factory=lambda: [1.0, 1.0])
+    line: Annotated[int, Meta(ge=0)] = 8
+    memory: Annotated[float, Meta(ge=0)] = 0.0
+    cell: Annotated[int, Meta(ge=1)] = 4
+    zones: list[str] = field(default_factory=list)
+
+
+class Network(Form):
+    """What lies between.
+
+    near: one way within a zone.
+    far: one way between zones.
+    spread: a message takes up to so much longer, as a part.
+    """
+
+    near: Duration = Duration(2)
+    far: Duration = Duration(40)
+    spread: Annotated[float, Meta(ge=0)] = 0.3
+
+
+class Fleet(Form):
+    """Who serves.
+
+    dispatchers: how many; they stand in the charter's zones in turn.
+    workers: kinds of workers.
+    network: what lies between.
+    withdrawal: what a withdrawn posting's job does: nothing stops, waiting ones are dropped, all stop.
+    repeats: whether workers drop repeats of referenced txns within their group and window.
+    fresh: how often a worker's report is made anew.
+    lag: how late the roster tells, drawn between.
+    notice: after how long the front layer notices a dead dispatcher, drawn between.
+    old_list: what a restarted dispatcher has: the list of the run's start, or that of its death.
+    """
+
+    dispatchers: Annotated[int, Meta(ge=1, le=64)] = 4
+    workers: list[Machines] = field(default_factory=lambda: [Machines(count=8)])
+    network: Network = field(default_factory=Network)
+    withdrawal: Literal["nothing", "waiting", "all"] = "waiting"
+    repeats: bool = True
+    fresh: Duration = Duration(5 * MS)
+    lag: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(1500 * MS)])
+    notice: Times = field(default_factory=lambda: [Duration(S), Duration(3 * S)])
+    old_list: Literal["start", "death"] = "start"
+
+
+class Kind(Form):
+    """How jobs of a scheme look.
+
+    part: of all jobs.
+    run: mean time of running at speed 1, drawn between per run.
+    spread: how uneven the jobs are (sigma of a lognormal).
+    slots: that a job takes.
+    memory: that a job takes.
+    hint: how far the client's guess at the work is off, as a factor at most; 0 gives none.
+    body: bytes that a call's body holds at least.
+    """
+
+    part: Part = 1.0
+    run: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(200 * MS)])
+    spread: Annotated[float, Meta(ge=0, le=3)] = 0.5
+    slots: Annotated[float, Meta(gt=0)] = 1.0
+    memory: Annotated[float, Meta(ge=0)] = 0.0
+    hint: Annotated[float, Meta(ge=0)] = 1.5
+    body: Annotated[int, Meta(ge=0, le=60_000)] = 0
+
+
+class Load(Form):
+    """What clients do.
+
+    rate: jobs a second, all together; arrivals do not wait for answers.
+    shape: poisson, or bursts (four times the rate for a tenth of the time), or a trace that is replayed.
+    trace: the file with one line a job: seconds, scheme, milliseconds of work, customer.
+    jobs: how the jobs of each scheme look, by its name.
+    retries: how often a client tries again.
+    wait: before it does, where it is told no other time, drawn between.
+    marks: whether tries are marked as such.
+    hang_up: part of the clients that go away at some moment before their answer.
+    bad: bad clients a second: half calls, noise, two lengths, silence, giant bodies, calls never read.
+    warm: at the start, no job of this time counts for value.
+    """
+
+    rate: Annotated[float, Meta(gt=0)] = 20.0
+    shape: Literal["poisson", "bursts", "trace"] = "poisson"
+    trace: str = ""
+    jobs: dict[str, Kind] = field(default_factory=dict)
+    retries: Annotated[int, Meta(ge=0, le=10)] = 2
+    wait: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(800 * MS)])
+    marks: bool = True
+    hang_up: Part = 0.0
+    bad: Annotated[float, Meta(ge=0)] = 0.0
+    warm: Duration = Duration(0)
+
+
+FAULTS = {
+    "freeze": "worker", "crash": "worker", "drain": "worker", "slow": "worker", "errors": "worker",
+    "untaken": "worker", "lie": "worker", "late-reports": "worker", "full-accept": "worker",
+    "callbacks-twice": "worker", "silent": "worker",
+    "kill": "dispatcher", "term": "dispatcher", "hup": "dispatcher",
+    "outage": "roster", "roster-restart": "roster", "roster-moves": "roster", "roster-late": "roster",
+    "reset": "network", "cut": "zone", "cut-worker": "worker", "heavy": "load", "surge": "load",
+}
+
+
+class Trouble(Form):
+    """One fault, or one that comes again.
+
+    kind: what goes wrong; docs/emulator.md lists them.
+    of: whom it strikes: a worker's, dispatcher's or zone's name, * and ? allowed; none: one drawn by the seed.
+    at: when; or the first time, where it comes again.
+    for: for how long; a kill's or a crash's is the time until the restart. 0s: never ends.
+    every: it comes again after so long.
+    rate: instead of `at`: so many a minute, at random.
+    until: no more after this moment; 0s: until the end.
+    strength: how much, where that has a meaning: a part, a factor, a count.
+    scheme: which scheme, where it strikes one alone.
+    """
+
+    kind: str
+    of: str = ""
+    at: Duration | None = None
+    for_: Duration = field(default=Duration(5 * S), name="for")
+    every: Duration = Duration(0)
+    rate: Annotated[float, Meta(ge=0)] = 0.0
+    until: Duration = Duration(0)
+    strength: Annotated[float, Meta(ge=0)] = 0.5
+    scheme: str = ""
+
+    def __post_init__(self) -> None:
+        if self.kind not in FAULTS:
+            raise ValueError(f'kind: "{self.kind}" stands there; one of {", ".join(FAULTS)} may')
+        if (self.at is None) == (self.rate == 0):
+            raise ValueError("either at or rate must be given")
+
+
+class Bounds(Form):
+    """What a run must show, besides every rule kept.
+
+    value: the least part of all value that is answered in time.
+    settled: the least part of all jobs that is settled.
+    declined: the largest part of all tries that is declined.
+    p99: the longest 99th percentile over all settled jobs.
+    seconds: the longest real time for the plan.
+    """
+
+    value: Part = 0.0
+    settled: Part = 0.0
+    declined: Part = 1.0
+    p99: Duration | None = None
+    seconds: Annotated[float, Meta(gt=0)] | None = None
+
+
+class Variant(Form):
+    """Another way of the same plan.
+
+    name: how it is called in reports.
+    charter: keys of the charter that differ, as a table.
+    policy: a baseline that decides instead of the design: random, round-robin, least-outstanding, two-choices.
+    commit: an earlier commit of ours that runs instead, in a work tree of its own.
+    """
+
+    name: str
+    charter: dict[str, Any] = field(default_factory=dict)
+    policy: Literal["", "random", "round-robin", "least-outstanding", "two-choices"] = ""
+    commit: str = ""
+
+
+class Plan(Form):
+    """An experiment.
+
+    name: how it is called.
+    about: what it is to show.
+    seconds: how long each run lasts, in its own time; a few more to end what is open.
+    seeds: one run each.
+    ground: sockets (real processes, real time) or virtual.
+    charter: the dispatchers' charter; listen, discovery, seed, number and zone are filled in for each.
+    fleet: who serves.
+    load: what clients do.
+    faults: what goes wrong.
+    variants: other ways of the same plan, each run with the same seeds.
+    bounds: what it must show.
+    found: seeds that once found something, kept and run first.
+    """
+
+    name: str
+    seconds: Annotated[float, Meta(gt=0, le=7200)]
+    charter: dict[str, Any]
+    about: str = ""
+    seeds: list[int] = field(default_factory=lambda: [1])
+    ground: Literal["sockets", "virtual"] = "virtual"
+    fleet: Fleet = field(default_factory=Fleet)
+    load: Load = field(default_factory=Load)
+    faults: list[Trouble] = field(default_factory=list)
+    variants: list[Variant] = field(default_factory=list)
+    bounds: Bounds = field(default_factory=Bounds)
+    found: list[int] = field(default_factory=list)
+
+
+FILLED = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
+
+
+def charter_of(plan: Plan, file: str = "plan", **more: Any) -> Charter:
+    """The charter that a plan's table stands for, with the keys that the emulator fills in."""
+    return check(Charter, {**FILLED, **plan.charter, "dispatchers": plan.fleet.dispatchers, **more},
+                 f"{file}: charter")
+
+
+def read(path: str | Path) -> Plan:
+    """The plan in a file; raises Faulty with all that is wrong in it."""
+    return of(load(path), str(path))
+
+
+def of(table: dict[str, Any], file: str) -> Plan:
+    """The plan that a table stands for."""
+    plan = check(Plan, table, file)
+    faults = []
+    try:
+        charter = charter_of(plan, file)
+    except Faulty as fault:
+        raise Faulty(fault.faults) from None
+    schemes = [scheme.name for scheme in charter.schemes]
+    for name in plan.load.jobs:
+        if name not in schemes:
+            faults.append(Fault(file, f"load.jobs.{name}", f"no such scheme; known are {', '.join(schemes)}"))
+    workers = worker_names(plan)
+    dispatchers = [f"d{i}" for i in range(plan.fleet.dispatchers)]
+    for i, machines in enumerate(plan.fleet.workers):
+        for zone in machines.zones:
+            if zone not in charter.zones:
+                faults.append(Fault(file, f"fleet.workers[{i}].zones",
+                                    f'"{zone}" stands there; one of {", ".join(charter.zones)} may'))
+    known = {"worker": workers, "dispatcher": dispatchers, "zone": list(charter.zones)}
+    for i, trouble in enumerate(plan.faults):
+        names = known.get(FAULTS[trouble.kind])
+        if trouble.of and names is not None and not fnmatch.filter(names, trouble.of):
+            faults.append(Fault(file, f"faults[{i}].of", f'"{trouble.of}" stands there, and no '
+                                f"{FAULTS[trouble.kind]} is called so; there are {names[0]} to {names[-1]}"))
+        if trouble.scheme and trouble.scheme not in schemes:
+            faults.append(Fault(file, f"faults[{i}].scheme", f'"{trouble.scheme}" stands there; one of '
+                                f"{', '.join(schemes)} may"))
+    for i, variant in enumerate(plan.variants):
+        try:
+            varied(plan, variant)
+        except Faulty as fault:
+            faults += [Fault(file, f"variants[{i}]: {one.path}", one.text) for one in fault.faults]
+    if faults:
+        raise Faulty(faults)
+    return plan
+
+
+def varied(plan: Plan, variant: Variant) -> Plan:
+    """The plan as the variant has it."""
+    other = copy.deepcopy(plan)
+    merge(other.charter, variant.charter)
+    charter_of(other, f"variant {variant.name}")
+    return other
+
+
+def merge(into: dict[str, Any], more: dict[str, Any]) -> None:
+    for key, value in more.items():
+        if isinstance(value, dict) and isinstance(into.get(key), dict):
+            merge(into[key], value)
+        else:
+            into[key] = value
+
+
+def worker_names(plan: Plan) -> list[str]:
+    count: dict[str, int] = {}
+    names = []
+    for machines in plan.fleet.workers:
+        for _ in range(machines.count):
+            number = count[machines.kind] = count.get(machines.kind, -1) + 1
+            names.append(f"{machines.kind}-{number}")
+    return names
--- /dev/null
+++ b/pathsaddle/emulator/stage.py
@@ -0,0 +1,391 @@
+"""A run from its start to its end, on either ground: the same peers, the same plan, the same events."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import signal
+import socket
+import sys
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from pathsaddle.charter.form import Scheme
+from pathsaddle.charter.told import told
+from pathsaddle.emulator.clients import Clients, FrontLayer
+from pathsaddle.emulator.events import Events
+from pathsaddle.emulator.faults import Faults
+from pathsaddle.emulator.links import Host, Net, VirtualGround
+from pathsaddle.emulator.moments import Moments
+from pathsaddle.emulator.plan import Plan, charter_of, worker_names
+from pathsaddle.emulator.roster import Roster
+from pathsaddle.emulator.workers import Shared, Worker
+from pathsaddle.emulator.world import TICKS, Place, VirtualPlace, World
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+AFTER = 3.0  # seconds on top of the longest expiry and its tries in which all must have ended
+ENDS_IN = 8.0  # seconds in which a dispatcher that was told to end must be gone
+
+
+class Stage:
+    """What both grounds share: who is there, and how a run goes."""
+
+    def __init__(self, world: World) -> None:
+        self.world = world
+        plan = world.plan
+        self.numbers = list(range(plan.fleet.dispatchers))
+        self.told: dict[int, dict[str, Any]] = {}
+        self.memories: dict[tuple[str, str, int], Shared] = {}
+        self.workers: dict[str, Worker] = {}
+
+    def place(self, name: str, zone: str) -> Place:
+        raise NotImplementedError
+
+    def address(self, kind: str, dispatcher: int, number: int) -> str:
+        """Where somebody listens: `dispatcher` itself, or a peer for that dispatcher."""
+        raise NotImplementedError
+
+    async def start(self, dispatcher: int, again: bool = False) -> None:
+        """A dispatcher's process; `again`: it has nothing but an old list."""
+        raise NotImplementedError
+
+    def kill(self, dispatcher: int) -> None:
+        raise NotImplementedError
+
+    def signal(self, dispatcher: int, sig: int) -> None:
+        raise NotImplementedError
+
+    async def gone(self, dispatcher: int) -> None:
+        """Until it has ended, or was ended for taking too long."""
+        raise NotImplementedError
+
+    def parted(self) -> None:
+        """The weather's cuts have changed."""
+
+    async def finish(self) -> None:
+        """All processes end."""
+
+    def listen_of(self, dispatcher: int) -> str:
+        return str(self.told[dispatcher]["listen"])
+
+    def zone_of(self, dispatcher: int) -> str:
+        zones = self.world.charter.zones
+        return zones[dispatcher % len(zones)]
+
+    def shared(self, worker: Worker, scheme: Scheme) -> Shared:
+        zone = "" if scheme.group == "all" else worker.zone
+        cell = worker.cell if scheme.group == "cell" else 0
+        return self.memories.setdefault((scheme.name, zone, cell), Shared())
+
+    def build(self) -> None:
+        plan, charter = self.world.plan, self.world.charter
+        for d in self.numbers:
+            self.told[d] = {"listen": self.address("dispatcher", d, 0)}
+        names = iter(worker_names(plan))
+        number = 0
+        for kind in plan.fleet.workers:
+            zones = kind.zones or charter.zones
+            for i in range(kind.count):
+                addresses = [self.address("worker", d, number) for d in self.numbers]
+                name = next(names)
+                self.workers[name] = Worker(self.world, self, name, kind, zones[i % len(zones)],
+                                            i // len(zones) // kind.cell, addresses)
+                number += 1
+        self.roster = Roster(self.world, self, self.workers)
+        self.roster.wall = self.wall()
+        seeds = self.world.chance("dispatchers")
+        for d in self.numbers:
+            mine = charter_of(plan, name=f"d{d}", listen=self.listen_of(d), number=d,
+                              discovery=self.roster.addresses[d], zone=self.zone_of(d),
+                              seed=f"{seeds.getrandbits(64):016x}")
+            self.told[d] = told(mine, self.roster.known(d))
+        self.front = FrontLayer(self.world, self)
+        self.clients = Clients(self.world, self, self.front)
+        self.faults = Faults(self.world, self)
+
+    def wall(self) -> float:
+        """Unix time at the run's moment 0."""
+        raise NotImplementedError
+
+    def tell(self, dispatcher: int) -> None:
+        """Its operator writes where the roster is now."""
+        self.told[dispatcher]["discovery"] = self.roster.addresses[dispatcher]
+
+    async def play(self) -> None:
+        """The whole run; its events are the world's."""
+        plan, world = self.world.plan, self.world
+        self.build()
+        for d in self.numbers:
+            await self.start(d)
+        async with asyncio.timeout(30.0):
+            await asyncio.gather(*(self.front.ready(d) for d in self.numbers))
+        world.begun = world.loop.time()
+        self.roster.wall = self.wall()
+        for name, worker in self.workers.items():
+            world.add("worker", name=name, zone=worker.zone, cell=worker.cell, slots=worker.kind.slots,
+                      speed=worker.speed)
+        for d in self.numbers:
+            world.add("ready", dispatcher=d)
+        self.faults.begin()
+        if plan.load.bad:
+            self.clients.places[world.charter.zones[0]].start(self.clients.misbehave(plan.seconds))
+        await self.clients.arrivals(plan.seconds)
+        longest = max(s.expiry for s in world.charter.schemes) / TICKS
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout((longest + 1.0) * (plan.load.retries + 1) + AFTER):
+                await self.clients.idle.wait()
+        world.add("end", open=self.clients.open)
+        await self.finish()
+
+
+class VirtualStage(Stage):
+    """Several dispatchers' unchanged `net` code on one virtual loop."""
+
+    def __init__(self, world: World, net: Net) -> None:
+        super().__init__(world)
+        self.net = net
+        self.hosts: dict[int, Host] = {}
+        self.ends: dict[int, asyncio.Task[Any]] = {}
+        net.parted = lambda one, other: world.weather.parted(one.zone, other.zone, one.name, other.name)
+
+    def wall(self) -> float:
+        return self.net.loop.wall()
+
+    def place(self, name: str, zone: str) -> Place:
+        return VirtualPlace(self.net, name, zone)
+
+    def address(self, kind: str, dispatcher: int, number: int) -> str:
+        if kind == "dispatcher":
+            return f"10.0.0.{dispatcher + 1}:8000"
+        if kind == "roster":
+            return f"10.2.{number}.{dispatcher + 1}:7000"
+        return f"10.1.{number >> 8}.{number & 255}:{9000 + dispatcher}"
+
+    async def start(self, dispatcher: int, again: bool = False) -> None:
+        told = self.told[dispatcher]
+        if again and self.world.plan.fleet.old_list == "death":
+            told["known"] = self.roster.known(dispatcher)
+        host = Host(self.net, f"d{dispatcher}", self.zone_of(dispatcher), told["limits"]["sockets"])
+        self.hosts[dispatcher] = host
+        self.world.add("started", dispatcher=dispatcher)
+        self.ends[dispatcher] = host.run(lambda: self._life(host, dispatcher))
+        if again:
+            self.front.place.start(self.front.ready(dispatcher))
+
+    async def _life(self, host: Host, dispatcher: int) -> None:
+        from pathsaddle.net.service.start import Dispatcher
+        from pathsaddle.net.wire.birth import birth
+        ground = VirtualGround(host, lambda: json.dumps(self.told[dispatcher]))
+        try:
+            await Dispatcher(birth(ground.told()), ground).run()
+            self.world.add("ended_itself", dispatcher=dispatcher)
+        except Exception as fault:
+            self.world.add("died", dispatcher=dispatcher, why=repr(fault))
+            raise
+
+    def kill(self, dispatcher: int) -> None:
+        self.world.add("killed", dispatcher=dispatcher)
+        self.hosts[dispatcher].kill()
+
+    def signal(self, dispatcher: int, sig: int) -> None:
+        self.hosts[dispatcher].signal(sig)
+
+    async def gone(self, dispatcher: int) -> None:
+        await asyncio.wait([self.ends[dispatcher]], timeout=ENDS_IN)
+        if not self.ends[dispatcher].done():
+            self.world.add("overdue", dispatcher=dispatcher)
+        # Its process is over: whatever tasks are left end with it.
+        self.hosts[dispatcher].kill()
+
+    async def finish(self) -> None:
+        for host in self.hosts.values():
+            host.kill()
+
+
+class SocketStage(Stage):
+    """Real processes on the loopback, in real time."""
+
+    def __init__(self, world: World, folder: Path, command: list[str], root: Path) -> None:
+        super().__init__(world)
+        self.folder = folder
+        self.command = command
+        self.root = root
+        self.processes: dict[int, asyncio.subprocess.Process] = {}
+        self.meant: dict[int, None] = {}  # whose end was asked for
+        self.port = 11_000 + os.getpid() * 61 % 17_000
+        self.taken: dict[tuple[str, int, int], str] = {}
+
+    def wall(self) -> float:
+        import time
+        return time.time() - (self.world.loop.time() - self.world.begun)
+
+    def place(self, name: str, zone: str) -> Place:
+        return Place(self.world.loop, name, zone)
+
+    def address(self, kind: str, dispatcher: int, number: int) -> str:
+        key = (kind, dispatcher, number)
+        while key not in self.taken:
+            self.port = self.port + 1 if self.port < 32_000 else 11_000
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    sock.bind(("127.0.0.1", self.port))
+                except OSError:
+                    continue
+            self.taken[key] = f"127.0.0.1:{self.port}"
+        return self.taken[key]
+
+    async def start(self, dispatcher: int, again: bool = False) -> None:
+        if again and self.world.plan.fleet.old_list == "death":
+            self.told[dispatcher]["known"] = self.roster.known(dispatcher)
+        self.tell_file(dispatcher)
+        self.world.add("started", dispatcher=dispatcher)
+        self.meant.pop(dispatcher, None)
+        with (self.folder / f"d{dispatcher}.log").open("ab") as log:
+            process = await asyncio.create_subprocess_exec(
+                *self.command, cwd=self.root, stderr=log, stdout=log,
+                env={**os.environ, "GW_CONFIG": str(self.folder / f"d{dispatcher}.json")})
+        self.processes[dispatcher] = process
+        self.front.place.start(self._watch(dispatcher, process))
+        if again:
+            self.front.place.start(self.front.ready(dispatcher))
+
+    async def _watch(self, dispatcher: int, process: asyncio.subprocess.Process) -> None:
+        code = await process.wait()
+        if dispatcher not in self.meant:
+            self.world.add("died", dispatcher=dispatcher, why=f"exit {code}")
+        elif code == 0:
+            self.world.add("ended_itself", dispatcher=dispatcher)
+
+    def tell_file(self, dispatcher: int) -> None:
+        path = self.folder / f"d{dispatcher}.json"
+        other = path.with_suffix(".new")
+        other.write_text(json.dumps(self.told[dispatcher]), encoding="utf-8")
+        other.replace(path)
+
+    def tell(self, dispatcher: int) -> None:
+        super().tell(dispatcher)
+        self.tell_file(dispatcher)
+
+    def kill(self, dispatcher: int) -> None:
+        self.world.add("killed", dispatcher=dispatcher)
+        self.meant[dispatcher] = None
+        self.signal(dispatcher, signal.SIGKILL)
+
+    def signal(self, dispatcher: int, sig: int) -> None:
+        if sig == signal.SIGTERM:
+            self.meant[dispatcher] = None
+        with contextlib.suppress(ProcessLookupError):
+            self.processes[dispatcher].send_signal(sig)
+
+    async def gone(self, dispatcher: int) -> None:
+        try:
+            async with asyncio.timeout(ENDS_IN):
+                await self.processes[dispatcher].wait()
+        except TimeoutError:
+            self.world.add("overdue", dispatcher=dispatcher)
+            self.kill(dispatcher)
+
+    def parted(self) -> None:
+        weather = self.world.weather
+        for worker in self.workers.values():
+            if worker.place.alive:
+                for d, listener in enumerate(worker.listeners):
+                    cut = weather.parted(worker.zone, self.zone_of(d), worker.name)
+                    (listener.deafen if cut else listener.hear)()
+        if self.roster.place.alive:
+            for d, listener in enumerate(self.roster.listeners):
+                (listener.deafen if weather.parted("", self.zone_of(d)) else listener.hear)()
+
+    async def finish(self) -> None:
+        for d, process in self.processes.items():
+            if process.returncode is None:
+                self.meant[d] = None
+                with contextlib.suppress(ProcessLookupError):
+                    process.kill()
+                await process.wait()
+
+
+class Outcome:
+    """What is left of a run."""
+
+    def __init__(self, events: Events, digest: str, steps: int, connections: int) -> None:
+        self.events = events
+        self.digest = digest
+        self.steps = steps
+        self.connections = connections
+
+
+@contextlib.contextmanager
+def logged(world: World, path: Path | None) -> Iterator[None]:
+    """The program's log of a virtual run: faults become events, the rest goes to a file if one is given."""
+    from pathsaddle.emulator.moments import HOST
+
+    def where() -> str:
+        host = HOST.get()
+        return host.name if host is not None else "-"
+
+    logger.remove()
+    logger.add(lambda message: world.add("fault_logged", host=where(), text=str(message)[:2000]),
+               level="ERROR", format="{message}", backtrace=False, diagnose=False)
+    if path is not None:
+        logger.add(path, level="INFO", format=lambda _: f"{world.loop.time():.4f} {where()} " "{level} {message}\n",
+                   mode="w")
+    try:
+        yield
+    finally:
+        logger.remove()
+        logger.add(sys.stderr, level="INFO")
+
+
+def virtual(plan: Plan, seed: int, log: Path | None = None) -> Outcome:
+    """One run in virtual time; raises Spinning where the program does not yield."""
+    charter = charter_of(plan)
+    loop = Moments()  # type: ignore[abstract]  # what is left out, nobody here calls
+    net = Net(loop)
+    world = World(plan, charter, seed, loop)
+    stage = VirtualStage(world, net)
+    with logged(world, log):
+        try:
+            loop.run_until_complete(stage.play())
+        finally:
+            for host in list(stage.hosts.values()):
+                host.kill()
+            loop.close()
+    for fault in loop.faults:
+        world.add("uncaught", text=fault)
+    return Outcome(world.events, world.events.digest(net.digest.digest()), loop.steps, net.connections)
+
+
+def sockets(plan: Plan, seed: int, folder: Path | None = None, command: list[str] | None = None,
+            root: Path = ROOT) -> Outcome:
+    """One run with real processes on the loopback, in real time."""
+    import uvloop
+    charter = charter_of(plan)
+    faults: list[str] = []
+
+    async def run(where: Path) -> World:
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _, context: faults.append(
+            f"{context.get('message')}: {context.get('exception')!r}"))
+        world = World(plan, charter, seed, loop)
+        stage = SocketStage(world, where, command or [sys.executable, "-m", "pathsaddle"], root)
+        try:
+            await stage.play()
+        finally:
+            await stage.finish()
+        return world
+
+    with tempfile.TemporaryDirectory() as place:
+        where = folder or Path(place)
+        where.mkdir(parents=True, exist_ok=True)
+        world = uvloop.run(run(where))
+    for fault in faults:
+        world.events.add(0, "uncaught", text=fault)
+    return Outcome(world.events, world.events.digest(), 0, 0)
