--- a/pathsaddle/emulator/clients.py
+++ b/pathsaddle/emulator/clients.py
@@ -301,6 +301,9 @@
             return "lost", 0.0
         if not said:
             wire.close()
+            if wire.broken:  # the network's doing: to the dispatcher its client is gone
+                add(wire.gone_at or self.world.now(), "hung_up", id=tag, early=True)
+                return "lost", 0.0
             if used and wire.gone_at is not None and wire.gone_at - sent < CROSSING:
                 add(wire.gone_at, "crossed", id=tag)
                 return "crossed", 0.0
@@ -347,6 +350,7 @@
         try:
             async with asyncio.timeout(15.0):
                 wire = await dial(self.world, self.stage, place, dispatcher)
+                begun = self.world.now()
                 if says[how]:
                     await wire.send(says[how].encode("latin-1"))
                 if how == "unread":
@@ -364,5 +368,6 @@
             pass
         finally:
             if wire is not None:
+                ended = wire.gone_at if wire.gone_at is not None else self.world.now()
                 wire.close()
-            self.world.add("bad", how=how, dispatcher=dispatcher, status=status, took=self.world.now() - begun)
+                self.world.add("bad", how=how, dispatcher=dispatcher, status=status, took=ended - begun)
--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults.py
@@ -63,7 +63,7 @@
 
     async def _strike(self, trouble: Trouble, name: str) -> None:
         of = FAULTS[trouble.kind]
-        whole = of in ("worker", "dispatcher")
+        whole = of in ("worker", "dispatcher", "zone")
         if whole:
             self.busy[of, name] = None
         self.count += 1
--- /dev/null
+++ b/pathsaddle/emulator/mutants.py
@@ -0,0 +1,171 @@
+"""Dispatchers that break a rule on purpose: each must be caught by the judge, and by name.
+
+They are patches of the real program for one virtual run in this process; nothing of the program imports them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Callable, Iterator
+from typing import Any
+from unittest import mock
+
+from pathsaddle.choice import Choice
+from pathsaddle.net.service.desk import Desk
+from pathsaddle.trade import SECOND, Outcome, Posting, Semantics, Standing, Txn
+
+Patches = list[Any]
+FAR = 1 << 60
+
+
+def _declines_anything() -> Patches:
+    """A once-only txn is declined though it may have run."""
+    return [mock.patch.object(Choice, "may_decline", lambda self, txn: True)]
+
+
+def _posts_after_the_answer() -> Patches:
+    """A txn that has its answer is posted once more."""
+    answer = Desk._answer
+
+    def again(self: Desk, txn: Txn, kind: str, *args: Any, **more: Any) -> None:
+        entry = self.ledger[txn.tag]
+        answer(self, txn, kind, *args, **more)
+        if kind == "settled" and txn.postings and not self.stopping:
+            worker = txn.postings[-1].worker
+            target, head = entry.call.target, [(b"Req-Id", txn.tag.encode())]
+
+            async def stray() -> None:
+                with contextlib.suppress(Exception):
+                    await self.workers.call(worker.tag, "POST", target, head, entry.call.body)
+            self._events.call_later(0.2, lambda: self._start(stray()))
+    return [mock.patch.object(Desk, "_answer", again)]
+
+
+def _repeats_outside_the_group() -> Patches:
+    """A referenced txn that may have run goes to a worker that does not know its mark."""
+    return [mock.patch.object(Choice, "same_group", lambda self, scheme, one, other: True)]
+
+
+def _repeats_after_the_window() -> Patches:
+    """A referenced txn is posted again after the workers have forgotten its mark, and outside its group."""
+    def until(self: Choice, txn: Txn) -> int:
+        return FAR if len(txn.postings) < self.max_postings else 0
+
+    def silent(self: Choice, txn: Txn, posting: Posting) -> bool:
+        return self.now - posting.sent > txn.scheme.window + SECOND // 10
+
+    def look(self: Choice, posting: Posting) -> int:
+        window = posting.txn.scheme.window
+        return max(self.now + SECOND // 10, posting.sent + window + SECOND // 5) if window else FAR
+    return [mock.patch.object(Choice, "may_go_on_until", until), mock.patch.object(Choice, "elsewhere", silent),
+            mock.patch.object(Choice, "look_again_at", look),
+            mock.patch.object(Choice, "worth_posting_until", lambda self, txn: txn.expires)]
+
+
+def _repeats_once_only() -> Patches:
+    """A once-only txn whose posting ended in doubt is posted again."""
+    whole = Choice.may_go_on_until
+
+    def until(self: Choice, txn: Txn) -> int:
+        if txn.scheme.semantics is Semantics.ONCE_ONLY and len(txn.postings) < self.max_postings:
+            return FAR
+        return whole(self, txn)
+    return [mock.patch.object(Choice, "may_go_on_until", until)]
+
+
+def _two_at_once() -> Patches:
+    """A second copy goes out though the charter forbids two at once."""
+    make = Choice.__init__
+
+    def made(self: Choice, *args: Any) -> None:
+        make(self, *args)
+        self.two_at_once = True
+    return [mock.patch.object(Choice, "__init__", made)]
+
+
+def _ignores_drains() -> Patches:
+    """What the list says of a worker that leaves is not heard."""
+    listed = Desk.listed
+
+    def deaf(self: Desk, news: Any, rows: Any) -> None:
+        for row in rows:
+            if row.worker.standing is Standing.DRAINING:
+                row.worker.standing = Standing.READY
+        listed(self, news, rows)
+    return [mock.patch.object(Desk, "listed", deaf)]
+
+
+def _floods_the_cold() -> Patches:
+    """A worker that has just started gets as much as any other, and the next one, and the next."""
+    return [mock.patch.object(Choice, "cold_allows", lambda self, book, txn: True),
+            mock.patch.object(Choice, "room", lambda self, book, *args: 9.0),
+            mock.patch.object(Choice, "load", lambda self, book, *args: -float(book.worker.started or 0))]
+
+
+def _answers_late() -> Patches:
+    """A reversal is held back until its client's expiry has passed."""
+    reverse = Desk.reverse
+
+    def held(self: Desk, txn: Txn) -> None:
+        entry = self.ledger[txn.tag]
+
+        def now() -> None:
+            if entry.answer is not None:
+                self.ledger._entries[txn.tag] = entry
+                reverse(self, txn)
+        self._events.call_later(max(0, txn.expires - self.clock.now() + SECOND // 10) / SECOND, now)
+    return [mock.patch.object(Desk, "reverse", held)]
+
+
+def _loses_some() -> Patches:
+    """Now and then nobody gets the answer."""
+    answer = Desk._answer
+
+    def lost(self: Desk, txn: Txn, kind: str, *args: Any, **more: Any) -> None:
+        if kind == "settled" and sum(map(ord, txn.tag)) % 50 == 0:
+            self.ledger[txn.tag].answer = None
+        answer(self, txn, kind, *args, **more)
+    return [mock.patch.object(Desk, "_answer", lost)]
+
+
+def _makes_answers_up() -> Patches:
+    """What ended in an error is answered as settled."""
+    def settled(self: Desk, txn: Txn) -> None:
+        self._answer(txn, "settled", 200, b"done")
+    return [mock.patch.object(Desk, "reverse", settled)]
+
+
+def _says_never_sent() -> Patches:
+    """A connection that broke after the last byte is taken for one that never came up."""
+    end = Desk._end
+
+    def unsure(self: Desk, errand: Any, outcome: Outcome, *args: Any) -> None:
+        doubt = outcome in (Outcome.RESET, Outcome.ERROR)
+        end(self, errand, Outcome.UNCONNECTED if doubt else outcome, *args)
+    return [mock.patch.object(Desk, "_end", unsure)]
+
+
+# By name: the patches, and the rules one of which the judge must name.
+MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
+    "declines-anything": (_declines_anything, ("decline",)),
+    "posts-after-the-answer": (_posts_after_the_answer, ("after",)),
+    "repeats-outside-the-group": (_repeats_outside_the_group, ("repeat",)),
+    "repeats-after-the-window": (_repeats_after_the_window, ("repeat",)),
+    "repeats-once-only": (_repeats_once_only, ("repeat",)),
+    "two-at-once": (_two_at_once, ("together",)),
+    "ignores-drains": (_ignores_drains, ("drain",)),
+    "floods-the-cold": (_floods_the_cold, ("cold",)),
+    "answers-late": (_answers_late, ("late",)),
+    "loses-some": (_loses_some, ("lost",)),
+    "makes-answers-up": (_makes_answers_up, ("false",)),
+    "says-never-sent": (_says_never_sent, ("repeat", "decline")),
+}
+
+
+@contextlib.contextmanager
+def mutated(name: str) -> Iterator[None]:
+    """While it holds, dispatchers of this process are the mutant."""
+    with contextlib.ExitStack() as stack:
+        for patch in MUTANTS[name][0]():
+            stack.enter_context(patch)
+        yield
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -207,7 +207,7 @@
     name: how it is called.
     about: what it is to show.
     seconds: how long each run lasts, in its own time; a few more to end what is open.
-    seeds: one run each.
+    seeds: one run each; a list, or "1..300".
     ground: sockets (real processes, real time) or virtual.
     charter: the dispatchers' charter; listen, discovery, seed, number and zone are filled in for each.
     fleet: who serves.
@@ -222,7 +222,7 @@
     seconds: Annotated[float, Meta(gt=0, le=7200)]
     charter: dict[str, Any]
     about: str = ""
-    seeds: list[int] = field(default_factory=lambda: [1])
+    seeds: list[int] | str = field(default_factory=lambda: [1])
     ground: Literal["sockets", "virtual"] = "virtual"
     fleet: Fleet = field(default_factory=Fleet)
     load: Load = field(default_factory=Load)
@@ -231,6 +231,22 @@
     bounds: Bounds = field(default_factory=Bounds)
     found: list[int] = field(default_factory=list)
 
+    def __post_init__(self) -> None:
+        if isinstance(self.seeds, str):
+            first, dots, last = self.seeds.partition("..")
+            if not dots or not first.isdigit() or not last.isdigit() or int(first) > int(last):
+                raise ValueError(f'seeds: "{self.seeds}" stands there; a list, or such as "1..300", may')
+
+    @property
+    def all_seeds(self) -> list[int]:
+        """Those that once found something first."""
+        if isinstance(self.seeds, str):
+            first, _, last = self.seeds.partition("..")
+            seeds = list(range(int(first), int(last) + 1))
+        else:
+            seeds = self.seeds
+        return list(dict.fromkeys([*self.found, *seeds]))
+
 
 FILLED = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
 
--- a/pathsaddle/emulator/world.py
+++ b/pathsaddle/emulator/world.py
@@ -185,6 +185,7 @@
         self.on_gone = on_gone
         self.gone_at: int | None = None
         self.closed = False
+        self.broken = False  # by the network between
         self._come: deque[tuple[int, bytes]] = deque()
         self._news: asyncio.Future[None] | None = None
         self._reader = place.start(self._read())
@@ -195,6 +196,7 @@
                 at = self.world.weather.breaks(len(data))
                 if at is not None:
                     self._come.append((self.world.now(), data[:at]))
+                    self.broken = True
                     self.abort()
                     break
                 self._come.append((self.world.now(), data))
@@ -237,6 +239,7 @@
             raise ConnectionResetError("closed")
         at = self.world.weather.breaks(len(data))
         if at is not None and at < len(data):
+            self.broken = True
             if at:
                 await self.world.loop.sock_sendall(self.sock, data[:at])
             self.abort()
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -10,7 +10,6 @@
 from pathsaddle.net.wire.ring import Ring
 from pathsaddle.net.wire.terms import Peer, peer_of
 
-
 Opening = Callable[[str], tuple[socket.socket, Peer]]  # how sockets are come by: the kernel's, or others
 
 
