A worker that may have risen unlisted is cold; log lines in one catalogue

Change: Choice.may_have_risen: while the list is out of reach, a worker whose connections broke or were refused since shortly before is taken as just started at the next send. Links ended from over there are told through the door.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -85,6 +85,8 @@
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
+        self.broke = 0  # when a connection to it last broke or was refused
+        self.risen = -FAR  # since when it is taken to have started anew, unlisted
 
     def own_at(self, moment: int) -> int:
         for when, count in reversed(self.past):
@@ -204,7 +206,7 @@
         self.silence = terms.progress_every + terms.progress_every // 2
         self.must_ask = terms.must_ask
         self.list_due = FAR
-        self.list_failures = 0
+        self.list_failures, self.list_lost = 0, now
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
@@ -390,7 +392,7 @@
                 # Only what can be posted again anywhere is risked on a suspect.
                 and (not book.suspect or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
-                and (worker.started is None or self.cold_allows(book, txn)))
+                and (worker.started is None and not book.broke or self.cold_allows(book, txn)))
 
     def need(self, txn: Txn) -> float:
         need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
@@ -411,7 +413,7 @@
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  # What nearly all workers pass at once, against a call for each of them.
-                 and (plain and book.started is None and not book.suspect and not book.mute
+                 and (plain and book.started is None and not book.broke and not book.suspect and not book.mute
                       or self.eligible(book, txn))]
         self.ranked = loads
         if self.cross_price <= 0:
@@ -632,15 +634,22 @@
         return posting.sent + min(SECOND, max(150 * MILLISECOND, 3 * max(self.takes)))
 
     def judge_silence(self, book: Book) -> None:
-        if self.silence and book.out:
-            if self.now - max(book.alive, book.out[0].sent) >= self.silence:
-                book.suspect = True
+        if self.silence and book.out and self.now - max(book.alive, book.out[0].sent) >= self.silence:
+            book.suspect = True
 
     # Cold workers.
 
     def cold_for(self, book: Book) -> int:
+        if self.may_have_risen(book):
+            return self.cold_time
         started = book.worker.started
-        return 0 if started is None else max(0, started + self.cold_time - self.now)
+        since = book.risen if started is None else max(started, book.risen)
+        return max(0, since + self.cold_time - self.now)
+
+    def may_have_risen(self, book: Book) -> bool:
+        """While the list is out of reach nobody tells of a new start: two workers were pushed over that had
+        died and come back meanwhile. What broke shortly before we knew the list lost counts too."""
+        return self.list_failures > 0 and book.broke > max(book.risen, self.list_lost - self.ask_again)
 
     def cold_allows(self, book: Book, txn: Txn) -> bool:
         """Rule 4: our part of what a worker that has just started can bear, over any span."""
@@ -662,7 +671,8 @@
         """With hundreds of dispatchers an even share holds no whole job. By the clock, the worker's start and
         its lot, alike for all, one at a time has a turn as long as the span in which a worker falls over: a
         span touches two turns, so half of what the even shares may sum to can come on top of them."""
-        assert book.worker.started is not None
+        if book.worker.started is None or book.risen > book.worker.started:
+            return False  # the others guess another start, or none
         turn = (self.now - book.worker.started) // max(1, self.fall_time)
         return (book.worker.lot + turn) % self.dispatchers == self.number
 
@@ -676,6 +686,8 @@
         book.out.append(posting)
         book.past.append((self.now, len(book.out)))
         book.owed[kind] = book.owed.get(kind, 0) + posting.work
+        if self.may_have_risen(book):
+            book.risen = self.now
         if self.cold_for(book):
             book.cold_sent.append((self.now, int(self.run_of(posting.txn) * posting.txn.slots)))
 
@@ -708,6 +720,8 @@
             book.shut_until = self.now + (self.silence << min(book.trials - 1, 2))
         elif outcome in (Outcome.ERROR, Outcome.UNCONNECTED, Outcome.RESET):
             self.fails(book)
+            if outcome is not Outcome.ERROR:
+                self.broke(book.worker)
         if outcome is Outcome.FULL:
             self.turned_away.append(self.now)
             book.full_at = self.now
@@ -732,6 +746,9 @@
         book.failed += 1
         book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
 
+    def broke(self, worker: Worker) -> None:
+        self.books[worker].broke = self.now
+
     def read(self, book: Book, report: Report) -> None:
         if report.free is None:
             return
@@ -798,6 +815,7 @@
 
     def listed(self, news: ListNews, workers: Iterable[Worker]) -> None:
         if news is ListNews.FAILED:
+            self.list_lost = self.list_lost if self.list_failures else self.now
             self.list_failures += 1
             wait = min(2 * SECOND, (SECOND // 4) << min(self.list_failures, 4))
             self.list_due = self.now + int(wait * (0.5 + self.random() / 2))
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -77,6 +77,10 @@
     def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
         self.choice.probed(worker, outcome, spent, report)
 
+    def broke(self, worker: Worker) -> None:
+        """A connection to it, no posting's, was ended from over there."""
+        self.choice.broke(worker)
+
     def listed(self, news: ListNews, workers: Iterable[Worker]) -> None:
         self.choice.listed(news, workers)
 
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -12,11 +12,10 @@
 from functools import partial
 from typing import Any
 
-from loguru import logger
-
 from pathsaddle.loop import Loop
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Ledger
+from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.workers import Lost, NeverSent, Workers
 from pathsaddle.net.wire import forms
@@ -50,6 +49,7 @@
         self._alarm: asyncio.TimerHandle | None = None
         self._events = asyncio.get_running_loop()
         self.loop = Loop(self, terms, seed, clock.now())
+        workers.broke = self.broke
 
     # What the loop asks of a door.
 
@@ -96,7 +96,7 @@
         self._alarm = self._events.call_later(seconds(max(1, due - self.clock.now())), self._woken, due)
 
     def note(self, text: str) -> None:
-        logger.info("note {}", text)
+        logbook.note(text=text)
 
     # What the sockets bring.
 
@@ -150,6 +150,13 @@
             if worker.standing is Standing.GONE:
                 self.workers.links.forget(worker.tag)
 
+    def broke(self, worker: str) -> None:
+        """A connection to it was ended from over there."""
+        known = self.known.get(worker)
+        if known is not None:
+            self._at()
+            self._guard(None, lambda: self.loop.broke(known))
+
     def stop(self, by: int) -> None:
         """We are to end: every txn must have its answer by then, whatever its client would wait."""
         self.stopping = by
@@ -302,9 +309,9 @@
         try:
             act()
             return True
-        except Exception:
+        except Exception as fault:  # noqa: BLE001  # whatever it is ends this txn alone
             self.counters.add("fault")
-            logger.exception("fault in the decisions")
+            logbook.fault_decisions(fault)
             if txn is not None and not txn.closed:
                 self._drop(txn)
             return False
@@ -333,4 +340,4 @@
         del self._tasks[task]
         if not task.cancelled() and (fault := task.exception()) is not None:
             self.counters.add("fault")
-            logger.opt(exception=fault).error("fault in a task")
+            logbook.fault_task(fault)
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -7,10 +7,9 @@
 import socket
 from dataclasses import dataclass
 
-from loguru import logger
-
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.ledger import Entry
+from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.pump import Opening, drain, stream
@@ -108,8 +107,8 @@
     def work(self) -> None:
         try:
             self._work()
-        except Exception:
-            logger.exception("fault on a connection peer={}", self.peer)
+        except Exception as fault:  # noqa: BLE001  # whatever it is ends this connection alone
+            logbook.fault_client(fault, peer=self.peer)
             self.end("fault")
 
     def _work(self) -> None:
@@ -277,7 +276,7 @@
                 sock, address = await events.sock_accept(self.sock)
             except OSError as fault:
                 self.counters.add(f"accept.{errno.errorcode.get(fault.errno or 0, 'error').lower()}")
-                logger.warning("accept failed: {}", fault)
+                logbook.accept_failed(why=fault)
                 if not self.make_room():
                     self.desk.workers.links.let_go_oldest()
                 await asyncio.sleep(seconds(NO_ROOM))
@@ -339,7 +338,7 @@
         self.held -= visit.held
         visit.held = 0
         self.counters.add(f"visit_end.{visit.code}")
-        logger.info("end side=client code={} peer={} calls={}", visit.code, visit.peer, visit.calls)
+        logbook.client_end(code=visit.code, peer=visit.peer, calls=visit.calls)
         self.freed()
 
     def in_use(self) -> bool:
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -11,7 +11,7 @@
 
 from pathsaddle.net.service import pump
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.wire.birth import WHERE
+from pathsaddle.net.wire.birth import WHERE, moved_to
 from pathsaddle.net.wire.terms import Peer
 
 
@@ -35,6 +35,10 @@
             resident, shared = file.read().split()[1:3]
         return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
+    def moved(self) -> str:
+        """Where discovery is by the file as it stands now; raises OSError, ValueError where it can't say."""
+        return moved_to(self.told())
+
     def told(self) -> str:
         """What the dispatcher is told, as it stands now; raises OSError, UnicodeDecodeError (a ValueError)."""
         with open(os.environ[WHERE], encoding="utf-8") as file:
--- /dev/null
+++ b/pathsaddle/net/service/logbook.py
@@ -0,0 +1,83 @@
+"""Every line that the log may hold: its name, its level, its text, its fields, in one catalogue.
+
+As text a line reads as it always has; as JSON it is one object with `time`, `level`, `event`, `text` and the
+fields. docs/on-call.md says of each what it means and what to do; a test holds the two together.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+import sys
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Record
+
+CATALOGUE: dict[str, Line] = {}
+TEXT = "{time:HH:mm:ss.SSS} {level} {message}"
+
+
+@dataclass(frozen=True)
+class Line:
+    """One kind of line. Called with its fields, it is written."""
+
+    name: str
+    level: str
+    text: str
+    fields: tuple[str, ...]
+
+    def __call__(self, fault: BaseException | None = None, /, **fields: Any) -> None:
+        """`fault`: an exception whose trace is written too."""
+        said = logger if fault is None else logger.opt(exception=fault)
+        said.log(self.level, self.text, event=self.name, **fields)
+
+
+def line(name: str, level: str, text: str) -> Line:
+    made = CATALOGUE[name] = Line(name, level, text, tuple(re.findall(r"{([a-z_]+)[^}]*}", text)))
+    return made
+
+
+serving = line("serving", "INFO", "serving")
+client_end = line("client-end", "INFO", "end side=client code={code} peer={peer} calls={calls}")
+worker_end = line("worker-end", "INFO", "end side=worker code={code} peer={peer} calls={calls}")
+discovery_end = line("discovery-end", "INFO", "end side=discovery code={code} peer={peer} index={index}")
+stopping = line("stopping", "INFO", "stopping unanswered={unanswered}")
+stopped = line("stopped", "INFO", "stopped unanswered={unanswered}")
+reread = line("reread", "INFO", "configuration read again discovery={discovery}")
+not_reread = line("not-reread", "WARNING", "configuration not read again, the old one holds: {why}")
+stays = line("stays", "WARNING", "charter: {key} can't change in service, the old one stays")
+counters = line("counters", "INFO", "counters {counters}")
+late = line("late", "WARNING", "late by {ms} ms")
+memory = line("memory", "WARNING", "memory {mb:.0f} of {most:.0f} MB")
+untold = line("untold", "ERROR", "{variable} does not say where the configuration is")
+accept_failed = line("accept-failed", "WARNING", "accept failed: {why}")
+no_list = line("no-list", "WARNING", "discovery said what is no list: {why}")
+note = line("note", "INFO", "note {text}")
+fault_decisions = line("fault-decisions", "ERROR", "fault in the decisions")
+fault_task = line("fault-task", "ERROR", "fault in a task")
+fault_watch = line("fault-watch", "ERROR", "fault on the watch")
+fault_worker = line("fault-worker", "ERROR", "fault on a worker's connection peer={peer}")
+fault_client = line("fault-client", "ERROR", "fault on a connection peer={peer}")
+
+
+def as_json(record: Record) -> str:
+    """A line as one JSON object; loguru formats what is returned once more, so it is only named here."""
+    told: dict[str, Any] = {"time": record["time"].isoformat(timespec="milliseconds"),
+                            "level": record["level"].name, **record["extra"], "text": record["message"]}
+    if record["exception"] is not None:
+        told["fault"] = repr(record["exception"].value)
+    record["extra"]["_json"] = json.dumps(told, default=str)
+    return "{extra[_json]}\n"
+
+
+def open_log(level: str = "INFO", form: str = "text") -> None:
+    """To standard error; `form`: text or json."""
+    logger.remove()
+    if form == "json":
+        logger.add(sys.stderr, format=as_json, level=level, backtrace=False, diagnose=False)
+    else:
+        logger.add(sys.stderr, format=TEXT, level=level, backtrace=False, diagnose=False)
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -5,9 +5,8 @@
 import asyncio
 import socket
 
-from loguru import logger
-
 from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.pump import Opening, outgoing, stream
@@ -58,15 +57,15 @@
             code = "reset" if isinstance(fault, ConnectionResetError) else "unreachable"
         except Broken as fault:
             code = "malformed"
-            logger.warning("discovery said what is no list: {}", fault)
+            logbook.no_list(why=fault)
         except asyncio.CancelledError as why:
             code = str(why)
             raise
-        except Exception:
-            logger.exception("fault on the watch")
+        except Exception as fault:  # noqa: BLE001  # whatever it is ends this watch alone
+            logbook.fault_watch(fault)
         finally:
             self.counters.add(f"watch_end.{code}")
-            logger.info("end side=discovery code={} peer={} index={}", code, address, self.index)
+            logbook.discovery_end(code=code, peer=address, index=self.index)
             if sock is not None:
                 asyncio.get_running_loop().call_soon(sock.close)
         self.desk.listed(ListNews.FAILED, [])
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -6,19 +6,18 @@
 import gc
 import os
 import signal
-import sys
 
 import uvloop
-from loguru import logger
 
 from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.roster import Roster
 from pathsaddle.net.service.workers import Workers
-from pathsaddle.net.wire.birth import WHERE, Birth, birth, moved_to
+from pathsaddle.net.wire.birth import WHERE, Birth, birth
 from pathsaddle.trade import MILLISECOND, SECOND, ListNews
 
 SPARE = 12  # descriptors for the listener, discovery's watch and connections on their way out
@@ -61,7 +60,7 @@
         events.add_signal_handler(signal.SIGINT, self._stop.set)
         events.add_signal_handler(signal.SIGUSR1, self.report)
         events.add_signal_handler(signal.SIGHUP, self.reread)
-        logger.info("serving")
+        logbook.serving()
         watching = events.create_task(self._look_after())
         await self._stop.wait()
         await self._finish()
@@ -69,7 +68,7 @@
         self.report()
 
     async def _finish(self) -> None:
-        logger.info("stopping unanswered={}", len(self.desk.ledger.unanswered()))
+        logbook.stopping(unanswered=len(self.desk.ledger.unanswered()))
         begun = self.clock.now()
         by = begun + self.longest + LATER
         self.desk.stop(by)
@@ -81,7 +80,7 @@
         self.front.stopping = True
         while not self.front.quiet() and self.clock.now() < by + LAST_BYTES:
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
-        logger.info("stopped unanswered={}", len(self.desk.ledger.unanswered()))
+        logbook.stopped(unanswered=len(self.desk.ledger.unanswered()))
         self.roster.stop("stopping")
         for visit in list(self.front.visits):
             visit.end("stopping")
@@ -95,34 +94,33 @@
             lag = self.clock.now() - due
             self.counters.most("lag_ms_most", lag / MILLISECOND)
             if lag > SLACK:
-                logger.warning("late by {} ms", lag // MILLISECOND)
+                logbook.late(ms=lag // MILLISECOND)
             self.workers.links.sweep(self.clock.now())
             self.front.sweep()
             self.counters.most("links_most", self.workers.links.count)
             memory = self.ground.memory_mb()
             self.counters.most("memory_mb_most", memory)
             if memory > 0.9 * self.memory_mb:
-                logger.warning("memory {:.0f} of {:.0f} MB", memory, self.memory_mb)
+                logbook.memory(mb=memory, most=self.memory_mb)
 
     def reread(self) -> None:
         """Of a file that was replaced only discovery's address is taken over: nothing else can change under
         what is open. One that can't be read leaves all as it is."""
         self.counters.add("reread")
         try:
-            address = moved_to(self.ground.told())
+            address = self.ground.moved()
         except (OSError, ValueError) as fault:
             self.counters.add("reread.failed")
-            logger.warning("configuration not read again, the old one holds: {}", fault)
+            logbook.not_reread(why=fault)
             return
-        logger.info("configuration read again discovery={}", address)
+        logbook.reread(discovery=address)
         self.roster.move(address)
 
     def report(self) -> None:
-        logger.info("counters {}", self.counters.text())
+        logbook.counters(counters=self.counters.text())
 
 
-async def serve() -> None:
-    ground = Ground()
+async def serve(ground: Ground) -> None:
     dispatcher = Dispatcher(birth(ground.told()), ground)
     gc.collect()
     gc.freeze()  # what is made at start stays: no later collection walks it
@@ -133,14 +131,18 @@
         signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
 
 
-def main() -> int:
+def run(ground: Ground) -> None:
+    """One dispatcher in the foreground, until it is told to end."""
     # Until there is a file in use there is none to read again.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    logger.remove()
-    logger.add(sys.stderr, format="{time:HH:mm:ss.SSS} {level} {message}", level="INFO", backtrace=False,
-               diagnose=False)
+    uvloop.run(serve(ground))
+
+
+def main() -> int:
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    logbook.open_log()
     if WHERE not in os.environ:
-        logger.error("{} does not say where the configuration is", WHERE)
+        logbook.untold(variable=WHERE)
         return 2
-    uvloop.run(serve())
+    run(Ground())
     return 0
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -6,10 +6,9 @@
 import socket
 from collections.abc import Callable
 
-from loguru import logger
-
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.links import Links
+from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.pump import Opening, drain, outgoing, stream
 from pathsaddle.net.wire.http import Broken, Calling, Message
@@ -28,10 +27,12 @@
 class Link:
     """One connection to a worker."""
 
-    def __init__(self, sock: socket.socket, peer: str, counters: Counters) -> None:
+    def __init__(self, sock: socket.socket, peer: str, counters: Counters,
+                 broke: Callable[[], None] = lambda: None) -> None:
         self.sock = sock
         self.peer = peer
         self.counters = counters
+        self.broke = broke
         self.machine = Calling()
         self.inward, self.outward = Ring(), Ring()
         self.idle_since = 0
@@ -81,8 +82,8 @@
             code = "worker-malformed"
         except asyncio.CancelledError:
             code = "stopping"
-        except Exception:
-            logger.exception("fault on a worker's connection peer={}", self.peer)
+        except Exception as fault:  # noqa: BLE001  # whatever it is ends this connection alone
+            logbook.fault_worker(fault, peer=self.peer)
         self.end(code)
 
     def end(self, code: str) -> None:
@@ -90,7 +91,9 @@
             return
         self.ended = True
         self.counters.add(f"link_end.{code}")
-        logger.info("end side=worker code={} peer={} calls={}", code, self.peer, self.calls)
+        if code in ("worker-reset", "worker-closed"):
+            self.broke()
+        logbook.worker_end(code=code, peer=self.peer, calls=self.calls)
         if self._answer is not None and not self._answer.done():
             self._answer.set_exception(Lost(code))
             self._answer.exception()  # a writer that never comes to ask for it has its own error
@@ -106,6 +109,7 @@
         self.clock = clock
         self.counters = counters
         self.connect_within = reach.connect_within
+        self.broke: Callable[[str], None] = lambda worker: None  # told whose connection was ended from there
         margin = max(500, reach.idle_within // 10)
         self.links: Links[Link] = Links(sockets, max(0, reach.idle_within - margin))
         self.addresses: dict[str, str] = {}
@@ -170,4 +174,4 @@
             self.links.release(shelf)
             raise
         self.counters.add("connect.made")
-        return Link(sock, f"{worker}@{address}", self.counters)
+        return Link(sock, f"{worker}@{address}", self.counters, lambda: self.broke(worker))
--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -36,7 +36,7 @@
     told = json.loads(text)
     where = told.get("discovery") if isinstance(told, dict) else None
     if not isinstance(where, str):
-        raise ValueError("it names no discovery")
+        raise ValueError("it names no discovery")  # noqa: TRY004  # the file's fault, not a caller's
     peer_of(where)
     return where
 
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -41,8 +41,9 @@
 
 
 def scheme(semantics: Semantics = REPEATABLE, **more: object) -> Scheme:
-    given = dict(index=0, semantics=semantics, sla_time=SECOND, expiry=10 * SECOND, value=1.0, late_value=0.0,
-                 stretch=1.25, group=Group.ALL, window=5 * SECOND)
+    given = dict(  # noqa: C408  # reads like the call that it is for
+        index=0, semantics=semantics, sla_time=SECOND, expiry=10 * SECOND, value=1.0, late_value=0.0,
+        stretch=1.25, group=Group.ALL, window=5 * SECOND)
     return Scheme(**{**given, **more})  # type: ignore[arg-type]
 
 
@@ -51,7 +52,7 @@
 
     def __init__(self, *schemes: Scheme, workers: int = 2, customers: list[Customer] | None = None,
                  news: ListNews = ListNews.WHOLE, **terms: object) -> None:
-        given = dict(
+        given = dict(  # noqa: C408  # reads like the call that it is for
             schemes=list(schemes) or [scheme()], customers=customers or [], dispatchers=1, number=0, zone=0,
             tick=20, must_ask=False, ask_within=10 * SECOND, answer_slack=80, drain_grace=5000,
             cold_share=0.3, cold_time=9 * SECOND, fall_multiple=4.0, fall_time=2 * SECOND,
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -31,7 +31,7 @@
     def write(self) -> None:
         try:
             self.begins()
-        except Exception as why:
+        except Exception as why:  # noqa: BLE001  # whatever it is goes on to whoever asked
             self.withheld = True
             self.reply.set_exception(why)
         else:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -34,14 +34,14 @@
         discovery = await asyncio.start_server(self.list, "127.0.0.1", 0)
         for server in (worker, discovery):
             self.addCleanup(server.close)
-        self.worker = "%s:%d" % worker.sockets[0].getsockname()
+        self.worker = "{}:{}".format(*worker.sockets[0].getsockname())
         self.port = free_port()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.config = Path(folder.name) / "config.json"
         self.config.write_text(json.dumps({
             "name": "n0", "listen": f"127.0.0.1:{self.port}", "seed": "8c1f30d27a5be964",
-            "discovery": "%s:%d" % discovery.sockets[0].getsockname(),
+            "discovery": "{}:{}".format(*discovery.sockets[0].getsockname()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": {"index": 0, "snapshot": True, "endpoints": []}, "settings": SETTINGS}))
         self.program = await asyncio.create_subprocess_shell(
@@ -208,7 +208,7 @@
         for _ in range(3):
             server = await asyncio.start_server(elsewhere, "127.0.0.1", 0)
             self.addCleanup(server.close)
-            where = "%s:%d" % server.sockets[0].getsockname()
+            where = "{}:{}".format(*server.sockets[0].getsockname())
             self.config.write_text(json.dumps({**told, "discovery": where}))
             self.program.send_signal(signal.SIGHUP)
             await asyncio.wait_for(lists.get(), 0.5)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -118,7 +118,7 @@
         workers = await self.workers(self.accepting)
         with socket.socket() as deaf, socket.socket() as first, socket.socket() as second:
             deaf.bind(("127.0.0.1", 0))
-            workers.located("w", "%s:%d" % deaf.getsockname())
+            workers.located("w", "{}:{}".format(*deaf.getsockname()))
             with self.assertRaises(NeverSent):
                 await self.post(workers)
             deaf.listen(0)
