--- a/pathsaddle/__main__.py
+++ b/pathsaddle/__main__.py
@@ -1,7 +1,13 @@
-"""python -m pathsaddle: one real dispatcher on sockets, told by $GW_CONFIG what it is."""
+"""python -m pathsaddle: with no argument one real dispatcher on sockets, told by $GW_CONFIG what it is.
+
+With an argument it is the command line, whose libraries the platform's program must not load.
+"""
 
 import sys
 
-from pathsaddle.net.service.start import main
+if len(sys.argv) > 1:
+    from pathsaddle.cli.main import main
+else:
+    from pathsaddle.net.service.start import main
 
 sys.exit(main())
--- /dev/null
+++ b/pathsaddle/charter/ground.py
@@ -0,0 +1,44 @@
+"""A dispatcher told by an operator's charter instead of the platform's JSON; from `born` on both go one road."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+from pathsaddle.charter.check import Faulty
+from pathsaddle.charter.form import IN_SERVICE, changes
+from pathsaddle.charter.told import read, told
+from pathsaddle.net.service import logbook
+from pathsaddle.net.service.ground import Ground
+
+
+class CharterGround(Ground):
+    def __init__(self, path: Path, form: str | None = None) -> None:
+        super().__init__()
+        self.path = path
+        self.form = form  # of the log, where the command line says it
+        self.charter = read(path)
+
+    def told(self) -> str:
+        return json.dumps(told(self.charter))
+
+    def open_log(self) -> None:
+        logbook.open_log(self.charter.log.level, self.form or self.charter.log.form)
+
+    def moved(self) -> str:
+        """The file again: what may change in service does, what may not is named and stays."""
+        try:
+            other = read(self.path)
+        except Faulty as fault:
+            raise ValueError("; ".join(map(str, fault.faults))) from None
+        differs = changes(self.charter, other)
+        for key in differs:
+            if key not in IN_SERVICE:
+                logbook.stays(key=key)
+        self.charter.discovery = other.discovery
+        if "log.level" in differs:
+            self.charter.log.level = other.log.level
+            self.open_log()
+        return self.charter.discovery
+
+
--- /dev/null
+++ b/pathsaddle/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command line. Nothing imports it but `__main__` and the console script."""
--- /dev/null
+++ b/pathsaddle/cli/show.py
@@ -0,0 +1,70 @@
+"""What the command line prints: tables of a run's figures, of its rules, of faults."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from typing import Any
+
+from rich.console import Console
+from rich.table import Table
+
+from pathsaddle.emulator.judge import RULES, Row, Verdict
+
+MEANS = {
+    "lost": "1 each txn taken has an answer", "late": "1 before its expiry", "twice": "1 one answer alone",
+    "after": "1 nothing is sent after it", "repeat": "2 no effect twice", "decline": "2 declined only if harmless",
+    "together": "2 never two at once where forbidden", "drain": "3 drains are kept",
+    "cold": "4 no cold worker pushed over", "false": "- no answer that no worker gave",
+    "bad": "- bad clients are sent away in time", "fault": "- no fault of the program"}
+
+
+def figures(console: Console, verdict: Verdict, title: str) -> None:
+    table = Table(title=title, title_justify="left")
+    for name in ("", "txns", "settled in time", "settled", "declined", "reversed", "unanswered", "value",
+                 "p50 ms", "p99 ms"):
+        table.add_column(name, justify="left" if not name else "right")
+
+    def add(name: str, row: Row, style: str = "") -> None:
+        table.add_row(name, str(row.jobs), str(row.in_time), str(row.settled), str(row.declined),
+                      str(row.reversed), str(row.unanswered), f"{row.part:.3f}", f"{row.p50:.0f}", f"{row.p99:.0f}",
+                      style=style)
+
+    for name, row in verdict.schemes.items():
+        add(name, row)
+    if len(verdict.customers) > 1:
+        table.add_section()
+        for name, row in verdict.customers.items():
+            add(name or "nobody", row)
+    table.add_section()
+    add("all", verdict.whole, "bold")
+    console.print(table)
+    console.print(f"tries {verdict.tries}, postings {verdict.postings}, turned away {verdict.turned_away}; "
+                  f"faults: {', '.join(f'{n} {kind}' for kind, n in verdict.faults.items()) or 'none'}")
+
+
+def rules(console: Console, verdict: Verdict, most: int = 10) -> None:
+    broken = verdict.broken()
+    table = Table(title="Rules", title_justify="left")
+    table.add_column("rule")
+    table.add_column("kept")
+    for rule in RULES:
+        table.add_row(MEANS[rule], "yes" if rule not in broken else f"[red]no, {broken[rule]} times[/red]")
+    console.print(table)
+    for finding in verdict.findings[:most]:
+        console.print(f"  {finding.at / 10_000:.4f} s  {finding.rule}: {finding.text}", markup=False)
+    if len(verdict.findings) > most:
+        console.print(f"  ... and {len(verdict.findings) - most} more")
+
+
+def explained(rows: Iterable[tuple[str, str, str, str]]) -> str:
+    """The keys of a file as a page in Markdown."""
+    lines = ["| key | what may stand there | default | meaning |", "| --- | --- | --- | --- |"]
+    for key, kind, default, meaning in rows:
+        lines.append(f"| `{key}` | {kind} | {f'`{default}`' if default and default != 'must be given' else default} "
+                     f"| {meaning} |")
+    return "\n".join(line.replace("  ", " ") for line in lines)
+
+
+def faults(console: Console, fault: Any) -> None:
+    for one in fault.faults:
+        console.print(str(one), markup=False, highlight=False, soft_wrap=True)
--- /dev/null
+++ b/pathsaddle/experiment/keep.py
@@ -0,0 +1,100 @@
+"""Results as lines of JSON, each with all that tells whether it may stand for a run: plan, variant, seed, ground,
+commit, machine. A run that is there already is not run again."""
+
+from __future__ import annotations
+
+import hashlib
+import os
+import platform
+import subprocess
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from pathsaddle.emulator.plan import Plan, Variant
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+
+
+class Result(msgspec.Struct, kw_only=True):
+    """One run: what it was, and the judge's word."""
+
+    plan: str
+    digest: str  # of the plan as it ran, so that another text's results are not taken for it
+    variant: str
+    seed: int
+    ground: str
+    commit: str
+    machine: str
+    when: str
+    took: float  # seconds of real time
+    events: str  # the event log's digest
+    verdict: dict[str, Any]
+    fault: str = ""  # the run did not come to its end
+
+    @property
+    def key(self) -> tuple[str, str, str, int, str, str]:
+        return self.plan, self.digest, self.variant, self.seed, self.ground, self.commit
+
+    @property
+    def kept(self) -> bool:
+        return not self.fault and not self.verdict.get("findings")
+
+
+def machine() -> str:
+    """Not by name: what it is like."""
+    return f"{platform.machine()}, {os.cpu_count()} cores, Python {platform.python_version()}"
+
+
+def commit_of(root: Path = ROOT) -> str:
+    """The checkout's commit, with + where files differ from it; empty outside a repository."""
+    try:
+        name = subprocess.run(["git", "rev-parse", "--short=10", "HEAD"], cwd=root, capture_output=True, text=True,
+                              check=True).stdout.strip()
+        dirty = subprocess.run(["git", "status", "--porcelain", "--", "pathsaddle"], cwd=root, text=True,
+                               capture_output=True, check=True).stdout.strip()
+    except (OSError, subprocess.CalledProcessError):
+        return ""
+    if not dirty:
+        return name
+    # Two dirty states differ: their text is part of the name.
+    changed = subprocess.run(["git", "diff", "HEAD", "--", "pathsaddle"], cwd=root, capture_output=True,
+                             check=False).stdout
+    return f"{name}+{hashlib.blake2b(changed, digest_size=4).hexdigest()}"
+
+
+def digest_of(plan: Plan, variant: Variant) -> str:
+    """Seeds and bounds don't change a run, nor do the other variants."""
+    told = msgspec.to_builtins(plan)
+    for key in ("seeds", "found", "bounds", "variants", "about", "ground"):
+        told.pop(key, None)
+    told["variant"] = msgspec.to_builtins(variant)
+    return hashlib.blake2b(msgspec.json.encode(told, order="sorted"), digest_size=8).hexdigest()
+
+
+class Store:
+    """A file of results; each is there whole or not at all."""
+
+    def __init__(self, path: Path) -> None:
+        self.path = path
+
+    def read(self) -> list[Result]:
+        """A last line that a break cut short is passed over."""
+        if not self.path.exists():
+            return []
+        found = []
+        for line in self.path.read_bytes().splitlines():
+            try:
+                found.append(msgspec.json.decode(line, type=Result))
+            except msgspec.DecodeError:
+                continue
+        return found
+
+    def add(self, result: Result) -> None:
+        self.path.parent.mkdir(parents=True, exist_ok=True)
+        cut = self.path.exists() and not self.path.read_bytes()[-1:] in (b"", b"\n")
+        with self.path.open("ab") as file:
+            file.write((b"\n" if cut else b"") + msgspec.json.encode(result) + b"\n")
+            file.flush()
+            os.fsync(file.fileno())
--- /dev/null
+++ b/pathsaddle/experiment/report.py
@@ -0,0 +1,127 @@
+"""One HTML page of a plan's results: tables, and plots that stand in the page itself."""
+
+from __future__ import annotations
+
+import base64
+import html
+import io
+import statistics
+from pathlib import Path
+from typing import Any
+
+from pathsaddle.experiment.compare import FIGURES, compare
+from pathsaddle.experiment.keep import Result
+
+STYLE = """body{font:15px/1.5 sans-serif;max-width:70em;margin:2em auto;padding:0 1em;color:#222}
+table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .7em;border-bottom:1px solid #ddd;text-align:right}
+td:first-child,th:first-child{text-align:left}img{max-width:100%}.bad{color:#b00020;font-weight:bold}"""
+
+
+def groups(results: list[Result]) -> dict[str, list[Result]]:
+    found: dict[str, list[Result]] = {}
+    for result in results:
+        if not result.fault:
+            found.setdefault(result.variant, []).append(result)
+    return found
+
+
+def spread(values: list[float], form: str = ".3f") -> str:
+    return f"{statistics.median(values):{form}} [{min(values):{form}} to {max(values):{form}}]"
+
+
+def table(head: list[str], rows: list[list[str]]) -> str:
+    lines = ["<table><tr>" + "".join(f"<th>{html.escape(cell)}</th>" for cell in head) + "</tr>"]
+    lines += ["<tr>" + "".join(f"<td>{cell}</td>" for cell in row) + "</tr>" for row in rows]
+    return "\n".join([*lines, "</table>"])
+
+
+def picture(figure: Any) -> str:
+    from matplotlib import pyplot
+    data = io.BytesIO()
+    figure.savefig(data, format="png", dpi=110, bbox_inches="tight")
+    pyplot.close(figure)
+    return f'<img alt="plot" src="data:image/png;base64,{base64.b64encode(data.getvalue()).decode()}">'
+
+
+def plots(found: dict[str, list[Result]]) -> list[str]:
+    import matplotlib
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+    made = []
+    figure, axes = pyplot.subplots(1, 2, figsize=(11, 3.6))
+    for axis, name in zip(axes, ("value", "p99 ms"), strict=True):
+        axis.boxplot([[FIGURES[name][0](r) for r in rs] for rs in found.values()], orientation="horizontal",
+                     tick_labels=list(found))
+        axis.set_title("value in SLA time over value asked for" if name == "value" else "p99 of the settled, ms")
+        axis.grid(alpha=0.3)
+    figure.tight_layout()
+    made.append(picture(figure))
+    figure, axis = pyplot.subplots(figsize=(11, 3.2))
+    for variant, results in found.items():
+        by_second: dict[int, list[float]] = {}
+        for result in results:
+            for second, part in result.verdict["seconds"]:
+                by_second.setdefault(second, []).append(part)
+        seconds = sorted(by_second)
+        axis.plot(seconds, [statistics.mean(by_second[s]) for s in seconds], label=variant, lw=1.2)
+    axis.set_xlabel("second of asking")
+    axis.set_title("value in SLA time by second, mean over seeds")
+    axis.grid(alpha=0.3)
+    axis.legend()
+    made.append(picture(figure))
+    return made
+
+
+def page(results: list[Result]) -> str:
+    """The whole page; raises ValueError where there is no result."""
+    found = groups(results)
+    if not found:
+        raise ValueError("no result of a run that came to its end")
+    first = next(iter(found.values()))[0]
+    commits = dict.fromkeys(r.commit for r in results)
+    parts = ["<!doctype html><meta charset=utf-8>", f"<title>{html.escape(first.plan)}</title>",
+             f"<style>{STYLE}</style>", f"<h1>{html.escape(first.plan)}</h1>",
+             (f"<p>Emulated, {html.escape(first.ground)} ground; {html.escape(first.machine)}; "
+              f"commits {html.escape(', '.join(commits))}. Figures: median [least to most] over seeds.</p>")]
+    rows = []
+    for variant, rs in found.items():
+        broken = sum(not r.kept for r in rs)
+        rows.append([html.escape(variant), str(len(rs)),
+                     *(spread([figure(r) for r in rs], ".0f" if "ms" in name else ".3f")
+                       for name, (figure, _) in FIGURES.items()),
+                     f'<span class="bad">{broken}</span>' if broken else "0"])
+    parts.append(table(["variant", "runs", *FIGURES, "runs with a broken rule"], rows))
+    parts += plots(found)
+    base = found.get("base")
+    if base and len(found) > 1:
+        parts.append("<h2>Against base, paired by seed</h2><p>Mean difference and its 95% bootstrap interval.</p>")
+        rows = []
+        for variant, rs in found.items():
+            if variant != "base":
+                rows.append([html.escape(variant)] + [
+                    f"{d.mean:+.3f} [{d.low:+.3f} to {d.high:+.3f}]" for d in compare(base, rs)])
+        parts.append(table(["variant", *FIGURES], rows))
+    parts.append("<h2>By scheme</h2>")
+    rows = []
+    for variant, rs in found.items():
+        for scheme in rs[0].verdict["schemes"]:
+            those = [r.verdict["schemes"][scheme] for r in rs if scheme in r.verdict["schemes"]]
+            rows.append([f"{html.escape(variant)}: {html.escape(scheme)}", str(sum(t["jobs"] for t in those)),
+                         spread([t["value"] / t["asked_value"] if t["asked_value"] else 1.0 for t in those]),
+                         spread([t["p50"] for t in those], ".0f"), spread([t["p99"] for t in those], ".0f")])
+    parts.append(table(["variant: scheme", "jobs", "value", "p50 ms", "p99 ms"], rows))
+    faulty = [r for r in results if not r.kept]
+    if faulty:
+        parts.append("<h2>Findings</h2><ul>")
+        for r in faulty[:50]:
+            told = r.fault.splitlines()[0] if r.fault else "; ".join(
+                f["rule"] + ": " + f["text"] for f in r.verdict["findings"][:3])
+            parts.append(f"<li>{html.escape(r.variant)}, seed {r.seed}: {html.escape(told)}</li>")
+        parts.append("</ul>")
+    return "\n".join(parts)
+
+
+def write(results: list[Result], path: Path) -> None:
+    text = page(results)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(text, encoding="utf-8")
