--- a/pathsaddle/charter/check.py
+++ b/pathsaddle/charter/check.py
@@ -159,7 +159,7 @@
     found: dict[str, str] = {}
     key = ""
     for line in inspect.cleandoc(kind.__doc__ or "").splitlines():
-        match = re.match(r"([a-z_]+): (.*)", line)
+        match = re.match(r"([a-z_0-9]+): (.*)", line)
         if match:
             key, found[match[1]] = match[1], match[2]
         elif line.startswith("  ") and key:
@@ -179,7 +179,7 @@
         if get_origin(plain) is list and is_form(get_args(plain)[0]):
             inner, name = get_args(plain)[0], name + "[]"
         if is_form(inner):
-            below += [(name, "a table each" if inner is not plain else "a table", "", told[field.name]),
+            below += [(name, "a table each" if inner is not plain else "a table", "", told[field.encode_name]),
                       *explain(inner, name)]
             continue
         if field.required:
@@ -188,5 +188,5 @@
             default = written(field.default_factory())
         else:
             default = "none" if field.default is None else written(field.default)
-        rows.append((name, may_stand(field.type), default, told[field.name]))
+        rows.append((name, may_stand(field.type), default, told[field.encode_name]))
     return rows + below
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
-from msgspec import Meta, field
+from msgspec import Meta, Struct, field
+from msgspec.structs import fields
 
 from pathsaddle.charter.check import Fault, Faulty, check, load
 from pathsaddle.charter.form import Charter, Form
@@ -201,6 +202,19 @@
     commit: str = ""
 
 
+class Throughput(Form):
+    """As many jobs as one dispatcher takes: real processes, jobs of no length, closed loop.
+
+    workers: with how many workers, one measurement each.
+    clients: connections that each ask again as soon as they have their answer.
+    times: measurements of each; all are told.
+    """
+
+    workers: list[Annotated[int, Meta(ge=1, le=2000)]] = field(default_factory=lambda: [12, 100, 1000])
+    clients: Annotated[int, Meta(ge=1, le=512)] = 32
+    times: Annotated[int, Meta(ge=1)] = 3
+
+
 class Plan(Form):
     """An experiment.
 
@@ -216,6 +230,7 @@
     variants: other ways of the same plan, each run with the same seeds.
     bounds: what it must show.
     found: seeds that once found something, kept and run first.
+    throughput: instead of the emulated fleet, as many jobs as one dispatcher takes.
     """
 
     name: str
@@ -230,6 +245,7 @@
     variants: list[Variant] = field(default_factory=list)
     bounds: Bounds = field(default_factory=Bounds)
     found: list[int] = field(default_factory=list)
+    throughput: Throughput | None = None
 
     def __post_init__(self) -> None:
         if isinstance(self.seeds, str):
@@ -324,3 +340,19 @@
             number = count[machines.kind] = count.get(machines.kind, -1) + 1
             names.append(f"{machines.kind}-{number}")
     return names
+
+
+def plain(plan: Plan) -> dict[str, Any]:
+    """The plan as a table, the way it stands in a file; durations in ticks become texts again."""
+    def text(value: Any) -> Any:
+        if isinstance(value, Struct):
+            rows = {field.encode_name: text(getattr(value, field.name))
+                    for field in fields(value)}
+            return {key: row for key, row in rows.items() if row is not None}
+        if isinstance(value, dict):
+            return {key: text(row) for key, row in value.items()}
+        if isinstance(value, list):
+            return [text(row) for row in value]
+        return f"{value * 100}us" if isinstance(value, Duration) else value
+    told: dict[str, Any] = text(plan)
+    return told
--- a/pathsaddle/experiment/keep.py
+++ b/pathsaddle/experiment/keep.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from pathsaddle.emulator.plan import Plan, Variant
+from pathsaddle.emulator.plan import Plan, Variant, plain
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -66,7 +66,7 @@
 
 def digest_of(plan: Plan, variant: Variant) -> str:
     """Seeds and bounds don't change a run, nor do the other variants."""
-    told = msgspec.to_builtins(plan)
+    told = plain(plan)
     for key in ("seeds", "found", "bounds", "variants", "about", "ground"):
         told.pop(key, None)
     told["variant"] = msgspec.to_builtins(variant)
--- a/pathsaddle/experiment/run.py
+++ b/pathsaddle/experiment/run.py
@@ -25,7 +25,7 @@
 
 from pathsaddle.emulator import stage
 from pathsaddle.emulator.judge import judge
-from pathsaddle.emulator.plan import Plan, Variant, charter_of, of, varied
+from pathsaddle.emulator.plan import Plan, Variant, charter_of, of, plain, varied
 from pathsaddle.experiment.baseline import instead
 from pathsaddle.experiment.keep import ROOT, Result, Store, commit_of, digest_of, machine
 
@@ -46,24 +46,6 @@
     root: str  # of the tree that it runs in
 
 
-def plain(plan: Plan) -> dict[str, Any]:
-    """The plan as a table, the way it stands in a file; durations in ticks become texts again."""
-    from pathsaddle.charter.units import Duration
-
-    def text(value: Any) -> Any:
-        if isinstance(value, msgspec.Struct):
-            rows = {field.encode_name: text(getattr(value, field.name))
-                    for field in msgspec.structs.fields(value)}
-            return {key: row for key, row in rows.items() if row is not None}
-        if isinstance(value, dict):
-            return {key: text(row) for key, row in value.items()}
-        if isinstance(value, list):
-            return [text(row) for row in value]
-        return f"{value * 100}us" if isinstance(value, Duration) else value
-    told: dict[str, Any] = text(plan)
-    return told
-
-
 def perform(task: Task) -> Result:
     """One run and its verdict, in this process; what goes wrong is told in the result."""
     begun = time.perf_counter()
--- /dev/null
+++ b/pathsaddle/experiment/throughput.py
@@ -0,0 +1,290 @@
+"""How many txns one dispatcher settles a second, and what a txn costs it: closed loop, real processes.
+
+The dispatcher has one core to itself. Clients and workers are as lean as they can be and run in processes of
+their own, so that they are not what is measured; if they are the bottleneck all the same, the CPU a txn tells.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import multiprocessing
+import os
+import re
+import signal
+import statistics
+import subprocess
+import sys
+import tempfile
+import time
+from multiprocessing.connection import Connection
+from pathlib import Path
+from typing import Any
+
+import click
+from hdrh.histogram import HdrHistogram
+
+from pathsaddle.charter.told import told
+from pathsaddle.emulator.plan import Plan, charter_of
+from pathsaddle.experiment.keep import ROOT, commit_of, machine
+
+PARTS = 2  # processes for the workers, and as many for the clients
+WARM = 1.0  # seconds before anything counts
+LENGTH = re.compile(rb"content-length: ([0-9]+)", re.IGNORECASE)
+TAG = re.compile(rb"Req-Id: ([^\r]+)")
+MOST = 60_000_000  # microseconds
+
+
+class _Worker(asyncio.Protocol):
+    """Says 202 and has the job done at once, on a connection of its own back to the dispatcher."""
+
+    def __init__(self, name: bytes, back: _Back) -> None:
+        self.name = name
+        self.back = back
+        self.buffer = b""
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        while (end := self.buffer.find(b"\r\n\r\n")) >= 0:
+            head = self.buffer[:end]
+            match = LENGTH.search(head)
+            whole = end + 4 + (int(match[1]) if match else 0)
+            if len(self.buffer) < whole:
+                return
+            self.buffer = self.buffer[whole:]
+            if not head.startswith(b"POST"):
+                self.transport.write(b"HTTP/1.1 200 OK\r\nContent-Length: 18\r\n\r\n" b'{"x0":8,"queue":0}')
+                continue
+            tag = TAG.search(head)
+            assert tag is not None
+            self.transport.write(b"HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+            self.back.tell(b'{"id":"%s","from":"%s","state":"done","result":"ok","load":{"x0":8,"queue":0,'
+                           b'"inflight":0}}' % (tag[1], self.name))
+
+
+class _Back(asyncio.Protocol):
+    """One kept connection for callbacks: one call at a time, the others wait their turn."""
+
+    def __init__(self) -> None:
+        self.waiting: list[bytes] = []
+        self.out = False
+        self.transport: Any = None
+        self.buffer = b""
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self._next()
+
+    def tell(self, body: bytes) -> None:
+        self.waiting.append(body)
+        self._next()
+
+    def _next(self) -> None:
+        if self.waiting and not self.out and self.transport is not None:
+            self.out = True
+            body = self.waiting.pop(0)
+            self.transport.write(b"POST /callback HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s" % (
+                len(body), body))
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        if b"\r\n\r\n" in self.buffer:
+            self.buffer = b""
+            self.out = False
+            self._next()
+
+
+def _workers(part: int, count: int, listen: str, pipe: Connection) -> None:
+    """One process's share of the workers; says their addresses."""
+    import uvloop
+
+    async def run() -> None:
+        loop = asyncio.get_running_loop()
+        host, _, port = listen.rpartition(":")
+        rows, backs = [], []
+        for i in range(count):
+            name = f"w{part}-{i}"
+            back = _Back()
+            backs.append(back)
+            server = await loop.create_server(lambda n=name, b=back: _Worker(n.encode(), b),  # type: ignore[misc]
+                                              "127.0.0.1", 0, backlog=64)
+            rows.append((name, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"))
+        pipe.send(rows)
+        await loop.run_in_executor(None, pipe.recv)  # the dispatcher listens
+        for back in backs[:64]:
+            await loop.create_connection(lambda b=back: b, host, int(port))  # type: ignore[misc]
+        for i, back in enumerate(backs[64:]):  # the dispatcher's descriptors are for more than callbacks
+            back.tell = backs[i % 64].tell  # type: ignore[method-assign]
+        await loop.run_in_executor(None, pipe.recv)
+
+    uvloop.run(run())
+
+
+class _Client(asyncio.Protocol):
+    def __init__(self, name: str, scheme: str, owner: str, times: list[float]) -> None:
+        self.name, self.number, self.times = name, 0, times
+        self.head = (f"POST /{scheme} HTTP/1.1\r\nHost: d\r\nReq-Kind: {scheme}\r\n"
+                     + (f"Req-Owner: {owner}\r\n" if owner else "")
+                     + "Req-Deadline-Ms: 5000\r\nReq-Cost: 1000\r\nContent-Length: 2\r\nReq-Id: ").encode()
+        self.buffer = b""
+        self.failed = 0
+
+    def connection_made(self, transport: Any) -> None:
+        self.transport = transport
+        self._ask()
+
+    def _ask(self) -> None:
+        self.number += 1
+        self.begun = time.perf_counter()
+        self.transport.write(self.head + f"{self.name}-{self.number}\r\n\r\n{{}}".encode())
+
+    def data_received(self, data: bytes) -> None:
+        self.buffer += data
+        end = self.buffer.find(b"\r\n\r\n")
+        match = LENGTH.search(self.buffer[:end]) if end >= 0 else None
+        if match and len(self.buffer) >= end + 4 + int(match[1]):
+            if self.buffer.startswith(b"HTTP/1.1 200"):
+                self.times.append(time.perf_counter() - self.begun)
+            else:
+                self.failed += 1
+            self.buffer = b""
+            self._ask()
+
+
+def _clients(part: int, count: int, listen: str, scheme: str, owner: str, seconds: float,
+             pipe: Connection) -> None:
+    import uvloop
+
+    async def run() -> tuple[list[float], int, float]:
+        host, _, port = listen.rpartition(":")
+        times: list[float] = []
+        made = [_Client(f"c{part}-{i}", scheme, owner, times) for i in range(count)]
+        for client in made:
+            await asyncio.get_running_loop().create_connection(lambda c=client: c, host, int(port))  # type: ignore[misc]
+        await asyncio.sleep(WARM)
+        pipe.send("warm")
+        times.clear()
+        before = sum(client.failed for client in made)
+        begun = time.perf_counter()
+        await asyncio.sleep(seconds)
+        took = time.perf_counter() - begun
+        return list(times), sum(client.failed for client in made) - before, took
+
+    pipe.send(uvloop.run(run()))
+
+
+def _cpu(pid: int) -> float:
+    """Seconds of CPU that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _memory_mb(pid: int) -> float:
+    resident, shared = Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1:3]
+    return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+def measure(plan: Plan, workers: int, clients: int, seconds: float) -> dict[str, float]:
+    """One measurement; raises RuntimeError where the dispatcher is never ready."""
+    import socket
+    charter = charter_of(plan)
+    with socket.socket() as one:
+        one.bind(("127.0.0.1", 0))
+        listen = f"127.0.0.1:{one.getsockname()[1]}"
+    context = multiprocessing.get_context("spawn")
+    peers: list[tuple[Any, Connection]] = []
+    rows: list[tuple[str, str]] = []
+    process = None
+    try:
+        for part in range(PARTS):
+            here, there = context.Pipe()
+            count = workers // PARTS + (part < workers % PARTS)
+            peer = context.Process(target=_workers, args=(part, count, listen, there), daemon=True)
+            peer.start()
+            peers.append((peer, here))
+        for _, pipe in peers:
+            rows += pipe.recv()
+        mine = charter_of(plan, listen=listen, discovery="127.0.0.1:9", limits={"sockets": 8192})
+        known = {"index": 1, "snapshot": True, "endpoints": [
+            {"name": name, "address": address, "zone": charter.zones[0], "type": "m", "group": 0,
+             "status": "active", "weight": 1.0, "since_ms": 0} for name, address in rows]}
+        with tempfile.TemporaryDirectory() as folder:
+            config = Path(folder) / "d.json"
+            config.write_text(json.dumps(told(mine, known)), encoding="utf-8")
+            process = subprocess.Popen([sys.executable, "-m", "pathsaddle"], cwd=ROOT, stderr=subprocess.DEVNULL,
+                                       env={**os.environ, "GW_CONFIG": str(config)})
+            _ready(listen)
+        for _, pipe in peers:
+            pipe.send("go")
+        asking: list[tuple[Any, Connection]] = []
+        for part in range(PARTS):
+            here, there = context.Pipe()
+            count = clients // PARTS + (part < clients % PARTS)
+            peer = context.Process(target=_clients, args=(
+                part, count, listen, charter.schemes[0].name,
+                charter.customers[0].name if charter.customers else "", seconds, there), daemon=True)
+            peer.start()
+            asking.append((peer, here))
+        for _, pipe in asking:
+            pipe.recv()
+        before, begun = _cpu(process.pid), time.perf_counter()
+        told_all = [pipe.recv() for _, pipe in asking]
+        used, span = _cpu(process.pid) - before, time.perf_counter() - begun
+        memory = _memory_mb(process.pid)
+        peers += asking
+    finally:
+        if process is not None:
+            process.send_signal(signal.SIGKILL)
+            process.wait()
+        for peer, _ in peers:
+            peer.terminate()
+            peer.join()
+    histogram = HdrHistogram(1, MOST, 3)
+    count = sum(len(times) for times, _, _ in told_all)
+    for times, _, _ in told_all:
+        for one_time in times:
+            histogram.record_value(max(1, int(one_time * 1e6)))
+    return {"workers": workers, "clients": clients, "settled": count, "failed": sum(f for _, f, _ in told_all),
+            "rate": count / seconds, "cpu_us": used / span * 1e6 / max(1e-9, count / seconds),
+            "core": used / span, "p50_ms": histogram.get_value_at_percentile(50) / 1e3,
+            "p99_ms": histogram.get_value_at_percentile(99) / 1e3, "memory_mb": memory}
+
+
+def _ready(listen: str) -> None:
+    import urllib.error
+    import urllib.request
+    for _ in range(200):
+        try:
+            with urllib.request.urlopen(f"http://{listen}/ready", timeout=1.0) as answer:
+                if answer.status == 200:
+                    return
+        except (OSError, urllib.error.URLError):
+            time.sleep(0.05)
+    raise RuntimeError("the dispatcher is never ready")
+
+
+def run(plan: Plan, path: Path) -> int:
+    """All measurements of a plan, shown and kept; 1 where nothing was settled in one."""
+    assert plan.throughput is not None
+    rows = []
+    click.echo(f"{plan.name}: {machine()}, commit {commit_of()}; one dispatcher on a core of its own, loopback, "
+               f"{plan.throughput.clients} clients, {plan.seconds:g} s each")
+    click.echo("workers   txns/s  CPU us/txn   core   p50 ms   p99 ms  memory MB  failed")
+    for workers in plan.throughput.workers:
+        found = []
+        for _ in range(plan.throughput.times):
+            row = measure(plan, workers, plan.throughput.clients, plan.seconds)
+            found.append(row)
+            rows.append(row)
+            click.echo(f"{workers:7} {row['rate']:8.0f} {row['cpu_us']:11.1f} {row['core']:6.2f} "
+                       f"{row['p50_ms']:8.2f} {row['p99_ms']:8.2f} {row['memory_mb']:10.1f} {row['failed']:7.0f}")
+        click.echo(f"{workers:7} {statistics.median(r['rate'] for r in found):8.0f} "
+                   f"{statistics.median(r['cpu_us'] for r in found):11.1f}  median")
+    path.parent.mkdir(parents=True, exist_ok=True)
+    with path.open("a", encoding="utf-8") as file:
+        for row in rows:
+            file.write(json.dumps({"plan": plan.name, "commit": commit_of(), "machine": machine(), **row}) + "\n")
+    return 0 if all(row["settled"] for row in rows) else 1
--- /dev/null
+++ b/tests/test_charter.py
@@ -0,0 +1,150 @@
+"""Stories of the operator's file: every fault told at once, one road with the platform's, what a reload changes."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any, ClassVar
+from unittest import mock
+
+from pathsaddle.charter.check import Faulty, explain
+from pathsaddle.charter.form import Charter
+from pathsaddle.charter.ground import CharterGround
+from pathsaddle.charter.told import read, told
+from pathsaddle.charter.units import duration, size, written
+from pathsaddle.cli.show import explained
+from pathsaddle.emulator import plan
+from pathsaddle.net.service import logbook
+from pathsaddle.net.wire.birth import birth
+from pathsaddle.trade import Semantics
+
+ROOT = Path(__file__).parent.parent
+GOOD = """
+listen = "127.0.0.1:8080"
+discovery = "127.0.0.1:9090"
+[[schemes]]
+name = "charge"
+semantics = "once-only"
+sla = "400ms"
+expiry = "8s"
+"""
+
+
+class CharterStory(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "charter.toml"
+
+    def faults(self, text: str) -> list[str]:
+        self.path.write_text(text)
+        with self.assertRaises(Faulty) as caught:
+            read(self.path)
+        return [f"{fault.path}: {fault.text}" for fault in caught.exception.faults]
+
+    def test_all_faults_are_told_at_once_with_the_nearest_key(self) -> None:
+        found = self.faults(GOOD.replace('"400ms"', '"400"') + 'vlaue = 3\n[limits]\nsockets = 3\nmemory = 7\n')
+        self.assertEqual(len(found), 4)
+        self.assertIn("schemes[0].vlaue: no such key; the nearest known key is value", found)
+        self.assertIn('schemes[0].sla: "400" stands there; a duration such as "250ms" may', found)
+        self.assertIn("limits.sockets: 3 stands there; a whole number at least 64 may", found)
+        self.assertIn('limits.memory: 7 stands there; a size such as "64MiB" may', found)
+
+    def test_what_is_missing_or_no_toml_or_not_there(self) -> None:
+        self.assertIn("discovery: is missing; a text may stand there", self.faults('listen = "a:1"\n'))
+        self.assertIn("is not TOML", self.faults("listen = ")[0])
+        self.path.unlink()
+        with self.assertRaises(Faulty):
+            read(self.path)
+
+    def test_what_contradicts_itself(self) -> None:
+        self.assertIn("a referenced scheme needs a window", self.faults(
+            GOOD.replace("once-only", "referenced"))[0])
+        self.assertIn("less than dispatchers", self.faults("number = 1\n" + GOOD)[0])
+        self.assertIn("host:port may", self.faults(GOOD.replace("127.0.0.1:8080", "here"))[0])
+        self.assertIn("stands there twice", self.faults(GOOD + GOOD[GOOD.index("[[") :])[0])
+
+    def test_units(self) -> None:
+        for text, ticks in (("250ms", 2500), ("1.5s", 15_000), ("2min", 1_200_000), ("1h", 36_000_000)):
+            self.assertEqual(duration(text), ticks)
+            self.assertEqual(duration(json.loads(written(duration(text)))), ticks)
+        self.assertEqual(size("64MiB"), 64 << 20)
+        for bad in ("5", "s", "-5s", "1e3s", "5 parsecs", 5, None, "٣s"):
+            with self.assertRaises(ValueError):
+                duration(bad)
+
+    def test_both_roads_lead_to_the_same_birth(self) -> None:
+        self.path.write_text(GOOD)
+        one = birth(json.dumps(told(read(self.path))))
+        settings = {"Azs": ["here"], "Discovery": "subscribe", "Period": 2_000_000, "Schemes": [
+            {"Name": "charge", "Semantics": "unsafe", "SlaTime": 400_000_000, "Expiry": 8_000_000_000,
+             "Value": 1.0}]}
+        other = birth(json.dumps({"listen": "127.0.0.1:8080", "discovery": "127.0.0.1:9090", "settings": settings}))
+        self.assertEqual((one.listen, one.discovery), (other.listen, other.discovery))
+        a, b = one.terms.schemes[0], other.terms.schemes[0]
+        self.assertEqual((a.semantics, a.sla_time, a.expiry), (Semantics.ONCE_ONLY, 4000, 80_000))
+        self.assertEqual((a.semantics, a.sla_time, a.expiry), (b.semantics, b.sla_time, b.expiry))
+        self.assertTrue(one.terms.must_ask and other.terms.must_ask)
+
+    def test_reread_takes_over_what_may_change_and_names_what_stays(self) -> None:
+        self.path.write_text(GOOD)
+        ground = CharterGround(self.path)
+        with mock.patch.object(logbook, "stays") as stays, mock.patch.object(logbook, "open_log") as opened:
+            self.path.write_text('[log]\nlevel = "WARNING"\n[limits]\nsockets = 128\n')
+            with self.assertRaises(ValueError):
+                ground.moved()
+            self.assertEqual(ground.charter.discovery, "127.0.0.1:9090", "a broken file changes nothing")
+            self.path.write_text(GOOD.replace("9090", "9091").replace("8080", "8081").replace("400ms", "401ms")
+                                 + '[log]\nlevel = "WARNING"\n')
+            self.assertEqual(ground.moved(), "127.0.0.1:9091")
+            self.assertEqual([call.kwargs["key"] for call in stays.call_args_list], ["listen", "schemes"])
+            opened.assert_called_once_with("WARNING", "text")
+        self.assertIn('"127.0.0.1:8080"', ground.told())
+
+    def test_the_pages_are_what_explain_prints(self) -> None:
+        for form, page in ((Charter, "charter.md"), (plan.Plan, "plan.md")):
+            self.assertIn(explained(explain(form)), (ROOT / "docs" / page).read_text(), f"docs/{page} is old")
+
+    def test_the_example_is_good(self) -> None:
+        read(ROOT / "deploy/charter.example.toml")
+
+    def test_the_catalogue_of_log_lines_and_the_page_for_those_on_call_agree(self) -> None:
+        page = (ROOT / "docs/on-call.md").read_text().partition("## The log")[2].partition("###")[0]
+        rows = {line.split("|")[1].strip().strip("`"): line.split("|")[2].strip()
+                for line in page.splitlines() if line.startswith("| `")}
+        self.assertEqual(sorted(rows), sorted(logbook.CATALOGUE))
+        for name, line in logbook.CATALOGUE.items():
+            stem = line.text.partition("{")[0].strip()
+            self.assertIn(stem, rows[name], name)
+            if line.level != "INFO":
+                self.assertIn(line.level.lower(), rows[name], name)
+
+
+class PlanStory(unittest.TestCase):
+    GOOD: ClassVar[dict[str, Any]] = {"name": "p", "seconds": 1, "charter": {"schemes": [
+        {"name": "a", "semantics": "repeatable", "expiry": "5s"}]}}
+
+    def faults(self, **more: object) -> str:
+        with self.assertRaises(Faulty) as caught:
+            plan.of({**self.GOOD, **more}, "p.toml")
+        return "\n".join(map(str, caught.exception.faults))
+
+    def test_bad_plans_end_before_anything_starts(self) -> None:
+        self.assertIn('faults[0].at: "-3s" stands there; a duration', self.faults(
+            faults=[{"kind": "freeze", "at": "-3s"}]))
+        self.assertIn("no worker is called so", self.faults(
+            faults=[{"kind": "freeze", "at": "1s", "of": "nobody"}]))
+        self.assertIn("one of freeze, crash", self.faults(faults=[{"kind": "frees", "at": "1s"}]))
+        self.assertIn("either at or rate", self.faults(faults=[{"kind": "freeze"}]))
+        self.assertIn("load.jobs.b: no such scheme", self.faults(load={"jobs": {"b": {}}}))
+        self.assertIn("variants[0]: reach.conect: no such key; the nearest known key is connect", self.faults(
+            variants=[{"name": "v", "charter": {"reach": {"conect": "1s"}}}]))
+        self.assertIn("seeds", self.faults(seeds="9..3"))
+
+    def test_plans_that_are_here_are_good(self) -> None:
+        for path in (ROOT / "experiments").glob("*.toml"):
+            plan.read(path)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -123,6 +123,36 @@
         host.passes(SECOND)
         self.assertEqual(host.posted, [])
 
+    def test_a_worker_that_may_have_risen_while_the_list_is_lost_is_cold(self) -> None:
+        """Virtual seeds 48, 213 and 245: it had died and come back, and the list said nothing of it."""
+        def whole_job(lost: bool, broke: bool) -> bool:
+            host = FakeHost(workers=1, must_ask=True, dispatchers=4)
+            host.passes(3 * SECOND)
+            host.ask("first", hint=SECOND // 10)
+            host.end(host.posted[0], report=idle())
+            if lost:
+                host.list(ListNews.FAILED)
+            if broke:
+                host.loop.broke(host.workers[0])
+            host.ask("big", hint=4 * SECOND, lasts=60 * SECOND)
+            host.passes(SECOND)
+            return len(host.posted) > 1
+        self.assertTrue(whole_job(lost=True, broke=False))
+        self.assertTrue(whole_job(lost=False, broke=True))
+        self.assertFalse(whole_job(lost=True, broke=True))
+
+    def test_it_is_cold_no_longer_than_one_that_is_listed_as_new(self) -> None:
+        host = FakeHost(workers=1, must_ask=True, dispatchers=4)
+        host.passes(3 * SECOND)
+        host.list(ListNews.FAILED)
+        host.loop.broke(host.workers[0])
+        host.ask("small", hint=SECOND // 10)
+        host.end(host.posted[0], report=idle())
+        host.passes(10 * SECOND)
+        host.ask("big", hint=4 * SECOND, lasts=60 * SECOND)
+        host.passes(SECOND)
+        self.assertEqual(len(host.posted), 2)
+
 
 if __name__ == "__main__":
     unittest.main()
