--- a/pathsaddle/charter/check.py
+++ b/pathsaddle/charter/check.py
@@ -7,6 +7,7 @@
 
 import difflib
 import inspect
+import json
 import re
 import tomllib
 import typing
@@ -45,11 +46,17 @@
 def load(path: str | Path) -> dict[str, Any]:
     """The file's table; raises Faulty where it can't be read or is no TOML."""
     try:
-        return tomllib.loads(Path(path).read_text(encoding="utf-8"))
+        text = Path(path).read_text(encoding="utf-8")
+        if str(path).endswith(".json"):  # the same table, as programs write it
+            told = json.loads(text)
+            return told if isinstance(told, dict) else {"": told}
+        return tomllib.loads(text)
     except (OSError, UnicodeDecodeError) as fault:
         raise Faulty([Fault(str(path), "-", f"can't be read: {fault}")]) from None
     except tomllib.TOMLDecodeError as fault:
         raise Faulty([Fault(str(path), "-", f"is not TOML: {fault}")]) from None
+    except json.JSONDecodeError as fault:
+        raise Faulty([Fault(str(path), "-", f"is not JSON: {fault}")]) from None
 
 
 def check(kind: type[T], told: Any, file: str) -> T:
--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -168,6 +168,25 @@
     idle: Duration = Duration(60 * S)
 
 
+class Jobs(Form):
+    """Durable jobs: taken on by a store on disk, recovered after a crash.
+
+    path: the store's file, on a disk that lasts; one process alone may have it.
+    lease: how long a worker may be without a sign of life before it is asked what became of a job.
+    retention: how long a job's final answer stays to be asked for.
+    longest_poll: how long a client may have a poll wait for a change.
+    recover_within: how long after a start the list of workers is waited for before leases are matched.
+    margin: by so much earlier than its expiry a job is decided, for its answer to be on disk in time.
+    """
+
+    path: str
+    lease: Duration = Duration(20 * S)
+    retention: Duration = Duration(3600 * S)
+    longest_poll: Duration = Duration(30 * S)
+    recover_within: Duration = Duration(3 * S)
+    margin: Duration = Duration(50 * MS)
+
+
 class Log(Form):
     """What is logged, to standard error.
 
@@ -201,6 +220,7 @@
     prices: what things cost.
     reach: connections to workers.
     log: what is logged.
+    jobs: durable jobs; off where the table is missing.
     """
 
     listen: str
@@ -222,6 +242,7 @@
     prices: Prices = field(default_factory=Prices)
     reach: Reach = field(default_factory=Reach)
     log: Log = field(default_factory=Log)
+    jobs: Jobs | None = None
 
     def __post_init__(self) -> None:
         from pathsaddle.net.wire.terms import peer_of
@@ -241,6 +262,8 @@
             for name in dict.fromkeys(names):
                 if names.count(name) > 1:
                     raise ValueError(f'{key}: "{name}" stands there twice')
+        if self.jobs is not None and any(scheme.name == "jobs" for scheme in self.schemes):
+            raise ValueError('schemes: "jobs" is the path of durable jobs')
         if self.zone is not None and self.zone not in self.zones:
             raise ValueError(f'zone: "{self.zone}" stands there; one of zones may: {", ".join(self.zones)}')
         for scheme in self.schemes:
@@ -265,4 +288,4 @@
         return rows
 
     old, new = flat(before, ""), flat(after, "")
-    return [path for path, value in new.items() if old[path] != value]
+    return [path for path in dict.fromkeys([*new, *old]) if old.get(path) != new.get(path)]
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -4,11 +4,14 @@
 
 import json
 from pathlib import Path
+from random import Random
+from typing import Any
 
 from pathsaddle.charter.check import Faulty
 from pathsaddle.charter.form import IN_SERVICE, changes
 from pathsaddle.charter.told import read, told
 from pathsaddle.net.service import logbook
+from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
 
 
@@ -22,6 +25,16 @@
     def told(self) -> str:
         return json.dumps(told(self.charter))
 
+    def desk(self, *told: Any) -> Desk:
+        if self.charter.jobs is None:
+            return super().desk(*told)
+        from pathsaddle.jobs.desk import DurableDesk, Ways
+        from pathsaddle.jobs.store import Store, ThreadWriter
+        jobs = self.charter.jobs
+        return DurableDesk(*told, store=Store(Path(jobs.path), ThreadWriter()), ways=Ways(
+            jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin),
+            chance=Random(self.charter.seed))
+
     def open_log(self) -> None:
         logbook.open_log(self.charter.log.level, self.form or self.charter.log.form)
 
--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -227,6 +227,8 @@
     def serve(self, txn: Txn) -> Generator[Order, Any, None]:
         self.open += 1
         self.appraise(txn)
+        for posting in txn.postings:
+            yield from self.watch(txn, posting)
         # Full to the last txn we would have no connection left for the word that ends one of them.
         while self.open <= self.most_open:
             until = self.worth_posting_until(txn)
@@ -249,13 +251,7 @@
                 break
             posting = yield Post(news, txn.expires - self.now)
             self.sent(posting)
-            while posting.out and self.now < self.last(txn):
-                yield Wait(min(self.last(txn), self.look_again_at(posting)))
-                if posting.out and self.now < self.last(txn) and self.elsewhere(txn, posting):
-                    if self.two_at_once and not (self.may_cancel and self.now >= self.take_due(posting)):
-                        break
-                    if not posting.cancelled:
-                        yield Cancel(posting)
+            yield from self.watch(txn, posting)
         while any(p.out for p in txn.postings) and self.now < self.last(txn):
             yield Wait(self.last(txn))
         if self.may_decline(txn) and not self.unusable(txn):
@@ -264,6 +260,23 @@
         else:
             yield Reverse()
 
+    def watch(self, txn: Txn, posting: Posting) -> Generator[Order, Any, None]:
+        """Until it has ended, or another is to be looked for."""
+        while posting.out and self.now < self.last(txn):
+            yield Wait(min(self.last(txn), self.look_again_at(posting)))
+            if posting.out and self.now < self.last(txn) and self.elsewhere(txn, posting):
+                if self.two_at_once and not (self.may_cancel and self.now >= self.take_due(posting)):
+                    break
+                if not posting.cancelled:
+                    yield Cancel(posting)
+
+    def adopt(self, txn: Txn) -> None:
+        """What was posted for it before our own restart weighs on its workers like what we send now."""
+        txn.kind, txn.work = self.type_of(txn), self.work_of(txn)
+        for posting in txn.postings:
+            if posting.out:
+                self.sent(posting)
+
     def last(self, txn: Txn) -> int:
         """The last moment for its final answer; a dispatcher that is to end brings the expiry forward."""
         return txn.expires - self.tick
--- a/pathsaddle/cli/show.py
+++ b/pathsaddle/cli/show.py
@@ -14,7 +14,9 @@
     "lost": "1 each txn taken has an answer", "late": "1 before its expiry", "twice": "1 one answer alone",
     "after": "1 nothing is sent after it", "repeat": "2 no effect twice", "decline": "2 declined only if harmless",
     "together": "2 never two at once where forbidden", "drain": "3 drains are kept",
-    "cold": "4 no cold worker pushed over", "false": "- no answer that no worker gave",
+    "cold": "4 no cold worker pushed over", "forgotten": "5 no job taken on is forgotten",
+    "changed": "5 one end and one id a job", "ran-twice": "5 no once-only job runs twice",
+    "lease": "5 leases only grow", "false": "- no answer that no worker gave",
     "bad": "- bad clients are sent away in time", "fault": "- no fault of the program"}
 
 
--- a/pathsaddle/emulator/clients.py
+++ b/pathsaddle/emulator/clients.py
@@ -124,6 +124,7 @@
         self.places = {zone: stage.place(f"clients in {zone}", zone) for zone in world.charter.zones}
         self.kept: dict[tuple[str, int], list[tuple[Wire, Hearing]]] = {}
         self.number = 0
+        self.durably = world.chance("durable")
         self.heavy: dict[str, float] = {}  # schemes whose jobs cost so many times the usual for a while
         self.surge: dict[str, float] = {}  # customers that send so many times the usual
         self.zones = [stage.zone_of(d) for d in range(world.plan.fleet.dispatchers)]
@@ -196,7 +197,8 @@
     def go(self, wish: Wish) -> None:
         self.open += 1
         self.idle.clear()
-        task = self.places[wish.zone].start(self._live(wish))
+        durable = self.load.durable and self.durably.random() < self.load.durable
+        task = self.places[wish.zone].start(self._hand_in(wish) if durable else self._live(wish))
         task.add_done_callback(self._lived)
 
     def _lived(self, _: object) -> None:
@@ -321,6 +323,106 @@
             wire.close()
         return how, come_back
 
+    # Jobs that are handed in under a key and asked for.
+
+    async def _hand_in(self, wish: Wish) -> None:
+        """Submitted until it is taken on, asked for until it has ended, and once more later: always at the same
+        dispatcher, whose store it is in."""
+        chance = self.world.chance(f"client {wish.number}")
+        scheme = wish.scheme
+        wish.first = self.world.now()
+        dispatcher = None
+        while dispatcher is None:
+            dispatcher = self.front.pick(wish.zone)
+            if dispatcher is None:
+                await asyncio.sleep(0.2)
+        sla = scheme.sla if scheme.sla is not None else scheme.expiry
+        self.world.add("wanted", job=wish.number, scheme=scheme.name, work=wish.work, slots=wish.kind.slots,
+                       customer=wish.customer.name if wish.customer is not None else "",
+                       due=wish.first + sla + int(scheme.stretch * wish.work), zone=wish.zone)
+        headers = {"Idempotency-Key": f"k{wish.number}", "Req-Deadline-Ms": str(scheme.expiry // 10)}
+        if wish.customer is not None:
+            headers["Req-Owner"] = wish.customer.name
+        if wish.hint is not None:
+            headers["Req-Cost"] = str(wish.hint * 100)
+        body = msgspec.json.encode({"work": wish.work, "slots": wish.kind.slots, "memory": wish.kind.memory,
+                                    "pad": "x" * wish.kind.body})
+        give_up = wish.first + 3 * scheme.expiry + 20 * TICKS
+        tag = ""
+        while not tag and self.world.now() < give_up:
+            told = await self._ask_for(wish.zone, dispatcher, speech.call("POST", f"/jobs/{scheme.name}", headers,
+                                                                          body))
+            if told is not None and told.status == 202:
+                tag = str(msgspec.json.decode(told.body)["id"])
+                self.world.add("taken_on", id=tag, job=wish.number, dispatcher=dispatcher, scheme=scheme.name,
+                               expires=self.world.now() + scheme.expiry)
+            else:
+                if told is not None:
+                    self.world.add("not_taken", job=wish.number, dispatcher=dispatcher, status=told.status,
+                                   come_back=told.headers.get("retry-after", ""))
+                    if self.world.now() > wish.first + scheme.expiry:
+                        return
+                await asyncio.sleep(0.2 + 0.2 * chance.random())
+        if not tag:
+            return
+        if self.load.cancels and chance.random() < self.load.cancels:
+            self.places[wish.zone].start(self._cancel(wish, dispatcher, tag, headers, chance.random()))
+        since, ended = 0, False
+        while self.world.now() < give_up:
+            told = await self._ask_for(wish.zone, dispatcher, speech.call(
+                "GET", f"/jobs/{tag}?wait_ms=5000&since={since}", headers), 8.0)
+            if told is None or told.status == 503:
+                await asyncio.sleep(0.3)
+                continue
+            if told.status != 200:
+                self.world.add("forgotten", id=tag, status=told.status)
+                return
+            shown = msgspec.json.decode(told.body)
+            since = shown["changes"]
+            if shown["state"] in ("settled", "declined", "reversed", "cancelled"):
+                whole = shown["state"] != "settled" or shown.get("result") == f"done {tag}"
+                self.world.add("seen", id=tag, state=shown["state"] if whole else "garbled",
+                               ran=shown["may_have_run"])
+                if ended:
+                    return
+                ended = True
+                again = await self._ask_for(wish.zone, dispatcher, speech.call(
+                    "POST", f"/jobs/{scheme.name}", headers, body))
+                if again is not None and again.status == 202:
+                    self.world.add("taken_on", id=str(msgspec.json.decode(again.body)["id"]), job=wish.number,
+                                   dispatcher=dispatcher, scheme=scheme.name, expires=self.world.now())
+                await asyncio.sleep(4.0 * chance.random())
+
+    async def _cancel(self, wish: Wish, dispatcher: int, tag: str, headers: dict[str, str], when: float) -> None:
+        await asyncio.sleep(when * 2.0 * wish.work / TICKS)
+        told = await self._ask_for(wish.zone, dispatcher, speech.call("DELETE", f"/jobs/{tag}", headers))
+        if told is not None:
+            self.world.add("cancel_told", id=tag, status=told.status)
+
+    async def _ask_for(self, zone: str, dispatcher: int, call: bytes, within: float = 3.0) -> Said | None:
+        """One call and its answer; none: it was lost, or never came up."""
+        wire = None
+        try:
+            async with asyncio.timeout(within):
+                wire, hearing, _ = await self._connection(zone, dispatcher)
+                await wire.send(call)
+                said: list[Said] = []
+                while not said:
+                    at, data = await wire.recv()
+                    if not data:
+                        wire.close()
+                        return None
+                    said = hearing.feed(data, at)
+                if said[0].keep and wire.gone_at is None:
+                    self.kept[zone, dispatcher].append((wire, hearing))
+                else:
+                    wire.close()
+                return said[0]
+        except (OSError, TimeoutError, httptools.HttpParserError):
+            if wire is not None:
+                wire.close()
+            return None
+
     # Bad clients.
 
     async def misbehave(self, until: float) -> None:
--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults.py
@@ -191,6 +191,22 @@
         await self._lasts(trouble)
         await self.stage.start(number, again=True)
 
+    async def _disk_ill(self, trouble: Trouble, name: str) -> None:
+        """Every commit fails, as on a disk that is full. On the virtual ground alone."""
+        disk = self.stage.disks.get(int(name[1:]))
+        if disk is not None:
+            disk.ill = OSError(28, "no space left")
+            await self._lasts(trouble)
+            disk.ill = None
+
+    async def _disk_slow(self, trouble: Trouble, name: str) -> None:
+        """One sync takes `strength` seconds more. On the virtual ground alone."""
+        disk = self.stage.disks.get(int(name[1:]))
+        if disk is not None:
+            disk.slow = trouble.strength
+            await self._lasts(trouble)
+            disk.slow = 0.0
+
     async def _hup(self, trouble: Trouble, name: str) -> None:
         self.stage.signal(int(name[1:]), signal.SIGHUP)
 
--- a/pathsaddle/emulator/judge.py
+++ b/pathsaddle/emulator/judge.py
@@ -16,6 +16,10 @@
    it drains or is gone.
 4. cold: no worker that has just started is sent more than it can bear, nor falls over.
 
+5. Of jobs taken on durably (`202`): forgotten: none is unknown later, or without its end; changed: one end alone
+   is ever seen, and one job under one key; ran-twice: by the workers' run logs no once-only job ran twice;
+   lease: its leases' numbers only grow. Rules 2, 3 and 4 hold for them as for calls.
+
 And `false`: an answer that no worker gave. `bad`: a bad client that was neither answered nor closed in time.
 """
 
@@ -25,6 +29,7 @@
 from collections import Counter
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from itertools import pairwise
 from typing import Any
 
 import msgspec
@@ -38,8 +43,8 @@
 TOLD_WITHIN = 6 * SECOND  # what the roster has to tell counts as told by then, whether or not it arrived
 BAD_WITHIN = 12 * SECOND  # of a bad client, from its connect
 MOST = 3_600_000  # longest latency kept, ticks
-RULES = ("lost", "late", "twice", "after", "repeat", "decline", "together", "drain", "cold", "false", "bad",
-         "fault")
+RULES = ("lost", "late", "twice", "after", "repeat", "decline", "together", "drain", "cold", "forgotten", "changed",
+         "ran-twice", "lease", "false", "bad", "fault")
 
 
 @dataclass(slots=True)
@@ -62,6 +67,7 @@
     zone: str
     cell: int
     work: float
+    lease: int = 0
     never: int = FAR  # when it was known that it never ran
     over: int = FAR  # when it ended or was given up
 
@@ -167,6 +173,10 @@
         self.findings: list[Finding] = []
         self.faults: Counter[str] = Counter()
         self.turned_away = 0
+        self.durable: dict[str, Try] = {}
+        self.by_job: dict[int, str] = {}
+        self.runs: dict[str, list[tuple[int, str]]] = {}
+        self.end = 0
 
     def read(self, events: Iterable[Event]) -> None:
         for event in sorted(events, key=lambda event: event.at):
@@ -202,7 +212,7 @@
     def _came(self, at: int, more: dict[str, Any]) -> None:
         self.postings.setdefault(more["id"], []).append(Sent(
             more["begun"], at, more["worker"], more["dispatcher"], more["zone"], more["cell"],
-            more["work"] * more["slots"]))
+            more["work"] * more["slots"], more.get("lease", 0)))
 
     def _last(self, more: dict[str, Any]) -> Sent | None:
         for sent in reversed(self.postings.get(more["id"], [])):
@@ -215,12 +225,40 @@
         if (sent := self._last(more)) is not None:
             sent.never = sent.over = min(sent.never, at)
 
+    def _said_never(self, at: int, more: dict[str, Any]) -> None:
+        """The worker's own word, with which it refuses all that may still be under way of those leases."""
+        for sent in self.postings.get(more["id"], []):
+            if sent.worker == more["worker"] and sent.lease <= more["fence"]:
+                sent.never = sent.over = min(sent.never, at)
+
     def _ended(self, at: int, more: dict[str, Any]) -> None:
         if (sent := self._last(more)) is not None:
             sent.over = min(sent.over, at)
 
     _withdrawn = _ended
 
+    def _taken_on(self, at: int, more: dict[str, Any]) -> None:
+        tag = self.by_job.setdefault(more["job"], more["id"])
+        if tag != more["id"]:
+            self.finds("changed", at, f"job {more['job']} is {tag} and {more['id']}")
+        self.durable.setdefault(more["id"], Try(more["id"], more["job"], more["dispatcher"],
+                                                self.schemes[more["scheme"]], at, more["expires"]))
+
+    def _seen(self, at: int, more: dict[str, Any]) -> None:
+        one = self.durable[more["id"]]
+        if one.answers and one.answers[0][1] != more["state"]:
+            self.finds("changed", at, f"{more['id']} was {one.answers[0][1]} and is {more['state']}")
+        elif not one.answers:
+            one.answers.append((at, more["state"], at, 0))
+            if more["state"] == "garbled":
+                self.finds("false", at, f"{more['id']} got what no worker made for it")
+
+    def _forgotten(self, at: int, more: dict[str, Any]) -> None:
+        self.finds("forgotten", at, f"{more['id']} was taken on, and is answered {more['status']}")
+
+    def _ran(self, at: int, more: dict[str, Any]) -> None:
+        self.runs.setdefault(more["id"], []).append((at, more["worker"]))
+
     def _killed(self, at: int, more: dict[str, Any]) -> None:
         self.ended.setdefault(more["dispatcher"], []).append(at)
 
@@ -250,6 +288,9 @@
     def _started_cold(self, at: int, more: dict[str, Any]) -> None:
         self.cold.setdefault(more["worker"], []).append((at, more["capacity"]))
 
+    def _end(self, at: int, more: dict[str, Any]) -> None:
+        self.end = at
+
     def _fell(self, at: int, more: dict[str, Any]) -> None:
         self.finds("cold", at, f"{more['worker']} fell over")
 
@@ -331,6 +372,30 @@
                           or scheme.semantics == "referenced" and scheme.group != "all"):
                 self.finds("decline", at, f"{who} was declined while it may have run at {risky[0].worker}")
 
+    def _rule_5(self, one: Try) -> None:
+        who = f"{one.scheme.name} {one.tag}"
+        postings = sorted(self.postings.get(one.tag, []), key=lambda sent: sent.begun)
+        if not one.answers:
+            # Its dispatcher has had time enough since it was last up.
+            ups = [at for at in self.up.get(one.dispatcher, []) if at <= self.end]
+            if self.end > max(one.expires, ups[-1] if ups else 0) + 10 * SECOND:
+                self.finds("forgotten", self.end, f"{who} was taken on and has no end")
+        else:
+            for sent in postings:
+                if sent.begun > one.answers[0][0] + self.slack:
+                    self.finds("after", sent.begun, f"{who} was posted to {sent.worker} after its end")
+        numbers = [sent.lease for sent in postings]
+        if any(b <= a for a, b in pairwise(numbers)):
+            self.finds("lease", postings[-1].begun, f"{who} went out under leases {numbers}")
+        self._rule_2(one)
+
+    def _run_logs(self) -> None:
+        schemes = {tag: one.scheme for tag, one in (*self.tries.items(), *self.durable.items())}
+        for tag, runs in self.runs.items():
+            scheme = schemes.get(tag)
+            if scheme is not None and scheme.semantics == "once-only" and len(runs) > 1:
+                self.finds("ran-twice", runs[1][0], f"{scheme.name} {tag} ran at {runs[0][1]} and {runs[1][1]}")
+
     @staticmethod
     def _same_group(scheme: Scheme, one: Sent, other: Sent) -> bool:
         return (scheme.group == "all" or one.zone == other.zone
@@ -431,6 +496,9 @@
         for one in self.tries.values():
             self._rule_1(one)
             self._rule_2(one)
+        for one in self.durable.values():
+            self._rule_5(one)
+        self._run_logs()
         self._rule_3()
         self._rule_4()
         self.findings.sort(key=lambda finding: finding.at)
@@ -450,6 +518,13 @@
                     job.settled = min(job.settled, seen)
             else:
                 job.how = "unanswered"
+        for one in self.durable.values():
+            job = self.jobs[one.job]
+            job.tries += 1
+            if one.answers:
+                job.how = one.answers[0][1]
+                if job.how == "settled":
+                    job.settled = min(job.settled, one.answers[0][2])
         rows: dict[tuple[str, str], Row] = {("", ""): Row()}
         times: dict[tuple[str, str], Any] = {}
         by_second: dict[int, list[float]] = {}
@@ -471,7 +546,7 @@
                 row.in_time += job.settled <= job.due
                 row.declined += not settled and job.how == "declined"
                 row.reversed += not settled and job.how in ("reversed", "garbled")
-                row.unanswered += not settled and job.how in ("none", "unanswered", "unseen")
+                row.unanswered += not settled and job.how in ("none", "unanswered", "unseen", "cancelled")
                 if settled:
                     times.setdefault(key, HdrHistogram(1, MOST, 3)).record_value(
                         max(1, min(MOST, job.settled - job.first)))
--- a/pathsaddle/emulator/links.py
+++ b/pathsaddle/emulator/links.py
@@ -20,6 +20,7 @@
 
 from pathsaddle.emulator.moments import HOST, Moments
 from pathsaddle.net.service.clock import Clock
+from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.wire.terms import Peer, peer_of
 
@@ -325,16 +326,21 @@
 class VirtualGround(Ground):
     """What an emulated process takes from its host."""
 
-    def __init__(self, host: Host, told: Callable[[], str] = lambda: "") -> None:
+    def __init__(self, host: Host, told: Callable[[], str] = lambda: "",
+                 desk: Callable[..., Desk] = Desk) -> None:
         loop = host.net.loop
         super().__init__(Clock(loop.wall, loop.time))
         self.host = host
         self._told = told
+        self._desk = desk
 
     def stream(self, address: str) -> tuple[socket.socket, Peer]:
         peer = peer_of(address)
         return cast(socket.socket, self.host.net.stream(self.host)), peer
 
+    def desk(self, *told: Any) -> Desk:
+        return self._desk(*told)
+
     def descriptors(self) -> int:
         return len(self.host.sockets) + USUAL_DESCRIPTORS
 
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -30,6 +30,7 @@
     line: how many jobs may wait; more are turned away.
     memory: what its jobs together may take; 0 is no bound.
     cell: how many neighbours share a small group.
+    tells: whether it can say, asked by a job's id, what became of it, and then refuses older leases.
     zones: where they stand; none: in all zones in turn.
     """
 
@@ -40,6 +41,7 @@
     line: Annotated[int, Meta(ge=0)] = 8
     memory: Annotated[float, Meta(ge=0)] = 0.0
     cell: Annotated[int, Meta(ge=1)] = 4
+    tells: bool = True
     zones: list[str] = field(default_factory=list)
 
 
@@ -66,6 +68,7 @@
     repeats: whether workers drop repeats of referenced txns within their group and window.
     fresh: how often a worker's report is made anew.
     lag: how late the roster tells, drawn between.
+    sync: how long a sync of a dispatcher's disk takes, about.
     notice: after how long the front layer notices a dead dispatcher, drawn between.
     old_list: what a restarted dispatcher has: the list of the run's start, or that of its death.
     """
@@ -77,6 +80,7 @@
     repeats: bool = True
     fresh: Duration = Duration(5 * MS)
     lag: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(1500 * MS)])
+    sync: Duration = Duration(2 * MS)
     notice: Times = field(default_factory=lambda: [Duration(S), Duration(3 * S)])
     old_list: Literal["start", "death"] = "start"
 
@@ -113,6 +117,8 @@
     wait: before it does, where it is told no other time, drawn between.
     marks: whether tries are marked as such.
     hang_up: part of the clients that go away at some moment before their answer.
+    durable: part of the jobs that are handed in by `POST /jobs/...` and asked for; needs `charter.jobs`.
+    cancels: part of those that are cancelled at some moment.
     bad: bad clients a second: half calls, noise, two lengths, silence, giant bodies, calls never read.
     warm: at the start, no job of this time counts for value.
     """
@@ -125,6 +131,8 @@
     wait: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(800 * MS)])
     marks: bool = True
     hang_up: Part = 0.0
+    durable: Part = 0.0
+    cancels: Part = 0.0
     bad: Annotated[float, Meta(ge=0)] = 0.0
     warm: Duration = Duration(0)
 
@@ -133,7 +141,7 @@
     "freeze": "worker", "crash": "worker", "drain": "worker", "slow": "worker", "errors": "worker",
     "untaken": "worker", "lie": "worker", "late-reports": "worker", "full-accept": "worker",
     "callbacks-twice": "worker", "silent": "worker",
-    "kill": "dispatcher", "term": "dispatcher", "hup": "dispatcher",
+    "disk-ill": "dispatcher", "disk-slow": "dispatcher", "kill": "dispatcher", "term": "dispatcher", "hup": "dispatcher",
     "outage": "roster", "roster-restart": "roster", "roster-moves": "roster", "roster-late": "roster",
     "reset": "network", "cut": "zone", "cut-worker": "worker", "heavy": "load", "surge": "load",
 }
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -27,6 +27,8 @@
 from pathsaddle.emulator.roster import Roster
 from pathsaddle.emulator.workers import Shared, Worker
 from pathsaddle.emulator.world import TICKS, Place, VirtualPlace, World
+from pathsaddle.jobs.store import DiskWriter, Store
+from pathsaddle.net.service.desk import Desk
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 AFTER = 3.0  # seconds on top of the longest expiry and its tries in which all must have ended
@@ -43,6 +45,7 @@
         self.told: dict[int, dict[str, Any]] = {}
         self.memories: dict[tuple[str, str, int], Shared] = {}
         self.workers: dict[str, Worker] = {}
+        self.disks: dict[int, DiskWriter] = {}  # of dispatchers with a store, on the virtual ground
 
     def place(self, name: str, zone: str) -> Place:
         raise NotImplementedError
@@ -152,6 +155,9 @@
         self.net = net
         self.hosts: dict[int, Host] = {}
         self.ends: dict[int, asyncio.Task[Any]] = {}
+        self.folder = tempfile.TemporaryDirectory()
+        self.stores: dict[int, Store] = {}
+        self.lives = 0
         net.parted = lambda one, other: world.weather.parted(one.zone, other.zone, one.name, other.name)
 
     def wall(self) -> float:
@@ -181,7 +187,8 @@
     async def _life(self, host: Host, dispatcher: int) -> None:
         from pathsaddle.net.service.start import Dispatcher
         from pathsaddle.net.wire.birth import birth
-        ground = VirtualGround(host, lambda: json.dumps(self.told[dispatcher]))
+        ground = VirtualGround(host, lambda: json.dumps(self.told[dispatcher]),
+                               lambda *told: self._desk(dispatcher, *told))
         try:
             await Dispatcher(birth(ground.told()), ground).run()
             self.world.add("ended_itself", dispatcher=dispatcher)
@@ -189,9 +196,30 @@
             self.world.add("died", dispatcher=dispatcher, why=repr(fault))
             raise
 
+    def _desk(self, dispatcher: int, *told: Any) -> Desk:
+        jobs = self.world.charter.jobs
+        if jobs is None:
+            return Desk(*told)
+        from pathsaddle.jobs.desk import DurableDesk, Ways
+        self.lives += 1
+        chance = self.world.chance(f"disk {dispatcher} {self.lives}")
+        disk = self.disks[dispatcher] = DiskWriter(self.net.loop, chance, self.world.plan.fleet.sync / TICKS)
+        store = self.stores[dispatcher] = Store(Path(self.folder.name) / f"d{dispatcher}.db", disk, lock=False,
+                                                sync="OFF")
+        return DurableDesk(*told, store=store, chance=chance, ways=Ways(
+            jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin))
+
+    def _pull_the_plug(self, dispatcher: int) -> None:
+        """Its process is gone, and of what its disk had not synced perhaps a part."""
+        self.hosts[dispatcher].kill()
+        disk, store = self.disks.pop(dispatcher, None), self.stores.pop(dispatcher, None)
+        if disk is not None and store is not None:
+            disk.crash()
+            store.close()
+
     def kill(self, dispatcher: int) -> None:
         self.world.add("killed", dispatcher=dispatcher)
-        self.hosts[dispatcher].kill()
+        self._pull_the_plug(dispatcher)
 
     def signal(self, dispatcher: int, sig: int) -> None:
         self.hosts[dispatcher].signal(sig)
@@ -201,11 +229,12 @@
         if not self.ends[dispatcher].done():
             self.world.add("overdue", dispatcher=dispatcher)
         # Its process is over: whatever tasks are left end with it.
-        self.hosts[dispatcher].kill()
+        self._pull_the_plug(dispatcher)
 
     async def finish(self) -> None:
-        for host in self.hosts.values():
-            host.kill()
+        for dispatcher in self.hosts:
+            self._pull_the_plug(dispatcher)
+        self.folder.cleanup()
 
 
 class SocketStage(Stage):
@@ -248,8 +277,11 @@
         self.world.add("started", dispatcher=dispatcher)
         self.meant.pop(dispatcher, None)
         with (self.folder / f"d{dispatcher}.log").open("ab") as log:
+            command = self.command
+            if self.world.charter.jobs is not None:  # the platform's file has no word for a store
+                command = [sys.executable, "-m", "pathsaddle", "serve", str(self.folder / f"d{dispatcher}.json")]
             process = await asyncio.create_subprocess_exec(
-                *self.command, cwd=self.root, stderr=log, stdout=log,
+                *command, cwd=self.root, stderr=log, stdout=log,
                 env={**os.environ, "GW_CONFIG": str(self.folder / f"d{dispatcher}.json")})
         self.processes[dispatcher] = process
         self.front.place.start(self._watch(dispatcher, process))
@@ -266,7 +298,15 @@
     def tell_file(self, dispatcher: int) -> None:
         path = self.folder / f"d{dispatcher}.json"
         other = path.with_suffix(".new")
-        other.write_text(json.dumps(self.told[dispatcher]), encoding="utf-8")
+        text = json.dumps(self.told[dispatcher])
+        if self.world.charter.jobs is not None:
+            told = self.told[dispatcher]
+            text = json.dumps({**self.world.plan.charter, "name": f"d{dispatcher}", "listen": told["listen"],
+                               "discovery": told["discovery"], "seed": told["seed"], "number": dispatcher,
+                               "dispatchers": len(self.numbers), "zone": self.zone_of(dispatcher),
+                               "jobs": {**self.world.plan.charter["jobs"],
+                                        "path": str(self.folder / f"d{dispatcher}.db")}})
+        other.write_text(text, encoding="utf-8")
         other.replace(path)
 
     def tell(self, dispatcher: int) -> None:
--- a/pathsaddle/emulator/workers.py
+++ b/pathsaddle/emulator/workers.py
@@ -34,6 +34,7 @@
     slots: float
     memory: float
     dispatcher: int
+    lease: int = 0
     left: float = 0.0
     started: int | None = None
     taken: bool = False  # the 202 is out
@@ -95,6 +96,8 @@
         self.room = self.kind.memory or float("inf")
         self.at = self.world.now()
         self.alarm: asyncio.TimerHandle | None = None
+        self.results: dict[str, str] = {}  # of what it has done since its start: done, or failed
+        self.fences: dict[str, int] = {}  # by job: leases up to this one are refused
         self.links: dict[int, list[tuple[Wire, Hearing]]] = {}
         self.listeners = [Listener(self.place, address, self._visits(i))
                           for i, address in enumerate(self.addresses)]
@@ -201,6 +204,8 @@
             report = self.report()
             body = msgspec.json.encode(report) if said.target == "/status/load" else b""
             return speech.answer(200, body=body)
+        if said.method == "GET" and said.target.startswith("/jobs/") and self.kind.tells:
+            return self._what_became(said, dispatcher)
         if said.method == "DELETE":
             tag = said.target.rpartition("/")[2]
             job = self.jobs.get((tag, dispatcher))
@@ -211,6 +216,23 @@
             return self._posting(said, dispatcher, wire, held)
         return speech.answer(404)
 
+    def _what_became(self, said: Said, dispatcher: int) -> bytes:
+        """Its word on a job by id. Since a restart it can't say of one that it does not know whether it ran."""
+        tag, _, query = said.target[len("/jobs/"):].partition("?")
+        fence = int(query.rpartition("=")[2] or 0)
+        job = self.jobs.get((tag, dispatcher))
+        if job is not None and not job.over:
+            told: dict[str, Any] = {"state": "running", "lease": job.lease}
+        elif tag in self.results:
+            told = {"state": self.results[tag], "result": f"done {tag}"}
+        elif self.started is not None:
+            return speech.answer(404)
+        else:
+            self.fences[tag] = max(fence, self.fences.get(tag, 0))
+            self.world.add("said_never", id=tag, worker=self.name, fence=fence)
+            told = {"state": "never", "fence": fence}
+        return speech.answer(200, body=msgspec.json.encode(told))
+
     def _posting(self, said: Said, dispatcher: int, wire: Wire, held: list[Job]) -> bytes | None:
         tag = said.headers.get("req-id", "")
         scheme = self.schemes.get(said.target.partition("?")[0].lstrip("/"))
@@ -225,11 +247,15 @@
             return speech.answer(400)
         self.world.events.add(said.whole, "came", id=tag, worker=self.name, dispatcher=dispatcher,
                               begun=said.begun, scheme=scheme.name, work=work, slots=slots, zone=self.zone,
-                              cell=self.cell)
+                              cell=self.cell, lease=int(said.headers.get("job-lease", "0")))
         if wire.gone_at is not None:
             self.world.events.add(wire.gone_at, "withdrawn", id=tag, worker=self.name, ran=False)
             return None
-        job = Job(tag, scheme, work, slots, memory, dispatcher, left=float(work), wire=wire)
+        lease = int(said.headers.get("job-lease", "0"))
+        job = Job(tag, scheme, work, slots, memory, dispatcher, lease, left=float(work), wire=wire)
+        if lease and lease <= self.fences.get(tag, 0):
+            self.world.add("turned_away", id=tag, worker=self.name)
+            return speech.answer(503, {"Srv-Declined": "1", "Srv-Load": self._load_line()})
         if scheme.name in self.untaken:
             held.append(job)
             return None
@@ -345,7 +371,8 @@
         self._advance()
         for job in [job for job in self.running if job.left <= 0.5]:
             self._leave(job)
-            self._ended(job, "failed" if job.failing else "done")
+            self.results[job.tag] = "failed" if job.failing else "done"
+            self._ended(job, self.results[job.tag])
             told: dict[str, Any] = {"state": "failed"} if job.failing else {
                 "state": "done", "result": f"done {job.tag}"}
             told["load"] = self.report()
--- a/pathsaddle/experiment/throughput.py
+++ b/pathsaddle/experiment/throughput.py
@@ -84,7 +84,7 @@
         self._next()
 
     def _next(self) -> None:
-        if self.waiting and not self.out and self.transport is not None:
+        if self.waiting and not self.out and self.transport is not None and not self.transport.is_closing():
             self.out = True
             body = self.waiting.pop(0)
             self.transport.write(b"POST /callback HTTP/1.1\r\nHost: d\r\nContent-Length: %d\r\n\r\n%s" % (
--- /dev/null
+++ b/pathsaddle/jobs/store.py
@@ -0,0 +1,406 @@
+"""The store: SQLite in WAL, one writer, group commit, numbered schema, sums over what matters, one owner.
+
+All writes go through `put`, which returns a future that is done once they are on disk; whatever waits while one
+commit syncs goes into the next together, in order. Each commit checks in its own transaction that the epoch is
+still ours: a process that lost the store learns so before anything of it is written.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import fcntl
+import os
+import queue
+import sqlite3
+import threading
+import zlib
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+from typing import IO, Any, Protocol
+
+from pathsaddle.jobs.life import End, Impossible, Job, Kind, Record
+from pathsaddle.trade import Semantics
+
+VERSION = 2
+MIGRATIONS: dict[int, str] = {
+    1: """
+        CREATE TABLE meta (key TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
+        INSERT INTO meta VALUES ('epoch', 0);
+        CREATE TABLE jobs (job TEXT PRIMARY KEY, owner TEXT NOT NULL, key TEXT, semantics TEXT NOT NULL,
+            accepted INTEGER NOT NULL, expires INTEGER NOT NULL, call BLOB NOT NULL, sum INTEGER NOT NULL) WITHOUT ROWID;
+        CREATE UNIQUE INDEX by_key ON jobs (owner, key) WHERE key IS NOT NULL;
+        CREATE TABLE leases (job TEXT NOT NULL, number INTEGER NOT NULL, worker TEXT NOT NULL, at INTEGER NOT NULL,
+            never_ran INTEGER NOT NULL DEFAULT 0, PRIMARY KEY (job, number)) WITHOUT ROWID;
+        CREATE TABLE finals (job TEXT PRIMARY KEY, kind TEXT NOT NULL, status INTEGER NOT NULL, at INTEGER NOT NULL,
+            result BLOB NOT NULL, sum INTEGER NOT NULL) WITHOUT ROWID;
+        CREATE TABLE cancels (job TEXT PRIMARY KEY, at INTEGER NOT NULL) WITHOUT ROWID;
+    """,
+    2: """
+        ALTER TABLE jobs ADD COLUMN digest BLOB NOT NULL DEFAULT x'';
+        CREATE INDEX by_end ON finals (at);
+    """,
+}
+
+
+class Fenced(Exception):
+    """Another process has the store now: nothing of ours is written any more."""
+
+
+class Unusable(Exception):
+    """The store can't be opened; says why."""
+
+
+@dataclass(slots=True)
+class Accepted:
+    """A job as it came: what is needed to post it again after a restart."""
+
+    job: str
+    owner: str
+    key: str | None
+    digest: bytes
+    semantics: Semantics
+    accepted: int
+    expires: int
+    call: bytes
+
+    @property
+    def sum(self) -> int:
+        # What schema 1 had not is left out, so that its rows' sums still hold.
+        text = "\0".join((self.job, self.owner, self.key or "", self.semantics.name, str(self.accepted),
+                          str(self.expires)))
+        return zlib.crc32(self.call, zlib.crc32(text.encode()))
+
+
+@dataclass(slots=True)
+class Forget:
+    """Ended jobs from before a moment are let go."""
+
+    before: int
+
+
+Write = Accepted | Record | Forget
+
+
+def final_sum(record: Record) -> int:
+    assert record.end is not None
+    return zlib.crc32(record.result, zlib.crc32(f"{record.job}\0{record.end.value}\0{record.status}".encode()))
+
+
+class Writer(Protocol):
+    """Where commits are made: a thread, or a stand-in for a disk in virtual time."""
+
+    def begin(self, commit: Callable[[list[Write]], None]) -> None: ...
+
+    def put(self, writes: list[Write], done: asyncio.Future[None]) -> None: ...
+
+    def end(self) -> None: ...
+
+
+def tell(done: asyncio.Future[None], fault: BaseException | None) -> None:
+    if not done.done():
+        if fault is None:
+            done.set_result(None)
+        else:
+            done.set_exception(fault)
+            done.exception()  # who gave up waiting has its own trouble
+
+
+class ThreadWriter:
+    """One thread that commits all that waits, again and again."""
+
+    def __init__(self) -> None:
+        self._queue: queue.SimpleQueue[tuple[list[Write], asyncio.Future[None]] | None] = queue.SimpleQueue()
+        self._thread: threading.Thread | None = None
+
+    def begin(self, commit: Callable[[list[Write]], None]) -> None:
+        self._thread = threading.Thread(target=self._run, args=(commit,), name="jobs", daemon=True)
+        self._thread.start()
+
+    def put(self, writes: list[Write], done: asyncio.Future[None]) -> None:
+        self._queue.put((writes, done))
+
+    def _run(self, commit: Callable[[list[Write]], None]) -> None:
+        last = False
+        while not last:
+            group = [self._queue.get()]
+            while not self._queue.empty():
+                group.append(self._queue.get())
+            last = None in group
+            waiting = [entry for entry in group if entry is not None]
+            if not waiting:
+                continue
+            fault: BaseException | None = None
+            try:
+                commit([write for writes, _ in waiting for write in writes])
+            except (sqlite3.Error, OSError, Fenced) as what:
+                fault = what
+            loop = waiting[0][1].get_loop()
+            try:
+                loop.call_soon_threadsafe(self._tell, [done for _, done in waiting], fault)
+            except RuntimeError:
+                return  # the loop has ended, and all who waited with it
+
+    @staticmethod
+    def _tell(group: list[asyncio.Future[None]], fault: BaseException | None) -> None:
+        for done in group:
+            tell(done, fault)
+
+    def end(self) -> None:
+        self._queue.put(None)
+        if self._thread is not None:
+            self._thread.join()
+
+
+class DiskWriter:
+    """A disk in virtual time: each sync takes its time; what was not synced when its process is killed is lost, or
+    by luck of the seed was there already. `ill`: an error that each commit meets for a while; `slow`: seconds more
+    for one sync."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, chance: Random, sync: float) -> None:
+        self.loop = loop
+        self.chance = chance
+        self.sync = sync
+        self.slow = 0.0
+        self.ill: Exception | None = None
+        self.syncs = 0
+        self._waiting: list[tuple[list[Write], asyncio.Future[None]]] = []
+        self._under_way: list[tuple[list[Write], asyncio.Future[None]]] = []
+        self._commit: Callable[[list[Write]], None] = lambda writes: None
+
+    def begin(self, commit: Callable[[list[Write]], None]) -> None:
+        self._commit = commit
+
+    def put(self, writes: list[Write], done: asyncio.Future[None]) -> None:
+        self._waiting.append((writes, done))
+        if not self._under_way:
+            self._start()
+
+    def _start(self) -> None:
+        self._under_way, self._waiting = self._waiting, []
+        if self._under_way:
+            takes = self.slow + self.sync * (0.5 + self.chance.random())
+            self.loop.call_later(takes, self._synced)
+
+    def _synced(self) -> None:
+        group, self._under_way = self._under_way, []
+        fault: BaseException | None = self.ill
+        if fault is None:
+            try:
+                self._commit([write for writes, _ in group for write in writes])
+                self.syncs += 1
+            except (sqlite3.Error, Fenced) as what:
+                fault = what
+        for _, done in group:
+            tell(done, fault)
+        self._start()
+
+    def crash(self) -> None:
+        """Its process is killed: the commit under way is whole on disk or not there at all."""
+        group, self._under_way, self._waiting = self._under_way, [], []
+        if group and self.ill is None and self.chance.random() < 0.5:
+            try:
+                self._commit([write for writes, _ in group for write in writes])
+            except (sqlite3.Error, Fenced):
+                return
+
+    def end(self) -> None:
+        while self._under_way or self._waiting:
+            self._synced()
+
+
+class Store:
+    """One owner's store. `open` before all else; not to be used from two threads but through `put`."""
+
+    def __init__(self, path: Path, writer: Writer, lock: bool = True, sync: str = "FULL") -> None:
+        self.path = path
+        self.writer = writer
+        self.lock = lock
+        self.sync = sync
+        self.epoch = 0
+        self.commits = 0
+        self.written = 0
+        self.fenced = False
+        self.set_aside: list[str] = []  # jobs whose rows are not what was written
+        self._lock: IO[bytes] | None = None
+        self._db: sqlite3.Connection | None = None
+
+    def open(self) -> list[tuple[Accepted, Job]]:
+        """Takes the store over and reads all jobs in it; raises Unusable."""
+        try:
+            if self.lock:
+                self._lock = self.path.with_name(self.path.name + ".lock").open("ab")
+                fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except BlockingIOError:
+            raise Unusable(f"{self.path}: another process has it open") from None
+        except OSError as fault:
+            raise Unusable(f"{self.path}: {fault}") from None
+        try:
+            self._db = connect(self.path, self.sync)
+            migrate(self._db)
+            with self._db:
+                self._db.execute("BEGIN IMMEDIATE")
+                self._db.execute("UPDATE meta SET value = value + 1 WHERE key = 'epoch'")
+            self.epoch = int(self._db.execute("SELECT value FROM meta WHERE key = 'epoch'").fetchone()[0])
+            found = self._read()
+        except sqlite3.Error as fault:
+            raise Unusable(f"{self.path}: {fault}") from None
+        self.writer.begin(self._commit)
+        return found
+
+    def put(self, *writes: Write) -> asyncio.Future[None]:
+        """Done once they are on disk; fails with sqlite3.Error, OSError, or Fenced for good."""
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        if self.fenced:
+            tell(done, Fenced(str(self.path)))
+        else:
+            self.writer.put(list(writes), done)
+        return done
+
+    def _commit(self, writes: list[Write]) -> None:
+        db = self._db
+        assert db is not None
+        try:
+            db.execute("BEGIN IMMEDIATE")
+            if db.execute("SELECT value FROM meta WHERE key = 'epoch'").fetchone()[0] != self.epoch:
+                self.fenced = True
+                raise Fenced(f"{self.path}: another process has taken it over")
+            for write in writes:
+                _write(db, write)
+            db.execute("COMMIT")
+        except BaseException:
+            if db.in_transaction:
+                db.execute("ROLLBACK")
+            raise
+        self.commits += 1
+        self.written += len(writes)
+
+    def _read(self) -> list[tuple[Accepted, Job]]:
+        assert self._db is not None
+        found, self.set_aside = load(self._db)
+        return found
+
+    def close(self) -> None:
+        self.writer.end()
+        if self._db is not None:
+            self._db.close()
+        if self._lock is not None:
+            self._lock.close()
+
+
+def connect(path: Path, sync: str = "FULL") -> sqlite3.Connection:
+    db = sqlite3.connect(path, isolation_level=None, check_same_thread=False, timeout=5.0)
+    db.execute("PRAGMA journal_mode = WAL")
+    db.execute(f"PRAGMA synchronous = {sync}")
+    return db
+
+
+def migrate(db: sqlite3.Connection) -> None:
+    """To today's schema, a version at a time, each whole or not at all; raises Unusable for a newer one."""
+    version = int(db.execute("PRAGMA user_version").fetchone()[0])
+    if version > VERSION:
+        raise Unusable(f"schema {version} is newer than this program's, {VERSION}")
+    for number in range(version + 1, VERSION + 1):
+        db.executescript(f"BEGIN IMMEDIATE; {MIGRATIONS[number]} PRAGMA user_version = {number}; COMMIT;")
+
+
+def _write(db: sqlite3.Connection, write: Write) -> None:
+    if isinstance(write, Accepted):
+        db.execute("INSERT INTO jobs (job, owner, key, semantics, accepted, expires, call, sum, digest) "
+                   "VALUES (?,?,?,?,?,?,?,?,?)",
+                   (write.job, write.owner, write.key, write.semantics.name, write.accepted, write.expires,
+                    write.call, write.sum, write.digest))
+    elif isinstance(write, Forget):
+        _forget(db, write.before)
+    elif write.kind is Kind.INTENT:
+        db.execute("INSERT INTO leases (job, number, worker, at) VALUES (?,?,?,?)",
+                   (write.job, write.number, write.worker, write.at))
+    elif write.kind is Kind.CLEAR:
+        db.execute("UPDATE leases SET never_ran = 1 WHERE job = ? AND number = ?", (write.job, write.number))
+    elif write.kind is Kind.CANCEL:
+        db.execute("INSERT OR IGNORE INTO cancels VALUES (?,?)", (write.job, write.at))
+    elif write.kind is Kind.FINAL:
+        assert write.end is not None
+        db.execute("INSERT INTO finals VALUES (?,?,?,?,?,?)",
+                   (write.job, write.end.value, write.status, write.at, write.result, final_sum(write)))
+
+
+def load(db: sqlite3.Connection) -> tuple[list[tuple[Accepted, Job]], list[str]]:
+    """All jobs as their records tell, and those whose rows are not what was written or contradict each other."""
+    leases: dict[str, list[tuple[Any, ...]]] = {}
+    for job, *row in db.execute("SELECT job, number, worker, at, never_ran FROM leases ORDER BY job, number"):
+        leases.setdefault(job, []).append(tuple(row))
+    finals = {row[0]: row[1:] for row in db.execute("SELECT job, kind, status, at, result, sum FROM finals")}
+    cancels = dict(db.execute("SELECT job, at FROM cancels").fetchall())
+    found, bad = [], []
+    for row in db.execute("SELECT job, owner, key, digest, semantics, accepted, expires, call, sum FROM jobs "
+                          "ORDER BY accepted, job"):
+        tag = str(row[0])
+        try:
+            told = Accepted(tag, row[1], row[2], row[3], Semantics[row[4]], row[5], row[6], row[7])
+            if told.sum != row[8]:
+                raise Impossible("its sum is off")
+            job = Job(tag, told.semantics, told.accepted, told.expires)
+            for number, worker, at, never_ran in leases.get(tag, []):
+                job.apply(Record(Kind.INTENT, tag, at, number, worker))
+                job.leases[-1].never_ran = bool(never_ran)
+            if tag in cancels:
+                job.apply(Record(Kind.CANCEL, tag, cancels[tag]))
+            if tag in finals:
+                kind, status, at, result, sum_ = finals[tag]
+                final = Record(Kind.FINAL, tag, at, end=End(kind), status=status, result=result)
+                if final_sum(final) != sum_:
+                    raise Impossible("its final answer's sum is off")
+                job.apply(final)
+            found.append((told, job))
+        except (Impossible, KeyError, ValueError, TypeError) as fault:
+            bad.append(f"{tag}: {fault}")
+    return found, bad
+
+
+def _forget(db: sqlite3.Connection, before: int) -> None:
+    gone = db.execute("SELECT job FROM finals WHERE at < ?", (before,)).fetchall()
+    for table in ("jobs", "leases", "cancels", "finals"):
+        db.executemany(f"DELETE FROM {table} WHERE job = ?", gone)
+
+
+def verify(path: Path) -> list[str]:
+    """All that is wrong in a store; nothing is changed. Raises Unusable where there is none."""
+    if not path.exists():
+        raise Unusable(f"{path}: no such file")
+    try:
+        db = sqlite3.connect(f"file:{path}?mode=ro", uri=True)
+        found = [str(row[0]) for row in db.execute("PRAGMA integrity_check") if row[0] != "ok"]
+        return found + load(db)[1]
+    except sqlite3.DatabaseError as fault:
+        return [str(fault)]
+
+
+def backup(path: Path, to: Path) -> None:
+    """A whole copy while the store is in use; there whole or not at all."""
+    if not path.exists():
+        raise Unusable(f"{path}: no such file")
+    part = to.with_name(to.name + ".part")
+    part.unlink(missing_ok=True)
+    source, target = sqlite3.connect(f"file:{path}?mode=ro", uri=True), sqlite3.connect(part)
+    try:
+        source.backup(target)
+    except sqlite3.Error as fault:
+        raise Unusable(f"{path}: {fault}") from None
+    finally:
+        target.close()
+        source.close()
+    with part.open("rb") as file:
+        os.fsync(file.fileno())
+    part.replace(to)
+
+
+def rows(path: Path) -> Iterable[tuple[Accepted, Job]]:
+    """What a store holds, read only."""
+    if not path.exists():
+        raise Unusable(f"{path}: no such file")
+    try:
+        return load(sqlite3.connect(f"file:{path}?mode=ro", uri=True))[0]
+    except sqlite3.Error as fault:
+        raise Unusable(f"{path}: {fault}") from None
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -45,6 +45,12 @@
         txn.run = self.choice.serve(txn)
         self._resume(txn, None)
 
+    def resume(self, txn: Txn, postings: list[Posting]) -> None:
+        """A txn from before our own restart; what was posted for it then may still run."""
+        txn.postings += postings
+        self.choice.adopt(txn)
+        self.arrive(txn)
+
     def hang_up(self, txn: Txn) -> None:
         self._close(txn)
 
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -100,8 +100,19 @@
 
     # What the sockets bring.
 
-    def take(self, call: Message, answer: Answer) -> Entry:
-        """A client's call, whole; raises Broken where it is no txn."""
+    async def begin(self) -> None:
+        """Before anything is taken or posted; here nothing is left from before our start."""
+
+    async def finish(self) -> None:
+        """Everything has been answered: we end."""
+
+    def takes(self, call: Message) -> bool:
+        """Whether a call that is no POST has a meaning here."""
+        return False
+
+    def take(self, call: Message, answer: Answer) -> Entry | None:
+        """A client's call, whole; raises Broken where it is no txn. None: it is answered by and by, and no
+        txn hangs on its connection."""
         self._at()
         txn = self.words.txn(call, self.loop.now)
         if self.ledger.knows(txn.tag):
@@ -123,6 +134,11 @@
         self._guard(entry.txn, lambda: self.loop.hang_up(entry.txn))
         self.ledger.close(entry)
 
+    def heard(self, told: Callback, answer: Answer) -> None:
+        """A worker's callback, whole: answered at once, whatever it is about."""
+        answer(204, b"", (), True)
+        self.called_back(told)
+
     def called_back(self, told: Callback) -> None:
         """Counts once: what is not about a posting that is out has been said before, or too late."""
         self.counters.add(f"callback.{told.name}")
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -144,21 +144,20 @@
             path = call.target.partition(b"?")[0]
             if path == forms.READY:
                 self._answer(200 if self.front.desk.ready else 503)
-            elif call.method != b"POST":
+            elif call.method != b"POST" and not self.front.desk.takes(call):
                 raise Broken(405, "jobs come by POST")
             elif path == forms.CALLBACK:
                 told = self.front.desk.words.callback(call.body)
                 if told.worker in self.front.desk.known:
                     self.worker = True
                     self.front.knows(self)
-                self._answer(204)
-                self.front.desk.called_back(told)
+                self.front.desk.heard(told, self.answer)
             else:
                 # The answer may come before take() returns.
                 self.entry = None
                 entry = self.front.desk.take(call, self.answer)
                 self.front.knows(self)
-                if entry.answer is not None:
+                if entry is not None and entry.answer is not None:
                     self.entry = entry
         except Broken as fault:
             self.front.counters.add(f"malformed.{fault.status}")
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -8,9 +8,11 @@
 
 import os
 import socket
+from typing import Any
 
 from pathsaddle.net.service import pump
 from pathsaddle.net.service.clock import Clock
+from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.wire.birth import WHERE, moved_to
 from pathsaddle.net.wire.terms import Peer
 
@@ -25,6 +27,10 @@
         """A new TCP socket that doesn't block, and the address as it wants it; ValueError where it is none."""
         return pump.stream(address)
 
+    def desk(self, *told: Any) -> Desk:
+        """The door behind which txns are decided; one with a store where the operator wants it."""
+        return Desk(*told)
+
     def descriptors(self) -> int:
         """How many are in use."""
         return len(os.listdir("/proc/self/fd"))
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -12,7 +12,6 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.roster import Roster
@@ -34,6 +33,7 @@
 class Dispatcher:
     def __init__(self, told: Birth, ground: Ground) -> None:
         self.ground = ground
+        self.roster: Roster
         self.clock = ground.clock
         self.counters = Counters()
         self.memory_mb = told.memory_mb
@@ -45,7 +45,7 @@
                     int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
         self.workers = Workers(told.reach, free // 4, self.clock, self.counters, ground.stream)
         told.terms.most_open = min(told.terms.most_open, min(room.visits, free - free // 4) * 3 // 4)
-        self.desk = Desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
+        self.desk = ground.desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
                          lambda: self.roster.ask())
         self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
         self.desk.listed(ListNews.REMEMBERED, told.rows)
@@ -61,10 +61,13 @@
         events.add_signal_handler(signal.SIGUSR1, self.report)
         events.add_signal_handler(signal.SIGHUP, self.reread)
         logbook.serving()
+        beginning = events.create_task(self.desk.begin())
         watching = events.create_task(self._look_after())
         await self._stop.wait()
         await self._finish()
         watching.cancel()
+        beginning.cancel()
+        await self.desk.finish()
         self.report()
 
     async def _finish(self) -> None:
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -10,7 +10,7 @@
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
 MOST_RAW = 8 * MOST_BODY  # with its framing, in however small chunks
-REASONS = {200: "OK", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
+REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
            405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
            503: "Service Unavailable", 505: "HTTP Version Not Supported"}
