--- a/pathsaddle/emulator/mutants.py
+++ b/pathsaddle/emulator/mutants.py
@@ -5,12 +5,19 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import itertools
 from collections.abc import Callable, Iterator
 from typing import Any
 from unittest import mock
 
 from pathsaddle.choice import Choice
+from pathsaddle.jobs import desk, life
+from pathsaddle.jobs.call import key_of
+from pathsaddle.jobs.desk import DurableDesk
+from pathsaddle.jobs.life import Kind, Next, Record, Word, after_restart
+from pathsaddle.jobs.store import Accepted
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.trade import SECOND, Outcome, Posting, Semantics, Standing, Txn
 
@@ -145,6 +152,54 @@
     return [mock.patch.object(Desk, "_end", unsure)]
 
 
+def _records_after_sending() -> Patches:
+    """The intent is written while the posting is on its way already."""
+    put = DurableDesk._surely
+
+    async def later(self: DurableDesk, until: int, *writes: Any) -> bool:
+        if isinstance(writes[0], Record) and writes[0].kind is Kind.INTENT:
+            self._events.call_later(1.0, lambda: self._start(put(self, FAR, *writes)))
+            return True
+        return await put(self, until, *writes)
+    return [mock.patch.object(DurableDesk, "_surely", later)]
+
+
+def _answers_before_recording() -> Patches:
+    """The final answer is told, and written a second later."""
+    ending = DurableDesk._ending
+
+    async def told_first(self: DurableDesk, kept: Any, record: Any, pending: Any, tell: Any) -> None:
+        kept.pending = None
+        tell(True)
+        self._changed(kept)
+        pending.set_result(None)
+        await asyncio.sleep(1.0)
+        await ending(self, kept, record, pending, lambda fine: None)
+    return [mock.patch.object(DurableDesk, "_ending", told_first)]
+
+
+def _checks_no_lease() -> Patches:
+    """After a restart a lease whose worker can't say is taken never to have run."""
+    def clear(word: Word, now: int, expires: int) -> Next:
+        return Next.CLEAR if word is Word.NONE else after_restart(word, now, expires)
+    return [mock.patch.object(life, "after_restart", clear)]
+
+
+def _forgets_keys() -> Patches:
+    """A submission under a known key is another job."""
+    count = itertools.count()
+    return [mock.patch.object(desk, "key_of", lambda call: f"{key_of(call)}-{next(count)}")]
+
+
+def _loses_the_accepted() -> Patches:
+    """The client is told that its job is taken on, and nothing of it is on disk."""
+    put = DurableDesk._put
+
+    def nothing(self: DurableDesk, *writes: Any) -> Any:
+        return put(self, *(write for write in writes if not isinstance(write, Accepted)))
+    return [mock.patch.object(DurableDesk, "_put", nothing)]
+
+
 # By name: the patches, and the rules one of which the judge must name.
 MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
     "declines-anything": (_declines_anything, ("decline",)),
@@ -160,12 +215,19 @@
     "makes-answers-up": (_makes_answers_up, ("false",)),
     "says-never-sent": (_says_never_sent, ("repeat", "decline")),
 }
+JOB_MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
+    "records-after-sending": (_records_after_sending, ("ran-twice", "repeat", "lease")),
+    "answers-before-recording": (_answers_before_recording, ("after", "changed")),
+    "checks-no-lease": (_checks_no_lease, ("repeat",)),
+    "forgets-keys": (_forgets_keys, ("changed",)),
+    "loses-the-accepted": (_loses_the_accepted, ("forgotten",)),
+}
 
 
 @contextlib.contextmanager
 def mutated(name: str) -> Iterator[None]:
     """While it holds, dispatchers of this process are the mutant."""
     with contextlib.ExitStack() as stack:
-        for patch in MUTANTS[name][0]():
+        for patch in (MUTANTS | JOB_MUTANTS)[name][0]():
             stack.enter_context(patch)
         yield
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -9,14 +9,15 @@
 from pathsaddle.emulator import plan, stage
 from pathsaddle.emulator.events import Event
 from pathsaddle.emulator.judge import Judge, judge
-from pathsaddle.emulator.mutants import MUTANTS, mutated
+from pathsaddle.emulator.mutants import JOB_MUTANTS, MUTANTS, mutated
 
 ROOT = Path(__file__).parent.parent
 PLAN = ROOT / "experiments/mutants.toml"
+JOBS = ROOT / "experiments/jobs-mutants.toml"
 
 
-def broken_by(name: str) -> dict[str, int]:
-    told = plan.read(PLAN)
+def broken_by(name: str, path: Path = PLAN) -> dict[str, int]:
+    told = plan.read(path)
     if name == "two-at-once":
         told.charter["allowed"] = {"two_at_once": False}
     with mutated(name) if name else contextlib.nullcontext():
@@ -36,6 +37,16 @@
                     self.assertIn(rule, broken)
 
 
+    def test_each_mutant_of_durable_jobs_is_caught(self) -> None:
+        names = ["", *JOB_MUTANTS]
+        with ProcessPoolExecutor(mp_context=multiprocessing.get_context("spawn")) as pool:
+            found = dict(zip(names, pool.map(broken_by, names, [JOBS] * len(names)), strict=True))
+        self.assertEqual(found.pop(""), {})
+        for name, broken in found.items():
+            with self.subTest(name):
+                self.assertTrue([rule for rule in JOB_MUTANTS[name][1] if rule in broken], broken)
+
+
 class JudgeStory(unittest.TestCase):
     """What the judge excuses, and what not, from events written by hand."""
 
