--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -286,6 +286,8 @@
 
 
 def main() -> int:
+    from pathsaddle.cli.jobs import jobs
+    cli.add_command(jobs)
     try:
         cli.main(standalone_mode=False)
     except click.exceptions.Abort:
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -91,6 +91,7 @@
         self.by_key: dict[tuple[str, str], Kept] = {}
         self.waiting: deque[Kept] = deque()  # accepted, and not before the decisions yet
         self.live = 0
+        self._admitting = False
         self.count = 0
         self.recovered = False
         self.listed_once = asyncio.Event()
@@ -182,7 +183,9 @@
             await asyncio.gather(*(ask(kept) for kept in doubtful[i:i + SLICE]))
         for i, kept in enumerate(open_jobs):
             if kept.job.open and kept.entry is None and not kept.job.in_doubt():
-                if kept.told.key is None:
+                if kept.job.cancel:
+                    self._cancel_at_last(kept)
+                elif kept.told.key is None:
                     self._end_job(kept, End.CANCELLED, 499, b"")  # its caller is gone with our last life
                 else:
                     self._line_up(kept)
@@ -204,6 +207,9 @@
     async def _take_up(self, kept: Kept) -> None:
         """A job with leases in doubt: each worker is asked, and what it says becomes the postings' state."""
         job = kept.job
+        if job.cancel:
+            self._cancel_at_last(kept)
+            return
         entry = self._entry(kept)
         postings = []
         for i, lease in enumerate(job.leases):
@@ -248,6 +254,21 @@
         else:
             self._go(kept, entry, postings)
 
+    def _cancel_at_last(self, kept: Kept) -> None:
+        """Its client's wish is on disk and we died before it was met."""
+        for lease in kept.job.in_doubt():
+            if lease.worker in self.known:
+                self._start(self._tell_withdrawn(kept.job.tag, lease.worker))
+        self._end_job(kept, End.CANCELLED, 410, b"")
+
+    async def _tell_withdrawn(self, tag: str, worker: str) -> None:
+        self.counters.add("withdrawal")
+        try:
+            async with asyncio.timeout(seconds(self.workers.connect_within)):
+                await self.workers.call(worker, "DELETE", b"/jobs/" + tag.encode(), [])
+        except (NeverSent, Lost, TimeoutError):
+            self.counters.add("withdrawal.unanswered")
+
     @staticmethod
     def _may_not_again(job: Job) -> bool:
         return job.semantics is not Semantics.REPEATABLE and bool(job.in_doubt())
@@ -408,6 +429,7 @@
     def _admit(self) -> None:
         """The first that waits comes before the decisions as soon as there is room; one past its expiry is
         declined: it was never posted."""
+        self._admitting = False
         while self.waiting and self.live < LIVE:
             kept = self.waiting.popleft()
             if not kept.job.open:
@@ -665,7 +687,10 @@
             self.live -= 1
         self.counters.add(f"jobs.{end.value}")
         self._start(self._ending(kept, record, kept.pending, tell))
-        self._admit()
+        if self.waiting and not self._admitting:
+            # Not from here: a thousand that are past their expiry would each end the next one, in depth.
+            self._admitting = True
+            self._events.call_soon(self._admit)
         return kept.pending
 
     async def _ending(self, kept: Kept, record: Record, pending: asyncio.Future[None],
@@ -699,9 +724,19 @@
 
     async def _sweep(self) -> None:
         """Ended jobs are kept for the retention."""
+        due = self.clock.now()
         while True:
-            await asyncio.sleep(seconds(max(SECOND, self.ways.retention // 8)))
-            before = self.clock.now() - self.ways.retention
+            await asyncio.sleep(1.0)
+            now = self.clock.now()
+            late = [kept for kept in self.waiting if now >= kept.job.expires - self.ways.margin]
+            if late:  # never before the decisions, so never posted: said now, not when there would be room
+                self.waiting = deque(kept for kept in self.waiting if now < kept.job.expires - self.ways.margin)
+                for kept in late:
+                    self._end_job(kept, End.DECLINED, 503, b"")
+            if now < due:
+                continue
+            due = now + max(SECOND, self.ways.retention // 8)
+            before = now - self.ways.retention
             gone = [tag for tag, kept in self.jobs.items() if not kept.job.open and kept.job.ended < before]
             for tag in gone:
                 kept = self.jobs.pop(tag)
