--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -252,7 +252,8 @@
 @experiment.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False))
 @click.option("--out", type=click.Path(dir_okay=False), help="By default beside FILE, as .html")
-def report(file: str, out: str | None) -> None:
+@click.option("--png", type=click.Path(dir_okay=False), help="The plots as files too, numbered: NAME-1.png ...")
+def report(file: str, out: str | None, png: str | None) -> None:
     """One HTML page with tables and plots of the results in FILE; of the last commit that each variant ran on."""
     from pathsaddle.experiment.keep import Store
     from pathsaddle.experiment.report import write
@@ -261,7 +262,7 @@
         last[result.variant, result.seed] = result
     path = Path(out) if out else Path(file).with_suffix(".html")
     try:
-        write(list(last.values()), path)
+        write(list(last.values()), path, Path(png) if png else None)
     except ValueError as fault:
         raise Stop(f"{file}: {fault}", 2) from None
     click.echo(str(path))
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -216,11 +216,15 @@
     workers: with how many workers, one measurement each.
     clients: connections that each ask again as soon as they have their answer.
     times: measurements of each; all are told.
+    rates: jobs a second that the clients ask for together; 0: as many as they can.
+    recovery: instead, how long a dispatcher takes with a store of so many open jobs.
     """
 
     workers: list[Annotated[int, Meta(ge=1, le=2000)]] = field(default_factory=lambda: [12, 100, 1000])
     clients: Annotated[int, Meta(ge=1, le=512)] = 32
     times: Annotated[int, Meta(ge=1)] = 3
+    rates: list[Annotated[float, Meta(ge=0)]] = field(default_factory=lambda: [0.0])
+    recovery: list[Annotated[int, Meta(ge=1)]] = field(default_factory=list)
 
 
 class Plan(Form):
--- a/pathsaddle/experiment/report.py
+++ b/pathsaddle/experiment/report.py
@@ -35,15 +35,20 @@
     return "\n".join([*lines, "</table>"])
 
 
-def picture(figure: Any) -> str:
+def drawn(figure: Any) -> bytes:
     from matplotlib import pyplot
     data = io.BytesIO()
-    figure.savefig(data, format="png", dpi=110, bbox_inches="tight")
+    figure.savefig(data, format="png", dpi=90, bbox_inches="tight")
     pyplot.close(figure)
-    return f'<img alt="plot" src="data:image/png;base64,{base64.b64encode(data.getvalue()).decode()}">'
+    return data.getvalue()
 
 
-def plots(found: dict[str, list[Result]]) -> list[str]:
+def picture(png: bytes) -> str:
+    return f'<img alt="plot" src="data:image/png;base64,{base64.b64encode(png).decode()}">'
+
+
+def plots(found: dict[str, list[Result]]) -> list[bytes]:
+    """Pictures: value and p99 by variant, value by second."""
     import matplotlib
     matplotlib.use("Agg")
     from matplotlib import pyplot
@@ -55,7 +60,7 @@
         axis.set_title("value in SLA time over value asked for" if name == "value" else "p99 of the settled, ms")
         axis.grid(alpha=0.3)
     figure.tight_layout()
-    made.append(picture(figure))
+    made.append(drawn(figure))
     figure, axis = pyplot.subplots(figsize=(11, 3.2))
     for variant, results in found.items():
         by_second: dict[int, list[float]] = {}
@@ -68,7 +73,7 @@
     axis.set_title("value in SLA time by second, mean over seeds")
     axis.grid(alpha=0.3)
     axis.legend()
-    made.append(picture(figure))
+    made.append(drawn(figure))
     return made
 
 
@@ -91,7 +96,7 @@
                        for name, (figure, _) in FIGURES.items()),
                      f'<span class="bad">{broken}</span>' if broken else "0"])
     parts.append(table(["variant", "runs", *FIGURES, "runs with a broken rule"], rows))
-    parts += plots(found)
+    parts += map(picture, plots(found))
     base = found.get("base")
     if base and len(found) > 1:
         parts.append("<h2>Against base, paired by seed</h2><p>Mean difference and its 95% bootstrap interval.</p>")
@@ -121,7 +126,11 @@
     return "\n".join(parts)
 
 
-def write(results: list[Result], path: Path) -> None:
+def write(results: list[Result], path: Path, png: Path | None = None) -> None:
+    """`png`: where the plots go as files too, numbered."""
     text = page(results)
+    if png is not None:
+        for number, data in enumerate(plots(groups(results)), 1):
+            png.with_name(f"{png.stem}-{number}.png").write_bytes(data)
     path.parent.mkdir(parents=True, exist_ok=True)
     path.write_text(text, encoding="utf-8")
--- a/pathsaddle/experiment/throughput.py
+++ b/pathsaddle/experiment/throughput.py
@@ -11,6 +11,7 @@
 import multiprocessing
 import os
 import re
+import shutil
 import signal
 import statistics
 import subprocess
@@ -19,13 +20,14 @@
 import time
 from multiprocessing.connection import Connection
 from pathlib import Path
+from random import Random
 from typing import Any
 
 import click
 from hdrh.histogram import HdrHistogram
 
 from pathsaddle.charter.told import told
-from pathsaddle.emulator.plan import Plan, charter_of
+from pathsaddle.emulator.plan import Plan, charter_of, varied
 from pathsaddle.experiment.keep import ROOT, commit_of, machine
 from pathsaddle.experiment.run import tree
 
@@ -125,8 +127,9 @@
 
 
 class _Client(asyncio.Protocol):
-    def __init__(self, name: str, scheme: str, owner: str, times: list[float]) -> None:
+    def __init__(self, name: str, scheme: str, owner: str, times: list[float], every: float) -> None:
         self.name, self.number, self.times = name, 0, times
+        self.every, self.due = every, 0.0  # seconds between calls; 0: the next as soon as the last has its answer
         self.head = (f"POST /{scheme} HTTP/1.1\r\nHost: d\r\nReq-Kind: {scheme}\r\n"
                      + (f"Req-Owner: {owner}\r\n" if owner else "")
                      + "Req-Deadline-Ms: 5000\r\nReq-Cost: 1000\r\nContent-Length: 2\r\nReq-Id: ").encode()
@@ -135,11 +138,13 @@
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
+        self.due = time.perf_counter()
         self._ask()
 
     def _ask(self) -> None:
         self.number += 1
-        self.begun = time.perf_counter()
+        # From when it was due: what a slow answer before it delayed counts for it too.
+        self.begun = self.due if self.every else time.perf_counter()
         self.transport.write(self.head + f"{self.name}-{self.number}\r\n\r\n{{}}".encode())
 
     def data_received(self, data: bytes) -> None:
@@ -152,18 +157,24 @@
             else:
                 self.failed += 1
             self.buffer = b""
-            self._ask()
+            self.due += self.every
+            left = self.due - time.perf_counter() if self.every else 0.0
+            if left > 0:
+                asyncio.get_running_loop().call_later(left, self._ask)
+            else:
+                self._ask()
 
 
-def _clients(part: int, count: int, listen: str, scheme: str, owner: str, seconds: float,
+def _clients(part: int, count: int, listen: str, scheme: str, owner: str, seconds: float, every: float,
              pipe: Connection) -> None:
     import uvloop
 
     async def run() -> tuple[list[float], int, float]:
         host, _, port = listen.rpartition(":")
         times: list[float] = []
-        made = [_Client(f"c{part}-{i}", scheme, owner, times) for i in range(count)]
+        made = [_Client(f"c{part}-{i}", scheme, owner, times, every) for i in range(count)]
         for client in made:
+            await asyncio.sleep(every / count)
             await asyncio.get_running_loop().create_connection(lambda c=client: c, host, int(port))  # type: ignore[misc]
         await asyncio.sleep(WARM)
         pipe.send("warm")
@@ -188,7 +199,8 @@
     return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
-def measure(plan: Plan, workers: int, clients: int, seconds: float, root: Path = ROOT) -> dict[str, float]:
+def measure(plan: Plan, workers: int, clients: int, seconds: float, root: Path = ROOT,
+            rate: float = 0.0) -> dict[str, float]:
     """One measurement of the program in a tree; raises RuntimeError where the dispatcher is never ready."""
     import socket
     charter = charter_of(plan)
@@ -199,6 +211,8 @@
     peers: list[tuple[Any, Connection]] = []
     rows: list[tuple[str, str]] = []
     process = None
+    space = tempfile.mkdtemp()
+    commits = size = 0
     try:
         for part in range(PARTS):
             here, there = context.Pipe()
@@ -212,14 +226,21 @@
         known = {"index": 1, "snapshot": True, "endpoints": [
             {"name": name, "address": address, "zone": charter.zones[0], "type": "m", "group": 0,
              "status": "active", "weight": 1.0, "since_ms": 0} for name, address in rows]}
-        with tempfile.TemporaryDirectory() as folder:
-            config = Path(folder) / "d.json"
-            config.write_text(json.dumps(told(mine, known)), encoding="utf-8")
-            process = subprocess.Popen([sys.executable, "-m", "pathsaddle"], cwd=root, stderr=subprocess.DEVNULL,
-                                       env={**os.environ, "GW_CONFIG": str(config),
-                                            "PYTHONPATH": str(root)})
-            _ready(listen)
-        for _, pipe in peers:
+        folder = Path(space)
+        config, command = folder / "d.json", [sys.executable, "-m", "pathsaddle"]
+        config.write_text(json.dumps(told(mine, known)), encoding="utf-8")
+        if charter.jobs is not None:
+            roster, address = _roster(known, context)
+            peers.append((roster, peers[0][1]))
+            config.write_text(json.dumps({**plan.charter, "listen": listen, "discovery": address, "limits": {
+                "sockets": 8192}, "jobs": {**plan.charter["jobs"], "path": str(folder / "jobs.db")}}),
+                encoding="utf-8")
+            command += ["serve", str(config)]
+        with (folder / "log").open("wb") as log:
+            process = subprocess.Popen(command, cwd=root, stderr=log, env={
+                **os.environ, "GW_CONFIG": str(config), "PYTHONPATH": str(root)})
+        _ready(listen)
+        for peer, pipe in peers[:PARTS]:
             pipe.send("go")
         asking: list[tuple[Any, Connection]] = []
         for part in range(PARTS):
@@ -227,7 +248,8 @@
             count = clients // PARTS + (part < clients % PARTS)
             peer = context.Process(target=_clients, args=(
                 part, count, listen, charter.schemes[0].name,
-                charter.customers[0].name if charter.customers else "", seconds, there), daemon=True)
+                charter.customers[0].name if charter.customers else "", seconds,
+                clients / rate if rate else 0.0, there), daemon=True)
             peer.start()
             asking.append((peer, here))
         for _, pipe in asking:
@@ -239,8 +261,10 @@
         peers += asking
     finally:
         if process is not None:
-            process.send_signal(signal.SIGKILL)
+            process.send_signal(signal.SIGTERM if charter.jobs is not None else signal.SIGKILL)
             process.wait()
+            commits, size = _stored(Path(space))
+        shutil.rmtree(space, ignore_errors=True)
         for peer, _ in peers:
             peer.terminate()
             peer.join()
@@ -252,7 +276,88 @@
     return {"workers": workers, "clients": clients, "settled": count, "failed": sum(f for _, f, _ in told_all),
             "rate": count / seconds, "cpu_us": used / span * 1e6 / max(1e-9, count / seconds),
             "core": used / span, "p50_ms": histogram.get_value_at_percentile(50) / 1e3,
-            "p99_ms": histogram.get_value_at_percentile(99) / 1e3, "memory_mb": memory}
+            "p99_ms": histogram.get_value_at_percentile(99) / 1e3, "memory_mb": memory, "asked": rate,
+            "commits": commits, "bytes": size}
+
+
+def _stored(folder: Path) -> tuple[int, int]:
+    """How many commits the dispatcher made in all, and bytes of store a job."""
+    found = re.search(r"jobs.commits=([0-9.e+]+)", (folder / "log").read_text(errors="replace"))
+    store = folder / "jobs.db"
+    if found is None or not store.exists():
+        return 0, 0
+    import sqlite3
+    jobs = sqlite3.connect(store).execute("SELECT count(*) FROM jobs").fetchone()[0]
+    return int(float(found[1])), store.stat().st_size // max(1, jobs)
+
+
+def _tell_list(listening: Any, line: bytes) -> None:
+    """A roster that tells one list and then keeps its watches alive."""
+    async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(line), line))
+            while True:
+                await asyncio.sleep(2.0)
+                writer.write(b"1\r\n\n\r\n")
+                await writer.drain()
+        except (OSError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def run() -> None:
+        server = await asyncio.start_server(watch, sock=listening)
+        await server.serve_forever()
+    asyncio.run(run())
+
+
+def _roster(known: dict[str, Any], context: Any) -> tuple[Any, str]:
+    import socket
+    listening = socket.socket()
+    listening.bind(("127.0.0.1", 0))
+    address = f"127.0.0.1:{listening.getsockname()[1]}"
+    line = json.dumps(known).encode() + b"\n"
+    process = multiprocessing.get_context("fork").Process(target=_tell_list, args=(listening, line), daemon=True)
+    process.start()
+    return process, address
+
+
+def recover(plan: Plan, jobs: int) -> dict[str, float]:
+    """How long a dispatcher takes over a store of so many open jobs that were never posted."""
+    from pathsaddle.jobs.store import Accepted, DiskWriter, Store
+    from pathsaddle.trade import SECOND, Semantics
+    with tempfile.TemporaryDirectory() as space:
+        folder = Path(space)
+        store = Store(folder / "jobs.db", DiskWriter(asyncio.new_event_loop(), Random(1), 0.0), lock=False)
+        store.open()
+        now = int(time.time() * SECOND)
+        scheme = plan.charter["schemes"][0]["name"]
+        head = json.dumps([f"/{scheme}", [["Req-Id", "%s"], ["Req-Cost", "1000"]]])
+        store._commit([Accepted(f"j{i}", "", f"k{i}", b"d" * 16, Semantics.REPEATABLE, now, now + 600 * SECOND,
+                                (head % f"j{i}").encode() + b"\n" + b"x" * 200) for i in range(jobs)])
+        store.close()
+        size = (folder / "jobs.db").stat().st_size
+        config = folder / "d.json"
+        config.write_text(json.dumps({**plan.charter, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9",
+                                      "log": {"form": "json"}, "jobs": {"path": str(folder / "jobs.db")}}),
+                          encoding="utf-8")
+        begun = time.perf_counter()
+        process = subprocess.Popen([sys.executable, "-m", "pathsaddle", "serve", str(config)], cwd=ROOT,
+                                   stderr=subprocess.PIPE)
+        assert process.stderr is not None
+        ms = 0.0
+        try:
+            for line in process.stderr:
+                told_line = json.loads(line)
+                if told_line.get("event") == "recovered":
+                    ms = float(told_line["ms"])
+                    break
+            whole = time.perf_counter() - begun
+            memory = _memory_mb(process.pid)
+        finally:
+            process.kill()
+            process.wait()
+        return {"jobs": jobs, "recovered_ms": ms, "from_start_s": whole, "bytes_a_job": size / jobs,
+                "memory_mb": memory}
 
 
 def _ready(listen: str) -> None:
@@ -274,25 +379,47 @@
     rows: list[dict[str, Any]] = []
     click.echo(f"{plan.name}: {machine()}, commit {commit_of()}; one dispatcher on a core of its own, loopback, "
                f"{plan.throughput.clients} clients, {plan.seconds:g} s each")
-    trees = {"base": (ROOT, commit_of())}
+    if plan.throughput.recovery:
+        for jobs in plan.throughput.recovery:
+            for _ in range(plan.throughput.times):
+                rows.append(recover(plan, jobs))
+                click.echo(f"{jobs:7} open jobs: recovered in {rows[-1]['recovered_ms']:.0f} ms, "
+                           f"{rows[-1]['from_start_s']:.2f} s from the process's start, "
+                           f"{rows[-1]['bytes_a_job']:.0f} bytes a job, {rows[-1]['memory_mb']:.0f} MB")
+        _keep(plan, path, rows)
+        return 0
+    trees = {"base": (plan, ROOT, commit_of())}
     for variant in plan.variants:
-        trees[variant.name] = tree(variant.commit, "sockets", path.parent / "trees")
-    click.echo("variant   workers   txns/s  CPU us/txn   core   p50 ms   p99 ms  memory MB  failed")
+        root, name = tree(variant.commit, "sockets", path.parent / "trees") if variant.commit else (
+            ROOT, commit_of())
+        trees[variant.name] = (varied(plan, variant), root, name)
+    click.echo("variant   workers  asked   txns/s  CPU us/txn   core   p50 ms   p99 ms  memory MB  failed  "
+               "commits/txn  bytes/job")
     for workers in plan.throughput.workers:
-        found: dict[str, list[dict[str, float]]] = {name: [] for name in trees}
-        for _ in range(plan.throughput.times):
-            for name, (root, commit) in trees.items():  # in turn: the machine changes its speed meanwhile
-                row = measure(plan, workers, plan.throughput.clients, plan.seconds, root)
-                found[name].append(row)
-                rows.append({"variant": name, "commit": commit, **row})
-                click.echo(f"{name:9} {workers:7} {row['rate']:8.0f} {row['cpu_us']:11.1f} {row['core']:6.2f} "
-                           f"{row['p50_ms']:8.2f} {row['p99_ms']:8.2f} {row['memory_mb']:10.1f} "
-                           f"{row['failed']:7.0f}")
-        for name, those in found.items():
-            click.echo(f"{name:9} {workers:7} {statistics.median(r['rate'] for r in those):8.0f} "
-                       f"{statistics.median(r['cpu_us'] for r in those):11.1f}  median")
+        for rate in plan.throughput.rates:
+            found: dict[str, list[dict[str, float]]] = {name: [] for name in trees}
+            for _ in range(plan.throughput.times):
+                for name, (other, root, commit) in trees.items():  # in turn: the machine's speed changes
+                    row = measure(other, workers, plan.throughput.clients, plan.seconds, root, rate)
+                    found[name].append(row)
+                    rows.append({"variant": name, "commit": commit, **row})
+                    click.echo(_line(name, row))
+            for name, those in found.items():
+                click.echo(_line(name, {key: statistics.median(row[key] for row in those) for key in those[0]})
+                           + "  median")
+    _keep(plan, path, rows)
+    return 0 if all(kept["settled"] for kept in rows) else 1
+
+
+def _line(name: str, row: dict[str, float]) -> str:
+    each = row["commits"] / max(1.0, row["settled"] * (1 + WARM / 4))
+    return (f"{name:9} {row['workers']:7.0f} {row['asked']:6.0f} {row['rate']:8.0f} {row['cpu_us']:11.1f} "
+            f"{row['core']:6.2f} {row['p50_ms']:8.2f} {row['p99_ms']:8.2f} {row['memory_mb']:10.1f} "
+            f"{row['failed']:7.0f} {each:12.2f} {row['bytes']:10.0f}")
+
+
+def _keep(plan: Plan, path: Path, rows: list[dict[str, Any]]) -> None:
     path.parent.mkdir(parents=True, exist_ok=True)
     with path.open("a", encoding="utf-8") as file:
         for kept in rows:
             file.write(json.dumps({"plan": plan.name, "machine": machine(), **kept}) + "\n")
-    return 0 if all(kept["settled"] for kept in rows) else 1
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -755,3 +755,5 @@
 
     async def finish(self) -> None:
         self.store.close()
+        self.counters.most("jobs.commits", self.store.commits)
+        self.counters.most("jobs.records", self.store.written)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -122,10 +122,11 @@
         self.assertEqual(pathsaddle("experiment", "compare", b, a).returncode, 0)
         self.assertEqual(pathsaddle("experiment", "compare", a, str(self.folder / "none")).returncode, 2)
 
-    def test_the_smoke_plan(self) -> None:
-        done = pathsaddle("experiment", "run", "experiments/smoke.toml", "--folder", str(self.folder))
-        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
-        self.assertIn("every rule kept, every bound held", done.stdout)
+    def test_the_smoke_plans(self) -> None:
+        for plan in ("smoke", "jobs-smoke"):
+            done = pathsaddle("experiment", "run", f"experiments/{plan}.toml", "--folder", str(self.folder))
+            self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+            self.assertIn("every rule kept, every bound held", done.stdout)
 
 
 class ServeStory(unittest.IsolatedAsyncioTestCase):
