A callback that is answered within its own turn asks for no further one

Cause: since callbacks may be answered later, each asked for one more look at its connection. Change: Visit knows whether it is at work.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -53,6 +53,7 @@
         self.held = 0  # bytes of its bodies that count for us all
         self.lingers: int | None = None  # since when all that comes is thrown away
         self.code: str | None = None
+        self._at_work = False  # the next call is looked at anyway, once this one is served
         self._events = asyncio.get_running_loop()
         self._writer: asyncio.Task[None] | None = None
         self._read_on = asyncio.Event()
@@ -106,7 +107,9 @@
 
     def work(self) -> None:
         try:
+            self._at_work = True
             self._work()
+            self._at_work = False
         except Exception as fault:  # noqa: BLE001  # whatever it is ends this connection alone
             logbook.fault_client(fault, peer=self.peer)
             self.end("fault")
@@ -168,7 +171,8 @@
         self.entry = None
         if self.code is None:
             self._answer(status, body, headers, keep)
-            self._events.call_soon(self.work)
+            if not self._at_work:
+                self._events.call_soon(self.work)
 
     def _answer(self, status: int, body: bytes = b"", headers: tuple[str, ...] = (),
                 keep: bool = True) -> None:
