--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -715,7 +715,8 @@
                 tell_pending(pending, fault)
                 return
             except FAULTS:
-                await asyncio.sleep(seconds(AGAIN))
+                left = kept.job.expires - self.clock.now()
+                await asyncio.sleep(seconds(AGAIN if told else max(0, min(AGAIN, left))))
         kept.pending = None
         tell_pending(pending, None)
         if not told:
--- a/pathsaddle/jobs/life.py
+++ b/pathsaddle/jobs/life.py
@@ -100,7 +100,8 @@
         if not self.open:
             raise Impossible(f"{self.tag}: {record.kind.value} after its end")
         if record.kind is Kind.INTENT:
-            if record.number != self.next_number:
+            # They only grow; one whose intent the disk refused was never sent, and leaves a gap.
+            if record.number < self.next_number:
                 raise Impossible(f"{self.tag}: lease {record.number} where {self.next_number} is next")
             if self.semantics is Semantics.ONCE_ONLY and self.in_doubt():
                 raise Impossible(f"{self.tag}: once-only, and lease {self.in_doubt()[0].number} may have run")
