One look says whether a worker may be cold; slow readers; a port that no worker takes

Cause: with 1,000 workers each scan asked each book two things more; the throughput tool chose the dispatcher's port before a thousand workers' listeners took theirs, and two measurements spoke to a worker. Change: Book.wary; the port is chosen last; bad clients that sip; a story for replayed traces.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -85,7 +85,8 @@
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
-        self.broke = 0  # when a connection to it last broke or was refused
+        self.broke = -FAR  # when a connection to it last broke or was refused
+        self.wary = worker.started is not None  # it may be cold: one look for both, in each scan
         self.risen = -FAR  # since when it is taken to have started anew, unlisted
 
     def own_at(self, moment: int) -> int:
@@ -408,7 +409,7 @@
                 # Only what can be posted again anywhere is risked on a suspect.
                 and (not book.suspect or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
-                and (worker.started is None and not book.broke or self.cold_allows(book, txn)))
+                and (not book.wary or self.cold_allows(book, txn)))
 
     def need(self, txn: Txn) -> float:
         need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
@@ -429,7 +430,7 @@
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  # What nearly all workers pass at once, against a call for each of them.
-                 and (plain and book.started is None and not book.broke and not book.suspect and not book.mute
+                 and (plain and not book.wary and not book.suspect and not book.mute
                       or self.eligible(book, txn))]
         self.ranked = loads
         if self.cross_price <= 0:
@@ -763,7 +764,8 @@
         book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
 
     def broke(self, worker: Worker) -> None:
-        self.books[worker].broke = self.now
+        book = self.books[worker]
+        book.broke, book.wary = self.now, True
 
     def read(self, book: Book, report: Report) -> None:
         if report.free is None:
@@ -859,6 +861,7 @@
             # The design: a worker not yet heard from starts at the others' mean backlog.
             book.head = dict(mean)
             book.started = worker.started
+            book.wary = book.wary or worker.started is not None
             book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
             book.believed_until = 0
 
--- a/pathsaddle/emulator/clients.py
+++ b/pathsaddle/emulator/clients.py
@@ -26,7 +26,7 @@
 CROSSING = 200  # ticks in which a close and a call may have crossed
 LATE = 2000  # ticks past its expiry after which a client is gone for good
 READY_EVERY = 0.1  # seconds between the front's looks at one that is not ready
-BAD = ("half", "noise", "two-lengths", "silent", "giant", "unread", "long-head")
+BAD = ("half", "noise", "two-lengths", "silent", "giant", "unread", "long-head", "sips")
 
 
 @dataclass(slots=True, eq=False)
@@ -103,7 +103,7 @@
                 for when, scheme, work, customer in csv.reader(file)]
 
 
-async def dial(world: World, stage: Stage, place: Place, dispatcher: int) -> Wire:
+async def dial(world: World, stage: Stage, place: Place, dispatcher: int, sips: float = 0.0) -> Wire:
     sock, peer = place.stream(stage.listen_of(dispatcher))
     try:
         await world.loop.sock_connect(sock, peer)
@@ -111,7 +111,7 @@
         place.let_go(sock)
         raise
     zone = stage.zone_of(dispatcher)
-    return Wire(world, place, sock, place.zone or zone)
+    return Wire(world, place, sock, place.zone or zone, sips=sips)
 
 
 class Clients:
@@ -446,12 +446,13 @@
             "half": f"{head}Content-Length: 99\r\n\r\nhalf", "noise": "\x01\x02 what\r\n\r\n", "silent": "",
             "two-lengths": f"{head}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
             "giant": f"{head}Content-Length: 9000000\r\n\r\n" + "x" * 200_000,
-            "unread": "GET /ready HTTP/1.1\r\n\r\n" * 2000, "long-head": f"{head}X: " + "y" * 40_000}
+            "unread": "GET /ready HTTP/1.1\r\n\r\n" * 2000, "sips": "GET /ready HTTP/1.1\r\n\r\n" * 2000,
+            "long-head": f"{head}X: " + "y" * 40_000}
         begun, status = self.world.now(), 0
         wire = None
         try:
             async with asyncio.timeout(15.0):
-                wire = await dial(self.world, self.stage, place, dispatcher)
+                wire = await dial(self.world, self.stage, place, dispatcher, 0.02 if how == "sips" else 0.0)
                 begun = self.world.now()
                 if says[how]:
                     await wire.send(says[how].encode("latin-1"))
@@ -464,7 +465,7 @@
                         break
                     for said in hearing.feed(data, at):
                         status = said.status
-                    if how == "unread" and status:
+                    if how == "unread" and status or how == "sips" and self.world.now() - begun > 5 * TICKS:
                         break
         except (OSError, TimeoutError, httptools.HttpParserError):
             pass
--- a/pathsaddle/emulator/judge.py
+++ b/pathsaddle/emulator/judge.py
@@ -298,7 +298,7 @@
         self.faults[more["kind"]] += 1
 
     def _bad(self, at: int, more: dict[str, Any]) -> None:
-        if more["status"] == 200 and more["how"] != "unread":
+        if more["status"] == 200 and more["how"] not in ("unread", "sips"):
             self.finds("bad", at, f"a bad client ({more['how']}) was served")
         elif more["took"] > BAD_WITHIN and not self._was_down(more["dispatcher"], at - more["took"], at):
             self.finds("bad", at, f"a bad client ({more['how']}) stayed for {more['took'] / SECOND:.1f} s")
--- a/pathsaddle/emulator/world.py
+++ b/pathsaddle/emulator/world.py
@@ -19,6 +19,7 @@
 TICKS = 10_000
 RESET = struct.pack("ii", 1, 0)
 MOST_AT_ONCE = 64 * 1024
+SIP = 64  # bytes that a slow reader takes at a time
 
 
 class World:
@@ -176,7 +177,8 @@
 
     def __init__(self, world: World, place: Place, sock: Any, there: str, *names: str,
                  gate: Callable[[], Awaitable[None]] = always,
-                 on_gone: Callable[[int], None] = lambda at: None) -> None:
+                 on_gone: Callable[[int], None] = lambda at: None, sips: float = 0.0) -> None:
+        self.sips = sips  # seconds between the few bytes that a slow reader takes; 0: it reads all at once
         self.world = world
         self.place = place
         self.sock = sock
@@ -192,7 +194,9 @@
 
     async def _read(self) -> None:
         try:
-            while data := await self.world.loop.sock_recv(self.sock, MOST_AT_ONCE):
+            while data := await self.world.loop.sock_recv(self.sock, SIP if self.sips else MOST_AT_ONCE):
+                if self.sips:
+                    await asyncio.sleep(self.sips)
                 at = self.world.weather.breaks(len(data))
                 if at is not None:
                     self._come.append((self.world.now(), data[:at]))
--- a/pathsaddle/experiment/throughput.py
+++ b/pathsaddle/experiment/throughput.py
@@ -100,13 +100,12 @@
             self._next()
 
 
-def _workers(part: int, count: int, listen: str, pipe: Connection) -> None:
+def _workers(part: int, count: int, pipe: Connection) -> None:
     """One process's share of the workers; says their addresses."""
     import uvloop
 
     async def run() -> None:
         loop = asyncio.get_running_loop()
-        host, _, port = listen.rpartition(":")
         rows, backs = [], []
         for i in range(count):
             name = f"w{part}-{i}"
@@ -116,7 +115,7 @@
                                               "127.0.0.1", 0, backlog=64)
             rows.append((name, f"127.0.0.1:{server.sockets[0].getsockname()[1]}"))
         pipe.send(rows)
-        await loop.run_in_executor(None, pipe.recv)  # the dispatcher listens
+        host, _, port = (await loop.run_in_executor(None, pipe.recv)).rpartition(":")  # the dispatcher listens
         for back in backs[:64]:
             await loop.create_connection(lambda b=back: b, host, int(port))  # type: ignore[misc]
         for i, back in enumerate(backs[64:]):  # the dispatcher's descriptors are for more than callbacks
@@ -204,9 +203,6 @@
     """One measurement of the program in a tree; raises RuntimeError where the dispatcher is never ready."""
     import socket
     charter = charter_of(plan)
-    with socket.socket() as one:
-        one.bind(("127.0.0.1", 0))
-        listen = f"127.0.0.1:{one.getsockname()[1]}"
     context = multiprocessing.get_context("spawn")
     peers: list[tuple[Any, Connection]] = []
     rows: list[tuple[str, str]] = []
@@ -217,11 +213,15 @@
         for part in range(PARTS):
             here, there = context.Pipe()
             count = workers // PARTS + (part < workers % PARTS)
-            peer = context.Process(target=_workers, args=(part, count, listen, there), daemon=True)
+            peer = context.Process(target=_workers, args=(part, count, there), daemon=True)
             peer.start()
             peers.append((peer, here))
         for _, pipe in peers:
             rows += pipe.recv()
+        # Chosen only now: a thousand workers' own listeners took a port that was chosen before them.
+        with socket.socket() as one:
+            one.bind(("127.0.0.1", 0))
+            listen = f"127.0.0.1:{one.getsockname()[1]}"
         mine = charter_of(plan, listen=listen, discovery="127.0.0.1:9", limits={"sockets": 8192})
         known = {"index": 1, "snapshot": True, "endpoints": [
             {"name": name, "address": address, "zone": charter.zones[0], "type": "m", "group": 0,
@@ -241,7 +241,7 @@
                 **os.environ, "GW_CONFIG": str(config), "PYTHONPATH": str(root)})
         _ready(listen)
         for peer, pipe in peers[:PARTS]:
-            pipe.send("go")
+            pipe.send(listen)
         asking: list[tuple[Any, Connection]] = []
         for part in range(PARTS):
             here, there = context.Pipe()
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -105,6 +105,16 @@
         self.assertIn("data:image/png", page)
         self.assertIn("<td>base</td><td>4</td>", page)
 
+    def test_a_trace_is_replayed_as_it_was(self) -> None:
+        trace = self.file("0.5,a,100,\n0.5,a,2000,\n1.5,a,50,\n", "trace.csv")
+        path = self.file(SMALL + f'[load]\nshape = "trace"\ntrace = "{trace}"\n[bounds]\nvalue = 0.6\n')
+        events = self.folder / "events"
+        done = pathsaddle("emulate", path, "--events", str(events))
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        wanted = [row["more"]["work"] for row in map(json.loads, events.read_text().splitlines())
+                  if row["what"] == "wanted"]
+        self.assertEqual(wanted, [1000, 20_000, 500])
+
     def test_compare_pairs_by_seed_and_a_loss_is_a_finding(self) -> None:
         def results(path: Path, value: float) -> str:
             for seed in range(1, 9):
