--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -60,6 +60,7 @@
     entry: Entry | None = None
     polls: list[tuple[Answer, asyncio.TimerHandle]] = field(default_factory=list)
     running: bool = False
+    accepting: asyncio.Future[None] | None = None  # it is not on disk yet
     pending: asyncio.Future[None] | None = None  # its end is known here and not on disk yet
 
     @property
@@ -397,26 +398,28 @@
         kept = Kept(Job(tag, txn.scheme.semantics, txn.arrived, txn.expires), told)
         self.by_key[owner, key] = self.jobs[tag] = kept
         self.counters.add("jobs.submitted")
-        self._start(self._accept(kept, answer))
+        # From here, not from the task: the same submission may come again before that has had its first turn.
+        kept.accepting = self._put(told)
+        self._start(self._accept(kept, kept.accepting, answer))
 
-    async def _accept(self, kept: Kept, answer: Answer) -> None:
+    async def _accept(self, kept: Kept, accepting: asyncio.Future[None], answer: Answer) -> None:
         try:
-            await asyncio.shield(self._put(kept.told))
+            await asyncio.shield(accepting)
         except (*FAULTS, Fenced) as fault:
             # Whether it is on disk is not known for a fault in the sync: under its key it may come again.
             self.jobs.pop(kept.job.tag, None)
             self.by_key.pop((kept.told.owner, kept.told.key or ""), None)
             self._say(answer, 503, {"why": f"the store can't be written: {fault}"[:200]}, come_back=SECOND)
             return
+        kept.accepting = None
         kept.job.changes += 1
         self._say(answer, 202, self._shown(kept))
         self._line_up(kept)
 
     async def _accepted_before(self, kept: Kept, answer: Answer) -> None:
         """The same submission again; its first may not be on disk yet."""
-        while kept.job.changes == 0 and kept.job.tag in self.jobs and not kept.job.leases and kept.job.open \
-                and kept.entry is None and self.recovered and kept.job.accepted >= self.loop.choice.born:
-            await asyncio.sleep(seconds(MILLISECOND))
+        if kept.accepting is not None:
+            await asyncio.wait([kept.accepting])
         if kept.job.tag not in self.jobs:
             self._say(answer, 503, {"why": "the store can't be written"}, come_back=SECOND)
             return
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -355,6 +355,22 @@
         self.begins()
         self.assertEqual(self.submit()[1]["id"], tag, "also after a restart")
 
+    def test_the_same_submission_twice_at_once_is_not_taken_on_before_it_is_on_disk(self) -> None:
+        self.starts()
+        self.begins()
+        self.disk.ill = OSError(28, "no space left")
+        head = {b"Req-Owner": b"acme", b"Idempotency-Key": b"k"}
+        message = Message(b"POST", b"/jobs/charge", headers={n.lower(): v for n, v in head.items()},
+                          lines=list(head.items()), body=b"b")
+        said: list[int] = []
+
+        async def twice() -> None:
+            for _ in range(2):
+                self.desk.take(message, lambda status, *_: said.append(status))
+        self.do(twice())
+        self.passes(0.2)
+        self.assertEqual(said, [503, 503])
+
     def test_a_key_may_come_again_after_its_retention(self) -> None:
         tag = self.submitted()
         self.back(tag)
