A write that can't stand fails alone, not with all that share its commit

Cause: reading the store again: an id or key that is there already failed the whole group commit, and with it others' jobs. Change: on such a fault each of the group is committed by itself (store.py commit_all), on both writers.

--- a/pathsaddle/jobs/store.py
+++ b/pathsaddle/jobs/store.py
@@ -107,6 +107,23 @@
             done.exception()  # who gave up waiting has its own trouble
 
 
+Waiting = tuple[list[Write], asyncio.Future[None]]
+
+
+def commit_all(commit: Callable[[list[Write]], None], group: list[Waiting]) -> list[BaseException | None]:
+    """All in one commit, and what came of each. Where one of them can't stand (an id that is there already), each
+    is committed alone, so that it fails alone."""
+    try:
+        commit([write for writes, _ in group for write in writes])
+        return [None] * len(group)
+    except sqlite3.IntegrityError as fault:
+        if len(group) == 1:
+            return [fault]
+        return [commit_all(commit, [one])[0] for one in group]
+    except (sqlite3.Error, OSError, Fenced) as fault:
+        return [fault] * len(group)
+
+
 class ThreadWriter:
     """One thread that commits all that waits, again and again."""
 
@@ -131,20 +148,16 @@
             waiting = [entry for entry in group if entry is not None]
             if not waiting:
                 continue
-            fault: BaseException | None = None
-            try:
-                commit([write for writes, _ in waiting for write in writes])
-            except (sqlite3.Error, OSError, Fenced) as what:
-                fault = what
+            faults = commit_all(commit, waiting)
             loop = waiting[0][1].get_loop()
             try:
-                loop.call_soon_threadsafe(self._tell, [done for _, done in waiting], fault)
+                loop.call_soon_threadsafe(self._tell, [done for _, done in waiting], faults)
             except RuntimeError:
                 return  # the loop has ended, and all who waited with it
 
     @staticmethod
-    def _tell(group: list[asyncio.Future[None]], fault: BaseException | None) -> None:
-        for done in group:
+    def _tell(group: list[asyncio.Future[None]], faults: list[BaseException | None]) -> None:
+        for done, fault in zip(group, faults, strict=True):
             tell(done, fault)
 
     def end(self) -> None:
@@ -165,8 +178,8 @@
         self.slow = 0.0
         self.ill: Exception | None = None
         self.syncs = 0
-        self._waiting: list[tuple[list[Write], asyncio.Future[None]]] = []
-        self._under_way: list[tuple[list[Write], asyncio.Future[None]]] = []
+        self._waiting: list[Waiting] = []
+        self._under_way: list[Waiting] = []
         self._commit: Callable[[list[Write]], None] = lambda writes: None
 
     def begin(self, commit: Callable[[list[Write]], None]) -> None:
@@ -185,14 +198,11 @@
 
     def _synced(self) -> None:
         group, self._under_way = self._under_way, []
-        fault: BaseException | None = self.ill
-        if fault is None:
-            try:
-                self._commit([write for writes, _ in group for write in writes])
-                self.syncs += 1
-            except (sqlite3.Error, Fenced) as what:
-                fault = what
-        for _, done in group:
+        faults: list[BaseException | None] = [self.ill] * len(group)
+        if self.ill is None:
+            faults = commit_all(self._commit, group)
+            self.syncs += 1
+        for (_, done), fault in zip(group, faults, strict=True):
             tell(done, fault)
         self._start()
 
@@ -200,10 +210,7 @@
         """Its process is killed: the commit under way is whole on disk or not there at all."""
         group, self._under_way, self._waiting = self._under_way, [], []
         if group and self.ill is None and self.chance.random() < 0.5:
-            try:
-                self._commit([write for writes, _ in group for write in writes])
-            except (sqlite3.Error, Fenced):
-                return
+            commit_all(self._commit, group)
 
     def end(self) -> None:
         while self._under_way or self._waiting:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -129,6 +129,14 @@
         self.assertLess(store.commits, 250)
         self.assertEqual(store.written, 500)
 
+    async def test_a_write_that_can_not_stand_fails_alone(self) -> None:
+        store = self.store()
+        await store.put(self.accepted("a", "k"))
+        puts = [store.put(self.accepted(tag, key)) for tag, key in (("b", "x"), ("c", "k"), ("d", "y"))]
+        told = await asyncio.gather(*puts, return_exceptions=True)
+        self.assertEqual([type(fault) for fault in told], [type(None), sqlite3.IntegrityError, type(None)])
+        self.assertEqual([job.tag for _, job in rows(self.path)], ["a", "b", "d"])
+
     async def test_two_processes_on_one_store(self) -> None:
         first = self.store()
         with self.assertRaisesRegex(Unusable, "another process"):
