Variants of earlier commits run with today's emulator where they have no jobs

Cause: tried by hand: a commit from before jobs/ failed at import, since the emulator laid over it asked for the store. Change: the store is imported where a plan's charter has jobs.

--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -12,7 +12,7 @@
 import tempfile
 from collections.abc import Iterator
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from loguru import logger
 
@@ -27,9 +27,11 @@
 from pathsaddle.emulator.roster import Roster
 from pathsaddle.emulator.workers import Shared, Worker
 from pathsaddle.emulator.world import TICKS, Place, VirtualPlace, World
-from pathsaddle.jobs.store import DiskWriter, Store
 from pathsaddle.net.service.desk import Desk
 
+if TYPE_CHECKING:  # earlier commits of ours, over which this is laid, have no jobs
+    from pathsaddle.jobs.store import DiskWriter, Store
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 AFTER = 3.0  # seconds on top of the longest expiry and its tries in which all must have ended
 ENDS_IN = 8.0  # seconds in which a dispatcher that was told to end must be gone
@@ -201,6 +203,7 @@
         if jobs is None:
             return Desk(*told)
         from pathsaddle.jobs.desk import DurableDesk, Ways
+        from pathsaddle.jobs.store import DiskWriter, Store
         self.lives += 1
         chance = self.world.chance(f"disk {dispatcher} {self.lives}")
         disk = self.disks[dispatcher] = DiskWriter(self.net.loop, chance, self.world.plan.fleet.sync / TICKS)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -105,6 +105,16 @@
         self.assertIn("data:image/png", page)
         self.assertIn("<td>base</td><td>4</td>", page)
 
+    @unittest.skipUnless((ROOT / ".git").exists(), "no repository")
+    def test_a_variant_may_be_a_commit_of_ours(self) -> None:
+        def run(commit: str) -> subprocess.CompletedProcess[str]:
+            path = self.file(SMALL + f'[[variants]]\nname = "then"\ncommit = "{commit}"\n')
+            return pathsaddle("experiment", "run", path, "--seeds", "1", "--folder", str(self.folder))
+        done = run("HEAD")
+        self.assertEqual(done.returncode, 0, done.stdout + done.stderr)
+        self.assertIn("then: 1 runs", done.stdout)
+        self.assertEqual(run("0" * 40).returncode, 2)
+
     def test_a_trace_is_replayed_as_it_was(self) -> None:
         trace = self.file("0.5,a,100,\n0.5,a,2000,\n1.5,a,50,\n", "trace.csv")
         path = self.file(SMALL + f'[load]\nshape = "trace"\ntrace = "{trace}"\n[bounds]\nvalue = 0.6\n')
