--- a/pathsaddle/emulator/clients.py
+++ b/pathsaddle/emulator/clients.py
@@ -80,14 +80,8 @@
                 async with asyncio.timeout(COMES_UP):
                     wire = await dial(self.world, self.stage, self.place, dispatcher)
                     await wire.send(speech.call("GET", "/ready", {}))
-                    said: list[Said] = []
-                    hearing = Hearing(calls=False)
-                    while not said:
-                        at, data = await wire.recv()
-                        if not data:
-                            break
-                        said = hearing.feed(data, at)
-                    self.up[dispatcher] = bool(said) and said[0].status == 200
+                    said = await wire.said(Hearing(calls=False))
+                    self.up[dispatcher] = said is not None and said.status == 200
             except (OSError, TimeoutError, httptools.HttpParserError):
                 pass
             finally:
@@ -281,12 +275,7 @@
             patience *= 0.3 * chance.random()
         try:
             async with asyncio.timeout(patience):
-                said: list[Said] = []
-                while not said:
-                    at, data = await wire.recv()
-                    if not data:
-                        break
-                    said = hearing.feed(data, at)
+                answer = await wire.said(hearing)
         except TimeoutError:
             # What has crossed by now counts, though the client behind a silent network never sees it.
             crossed = wire.crossed()
@@ -301,7 +290,7 @@
             self.world.add("garbled", id=tag, why=str(fault)[:80])
             wire.close()
             return "lost", 0.0
-        if not said:
+        if answer is None:
             wire.close()
             if wire.broken:  # the network's doing: to the dispatcher its client is gone
                 add(wire.gone_at or self.world.now(), "hung_up", id=tag, early=True)
@@ -311,7 +300,6 @@
                 return "crossed", 0.0
             add(wire.gone_at or self.world.now(), "lost", id=tag, dispatcher=dispatcher)
             return "lost", 0.0
-        answer = said[0]
         how = "settled" if answer.status == 200 else "declined" if answer.status in (429, 503) else "reversed"
         whole = how != "settled" or answer.body == b"done " + tag.encode()
         come_back = float(answer.headers.get("retry-after", "0"))
@@ -406,18 +394,12 @@
             async with asyncio.timeout(within):
                 wire, hearing, _ = await self._connection(zone, dispatcher)
                 await wire.send(call)
-                said: list[Said] = []
-                while not said:
-                    at, data = await wire.recv()
-                    if not data:
-                        wire.close()
-                        return None
-                    said = hearing.feed(data, at)
-                if said[0].keep and wire.gone_at is None:
+                said = await wire.said(hearing)
+                if said is not None and said.keep and wire.gone_at is None:
                     self.kept[zone, dispatcher].append((wire, hearing))
                 else:
                     wire.close()
-                return said[0]
+                return said
         except (OSError, TimeoutError, httptools.HttpParserError):
             if wire is not None:
                 wire.close()
--- a/pathsaddle/emulator/workers.py
+++ b/pathsaddle/emulator/workers.py
@@ -495,18 +495,15 @@
                                 gate=self.awake)
                     hearing = Hearing(calls=False)
                 await wire.send(call)
-                said: list[Said] = []
-                while not said:
-                    at, data = await wire.recv()
-                    if not data:
-                        wire.close()
-                        return False
-                    said = hearing.feed(data, at)
-                if said[0].keep and place is self.place:
+                said = await wire.said(hearing)
+                if said is None:
+                    wire.close()
+                    return False
+                if said.keep and place is self.place:
                     kept.append((wire, hearing))
                 else:
                     wire.close()
-                return said[0].status in (200, 204)
+                return said.status in (200, 204)
         except (OSError, TimeoutError, httptools.HttpParserError):
             if wire is not None:
                 wire.close()
--- a/pathsaddle/emulator/world.py
+++ b/pathsaddle/emulator/world.py
@@ -14,6 +14,7 @@
 from pathsaddle.emulator.events import Events
 from pathsaddle.emulator.links import Host, Net
 from pathsaddle.emulator.plan import Plan
+from pathsaddle.emulator.speech import Hearing, Said
 from pathsaddle.net.service import pump
 
 TICKS = 10_000
@@ -251,6 +252,15 @@
         await self.world.loop.sock_sendall(self.sock, data)
         return self.world.now()
 
+    async def said(self, hearing: Hearing) -> Said | None:
+        """The next whole message; none: the other side is gone before its end."""
+        while True:
+            at, data = await self.recv()
+            if not data:
+                return None
+            if found := hearing.feed(data, at):
+                return found[0]
+
     def crossed(self) -> int:
         """When the last bytes came that nobody has heard yet; 0: none did."""
         return self._come[-1][0] if self._come else 0
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -20,7 +20,7 @@
 from pathsaddle.jobs import life
 from pathsaddle.jobs.call import PATH, as_txn, digest, key_of, pack, unpack
 from pathsaddle.jobs.life import End, Job, Kind, Lease, Next, Record, Word
-from pathsaddle.jobs.store import Accepted, Fenced, Forget, Store
+from pathsaddle.jobs.store import Accepted, Fenced, Forget, Store, tell_done
 from pathsaddle.net.memory.ledger import Answer, Entry, Errand
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
@@ -73,15 +73,6 @@
         return self.job.changes - (self.pending is not None)
 
 
-def tell_pending(pending: asyncio.Future[None], fault: BaseException | None) -> None:
-    if not pending.done():
-        if fault is None:
-            pending.set_result(None)
-        else:
-            pending.set_exception(fault)
-            pending.exception()
-
-
 class DurableDesk(Desk):
     def __init__(self, *told: Any, store: Store, ways: Ways, chance: Random) -> None:
         super().__init__(*told)
@@ -715,13 +706,13 @@
             except Fenced as fault:
                 if not told:
                     tell(False)
-                tell_pending(pending, fault)
+                tell_done(pending, fault)
                 return
             except FAULTS:
                 left = kept.job.expires - self.clock.now()
                 await asyncio.sleep(seconds(AGAIN if told else max(0, min(AGAIN, left))))
         kept.pending = None
-        tell_pending(pending, None)
+        tell_done(pending, None)
         if not told:
             tell(True)
         self._changed(kept)
--- a/pathsaddle/jobs/store.py
+++ b/pathsaddle/jobs/store.py
@@ -98,7 +98,7 @@
     def end(self) -> None: ...
 
 
-def tell(done: asyncio.Future[None], fault: BaseException | None) -> None:
+def tell_done(done: asyncio.Future[None], fault: BaseException | None) -> None:
     if not done.done():
         if fault is None:
             done.set_result(None)
@@ -158,7 +158,7 @@
     @staticmethod
     def _tell(group: list[asyncio.Future[None]], faults: list[BaseException | None]) -> None:
         for done, fault in zip(group, faults, strict=True):
-            tell(done, fault)
+            tell_done(done, fault)
 
     def end(self) -> None:
         self._queue.put(None)
@@ -203,7 +203,7 @@
             faults = commit_all(self._commit, group)
             self.syncs += 1
         for (_, done), fault in zip(group, faults, strict=True):
-            tell(done, fault)
+            tell_done(done, fault)
         self._start()
 
     def crash(self) -> None:
@@ -260,7 +260,7 @@
         """Done once they are on disk; fails with sqlite3.Error, OSError, or Fenced for good."""
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         if self.fenced:
-            tell(done, Fenced(str(self.path)))
+            tell_done(done, Fenced(str(self.path)))
         else:
             self.writer.put(list(writes), done)
         return done
