A job whose scheme is gone holds up no recovery; a store in use ends serve with 2

One stored call that the charter no longer knows raised out of DurableDesk.begin: polls would have been answered 503 for good. serve let the store's Unusable out as a trace, where docs/jobs.md says exit 2. Change: that job alone waits for its worker's word; Unusable becomes one line and 2. The exit code has no story yet.

--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -51,6 +51,7 @@
     """Serve by the operator's CHARTER, in the foreground, until SIGTERM or Ctrl-C. SIGHUP rereads it."""
     from pathsaddle.charter.check import Faulty
     from pathsaddle.charter.ground import CharterGround
+    from pathsaddle.jobs.store import Unusable
     from pathsaddle.net.service import start
     try:
         ground = CharterGround(Path(charter), log_form)
@@ -59,6 +60,8 @@
     ground.open_log()
     try:
         start.run(ground)
+    except Unusable as fault:
+        raise Stop(f"{charter}: jobs.path: {fault}", 2) from None
     except OSError as fault:
         raise Stop(f"{charter}: listen: can't be had: {fault}", 2) from None
 
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -170,7 +170,10 @@
 
         async def ask(kept: Kept) -> None:
             async with gate:
-                await self._take_up(kept)
+                try:
+                    await self._take_up(kept)
+                except (Broken, ValueError):  # its scheme is gone since: that job alone waits for its worker's word
+                    self._start(self._wait_for_word(kept))
         for i in range(0, len(doubtful), SLICE):
             await asyncio.gather(*(ask(kept) for kept in doubtful[i:i + SLICE]))
         for i, kept in enumerate(open_jobs):
@@ -433,8 +436,8 @@
                 continue
             try:
                 entry = kept.entry or self._entry(kept)
-            except Broken as fault:
-                self._end_job(kept, End.REVERSED, fault.status, str(fault).encode())
+            except (Broken, ValueError) as fault:
+                self._end_job(kept, End.REVERSED, getattr(fault, "status", 400), str(fault).encode())
                 continue
             self._go(kept, entry, [])
 
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -427,6 +427,16 @@
         self.assertEqual((self.status(tag)["state"], len(self.played.posted)), ("reversed", 1))
         self.assertTrue(self.status(tag)["may_have_run"])
 
+    def test_a_job_whose_scheme_is_gone_holds_up_no_other(self) -> None:
+        tag = self.submitted()
+        self.dies()
+        gone = {**TOLD, "Schemes": TOLD["Schemes"][:1]}
+        with mock.patch.dict(TOLD, gone):
+            self.starts()
+            self.begins()
+        self.assertTrue(self.desk.recovered)
+        self.assertEqual(self.status(tag)["state"], "leased")
+
     def test_a_fence_for_another_lease_says_nothing(self) -> None:
         tag = self.submitted()
         self.dies()
