The store is opened before the event loop is asked for anything

Cause: a store that can't be had ended serve with 2, but a trace of a half-made dispatcher came before the line. Change: DurableDesk opens it first.

--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -75,6 +75,8 @@
 
 class DurableDesk(Desk):
     def __init__(self, *told: Any, store: Store, ways: Ways, chance: Random) -> None:
+        # First of all: where the store can't be had nothing has been asked of the event loop yet.
+        self.born_with: list[tuple[Accepted, Job]] = store.open()
         super().__init__(*told)
         self.store = store
         self.ways = ways
@@ -91,7 +93,6 @@
         self.behind: deque[int] = deque()  # since when commits wait, the oldest first
         self.early: list[tuple[Callback, Answer]] = []  # callbacks that came before we were ready for them
         self.commit: asyncio.Future[None] | None = None  # of the final answer that an event just led to
-        self.born_with: list[tuple[Accepted, Job]] = store.open()
 
     # The store.
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -69,6 +69,11 @@
         done = pathsaddle("serve", bad)
         self.assertEqual(done.returncode, 2)
         self.assertEqual(done.stderr.splitlines()[0], f"{bad}: listen: 3 stands there; a text may")
+        done = pathsaddle("serve", self.file(
+            'listen = "127.0.0.1:0"\ndiscovery = "127.0.0.1:9"\njobs = { path = "/nowhere/x.db" }\n'
+            '[[schemes]]\nname = "a"\nsemantics = "repeatable"\nexpiry = "5s"\n'))
+        self.assertEqual((done.returncode, len(done.stderr.splitlines())), (2, 1), done.stderr)
+        self.assertIn("jobs.path: /nowhere/x.db", done.stderr)
         done = pathsaddle("experiment", "run", self.file(SMALL + '[[faults]]\nkind = "crash"\nat = "-1s"\n'))
         self.assertEqual(done.returncode, 2)
         self.assertIn('faults[0].at: "-1s" stands there', done.stderr)
