--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -219,9 +219,13 @@
         self.worths: deque[float] = deque(maxlen=96)
         # A call that is never answered must not leave us without word until we are deemed told.
         self.ask_again = max(1, terms.ask_within // 2)
+        # The list service works through all dispatchers' calls in turn, also through those that no longer
+        # wait: asked by 28 in one moment it answered nobody for the rest of a day. So births, breaks and
+        # failures are spread by how many we are, and no call is rarer than makes us deemed told.
+        self.list_spread = (terms.dispatchers - 1) * SECOND // 10
+        self.list_rarest = max(2 * SECOND, min(terms.ask_within, 3 * self.list_spread))
         if self.must_ask:
-            self.list_due = now + self.ask_again
-            door.subscribe()
+            self.list_due = now + int(self.list_spread * self.random())
 
     # The life of a txn.
 
@@ -835,8 +839,8 @@
         if news is ListNews.FAILED:
             self.list_lost = self.list_lost if self.list_failures else self.now
             self.list_failures += 1
-            wait = min(2 * SECOND, (SECOND // 4) << min(self.list_failures, 4))
-            self.list_due = self.now + int(wait * (0.5 + self.random() / 2))
+            wait = max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8)
+            self.list_due = self.now + int(min(wait, self.list_rarest) * (0.1 + 0.9 * self.random()))
             return
         if news is ListNews.MOVED:
             # At once: what the new place tells counts as told soon; failures of the old say nothing of it.
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -51,7 +51,7 @@
     """A door that writes down what it is asked, and a clock."""
 
     def __init__(self, *schemes: Scheme, workers: int = 2, customers: list[Customer] | None = None,
-                 news: ListNews = ListNews.WHOLE, **terms: object) -> None:
+                 news: ListNews = ListNews.WHOLE, seed: int = 7, **terms: object) -> None:
         given = dict(  # noqa: C408  # reads like the call that it is for
             schemes=list(schemes) or [scheme()], customers=customers or [], dispatchers=1, number=0, zone=0,
             tick=20, must_ask=False, ask_within=10 * SECOND, answer_slack=80, drain_grace=5000,
@@ -70,7 +70,7 @@
         self.subscribed = 0
         self.alarm: int | None = None
         self.workers = [Worker(f"w{i}") for i in range(workers)]
-        self.loop = Loop(self, self.terms, 7, self.now)
+        self.loop = Loop(self, self.terms, seed, self.now)
         self.loop.at(self.now)
         self.loop.listed(news, self.workers)
         self.loop.turn()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -192,7 +192,7 @@
 
 class TheList(unittest.TestCase):
     def test_a_failed_subscription_is_asked_for_again(self) -> None:
-        host = FakeHost(must_ask=True)
+        host = FakeHost(must_ask=True, news=ListNews.REMEMBERED)
         host.list(ListNews.FAILED)
         host.passes(2 * SECOND)
         self.assertEqual(host.subscribed, 2)
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,62 @@
+"""Stories of what forty dispatchers do that one does not: each is safe alone and harmful together."""
+
+import unittest
+from collections import deque
+
+from pathsaddle.trade import SECOND, ListNews
+from tests.fakehost import FakeHost
+
+MOMENT = SECOND // 100
+
+
+class SlowList:
+    """A list service that works through calls in turn, five a second, also those that have waited two
+    seconds and were told so; a twentieth finds no place."""
+
+    def __init__(self, hosts: list[FakeHost]) -> None:
+        self.hosts = hosts
+        self.queue: deque[tuple[int, FakeHost, bool]] = deque()
+        self.watching: dict[int, int] = {}  # who has the list, and since when
+        self.calls = 0
+
+    def plays(self, time: int) -> None:
+        now = begun = self.hosts[0].now
+        asked = [0] * len(self.hosts)
+        done = now
+        while now < begun + time:
+            now += MOMENT
+            for number, host in enumerate(self.hosts):
+                host.passes(MOMENT)
+                if host.subscribed > asked[number]:
+                    asked[number] = host.subscribed
+                    self.calls += 1
+                    if len(self.queue) < 20:
+                        self.queue.append((now, host, True))
+                    else:
+                        host.list(ListNews.FAILED)
+            for place, (at, host, waits) in enumerate(self.queue):
+                if waits and now - at > 2 * SECOND:
+                    self.queue[place] = (at, host, False)
+                    host.list(ListNews.FAILED)
+            if self.queue and now >= done + SECOND // 5:
+                done = now
+                _, host, waits = self.queue.popleft()
+                if waits:
+                    host.list(ListNews.WHOLE, *host.workers)
+                    self.watching[self.hosts.index(host)] = now - begun
+
+
+class TheList(unittest.TestCase):
+    def test_forty_births_at_once_all_get_the_list(self) -> None:
+        """Killed together in a release and born together, 28 of 40 asked in one moment, were told to come
+        again and did, twice a second each: discovery answered none of 486 calls in 38 s."""
+        hosts = [FakeHost(must_ask=True, dispatchers=40, number=n, seed=n, news=ListNews.REMEMBERED)
+                 for n in range(40)]
+        service = SlowList(hosts)
+        service.plays(25 * SECOND)
+        self.assertEqual(len(service.watching), 40)
+        self.assertLess(service.calls, 100)
+
+    def test_one_alone_asks_at_once(self) -> None:
+        """Nobody else is there to be spread from."""
+        self.assertEqual(FakeHost(must_ask=True, news=ListNews.REMEMBERED).subscribed, 1)
