Cold workers go by turns among many, and whose turn it is takes them to be idle

Time taken over hint at the age of two to eight seconds was 1.0 to 1.9, so they were of use. Ruled out: the list (all watch by then), the turn's budget (used to a tenth), crossing alone (the holder in the worker's own zone passed it by as well: room was what is usual there, nothing). Lines at fault: cold_allows (an even part of 1/40 holds no job, the turn had an eighth of the budget), room_now (a worker not heard from is as full as its zone, though nobody without a turn may send there), load (cold ones had the pace of warm ones). A cold worker is idle but for our own; its pace is divided by what it can do at the least.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -175,6 +175,8 @@
         self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
         self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
         self.number, self.dispatchers = terms.number, terms.dispatchers
+        # Among many an even part of what a slot bears at its coldest holds no job: all of it goes to the turns.
+        self.cold_by_turns = self.cold_whole * terms.cold_share / terms.dispatchers < SECOND // 10
         # Prices, in units of the mean txn's worth.
         self.by_work = terms.value_by_work
         self.cross_price = terms.price_cross
@@ -347,6 +349,12 @@
     def room_now(self, book: Book) -> float:
         report = book.report
         usual = self.usual.get(book.worker.zone)
+        told_usual = usual.told if usual is not None else 0.0
+        if book.wary and self.cold_by_turns and self.cold_for(book):
+            # Others have no turn there either: what is usual in its zone says nothing of it.
+            if report is None or report.free is None:
+                return self.least_slots - len(book.out)
+            told_usual = -self.least_slots
         if report is None or report.free is None:
             # Of a worker not heard from we know what is usual elsewhere, not that it is idle.
             if usual is not None:
@@ -359,7 +367,7 @@
         kept = exp(-(self.now - book.seen) / self.usual_run)
         if usual is not None:
             # Few own readings say less than what is usual in its zone.
-            mostly = (sum(book.readings) + 2.0 * usual.told) / (len(book.readings) + 2)
+            mostly = (sum(book.readings) + 2.0 * told_usual) / (len(book.readings) + 2)
             told = kept * told + (1.0 - kept) * mostly
         return -told - len(book.out)
 
@@ -392,7 +400,10 @@
         if book.head:
             own += book.head.get(txn.kind, 0.0)
         crowd = max(0.0, (book.size or self.least_slots) - room)
-        return own * (1.0 + crowd) * book.pace * min(100.0, 1.0 + (book.pace / txn.ease) ** STEEP)
+        pace = book.pace
+        if book.wary and (left := self.cold_for(book)):
+            pace /= self.able(left)
+        return own * (1.0 + crowd) * pace * min(100.0, 1.0 + (pace / txn.ease) ** STEEP)
 
     def doubt(self) -> float:
         """Rejections by several workers at once say that all are fuller than believed."""
@@ -670,6 +681,10 @@
         since = book.risen if started is None else max(started, book.risen)
         return max(0, since + self.cold_time - self.now)
 
+    def able(self, left: int) -> float:
+        """What part of its work a worker can do that is cold for so long yet, at the least."""
+        return self.cold_share + (1.0 - self.cold_share) * (1.0 - left / self.cold_time)
+
     def may_have_risen(self, book: Book) -> bool:
         """While the list is out of reach nobody tells of a new start: two workers were pushed over that had
         died and come back meanwhile. What broke shortly before we knew the list lost counts too."""
@@ -684,11 +699,13 @@
             return False  # what we sent before our own restart may still weigh on it
         if txn.hint is None and not self.runs[txn.scheme]:
             return False
-        able = self.cold_share + (1.0 - self.cold_share) * (1.0 - left / self.cold_time)
+        able = self.able(left)
         while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
             book.cold_sent.popleft()
         spent = sum(work for _, work in book.cold_sent) + self.run_of(txn) * txn.slots
         whole = self.cold_whole * able * self.least_slots
+        if self.cold_by_turns:
+            return spent <= 0.6 * whole and self.cold_turn(book)
         return spent <= whole / self.dispatchers or self.cold_turn(book) and spent <= whole / 4
 
     def cold_turn(self, book: Book) -> bool:
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,8 +3,8 @@
 import unittest
 from collections import deque
 
-from pathsaddle.trade import SECOND, ListNews, Report
-from tests.fakehost import FakeHost
+from pathsaddle.trade import SECOND, ListNews, Report, Worker
+from tests.fakehost import FakeHost, full
 
 MOMENT = SECOND // 100
 
@@ -81,3 +81,20 @@
             host.loop.choice.judge_age()
             late += host.loop.choice.age > SECOND // 10
         self.assertLess(late, 5)
+
+
+class ColdWorkers(unittest.TestCase):
+    def test_whose_turn_it_is_finds_the_cold_worker_idle(self) -> None:
+        """Six in ten workers were replaced at once and two thirds of the new ones had no txn in nine seconds: an
+        even part for each of forty holds no job, and a new worker was taken to be as full as its zone."""
+        posted = []
+        for number in (2, 3):
+            host = FakeHost(workers=1, dispatchers=40, number=number)
+            host.loop.choice.read(host.loop.choice.books[host.workers[0]], full(4.0))
+            host.passes(3 * SECOND)
+            new = Worker("new", started=host.now - 4 * SECOND, lot=0)
+            host.list(ListNews.CHANGES, new)
+            host.loop.choice.read(host.loop.choice.books[host.workers[0]], full(4.0))
+            host.ask("a", hint=SECOND * 4 // 5)
+            posted.append([p.worker.tag for p in host.posted])
+        self.assertEqual(posted, [["new"], []])
