--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -81,6 +81,7 @@
         self.asked = 0  # when it was last probed
         self.failed = 0  # failures in a row
         self.full_at = -FAR  # when it last turned us away
+        self.erred_until = 0  # after an own posting failed there: until when no txn goes that it would be lost by
         self.shut_until = 0  # after failures: nothing before this moment
         self.suspect = False  # silent for too long: one posting at a time until it speaks
         self.mute: dict[Scheme, tuple[int, int]] = {}  # left untaken here: (until when none go, how often)
@@ -222,6 +223,7 @@
         self.known: dict[Any, int] = {}  # what was declined lately, and when it was first asked for
         self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
+        self.arrivals: deque[int] = deque(maxlen=32)  # when the last txns came
         # A call that is never answered must not leave us without word until we are deemed told.
         self.ask_again = max(1, terms.ask_within // 2)
         # The list service works through all dispatchers' calls in turn, also through those that no longer
@@ -424,8 +426,8 @@
                 and (not txn.postings or self.may_post(txn, worker)
                      and not any(p.out and p.worker is worker for p in txn.postings))
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
-                # Only what can be posted again anywhere is risked on a suspect.
-                and (not book.suspect or self.runs_again_anywhere(txn.scheme))
+                # Only what can be posted again anywhere is risked on a suspect, or where one has lately failed.
+                and (not book.suspect and self.now >= book.erred_until or self.runs_again_anywhere(txn.scheme))
                 and not (txn.over and self.tells_start and self.crowded(book))
                 and (not book.wary or self.cold_allows(book, txn)))
 
@@ -449,7 +451,7 @@
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
                  # What nearly all workers pass at once, against a call for each of them.
                  and (plain and not book.wary and not book.suspect and not book.mute
-                      or self.eligible(book, txn))]
+                      and self.now >= book.erred_until or self.eligible(book, txn))]
         self.ranked = loads
         if self.cross_price <= 0:
             return self.least(loads)
@@ -570,6 +572,7 @@
         txn.first = self.first_asked(txn)
         self.probe_purse = min(self.probe_purse + self.probe_income, 20 * self.probe_income)
         self.worths.append(self.worth(txn))
+        self.arrivals.append(self.now)
         self.mean_worth = sum(self.worths) / len(self.worths)
         account = self.accounts.get(txn.customer) if txn.customer is not None else None
         if account is not None:
@@ -763,6 +766,12 @@
             self.fails(book)
             if outcome is not Outcome.ERROR:
                 self.broke(book.worker)
+            else:
+                # Where our next posting there is seconds away, waits that double from milliseconds never bind:
+                # each of forty dispatchers met the same failing workers three to four times.
+                long = int(8 * self.usual_run)
+                book.erred_until = self.now + long
+                book.shut_until = max(book.shut_until, self.now + min(long, self.turn_comes()))
         if outcome is Outcome.FULL:
             self.turned_away.append(self.now)
             book.full_at = self.now
@@ -788,6 +797,10 @@
         elif report is not None:
             self.read(book, report)
 
+    def turn_comes(self) -> int:
+        """How long it takes until we have sent each worker a txn."""
+        return len(self.books) * (self.now - self.arrivals[0]) // len(self.arrivals) if self.arrivals else 0
+
     def fails(self, book: Book) -> None:
         book.failed += 1
         book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,8 +3,8 @@
 import unittest
 from collections import deque
 
-from pathsaddle.trade import SECOND, ListNews, Report, Worker
-from tests.fakehost import FakeHost, full
+from pathsaddle.trade import SECOND, ListNews, Outcome, Report, Worker
+from tests.fakehost import ONCE_ONLY, FakeHost, full, scheme
 
 MOMENT = SECOND // 100
 
@@ -98,3 +98,22 @@
             host.ask("a", hint=SECOND * 4 // 5)
             posted.append([p.worker.tag for p in host.posted])
         self.assertEqual(posted, [["new"], []])
+
+
+class Errors(unittest.TestCase):
+    def test_a_worker_that_failed_stays_out_until_our_next_turn_there(self) -> None:
+        """Few txns each: a worker that had failed one 40 ms ago was free again long before the next posting, and
+        forty dispatchers met nine failing workers 346 times, 94 would have told them all."""
+        slow = {"sla_time": 6 * SECOND, "expiry": 20 * SECOND}
+        host = FakeHost(scheme(**slow), scheme(ONCE_ONLY, index=1, **slow), workers=2)
+        for tag in "abc":  # one txn in two seconds
+            host.ask(tag)
+            host.passes(2 * SECOND)
+            host.end(host.posted[-1], Outcome.ERROR if tag == "c" else Outcome.SETTLED)
+        bad = host.posted[2].worker
+        self.assertNotEqual(host.posted[3].worker, bad)  # what failed is posted again, elsewhere
+        host.end(host.posted[3])
+        for tag in "de":
+            host.passes(SECOND)
+            host.ask(tag, of=1)
+        self.assertNotIn(bad, [p.worker for p in host.posted[3:]])
