Three workers that break speak for their zone; once-only goes where one ended well

After three looks a txn went by stale word to the next worker of the same zone, each dispatcher having few txns to tell fifteen workers by. Of what was lost apart from that half was once-only txns at workers that fail quickly, each dispatcher's first there. Ruled out: the watch (told within the spread of the list's own delay), crossing prices (they cross as soon as no home worker has room). Lines at fault: rooms and fails (a failure speaks for one worker alone), best (no regard to what an error loses). Change: three workers of a zone that broke or failed a look with no sign of life from that zone between shut it for 0.25 s, doubled up to 2 s, where there are other zones; any word from it opens it. A txn that an error loses goes to workers where one of ours settled within eight mean runs, if one of them has room.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -81,6 +81,7 @@
         self.asked = 0  # when it was last probed
         self.failed = 0  # failures in a row
         self.full_at = -FAR  # when it last turned us away
+        self.proven = -FAR  # when an own txn last settled there
         self.erred_until = 0  # after an own posting failed there: until when no txn goes that it would be lost by
         self.shut_until = 0  # after failures: nothing before this moment
         self.suspect = False  # silent for too long: one posting at a time until it speaks
@@ -210,6 +211,8 @@
         self.age = AGES[0]
         self.misses: deque[tuple[int, list[float]]] = deque(maxlen=48)  # (when, by how much each age is off)
         self.usual: dict[int, Usual] = {}  # by zone
+        self.dark: dict[int, dict[Worker, None]] = {}  # by zone: who broke since the last sign of life in it
+        self.dark_until: dict[int, int] = {}
         self.claims: deque[bool] = deque(maxlen=CLAIMS)  # whether the last that turned us away claimed room
         self.belied_until = -FAR  # a worker turned us away and claimed room: until when that speaks of all
         self.judged = now
@@ -453,6 +456,11 @@
                  and (plain and not book.wary and not book.suspect and not book.mute
                       and self.now >= book.erred_until or self.eligible(book, txn))]
         self.ranked = loads
+        if not self.runs_again_anywhere(txn.scheme):
+            # What an error loses goes where we have lately seen one end well: each of forty dispatchers learnt
+            # of a failing worker by a txn of its own, and half of what that lost was once-only.
+            proven = self.now - int(8 * self.usual_run)
+            loads = [entry for entry in loads if entry[1].proven > proven] or loads
         if self.cross_price <= 0:
             return self.least(loads)
         near = self.least([entry for entry in loads if entry[1].worker.zone == self.home])
@@ -520,9 +528,11 @@
         now = self.now
         # Whoever has not answered a look in the time that looks take may be gone: not now.
         overdue = -FAR if self.probe_always else now - 2 * max(self.probe_times) - self.tick
+        dark = [zone for zone, until in self.dark_until.items() if now < until]
         return {book: book.believed if now < book.believed_until else self.room(book)
                 for worker, book in self.books.items()
                 if worker.standing is Standing.READY and now >= book.shut_until
+                and not (dark and worker.zone in dark)
                 and not (book.suspect and book.out) and not (book.probing and book.asked < overdue)}
 
     def fresh(self, book: Book) -> bool:
@@ -752,7 +762,8 @@
             book.pace = exp(sum(map(log, book.paces)) / (len(book.paces) + 3))
             self.runs[posting.txn.scheme].append(max(1, took))
             book.lives(self.now)
-            book.failed = 0
+            self.lights(book.worker)
+            book.failed, book.proven = 0, self.now
             # Whoever found unusable what this one has done was at fault itself, and is known for it only now.
             for earlier in posting.txn.postings:
                 if earlier.outcome is Outcome.UNUSABLE:
@@ -766,6 +777,7 @@
             self.fails(book)
             if outcome is not Outcome.ERROR:
                 self.broke(book.worker)
+                self.darkens(book.worker)
             else:
                 # Where our next posting there is seconds away, waits that double from milliseconds never bind:
                 # each of forty dispatchers met the same failing workers three to four times.
@@ -797,6 +809,20 @@
         elif report is not None:
             self.read(book, report)
 
+    def darkens(self, worker: Worker) -> None:
+        """A zone was lost five seconds before the list said so: each dispatcher has few txns to tell fifteen
+        workers by, and spent all four postings of one on them. Several that fail with no sign of life from any
+        of their zone speak for the rest of it, where there are other zones to go to."""
+        dark = self.dark.setdefault(worker.zone, {})
+        dark[worker] = None
+        if len(dark) >= FEW and any(book.worker.zone != worker.zone for book in self.books.values()):
+            self.dark_until[worker.zone] = self.now + min(2 * SECOND, SECOND // 4 << len(dark) - FEW)
+
+    def lights(self, worker: Worker) -> None:
+        if worker.zone in self.dark:
+            del self.dark[worker.zone]
+            self.dark_until.pop(worker.zone, None)
+
     def turn_comes(self) -> int:
         """How long it takes until we have sent each worker a txn."""
         return len(self.books) * (self.now - self.arrivals[0]) // len(self.arrivals) if self.arrivals else 0
@@ -810,6 +836,7 @@
         book.broke, book.wary = self.now, True
 
     def read(self, book: Book, report: Report) -> None:
+        self.lights(book.worker)
         if report.free is None:
             return
         load = self.burden(report)
@@ -857,6 +884,7 @@
     def noted(self, posting: Posting) -> None:
         book = self.books[posting.worker]
         book.lives(self.now)
+        self.lights(book.worker)
         if posting.started == self.now:
             self.starts.append(self.now - posting.sent)
             book.delays.append(self.now - posting.sent)
@@ -871,6 +899,7 @@
         elif outcome is not Outcome.SETTLED and not self.probe_always:
             # It drains or is gone before the list says so: known at the price of a look, not of a posting.
             self.fails(book)
+            self.darkens(worker)
 
     def closed(self, txn: Txn) -> None:
         self.open -= 1
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -117,3 +117,33 @@
             host.passes(SECOND)
             host.ask(tag, of=1)
         self.assertNotIn(bad, [p.worker for p in host.posted[3:]])
+
+    def test_what_an_error_loses_goes_where_one_has_ended_well(self) -> None:
+        """Nine workers failed quickly and showed free slots: each of forty dispatchers learnt that of each by a
+        txn of its own, and a once-only one was lost with it."""
+        host = FakeHost(scheme(), scheme(ONCE_ONLY, index=1), workers=12)
+        host.ask("a")
+        host.end(host.posted[0])
+        for tag in "bcde":
+            host.ask(tag, of=1)
+            host.end(host.posted[-1])
+        self.assertEqual({p.worker.tag for p in host.posted[1:]}, {host.posted[0].worker.tag})
+
+
+class LostZone(unittest.TestCase):
+    def test_three_that_break_speak_for_their_zone(self) -> None:
+        """Five seconds before the list said so fifteen workers of a zone were gone: 393 postings found that out,
+        up to four of one txn, and the txn was declined."""
+        host = FakeHost(workers=12)
+        for worker in host.workers[6:]:
+            worker.zone = 1
+        for n in range(80):
+            host.ask(f"{n}")
+            while host.posted[-1].out:
+                # Six settled first; then the zone is lost, and from the fortieth on it is back.
+                lost = host.posted[-1].worker.zone == 1 and 5 < n < 40
+                host.passes(0 if lost else SECOND // 4)
+                host.end(host.posted[-1], Outcome.UNCONNECTED if lost else Outcome.SETTLED)
+        broke = [p for p in host.posted if p.outcome is Outcome.UNCONNECTED]
+        self.assertLessEqual(len(broke), 12)
+        self.assertGreater(sum(p.worker.zone == 1 for p in host.posted[-30:]), 5)
