--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -718,17 +718,19 @@
         spent = sum(work for _, work in book.cold_sent) + self.run_of(txn) * txn.slots
         whole = self.cold_whole * able * self.least_slots
         if self.cold_by_turns:
-            return spent <= 0.6 * whole and self.cold_turn(book)
+            return spent <= 0.3 * whole and self.cold_turn(book, 2)
         return spent <= whole / self.dispatchers or self.cold_turn(book) and spent <= whole / 4
 
-    def cold_turn(self, book: Book) -> bool:
+    def cold_turn(self, book: Book, at_once: int = 1) -> bool:
         """With hundreds of dispatchers an even share holds no whole job. By the clock, the worker's start and
-        its lot, alike for all, one at a time has a turn as long as the span in which a worker falls over: a
-        span touches two turns, so half of what the even shares may sum to can come on top of them."""
+        its lot, alike for all, one at a time (or two) has a turn as long as the span in which a worker falls
+        over: a span touches two turns, so half of what the even shares may sum to can come on top of them."""
         if book.worker.started is None or book.risen > book.worker.started:
             return False  # the others guess another start, or none
         turn = (self.now - book.worker.started) // max(1, self.fall_time)
-        return (book.worker.lot + turn) % self.dispatchers == self.number
+        # Two at once, neighbours in no order: one alone was of another zone than the worker three times in four.
+        ours = (self.number - book.worker.lot - turn) % self.dispatchers
+        return ours == 0 or at_once > 1 and ours == self.dispatchers // 2 + 1
 
     # What is seen.
 
