--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -68,6 +68,8 @@
     repeats: whether workers drop repeats of referenced txns within their group and window.
     fresh: how often a worker's report is made anew.
     lag: how late the roster tells, drawn between.
+    roster_rate: calls a second that the roster works through in turn, for all dispatchers together, also those
+        that it has told after two seconds that they waited too long; 0: any number.
     sync: how long a sync of a dispatcher's disk takes, about.
     notice: after how long the front layer notices a dead dispatcher, drawn between.
     old_list: what a restarted dispatcher has: the list of the run's start, or that of its death.
@@ -80,6 +82,7 @@
     repeats: bool = True
     fresh: Duration = Duration(5 * MS)
     lag: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(1500 * MS)])
+    roster_rate: Annotated[float, Meta(ge=0)] = 0.0
     sync: Duration = Duration(2 * MS)
     notice: Times = field(default_factory=lambda: [Duration(S), Duration(3 * S)])
     old_list: Literal["start", "death"] = "start"
--- a/pathsaddle/emulator/roster.py
+++ b/pathsaddle/emulator/roster.py
@@ -19,6 +19,7 @@
     from pathsaddle.emulator.stage import Stage
 
 BEAT = 2.0  # seconds between signs of life of a watch on which nothing changes
+PATIENCE = 2.0  # seconds that a call waits for its turn; it finds no place behind twice as much work
 HANG = 0.5  # seconds in which a call that can't be served is held before it is refused
 
 
@@ -56,6 +57,7 @@
         self.extra = 0  # by how much word is later than usual
         self.down = 0
         self.moves = 0
+        self.busy_until = 0  # when all calls that have come are worked through, where there is a bound
         self.addresses = [stage.address("roster", d, 0) for d in range(world.plan.fleet.dispatchers)]
         self._open()
 
@@ -134,6 +136,8 @@
                     path, _, query = said.target.partition("?")
                     if path != "/v1/endpoints":
                         await wire.send(speech.answer(404))
+                    elif not await self._turn():
+                        await wire.send(speech.answer(503))
                     elif "stream=1" in query:
                         index = int(query.rpartition("index=")[2] or 0)
                         await self._watch(wire, dispatcher, index)
@@ -148,6 +152,19 @@
             if self.place.alive:
                 wire.close()
 
+    async def _turn(self) -> bool:
+        """Whether a call gets its turn in time; one that has waited too long is worked on all the same."""
+        rate = self.world.plan.fleet.roster_rate
+        if not rate:
+            return True
+        now = self.world.now()
+        due = max(now, self.busy_until) + int(TICKS / rate)
+        if due - now > 2 * PATIENCE * TICKS:
+            return False
+        self.busy_until = due
+        await asyncio.sleep(min(PATIENCE, (due - now) / TICKS))
+        return due - now <= PATIENCE * TICKS
+
     async def _watch(self, wire: Wire, dispatcher: int, index: int) -> None:
         view = self.views[dispatcher]
         self.world.add("watched", dispatcher=dispatcher)
