--- a/pathsaddle/emulator/mutants.py
+++ b/pathsaddle/emulator/mutants.py
@@ -200,6 +200,30 @@
     return [mock.patch.object(DurableDesk, "_put", nothing)]
 
 
+def _forgets_the_others() -> Patches:
+    """Each dispatcher alone keeps under half of a cold worker's budget, as if nobody else sent there."""
+    make = Choice.__init__
+
+    def made(self: Choice, *args: Any) -> None:
+        make(self, *args)
+        self.dispatchers, self.cold_by_turns = 1, False
+
+    def newer(self: Choice, txn: Txn, near: Any, far: Any) -> bool:
+        return near is None or (far.worker.started or 0) > (near.worker.started or 0)
+    return [mock.patch.object(Choice, "__init__", made), mock.patch.object(Choice, "crossing_pays", newer),
+            mock.patch.object(Choice, "room", lambda self, book, *args: 9.0),
+            mock.patch.object(Choice, "load", lambda self, book, *args: -float(book.worker.started or 0))]
+
+
+def _hears_drains_late() -> Patches:
+    """The list's news is taken up two seconds after it was told."""
+    listed = Desk.listed
+
+    def late(self: Desk, news: Any, rows: Any) -> None:
+        self._events.call_later(2.0, listed, self, news, rows)
+    return [mock.patch.object(Desk, "listed", late)]
+
+
 # By name: the patches, and the rules one of which the judge must name.
 MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
     "declines-anything": (_declines_anything, ("decline",)),
@@ -222,12 +246,16 @@
     "forgets-keys": (_forgets_keys, ("changed",)),
     "loses-the-accepted": (_loses_the_accepted, ("forgotten",)),
 }
+FLEET_MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
+    "forgets-the-others": (_forgets_the_others, ("cold",)),
+    "hears-drains-late": (_hears_drains_late, ("drain",)),
+}
 
 
 @contextlib.contextmanager
 def mutated(name: str) -> Iterator[None]:
     """While it holds, dispatchers of this process are the mutant."""
     with contextlib.ExitStack() as stack:
-        for patch in (MUTANTS | JOB_MUTANTS)[name][0]():
+        for patch in (MUTANTS | JOB_MUTANTS | FLEET_MUTANTS)[name][0]():
             stack.enter_context(patch)
         yield
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -9,10 +9,11 @@
 from pathsaddle.emulator import plan, stage
 from pathsaddle.emulator.events import Event
 from pathsaddle.emulator.judge import Judge, judge
-from pathsaddle.emulator.mutants import JOB_MUTANTS, MUTANTS, mutated
+from pathsaddle.emulator.mutants import FLEET_MUTANTS, JOB_MUTANTS, MUTANTS, mutated
 
 ROOT = Path(__file__).parent.parent
 PLAN = ROOT / "experiments/mutants.toml"
+FLEET = ROOT / "experiments/vast-smoke.toml"
 JOBS = ROOT / "experiments/jobs-mutants.toml"
 
 
@@ -36,15 +37,15 @@
                 for rule in MUTANTS[name][1][:1]:
                     self.assertIn(rule, broken)
 
-
-    def test_each_mutant_of_durable_jobs_is_caught(self) -> None:
-        names = ["", *JOB_MUTANTS]
-        with ProcessPoolExecutor(mp_context=multiprocessing.get_context("spawn")) as pool:
-            found = dict(zip(names, pool.map(broken_by, names, [JOBS] * len(names)), strict=True))
-        self.assertEqual(found.pop(""), {})
-        for name, broken in found.items():
-            with self.subTest(name):
-                self.assertTrue([rule for rule in JOB_MUTANTS[name][1] if rule in broken], broken)
+    def test_each_mutant_of_durable_jobs_and_of_a_fleet_is_caught(self) -> None:
+        for path, mutants in ((JOBS, JOB_MUTANTS), (FLEET, FLEET_MUTANTS)):
+            names = ["", *mutants]
+            with ProcessPoolExecutor(mp_context=multiprocessing.get_context("spawn")) as pool:
+                found = dict(zip(names, pool.map(broken_by, names, [path] * len(names)), strict=True))
+            self.assertEqual(found.pop(""), {})
+            for name, broken in found.items():
+                with self.subTest(name):
+                    self.assertTrue([rule for rule in mutants[name][1] if rule in broken], broken)
 
 
 class JudgeStory(unittest.TestCase):
