What an error does not lose is not held back by it: only once-only txns are

A referenced txn may be posted again in its group after an error, so it loses nothing by one. Lines at fault: eligible and best (runs_again_anywhere where ONCE_ONLY was meant).

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -429,8 +429,10 @@
                 and (not txn.postings or self.may_post(txn, worker)
                      and not any(p.out and p.worker is worker for p in txn.postings))
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
-                # Only what can be posted again anywhere is risked on a suspect, or where one has lately failed.
-                and (not book.suspect and self.now >= book.erred_until or self.runs_again_anywhere(txn.scheme))
+                # Only what can be posted again anywhere is risked on a suspect.
+                and (not book.suspect or self.runs_again_anywhere(txn.scheme))
+                # And what one error loses is not risked where one has lately failed.
+                and (self.now >= book.erred_until or txn.scheme.semantics is not Semantics.ONCE_ONLY)
                 and not (txn.over and self.tells_start and self.crowded(book))
                 and (not book.wary or self.cold_allows(book, txn)))
 
@@ -456,7 +458,7 @@
                  and (plain and not book.wary and not book.suspect and not book.mute
                       and self.now >= book.erred_until or self.eligible(book, txn))]
         self.ranked = loads
-        if not self.runs_again_anywhere(txn.scheme):
+        if txn.scheme.semantics is Semantics.ONCE_ONLY:
             # What an error loses goes where we have lately seen one end well: each of forty dispatchers learnt
             # of a failing worker by a txn of its own, and half of what that lost was once-only.
             proven = self.now - int(8 * self.usual_run)
