Where dropped workers stay open, a draining that was told binds alone: setting, key, judge

Ruled out: reading 'gone' as 'ready' there. The list is no proof of what runs, so neither word is: such a worker is posted to only once it has itself answered a look or a posting since it was dropped (Choice.outlives), and is looked at at the usual price where the site reports by probes. A draining that was told binds on, also after gone and after a whole list without it, until the list calls the worker ready (Worker.drained, Worker.may_get). At fault: Choice.rooms and probe_around, Desk._carry and Desk.listed, which all asked for READY. The charter has rules.dropped_stay_open, the judge holds only 'leaving' against us where it is set. Off where the key is missing. Tests: two stories of rule 3 and the key's whole road; the first fails on the text before.

--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -88,6 +88,8 @@
 
     answer_slack: by how much a final answer may come after expiry.
     drain_grace: for how long something new may still go to a worker after we are told that it drains.
+    dropped_stay_open: whether only a draining that was told binds: a worker listed as gone, or left out, that
+      was not told to drain may still be posted to.
     ask_within: the list must be watched or asked for at least this often.
     cold_share: what part of its work a worker can do that has just started.
     cold_time: how long until it can do all.
@@ -97,6 +99,7 @@
 
     answer_slack: Duration = Duration(0)
     drain_grace: Duration = Duration(500 * MS)
+    dropped_stay_open: bool = False
     ask_within: Duration = Duration(10 * S)
     cold_share: Part = 0.3
     cold_time: Duration = Duration(9 * S)
--- a/pathsaddle/charter/told.py
+++ b/pathsaddle/charter/told.py
@@ -42,6 +42,7 @@
                    "ConnectTimeout": ns(charter.reach.connect), "IdleClose": ns(charter.reach.idle),
                    "OpenCap": charter.limits.open},
         "Obligations": {"AnswerSlack": ns(rules.answer_slack), "DrainGrace": ns(rules.drain_grace),
+                        "DroppedStayOpen": rules.dropped_stay_open,
                         "AskEvery": ns(rules.ask_within), "ColdShare": rules.cold_share,
                         "RampTime": ns(rules.cold_time), "FallMultiple": rules.fall_multiple,
                         "Fall": ns(rules.fall_time)},
--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -91,6 +91,7 @@
         self.started: int | None = worker.started
         self.broke = -FAR  # when a connection to it last broke or was refused
         self.wary = worker.started is not None  # it may be cold: one look for both, in each scan
+        self.dropped = -FAR  # when the list last called it gone, or left it out
         self.risen = -FAR  # since when it is taken to have started anew, unlisted
 
     def own_at(self, moment: int) -> int:
@@ -173,6 +174,7 @@
         self.max_postings = terms.max_postings
         self.two_at_once = terms.two_at_once
         self.may_cancel = terms.may_cancel
+        self.dropped_stay_open = terms.dropped_stay_open
         self.tick = max(1, terms.tick)
         self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
         self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
@@ -533,10 +535,14 @@
         dark = [zone for zone, until in self.dark_until.items() if now < until]
         return {book: book.believed if now < book.believed_until else self.room(book)
                 for worker, book in self.books.items()
-                if worker.standing is Standing.READY and now >= book.shut_until
+                if (worker.standing is Standing.READY or self.outlives(book)) and now >= book.shut_until
                 and not (dark and worker.zone in dark)
                 and not (book.suspect and book.out) and not (book.probing and book.asked < overdue)}
 
+    def outlives(self, book: Book) -> bool:
+        """Listed as gone without having drained, where that does not bind: its own sign of life decides."""
+        return max(book.alive, book.reported) > book.dropped and book.worker.may_get(self.dropped_stay_open)
+
     def fresh(self, book: Book) -> bool:
         return self.now - book.reported < self.probe_every
 
@@ -928,11 +934,14 @@
         self.stirred = True
         if news is not ListNews.CHANGES:
             for worker in self.books:
-                if worker not in told:
+                if worker not in told and worker.standing is not Standing.GONE:
                     worker.standing = Standing.GONE
+                    self.books[worker].dropped = self.now
         mean: dict[Type, float] | None = None  # worked out once a list: a pass for each entry was quadratic
         for worker in told:
             book = self.books.get(worker)
+            if book is not None and worker.standing is Standing.GONE:
+                book.dropped = self.now
             if book is not None and worker.started == book.started:
                 continue
             mean = mean if mean is not None else self.mean_backlog()
@@ -982,7 +991,7 @@
         """The workers heard from longest ago, home ones first, as far as the purse goes."""
         due = self.now + self.probe_every
         for book in sorted(self.books.values(), key=lambda b: (b.worker.zone != self.home, b.asked)):
-            if book.worker.standing is not Standing.READY or book.probing:
+            if book.probing or not book.worker.may_get(self.dropped_stay_open):
                 continue
             next_look = max(book.asked, book.reported) + self.probe_every
             if self.now < next_look:
--- a/pathsaddle/emulator/judge.py
+++ b/pathsaddle/emulator/judge.py
@@ -158,6 +158,8 @@
     def __init__(self, charter: Charter, slack: int = 20) -> None:
         self.charter = charter
         self.slack = slack
+        # What binds by rule 3; where dropped workers stay open, a draining that was told does alone.
+        self.binding = ("leaving",) if charter.rules.dropped_stay_open else ("leaving", "left")
         self.schemes = {scheme.name: scheme for scheme in charter.schemes}
         self.tries: dict[str, Try] = {}
         self.jobs: dict[int, Job] = {}
@@ -425,12 +427,12 @@
             if status in ("active", "") and since is not None:
                 spans.append((since, at))
                 since = None
-            elif status in ("leaving", "left") and since is None:
+            elif status in self.binding and since is None:
                 since = at
         if since is not None:
             spans.append((since, FAR))
         for at, status in self.changed.get(worker, []):
-            if status not in ("leaving", "left"):
+            if status not in self.binding:
                 continue
             until = min([when for when, later in self.changed[worker] if when > at and later == "active"],
                         default=FAR)
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -35,6 +35,7 @@
     def __init__(self, terms: Terms, words: Words, seed: int, clock: Clock, workers: Workers,
                  counters: Counters, watch: Callable[[], None]) -> None:
         self.two_at_once = terms.two_at_once
+        self.dropped_stay_open = terms.dropped_stay_open
         self.look_target = forms.look_target(terms.reports_in_probes)
         self.words = words
         self.clock = clock
@@ -163,7 +164,7 @@
         self._at()
         self._guard(None, lambda: self.loop.listed(news, told))
         for worker in self.known.values():
-            if worker.standing is Standing.GONE:
+            if worker.standing is Standing.GONE and not worker.may_get(self.dropped_stay_open):
                 self.workers.links.forget(worker.tag)
 
     def broke(self, worker: str) -> None:
@@ -191,7 +192,7 @@
 
         def begins() -> None:
             # Connecting took time: the txn may have its answer, the worker may have been told to go.
-            if posting.txn.closed or posting.worker.standing is not Standing.READY:
+            if posting.txn.closed or not posting.worker.may_get(self.dropped_stay_open):
                 raise Withheld
             errand.begun = True
 
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -100,11 +100,22 @@
     started: int | None = None  # when its process last started; None: long ago
     standing: Standing = Standing.READY
     lot: int = 0  # a number drawn from its name, alike at every dispatcher
+    drained: bool = False  # we were told that it drains, and not since that it is ready
+
+    def __post_init__(self) -> None:
+        self.drained = self.standing is Standing.DRAINING
 
     def follows(self, row: Worker) -> None:
         """The object stays the same for as long as we live; the list's rows only say what changed."""
         self.zone, self.cell, self.machine = row.zone, row.cell, row.machine
         self.weight, self.started, self.standing = row.weight, row.started, row.standing
+        self.drained = self.standing is not Standing.READY and (self.drained or row.drained)
+
+    def may_get(self, dropped_stay_open: bool) -> bool:
+        """Rule 3: whether something new may go there by the list. Where the settings say that dropped workers
+        stay open, a draining that was told binds alone, also after it is listed as gone or left out."""
+        return self.standing is Standing.READY or (
+            dropped_stay_open and self.standing is Standing.GONE and not self.drained)
 
 
 @dataclass(slots=True)
@@ -270,4 +281,5 @@
     price_handshake: float
     reports_in_answers: bool
     reports_in_probes: bool
+    dropped_stay_open: bool = False  # a worker listed as gone, or left out, without draining may be posted to
     most_open: int = 1 << 60  # txns that we can hold open at once
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from pathsaddle.loop import Loop
@@ -137,7 +138,7 @@
         self.loop.turn()
 
     def standing(self, worker: Worker, standing: Standing) -> None:
-        worker.standing = standing
+        worker.follows(replace(worker, standing=standing))
         self.list(ListNews.CHANGES, worker)
 
     def progress(self, posting: Posting, level: float = 0.1) -> None:
--- a/tests/test_charter.py
+++ b/tests/test_charter.py
@@ -57,6 +57,11 @@
         with self.assertRaises(Faulty):
             read(self.path)
 
+    def test_dropped_workers_stay_open_goes_the_whole_road(self) -> None:
+        for text, open_ in (("", False), ("[rules]\ndropped_stay_open = true\n", True)):
+            self.path.write_text(GOOD + text)
+            self.assertIs(birth(json.dumps(told(read(self.path)))).terms.dropped_stay_open, open_)
+
     def test_what_contradicts_itself(self) -> None:
         self.assertIn("a referenced scheme needs a window", self.faults(
             GOOD.replace("once-only", "referenced"))[0])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -80,6 +80,37 @@
         self.assertEqual({p.worker for p in host.posted}, {host.workers[1]})
 
 
+    def test_where_dropped_workers_stay_open_one_that_is_gone_is_posted_to_once_it_shows_life(self) -> None:
+        host = FakeHost(workers=1, dropped_stay_open=True, reports_in_answers=False, may_probe=True)
+        host.passes(SECOND // 10)
+        host.list(ListNews.WHOLE)
+        host.ask("a")
+        host.passes(SECOND // 4)
+        self.assertEqual(host.posted, [], "nobody has heard of it since")
+        host.tell(host.workers[0], idle())
+        host.passes(SECOND // 4)
+        self.assertEqual([p.worker for p in host.posted], host.workers)
+
+    def test_where_dropped_workers_stay_open_a_draining_binds_also_after_it_is_gone(self) -> None:
+        for last in (Standing.GONE, None):
+            host = FakeHost(workers=1, dropped_stay_open=True, reports_in_answers=False, may_probe=True)
+            host.standing(host.workers[0], Standing.DRAINING)
+            if last is not None:
+                host.standing(host.workers[0], last)
+            else:
+                host.list(ListNews.WHOLE)
+            looked = len(host.probes)
+            host.tell(host.workers[0], idle())
+            host.ask("a")
+            host.passes(SECOND)
+            self.assertEqual((host.posted, len(host.probes)), ([], looked))
+            host.standing(host.workers[0], Standing.READY)
+            host.tell(host.workers[0], idle())
+            host.ask("b")
+            host.passes(SECOND // 10)
+            self.assertNotEqual(host.posted, [])
+
+
 class ColdSpared(unittest.TestCase):
     def test_a_cold_worker_gets_no_more_than_our_part(self) -> None:
         host = FakeHost(workers=1, dispatchers=2)
