--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults.py
@@ -8,7 +8,8 @@
 from typing import TYPE_CHECKING
 
 from pathsaddle.emulator.plan import FAULTS, Trouble
-from pathsaddle.emulator.world import TICKS, World
+from pathsaddle.emulator.workers import OneSided
+from pathsaddle.emulator.world import TICKS, Way, World
 
 if TYPE_CHECKING:
     from pathsaddle.emulator.stage import Stage
@@ -24,34 +25,46 @@
         self.place = stage.place("faults", "")
         self.count = 0
         self.busy: dict[tuple[str, str], None] = {}  # whom something strikes that ends by itself
+        self.chances = [world.chance(f"fault {n}") for n in range(len(world.plan.faults))]
 
     def begin(self) -> None:
         for number, trouble in enumerate(self.world.plan.faults):
+            if trouble.after:
+                continue
             self.place.start(self._come(number, trouble))
 
     async def _come(self, number: int, trouble: Trouble) -> None:
         """One line of the plan: once, again and again, or at random."""
-        chance = self.world.chance(f"fault {number}")
         end = self.world.plan.seconds * TICKS
         last = min(end, trouble.until or end)
         due = trouble.at if trouble.at is not None else 0
         while True:
             if trouble.at is None:
-                due = due + int(chance.expovariate(trouble.rate / 60.0) * TICKS)
+                due = due + int(self.chances[number].expovariate(trouble.rate / 60.0) * TICKS)
             if due >= last:
                 return
             await asyncio.sleep(max(0, due - self.world.now()) / TICKS)
-            names = self._names(trouble)
-            if names:
-                whom = names if trouble.of and trouble.at is not None and "*" in trouble.of else [
-                    chance.choice(names)]
-                for name in whom:
-                    self.place.start(self._strike(trouble, name))
+            self._comes(number, trouble)
+            for follower, other in enumerate(self.world.plan.faults):
+                if other.after == trouble.kind:
+                    self.place.start(self._follows(follower, other))
             if trouble.at is not None and not trouble.every:
                 return
             if trouble.at is not None:
                 due = due + trouble.every
 
+    def _comes(self, number: int, trouble: Trouble) -> None:
+        names = self._names(trouble)
+        if names:
+            chance = self.chances[number]
+            whom = names if trouble.of and trouble.at is not None and "*" in trouble.of else [chance.choice(names)]
+            for name in whom:
+                self.place.start(self._strike(trouble, name))
+
+    async def _follows(self, number: int, trouble: Trouble) -> None:
+        await asyncio.sleep((trouble.at or 0) / TICKS)
+        self._comes(number, trouble)
+
     def _names(self, trouble: Trouble) -> list[str]:
         """Whom it may strike now: nobody who is struck already by what can't come twice."""
         of = FAULTS[trouble.kind]
@@ -67,6 +80,8 @@
         if whole:
             self.busy[of, name] = None
         self.count += 1
+        # Of the one that begins now, until it first waits.
+        self.chance = self.world.chance(f"strike {self.count}")
         self.world.add("fault", kind=trouble.kind, of=name, lasts=int(trouble.for_))
         try:
             method = getattr(self, "_" + trouble.kind.replace("-", "_"))
@@ -144,10 +159,68 @@
         worker.untaken.pop(scheme, None)
 
     async def _lie(self, trouble: Trouble, name: str) -> None:
+        """`strength`: the part of its load that it shows, where its reports are low."""
         worker = self.stage.workers[name]
-        worker.lies = True
+        worker.lie(trouble.how or "zero", trouble.strength)
         await self._lasts(trouble)
-        worker.lies = False
+        worker.lies = ""
+
+    async def _flap(self, trouble: Trouble, name: str) -> None:
+        """Up and down by turns; `strength`: the part of a turn in which it is down."""
+        chance, how = self.chance, trouble.how or "crash"
+        end = self.world.now() + trouble.for_ if trouble.for_ else 1 << 60
+        while self.world.now() < end:
+            turn = trouble.turn * (0.5 + chance.random()) / TICKS
+            await asyncio.sleep(turn * (1.0 - trouble.strength))
+            if self.world.now() >= end:
+                return
+            await self._down(trouble, name, how, turn * trouble.strength)
+
+    async def _down(self, trouble: Trouble, name: str, how: str, lasts: float) -> None:
+        worker, roster = self.stage.workers[name], self.stage.roster
+        if how == "errors":
+            worker.errors = 1.0
+            await asyncio.sleep(lasts)
+            worker.errors = 0.0
+            return
+        if how == "hang":
+            worker.hang(True)
+            await asyncio.sleep(lasts)
+            worker.hang(False)
+            return
+        if how == "silence":
+            worker.freeze()
+        else:
+            worker.crash()
+        if trouble.listed:
+            roster.change(name, "left")
+        await asyncio.sleep(lasts)
+        if how == "silence":
+            worker.crash(told=False)
+        worker.restart(trouble.listed)
+        if trouble.listed and worker.place.alive:
+            roster.change(name, "active", since=worker.started)
+
+    async def _one_sided(self, trouble: Trouble, name: str) -> None:
+        """Bad for some dispatchers, and as usual for the rest."""
+        worker, numbers = self.stage.workers[name], self.stage.numbers
+        among = ([d for d in numbers if fnmatch.fnmatch(f"d{d}", trouble.among)] if trouble.among
+                 else self.chance.sample(numbers, max(1, len(numbers) // 2)))
+        side = OneSided(trouble.how or "loss", among, trouble.strength)
+        way = Way(name, tuple(f"d{d}" for d in among), int(trouble.extra), 0.0)
+        if side.how == "slow":
+            self.world.weather.ways[way] = None
+        worker.sides[side] = None
+        await self._lasts(trouble)
+        worker.sides.pop(side)
+        self.world.weather.ways.pop(way, None)
+
+    async def _reap(self, trouble: Trouble, name: str) -> None:
+        """Its idle connections are dropped unseen after `strength` seconds without use."""
+        worker = self.stage.workers[name]
+        worker.reaped = (int(trouble.strength * TICKS), trouble.how or "reset")
+        await self._lasts(trouble)
+        worker.reaped = (0, "")
 
     async def _late_reports(self, trouble: Trouble, name: str) -> None:
         """By `strength` seconds."""
@@ -246,6 +319,13 @@
         """A zone is cut off from all others and comes back."""
         await self._silence(trouble, name)
 
+    async def _slow_link(self, trouble: Trouble, name: str) -> None:
+        """A zone's way to another, or to all: `extra` longer each way, and `strength` of what is sent is lost."""
+        way = Way(name, (trouble.among,) if trouble.among else None, int(trouble.extra), trouble.strength)
+        self.world.weather.ways[way] = None
+        await self._lasts(trouble)
+        self.world.weather.ways.pop(way)
+
     async def _cut_worker(self, trouble: Trouble, name: str) -> None:
         await self._silence(trouble, name)
 
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -66,6 +66,7 @@
     network: what lies between.
     withdrawal: what a withdrawn posting's job does: nothing stops, waiting ones are dropped, all stop.
     repeats: whether workers drop repeats of referenced txns within their group and window.
+    weights: what the list says of a worker's size: the same for all, or lowered by what each says that it holds.
     fresh: how often a worker's report is made anew.
     lag: how late the roster tells, drawn between.
     roster_rate: calls a second that the roster works through in turn, for all dispatchers together, also those
@@ -80,6 +81,7 @@
     network: Network = field(default_factory=Network)
     withdrawal: Literal["nothing", "waiting", "all"] = "waiting"
     repeats: bool = True
+    weights: Literal["even", "live"] = "even"
     fresh: Duration = Duration(5 * MS)
     lag: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(1500 * MS)])
     roster_rate: Annotated[float, Meta(ge=0)] = 0.0
@@ -143,17 +145,27 @@
 FAULTS = {
     "freeze": "worker", "crash": "worker", "drain": "worker", "slow": "worker", "errors": "worker",
     "untaken": "worker", "lie": "worker", "late-reports": "worker", "full-accept": "worker",
-    "callbacks-twice": "worker", "silent": "worker",
+    "callbacks-twice": "worker", "silent": "worker", "flap": "worker", "one-sided": "worker", "reap": "worker",
+    "slow-link": "zone",
     "disk-ill": "dispatcher", "disk-slow": "dispatcher", "kill": "dispatcher", "term": "dispatcher", "hup": "dispatcher",
     "outage": "roster", "roster-restart": "roster", "roster-moves": "roster", "roster-late": "roster",
     "reset": "network", "cut": "zone", "cut-worker": "worker", "heavy": "load", "surge": "load",
 }
 
 
+HOW = {  # the forms that a fault may take; the first where none is named
+    "lie": ("zero", "low", "stuck", "full"),
+    "flap": ("crash", "silence", "hang", "errors"),
+    "one-sided": ("loss", "hole", "refuse", "slow"),
+    "reap": ("reset", "silence"),
+}
+
+
 class Trouble(Form):
     """One fault, or one that comes again.
 
     kind: what goes wrong; docs/emulator.md lists them.
+    how: in which of its forms, where it has several; none: the first that docs/emulator.md names.
     of: whom it strikes: a worker's, dispatcher's or zone's name, * and ? allowed; none: one drawn by the seed.
     at: when; or the first time, where it comes again.
     for: for how long; a kill's or a crash's is the time until the restart. 0s: never ends.
@@ -162,9 +174,16 @@
     until: no more after this moment; 0s: until the end.
     strength: how much, where that has a meaning: a part, a factor, a count.
     scheme: which scheme, where it strikes one alone.
+    among: the dispatchers for which a worker is bad, * and ? allowed, or the zone at the other end of a slow link;
+      none: half of the dispatchers, drawn by the seed; all other zones.
+    extra: so much longer each way.
+    turn: how long a worker that flaps is up and down once, about.
+    listed: whether the roster tells of what happens to a worker that flaps.
+    after: the kind of another fault of this plan: `at` counts from each of its starts.
     """
 
     kind: str
+    how: str = ""
     of: str = ""
     at: Duration | None = None
     for_: Duration = field(default=Duration(5 * S), name="for")
@@ -173,12 +192,21 @@
     until: Duration = Duration(0)
     strength: Annotated[float, Meta(ge=0)] = 0.5
     scheme: str = ""
+    among: str = ""
+    extra: Duration = Duration(0)
+    turn: Duration = Duration(6 * S)
+    listed: bool = True
+    after: str = ""
 
     def __post_init__(self) -> None:
+        if self.how and self.how not in HOW.get(self.kind, ()):
+            raise ValueError(f'how: "{self.how}" stands there; {" or ".join(HOW.get(self.kind, ("none",)))} may')
         if self.kind not in FAULTS:
             raise ValueError(f'kind: "{self.kind}" stands there; one of {", ".join(FAULTS)} may')
         if (self.at is None) == (self.rate == 0):
             raise ValueError("either at or rate must be given")
+        if self.after and (self.at is None or self.every):
+            raise ValueError("after another fault: at must be given, and every can't")
 
 
 class Bounds(Form):
@@ -314,6 +342,9 @@
                                     f'"{zone}" stands there; one of {", ".join(charter.zones)} may'))
     known = {"worker": workers, "dispatcher": dispatchers, "zone": list(charter.zones)}
     for i, trouble in enumerate(plan.faults):
+        if trouble.after and trouble.after not in [other.kind for other in plan.faults if not other.after]:
+            faults.append(Fault(file, f"faults[{i}].after", f'"{trouble.after}" stands there; the kind of another '
+                                "fault, that follows none itself, may"))
         names = known.get(FAULTS[trouble.kind])
         if trouble.of and names is not None and not fnmatch.filter(names, trouble.of):
             faults.append(Fault(file, f"faults[{i}].of", f'"{trouble.of}" stands there, and no '
--- a/pathsaddle/emulator/roster.py
+++ b/pathsaddle/emulator/roster.py
@@ -216,7 +216,7 @@
             if names is None and status == "left":
                 continue
             found.append({"name": name, "address": worker.addresses[dispatcher], "zone": worker.zone,
-                          "type": worker.kind.kind, "group": worker.cell, "status": status, "weight": 1.0,
+                          "type": worker.kind.kind, "group": worker.cell, "status": status, "weight": worker.weight(),
                           "since_ms": view.since[name]})
         return found
 
--- a/pathsaddle/emulator/workers.py
+++ b/pathsaddle/emulator/workers.py
@@ -41,10 +41,20 @@
     over: bool = False
     failing: bool = False
     wire: Wire | None = None
+    unheard: bool = False  # nothing that is said of it gets through
     also: list[tuple[Worker, Job]] = field(default_factory=list)  # repeats that were dropped for this one
     note: asyncio.TimerHandle | None = None
 
 
+class OneSided:
+    """A worker that is bad for some dispatchers and serves the rest as usual."""
+
+    def __init__(self, how: str, among: list[int], strength: float) -> None:
+        self.how = how
+        self.among = dict.fromkeys(among)
+        self.strength = strength
+
+
 class Shared:
     """What a group of workers remembers against repeats: the first taking of each mark, and its job."""
 
@@ -76,7 +86,12 @@
         self.slow = 0.0  # part of the machine that another program takes
         self.errors = 0.0
         self.untaken: dict[str, None] = {}
-        self.lies = False
+        self.lies = ""  # how its reports are untrue
+        self.shown = 1.0  # what part of its load it reports, where they are too low
+        self.stuck: tuple[float, int, int] = (0.0, 0, 0)  # what it goes on telling, where they stand still
+        self.hung = False  # it takes jobs and works on none
+        self.sides: dict[OneSided, None] = {}
+        self.reaped: tuple[int, str] = (0, "")  # idle connections die unseen after so long, and how that shows
         self.late = 0  # by how much reports are older than usual
         self.twice = False
         self.frozen = 0
@@ -136,6 +151,26 @@
         self.slow = min(0.99, slow)
         self._plan()
 
+    def hang(self, hung: bool) -> None:
+        self._advance()
+        self.hung = hung
+        self._plan()
+
+    def lie(self, how: str, shown: float) -> None:
+        self.stuck = self._truth()
+        self.lies, self.shown = how, shown
+
+    def _side(self, dispatcher: int, *hows: str) -> float:
+        """How strongly it is bad for that dispatcher in one of these forms."""
+        return max((side.strength for side in self.sides if side.how in hows and dispatcher in side.among),
+                   default=0.0)
+
+    def _loses(self, dispatcher: int, posting: bool) -> bool:
+        """Whether what crosses between it and that dispatcher now gets lost."""
+        strength = self._side(dispatcher, "loss", *(["hole"] if posting else []))
+        return (strength > 0 and self.chance.random() < strength
+                or self.world.weather.loses(self.zone, self.stage.zone_of(dispatcher), self.name, f"d{dispatcher}"))
+
     def crash(self, told: bool = True) -> None:
         """Its process dies: what it held is gone; the machine's agent may tell whose it was."""
         if not self.place.alive:
@@ -156,19 +191,21 @@
         for job in lost:
             await self._call_back(place, job, {"state": "lost"})
 
-    def restart(self) -> None:
+    def restart(self, listed: bool = True) -> None:
         if self.place.alive or self.fell:
             return
         self.started = self.world.now()
-        self.frozen = 0
+        self.frozen, self.hung = 0, False
         self.boot()
-        self.world.add("started_cold", worker=self.name, capacity=self.kind.slots * self.speed)
+        # Rule 4 binds those who were told of its start.
+        self.world.add("started_cold" if listed else "started_unlisted", worker=self.name, capacity=self.kind.slots * self.speed)
 
     # Calls that come.
 
     async def _serve(self, sock: Any, dispatcher: int) -> None:
         there = self.stage.zone_of(dispatcher)
-        wire = Wire(self.world, self.place, sock, there, self.name, gate=self.awake)
+        wire = Wire(self.world, self.place, sock, there, self.name, f"d{dispatcher}", gate=self.awake)
+        lost, last = False, self.world.now()  # what crosses from now on is lost; when something last did
         hearing = Hearing(calls=True)
         held: list[Job] = []  # taken from this connection and not answered
 
@@ -182,7 +219,30 @@
                 at, data = await wire.recv()
                 if not data:
                     return
+                idle, last = at - last, at
                 for said in hearing.feed(data, at):
+                    if self._side(dispatcher, "refuse"):
+                        self._unheard(said, dispatcher)
+                        wire.abort()
+                        return
+                    if self.reaped[0] and idle > self.reaped[0]:
+                        self._unheard(said, dispatcher)
+                        if self.reaped[1] == "reset":
+                            wire.abort()
+                            return
+                        lost = True
+                        continue
+                    if lost or self._loses(dispatcher, said.method == "POST"):
+                        # The job is lost, or all that is said of it.
+                        lost = True
+                        if said.method != "POST" or self.chance.random() < 0.5:
+                            self._unheard(said, dispatcher)
+                            continue
+                        self._hear(said, dispatcher, wire, held)
+                        for job in held:
+                            job.unheard = job.taken = True
+                        held.clear()
+                        continue
                     told = self._hear(said, dispatcher, wire, held)
                     if told is None:
                         continue
@@ -198,6 +258,20 @@
             if self.place.alive:
                 wire.close()
 
+    def _unheard(self, said: Said, dispatcher: int) -> None:
+        """What its sender wrote whole and it never got: for all that the sender can know it may have run."""
+        if said.method != "POST":
+            return
+        try:
+            told = msgspec.json.decode(said.body)
+            work, slots = int(told["work"]), float(told["slots"])
+        except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+            return
+        self.world.events.add(said.whole, "came", id=said.headers.get("req-id", ""), worker=self.name,
+                              dispatcher=dispatcher, begun=said.begun, work=work, slots=slots, zone=self.zone,
+                              scheme=said.target.partition("?")[0].lstrip("/"), cell=self.cell,
+                              lease=int(said.headers.get("job-lease", "0")))
+
     def _hear(self, said: Said, dispatcher: int, wire: Wire, held: list[Job]) -> bytes | None:
         if said.method == "GET" and said.target in ("/health", "/status/load"):
             self.world.events.add(said.begun, "looked", worker=self.name, dispatcher=dispatcher)
@@ -313,7 +387,7 @@
             self.running[job] = None
             job.started = self.world.now()
             self.world.add("ran", id=job.tag, worker=self.name)
-            if self.world.charter.reports.starts:
+            if self.world.charter.reports.starts and not self.hung:
                 self.place.start(self._call_back(self.place, job, {"state": "started"}))
             self._note_later(job)
             if job.failing:
@@ -328,7 +402,7 @@
     def _note(self, job: Job) -> None:
         if job.over or not self.place.alive:
             return
-        if not self.frozen:
+        if not self.frozen and not self.hung:
             self._advance()
             share = max(0.0, min(1.0, 1.0 - job.left / max(1, job.work)))
             self.place.start(self._call_back(self.place, job, {"state": "running", "share": round(share, 3)}))
@@ -343,7 +417,7 @@
         return rules.cold_share + (1.0 - rules.cold_share) * warm
 
     def _rate(self) -> float:
-        return 0.0 if self.frozen else self.speed * self.able() * (1.0 - self.slow)
+        return 0.0 if self.frozen or self.hung else self.speed * self.able() * (1.0 - self.slow)
 
     def _advance(self) -> None:
         now = self.world.now()
@@ -445,16 +519,34 @@
         """As of its last refresh, or older; a liar claims to be idle."""
         fresh = max(1, self.world.plan.fleet.fresh)
         moment = self.world.now() // fresh * fresh - self.late
-        free, line, held = float(self.kind.slots), 0, 0
-        for when, *told in reversed(self.past):
-            if when <= moment:
-                free, line, held = told[0], int(told[1]), int(told[2])
-                break
-        if self.lies:
-            free, line, held = float(self.kind.slots), 0, 0
+        free, line, held = self._truth(moment)
+        slots = float(self.kind.slots)
+        if self.lies == "zero":
+            free, line, held = slots, 0, 0
+        elif self.lies == "low":
+            free, line, held = slots - (slots - free) * self.shown, int(line * self.shown), int(held * self.shown)
+        elif self.lies == "stuck":
+            free, line, held = self.stuck
+        elif self.lies == "full":
+            free, line, held = 0.0, max(line, self.kind.line), self.kind.slots + max(line, self.kind.line)
         figures = {"x0": free, "queue": line, "inflight": held, "waiting": line, "active": held}
         return {name: figures[name] for name in self.world.charter.reports.fields if name in figures}
 
+    def _truth(self, moment: int | None = None) -> tuple[float, int, int]:
+        """Free slots, the line and jobs held as of a moment, now where none is given."""
+        for when, *told in reversed(self.past):
+            if moment is None or when <= moment:
+                return told[0], int(told[1]), int(told[2])
+        return float(self.kind.slots), 0, 0
+
+    def weight(self) -> float:
+        """As the list has it: its size, lowered the more it says that it holds, where the plan's weights are live."""
+        if self.world.plan.fleet.weights == "even":
+            return 1.0
+        told = self.report()
+        held = float(self.kind.slots) - told.get("x0", float(self.kind.slots)) + told.get("queue", 0.0)
+        return round(self.kind.slots / (1.0 + held / self.kind.slots), 3)
+
     def _load_line(self) -> str:
         return ",".join(f"{name}={value:g}" for name, value in self.report().items())
 
@@ -464,6 +556,13 @@
         again = self.twice and told["state"] not in ("running", "started")
         for n in range(TRIES):
             await self.awake()
+            if job.unheard:
+                return
+            if place is self.place and (self._side(job.dispatcher, "refuse") or self._loses(job.dispatcher, True)):
+                if self._side(job.dispatcher, "hole"):
+                    return  # answers are lost like postings, and whoever sends them never learns of it
+                await asyncio.sleep(ANSWERS_IN / TICKS)
+                continue
             if await self._tell(place, job.dispatcher, call):
                 self.world.add("told", id=job.tag, worker=self.name, state=told["state"])
                 if not again:
@@ -486,13 +585,14 @@
                 if wire is None:
                     sock, peer = place.stream(self.stage.listen_of(dispatcher))
                     try:
-                        await self.world.weather.passes(self.zone, self.stage.zone_of(dispatcher), self.name)
+                        await self.world.weather.passes(self.zone, self.stage.zone_of(dispatcher), self.name,
+                                                                 f"d{dispatcher}")
                         await self.world.loop.sock_connect(sock, peer)
                     except BaseException:
                         place.let_go(sock)
                         raise
                     wire = Wire(self.world, place, sock, self.stage.zone_of(dispatcher), self.name,
-                                gate=self.awake)
+                                f"d{dispatcher}", gate=self.awake)
                     hearing = Hearing(calls=False)
                 await wire.send(call)
                 said = await wire.said(hearing)
--- a/pathsaddle/emulator/world.py
+++ b/pathsaddle/emulator/world.py
@@ -46,21 +46,43 @@
         self.events.add(self.now(), what, **more)
 
 
+class Way:
+    """Trouble on the way between two places: what crosses takes longer, or is lost."""
+
+    def __init__(self, one: str, others: tuple[str, ...] | None, extra: int, lost: float) -> None:
+        self.one = one
+        self.others = others  # none: everywhere else
+        self.extra = extra
+        self.lost = lost
+
+    def meets(self, ends: tuple[str, ...]) -> bool:
+        """`ends`: two zones, then the names of who is there."""
+        if self.one not in ends:
+            return False
+        return ends[0] != ends[1] if self.others is None else any(name in ends for name in self.others)
+
+
 class Weather:
-    """What happens between two places: delay, and for a while silence or resets."""
+    """What happens between two places: delay, and for a while silence, losses or resets."""
 
     def __init__(self, world: World) -> None:
         self.network = world.plan.fleet.network
         self.random = world.chance("network").random
         self.loop = world.loop
         self.cut: dict[str, None] = {}  # zones and workers that nothing reaches
+        self.ways: dict[Way, None] = {}
         self.resets = 0.0  # chance that a message breaks its connection midway
         self._waiting: list[asyncio.Future[None]] = []
 
-    def delay(self, one: str, other: str) -> float:
-        base = self.network.near if one == other else self.network.far
+    def delay(self, one: str, other: str, *names: str) -> float:
+        base = int(self.network.near if one == other else self.network.far)
+        base += sum(way.extra for way in self.ways if way.meets((one, other, *names)))
         return base * (1.0 + self.network.spread * self.random()) / TICKS
 
+    def loses(self, *ends: str) -> bool:
+        """Whether what is sent now between them is lost on its way."""
+        return any(way.lost and self.random() < way.lost for way in self.ways if way.meets(ends))
+
     def parted(self, one: str, other: str, *names: str) -> bool:
         if not self.cut:
             return False
@@ -72,7 +94,7 @@
             waiter: asyncio.Future[None] = self.loop.create_future()
             self._waiting.append(waiter)
             await waiter
-        await asyncio.sleep(self.delay(one, other))
+        await asyncio.sleep(self.delay(one, other, *names))
 
     def heal(self, name: str) -> None:
         self.cut.pop(name, None)
