--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -16,6 +16,7 @@
 from math import exp, log
 from random import Random
 from typing import Any
+from zlib import crc32
 
 from pathsaddle.trade import (
     MILLISECOND,
@@ -49,6 +50,8 @@
 LOOKS, FEW = 3, 3  # how often, and at how many workers, a txn has a look before it is posted
 SURE = 2.5  # standard errors by which late word must explain reports better than prompt word does
 CLAIMS = 3  # rejections that tell together whether word is late
+KEEPERS = 2  # workers for a key beyond what its part of the traffic fills, so that a busy one has a neighbour
+KEYS = 512  # of how many keys we remember the order, and of how many txns the key
 LOOK = 10 * MILLISECOND  # how often held txns are looked at when nothing has happened
 # Guesses of a report's age.
 AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))
@@ -154,6 +157,13 @@
         self.told = (sum(told for _, told in self.seen) - 3.0) / (len(self.seen) + 3)
 
 
+def mixed(bits: int) -> int:
+    """32 bits of which each depends on all that went in."""
+    bits = (bits ^ bits >> 16) * 0x85EBCA6B & 0xFFFFFFFF
+    bits = (bits ^ bits >> 13) * 0xC2B2AE35 & 0xFFFFFFFF
+    return bits ^ bits >> 16
+
+
 class Choice:
     def __init__(self, terms: Terms, seed: int, now: int, door: Door) -> None:
         chance = Random(seed)
@@ -167,7 +177,7 @@
         self.stirred = True  # something has happened since the last look at held txns
         self.granted = False  # somebody has just got a worker: the next may get one too
         self.ranked: list[tuple[float, Book]] = []  # the last scan: who competed, with what load
-        self.barred: dict[tuple[Scheme, bool, int, int], None] = {}  # what found no worker
+        self.barred: dict[tuple[Any, ...], None] = {}  # what found no worker
         self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
@@ -213,6 +223,9 @@
         self.age = AGES[0]
         self.misses: deque[tuple[int, list[float]]] = deque(maxlen=48)  # (when, by how much each age is off)
         self.usual: dict[int, Usual] = {}  # by zone
+        self.asked_of: deque[str] = deque(maxlen=KEYS)  # the keys of the last txns
+        self.asked_times: dict[str, int] = {}  # how often each is among them
+        self.orders: dict[str, list[Book]] = {}  # by key
         self.dark: dict[int, dict[Worker, None]] = {}  # by zone: who broke since the last sign of life in it
         self.dark_until: dict[int, int] = {}
         self.claims: deque[bool] = deque(maxlen=CLAIMS)  # whether the last that turned us away claimed room
@@ -412,6 +425,48 @@
             pace /= self.able(left)
         return own * (1.0 + crowd) * pace * min(100.0, 1.0 + (pace / txn.ease) ** STEEP)
 
+    def order(self, key: str) -> list[Book]:
+        """The workers in the order in which they are to keep the key's data, alike at every dispatcher."""
+        order = self.orders.get(key)
+        if order is None:
+            if len(self.orders) >= KEYS:
+                del self.orders[next(iter(self.orders))]
+            mark = crc32(key.encode())
+            order = self.orders[key] = sorted(self.books.values(), key=lambda book: mixed(book.worker.lot ^ mark))
+        return order
+
+    def keepers(self, txn: Txn, rooms: dict[Book, float]) -> dict[Book, float]:
+        """The workers that keep the data of the txn's key: the first that are open to it in the key's order, as
+        many as the key's part of the traffic fills, and KEEPERS more.
+
+        Whoever else runs it fetches the data from a store that all share, and holds its slots meanwhile: sent
+        anywhere, a quarter of a job more, and once the store had no more to give, jobs of no keeper held the
+        whole fleet. So a keeper's turning us away decides, not the room believed there; the next in the order
+        takes its place, and one that is away or shut has none."""
+        assert txn.key is not None
+        left = KEEPERS + len(txn.postings) + int(1.25 * txn.fair)
+        kept = {}
+        for book in self.order(txn.key):
+            if book in rooms and self.eligible(book, txn):
+                if self.now - book.full_at > self.usual_run / 4:
+                    kept[book] = rooms[book]
+                left -= 1
+                if not left:
+                    break
+        return kept
+
+    def asks_for(self, txn: Txn) -> None:
+        """What part of the last txns was of its key, as so many workers."""
+        assert txn.key is not None
+        if len(self.asked_of) == self.asked_of.maxlen:
+            last = self.asked_of[0]
+            self.asked_times[last] -= 1
+            if not self.asked_times[last]:
+                del self.asked_times[last]
+        txn.fair = len(self.books) * self.asked_times.get(txn.key, 0) / max(1, len(self.asked_of))
+        self.asked_of.append(txn.key)
+        self.asked_times[txn.key] = self.asked_times.get(txn.key, 0) + 1
+
     def doubt(self) -> float:
         """Rejections by several workers at once say that all are fuller than believed."""
         return sum(exp(-(self.now - when) / self.usual_run) for when in self.turned_away) / 8
@@ -453,6 +508,8 @@
     def best(self, txn: Txn, rooms: dict[Book, float], blind: bool) -> Book | None:
         need = self.need(txn)
         blind = blind and not txn.over
+        if txn.key is not None:
+            rooms, need = self.keepers(txn, rooms), -float(FAR)
         plain = not txn.postings and not txn.over and txn.scheme.machine is None
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
@@ -460,12 +517,12 @@
                  and (plain and not book.wary and not book.suspect and not book.mute
                       and self.now >= book.erred_until or self.eligible(book, txn))]
         self.ranked = loads
-        if txn.scheme.semantics is Semantics.ONCE_ONLY:
+        if txn.scheme.semantics is Semantics.ONCE_ONLY and txn.key is None:
             # What an error loses goes where we have lately seen one end well: each of forty dispatchers learnt
             # of a failing worker by a txn of its own, and half of what that lost was once-only.
             proven = self.now - int(8 * self.usual_run)
             loads = [entry for entry in loads if entry[1].proven > proven] or loads
-        if self.cross_price <= 0:
+        if self.cross_price <= 0 or txn.key is not None:
             return self.least(loads)
         near = self.least([entry for entry in loads if entry[1].worker.zone == self.home])
         far = self.least([entry for entry in loads if entry[1].worker.zone != self.home])
@@ -505,7 +562,7 @@
         most, blind = -float(FAR), False
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
-            alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings))
+            alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings), txn.key)
             if alike in self.barred:
                 continue
             if self.now < txn.looks_until and any(book.probing for book in txn.looks):
@@ -516,7 +573,7 @@
                 most, blind = max(rooms.values(), default=-FAR), self.blind(rooms)
             txn.ease = self.ease(txn)
             # Where nobody has the room it needs no scan is made for it: many are held when all are full.
-            book = self.best(txn, rooms, blind) if blind or most >= self.need(txn) else None
+            book = self.best(txn, rooms, blind) if blind or txn.key is not None or most >= self.need(txn) else None
             if book is not None:
                 if self.look(txn, book, rooms):
                     continue
@@ -588,6 +645,8 @@
         txn.kind, txn.work = self.type_of(txn), self.work_of(txn)
         txn.mark = (txn.scheme, txn.customer, txn.hint, txn.slots, txn.memory)
         txn.first = self.first_asked(txn)
+        if txn.key is not None:
+            self.asks_for(txn)
         self.probe_purse = min(self.probe_purse + self.probe_income, 20 * self.probe_income)
         self.worths.append(self.worth(txn))
         self.arrivals.append(self.now)
@@ -932,6 +991,7 @@
             self.list_failures, self.list_due = 0, FAR
         told = dict.fromkeys(workers)
         self.stirred = True
+        self.orders.clear()
         if news is not ListNews.CHANGES:
             for worker in self.books:
                 if worker not in told and worker.standing is not Standing.GONE:
--- a/pathsaddle/drill/stand.py
+++ b/pathsaddle/drill/stand.py
@@ -75,7 +75,7 @@
     # What the wire brings.
 
     def ask(self, parts: list[str]) -> None:
-        _, _, tag, kind, billing, _, ttl, hint, width, memory, _ = parts
+        _, _, tag, kind, billing, entity, ttl, hint, width, memory, _ = parts
         now = self.loop.now
         customers = self.terms.customers
         payer = int(codec.optional(billing) or 0)
@@ -87,7 +87,7 @@
             now, now + limit(int(ttl)),
             hint=max(1, passed(int(work))) if work is not None and int(work) > 0 else None,
             slots=float(codec.optional(width) or 1), memory=float(amount) if amount is not None else None,
-            repeat=bool(options & 2))
+            key=codec.optional(entity), repeat=bool(options & 2))
         self.txns[tag] = txn
         decide(self.loop.arrive, txn)
 
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -34,6 +34,7 @@
 ENDS = {"done": Outcome.SETTLED, "failed": Outcome.ERROR, "returned": Outcome.FULL, "lost": Outcome.RESET}
 ID = re.compile(r"[!-~]{1,128}")
 FIGURE = re.compile(r"[0-9]{1,12}([.][0-9]{1,9})?")
+LONGEST_KEY = 256  # bytes of a key that tell it from others
 LONGEST = 24 * 3600 * SECOND  # no client means to wait for longer
 STARTED, RUNNING = "started", "running"
 
@@ -71,6 +72,15 @@
     return dict(part.strip().split("=", 1) for part in text.split(",") if "=" in part)
 
 
+def key_of(target: bytes) -> str | None:
+    """What the call is about, by its query's `k`; None where it says nothing of it."""
+    for part in target.partition(b"?")[2].split(b"&"):
+        name, equals, value = part.partition(b"=")
+        if name == b"k" and equals and value:
+            return value[:LONGEST_KEY].decode("latin-1")
+    return None
+
+
 class Words:
     """The names that the wire uses for what the trade knows as objects and numbers."""
 
@@ -107,7 +117,7 @@
                 raise ValueError("out of all bounds")
             return Txn(tag, scheme, customer, now, now + min(lasts, scheme.expiry or lasts),
                        hint=max(1, -(-int(cost) // 100)) if cost > 0 else None,
-                       slots=slots, memory=None if memory is None else figure(memory),
+                       slots=slots, memory=None if memory is None else figure(memory), key=key_of(call.target),
                        repeat=call.text(b"req-retry") == "1")
         except ValueError as fault:
             raise Broken(400, f"a figure that is none: {fault}") from None
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -139,6 +139,7 @@
     hint: int | None = None
     slots: float = 1.0
     memory: float | None = None
+    key: str | None = None  # what it is about; a worker keeps the data of the last few keys that it served
     repeat: bool = False
     postings: list[Posting] = field(default_factory=list)
     closed: bool = False
@@ -148,6 +149,7 @@
     first: int = 0  # when its client first asked, as far as we know
     mark: tuple[Any, ...] = ()  # what its client's next try would have in common with it
     thrift: float = 0.0  # what part of its customer's share for the moment was left as it came
+    fair: float = 0.0  # how many workers its key's part of the traffic fills
     over: bool = False  # beyond its customer's share
     kind: Any = None  # its type and work, to the design
     work: int = 1
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -267,6 +267,57 @@
         self.assertEqual((len(host.posted), host.cancelled), (1, []))
 
 
+class Keys(unittest.TestCase):
+    """Days on which every job of a key fetched its data anew from a store that had no more to give."""
+
+    def host(self, seed: int, workers: int = 20) -> FakeHost:
+        host = FakeHost(scheme(ONCE_ONLY), workers=workers, seed=seed, dispatchers=2, number=seed % 2)
+        for index, worker in enumerate(host.workers):
+            worker.lot = index * 2654435761 % (1 << 32)
+        host.list(ListNews.WHOLE, *host.workers)
+        return host
+
+    def served(self, host: FakeHost, keys: str) -> dict[str, set[str]]:
+        by_key: dict[str, set[str]] = {}
+        for turn in range(12):
+            for key in keys:
+                host.ask(f"{key}{turn}", key=key)
+                by_key.setdefault(key, set()).add(host.posted[-1].worker.tag)
+                host.passes(SECOND)  # as long as it is expected to run: all are alike
+                host.end(host.posted[-1])
+        return by_key
+
+    def test_every_dispatcher_sends_a_key_to_the_same_few_workers_and_keys_are_spread(self) -> None:
+        one, other = self.served(self.host(2), "abcdefgh"), self.served(self.host(5), "abcdefgh")
+        for key, workers in one.items():
+            self.assertLessEqual(len(workers | other[key]), 6, "its part of the traffic fills two or three")
+        self.assertGreater(len(set.union(*one.values())), 8)
+
+    def test_a_keeper_that_turns_it_away_has_the_next_of_the_order_in_its_place(self) -> None:
+        host = self.host(2, workers=6)
+        host.ask("a", key="k")
+        host.end(host.posted[0], Outcome.FULL)
+        host.passes(SECOND // 10)
+        host.end(host.posted[1], Outcome.FULL)
+        host.passes(SECOND // 10)
+        self.assertEqual(len({p.worker for p in host.posted}), 3)
+
+    def test_a_keeper_that_is_gone_leaves_its_keys_to_the_next_and_comes_back_to_them(self) -> None:
+        host = self.host(2, workers=3)
+        first = next(iter(self.served(host, "k")["k"]))
+        lost = next(w for w in host.workers if w.tag == first)
+        host.standing(lost, Standing.GONE)
+        self.assertNotIn(first, self.served(host, "k")["k"])
+        host.standing(lost, Standing.READY)
+        self.assertIn(first, self.served(host, "kkk")["k"])
+
+    def test_a_job_without_a_key_may_go_anywhere(self) -> None:
+        host = self.host(2)
+        for tag in range(20):
+            host.ask(str(tag))
+        self.assertGreater(len({p.worker for p in host.posted}), 10)
+
+
 class LargeFleets(unittest.TestCase):
     def test_a_fleet_is_not_ranked_anew_for_every_event(self) -> None:
         """Incident i6d62e5 and the first full-size days: the decisions took longer than the day."""
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -215,6 +215,8 @@
         self.assertEqual((txn.tag, txn.expires, txn.hint, txn.slots, txn.memory, txn.repeat),
                          ("a1", 1000 + 4800, 13, 2.0, 1.5, False))
         self.assertIs(txn.scheme.semantics, Semantics.REPEATABLE)
+        self.assertEqual([forms.key_of(target) for target in (b"/x", b"/x?k=", b"/x?a=1&k=u7&k=u8", b"/x?kk=1")],
+                         [None, None, "u7", None])
         self.assertEqual(txn.customer and txn.customer.index, 0)
 
     def test_what_a_client_says_goes_on_but_for_what_belongs_to_its_connection(self) -> None:
