--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -50,6 +50,7 @@
 LOOKS, FEW = 3, 3  # how often, and at how many workers, a txn has a look before it is posted
 SURE = 2.5  # standard errors by which late word must explain reports better than prompt word does
 CLAIMS = 3  # rejections that tell together whether word is late
+CHEAP = 0.02  # a price for crossing under which no chance is told apart so finely: all zones are one
 KEEPERS = 2  # workers for a key beyond what its part of the traffic fills, so that a busy one has a neighbour
 KEYS = 512  # of how many keys we remember the order, and of how many txns the key
 LOOK = 10 * MILLISECOND  # how often held txns are looked at when nothing has happened
@@ -68,6 +69,7 @@
         self.past: list[tuple[int, int]] = [(-FAR, 0)]  # (when, own out from then)
         self.report: Report | None = None
         self.reported = 0  # when the report came
+        self.word: tuple[float | None, ...] = ()  # its last report's figures
         self.seen = -FAR  # the moment that it describes
         self.own_then = 0  # own postings out at that moment
         self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
@@ -89,6 +91,9 @@
         self.shut_until = 0  # after failures: nothing before this moment
         self.suspect = False  # silent for too long: one posting at a time until it speaks
         self.mute: dict[Scheme, tuple[int, int]] = {}  # left untaken here: (until when none go, how often)
+        self.reached = 0  # when the last posting was sent that has started
+        self.doubted = 0  # since when
+        self.trial: Posting | None = None  # the last posting there since
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
         self.started: int | None = worker.started
@@ -181,6 +186,7 @@
         self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
+        self.all_at_risk = not any(self.runs_again_anywhere(scheme) for scheme in terms.schemes)
         self.max_postings = terms.max_postings
         self.two_at_once = terms.two_at_once
         self.may_cancel = terms.may_cancel
@@ -380,8 +386,6 @@
             if usual is not None:
                 return -usual.told - len(book.out)
             return 1.0 if len(book.out) < 2 else 0.0
-        if self.tells_start and self.queued(book):
-            return 0.0
         # Word of others' jobs fades as those end and others come: back to what it mostly is here.
         told = self.burden(report) - book.own_then
         kept = exp(-(self.now - book.seen) / self.usual_run)
@@ -389,7 +393,18 @@
             # Few own readings say less than what is usual in its zone.
             mostly = (sum(book.readings) + 2.0 * told_usual) / (len(book.readings) + 2)
             told = kept * told + (1.0 - kept) * mostly
-        return -told - len(book.out)
+        room = -told - len(book.out)
+        if self.tells_start and (waits := self.waits(book)) > self.late_start:
+            # What has not started by now stands in a line that is no shorter than what would have run since;
+            # a worker that hangs, or says less than it holds, shows by nothing else.
+            room = min(room, -waits / self.usual_run * (book.size or self.least_slots))
+        return room
+
+    def waits(self, book: Book) -> int:
+        """How long the first in line has waited. What was posted before one that has started, or before the worker
+        fell silent, is lost more likely than in line."""
+        since = max(book.reached, book.doubted if book.suspect else 0)
+        return next((self.now - p.sent for p in book.out if p.started is None and p.sent > since), 0)
 
     def burden(self, report: Report) -> float:
         """Jobs there less slots. Free slots behind a waiting job are no room: a third of those turned away
@@ -398,16 +413,13 @@
             return report.waiting
         return -(report.free or 0.0)
 
-    def queued(self, book: Book) -> bool:
-        """Own postings that should have started by now and have not stand in a queue there."""
-        return any(p.started is None and self.now - p.sent > self.late_start for p in book.out)
-
     def crowded(self, book: Book) -> bool:
         """Postings there have lately stood in its queue: no place for what others would lose by."""
         return any(delay > self.late_start for delay in book.delays)
 
     def judge_starts(self) -> None:
-        typical = sorted(self.starts)[len(self.starts) // 4] if self.starts else 20 * MILLISECOND
+        # By the quickest: when all stand in queues a quarter of them, or half, tells how long those are.
+        typical = min(self.starts, default=20 * MILLISECOND)
         # No finer than a tick: where starts are seen as they come, other zones' plain way was late by it.
         self.late_start = 2 * max(typical, self.tick) + 2 * self.tick
 
@@ -486,8 +498,10 @@
                 and (not txn.postings or self.may_post(txn, worker)
                      and not any(p.out and p.worker is worker for p in txn.postings))
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
-                # Only what can be posted again anywhere is risked on a suspect.
-                and (not book.suspect or self.runs_again_anywhere(txn.scheme))
+                # Only what can be posted again anywhere is risked on a suspect; where no scheme can, whatever
+                # comes once a look was answered, or it stayed a suspect for good.
+                and (not book.suspect or self.runs_again_anywhere(txn.scheme)
+                     or self.all_at_risk and (not self.probe_every or book.reported > book.doubted))
                 # And what one error loses is not risked where one has lately failed.
                 and (self.now >= book.erred_until or txn.scheme.semantics is not Semantics.ONCE_ONLY)
                 and not (txn.over and self.tells_start and self.crowded(book))
@@ -522,7 +536,7 @@
             # of a failing worker by a txn of its own, and half of what that lost was once-only.
             proven = self.now - int(8 * self.usual_run)
             loads = [entry for entry in loads if entry[1].proven > proven] or loads
-        if self.cross_price <= 0 or txn.key is not None:
+        if self.cross_price < CHEAP or txn.key is not None:
             return self.least(loads)
         near = self.least([entry for entry in loads if entry[1].worker.zone == self.home])
         far = self.least([entry for entry in loads if entry[1].worker.zone != self.home])
@@ -594,7 +608,15 @@
                 for worker, book in self.books.items()
                 if (worker.standing is Standing.READY or self.outlives(book)) and now >= book.shut_until
                 and not (dark and worker.zone in dark)
-                and not (book.suspect and book.out) and not (book.probing and book.asked < overdue)}
+                and not (book.suspect and self.trial_runs(book)) and not (book.probing and book.asked < overdue)}
+
+    def trial_runs(self, book: Book) -> bool:
+        """Whether a suspect has a posting that may yet tell. Where none can be withdrawn and none run again, one
+        that it swallowed stays out until its expiry: the next trial waits as long as those before it were mute."""
+        if not self.all_at_risk:
+            return bool(book.out)
+        return (book.trial is not None and book.trial.out
+                and self.now < book.trial.sent + (self.silence << min(book.trials, 2)))
 
     def outlives(self, book: Book) -> bool:
         """Listed as gone without having drained, where that does not bind: its own sign of life decides."""
@@ -750,6 +772,8 @@
 
     def judge_silence(self, book: Book) -> None:
         if self.silence and book.out and self.now - max(book.alive, book.out[0].sent) >= self.silence:
+            if not book.suspect:
+                book.doubted, book.trial = self.now, None
             book.suspect = True
 
     # Cold workers.
@@ -783,9 +807,14 @@
         while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
             book.cold_sent.popleft()
         spent = sum(work for _, work in book.cold_sent) + self.run_of(txn) * txn.slots
-        whole = self.cold_whole * able * self.least_slots
+        whole = self.cold_whole * able * (book.size or self.least_slots)
         if self.cold_by_turns:
-            return spent <= 0.3 * whole and self.cold_turn(book, 2)
+            # As many at once as have a whole job each of what a turn may hold: a few had more than they had
+            # jobs for, and a worker that came back cold every six seconds stood idle for most of them.
+            at_once = max(2, int(0.6 * whole / self.usual_run))
+            if at_once >= self.dispatchers:
+                return spent <= 1.2 * whole / self.dispatchers  # everyone's, in any span
+            return spent <= 0.6 * whole / at_once and self.cold_turn(book, at_once)
         return spent <= whole / self.dispatchers or self.cold_turn(book) and spent <= whole / 4
 
     def cold_turn(self, book: Book, at_once: int = 1) -> bool:
@@ -795,9 +824,9 @@
         if book.worker.started is None or book.risen > book.worker.started:
             return False  # the others guess another start, or none
         turn = (self.now - book.worker.started) // max(1, self.fall_time)
-        # Two at once, neighbours in no order: one alone was of another zone than the worker three times in four.
+        # Several at once, evenly apart: one alone was of another zone than the worker three times in four.
         ours = (self.number - book.worker.lot - turn) % self.dispatchers
-        return ours == 0 or at_once > 1 and ours == self.dispatchers // 2 + 1
+        return ours % -(-self.dispatchers // at_once) == 0
 
     # What is seen.
 
@@ -805,6 +834,8 @@
         book = self.books[posting.worker]
         book.believed_until = 0
         posting.work = posting.txn.work
+        if book.suspect:
+            book.trial = posting
         kind = posting.txn.kind
         book.out.append(posting)
         book.counts(self.now)
@@ -908,6 +939,13 @@
         self.lights(book.worker)
         if report.free is None:
             return
+        word = (report.free, report.waiting, report.held)
+        if self.tells_start and word == book.word and any(part is not None and part % 1.0 for part in word):
+            # A measured figure that is the same to its last digit is the same reading, now older, and must not
+            # stand over what starts have told since: taken for fresh, all met at whoever had once been idle.
+            book.reported = self.now
+            return
+        book.word = word
         load = self.burden(report)
         others = [load - book.own_at(self.now - age) for age in AGES]
         if book.others is not None and self.now - book.others[0] < 3 * SECOND:
@@ -957,6 +995,20 @@
         if posting.started == self.now:
             self.starts.append(self.now - posting.sent)
             book.delays.append(self.now - posting.sent)
+            book.reached = max(book.reached, posting.sent)
+            if self.tells_start and posting.sent > book.seen:
+                self.shows(book, posting)
+
+    def shows(self, book: Book, posting: Posting) -> None:
+        """A start tells at first hand what was there when it was posted: a free slot, or a line as long as what
+        has run since."""
+        waited, size = self.now - posting.sent, book.size or self.least_slots
+        free = book.report.free or 0.0 if book.report is not None else 0.0
+        if waited <= self.late_start:
+            book.report = Report(free=max(1.0, free), waiting=0.0)
+        else:
+            book.report = Report(free=0.0, waiting=max(1.0, waited / self.usual_run * size))
+        book.seen, book.own_then, book.believed_until = posting.sent, book.own_at(posting.sent - 1), 0
 
     def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
         book = self.books[worker]
@@ -1043,6 +1095,14 @@
             if self.now >= self.probe_due:
                 self.probe_due = self.probe_around()
             due = min(due, self.probe_due)
+        elif self.all_at_risk and self.probe_every and self.silence and self.now >= self.probe_due:
+            # A suspect's return is earned: by an answered look, then by one posting that starts.
+            self.probe_due = self.now + self.silence
+            for book in self.books.values():
+                if book.suspect and not book.probing and book.worker.standing is Standing.READY:
+                    self.probe(book)
+        if self.all_at_risk and self.probe_every and not self.probe_always and self.silence:
+            due = min(due, self.probe_due)
         if self.waiting:
             due = min(due, self.look_due)
         return due
--- a/tests/fakehost.py
+++ b/tests/fakehost.py
@@ -141,6 +141,11 @@
         worker.follows(replace(worker, standing=standing))
         self.list(ListNews.CHANGES, worker)
 
+    def start(self, posting: Posting) -> None:
+        self.loop.at(self.now)
+        self.loop.news(posting, True, 0.0)
+        self.loop.turn()
+
     def progress(self, posting: Posting, level: float = 0.1) -> None:
         self.loop.at(self.now)
         self.loop.news(posting, False, level)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -267,6 +267,82 @@
         self.assertEqual((len(host.posted), host.cancelled), (1, []))
 
 
+class UntrueWord(unittest.TestCase):
+    """Eleven dispatchers met at whoever had once been idle, queued up to sixty there, and fled all at once."""
+
+    def host(self, workers: int = 2, **more: object) -> FakeHost:
+        more = {"two_at_once": False, "may_cancel": True, "progress_every": SECOND, "tells_start": True,
+                "max_postings": 3, **more}
+        return FakeHost(scheme(ONCE_ONLY, sla_time=SECOND, expiry=5 * SECOND), workers=workers, **more)
+
+    def test_a_posting_that_does_not_start_speaks_against_the_report_that_claims_room(self) -> None:
+        host = self.host()
+        for tag in "ab":
+            host.ask(tag)
+            host.start(host.posted[-1])
+        one, other = (posting.worker for posting in host.posted)
+        for posting in host.posted[:2]:
+            host.passes(SECOND // 10)
+            host.end(posting, report=Report(free=3.0, waiting=0.0))
+        host.ask("c")
+        stuck = host.posted[-1].worker
+        host.passes(SECOND)
+        for tag in "defg":
+            host.ask(tag)
+            host.start(host.posted[-1])
+        self.assertEqual({p.worker for p in host.posted[3:]}, {other if stuck is one else one})
+
+    def test_the_same_reading_again_does_not_stand_over_what_a_start_has_told_since(self) -> None:
+        host = self.host(workers=1)
+        choice, worker = host.loop.choice, host.workers[0]
+        told = Report(free=2.9375, waiting=0.0)
+        host.ask("a")
+        host.start(host.posted[0])
+        host.passes(SECOND // 10)
+        host.end(host.posted[0], report=told)
+        host.ask("b")
+        host.passes(SECOND // 2)
+        host.start(host.posted[1])
+        line = choice.books[worker].report
+        self.assertGreater(line and line.waiting, 1.0)
+        host.end(host.posted[1], report=told)
+        self.assertIs(choice.books[worker].report, line)
+        host.ask("c")
+        host.end(host.posted[2], report=Report(free=2.875, waiting=0.0))
+        self.assertIsNot(choice.books[worker].report, line, "another reading is news")
+
+    def test_where_no_scheme_may_run_again_a_suspect_comes_back_by_a_look_and_a_start(self) -> None:
+        """Seven of 67 workers that had been silent for a while stayed suspects until the day's end."""
+        host = self.host(workers=1, may_probe=True)
+        host.tell(host.workers[0], Report(free=4.0, waiting=0.0))
+        host.ask("a")
+        host.passes(2 * SECOND)
+        host.ask("b")
+        host.passes(SECOND // 2)
+        self.assertEqual(len(host.posted), 1, "nothing is risked before a look was answered")
+        self.assertNotEqual(host.probes, [])
+        host.tell(host.workers[0], Report(free=4.0, waiting=0.0))
+        self.assertEqual(len(host.posted), 2)
+        host.ask("c")
+        host.passes(SECOND // 100)
+        self.assertEqual(len(host.posted), 2, "one at a time")
+        host.start(host.posted[1])
+        host.passes(SECOND // 10)
+        self.assertEqual(len(host.posted), 3)
+
+    def test_where_crossing_is_cheap_the_zones_are_one(self) -> None:
+        """A third of the traffic came to a zone with a fifth of the workers, and four in five txns stayed there."""
+        for price, zones in ((0.01, {0, 1}), (0.12, {0})):
+            found = set()
+            for seed in range(8):
+                host = self.host(workers=4, price_cross=price, seed=seed)
+                for worker in host.workers[1:]:
+                    worker.zone = 1
+                host.ask("a")
+                found.add(host.posted[0].worker.zone)
+            self.assertEqual(found, zones)
+
+
 class Keys(unittest.TestCase):
     """Days on which every job of a key fetched its data anew from a store that had no more to give."""
 
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -21,9 +21,15 @@
     told = plan.read(path)
     if name == "two-at-once":
         told.charter["allowed"] = {"two_at_once": False}
-    with mutated(name) if name else contextlib.nullcontext():
-        outcome = stage.virtual(told, told.all_seeds[0])
-    return judge(plan.charter_of(told), outcome.events.rows).broken()
+    # Three seeds in eight give a second copy its chance, and which ones changes with any change of what decides.
+    broken: dict[str, int] = {}
+    for seed in range(1, 17) if name == "two-at-once" else told.all_seeds[:1]:
+        with mutated(name) if name else contextlib.nullcontext():
+            outcome = stage.virtual(told, seed)
+        broken = judge(plan.charter_of(told), outcome.events.rows).broken()
+        if broken:
+            break
+    return broken
 
 
 class MutantStory(unittest.TestCase):
