--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -235,6 +235,7 @@
         self.orders: dict[str, list[Book]] = {}  # by key
         self.overtakes = terms.overtakes
         self.works: deque[tuple[float, float]] = deque(maxlen=KEYS)  # (slots, slots times running time) of the last
+        self.wide_from = 0.0  # slots from which on a job takes a whole worker
         self.wide: dict[Book, None] = {}  # who serves jobs that take a whole worker, and no others
         self.dark: dict[int, dict[Worker, None]] = {}  # by zone: who broke since the last sign of life in it
         self.dark_until: dict[int, int] = {}
@@ -460,12 +461,13 @@
         whole fleet. So a keeper's turning us away decides, not the room believed there; the next in the order
         takes its place, and one that is away or shut has none."""
         assert txn.key is not None
-        wide = self.is_wide(txn)
+        # Apart until half of its postings were turned away.
+        wide, mixes = self.is_wide(txn), 2 * len(txn.postings) > self.max_postings
         part = len(self.wide) / max(1, len(self.books))
         left = KEEPERS + len(txn.postings) + int(1.25 * txn.fair * (part if wide else 1.0 - part))
         kept = {}
         for book in self.order(txn.key):
-            if ((book in self.wide) == wide or txn.postings) and book in rooms and self.eligible(book, txn):
+            if ((book in self.wide) == wide or mixes) and book in rooms and self.eligible(book, txn):
                 if self.now - book.full_at > self.usual_run / 4:
                     kept[book] = rooms[book]
                 left -= 1
@@ -474,17 +476,20 @@
         return kept
 
     def is_wide(self, txn: Txn) -> bool:
-        return bool(self.wide) and txn.slots >= 0.75 * self.least_slots
+        return bool(self.wide) and txn.slots >= self.wide_from
 
     def judge_wide(self) -> None:
         """Where a worker starts whatever fits, a job that needs all its slots waits until it is empty: 0.6 s at the
         median, for jobs of 0.1 s. As many workers as such jobs fill, a quarter more, serve them and no others
-        but those that were turned away elsewhere: the first of an order, alike at every dispatcher."""
+        but those often turned away elsewhere: the first of an order, alike at every dispatcher."""
         self.wide.clear()
-        if not self.overtakes or self.least_slots < 2 or len(self.works) < 64:
+        # What the smallest is known to hold is no measure: of a worker full of others' jobs we see little room.
+        sizes = sorted(book.size for book in self.books.values() if book.size > 0)
+        if not self.overtakes or not sizes or len(self.works) < 64:
             return
+        self.wide_from = max(2.0, 0.75 * sizes[len(sizes) * 3 // 4])
         whole = sum(work for _, work in self.works)
-        part = sum(work for slots, work in self.works if slots >= 0.75 * self.least_slots) / whole
+        part = sum(work for slots, work in self.works if slots >= self.wide_from) / whole
         ready = [book for book in self.order("") if book.worker.standing is Standing.READY]
         for book in ready[:int(1.25 * part * len(ready) + 0.5)]:
             self.wide[book] = None
