--- a/pathsaddle/emulator/workers.py
+++ b/pathsaddle/emulator/workers.py
@@ -208,10 +208,13 @@
         lost, last = False, self.world.now()  # what crosses from now on is lost; when something last did
         hearing = Hearing(calls=True)
         held: list[Job] = []  # taken from this connection and not answered
+        missed: list[str] = []  # postings that were written to it and lost on their way
 
         def gone(at: int) -> None:
             for job in held:
                 self._withdraw(job, at)
+            for tag in missed:
+                self.world.events.add(at, "withdrawn", id=tag, worker=self.name, ran=True)
 
         wire.on_gone = gone
         try:
@@ -231,17 +234,20 @@
                             wire.abort()
                             return
                         lost = True
+                        if said.method == "POST":
+                            missed.append(said.headers.get("req-id", ""))
                         continue
                     if lost or self._loses(dispatcher, said.method == "POST"):
                         # The job is lost, or all that is said of it.
                         lost = True
                         if said.method != "POST" or self.chance.random() < 0.5:
                             self._unheard(said, dispatcher)
+                            if said.method == "POST":
+                                missed.append(said.headers.get("req-id", ""))
                             continue
                         self._hear(said, dispatcher, wire, held)
                         for job in held:
-                            job.unheard = job.taken = True
-                        held.clear()
+                            job.unheard = True
                         continue
                     told = self._hear(said, dispatcher, wire, held)
                     if told is None:
