--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -13,10 +13,11 @@
 from bisect import bisect_left, insort
 from collections import deque
 from collections.abc import Generator, Iterable
+from functools import lru_cache
+from hashlib import blake2b
 from math import exp, log
 from random import Random
 from typing import Any
-from zlib import crc32
 
 from pathsaddle.trade import (
     MILLISECOND,
@@ -117,7 +118,6 @@
         self.believed_until = 0
 
 
-
 class Account:
     """A customer's use of its share, as far as it comes through us."""
 
@@ -162,13 +162,6 @@
         self.told = (sum(told for _, told in self.seen) - 3.0) / (len(self.seen) + 3)
 
 
-def mixed(bits: int) -> int:
-    """32 bits of which each depends on all that went in."""
-    bits = (bits ^ bits >> 16) * 0x85EBCA6B & 0xFFFFFFFF
-    bits = (bits ^ bits >> 13) * 0xC2B2AE35 & 0xFFFFFFFF
-    return bits ^ bits >> 16
-
-
 class Choice:
     def __init__(self, terms: Terms, seed: int, now: int, door: Door) -> None:
         chance = Random(seed)
@@ -231,8 +224,7 @@
         self.misses: deque[tuple[int, list[float]]] = deque(maxlen=48)  # (when, by how much each age is off)
         self.usual: dict[int, Usual] = {}  # by zone
         self.asked_of: deque[str] = deque(maxlen=KEYS)  # the keys of the last txns
-        self.asked_times: dict[str, int] = {}  # how often each is among them
-        self.orders: dict[str, list[Book]] = {}  # by key
+        self.order = lru_cache(KEYS)(self.in_order)
         self.overtakes = terms.overtakes
         self.works: deque[tuple[float, float]] = deque(maxlen=KEYS)  # (slots, slots times running time) of the last
         self.wide_from = 0.0  # slots from which on a job takes a whole worker
@@ -243,6 +235,7 @@
         self.belied_until = -FAR  # a worker turned us away and claimed room: until when that speaks of all
         self.judged = now
         self.silence = terms.progress_every + terms.progress_every // 2
+        self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
         self.must_ask = terms.must_ask
         self.list_due = FAR
         self.list_failures, self.list_lost = 0, now
@@ -442,15 +435,9 @@
             pace /= self.able(left)
         return own * (1.0 + crowd) * pace * min(100.0, 1.0 + (pace / txn.ease) ** STEEP)
 
-    def order(self, key: str) -> list[Book]:
+    def in_order(self, key: str) -> list[Book]:
         """The workers in the order in which they are to keep the key's data, alike at every dispatcher."""
-        order = self.orders.get(key)
-        if order is None:
-            if len(self.orders) >= KEYS:
-                del self.orders[next(iter(self.orders))]
-            mark = crc32(key.encode())
-            order = self.orders[key] = sorted(self.books.values(), key=lambda book: mixed(book.worker.lot ^ mark))
-        return order
+        return sorted(self.books.values(), key=lambda book: blake2b(f"{book.worker.lot} {key}".encode()).digest())
 
     def keepers(self, txn: Txn, rooms: dict[Book, float]) -> dict[Book, float]:
         """The workers that keep the data of the txn's key: the first that are open to it in the key's order, as
@@ -462,7 +449,8 @@
         takes its place, and one that is away or shut has none."""
         assert txn.key is not None
         # Apart until half of its postings were turned away.
-        wide, mixes = self.is_wide(txn), 2 * len(txn.postings) > self.max_postings
+        wide = bool(self.wide) and txn.slots >= self.wide_from
+        mixes = 2 * len(txn.postings) > self.max_postings
         part = len(self.wide) / max(1, len(self.books))
         left = KEEPERS + len(txn.postings) + int(1.25 * txn.fair * (part if wide else 1.0 - part))
         kept = {}
@@ -475,9 +463,6 @@
                     break
         return kept
 
-    def is_wide(self, txn: Txn) -> bool:
-        return bool(self.wide) and txn.slots >= self.wide_from
-
     def judge_wide(self) -> None:
         """Where a worker starts whatever fits, a job that needs all its slots waits until it is empty: 0.6 s at the
         median, for jobs of 0.1 s. As many workers as such jobs fill, a quarter more, serve them and no others
@@ -494,19 +479,6 @@
         for book in ready[:int(1.25 * part * len(ready) + 0.5)]:
             self.wide[book] = None
 
-    def asks_for(self, txn: Txn) -> None:
-        """What part of the last txns was of its key, as so many workers."""
-        assert txn.key is not None
-        if len(self.asked_of) == self.asked_of.maxlen:
-            last = self.asked_of[0]
-            self.asked_times[last] -= 1
-            if not self.asked_times[last]:
-                del self.asked_times[last]
-        self.works.append((txn.slots, txn.slots * self.run_of(txn)))
-        txn.fair = len(self.books) * self.asked_times.get(txn.key, 0) / max(1, len(self.asked_of))
-        self.asked_of.append(txn.key)
-        self.asked_times[txn.key] = self.asked_times.get(txn.key, 0) + 1
-
     def doubt(self) -> float:
         """Rejections by several workers at once say that all are fuller than believed."""
         return sum(exp(-(self.now - when) / self.usual_run) for when in self.turned_away) / 8
@@ -697,7 +669,9 @@
         self.hinted = self.hinted or txn.hint is not None
         txn.first = self.first_asked(txn)
         if txn.key is not None:
-            self.asks_for(txn)
+            txn.fair = len(self.books) * self.asked_of.count(txn.key) / max(1, len(self.asked_of))
+            self.asked_of.append(txn.key)
+            self.works.append((txn.slots, txn.slots * self.run_of(txn)))
         self.probe_purse = min(self.probe_purse + self.probe_income, 20 * self.probe_income)
         self.worths.append(self.worth(txn))
         self.arrivals.append(self.now)
@@ -1076,7 +1050,7 @@
             self.list_failures, self.list_due = 0, FAR
         told = dict.fromkeys(workers)
         self.stirred = True
-        self.orders.clear()
+        self.order.cache_clear()
         if news is not ListNews.CHANGES:
             for worker in self.books:
                 if worker not in told and worker.standing is not Standing.GONE:
@@ -1125,33 +1099,27 @@
             self.best_pace = min((b.pace for b in self.books.values()), default=1.0)
             self.least_slots = min((b.size for b in self.books.values() if b.size > 0), default=1.0)
             self.judge_wide()
-        if self.probe_always and self.probe_every:
+        if self.looks_around:
             if self.now >= self.probe_due:
                 self.probe_due = self.probe_around()
             due = min(due, self.probe_due)
-        elif self.all_at_risk and self.probe_every and self.silence and self.now >= self.probe_due:
-            # A suspect's return is earned: by an answered look, then by one posting that starts.
-            self.probe_due = self.now + self.silence
-            for book in self.books.values():
-                if book.suspect and not book.probing and book.worker.standing is Standing.READY:
-                    self.probe(book)
-        if self.all_at_risk and self.probe_every and not self.probe_always and self.silence:
-            due = min(due, self.probe_due)
         if self.waiting:
             due = min(due, self.look_due)
         return due
 
     def probe_around(self) -> int:
-        """The workers heard from longest ago, home ones first, as far as the purse goes."""
-        due = self.now + self.probe_every
+        """The workers heard from longest ago, home ones first, as far as the purse goes; where answers report too,
+        the suspects alone. A suspect's return is earned: by an answered look, then by one posting that starts."""
+        every = self.probe_every if self.probe_always else self.silence
+        due = self.now + every
         for book in sorted(self.books.values(), key=lambda b: (b.worker.zone != self.home, b.asked)):
-            if book.probing or not book.worker.may_get(self.dropped_stay_open):
+            if book.probing or not (self.probe_always or book.suspect) or not book.worker.may_get(self.dropped_stay_open):
                 continue
-            next_look = max(book.asked, book.reported) + self.probe_every
+            next_look = max(book.asked, book.reported) + every
             if self.now < next_look:
                 due = min(due, next_look)
             elif self.probe_purse < 1.0:
-                return self.now + self.probe_every // 8
+                return self.now + every // 8
             else:
                 self.probe(book)
         return due
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -79,7 +79,6 @@
             host.end(host.posted[-1], report=idle())
         self.assertEqual({p.worker for p in host.posted}, {host.workers[1]})
 
-
     def test_where_dropped_workers_stay_open_one_that_is_gone_is_posted_to_once_it_shows_life(self) -> None:
         host = FakeHost(workers=1, dropped_stay_open=True, reports_in_answers=False, may_probe=True)
         host.passes(SECOND // 10)
