Emulator: a posting lost on its way whose connection closed meanwhile is told as withdrawn

At fault: Worker._serve, which noted lost postings after the connection's end had been told. Not the program: the same txn's second posting, withdrawn in the same way in time, was told.

--- a/pathsaddle/emulator/workers.py
+++ b/pathsaddle/emulator/workers.py
@@ -216,6 +216,11 @@
             for tag in missed:
                 self.world.events.add(at, "withdrawn", id=tag, worker=self.name, ran=True)
 
+        def miss(said: Said) -> None:
+            missed.append(said.headers.get("req-id", ""))
+            if said.method == "POST" and wire.gone_at is not None:  # closed while it was on its way
+                gone(wire.gone_at)
+
         wire.on_gone = gone
         try:
             while True:
@@ -234,16 +239,14 @@
                             wire.abort()
                             return
                         lost = True
-                        if said.method == "POST":
-                            missed.append(said.headers.get("req-id", ""))
+                        miss(said)
                         continue
                     if lost or self._loses(dispatcher, said.method == "POST"):
                         # The job is lost, or all that is said of it.
                         lost = True
                         if said.method != "POST" or self.chance.random() < 0.5:
                             self._unheard(said, dispatcher)
-                            if said.method == "POST":
-                                missed.append(said.headers.get("req-id", ""))
+                            miss(said)
                             continue
                         self._hear(said, dispatcher, wire, held)
                         for job in held:
