--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -179,7 +179,9 @@
         self.look_due = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
         # Rules.
-        self.all_at_risk = not any(self.runs_again_anywhere(scheme) for scheme in terms.schemes)
+        self.for_trials = ([s for s in terms.schemes if self.runs_again_anywhere(s)]
+                           or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED] or terms.schemes)
+        self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
         self.max_postings = terms.max_postings
         self.two_at_once = terms.two_at_once
         self.may_cancel = terms.may_cancel
@@ -498,10 +500,10 @@
                 and (not txn.postings or self.may_post(txn, worker)
                      and not any(p.out and p.worker is worker for p in txn.postings))
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
-                # Only what can be posted again anywhere is risked on a suspect; where no scheme can, whatever
-                # comes once a look was answered, or it stayed a suspect for good.
-                and (not book.suspect or self.runs_again_anywhere(txn.scheme)
-                     or self.all_at_risk and (not self.probe_every or book.reported > book.doubted))
+                # Only what can be posted again anywhere is risked on a suspect; where no scheme can, what may run
+                # again somewhere, else whatever comes, once a look was answered: or it stayed one for good.
+                and (not book.suspect or txn.scheme in self.for_trials
+                     and (not self.all_at_risk or not self.probe_every or book.reported > book.doubted))
                 # And what one error loses is not risked where one has lately failed.
                 and (self.now >= book.erred_until or txn.scheme.semantics is not Semantics.ONCE_ONLY)
                 and not (txn.over and self.tells_start and self.crowded(book))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -330,6 +330,18 @@
         host.passes(SECOND // 10)
         self.assertEqual(len(host.posted), 3)
 
+    def test_where_some_scheme_may_run_again_in_a_group_a_suspect_is_tried_with_it_alone(self) -> None:
+        host = FakeHost(scheme(ONCE_ONLY), scheme(REFERENCED, index=1, group=Group.CELL), workers=1, may_probe=True,
+                        two_at_once=False, progress_every=SECOND, tells_start=True)
+        host.tell(host.workers[0], Report(free=4.0, waiting=0.0))
+        host.ask("a")
+        host.passes(2 * SECOND)
+        host.tell(host.workers[0], Report(free=4.0, waiting=0.0))
+        host.ask("b")
+        self.assertEqual(len(host.posted), 1, "what a mute worker swallows is lost to it")
+        host.ask("c", of=1)
+        self.assertEqual([p.txn.tag for p in host.posted], ["a", "c"])
+
     def test_where_crossing_is_cheap_the_zones_are_one(self) -> None:
         """A third of the traffic came to a zone with a fifth of the workers, and four in five txns stayed there."""
         for price, zones in ((0.01, {0, 1}), (0.12, {0})):
