An interrupt that a parser's callback swallows still ends an experiment's runs

Ruled out: the test's wait (a result was kept and three runs were left), signal handlers (the virtual loop's are its own). A probe: KeyboardInterrupt raised in httptools' on_url comes out as HttpParserCallbackError, an Exception, which Worker._serve and the like take for bad bytes. That it was this in that run can't be seen afterwards. At fault: Run.go, which trusted the exception alone. Now the interrupt is also kept, and looked at after each run.

--- a/pathsaddle/experiment/run.py
+++ b/pathsaddle/experiment/run.py
@@ -9,16 +9,18 @@
 import multiprocessing
 import os
 import shutil
+import signal
 import subprocess
 import sys
 import tarfile
 import time
 import traceback
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from concurrent.futures import FIRST_COMPLETED, Future, ProcessPoolExecutor, wait
 from dataclasses import dataclass
 from datetime import UTC, datetime
 from pathlib import Path
+from types import FrameType
 from typing import Any
 
 import msgspec
@@ -118,6 +120,26 @@
     return perform(task) if task.root == str(ROOT) or task.ground == "sockets" else elsewhere(task)
 
 
+@contextlib.contextmanager
+def interrupts() -> Iterator[list[int]]:
+    """Keeps that an interrupt came: raised inside a parser's callback, httptools makes a parser's error of it, which
+    an emulated peer takes for bad bytes, and the runs went on as if nobody had asked."""
+    asked: list[int] = []
+
+    def heard(number: int, frame: FrameType | None) -> None:
+        asked.append(number)
+        signal.default_int_handler(number, frame)
+    try:
+        before = signal.signal(signal.SIGINT, heard)
+    except ValueError:  # not the main thread: nobody interrupts it
+        yield asked
+        return
+    try:
+        yield asked
+    finally:
+        signal.signal(signal.SIGINT, before)
+
+
 class Run:
     """A plan's whole set of runs."""
 
@@ -150,8 +172,11 @@
     def go(self, tell: Callable[[Result], None] = lambda result: None) -> list[Result]:
         """All results, in the plan's order. Interrupted, what has ended is kept."""
         if self.jobs == 1:
-            for i in self.left:
-                self._ended(i, _work(self.tasks[i]), tell)
+            with interrupts() as asked:
+                for i in self.left:
+                    self._ended(i, _work(self.tasks[i]), tell)
+                    if asked:
+                        raise KeyboardInterrupt
             return [self.results[i] for i in range(len(self.tasks))]
         # Not forked: a child must not inherit what this process has under way.
         context = multiprocessing.get_context("spawn")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,9 +7,16 @@
 import subprocess
 import sys
 import tempfile
+import time
 import unittest
 from pathlib import Path
+from typing import Any
+from unittest import mock
 
+import httptools
+
+from pathsaddle.emulator import plan as plans
+from pathsaddle.experiment import run
 from pathsaddle.experiment.compare import choose, compare
 from pathsaddle.experiment.keep import Result, Store
 
@@ -110,6 +117,23 @@
         self.assertIn("data:image/png", page)
         self.assertIn("<td>base</td><td>4</td>", page)
 
+    def test_an_interrupt_that_a_parsers_callback_swallows_ends_the_runs_all_the_same(self) -> None:
+        class Swallows:
+            def on_url(self, url: bytes) -> None:
+                os.kill(os.getpid(), signal.SIGINT)
+                time.sleep(1.0)
+
+        def work(task: run.Task) -> Any:
+            with self.assertRaises(httptools.HttpParserError):
+                httptools.HttpRequestParser(Swallows()).feed_data(b"GET / HTTP/1.1\r\n\r\n")
+        whole = run.Run(plans.read(self.file(SMALL)), Store(self.folder / "small.jsonl"), jobs=1)
+        before, ended = signal.getsignal(signal.SIGINT), []
+        with mock.patch.object(run, "_work", work), mock.patch.object(
+                run.Run, "_ended", lambda _, i, *more: ended.append(i)), self.assertRaises(KeyboardInterrupt):
+            whole.go()
+        self.assertEqual(ended, [0])
+        self.assertIs(signal.getsignal(signal.SIGINT), before)
+
     @unittest.skipUnless((ROOT / ".git").exists(), "no repository")
     def test_a_variant_may_be_a_commit_of_ours(self) -> None:
         def run(commit: str) -> subprocess.CompletedProcess[str]:
