--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -192,6 +192,52 @@
     margin: Duration = Duration(50 * MS)
 
 
+class Fleet(Form):
+    """This dispatcher among others: who else is there, told by datagrams; off where the table is missing.
+
+    name: the fleet's; datagrams of another are not read.
+    key: the secret that all members share, 16 characters at least; whoever has it can speak as any member.
+    listen: where datagrams come, host:port (UDP).
+    address: where other members send them, if that is not `listen`.
+    seeds: addresses of other members, by which a fleet is found at the start; none: whoever names us finds us.
+    folder: where the number of the last life is kept, on a disk that lasts; none: the clock alone numbers lives.
+    control: where `pathsaddle fleet` asks, host:port, on the loopback; none: nowhere.
+    beat: between two probes of this member; the shorter, the sooner a death is known and the more is sent.
+    patience: how long a direct answer is waited for before others are asked; over the usual way there and back.
+    bytes: that this member sends in any second at most.
+    datagrams: that it sends in any second at most.
+    lifeguard: own health, witnesses and the word to the accused; off only to measure what they bring.
+    """
+
+    name: str
+    key: Annotated[str, Meta(min_length=16)]
+    listen: str
+    address: str = ""
+    seeds: list[str] = field(default_factory=list)
+    folder: str = ""
+    control: str = ""
+    beat: Duration = Duration(S)
+    patience: Duration = Duration(300 * MS)
+    bytes: Annotated[int, Meta(ge=6000)] = 24_000
+    datagrams: Annotated[int, Meta(ge=16)] = 60
+    lifeguard: bool = True
+
+    def __post_init__(self) -> None:
+        from pathsaddle.net.wire.terms import peer_of
+        for key, told in (("listen", self.listen), ("address", self.address), ("control", self.control),
+                          *(("seeds", seed) for seed in self.seeds)):
+            try:
+                if told and ":" in peer_of(told)[0]:
+                    raise ValueError
+            except ValueError:
+                raise ValueError(f'{key}: "{told}" stands there; host:port of IPv4 may') from None
+        if self.control and not peer_of(self.control)[0].startswith("127."):
+            raise ValueError(f'control: "{self.control}" stands there; an address of the loopback may, since nobody '
+                             "signs in there")
+        if self.beat < 50 * MS or not 0 < self.patience < self.beat // 2:
+            raise ValueError("beat: 50ms at least, and patience under half of it")
+
+
 class Log(Form):
     """What is logged, to standard error.
 
@@ -226,6 +272,7 @@
     reach: connections to workers.
     log: what is logged.
     jobs: durable jobs; off where the table is missing.
+    fleet: other dispatchers, and who of them is there; off where the table is missing.
     """
 
     listen: str
@@ -248,6 +295,7 @@
     reach: Reach = field(default_factory=Reach)
     log: Log = field(default_factory=Log)
     jobs: Jobs | None = None
+    fleet: Fleet | None = None
 
     def __post_init__(self) -> None:
         from pathsaddle.net.wire.terms import peer_of
@@ -267,6 +315,8 @@
             for name in dict.fromkeys(names):
                 if names.count(name) > 1:
                     raise ValueError(f'{key}: "{name}" stands there twice')
+        if self.fleet is not None and self.name == "pathsaddle" and self.dispatchers > 1:
+            raise ValueError("name: with fleet each dispatcher needs a name of its own")
         if self.jobs is not None and any(scheme.name == "jobs" for scheme in self.schemes):
             raise ValueError('schemes: "jobs" is the path of durable jobs')
         if self.zone is not None and self.zone not in self.zones:
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -4,16 +4,20 @@
 
 import json
 from pathlib import Path
-from random import Random
-from typing import Any
+from random import Random, SystemRandom
+from typing import TYPE_CHECKING, Any
 
 from pathsaddle.charter.check import Faulty
 from pathsaddle.charter.form import IN_SERVICE, changes
 from pathsaddle.charter.told import read, told
+from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
 
+if TYPE_CHECKING:
+    from pathsaddle.fleet.driver import Fellows
+
 
 class CharterGround(Ground):
     def __init__(self, path: Path, form: str | None = None) -> None:
@@ -35,6 +39,16 @@
             jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin),
             chance=Random(self.charter.seed))
 
+    def fellows(self, counters: Counters) -> Fellows | None:
+        if self.charter.fleet is None:
+            return None
+        from pathsaddle.charter.fellows import told as fellow
+        from pathsaddle.fleet.driver import Fellows
+        from pathsaddle.fleet.lives import Lives
+        folder = self.charter.fleet.folder
+        told = fellow(self.charter)
+        return Fellows(told, self, Lives(Path(folder) if folder else None, told.name), SystemRandom(), counters)
+
     def open_log(self) -> None:
         logbook.open_log(self.charter.log.level, self.form or self.charter.log.form)
 
--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -51,6 +51,7 @@
     """Serve by the operator's CHARTER, in the foreground, until SIGTERM or Ctrl-C. SIGHUP rereads it."""
     from pathsaddle.charter.check import Faulty
     from pathsaddle.charter.ground import CharterGround
+    from pathsaddle.fleet.lives import NoFolder
     from pathsaddle.jobs.store import Unusable
     from pathsaddle.net.service import start
     try:
@@ -62,6 +63,8 @@
         start.run(ground)
     except Unusable as fault:
         raise Stop(f"{charter}: jobs.path: {fault}", 2) from None
+    except NoFolder as fault:
+        raise Stop(f"{charter}: fleet.folder: {fault}", 2) from None
     except OSError as fault:
         raise Stop(f"{charter}: listen: can't be had: {fault}", 2) from None
 
@@ -101,8 +104,10 @@
     if seconds is not None:
         plan.seconds = seconds
     begun = time.perf_counter()
-    console.print(f"{plan.name}: {plan.fleet.dispatchers} dispatchers, {len(plans.worker_names(plan))} workers, "
-                  f"{plan.load.rate:g} jobs a second for {plan.seconds:g} s, ground {ground}, seed {seed}")
+    what = "nothing but the fleet" if plan.only else (
+        f"{len(plans.worker_names(plan))} workers, {plan.load.rate:g} jobs a second")
+    console.print(f"{plan.name}: {plan.fleet.dispatchers} dispatchers, {what}, for {plan.seconds:g} s, ground {ground}, "
+                  f"seed {seed}")
     try:
         if ground == "virtual":
             outcome = stage.virtual(plan, seed, Path(log) if log else None)
@@ -113,7 +118,10 @@
                    "nothing is judged", INTERRUPTED) from None
     took = time.perf_counter() - begun
     verdict = judge(plans.charter_of(plan), outcome.events.rows, SLACK[ground])
-    show.figures(console, verdict, f"{plan.name}, emulated")
+    if plan.only != "fleet":
+        show.figures(console, verdict, f"{plan.name}, emulated")
+    if verdict.fleet:
+        show.fleet(console, verdict.fleet)
     show.rules(console, verdict)
     if events:
         outcome.events.write(Path(events))
@@ -126,15 +134,16 @@
 
 @cli.command()
 @click.option("--virtual", is_flag=True, help="In virtual time instead of on real sockets.")
+@click.option("--fleet", is_flag=True, help="Instead: five that talk, a partition and its end, one killed.")
 @click.option("--seed", default=7, show_default=True)
 @click.option("--seconds", type=float, help="Shorter or longer than the plan's.")
 @click.option("--events", type=click.Path(dir_okay=False), help="Keep the event log here.")
 @click.option("--log", type=click.Path(), help="Keep the dispatchers' logs: a file, or on sockets a folder.")
-def demo(virtual: bool, seed: int, seconds: float | None, events: str | None, log: str | None) -> None:
+def demo(virtual: bool, fleet: bool, seed: int, seconds: float | None, events: str | None, log: str | None) -> None:
     """Four dispatchers, twelve workers, clients and a roster, with a frozen worker, a drained one and a killed
     dispatcher; prints what became of the jobs and whether each rule was kept."""
     import pathsaddle.emulator
-    path = Path(pathsaddle.emulator.__file__).parent / "demo.toml"
+    path = Path(pathsaddle.emulator.__file__).parent / ("demo-fleet.toml" if fleet else "demo.toml")
     sys.exit(_one(path, "virtual" if virtual else "sockets", seed, events, seconds, log))
 
 
@@ -180,7 +189,7 @@
     from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
 
     from pathsaddle.emulator import plan as plans
-    from pathsaddle.experiment.report import groups, spread
+    from pathsaddle.experiment.report import groups, quantiles, spread
     from pathsaddle.experiment.run import Run, failings, whole_digest
     told = checked(plans.read, plan)
     if told.throughput is not None:
@@ -210,6 +219,14 @@
                    f"{spread([r.verdict['postings'] / max(1, r.verdict['tries']) for r in rs], '.2f')}, faults "
                    f"{sum(sum(r.verdict['faults'].values()) for r in rs)}, runs with a broken rule "
                    f"{sum(not r.kept for r in rs)}")
+        seen = [r.verdict["fleet"] for r in rs if r.verdict.get("fleet")]
+        if seen:
+            known = sorted(ms for one in seen for ms in one["known"])
+            first = sorted(ms for one in seen for ms in one["first"])
+            click.echo(f"{variant}: fleet: {len(known)} deaths, first seen ms {quantiles(first)}, known to all ms "
+                       f"{quantiles(known)}; accused wrongly a run {spread([float(one['false']) for one in seen], '.0f')}"
+                       f", bytes a second and member {spread([one['rate'] for one in seen], '.0f')}, in the worst "
+                       f"second {max(one['most_bytes'] for one in seen)}")
     found = failings(told, results, took if not kept else 0.0)
     for text in found[:20]:
         click.echo(text)
@@ -290,8 +307,10 @@
 
 
 def main() -> int:
+    from pathsaddle.cli.fleet import fleet
     from pathsaddle.cli.jobs import jobs
     cli.add_command(jobs)
+    cli.add_command(fleet)
     try:
         cli.main(standalone_mode=False)
     except click.exceptions.Abort:
--- a/pathsaddle/cli/show.py
+++ b/pathsaddle/cli/show.py
@@ -17,7 +17,10 @@
     "cold": "4 no cold worker pushed over", "forgotten": "5 no job taken on is forgotten",
     "changed": "5 one end and one id a job", "ran-twice": "5 no once-only job runs twice",
     "lease": "5 leases only grow", "false": "- no answer that no worker gave",
-    "bad": "- bad clients are sent away in time", "fault": "- no fault of the program"}
+    "bad": "- bad clients are sent away in time", "fault": "- no fault of the program",
+    "unknown": "6 a death is known to all in time", "believed": "6 nobody is believed dead who is there",
+    "apart": "6 after trouble all views are whole", "accused": "6 who stood still accuses nobody",
+    "heard": "6 nobody is heard who was not there", "traffic": "6 what is sent is bounded"}
 
 
 def figures(console: Console, verdict: Verdict, title: str) -> None:
@@ -44,12 +47,24 @@
                   f"faults: {', '.join(f'{n} {kind}' for kind, n in verdict.faults.items()) or 'none'}")
 
 
+def fleet(console: Console, told: dict[str, Any]) -> None:
+    """What members of a fleet knew of one another."""
+    known = sorted(told["known"])
+    console.print(f"fleet: {told['deaths']} deaths, known to all after ms: " + (
+        f"{known[len(known) // 2]:.0f} at the middle, {known[-1]:.0f} at most" if known else "none was to be known")
+        + f"; accused wrongly {told['false']} times, believed dead wrongly {told['wrong']}; "
+        f"{told['rate']:.0f} bytes a second and member, {told['most_bytes']} bytes and {told['most_datagrams']} "
+        "datagrams in the worst second of any")
+
+
 def rules(console: Console, verdict: Verdict, most: int = 10) -> None:
     broken = verdict.broken()
     table = Table(title="Rules", title_justify="left")
     table.add_column("rule")
     table.add_column("kept")
     for rule in RULES:
+        if MEANS[rule].startswith("6") and not verdict.fleet:
+            continue
         table.add_row(MEANS[rule], "yes" if rule not in broken else f"[red]no, {broken[rule]} times[/red]")
     console.print(table)
     for finding in verdict.findings[:most]:
--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults.py
@@ -7,7 +7,8 @@
 import signal
 from typing import TYPE_CHECKING
 
-from pathsaddle.emulator.plan import FAULTS, Trouble
+from pathsaddle.emulator.air import Blight, whole
+from pathsaddle.emulator.plan import FAULTS, Trouble, named
 from pathsaddle.emulator.workers import OneSided
 from pathsaddle.emulator.world import TICKS, Way, World
 
@@ -251,6 +252,7 @@
         number = int(name[1:])
         self.stage.kill(number)
         self.stage.front.died(number)
+        self.stage.lose(number, trouble.how or "synced")
         await self._lasts(trouble)
         await self.stage.start(number, again=True)
 
@@ -283,6 +285,57 @@
     async def _hup(self, trouble: Trouble, name: str) -> None:
         self.stage.signal(int(name[1:]), signal.SIGHUP)
 
+    async def _stall(self, trouble: Trouble, name: str) -> None:
+        """It stands still, as by SIGSTOP, and goes on with what it believed."""
+        number = int(name[1:])
+        self.stage.stall(number)
+        await self._lasts(trouble)
+        self.stage.go_on(number)
+
+    async def _clock_step(self, trouble: Trouble, name: str) -> None:
+        """Its wall clock is off by `strength` seconds from now on. On the virtual ground alone."""
+        self.stage.clock_step(int(name[1:]), trouble.strength * (-1 if trouble.how == "back" else 1))
+
+    async def _clock_rate(self, trouble: Trouble, name: str) -> None:
+        """Its monotonic clock runs faster, or slower, by the part `strength`. On the virtual ground alone."""
+        number, off = int(name[1:]), trouble.strength * (-1 if trouble.how == "slow" else 1)
+        self.stage.clock_rate(number, 1.0 + off)
+        await self._lasts(trouble)
+        self.stage.clock_rate(number, 1.0)
+
+    # What dispatchers tell one another.
+
+    async def _blight(self, trouble: Trouble, name: str, **more: float) -> None:
+        plan, charter = self.world.plan, self.world.charter
+        one = named(plan, charter, trouble.of) if trouble.of else [f"d{self.chance.choice(self.stage.numbers)}"]
+        other = named(plan, charter, trouble.among) if trouble.among else [
+            f"d{d}" for d in self.stage.numbers if f"d{d}" not in one]
+        blight = Blight(whole(one), whole(other), trouble.oneway, **more)
+        self.world.add("blight", kind=trouble.kind, one=sorted(one), other=sorted(other), oneway=trouble.oneway)
+        self.stage.air.blights[blight] = None
+        await self._lasts(trouble)
+        self.stage.air.blights.pop(blight)
+
+    async def _link_cut(self, trouble: Trouble, name: str) -> None:
+        """Nothing gets through."""
+        await self._blight(trouble, name, lost=1.0)
+
+    async def _link_lossy(self, trouble: Trouble, name: str) -> None:
+        """The part `strength` is lost."""
+        await self._blight(trouble, name, lost=min(1.0, trouble.strength))
+
+    async def _link_slow(self, trouble: Trouble, name: str) -> None:
+        """All takes `extra` longer, one way."""
+        await self._blight(trouble, name, extra=trouble.extra / TICKS)
+
+    async def _link_doubles(self, trouble: Trouble, name: str) -> None:
+        """The part `strength` comes twice, the second up to `extra` later."""
+        await self._blight(trouble, name, doubled=min(1.0, trouble.strength), shuffle=trouble.extra / TICKS)
+
+    async def _link_shuffles(self, trouble: Trouble, name: str) -> None:
+        """Each takes up to `extra` longer, so that they come out of their order."""
+        await self._blight(trouble, name, shuffle=trouble.extra / TICKS)
+
     # The roster.
 
     async def _outage(self, trouble: Trouble, name: str) -> None:
--- a/pathsaddle/emulator/judge.py
+++ b/pathsaddle/emulator/judge.py
@@ -20,6 +20,8 @@
    is ever seen, and one job under one key; ran-twice: by the workers' run logs no once-only job ran twice;
    lease: its leases' numbers only grow. Rules 2, 3 and 4 hold for them as for calls.
 
+6. What members of a fleet believe of one another: fleet_judge.
+
 And `false`: an answer that no worker gave. `bad`: a bad client that was neither answered nor closed in time.
 """
 
@@ -36,6 +38,7 @@
 from hdrh.histogram import HdrHistogram
 
 from pathsaddle.charter.form import Charter, Scheme
+from pathsaddle.emulator import fleet_judge
 from pathsaddle.emulator.events import Event
 
 FAR = 1 << 60
@@ -44,7 +47,7 @@
 BAD_WITHIN = 12 * SECOND  # of a bad client, from its connect
 MOST = 3_600_000  # longest latency kept, ticks
 RULES = ("lost", "late", "twice", "after", "repeat", "decline", "together", "drain", "cold", "forgotten", "changed",
-         "ran-twice", "lease", "false", "bad", "fault")
+         "ran-twice", "lease", "false", "bad", "fault", *fleet_judge.RULES)
 
 
 @dataclass(slots=True)
@@ -136,6 +139,7 @@
     declines: int
     postings: int
     turned_away: int
+    fleet: dict[str, Any] = field(default_factory=dict)  # what members of a fleet knew of one another, in figures
 
     @property
     def kept(self) -> bool:
@@ -564,8 +568,15 @@
 def judge(charter: Charter, events: Iterable[Event], slack: int = 20) -> Verdict:
     """`slack`: ticks by which each limit is longer: 500 where sockets are real, little in virtual time."""
     one = Judge(charter, slack)
+    events = list(events)
     one.read(events)
-    return one.verdict()
+    verdict = one.verdict()
+    if charter.fleet is not None:
+        members = fleet_judge.judge_fleet(charter.fleet, charter.dispatchers, events, slack)
+        verdict.fleet = dataclasses.asdict(members.figures)
+        verdict.findings += [Finding(rule, at, text) for rule, at, text in members.found]
+        verdict.findings.sort(key=lambda finding: finding.at)
+    return verdict
 
 
 def line(verdict: Verdict) -> bytes:
--- a/pathsaddle/emulator/links.py
+++ b/pathsaddle/emulator/links.py
@@ -16,7 +16,7 @@
 import struct
 from collections import deque
 from collections.abc import Callable, Coroutine
-from typing import Any, cast
+from typing import TYPE_CHECKING, Any, cast
 
 from pathsaddle.emulator.moments import HOST, Moments
 from pathsaddle.net.service.clock import Clock
@@ -24,10 +24,28 @@
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.wire.terms import Peer, peer_of
 
+if TYPE_CHECKING:
+    from pathsaddle.emulator.datagrams import Datagrams, LinkedDatagrams
+    from pathsaddle.fleet.driver import Fellows
+    from pathsaddle.net.memory.counters import Counters
+
 BUFFER = 256 * 1024  # bytes under way in one direction before the sender waits
 USUAL_DESCRIPTORS = 8  # a process's own at start: the loop's, the log's
 
 
+class OwnClock:
+    """A machine's monotonic clock that runs `rate` times as fast as it should, from some moment on."""
+
+    def __init__(self, true: float, mine: float, rate: float) -> None:
+        self.true_0, self.mine_0, self.rate = true, mine, rate
+
+    def mine(self, true: float) -> float:
+        return self.mine_0 + (true - self.true_0) * self.rate
+
+    def true(self, mine: float) -> float:
+        return self.true_0 + (mine - self.mine_0) / self.rate
+
+
 class Host:
     """One emulated process: its tasks, its sockets, its signals."""
 
@@ -40,6 +58,11 @@
         self.tasks: dict[asyncio.Task[Any], None] = {}
         self.sockets: dict[LinkedSocket, None] = {}
         self.signals: dict[int, Callable[[], object]] = {}
+        self.datagrams: dict[LinkedDatagrams, None] = {}
+        self.stands = False  # still: what becomes due waits
+        self.waiting: deque[asyncio.Handle] = deque()
+        self.clock: OwnClock | None = None  # where it does not run as it should
+        self.wall_off = 0.0  # seconds by which its wall clock was stepped
         self.context = contextvars.copy_context()
         self.context.run(HOST.set, self)
 
@@ -55,13 +78,26 @@
         if self.alive and told is not None:
             told()
 
+    def stall(self) -> None:
+        """It stands still, as by SIGSTOP; Moments.go_on ends that."""
+        self.stands = True
+
+    def run_clock(self, rate: float) -> None:
+        """Its monotonic clock runs at this rate from now on."""
+        true = self.net.loop.true_time()
+        mine = self.clock.mine(true) if self.clock is not None else true
+        self.clock = OwnClock(true, mine, rate)
+
     def kill(self) -> None:
         """As by SIGKILL: nothing of it runs any more, its connections are reset."""
         if not self.alive:
             return
         self.alive = False
+        self.waiting.clear()
         for sock in list(self.sockets):
             sock.vanish()
+        for taker in list(self.datagrams):
+            taker.vanish()
         # Closed here and now, in their order: the collector would do it at some moment of its own.
         for task in list(self.tasks):
             task._log_destroy_pending = False  # type: ignore[attr-defined]
@@ -83,6 +119,7 @@
         self.digest = hashlib.blake2b(digest_size=16)
         self.ports = 20_000
         self.connections = 0
+        self.datagrams: Datagrams | None = None  # where dispatchers have a way to talk
         self.parted: Callable[[Host, Host], bool] = lambda one, other: False  # no new connection comes up
 
     def stream(self, host: Host) -> LinkedSocket:
@@ -327,12 +364,22 @@
     """What an emulated process takes from its host."""
 
     def __init__(self, host: Host, told: Callable[[], str] = lambda: "",
-                 desk: Callable[..., Desk] = Desk) -> None:
+                 desk: Callable[..., Desk] = Desk,
+                 fellows: Callable[[VirtualGround, Counters], Fellows | None] = lambda ground, counters: None) -> None:
         loop = host.net.loop
         super().__init__(Clock(loop.wall, loop.time))
         self.host = host
         self._told = told
         self._desk = desk
+        self._fellows = fellows
+
+    def datagrams(self, address: str) -> tuple[socket.socket, Peer]:
+        from pathsaddle.emulator.datagrams import LinkedDatagrams
+        assert self.host.net.datagrams is not None
+        return cast(socket.socket, LinkedDatagrams(self.host.net.datagrams, self.host)), peer_of(address)
+
+    def fellows(self, counters: Counters) -> Fellows | None:
+        return self._fellows(self, counters)
 
     def stream(self, address: str) -> tuple[socket.socket, Peer]:
         peer = peer_of(address)
--- a/pathsaddle/emulator/moments.py
+++ b/pathsaddle/emulator/moments.py
@@ -19,7 +19,7 @@
 from typing import TYPE_CHECKING, Any
 
 if TYPE_CHECKING:
-    from pathsaddle.emulator.links import Host, LinkedSocket
+    from pathsaddle.emulator.links import Host
 
 NANO = 1_000_000_000
 STEPS = 300_000  # handles at one moment, beyond which time is taken to stand still for good
@@ -55,11 +55,18 @@
     # Time and turns.
 
     def time(self) -> float:
+        """As the host's monotonic clock has it that asks."""
+        host = HOST.get()
+        return self._ns / NANO if host is None or host.clock is None else host.clock.mine(self._ns / NANO)
+
+    def true_time(self) -> float:
+        """As the run has it, whoever asks."""
         return self._ns / NANO
 
     def wall(self) -> float:
-        """Unix time, as all emulated machines' clocks say."""
-        return EPOCH + self._ns / NANO
+        """Unix time, as the clock of the machine that asks says: that of all, where nothing has stepped it."""
+        host = HOST.get()
+        return EPOCH + self._ns / NANO + (host.wall_off if host is not None else 0.0)
 
     def call_soon(self, callback: Callable[..., object], *args: Any,  # type: ignore[override]
                   context: contextvars.Context | None = None) -> asyncio.Handle:
@@ -71,10 +78,16 @@
 
     def call_later(self, delay: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
                    context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+        host = HOST.get() if context is None else context.get(HOST)
+        if host is not None and host.clock is not None:
+            delay /= host.clock.rate
         return self._at(self._ns + max(0, round(delay * NANO)), callback, args, context)
 
     def call_at(self, when: float, callback: Callable[..., object], *args: Any,  # type: ignore[override]
                 context: contextvars.Context | None = None) -> asyncio.TimerHandle:
+        host = HOST.get() if context is None else context.get(HOST)
+        if host is not None and host.clock is not None:
+            when = host.clock.true(when)
         return self._at(max(self._ns, round(when * NANO)), callback, args, context)
 
     def _at(self, due: int, callback: Callable[..., object], args: tuple[Any, ...],
@@ -87,6 +100,13 @@
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
         pass  # it stays in the heap and is passed over
 
+    def go_on(self, host: Host) -> None:
+        """A host that stood still runs what has become due meanwhile: its alarms first, then what has come for it.
+        Real loops do either; this is the worse for who judges others by alarms."""
+        host.stands = False
+        self._ready.extend(sorted(host.waiting, key=lambda handle: not isinstance(handle, asyncio.TimerHandle)))
+        host.waiting.clear()
+
     def run_forever(self) -> None:
         asyncio._set_running_loop(self)
         self._running = True
@@ -118,6 +138,9 @@
             host = handle._context.get(HOST)  # type: ignore[attr-defined]
             if host is not None and not host.alive:
                 continue
+            if host is not None and host.stands:
+                host.waiting.append(handle)
+                continue
             self.steps += 1
             self._here += 1
             self._current = handle
@@ -208,10 +231,12 @@
         await self._linked(sock).connect(address)
 
     async def sock_accept(self, sock: Any) -> tuple[Any, Any]:
-        return await self._linked(sock).accept()
+        taken: tuple[Any, Any] = await self._linked(sock).accept()
+        return taken
 
     async def sock_recv_into(self, sock: Any, buf: Any) -> int:
-        return await self._linked(sock).recv_into(buf)
+        count: int = await self._linked(sock).recv_into(buf)
+        return count
 
     async def sock_recv(self, sock: Any, nbytes: int) -> bytes:
         room = bytearray(nbytes)
@@ -221,9 +246,10 @@
         await self._linked(sock).sendall(data)
 
     @staticmethod
-    def _linked(sock: Any) -> LinkedSocket:
+    def _linked(sock: Any) -> Any:
+        from pathsaddle.emulator.datagrams import LinkedDatagrams
         from pathsaddle.emulator.links import LinkedSocket
-        if not isinstance(sock, LinkedSocket):
+        if not isinstance(sock, (LinkedSocket, LinkedDatagrams)):
             raise TypeError("a kernel's socket has no place in virtual time")
         return sock
 
--- a/pathsaddle/emulator/mutants.py
+++ b/pathsaddle/emulator/mutants.py
@@ -13,6 +13,10 @@
 from unittest import mock
 
 from pathsaddle.choice import Choice
+from pathsaddle.fleet import members
+from pathsaddle.fleet.members import Membership
+from pathsaddle.fleet.purse import Purse
+from pathsaddle.fleet.wire import Row
 from pathsaddle.jobs import desk, life
 from pathsaddle.jobs.call import key_of
 from pathsaddle.jobs.desk import DurableDesk
@@ -224,6 +228,35 @@
     return [mock.patch.object(Desk, "listed", late)]
 
 
+def _ignores_lives() -> Patches:
+    """Whatever is told last is believed, of whichever life."""
+    return [mock.patch.object(Row, "rank", property(lambda self: (0, 0, self.state)))]
+
+
+def _blind_to_stalls() -> Patches:
+    """Who stood still judges the others by that time."""
+    return [mock.patch.object(Membership, "_stalled", lambda self, now: None)]
+
+
+def _credits_old_lives() -> Patches:
+    """A new life is taken to have been heard when the old one was."""
+    learn = Membership.learn
+
+    def credited(self: Membership, row: Row, now: int, who: str, compared: bool = False) -> None:
+        old = self.members.get(row.name)
+        learn(self, row, now, who, compared)
+        new = self.members.get(row.name)
+        if old is not None and new is not None and new is not old:
+            new.heard, new.heard_by = old.heard, old.heard_by
+    return [mock.patch.object(Membership, "learn", credited)]
+
+
+def _unbounded() -> Patches:
+    """Nothing bounds what is sent, and pages are sent as fast as they come."""
+    return [mock.patch.object(Purse, "pays", lambda self, size, now, spare=0.0: True),
+            mock.patch.object(members, "ROWS_APART", 0.02), mock.patch.object(members, "ROWS", 1e9)]
+
+
 # By name: the patches, and the rules one of which the judge must name.
 MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
     "declines-anything": (_declines_anything, ("decline",)),
@@ -251,11 +284,18 @@
     "hears-drains-late": (_hears_drains_late, ("drain",)),
 }
 
+MEMBER_MUTANTS: dict[str, tuple[Callable[[], Patches], tuple[str, ...]]] = {
+    "ignores-lives": (_ignores_lives, ("believed", "apart")),
+    "blind-to-stalls": (_blind_to_stalls, ("accused",)),
+    "credits-old-lives": (_credits_old_lives, ("heard",)),
+    "unbounded": (_unbounded, ("traffic",)),
+}
+
 
 @contextlib.contextmanager
 def mutated(name: str) -> Iterator[None]:
     """While it holds, dispatchers of this process are the mutant."""
     with contextlib.ExitStack() as stack:
-        for patch in (MUTANTS | JOB_MUTANTS | FLEET_MUTANTS)[name][0]():
+        for patch in (MUTANTS | JOB_MUTANTS | FLEET_MUTANTS | MEMBER_MUTANTS)[name][0]():
             stack.enter_context(patch)
         yield
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -73,10 +73,11 @@
         that it has told after two seconds that they waited too long; 0: any number.
     sync: how long a sync of a dispatcher's disk takes, about.
     notice: after how long the front layer notices a dead dispatcher, drawn between.
+    parts: named parts of the dispatchers, each a list of patterns of their names.
     old_list: what a restarted dispatcher has: the list of the run's start, or that of its death.
     """
 
-    dispatchers: Annotated[int, Meta(ge=1, le=64)] = 4
+    dispatchers: Annotated[int, Meta(ge=1, le=1000)] = 4
     workers: list[Machines] = field(default_factory=lambda: [Machines(count=8)])
     network: Network = field(default_factory=Network)
     withdrawal: Literal["nothing", "waiting", "all"] = "waiting"
@@ -87,6 +88,7 @@
     roster_rate: Annotated[float, Meta(ge=0)] = 0.0
     sync: Duration = Duration(2 * MS)
     notice: Times = field(default_factory=lambda: [Duration(S), Duration(3 * S)])
+    parts: dict[str, list[str]] = field(default_factory=dict)
     old_list: Literal["start", "death"] = "start"
 
 
@@ -148,6 +150,8 @@
     "callbacks-twice": "worker", "silent": "worker", "flap": "worker", "one-sided": "worker", "reap": "worker",
     "slow-link": "zone",
     "disk-ill": "dispatcher", "disk-slow": "dispatcher", "kill": "dispatcher", "term": "dispatcher", "hup": "dispatcher",
+    "stall": "dispatcher", "clock-step": "dispatcher", "clock-rate": "dispatcher",
+    "link-cut": "link", "link-lossy": "link", "link-slow": "link", "link-doubles": "link", "link-shuffles": "link",
     "outage": "roster", "roster-restart": "roster", "roster-moves": "roster", "roster-late": "roster",
     "reset": "network", "cut": "zone", "cut-worker": "worker", "heavy": "load", "surge": "load",
 }
@@ -158,6 +162,9 @@
     "flap": ("crash", "silence", "hang", "errors"),
     "one-sided": ("loss", "hole", "refuse", "slow"),
     "reap": ("reset", "silence"),
+    "kill": ("synced", "empty", "old"),
+    "clock-rate": ("fast", "slow"),
+    "clock-step": ("forward", "back"),
 }
 
 
@@ -166,7 +173,8 @@
 
     kind: what goes wrong; docs/emulator.md lists them.
     how: in which of its forms, where it has several; none: the first that docs/emulator.md names.
-    of: whom it strikes: a worker's, dispatcher's or zone's name, * and ? allowed; none: one drawn by the seed.
+    of: whom it strikes: a worker's, dispatcher's or zone's name, * and ? allowed; none: one drawn by the seed. Of a
+      link: dispatchers, by a pattern of their names, their zone or a part of `fleet.parts`.
     at: when; or the first time, where it comes again.
     for: for how long; a kill's or a crash's is the time until the restart. 0s: never ends.
     every: it comes again after so long.
@@ -175,7 +183,9 @@
     strength: how much, where that has a meaning: a part, a factor, a count.
     scheme: which scheme, where it strikes one alone.
     among: the dispatchers for which a worker is bad, * and ? allowed, or the zone at the other end of a slow link;
-      none: half of the dispatchers, drawn by the seed; all other zones.
+      none: half of the dispatchers, drawn by the seed; all other zones. Of a link: who is at its other end, said as
+      in `of`; none: everybody else.
+    oneway: of a link: only what goes from `of` to `among`.
     extra: so much longer each way.
     turn: how long a worker that flaps is up and down once, about.
     listed: whether the roster tells of what happens to a worker that flaps.
@@ -194,6 +204,7 @@
     scheme: str = ""
     among: str = ""
     extra: Duration = Duration(0)
+    oneway: bool = False
     turn: Duration = Duration(6 * S)
     listed: bool = True
     after: str = ""
@@ -216,6 +227,7 @@
     settled: the least part of all jobs that is settled.
     declined: the largest part of all tries that is declined.
     p99: the longest 99th percentile over all settled jobs.
+    known: the longest time until a death is known to all members that are connected.
     seconds: the longest real time for the plan.
     """
 
@@ -223,6 +235,7 @@
     settled: Part = 0.0
     declined: Part = 1.0
     p99: Duration | None = None
+    known: Duration | None = None
     seconds: Annotated[float, Meta(gt=0)] | None = None
 
 
@@ -273,6 +286,7 @@
     variants: other ways of the same plan, each run with the same seeds.
     bounds: what it must show.
     found: seeds that once found something, kept and run first.
+    only: "fleet": only what dispatchers tell one another, with no jobs, workers or roster, on the virtual ground.
     throughput: instead of the emulated fleet, as many jobs as one dispatcher takes.
     """
 
@@ -288,6 +302,7 @@
     variants: list[Variant] = field(default_factory=list)
     bounds: Bounds = field(default_factory=Bounds)
     found: list[int] = field(default_factory=list)
+    only: Literal["", "fleet"] = ""
     throughput: Throughput | None = None
 
     def __post_init__(self) -> None:
@@ -307,13 +322,27 @@
         return list(dict.fromkeys([*self.found, *seeds]))
 
 
+SECRET = "a key that is told to nobody else"  # of emulated fleets
 FILLED = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:1"}
 
 
 def charter_of(plan: Plan, file: str = "plan", **more: Any) -> Charter:
     """The charter that a plan's table stands for, with the keys that the emulator fills in."""
-    return check(Charter, {**FILLED, **plan.charter, "dispatchers": plan.fleet.dispatchers, **more},
-                 f"{file}: charter")
+    table = {**FILLED, **plan.charter, "dispatchers": plan.fleet.dispatchers, **more}
+    if isinstance(table.get("fleet"), dict):
+        table["fleet"] = {"name": "emulated", "key": SECRET, "listen": "127.0.0.1:1", **table["fleet"]}
+        table.setdefault("name", "d0")
+    return check(Charter, table, f"{file}: charter")
+
+
+def named(plan: Plan, charter: Charter, who: str) -> list[str]:
+    """The dispatchers that a pattern, a zone or a part stands for."""
+    names = [f"d{d}" for d in range(plan.fleet.dispatchers)]
+    if who in plan.fleet.parts:
+        return [name for name in names if any(fnmatch.fnmatch(name, one) for one in plan.fleet.parts[who])]
+    if who in charter.zones:
+        return [name for d, name in enumerate(names) if charter.zones[d % len(charter.zones)] == who]
+    return fnmatch.filter(names, who)
 
 
 def read(path: str | Path) -> Plan:
@@ -346,12 +375,25 @@
             faults.append(Fault(file, f"faults[{i}].after", f'"{trouble.after}" stands there; the kind of another '
                                 "fault, that follows none itself, may"))
         names = known.get(FAULTS[trouble.kind])
+        if FAULTS[trouble.kind] == "link":
+            if charter.fleet is None:
+                faults.append(Fault(file, f"faults[{i}].kind", f"{trouble.kind} strikes what dispatchers tell one "
+                                    "another, and charter.fleet is missing"))
+            for key, who in (("of", trouble.of), ("among", trouble.among)):
+                if who and not named(plan, charter, who):
+                    faults.append(Fault(file, f"faults[{i}].{key}", f'"{who}" stands there, and no dispatcher, zone '
+                                        "or part is called so"))
         if trouble.of and names is not None and not fnmatch.filter(names, trouble.of):
             faults.append(Fault(file, f"faults[{i}].of", f'"{trouble.of}" stands there, and no '
                                 f"{FAULTS[trouble.kind]} is called so; there are {names[0]} to {names[-1]}"))
         if trouble.scheme and trouble.scheme not in schemes:
             faults.append(Fault(file, f"faults[{i}].scheme", f'"{trouble.scheme}" stands there; one of '
                                 f"{', '.join(schemes)} may"))
+    if plan.only == "fleet" and (charter.fleet is None or plan.ground != "virtual"):
+        faults.append(Fault(file, "only", "charter.fleet and the virtual ground are needed for it"))
+    if plan.only != "fleet" and plan.fleet.dispatchers > 250:
+        faults.append(Fault(file, "fleet.dispatchers", f'{plan.fleet.dispatchers} stands there; at most 250 may, or '
+                            'only = "fleet"'))
     for i, variant in enumerate(plan.variants):
         try:
             varied(plan, variant)
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -18,19 +18,24 @@
 
 from pathsaddle.charter.form import Scheme
 from pathsaddle.charter.told import told
+from pathsaddle.emulator.air import Air
 from pathsaddle.emulator.clients import Clients, FrontLayer
 from pathsaddle.emulator.events import Events
 from pathsaddle.emulator.faults import Faults
 from pathsaddle.emulator.links import Host, Net, VirtualGround
 from pathsaddle.emulator.moments import Moments
-from pathsaddle.emulator.plan import Plan, charter_of, worker_names
+from pathsaddle.emulator.plan import SECRET, Plan, charter_of, worker_names
+from pathsaddle.emulator.relays import Relays
 from pathsaddle.emulator.roster import Roster
 from pathsaddle.emulator.workers import Shared, Worker
 from pathsaddle.emulator.world import TICKS, Place, VirtualPlace, World
 from pathsaddle.net.service.desk import Desk
 
 if TYPE_CHECKING:  # earlier commits of ours, over which this is laid, have no jobs
+    from pathsaddle.emulator.members import Fleet, MembersStage
+    from pathsaddle.fleet.driver import Fellows
     from pathsaddle.jobs.store import DiskWriter, Store
+    from pathsaddle.net.memory.counters import Counters
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 AFTER = 3.0  # seconds on top of the longest expiry and its tries in which all must have ended
@@ -48,6 +53,7 @@
         self.memories: dict[tuple[str, str, int], Shared] = {}
         self.workers: dict[str, Worker] = {}
         self.disks: dict[int, DiskWriter] = {}  # of dispatchers with a store, on the virtual ground
+        self.air = Air(world.chance("air"), lambda one, other: 0.0)
 
     def place(self, name: str, zone: str) -> Place:
         raise NotImplementedError
@@ -70,9 +76,27 @@
         """Until it has ended, or was ended for taking too long."""
         raise NotImplementedError
 
+    def lose(self, dispatcher: int, how: str) -> None:
+        """What became of a killed one's state folder: synced, empty, or old."""
+
+    def stall(self, dispatcher: int) -> None:
+        raise NotImplementedError
+
+    def go_on(self, dispatcher: int) -> None:
+        raise NotImplementedError
+
+    def clock_step(self, dispatcher: int, seconds: float) -> None:
+        """The virtual ground's alone: no machine's clock is ours to set."""
+
+    def clock_rate(self, dispatcher: int, rate: float) -> None:
+        """The same."""
+
     def parted(self) -> None:
         """The weather's cuts have changed."""
 
+    def sampled(self) -> None:
+        """Looks begin at what members of a fleet claim to have heard."""
+
     async def finish(self) -> None:
         """All processes end."""
 
@@ -138,6 +162,7 @@
         for d in self.numbers:
             world.add("ready", dispatcher=d)
         self.faults.begin()
+        self.sampled()
         if plan.load.bad:
             self.clients.places[world.charter.zones[0]].start(self.clients.misbehave(plan.seconds))
         await self.clients.arrivals(plan.seconds)
@@ -160,6 +185,13 @@
         self.folder = tempfile.TemporaryDirectory()
         self.stores: dict[int, Store] = {}
         self.lives = 0
+        zones = world.charter.zones
+        self.air = Air(world.chance("air"), lambda one, other: world.weather.delay(
+            zones[int(one[1:]) % len(zones)], zones[int(other[1:]) % len(zones)]))
+        self.fleet: Fleet | None = None
+        if world.charter.fleet is not None:
+            from pathsaddle.emulator.members import Fleet
+            self.fleet = Fleet(world, net, self.air)
         net.parted = lambda one, other: world.weather.parted(one.zone, other.zone, one.name, other.name)
 
     def wall(self) -> float:
@@ -180,6 +212,7 @@
         if again and self.world.plan.fleet.old_list == "death":
             told["known"] = self.roster.known(dispatcher)
         host = Host(self.net, f"d{dispatcher}", self.zone_of(dispatcher), told["limits"]["sockets"])
+        host.wall_off = self.hosts[dispatcher].wall_off if dispatcher in self.hosts else 0.0
         self.hosts[dispatcher] = host
         self.world.add("started", dispatcher=dispatcher)
         self.ends[dispatcher] = host.run(lambda: self._life(host, dispatcher))
@@ -190,7 +223,8 @@
         from pathsaddle.net.service.start import Dispatcher
         from pathsaddle.net.wire.birth import birth
         ground = VirtualGround(host, lambda: json.dumps(self.told[dispatcher]),
-                               lambda *told: self._desk(dispatcher, *told))
+                               lambda *told: self._desk(dispatcher, *told),
+                               lambda ground, counters: self._fellows(dispatcher, ground, counters))
         try:
             await Dispatcher(birth(ground.told()), ground).run()
             self.world.add("ended_itself", dispatcher=dispatcher)
@@ -198,6 +232,11 @@
             self.world.add("died", dispatcher=dispatcher, why=repr(fault))
             raise
 
+    def _fellows(self, dispatcher: int, ground: VirtualGround, counters: Counters) -> Fellows | None:
+        if self.fleet is None:
+            return None
+        return self.fleet.fellows(dispatcher, ground, counters, self.zone_of(dispatcher))
+
     def _desk(self, dispatcher: int, *told: Any) -> Desk:
         jobs = self.world.charter.jobs
         if jobs is None:
@@ -215,6 +254,8 @@
     def _pull_the_plug(self, dispatcher: int) -> None:
         """Its process is gone, and of what its disk had not synced perhaps a part."""
         self.hosts[dispatcher].kill()
+        if self.fleet is not None:
+            self.fleet.gone(dispatcher)
         disk, store = self.disks.pop(dispatcher, None), self.stores.pop(dispatcher, None)
         if disk is not None and store is not None:
             disk.crash()
@@ -224,6 +265,28 @@
         self.world.add("killed", dispatcher=dispatcher)
         self._pull_the_plug(dispatcher)
 
+    def sampled(self) -> None:
+        if self.fleet is not None:
+            self.front.place.start(self.fleet.sample())
+
+    def lose(self, dispatcher: int, how: str) -> None:
+        if self.fleet is not None:
+            self.fleet.disks[dispatcher].lose(how)
+
+    def stall(self, dispatcher: int) -> None:
+        self.world.add("stalled", dispatcher=dispatcher)
+        self.hosts[dispatcher].stall()
+
+    def go_on(self, dispatcher: int) -> None:
+        self.world.add("goes_on", dispatcher=dispatcher)
+        self.net.loop.go_on(self.hosts[dispatcher])
+
+    def clock_step(self, dispatcher: int, seconds: float) -> None:
+        self.hosts[dispatcher].wall_off += seconds
+
+    def clock_rate(self, dispatcher: int, rate: float) -> None:
+        self.hosts[dispatcher].run_clock(rate)
+
     def signal(self, dispatcher: int, sig: int) -> None:
         self.hosts[dispatcher].signal(sig)
 
@@ -235,6 +298,8 @@
         self._pull_the_plug(dispatcher)
 
     async def finish(self) -> None:
+        if self.fleet is not None:
+            self.fleet.end()
         for dispatcher in self.hosts:
             self._pull_the_plug(dispatcher)
         self.folder.cleanup()
@@ -252,6 +317,10 @@
         self.meant: dict[int, None] = {}  # whose end was asked for
         self.port = 11_000 + os.getpid() * 61 % 17_000
         self.taken: dict[tuple[str, int, int], str] = {}
+        self.relays: Relays | None = None
+        self.first_life: dict[int, bytes] = {}
+        # The platform's file has no word for a store or a fleet.
+        self.chartered = world.charter.jobs is not None or world.charter.fleet is not None
 
     def wall(self) -> float:
         import time
@@ -276,12 +345,15 @@
     async def start(self, dispatcher: int, again: bool = False) -> None:
         if again and self.world.plan.fleet.old_list == "death":
             self.told[dispatcher]["known"] = self.roster.known(dispatcher)
+        if self.world.charter.fleet is not None and self.relays is None:
+            self.relays = Relays(self.world, self.air, {f"d{d}": (
+                self.address("member", d, 0), self.address("relay", d, 0)) for d in self.numbers})
         self.tell_file(dispatcher)
         self.world.add("started", dispatcher=dispatcher)
         self.meant.pop(dispatcher, None)
         with (self.folder / f"d{dispatcher}.log").open("ab") as log:
             command = self.command
-            if self.world.charter.jobs is not None:  # the platform's file has no word for a store
+            if self.chartered:
                 command = [sys.executable, "-m", "pathsaddle", "serve", str(self.folder / f"d{dispatcher}.json")]
             process = await asyncio.create_subprocess_exec(
                 *command, cwd=self.root, stderr=log, stdout=log,
@@ -302,13 +374,22 @@
         path = self.folder / f"d{dispatcher}.json"
         other = path.with_suffix(".new")
         text = json.dumps(self.told[dispatcher])
-        if self.world.charter.jobs is not None:
-            told = self.told[dispatcher]
-            text = json.dumps({**self.world.plan.charter, "name": f"d{dispatcher}", "listen": told["listen"],
-                               "discovery": told["discovery"], "seed": told["seed"], "number": dispatcher,
-                               "dispatchers": len(self.numbers), "zone": self.zone_of(dispatcher),
-                               "jobs": {**self.world.plan.charter["jobs"],
-                                        "path": str(self.folder / f"d{dispatcher}.db")}})
+        if self.chartered:
+            told, plan = self.told[dispatcher], self.world.plan.charter
+            table = {**plan, "name": f"d{dispatcher}", "listen": told["listen"], "discovery": told["discovery"],
+                     "seed": told["seed"], "number": dispatcher, "dispatchers": len(self.numbers),
+                     "zone": self.zone_of(dispatcher)}
+            if "jobs" in plan:
+                table["jobs"] = {**plan["jobs"], "path": str(self.folder / f"d{dispatcher}.db")}
+            if "fleet" in plan:
+                state = self.folder / f"state{dispatcher}"
+                state.mkdir(exist_ok=True)
+                table["log"] = {**plan.get("log", {}), "form": "json"}
+                table["fleet"] = {"name": "emulated", "key": SECRET, "listen": self.address("member", dispatcher, 0),
+                                  "address": self.address("relay", dispatcher, 0), "folder": str(state),
+                                  "seeds": [self.address("relay", d, 0) for d in self.numbers[:3]],
+                                  "control": self.address("control", dispatcher, 0), **plan["fleet"]}
+            text = json.dumps(table)
         other.write_text(text, encoding="utf-8")
         other.replace(path)
 
@@ -335,6 +416,63 @@
             self.world.add("overdue", dispatcher=dispatcher)
             self.kill(dispatcher)
 
+    def lose(self, dispatcher: int, how: str) -> None:
+        path = self.folder / f"state{dispatcher}" / f"d{dispatcher}.life"
+        if path.exists():
+            first = self.first_life.setdefault(dispatcher, path.read_bytes())
+            if how == "empty":
+                path.unlink()
+            elif how == "old":
+                path.write_bytes(first)
+
+    def stall(self, dispatcher: int) -> None:
+        self.world.add("stalled", dispatcher=dispatcher)
+        self.signal(dispatcher, signal.SIGSTOP)
+
+    def go_on(self, dispatcher: int) -> None:
+        self.world.add("goes_on", dispatcher=dispatcher)
+        self.signal(dispatcher, signal.SIGCONT)
+
+    def sampled(self) -> None:
+        if self.world.charter.fleet is not None:
+            for d in self.numbers:
+                self.front.place.start(self._sample(d))
+
+    async def _sample(self, dispatcher: int) -> None:
+        """Asks a member now and then what it claims to have heard, as its operator would."""
+        from pathsaddle.fleet.asking import ask
+        address = self.address("control", dispatcher, 0)
+        while True:
+            await asyncio.sleep(1.0)
+            begun = self.world.now()
+            try:
+                told = await ask(address, "members", 1.0)
+            except (OSError, ValueError):
+                continue
+            of = [(m["name"], m["life"], min(ages) * 10) for m in told["members"]
+                  if (ages := [age for age in (m["heard"], m["heard_by"]) if age is not None])]
+            self.world.events.add(begun, "heard", who=f"d{dispatcher}", of=of, took=self.world.now() - begun)
+
+    def _read_logs(self) -> None:
+        """What members logged of what they believe, as events of the run."""
+        from datetime import datetime
+        wall = self.wall()
+        for d in self.numbers:
+            path = self.folder / f"d{d}.log"
+            if not path.exists():
+                continue
+            for line in path.read_bytes().splitlines():
+                try:
+                    row = json.loads(line)
+                    event = row["event"]
+                    at = int((datetime.fromisoformat(row["time"]).timestamp() - wall) * TICKS)
+                except (ValueError, KeyError, TypeError):
+                    continue
+                if event in ("fleet-member", "fleet-self", "fleet-doubled"):
+                    state = row.get("now", "left" if event == "fleet-doubled" else "alive")
+                    self.world.events.add(at, "view", who=f"d{d}", about=row["member"], life=row["life"], state=state,
+                                          why=row["why"])
+
     def parted(self) -> None:
         weather = self.world.weather
         for worker in self.workers.values():
@@ -353,6 +491,13 @@
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
                 await process.wait()
+        if self.relays is not None:
+            self.relays.end()
+            self.relays = None
+            self._read_logs()
+            for name, meter in self.air.meters.items():
+                self.world.add("traffic", who=name, bytes=meter.bytes, datagrams=meter.datagrams,
+                               most_bytes=meter.most(0), most_datagrams=meter.most(1))
 
 
 class Outcome:
@@ -393,7 +538,12 @@
     loop = Moments()  # type: ignore[abstract]  # what is left out, nobody here calls
     net = Net(loop)
     world = World(plan, charter, seed, loop)
-    stage = VirtualStage(world, net)
+    stage: VirtualStage | MembersStage
+    if plan.only == "fleet":
+        from pathsaddle.emulator.members import MembersStage
+        stage = MembersStage(world, net)
+    else:
+        stage = VirtualStage(world, net)
     with logged(world, log):
         try:
             loop.run_until_complete(stage.play())
--- a/pathsaddle/emulator/world.py
+++ b/pathsaddle/emulator/world.py
@@ -31,12 +31,14 @@
         self.charter = charter
         self.seed = seed
         self.loop = loop
+        # A virtual host's own clock may be off; the run's is not.
+        self.true_time: Callable[[], float] = getattr(loop, "true_time", loop.time)
         self.begun = loop.time()
         self.events = Events()
         self.weather = Weather(self)
 
     def now(self) -> int:
-        return int((self.loop.time() - self.begun) * TICKS + 0.5)
+        return int((self.true_time() - self.begun) * TICKS + 0.5)
 
     def chance(self, whose: str) -> Random:
         """A source of its own for each peer, so that one that draws more changes nobody else's luck."""
--- a/pathsaddle/experiment/report.py
+++ b/pathsaddle/experiment/report.py
@@ -29,6 +29,13 @@
     return f"{statistics.median(values):{form}} [{min(values):{form}} to {max(values):{form}}]"
 
 
+def quantiles(values: list[float]) -> str:
+    """Middle, 99th in a hundred and most, of sorted values."""
+    if not values:
+        return "none"
+    return f"{values[len(values) // 2]:.0f}, p99 {values[len(values) * 99 // 100]:.0f}, most {values[-1]:.0f}"
+
+
 def table(head: list[str], rows: list[list[str]]) -> str:
     lines = ["<table><tr>" + "".join(f"<th>{html.escape(cell)}</th>" for cell in head) + "</tr>"]
     lines += ["<tr>" + "".join(f"<td>{cell}</td>" for cell in row) + "</tr>" for row in rows]
--- a/pathsaddle/experiment/run.py
+++ b/pathsaddle/experiment/run.py
@@ -227,6 +227,9 @@
         if result.verdict["declines"] > bounds.declined * tries:
             found.append(f"{who}: {result.verdict['declines'] / tries:.3f} of the tries declined, at most "
                          f"{bounds.declined:g} is stated")
+        known = max(result.verdict.get("fleet", {}).get("known", ()), default=0.0)
+        if bounds.known is not None and known > bounds.known / 10:
+            found.append(f"{who}: a death known to all after {known:.0f} ms, at most {bounds.known / 10:.0f} is stated")
         if bounds.p99 is not None and whole["p99"] > bounds.p99 / 10:
             found.append(f"{who}: p99 {whole['p99']:.0f} ms, at most {bounds.p99 / 10:.0f} is stated")
     if bounds.seconds is not None and seconds > bounds.seconds:
--- a/pathsaddle/net/memory/counters.py
+++ b/pathsaddle/net/memory/counters.py
@@ -10,8 +10,8 @@
         self._counts: Counter[str] = Counter()
         self._most: dict[str, float] = {}
 
-    def add(self, name: str) -> None:
-        self._counts[name] += 1
+    def add(self, name: str, times: int = 1) -> None:
+        self._counts[name] += times
 
     def most(self, name: str, value: float) -> None:
         self._most[name] = max(value, self._most.get(name, value))
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -8,14 +8,18 @@
 
 import os
 import socket
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
+from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import pump
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.wire.birth import WHERE, moved_to
 from pathsaddle.net.wire.terms import Peer
 
+if TYPE_CHECKING:
+    from pathsaddle.fleet.driver import Fellows
+
 
 class Ground:
     """The kernel's."""
@@ -27,6 +31,14 @@
         """A new TCP socket that doesn't block, and the address as it wants it; ValueError where it is none."""
         return pump.stream(address)
 
+    def datagrams(self, address: str) -> tuple[socket.socket, Peer]:
+        """The same for UDP."""
+        return pump.stream(address, socket.SOCK_DGRAM)
+
+    def fellows(self, counters: Counters) -> Fellows | None:
+        """Our place among other dispatchers, where the operator wants one."""
+        return None
+
     def desk(self, *told: Any) -> Desk:
         """The door behind which txns are decided; one with a store where the operator wants it."""
         return Desk(*told)
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -13,10 +13,10 @@
 Opening = Callable[[str], tuple[socket.socket, Peer]]  # how sockets are come by: the kernel's, or others
 
 
-def stream(address: str) -> tuple[socket.socket, Peer]:
+def stream(address: str, kind: int = socket.SOCK_STREAM) -> tuple[socket.socket, Peer]:
     """A socket of the address's family, and the address as sockets want it."""
     peer = peer_of(address)  # first: what is no address must not cost a descriptor
-    sock = socket.socket(socket.AF_INET6 if ":" in peer[0] else socket.AF_INET, socket.SOCK_STREAM)
+    sock = socket.socket(socket.AF_INET6 if ":" in peer[0] else socket.AF_INET, kind)
     sock.setblocking(False)
     return sock, peer
 
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -51,6 +51,7 @@
         self.desk.listed(ListNews.REMEMBERED, told.rows)
         self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
                            ground.stream)
+        self.fellows = ground.fellows(self.counters)
         self.longest = min(LONGEST, max((scheme.expiry for scheme in told.terms.schemes), default=LONGEST))
         self._stop = asyncio.Event()
 
@@ -63,15 +64,21 @@
         logbook.serving()
         beginning = events.create_task(self.desk.begin())
         watching = events.create_task(self._look_after())
+        if self.fellows is not None:
+            self.fellows.begin()
         await self._stop.wait()
         await self._finish()
         watching.cancel()
         beginning.cancel()
         await self.desk.finish()
+        if self.fellows is not None:
+            self.fellows.end()
         self.report()
 
     async def _finish(self) -> None:
         logbook.stopping(unanswered=len(self.desk.ledger.unanswered()))
+        if self.fellows is not None:
+            self.fellows.leave()
         begun = self.clock.now()
         by = begun + self.longest + LATER
         self.desk.stop(by)
--- /dev/null
+++ b/tests/test_members.py
@@ -0,0 +1,333 @@
+"""Who is in the fleet: the hard cases, each a story on the virtual ground, and what no order of datagrams may do."""
+
+import unittest
+from pathlib import Path
+from random import Random
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from pathsaddle.emulator import plan as plans
+from pathsaddle.emulator import stage
+from pathsaddle.emulator.judge import judge
+from pathsaddle.emulator.mutants import MEMBER_MUTANTS, mutated
+from pathsaddle.fleet import wire
+from pathsaddle.fleet.members import MOST_MEMBERS, Membership, Ways, life_of
+from pathsaddle.fleet.purse import Purse
+from pathsaddle.fleet.wire import ALIVE, DEAD, LEFT, SUSPECT, Refused, Row, Said
+
+ROOT = Path(__file__).resolve().parent.parent
+SECOND = 10_000
+KEY = b"a key of sixteen bytes or more"
+
+
+def table(seconds=60, dispatchers=7, fleet=None, **faults):
+    """A plan of nothing but a fleet; each fault by its kind, with _ for -."""
+    rows = [dict(row, kind=kind.rstrip("0123456789").replace("_", "-")) for kind, row in faults.items()]
+    return plans.of({
+        "name": "story", "seconds": seconds, "only": "fleet", "faults": rows,
+        "charter": {"zones": ["east", "west"], "schemes": [{"name": "any", "semantics": "repeatable", "expiry": "5s"}],
+                    "fleet": {"beat": "200ms", "patience": "60ms", **(fleet or {})}},
+        "fleet": {"dispatchers": dispatchers, "network": {"near": "300us", "far": "4ms"},
+                  "parts": {"half": ["d0", "d1", "d2"], "most": ["d1", "d2", "d3", "d4", "d5", "d6"]}}}, "story")
+
+
+class Play:
+    """One run of a plan, judged."""
+
+    def __init__(self, plan, seed=1):
+        self.rows = stage.virtual(plan, seed).events.rows
+        self.verdict = judge(plans.charter_of(plan), self.rows)
+
+    def views(self, state, who=None, about=None):
+        return [row for row in self.rows if row.what == "view" and row.more["state"] == state
+                and who in (None, row.more["who"]) and about in (None, row.more["about"])]
+
+
+class FleetStory(unittest.TestCase):
+    """Every story's views are whole in the end, every bound holds (the judge's `apart`, `believed`, ...)."""
+
+    def play(self, *args, seed=1, **more):
+        play = Play(table(*args, **more), seed)
+        self.assertEqual([f"{f.at} {f.rule} {f.text}" for f in play.verdict.findings[:5]], [])
+        return play
+
+    def test_what_is_cut_one_way_alone_is_asked_for_by_others_and_nobody_is_taken_for_dead(self):
+        play = self.play(link_cut={"of": "d1", "among": "d4", "oneway": True, "at": "5s", "for": "20s"})
+        self.assertEqual(play.views("dead"), [])
+
+    def test_two_that_do_not_reach_each_other_know_of_each_other_by_the_rest(self):
+        play = self.play(link_cut={"of": "d1", "among": "d4", "at": "5s", "for": "20s"})
+        self.assertEqual(play.views("dead"), [])
+
+    def test_two_halves_for_a_minute_are_whole_again_after_it(self):
+        play = self.play(100, link_cut={"of": "half", "at": "5s", "for": "60s"})
+        self.assertTrue(play.views("dead", "d0", "d5"))
+        self.assertTrue(play.views("dead", "d5", "d0"))
+        self.assertEqual(play.views("dead", "d0", "d1"), [])
+
+    def test_a_member_that_stood_still_for_longer_than_any_wait_goes_on_and_is_taken_back_accusing_nobody(self):
+        play = self.play(70, stall={"of": "d3", "at": "5s", "for": "30s"})
+        self.assertTrue(play.views("dead", about="d3"))
+        self.assertEqual(play.views("dead", who="d3"), [])
+
+    def test_a_process_killed_and_back_at_once_is_another_life(self):
+        play = self.play(40, kill={"of": "d2", "at": "5s", "for": "100ms"})
+        lives = {row.more["life"] for row in play.views("alive", "d5", "d2")}
+        self.assertEqual(len(lives), 2)
+        self.assertEqual(play.verdict.fleet["false"], 0)
+
+    def test_a_clock_stepped_back_by_an_hour_on_an_empty_disk_is_refuted_and_comes_back_above(self):
+        play = self.play(50, clock_step={"of": "d2", "how": "back", "strength": 3600, "at": "4s"},
+                         kill={"of": "d2", "how": "empty", "at": "5s", "for": "1s"})
+        own = [row.more["life"] for row in play.views("alive", "d2", "d2") if "refuted" not in row.more["why"]]
+        self.assertLess(own[1], own[0])
+        self.assertGreater(own[2], own[0])
+
+    def test_all_started_at_once_with_all_seeds_down_meet_when_one_is_up(self):
+        play = self.play(60, fleet={"seeds": ["10.3.0.0:7100"]}, kill={"of": "d0", "at": "1ms", "for": "15s"})
+        met = [row.at for row in play.views("alive", "d5", "d6")]
+        self.assertGreater(met[0], 15 * SECOND)
+
+    def test_a_minute_in_which_a_third_is_lost_takes_nobody_for_dead_for_long(self):
+        self.play(100, link_lossy={"of": "*", "among": "*", "strength": 0.3, "at": "5s", "for": "60s"})
+
+    def test_one_that_hears_nothing_accuses_and_shuts_out_nobody_else(self):
+        play = self.play(70, link_cut={"of": "most", "among": "d0", "oneway": True, "at": "5s", "for": "25s"})
+        self.assertEqual([row for row in play.views("dead") if row.more["who"] != "d0" and row.more["about"] != "d0"], [])
+
+    def test_one_that_hears_but_is_not_heard_knows_all_others_and_is_back_after_it(self):
+        play = self.play(70, link_cut={"of": "d0", "among": "most", "oneway": True, "at": "5s", "for": "25s"})
+        self.assertEqual([row for row in play.views("dead") if row.more["who"] != "d0" and row.more["about"] != "d0"], [])
+
+    def test_one_who_leaves_is_known_to_have_left_at_once_and_is_not_called_dead(self):
+        play = self.play(40, term={"of": "d3", "at": "5s", "for": "25s"})
+        told = [row.at for row in play.views("left", about="d3") if row.more["who"] != "d3"]
+        self.assertEqual(len(told), 6)
+        self.assertLess(max(told), 7 * SECOND)
+        self.assertEqual(play.views("dead", about="d3"), [])
+
+    def test_the_same_seed_is_the_same_run_to_the_byte(self):
+        plan = table(20, kill={"rate": 12, "for": "1s"}, stall={"rate": 12, "for": "1s"})
+        self.assertEqual(stage.virtual(plan, 3).digest, stage.virtual(plan, 3).digest)
+
+    def test_each_mutant_is_caught_and_named_and_the_program_is_clean(self):
+        plan = plans.read(ROOT / "experiments/fleet-mutants.toml")
+        self.assertEqual(Play(plan).verdict.broken(), {})
+        for name, (_, rules) in MEMBER_MUTANTS.items():
+            with self.subTest(name), mutated(name):
+                broken = Play(plan).verdict.broken()
+                self.assertTrue([rule for rule in rules if rule in broken], broken)
+
+
+def member(name, life=0, seed=0, now=0, **ways):
+    row = Row(name, life or life_of(1000, 0, Random(seed)), 0, ALIVE, f"10.0.0.1:{name}", "here")
+    return Membership(row, Ways("f", KEY, **ways), [], Random(seed), now)
+
+
+class Between:
+    """Cores and what they send one another, by address, without loss."""
+
+    def __init__(self, *cores):
+        self.at = {core.me.address: core for core in cores}
+        self.now = 0
+
+    def run(self, ticks):
+        end = self.now + ticks
+        while self.now < end:
+            for core in list(self.at.values()):
+                if core.promised <= self.now:
+                    core.wake(self.now)
+            for _ in range(50):
+                sent = [one for core in self.at.values() for one in core.out]
+                for core in self.at.values():
+                    core.out = []
+                for address, data in sent:
+                    if address in self.at:
+                        self.at[address].heard(data, self.now)
+            self.now += 100
+
+
+class CoreStory(unittest.TestCase):
+    def meet(self, *cores):
+        for one in cores:
+            for other in cores:
+                if one is not other:
+                    one.learn(other.me, 0, "told")
+        return Between(*cores)
+
+    def test_of_two_processes_under_one_name_one_falls_silent_and_the_other_stays(self):
+        old, new, third = member("a", 5 << 10, 1), member("a", 6 << 10, 2), member("c", seed=3)
+        new.me = Row("a", new.me.life, 0, ALIVE, "10.0.0.9:a", "here")
+        between = self.meet(old, third)
+        between.run(5 * SECOND)
+        between.at["10.0.0.9:a"] = new
+        new.learn(third.me, between.now, "told")
+        new.promised = between.now
+        between.run(20 * SECOND)
+        self.assertEqual((old.silent, new.silent), (True, False))
+        self.assertEqual(third.members["a"].row.address, "10.0.0.9:a")
+
+    def test_two_that_changed_places_are_found_where_they_are(self):
+        a, b, c = member("a"), member("b", seed=1), member("c", seed=2)
+        between = self.meet(a, b, c)
+        between.run(5 * SECOND)
+        again = [member("a", a.me.life + 1024, 3, between.now), member("b", b.me.life + 1024, 4, between.now)]
+        for core, address in zip(again, (b.me.address, a.me.address), strict=True):
+            core.me = Row(core.me.name, core.me.life, 0, ALIVE, address, "here")
+            core.seeds = [c.me.address]
+            between.at[address] = core
+        between.run(20 * SECOND)
+        self.assertEqual([c.members[name].row.address for name in "ab"], [b.me.address, a.me.address])
+        self.assertTrue(all(c.heard_within(core.me.name, core.me.life, 5 * SECOND, between.now) for core in again))
+
+    def test_what_is_not_a_fellows_is_counted_by_its_reason_and_changes_nothing(self):
+        core = member("a")
+        other = member("b", seed=1)
+        said = Said("f", other.me, 1, "a", wire.PING, 7)
+        good = wire.encode(said, KEY)
+        newer = bytes((wire.FORM + 1,)) + good[1:-16]
+        newer += wire.hmac.digest(KEY, newer, "sha256")[:16]
+        cases = {"cut": good[:10], "stranger": wire.encode(said, b"another key, as long as it"), "newer": newer,
+                 "fleet": wire.encode(Said("g", other.me, 1, "a", wire.PING), KEY),
+                 "misdirected": wire.encode(Said("f", other.me, 1, "z", wire.PING), KEY)}
+        for reason, data in cases.items():
+            core.heard(data, 1)
+            self.assertEqual(core.counts.get(f"refused {reason}"), 1, reason)
+        self.assertEqual((core.members, core.out), ({}, []))
+        core.heard(good, 1)
+        self.assertEqual(len(core.out), 1)
+        core.heard(good, 2)
+        core.heard(good, 2)
+        self.assertEqual(core.counts["refused repeated"], 1 + (len(core.out) == 1))
+
+    def test_an_answer_from_long_ago_is_no_sign_of_life(self):
+        a, b = member("a"), member("b", seed=1)
+        between = self.meet(a, b)
+        between.run(3 * SECOND)
+        life = b.me.life
+        self.assertTrue(a.heard_within("b", life, 2 * SECOND, between.now))
+        kept = [(address, data) for address, data in [(a.me.address, wire.encode(
+            Said("f", b.me, 1 << 40, "a", wire.ACK, 1), KEY))]]
+        del between.at[b.me.address]
+        heard = a.members["b"].heard
+        between.run(5 * SECOND)
+        a.heard(kept[0][1], between.now)
+        self.assertEqual(a.members["b"].heard, heard)
+        self.assertFalse(a.heard_within("b", life, 4 * SECOND, between.now))
+        self.assertFalse(a.heard_within("b", life + 1, 100 * SECOND, between.now))
+
+    def test_a_member_whom_nobody_answers_tells_its_doubts_to_nobody(self):
+        a, others = member("a"), [member(name, seed=ord(name)) for name in "bcde"]
+        between = self.meet(a, *others)
+        between.run(3 * SECOND)
+        for core in others:
+            del between.at[core.me.address]
+        sent = []
+        for _ in range(600):
+            between.now += 1000
+            a.wake(between.now) if a.promised <= between.now else None
+            sent += [row for _, data in a.out for row in wire.decode(data, KEY, "f").rows]
+            a.out = []
+        self.assertEqual(a.alone(), True)
+        self.assertLessEqual(len({row.name for row in sent if row.state in (SUSPECT, DEAD)}), 2)
+        between.at = {core.me.address: core for core in (a, *others)}
+        for core in others:
+            core.promised = between.now
+        between.run(60 * SECOND)
+        self.assertEqual({m.row.state for m in a.members.values()}, {ALIVE})
+
+    def test_the_dead_are_remembered_up_to_a_bound_and_a_name_that_comes_and_goes_takes_one_place(self):
+        core = member("a", most_dead=8)
+        for i in range(30):
+            core.learn(Row(f"x{i}", 5, 0, ALIVE, "10.0.0.2:1", ""), i, "b")
+            core.learn(Row(f"x{i}", 5, 0, DEAD, "10.0.0.2:1", ""), i, "b")
+            core.wake(i * SECOND)
+        for life in range(200):
+            core.learn(Row("comes", life, 0, ALIVE, "10.0.0.2:2", ""), 300_000, "b")
+            core.learn(Row("comes", life, 0, LEFT, "10.0.0.2:2", ""), 300_000, "b")
+        self.assertLessEqual(sum(not m.here for m in core.members.values()), 8)
+
+    def test_no_second_holds_more_than_the_purse_says(self):
+        chance, purse, paid = Random(5), Purse(6000, 20, 0), []
+        for now in sorted(chance.randrange(10 * SECOND) for _ in range(4000)):
+            if purse.pays(size := chance.randrange(60, 1200), now):
+                paid.append((now, size))
+        for now, _ in paid:
+            inside = [size for at, size in paid if now <= at < now + SECOND]
+            self.assertLessEqual(sum(inside), 6000)
+            self.assertLessEqual(len(inside), 20)
+
+
+NAMES = [f"m{i}" for i in range(5)]
+ROWS = st.builds(Row, st.sampled_from([*NAMES, "x", "y"]), st.integers(0, 4000), st.integers(0, 3), st.integers(0, 3),
+                 st.sampled_from([f"10.0.0.1:{name}" for name in NAMES] + ["nowhere"]), st.just("here"))
+STEPS = st.one_of(
+    st.tuples(st.just("wake"), st.integers(0, 4), st.integers(0, 3 * SECOND)),
+    st.tuples(st.just("carry"), st.integers(0, 10 ** 6), st.integers(1, 3)),
+    st.tuples(st.just("drop"), st.integers(0, 10 ** 6), st.just(0)),
+    st.tuples(st.just("says"), st.integers(0, 4), st.builds(
+        Said, st.just("f"), ROWS, st.integers(0, 200), st.sampled_from([*NAMES, ""]), st.integers(-1, 8),
+        st.integers(0, 5), st.sampled_from(NAMES), st.sampled_from(["", "m2"]), st.sampled_from(["", "m3"]),
+        st.lists(st.tuples(st.sampled_from(NAMES), st.integers(0, 9), st.integers(-9, 99)), max_size=3),
+        st.lists(ROWS, max_size=5))),
+    st.tuples(st.just("noise"), st.integers(0, 4), st.binary(max_size=1300)),
+    st.tuples(st.just("leave"), st.integers(0, 4), st.just(0)))
+
+
+class AnyOrderStory(unittest.TestCase):
+    @settings(max_examples=150, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+    @given(st.lists(STEPS, max_size=60))
+    def test_any_order_and_number_of_any_datagrams_leaves_a_member_valid_and_bounded(self, steps):
+        now = 0
+        cores = [member(name, 1024 * (i + 1), i) for i, name in enumerate(NAMES)]
+        by_address = {core.me.address: core for core in cores}
+        for core in cores[1:]:
+            core.seeds = [cores[0].me.address]
+        air = []
+        for what, which, more in steps:
+            if what == "wake":
+                now += more
+                self.assertGreater(cores[which].wake(now), now)
+            elif what == "carry" and air:
+                address, data = air[which % len(air)]
+                for _ in range(more):
+                    if address in by_address:
+                        by_address[address].heard(data, now)
+            elif what == "drop" and air:
+                air.pop(which % len(air))
+            elif what == "says":
+                cores[which].heard(wire.encode(more, KEY), now)
+            elif what == "noise":
+                cores[which].heard(more, now)
+            elif what == "leave":
+                cores[which].leave(now)
+            for core in cores:
+                self.valid(core, now)
+                air += core.out
+                core.out, core.changes = [], []
+
+    def valid(self, core, now):
+        self.assertTrue(all(len(data) <= wire.MOST for _, data in core.out))
+        for _, data in core.out:
+            wire.decode(data, KEY, "f")
+        self.assertLess(len(core.members), MOST_MEMBERS)
+        self.assertNotIn(core.me.name, core.members)
+        self.assertLessEqual(set(core.gossip), set(core.members))
+        self.assertLessEqual({m.row.name for m in core.accused.values()}, set(core.members))
+        self.assertTrue(all(m.until < 1 << 60 and m.row.state == SUSPECT for m in core.accused.values()))
+        self.assertTrue(all(max(m.heard, m.heard_by) <= now for m in core.members.values()))
+        self.assertEqual(core.size(), 1 + sum(m.here for m in core.members.values()))
+        self.assertLessEqual(len(core.errands), 256)
+        self.assertIn(core.health, range(9))
+
+
+class RefusalStory(unittest.TestCase):
+    def test_no_bytes_but_a_fellows_are_read(self):
+        chance = Random(9)
+        good = wire.encode(Said("f", Row("b", 1, 0, ALIVE, "h:1", "z"), 1, "a", wire.PING), KEY)
+        for _ in range(500):
+            bad = bytearray(good)
+            bad[chance.randrange(len(bad))] ^= 1 << chance.randrange(8)
+            with self.assertRaises(Refused):
+                wire.decode(bytes(bad), KEY, "f")
