What holds for all workers is asked once a txn; keyed txns wait for their soonest keeper

Change: may_post_again asks once a look; rooms is asked for the first workers of the order; a keyed txn whose keepers are all barred is passed over until the soonest of them opens again. Decisions are the same but for that pass.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -15,6 +15,7 @@
 from collections.abc import Generator, Iterable
 from functools import lru_cache
 from hashlib import blake2b
+from itertools import chain
 from math import exp, log
 from random import Random
 from typing import Any
@@ -317,15 +318,15 @@
         """The last moment for its final answer; a dispatcher that is to end brings the expiry forward."""
         return txn.expires - self.tick
 
+    def may_post_again(self, txn: Txn) -> bool:
+        """Rule 2, the first half: whether another posting, to some worker, can do no harm now."""
+        return (self.now < min(self.last(txn), self.may_go_on_until(txn))
+                and (self.two_at_once or not any(p.out and p.may_have_run for p in txn.postings)))
+
     def may_post(self, txn: Txn, worker: Worker) -> bool:
-        """Rule 2, the first half: whether another posting, to this worker, can do no harm."""
-        if self.now >= min(self.last(txn), self.may_go_on_until(txn)):
-            return False
-        risky = [p for p in txn.postings if p.may_have_run]
-        if not self.two_at_once and any(p.out for p in risky):
-            return False
-        return (txn.scheme.semantics is not Semantics.REFERENCED
-                or all(self.same_group(txn.scheme, p.worker, worker) for p in risky))
+        """And whether to this worker; what is the same for all workers is asked once, for the CPU's sake."""
+        return not any(p.out and p.worker is worker
+                       or p.may_have_run and not self.same_group(txn.scheme, p.worker, worker) for p in txn.postings)
 
     def may_go_on_until(self, txn: Txn) -> int:
         """Until when another posting, to some worker, could still do no harm."""
@@ -351,11 +352,9 @@
                 or scheme.semantics is Semantics.REFERENCED and scheme.group is Group.ALL)
 
     def same_group(self, scheme: Scheme, one: Worker, other: Worker) -> bool:
-        if scheme.group is Group.ZONE:
-            return one.zone == other.zone
-        if scheme.group is Group.CELL:
-            return one.cell == other.cell
-        return True
+        if scheme.semantics is not Semantics.REFERENCED or scheme.group is Group.ALL:
+            return True
+        return one.zone == other.zone if scheme.group is Group.ZONE else one.cell == other.cell
 
     # Choosing a worker.
 
@@ -441,7 +440,7 @@
         """The workers in the order in which they are to keep the key's data, alike at every dispatcher."""
         return sorted(self.books.values(), key=lambda book: blake2b(f"{book.worker.lot} {key}".encode()).digest())
 
-    def keepers(self, txn: Txn, rooms: dict[Book, float]) -> dict[Book, float]:
+    def keepers(self, txn: Txn) -> dict[Book, float]:
         """The workers that keep the data of the txn's key: the first that are open to it in the key's order, as
         many as the key's part of the traffic fills, and KEEPERS more.
 
@@ -453,16 +452,20 @@
         # Apart until half of its postings were turned away.
         wide = bool(self.wide) and txn.slots >= self.wide_from
         mixes = 2 * len(txn.postings) > self.max_postings
-        part = len(self.wide) / max(1, len(self.books))
-        left = KEEPERS + len(txn.postings) + int(1.25 * txn.fair * (part if wide else 1.0 - part))
-        kept = {}
-        for book in self.order(txn.key):
-            if ((book in self.wide) == wide or mixes) and book in rooms and self.eligible(book, txn):
-                if self.now - book.full_at > self.usual_run / 4:
-                    kept[book] = rooms[book]
+        share = len(self.wide) / max(1, len(self.books))
+        left = KEEPERS + len(txn.postings) + int(1.25 * txn.fair * (share if wide else 1.0 - share))
+        order, kept, soonest = self.order(txn.key), {}, FAR
+        # The first few are mostly enough; the rest is looked at only when it comes to that.
+        parts = (self.rooms(part) for part in (order[:2 * left], order[2 * left:]))
+        for book, room in chain.from_iterable(map(dict.items, parts)):
+            if ((book in self.wide) == wide or mixes) and self.eligible(book, txn):
+                soonest = min(soonest, again := book.full_at + int(self.usual_run / 4))
+                if self.now > again:
+                    kept[book] = room
                 left -= 1
                 if not left:
                     break
+        txn.barred_until = soonest if not kept and soonest < FAR else 0
         return kept
 
     def judge_wide(self) -> None:
@@ -497,8 +500,7 @@
         worker = book.worker
         machine = txn.scheme.machine
         return ((machine is None or worker.machine == machine)
-                and (not txn.postings or self.may_post(txn, worker)
-                     and not any(p.out and p.worker is worker for p in txn.postings))
+                and (not txn.postings or self.may_post(txn, worker))
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
                 # Only what can be posted again anywhere is risked on a suspect; where no scheme can, what may run
                 # again somewhere, else whatever comes, once a look was answered: or it stayed one for good.
@@ -525,7 +527,7 @@
         need = self.need(txn)
         blind = blind and not txn.over
         if txn.key is not None:
-            rooms, need = self.keepers(txn, rooms), -float(FAR)
+            rooms, need = self.keepers(txn), -float(FAR)
         plain = not txn.postings and not txn.over and txn.scheme.machine is None
         loads = [(self.load(book, room, txn), book) for book, room in rooms.items()
                  if (room >= need or blind and self.now - book.full_at > self.usual_run / 2)
@@ -579,36 +581,37 @@
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
             alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings), txn.key)
-            if alike in self.barred:
+            if alike in self.barred or self.now <= txn.barred_until:
                 continue
             if self.now < txn.looks_until and any(book.probing for book in txn.looks):
                 self.look_due = min(self.look_due, txn.looks_until)
                 continue
-            if rooms is None:
-                rooms = self.rooms()
+            if txn.postings and not self.may_post_again(txn):
+                continue
+            if rooms is None and (txn.key is None or not self.probe_always):
+                rooms = self.rooms(self.books.values())
                 most, blind = max(rooms.values(), default=-FAR), self.blind(rooms)
             txn.ease = self.ease(txn)
             # Where nobody has the room it needs no scan is made for it: many are held when all are full.
-            book = self.best(txn, rooms, blind) if blind or txn.key is not None or most >= self.need(txn) else None
-            if book is not None:
-                if self.look(txn, book, rooms):
-                    continue
+            tried = blind or txn.key is not None or most >= self.need(txn)
+            book = self.best(txn, rooms or {}, blind) if tried else None
+            looks = self.look(txn, book, rooms or {})
+            if book is not None and not looks:
                 self.granted = True
                 return txn, book.worker
-            self.look(txn, None, rooms)
-            if not any(p.may_have_run for p in txn.postings):
+            if book is None and not any(p.may_have_run for p in txn.postings):
                 self.barred[alike] = None
         return None
 
-    def rooms(self) -> dict[Book, float]:
-        """The workers that compete, with their room; not one of them is ranked before a txn needs it."""
+    def rooms(self, books: Iterable[Book]) -> dict[Book, float]:
+        """Those of the workers that compete, with their room; not one of them is ranked before a txn needs it."""
         now = self.now
         # Whoever has not answered a look in the time that looks take may be gone: not now.
         overdue = -FAR if self.probe_always else now - 2 * max(self.probe_times) - self.tick
         dark = [zone for zone, until in self.dark_until.items() if now < until]
         return {book: book.believed if now < book.believed_until else self.room(book)
-                for worker, book in self.books.items()
-                if (worker.standing is Standing.READY or self.outlives(book)) and now >= book.shut_until
+                for book in books
+                if ((worker := book.worker).standing is Standing.READY or self.outlives(book)) and now >= book.shut_until
                 and not (dark and worker.zone in dark)
                 and not (book.suspect and self.trial_runs(book)) and not (book.probing and book.asked < overdue)}
 
--- a/pathsaddle/experiment/baseline.py
+++ b/pathsaddle/experiment/baseline.py
@@ -50,7 +50,7 @@
     pick = POLICIES[policy]
 
     def best(self: Choice, txn: Txn, rooms: dict[Book, float], blind: bool) -> Book | None:
-        books = [book for book in rooms if self.eligible(book, txn)]
+        books = [book for book in rooms or self.rooms(self.books.values()) if self.eligible(book, txn)]
         return pick(self, books) if books else None
 
     with (mock.patch.object(Choice, "best", best), mock.patch.object(Choice, "need", lambda self, txn: -1e9),
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -149,6 +149,7 @@
     first: int = 0  # when its client first asked, as far as we know
     mark: tuple[Any, ...] = ()  # what its client's next try would have in common with it
     thrift: float = 0.0  # what part of its customer's share for the moment was left as it came
+    barred_until: int = 0  # all keepers of its key have turned us away: until when that holds
     fair: float = 0.0  # how many workers its key's part of the traffic fills
     over: bool = False  # beyond its customer's share
     kind: Any = None  # its type and work, to the design
