--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -120,6 +120,8 @@
     verdict = judge(plans.charter_of(plan), outcome.events.rows, SLACK[ground])
     if plan.only != "fleet":
         show.figures(console, verdict, f"{plan.name}, emulated")
+    if verdict.fleet and plan.fleet.dispatchers <= 9 and not plan.only:
+        show.saw(console, outcome.events.rows)
     if verdict.fleet:
         show.fleet(console, verdict.fleet)
     show.rules(console, verdict)
--- a/pathsaddle/cli/show.py
+++ b/pathsaddle/cli/show.py
@@ -8,6 +8,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from pathsaddle.emulator.events import Event
 from pathsaddle.emulator.judge import RULES, Row, Verdict
 
 MEANS = {
@@ -57,6 +58,21 @@
         "datagrams in the worst second of any")
 
 
+def saw(console: Console, events: Iterable[Event]) -> None:
+    """What each member saw of the others, in the order in which it did."""
+    rows: dict[str, list[str]] = {}
+    for event in sorted(events, key=lambda one: one.at):
+        if event.what == "view" and event.more["who"] != event.more["about"]:
+            rows.setdefault(event.more["who"], []).append(
+                f"{event.at / 10_000:.1f} s {event.more['about']} {event.more['state']}")
+        elif event.what in ("blight", "killed", "stalled", "goes_on"):
+            console.print(f"{event.at / 10_000:.1f} s {event.what} "
+                          f"{event.more.get('one', event.more.get('dispatcher'))} {event.more.get('other', '')}",
+                          markup=False, highlight=False)
+    for who, told in sorted(rows.items()):
+        console.print(f"{who} saw: {'; '.join(told)}", markup=False, highlight=False)
+
+
 def rules(console: Console, verdict: Verdict, most: int = 10) -> None:
     broken = verdict.broken()
     table = Table(title="Rules", title_justify="left")
--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults.py
@@ -289,6 +289,7 @@
         """It stands still, as by SIGSTOP, and goes on with what it believed."""
         number = int(name[1:])
         self.stage.stall(number)
+        self.stage.front.died(number)
         await self._lasts(trouble)
         self.stage.go_on(number)
 
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -244,12 +244,14 @@
 
     name: how it is called in reports.
     charter: keys of the charter that differ, as a table.
+    plan: keys of the plan that differ, as a table; a list stands for the whole of the plan's.
     policy: a baseline that decides instead of the design: random, round-robin, least-outstanding, two-choices.
     commit: an earlier commit of ours that runs instead, in a work tree of its own.
     """
 
     name: str
     charter: dict[str, Any] = field(default_factory=dict)
+    plan: dict[str, Any] = field(default_factory=dict)
     policy: Literal["", "random", "round-robin", "least-outstanding", "two-choices"] = ""
     commit: str = ""
 
@@ -407,6 +409,10 @@
 def varied(plan: Plan, variant: Variant) -> Plan:
     """The plan as the variant has it."""
     other = copy.deepcopy(plan)
+    if variant.plan:
+        table = plain(plan) | {"variants": []}
+        merge(table, variant.plan)
+        other = of(table, f"variant {variant.name}")
     merge(other.charter, variant.charter)
     charter_of(other, f"variant {variant.name}")
     return other
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -356,7 +356,7 @@
             if self.chartered:
                 command = [sys.executable, "-m", "pathsaddle", "serve", str(self.folder / f"d{dispatcher}.json")]
             process = await asyncio.create_subprocess_exec(
-                *command, cwd=self.root, stderr=log, stdout=log,
+                *command, cwd=self.root, stderr=log, stdout=log, preexec_fn=ends_with_us,
                 env={**os.environ, "GW_CONFIG": str(self.folder / f"d{dispatcher}.json")})
         self.processes[dispatcher] = process
         self.front.place.start(self._watch(dispatcher, process))
@@ -500,6 +500,12 @@
                                most_bytes=meter.most(0), most_datagrams=meter.most(1))
 
 
+def ends_with_us() -> None:
+    """In a child before its program begins: it is killed when we die, however that comes (prctl's PR_SET_PDEATHSIG)."""
+    import ctypes
+    ctypes.CDLL(None).prctl(1, int(signal.SIGKILL), 0, 0, 0)
+
+
 class Outcome:
     """What is left of a run."""
 
--- a/pathsaddle/fleet/members.py
+++ b/pathsaddle/fleet/members.py
@@ -179,6 +179,8 @@
         self.walk: Walk | None = None
         self.errands: dict[int, Errand] = {}
         self.failed: dict[str, None] = {}  # whose probes failed since anybody answered us
+        self.judged_alone = False  # some of what we believe is `local`
+        self.lately: deque[Member] = deque(maxlen=64)  # who was last heard from
         self.foreign: deque[int] = deque(maxlen=2)  # when another claimed our name over what we had claimed
         self.silent = False  # another process has our name: we say nothing more
         self.gone = False  # we have left
@@ -306,6 +308,7 @@
             local = member.local or self.alone()
             self._believe(member, self._said_of(member, DEAD), now, f"no refutation for {waited} ms")
             member.local = local
+            self.judged_alone = self.judged_alone or local
             if not local:
                 self._spread(member.row.name)
 
@@ -330,6 +333,7 @@
         self._believe(member, row or self._said_of(member, SUSPECT), now,
                       why + (", nor does anybody" if local else f", says {row.by}" if row is not None else ""))
         member.local = local
+        self.judged_alone = self.judged_alone or local
         self._accuse(member, now)
         if not local:
             self._spread(member.row.name)
@@ -358,7 +362,11 @@
     def _answered(self, member: Member, asked: int, now: int) -> None:
         """Proof that it was there after `asked`."""
         member.heard = max(member.heard, asked)
+        self.lately.append(member)
         self.failed.clear()
+        if not self.judged_alone:
+            return
+        self.judged_alone = False
         for other in self.members.values():
             if other.local:  # what we thought while nobody answered us says nothing of them
                 self._back(other, now, "we were cut off ourselves")
@@ -523,6 +531,8 @@
         if walk.tries >= TRIES:
             self.walk = None
             return
+        if not self.purse.could(MOST, now, 0.5):
+            return
         walk.echo = self.chance.getrandbits(53)
         rows, last = self._page(walk.first, MOST - 220)
         if self._send(now, walk.address, walk.name, PAGE, walk.echo, first=walk.first, last=last, page=rows, spare=0.5):
@@ -543,6 +553,9 @@
 
     def _paged(self, said: Said, now: int) -> None:
         """Answers a page with all that we know better in its range, as far as there is room."""
+        if not self.purse.could(MOST, now, 0.25):
+            self._count("held back")
+            return
         theirs = {row.name: row for row in said.rows}
         room, rows, last = MOST - 220, [], said.last
         names = sorted(name for name, member in self.members.items()
@@ -576,7 +589,9 @@
             heard = self._heard_lately(now) if kind in (ACK, PAGED) else []
         room = MOST - OVERHEAD - 150 - size_of(self.me) - len(first) - len(last) - 40 * len(heard)
         room -= sum(map(size_of, rows))
-        rows += self._news(to, room, {row.name for row in rows})
+        # Probes and answers before news: two hundred that began at once had nothing left to answer with.
+        if self.purse.could(MOST, now, 0.5):
+            rows += self._news(to, room, {row.name for row in rows})
         self.number += 1
         data = encode(Said(self.ways.fleet, self.me, self.number, to, kind, echo, about, first, last, heard, rows),
                       self.ways.key)
@@ -611,9 +626,9 @@
             del self.gossip[name]
 
     def _heard_lately(self, now: int) -> list[tuple[str, int, int]]:
-        """A few drawn from those that were heard from; others' clocks may run otherwise, so ages are told longer."""
-        some = [m for m in self.members.values() if m.here and m.last_heard > NEVER]
-        some = self.chance.sample(some, min(HEARD, len(some)))
+        """A few drawn from those last heard from; others' clocks may run otherwise, so ages are told longer."""
+        lately = {m.row.name: m for m in self.lately if m.here and self.members.get(m.row.name) is m}
+        some = self.chance.sample(list(lately.values()), min(HEARD, len(lately)))
         return [(m.row.name, m.row.life, int((now - m.last_heard) * (1 + 2 * DRIFT)) + 1) for m in some]
 
     def heard(self, data: bytes, now: int) -> None:
@@ -712,6 +727,7 @@
             member = self.members.get(name)
             if member is not None and member.row.life == life and ago >= 0:
                 member.heard_by = max(member.heard_by, asked - ago)
+                self.lately.append(member)
 
     # The end.
 
--- a/pathsaddle/fleet/purse.py
+++ b/pathsaddle/fleet/purse.py
@@ -17,11 +17,15 @@
         self.left = [most_bytes / 2, most_datagrams / 2]
         self.at = now
 
-    def pays(self, size: int, now: int, spare: float = 0.0) -> bool:
+    def could(self, size: int, now: int, spare: float = 0.0) -> bool:
+        """Whether it would pay."""
         for i, rate in enumerate(self.rates):
             self.left[i] = min(rate, self.left[i] + rate * max(0, now - self.at) / SECOND)
         self.at = max(self.at, now)
-        if any(left - cost < spare * rate for left, cost, rate in zip(self.left, (size, 1), self.rates)):
+        return self.left[0] - size >= spare * self.rates[0] and self.left[1] - 1 >= spare * self.rates[1]
+
+    def pays(self, size: int, now: int, spare: float = 0.0) -> bool:
+        if not self.could(size, now, spare):
             return False
         self.left[0] -= size
         self.left[1] -= 1
