Deaths count though their process comes back early; what a place in the fleet costs

At fault: _deaths, which took the finding's window for the figure's. Now a death counts whenever it was, and how many were not known to all before the return. Processor time of real processes becomes an event.

--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -221,11 +221,15 @@
                    f"{spread([r.verdict['postings'] / max(1, r.verdict['tries']) for r in rs], '.2f')}, faults "
                    f"{sum(sum(r.verdict['faults'].values()) for r in rs)}, runs with a broken rule "
                    f"{sum(not r.kept for r in rs)}")
+        spent = [1e3 * r.verdict["cpu"] / max(1, r.verdict["tries"]) for r in rs if r.verdict.get("cpu")]
+        if spent:
+            click.echo(f"{variant}: processor ms a try, start included {spread(spent)}")
         seen = [r.verdict["fleet"] for r in rs if r.verdict.get("fleet")]
         if seen:
             known = sorted(ms for one in seen for ms in one["known"])
             first = sorted(ms for one in seen for ms in one["first"])
-            click.echo(f"{variant}: fleet: {len(known)} deaths, first seen ms {quantiles(first)}, known to all ms "
+            click.echo(f"{variant}: fleet: {sum(one['deaths'] for one in seen)} deaths, {sum(one['unaware'] for one in seen)} "
+                       f"not known to all before the return; first seen ms {quantiles(first)}, known to all ms "
                        f"{quantiles(known)}; accused wrongly a run {spread([float(one['false']) for one in seen], '.0f')}"
                        f", bytes a second and member {spread([one['rate'] for one in seen], '.0f')}, in the worst "
                        f"second {max(one['most_bytes'] for one in seen)}")
--- a/pathsaddle/emulator/fleet_judge.py
+++ b/pathsaddle/emulator/fleet_judge.py
@@ -40,6 +40,7 @@
     """What came out, times in ms."""
 
     deaths: int = 0
+    unaware: int = 0  # of them, how many some did not know of until it was back
     first: list[float] = field(default_factory=list)  # from each death until one member believes it
     known: list[float] = field(default_factory=list)  # until all do
     false: int = 0  # accusations of who ran and was connected, one a member and accusation
@@ -172,26 +173,27 @@
     def _deaths(self) -> None:
         for at, name, told in self.ends:
             again = next((begun for begun, _ in self.runs[name] if begun > at), FAR)
-            if again - at < self.bound and again < FAR or at + self.bound > self.end:
-                continue
+            until = min(at + self.bound, again)  # it may be back before all have to know
             life = self._life(name, at)
-            times = []
+            times, unaware = [], 0
             for who, runs in self.runs.items():
-                if who == name or not any(b <= at - self.bound // 2 and e > at + self.bound for b, e in runs):
+                if who == name or not any(b <= at - self.bound // 2 and e > until for b, e in runs):
                     continue
                 rows = self.views.get((who, name), [])
                 when = next((t for t, its, state in rows if its == life and state in ("dead", "left") and t >= at), None)
                 if when is None and rows and rows[-1][2] in ("dead", "left") and rows[-1][0] <= at:
                     continue
-                late = when is None or when > at + self.bound
-                if late and not self._troubled(at - self.bound, at + self.bound):
-                    self._finds("unknown", at + self.bound, f"{who} does not know that {name} is gone")
-                if when is not None:
+                if when is not None and when <= until:
                     times.append((when - at) / 10)
-            if times and not told:
+                    continue
+                unaware += 1
+                if until == at + self.bound < self.end and not self._troubled(at - self.bound, until):
+                    self._finds("unknown", until, f"{who} does not know that {name} is gone")
+            if not told and until < self.end:
                 self.figures.deaths += 1
-                self.figures.first.append(min(times))
-                self.figures.known.append(max(times))
+                self.figures.unaware += unaware > 0
+                self.figures.first += [min(times)] if times else []
+                self.figures.known += [max(times)] if not unaware and times else []
 
     def _whole(self) -> None:
         last = max([t[1] for t in self.trouble if t[1] < FAR] + [b for runs in self.runs.values() for b, _ in runs]
--- a/pathsaddle/emulator/judge.py
+++ b/pathsaddle/emulator/judge.py
@@ -139,6 +139,7 @@
     declines: int
     postings: int
     turned_away: int
+    cpu: float = 0.0  # seconds of processor time that dispatchers' processes took until the end, where it is known
     fleet: dict[str, Any] = field(default_factory=dict)  # what members of a fleet knew of one another, in figures
 
     @property
@@ -180,6 +181,7 @@
         self.findings: list[Finding] = []
         self.faults: Counter[str] = Counter()
         self.turned_away = 0
+        self.cpu = 0.0
         self.durable: dict[str, Try] = {}
         self.by_job: dict[int, str] = {}
         self.runs: dict[str, list[tuple[int, str]]] = {}
@@ -320,6 +322,9 @@
         self.finds("fault", at, f"dispatcher {more['dispatcher']} died: {more['why']}")
         self._killed(at, more)
 
+    def _cpu(self, at: int, more: dict[str, Any]) -> None:
+        self.cpu += more["seconds"]
+
     def _overdue(self, at: int, more: dict[str, Any]) -> None:
         self.finds("fault", at, f"dispatcher {more['dispatcher']} did not end when told to")
 
@@ -522,7 +527,7 @@
         self.findings.sort(key=lambda finding: finding.at)
         return Verdict(self.findings, *self._worth(), faults=dict(self.faults), tries=len(self.tries),
                        declines=sum(1 for t in self.tries.values() if t.answers and t.answers[0][1] == "declined"),
-                       postings=sum(map(len, self.postings.values())), turned_away=self.turned_away)
+                       postings=sum(map(len, self.postings.values())), turned_away=self.turned_away, cpu=self.cpu)
 
     def _worth(self) -> tuple[Row, dict[str, Row], dict[str, Row], list[tuple[int, float]]]:
         by_work = self.charter.prices.by_work
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -487,6 +487,9 @@
     async def finish(self) -> None:
         for d, process in self.processes.items():
             if process.returncode is None:
+                with contextlib.suppress(OSError):
+                    spent = Path(f"/proc/{process.pid}/stat").read_text(encoding="ascii").rpartition(")")[2].split()
+                    self.world.add("cpu", dispatcher=d, seconds=(int(spent[11]) + int(spent[12])) / os.sysconf("SC_CLK_TCK"))
                 self.meant[d] = None
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
--- a/pathsaddle/experiment/report.py
+++ b/pathsaddle/experiment/report.py
@@ -81,9 +81,30 @@
     axis.grid(alpha=0.3)
     axis.legend()
     made.append(drawn(figure))
+    seen = {variant: those for variant, rs in found.items()
+            if (those := [r.verdict["fleet"] for r in rs if r.verdict.get("fleet")])}
+    if seen:
+        made.append(fleet_plot(seen))
     return made
 
 
+def fleet_plot(seen: dict[str, list[dict[str, Any]]]) -> bytes:
+    """What members of a fleet knew: by variant, when deaths were known to all, wrong accusations, bytes."""
+    from matplotlib import pyplot
+    figure, axes = pyplot.subplots(1, 3, figsize=(13, 1.4 + 0.26 * len(seen)), sharey=True)
+    rows = {
+        "a death is known to all after, s": [[ms / 1000 for one in those for ms in one["known"]]
+                                             for those in seen.values()],
+        "wrong accusations a run": [[one["false"] for one in those] for those in seen.values()],
+        "bytes a second and member": [[one["rate"] for one in those] for those in seen.values()]}
+    for axis, (title, values) in zip(axes, rows.items(), strict=True):
+        axis.boxplot(values, orientation="horizontal", tick_labels=list(seen), whis=(0, 100))
+        axis.set_title(title)
+        axis.grid(alpha=0.3)
+    figure.tight_layout()
+    return drawn(figure)
+
+
 def page(results: list[Result]) -> str:
     """The whole page; raises ValueError where there is no result."""
     found = groups(results)
