--- a/pathsaddle/emulator/fleet_judge.py
+++ b/pathsaddle/emulator/fleet_judge.py
@@ -173,11 +173,11 @@
     def _deaths(self) -> None:
         for at, name, told in self.ends:
             again = next((begun for begun, _ in self.runs[name] if begun > at), FAR)
-            until = min(at + self.bound, again)  # it may be back before all have to know
+            until = min(at + self.bound, again, self.end)  # it may be back before all have to know
             life = self._life(name, at)
             times, unaware = [], 0
             for who, runs in self.runs.items():
-                if who == name or not any(b <= at - self.bound // 2 and e > until for b, e in runs):
+                if who == name or not any(b <= at - self.bound // 2 and e >= until for b, e in runs):
                     continue
                 rows = self.views.get((who, name), [])
                 when = next((t for t, its, state in rows if its == life and state in ("dead", "left") and t >= at), None)
@@ -189,7 +189,7 @@
                 unaware += 1
                 if until == at + self.bound < self.end and not self._troubled(at - self.bound, until):
                     self._finds("unknown", until, f"{who} does not know that {name} is gone")
-            if not told and until < self.end:
+            if not told:
                 self.figures.deaths += 1
                 self.figures.unaware += unaware > 0
                 self.figures.first += [min(times)] if times else []
--- a/pathsaddle/fleet/members.py
+++ b/pathsaddle/fleet/members.py
@@ -357,6 +357,10 @@
             return
         member.witnesses[who] = None
         member.until = member.begun + self._doubt(len(member.witnesses) - 1)
+        # What is told on is a testimony of its own, ours before another's: with the first accuser's name on it, it was
+        # nobody's second, and each suspicion lasted its longest.
+        by, row = self.me.name if self.me.name in member.witnesses else who, member.row
+        member.row = Row(row.name, row.life, row.count, row.state, row.address, row.zone, row.form, by)
         self._spread(member.row.name)
 
     def _answered(self, member: Member, asked: int, now: int) -> None:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -217,6 +217,19 @@
         self.assertFalse(a.heard_within("b", life, 4 * SECOND, between.now))
         self.assertFalse(a.heard_within("b", life + 1, 100 * SECOND, between.now))
 
+    def test_each_further_witness_is_told_of_as_one_and_shortens_the_suspicion(self):
+        core, others = member("a"), [member(name, seed=ord(name)) for name in "bcdef"]
+        self.meet(core, *others)
+        until, told = [], []
+        for by in "bcd":
+            core.learn(Row("f", others[4].me.life, 0, SUSPECT, others[4].me.address, "here", by=by), 10, by)
+            until.append(core.members["f"].until)
+            told.append(core.members["f"].row.by)
+        self.assertEqual(told, ["b", "c", "d"])
+        self.assertTrue(until[0] > until[1] > until[2])
+        core.learn(Row("f", others[4].me.life, 0, SUSPECT, others[4].me.address, "here", by="b"), 20, "b")
+        self.assertEqual(core.members["f"].until, until[2])
+
     def test_a_member_whom_nobody_answers_tells_its_doubts_to_nobody(self):
         a, others = member("a"), [member(name, seed=ord(name)) for name in "bcde"]
         between = self.meet(a, *others)
