--- a/pathsaddle/emulator/links.py
+++ b/pathsaddle/emulator/links.py
@@ -26,6 +26,7 @@
 
 if TYPE_CHECKING:
     from pathsaddle.emulator.datagrams import Datagrams, LinkedDatagrams
+    from pathsaddle.emulator.world import World
     from pathsaddle.fleet.driver import Fellows
     from pathsaddle.net.memory.counters import Counters
 
@@ -110,6 +111,28 @@
         self.tasks.clear()
 
 
+class Hosts:
+    """Dispatchers as hosts: what can be done to one besides killing it. Part of a stage of the virtual ground."""
+
+    world: World
+    net: Net
+    hosts: dict[int, Host]
+
+    def stall(self, dispatcher: int) -> None:
+        self.world.add("stalled", dispatcher=dispatcher)
+        self.hosts[dispatcher].stall()
+
+    def go_on(self, dispatcher: int) -> None:
+        self.world.add("goes_on", dispatcher=dispatcher)
+        self.net.loop.go_on(self.hosts[dispatcher])
+
+    def clock_step(self, dispatcher: int, seconds: float) -> None:
+        self.hosts[dispatcher].wall_off += seconds
+
+    def clock_rate(self, dispatcher: int, rate: float) -> None:
+        self.hosts[dispatcher].run_clock(rate)
+
+
 class Net:
     """Who listens where, and a digest of every byte that was sent."""
 
--- a/pathsaddle/emulator/members.py
+++ b/pathsaddle/emulator/members.py
@@ -11,7 +11,7 @@
 from pathsaddle.emulator.air import Air
 from pathsaddle.emulator.datagrams import Datagrams
 from pathsaddle.emulator.faults import Faults
-from pathsaddle.emulator.links import Host, Net, VirtualGround
+from pathsaddle.emulator.links import Host, Hosts, Net, VirtualGround
 from pathsaddle.emulator.plan import charter_of
 from pathsaddle.emulator.world import World
 from pathsaddle.fleet.driver import Fellows
@@ -116,7 +116,7 @@
         pass
 
 
-class MembersStage:
+class MembersStage(Hosts):
     """A run of members alone, each a host with its own driver."""
 
     def __init__(self, world: World, net: Net) -> None:
@@ -181,20 +181,6 @@
         await asyncio.sleep(1.0)
         self.hosts[dispatcher].kill()
 
-    def stall(self, dispatcher: int) -> None:
-        self.world.add("stalled", dispatcher=dispatcher)
-        self.hosts[dispatcher].stall()
-
-    def go_on(self, dispatcher: int) -> None:
-        self.world.add("goes_on", dispatcher=dispatcher)
-        self.net.loop.go_on(self.hosts[dispatcher])
-
-    def clock_step(self, dispatcher: int, seconds: float) -> None:
-        self.hosts[dispatcher].wall_off += seconds
-
-    def clock_rate(self, dispatcher: int, rate: float) -> None:
-        self.hosts[dispatcher].run_clock(rate)
-
     async def play(self) -> None:
         world, plan = self.world, self.world.plan
         world.begun = self.net.loop.true_time()
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -22,7 +22,7 @@
 from pathsaddle.emulator.clients import Clients, FrontLayer
 from pathsaddle.emulator.events import Events
 from pathsaddle.emulator.faults import Faults
-from pathsaddle.emulator.links import Host, Net, VirtualGround
+from pathsaddle.emulator.links import Host, Hosts, Net, VirtualGround
 from pathsaddle.emulator.moments import Moments
 from pathsaddle.emulator.plan import SECRET, Plan, charter_of, worker_names
 from pathsaddle.emulator.relays import Relays
@@ -174,7 +174,7 @@
         await self.finish()
 
 
-class VirtualStage(Stage):
+class VirtualStage(Hosts, Stage):
     """Several dispatchers' unchanged `net` code on one virtual loop."""
 
     def __init__(self, world: World, net: Net) -> None:
@@ -273,20 +273,6 @@
         if self.fleet is not None:
             self.fleet.disks[dispatcher].lose(how)
 
-    def stall(self, dispatcher: int) -> None:
-        self.world.add("stalled", dispatcher=dispatcher)
-        self.hosts[dispatcher].stall()
-
-    def go_on(self, dispatcher: int) -> None:
-        self.world.add("goes_on", dispatcher=dispatcher)
-        self.net.loop.go_on(self.hosts[dispatcher])
-
-    def clock_step(self, dispatcher: int, seconds: float) -> None:
-        self.hosts[dispatcher].wall_off += seconds
-
-    def clock_rate(self, dispatcher: int, rate: float) -> None:
-        self.hosts[dispatcher].run_clock(rate)
-
     def signal(self, dispatcher: int, sig: int) -> None:
         self.hosts[dispatcher].signal(sig)
 
