--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -122,7 +122,7 @@
             except OSError:
                 pass
             self._flush()
-            self._set(self.core.promised)
+            self._set(self.core.due(self.clock.now()))
 
     def _wake(self) -> None:
         self._alarm = None
--- a/pathsaddle/fleet/members.py
+++ b/pathsaddle/fleet/members.py
@@ -223,6 +223,10 @@
             self._reach_the_dead(now)
             self._walk_on(now)
             self._compare(now)
+        return self.due(now)
+
+    def due(self, now: int) -> int:
+        """When it wants to be woken, as it stands: asked again after datagrams were heard."""
         self.promised = self._due(now)
         return self.promised
 
@@ -236,6 +240,8 @@
             due = min(due, self.walk.sent + self.ways.beat if self.walk.sent > NEVER else now + self.ways.beat // 8)
         for member in self.accused.values():
             due = min(due, member.until)
+        for errand in self.errands.values():
+            due = min(due, errand.until)
         return max(due, now + 1)
 
     def period(self) -> int:
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -230,6 +230,17 @@
         core.learn(Row("f", others[4].me.life, 0, SUSPECT, others[4].me.address, "here", by="b"), 20, "b")
         self.assertEqual(core.members["f"].until, until[2])
 
+    def test_a_helper_without_an_answer_says_so_in_time_for_who_asked(self):
+        core, asker, gone = member("a"), member("b", seed=1), member("c", seed=2)
+        self.meet(core, asker, gone)
+        asked = wire.encode(Said("f", asker.me, 1, "a", wire.ASK, 7, "c"), KEY)
+        core.wake(0)
+        core.heard(asked, 50)
+        self.assertLessEqual(core.due(50), 50 + core.ways.patience)
+        core.out = []
+        core.wake(50 + core.ways.patience)
+        self.assertIn(wire.MISSED, [wire.decode(data, KEY, "f").kind for _, data in core.out])
+
     def test_a_member_whom_nobody_answers_tells_its_doubts_to_nobody(self):
         a, others = member("a"), [member(name, seed=ord(name)) for name in "bcde"]
         between = self.meet(a, *others)
