--- a/pathsaddle/emulator/air.py
+++ b/pathsaddle/emulator/air.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -84,7 +84,3 @@
         if meter is None:
             meter = self.meters[sender] = Meter()
         meter.add(at, size)
-
-
-def whole(names: Iterable[str]) -> frozenset[str]:
-    return frozenset(names)
--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults.py
@@ -7,7 +7,7 @@
 import signal
 from typing import TYPE_CHECKING
 
-from pathsaddle.emulator.air import Blight, whole
+from pathsaddle.emulator.air import Blight
 from pathsaddle.emulator.plan import FAULTS, Trouble, named
 from pathsaddle.emulator.workers import OneSided
 from pathsaddle.emulator.world import TICKS, Way, World
@@ -311,7 +311,7 @@
         one = named(plan, charter, trouble.of) if trouble.of else [f"d{self.chance.choice(self.stage.numbers)}"]
         other = named(plan, charter, trouble.among) if trouble.among else [
             f"d{d}" for d in self.stage.numbers if f"d{d}" not in one]
-        blight = Blight(whole(one), whole(other), trouble.oneway, **more)
+        blight = Blight(frozenset(one), frozenset(other), trouble.oneway, **more)
         self.world.add("blight", kind=trouble.kind, one=sorted(one), other=sorted(other), oneway=trouble.oneway)
         self.stage.air.blights[blight] = None
         await self._lasts(trouble)
--- a/pathsaddle/emulator/members.py
+++ b/pathsaddle/emulator/members.py
@@ -73,8 +73,6 @@
         count = self.begun[dispatcher] = self.begun.get(dispatcher, 0) + 1
         chance = self.world.chance(f"member {dispatcher} {count}")
         disk = self.disks.setdefault(dispatcher, Disk())
-        if charter.fleet.folder == "none":
-            disk.lose("empty")
         made = Fellows(fellow(charter), ground, disk, chance, counters)
         made.quiet = True
         made.on_change.append(lambda change: self._tell(dispatcher, change))
--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -13,7 +13,7 @@
 
 from pathsaddle.fleet.lives import Lives, NoFolder
 from pathsaddle.fleet.members import Change, Membership, Ways, life_of
-from pathsaddle.fleet.wire import ALIVE, LEFT, MOST, REASONS, STATES, Row
+from pathsaddle.fleet.wire import ALIVE, LEFT, MOST, STATES, Row
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
@@ -240,7 +240,3 @@
                          "for": ago(member.since), "heard": ago(member.heard), "heard_by": ago(member.heard_by)}
                         for member in (core.members[name] for name in sorted(core.members))
                         for row in (member.row,)]}
-
-
-def refusals(core: Membership) -> dict[str, int]:
-    return {reason: core.counts.get(f"refused {reason}", 0) for reason in (*REASONS, "older")}
--- a/pathsaddle/fleet/members.py
+++ b/pathsaddle/fleet/members.py
@@ -26,7 +26,6 @@
     ALIVE,
     ASK,
     DEAD,
-    FORM,
     LEFT,
     MISSED,
     MOST,
@@ -762,6 +761,3 @@
 def life_of(wall_ms: int, last: int, chance: Random) -> int:
     """The number of a life that begins now: above the last that the disk knows, and by the clock."""
     return max(wall_ms, last // OVER + 1) * OVER + chance.randrange(OVER)
-
-
-__all__ = ["FORM", "Change", "Member", "Membership", "Ways", "life_of"]
