A story of an interrupt waits for no time: the signal is raised where it is wanted

Seen by the landing's checks: a sleep of a second in tests/test_cli.py, in which an interrupt was to arrive. signal.raise_signal handles it before it returns.

--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -7,7 +7,6 @@
 import subprocess
 import sys
 import tempfile
-import time
 import unittest
 from pathlib import Path
 from typing import Any
@@ -120,8 +119,7 @@
     def test_an_interrupt_that_a_parsers_callback_swallows_ends_the_runs_all_the_same(self) -> None:
         class Swallows:
             def on_url(self, url: bytes) -> None:
-                os.kill(os.getpid(), signal.SIGINT)
-                time.sleep(1.0)
+                signal.raise_signal(signal.SIGINT)  # handled before it returns: the interrupt is raised here
 
         def work(task: run.Task) -> Any:
             with self.assertRaises(httptools.HttpParserError):
