--- a/pathsaddle/cli/fleet.py
+++ b/pathsaddle/cli/fleet.py
@@ -11,7 +11,7 @@
 def _asked(charter: str, word: str) -> Any:
     """By the control address that a charter names, or that stands in its place."""
     from pathsaddle.charter.told import read
-    from pathsaddle.cli.main import Stop, checked
+    from pathsaddle.cli.stop import Stop, checked
     from pathsaddle.fleet.asking import asked
     address = charter
     if not charter.rpartition(":")[2].isdigit():
--- a/pathsaddle/cli/jobs.py
+++ b/pathsaddle/cli/jobs.py
@@ -13,7 +13,7 @@
 
 
 def _unusable(fault: Exception) -> Exception:
-    from pathsaddle.cli.main import Stop
+    from pathsaddle.cli.stop import Stop
     return Stop(str(fault), 2)
 
 
--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -14,30 +14,11 @@
 import click
 
 from pathsaddle import __version__
+from pathsaddle.cli.stop import Stop, checked
 
 INTERRUPTED = 130
 
 
-class Stop(click.ClickException):
-    """Ends with its code."""
-
-    def __init__(self, text: str, code: int) -> None:
-        super().__init__(text)
-        self.exit_code: int = code  # type: ignore[misc]
-
-    def show(self, file: Any = None) -> None:
-        click.echo(self.message, err=True)
-
-
-def checked(read: Any, path: str) -> Any:
-    """A file's object, or an end with one line a fault."""
-    from pathsaddle.charter.check import Faulty
-    try:
-        return read(path)
-    except Faulty as fault:
-        raise Stop("\n".join(map(str, fault.faults)), 2) from None
-
-
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="pathsaddle")
 def cli() -> None:
@@ -97,7 +78,7 @@
     from pathsaddle.cli import show
     from pathsaddle.emulator import plan as plans
     from pathsaddle.emulator import stage
-    from pathsaddle.emulator.judge import judge
+    from pathsaddle.emulator.judges.judge import judge
     from pathsaddle.experiment.run import SLACK
     console = Console(width=None if sys.stdout.isatty() else 110)
     plan = checked(plans.read, str(path))
--- a/pathsaddle/cli/show.py
+++ b/pathsaddle/cli/show.py
@@ -9,7 +9,7 @@
 from rich.table import Table
 
 from pathsaddle.emulator.events import Event
-from pathsaddle.emulator.judge import RULES, Row, Verdict
+from pathsaddle.emulator.judges.judge import RULES, Row, Verdict
 
 MEANS = {
     "lost": "1 each txn taken has an answer", "late": "1 before its expiry", "twice": "1 one answer alone",
--- /dev/null
+++ b/pathsaddle/emulator/faults/__init__.py
@@ -0,0 +1,1 @@
+"""What goes wrong in a run."""
--- a/pathsaddle/emulator/faults.py
+++ b/pathsaddle/emulator/faults/faults.py
@@ -5,25 +5,55 @@
 import asyncio
 import fnmatch
 import signal
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Coroutine, Mapping
+from typing import Any, Protocol
 
-from pathsaddle.emulator.air import Blight
+from pathsaddle.emulator.ground.air import Air, Blight
 from pathsaddle.emulator.plan import FAULTS, Trouble, named
-from pathsaddle.emulator.workers import OneSided
-from pathsaddle.emulator.world import TICKS, Way, World
-
-if TYPE_CHECKING:
-    from pathsaddle.emulator.stage import Stage
+from pathsaddle.emulator.served.clients import Clients
+from pathsaddle.emulator.served.roster import Roster
+from pathsaddle.emulator.served.workers import OneSided, Worker
+from pathsaddle.emulator.served.world import TICKS, Way, World
 
 DRAIN_END = 0.05  # seconds between looks whether a drained worker has finished
 BACK_AFTER = 2.0  # seconds until a drained worker's process starts anew
 
 
+class Dispatchers(Protocol):
+    """The dispatchers of a run, by number: all that can be done to their processes."""
+
+    numbers: list[int]
+
+    @property
+    def disks(self) -> Mapping[int, Any]:
+        """Of those with a store, on the virtual ground."""
+
+    async def start(self, dispatcher: int, again: bool = False) -> None: ...
+    def kill(self, dispatcher: int) -> None: ...
+    def lose(self, dispatcher: int, how: str) -> None: ...
+    def signal(self, dispatcher: int, sig: int) -> None: ...
+    async def gone(self, dispatcher: int) -> None: ...
+    def stall(self, dispatcher: int) -> None: ...
+    def go_on(self, dispatcher: int) -> None: ...
+    def clock_step(self, dispatcher: int, seconds: float) -> None: ...
+    def clock_rate(self, dispatcher: int, rate: float) -> None: ...
+
+
 class Faults:
-    def __init__(self, world: World, stage: Stage) -> None:
+    """When what strikes whom; and what strikes dispatchers, what they tell one another, and the network."""
+
+    def __init__(self, world: World, start: Callable[[Coroutine[Any, Any, None]], object], dispatchers: Dispatchers,
+                 air: Air, died: Callable[[int], None] = lambda dispatcher: None,
+                 parted: Callable[[], None] = lambda: None) -> None:
+        """`start`: begins a task of the ground's. `died`: tells whoever deals out connections. `parted`: the
+        weather's cuts have changed."""
         self.world = world
-        self.stage = stage
-        self.place = stage.place("faults", "")
+        self.start = start
+        self.dispatchers = dispatchers
+        self.air = air
+        self.died = died
+        self.parted = parted
+        self.workers: dict[str, Worker] = {}
         self.count = 0
         self.busy: dict[tuple[str, str], None] = {}  # whom something strikes that ends by itself
         self.chances = [world.chance(f"fault {n}") for n in range(len(world.plan.faults))]
@@ -32,7 +62,7 @@
         for number, trouble in enumerate(self.world.plan.faults):
             if trouble.after:
                 continue
-            self.place.start(self._come(number, trouble))
+            self.start(self._come(number, trouble))
 
     async def _come(self, number: int, trouble: Trouble) -> None:
         """One line of the plan: once, again and again, or at random."""
@@ -48,7 +78,7 @@
             self._comes(number, trouble)
             for follower, other in enumerate(self.world.plan.faults):
                 if other.after == trouble.kind:
-                    self.place.start(self._follows(follower, other))
+                    self.start(self._follows(follower, other))
             if trouble.at is not None and not trouble.every:
                 return
             if trouble.at is not None:
@@ -60,7 +90,7 @@
             chance = self.chances[number]
             whom = names if trouble.of and trouble.at is not None and "*" in trouble.of else [chance.choice(names)]
             for name in whom:
-                self.place.start(self._strike(trouble, name))
+                self.start(self._strike(trouble, name))
 
     async def _follows(self, number: int, trouble: Trouble) -> None:
         await asyncio.sleep((trouble.at or 0) / TICKS)
@@ -69,7 +99,7 @@
     def _names(self, trouble: Trouble) -> list[str]:
         """Whom it may strike now: nobody who is struck already by what can't come twice."""
         of = FAULTS[trouble.kind]
-        names = {"worker": list(self.stage.workers), "dispatcher": [f"d{d}" for d in self.stage.numbers],
+        names = {"worker": list(self.workers), "dispatcher": [f"d{d}" for d in self.dispatchers.numbers],
                  "zone": list(self.world.charter.zones)}.get(of, [trouble.of])
         if of in ("worker", "dispatcher", "zone") and trouble.of:
             names = fnmatch.filter(names, trouble.of)
@@ -97,63 +127,194 @@
             await self.world.loop.create_future()
         await asyncio.sleep(trouble.for_ / TICKS)
 
+    # Dispatchers.
+
+    async def _kill(self, trouble: Trouble, name: str) -> None:
+        number = int(name[1:])
+        self.dispatchers.kill(number)
+        self.died(number)
+        self.dispatchers.lose(number, trouble.how or "synced")
+        await self._lasts(trouble)
+        await self.dispatchers.start(number, again=True)
+
+    async def _term(self, trouble: Trouble, name: str) -> None:
+        """A planned restart: SIGTERM, and a new one once it has ended."""
+        number = int(name[1:])
+        self.world.add("stopping", dispatcher=number)
+        self.dispatchers.signal(number, signal.SIGTERM)
+        self.died(number)
+        await self.dispatchers.gone(number)
+        await self._lasts(trouble)
+        await self.dispatchers.start(number, again=True)
+
+    async def _disk_ill(self, trouble: Trouble, name: str) -> None:
+        """Every commit fails, as on a disk that is full. On the virtual ground alone."""
+        disk = self.dispatchers.disks.get(int(name[1:]))
+        if disk is not None:
+            disk.ill = OSError(28, "no space left")
+            await self._lasts(trouble)
+            disk.ill = None
+
+    async def _disk_slow(self, trouble: Trouble, name: str) -> None:
+        """One sync takes `strength` seconds more. On the virtual ground alone."""
+        disk = self.dispatchers.disks.get(int(name[1:]))
+        if disk is not None:
+            disk.slow = trouble.strength
+            await self._lasts(trouble)
+            disk.slow = 0.0
+
+    async def _hup(self, trouble: Trouble, name: str) -> None:
+        self.dispatchers.signal(int(name[1:]), signal.SIGHUP)
+
+    async def _stall(self, trouble: Trouble, name: str) -> None:
+        """It stands still, as by SIGSTOP, and goes on with what it believed."""
+        number = int(name[1:])
+        self.dispatchers.stall(number)
+        self.died(number)
+        await self._lasts(trouble)
+        self.dispatchers.go_on(number)
+
+    async def _clock_step(self, trouble: Trouble, name: str) -> None:
+        """Its wall clock is off by `strength` seconds from now on. On the virtual ground alone."""
+        self.dispatchers.clock_step(int(name[1:]), trouble.strength * (-1 if trouble.how == "back" else 1))
+
+    async def _clock_rate(self, trouble: Trouble, name: str) -> None:
+        """Its monotonic clock runs faster, or slower, by the part `strength`. On the virtual ground alone."""
+        number, off = int(name[1:]), trouble.strength * (-1 if trouble.how == "slow" else 1)
+        self.dispatchers.clock_rate(number, 1.0 + off)
+        await self._lasts(trouble)
+        self.dispatchers.clock_rate(number, 1.0)
+
+    # What dispatchers tell one another.
+
+    async def _blight(self, trouble: Trouble, name: str, **more: float) -> None:
+        plan, charter = self.world.plan, self.world.charter
+        one = named(plan, charter, trouble.of) if trouble.of else [f"d{self.chance.choice(self.dispatchers.numbers)}"]
+        other = named(plan, charter, trouble.among) if trouble.among else [
+            f"d{d}" for d in self.dispatchers.numbers if f"d{d}" not in one]
+        blight = Blight(frozenset(one), frozenset(other), trouble.oneway, **more)
+        self.world.add("blight", kind=trouble.kind, one=sorted(one), other=sorted(other), oneway=trouble.oneway)
+        self.air.blights[blight] = None
+        await self._lasts(trouble)
+        self.air.blights.pop(blight)
+
+    async def _link_cut(self, trouble: Trouble, name: str) -> None:
+        """Nothing gets through."""
+        await self._blight(trouble, name, lost=1.0)
+
+    async def _link_lossy(self, trouble: Trouble, name: str) -> None:
+        """The part `strength` is lost."""
+        await self._blight(trouble, name, lost=min(1.0, trouble.strength))
+
+    async def _link_slow(self, trouble: Trouble, name: str) -> None:
+        """All takes `extra` longer, one way."""
+        await self._blight(trouble, name, extra=trouble.extra / TICKS)
+
+    async def _link_doubles(self, trouble: Trouble, name: str) -> None:
+        """The part `strength` comes twice, the second up to `extra` later."""
+        await self._blight(trouble, name, doubled=min(1.0, trouble.strength), shuffle=trouble.extra / TICKS)
+
+    async def _link_shuffles(self, trouble: Trouble, name: str) -> None:
+        """Each takes up to `extra` longer, so that they come out of their order."""
+        await self._blight(trouble, name, shuffle=trouble.extra / TICKS)
+
+    # The network.
+
+    async def _reset(self, trouble: Trouble, name: str) -> None:
+        """Messages break their connection at some byte, with the chance `strength`."""
+        self.world.weather.resets = min(1.0, trouble.strength)
+        await self._lasts(trouble)
+        self.world.weather.resets = 0.0
+
+    async def _cut(self, trouble: Trouble, name: str) -> None:
+        """A zone is cut off from all others and comes back."""
+        await self._silence(trouble, name)
+
+    async def _slow_link(self, trouble: Trouble, name: str) -> None:
+        """A zone's way to another, or to all: `extra` longer each way, and `strength` of what is sent is lost."""
+        way = Way(name, (trouble.among,) if trouble.among else None, int(trouble.extra), trouble.strength)
+        self.world.weather.ways[way] = None
+        await self._lasts(trouble)
+        self.world.weather.ways.pop(way)
+
+    async def _cut_worker(self, trouble: Trouble, name: str) -> None:
+        await self._silence(trouble, name)
+
+    async def _silence(self, trouble: Trouble, name: str) -> None:
+        self.world.weather.cut[name] = None
+        self.parted()
+        await self._lasts(trouble)
+        self.world.weather.heal(name)
+        self.parted()
+
+
+class ServedFaults(Faults):
+    """Also what strikes those whom dispatchers serve and those who serve for them: workers, roster, load."""
+
+    def __init__(self, world: World, start: Callable[[Coroutine[Any, Any, None]], object], dispatchers: Dispatchers,
+                 air: Air, died: Callable[[int], None], parted: Callable[[], None], workers: dict[str, Worker],
+                 roster: Roster, clients: Clients, moved: Callable[[int], None]) -> None:
+        """`moved`: a dispatcher's operator writes where the roster is."""
+        super().__init__(world, start, dispatchers, air, died, parted)
+        self.workers, self.roster, self.clients, self.moved = workers, roster, clients, moved
+
     # Workers.
 
     async def _freeze(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.freeze()
         await self._lasts(trouble)
         worker.thaw()
 
     async def _silent(self, trouble: Trouble, name: str) -> None:
         """It goes on accepting and answers nothing, then its process is found dead."""
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.freeze()
         await self._lasts(trouble)
         worker.crash()
-        self.stage.roster.change(name, "left")
+        self.roster.change(name, "left")
         await asyncio.sleep(1.0)
         await self._again(name)
 
     async def _crash(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.crash()
-        self.stage.roster.change(name, "left")
+        self.roster.change(name, "left")
         await self._lasts(trouble)
         await self._again(name)
 
     async def _again(self, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.restart()
         if worker.place.alive:
-            self.stage.roster.change(name, "active", since=worker.started)
+            self.roster.change(name, "active", since=worker.started)
 
     async def _drain(self, trouble: Trouble, name: str) -> None:
         """Marked as leaving for a while; then its process ends once its jobs have, and later starts anew."""
-        worker = self.stage.workers[name]
-        self.stage.roster.change(name, "leaving")
+        worker = self.workers[name]
+        self.roster.change(name, "leaving")
         await self._lasts(trouble)
         while worker.jobs and worker.place.alive:
             await asyncio.sleep(DRAIN_END)
         worker.crash(told=False)
-        self.stage.roster.change(name, "left")
+        self.roster.change(name, "left")
         await asyncio.sleep(BACK_AFTER)
         await self._again(name)
 
     async def _slow(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.hinder(trouble.strength)
         await self._lasts(trouble)
         worker.hinder(0.0)
 
     async def _errors(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.errors = trouble.strength
         await self._lasts(trouble)
         worker.errors = 0.0
 
     async def _untaken(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         scheme = trouble.scheme or self.world.charter.schemes[0].name
         worker.untaken[scheme] = None
         await self._lasts(trouble)
@@ -161,7 +322,7 @@
 
     async def _lie(self, trouble: Trouble, name: str) -> None:
         """`strength`: the part of its load that it shows, where its reports are low."""
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.lie(trouble.how or "zero", trouble.strength)
         await self._lasts(trouble)
         worker.lies = ""
@@ -178,7 +339,7 @@
             await self._down(trouble, name, how, turn * trouble.strength)
 
     async def _down(self, trouble: Trouble, name: str, how: str, lasts: float) -> None:
-        worker, roster = self.stage.workers[name], self.stage.roster
+        worker, roster = self.workers[name], self.roster
         if how == "errors":
             worker.errors = 1.0
             await asyncio.sleep(lasts)
@@ -204,7 +365,7 @@
 
     async def _one_sided(self, trouble: Trouble, name: str) -> None:
         """Bad for some dispatchers, and as usual for the rest."""
-        worker, numbers = self.stage.workers[name], self.stage.numbers
+        worker, numbers = self.workers[name], self.dispatchers.numbers
         among = ([d for d in numbers if fnmatch.fnmatch(f"d{d}", trouble.among)] if trouble.among
                  else self.chance.sample(numbers, max(1, len(numbers) // 2)))
         side = OneSided(trouble.how or "loss", among, trouble.strength)
@@ -218,20 +379,20 @@
 
     async def _reap(self, trouble: Trouble, name: str) -> None:
         """Its idle connections are dropped unseen after `strength` seconds without use."""
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.reaped = (int(trouble.strength * TICKS), trouble.how or "reset")
         await self._lasts(trouble)
         worker.reaped = (0, "")
 
     async def _late_reports(self, trouble: Trouble, name: str) -> None:
         """By `strength` seconds."""
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.late = int(trouble.strength * TICKS)
         await self._lasts(trouble)
         worker.late = 0
 
     async def _full_accept(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         listeners = worker.listeners
         for listener in listeners:
             listener.deafen()
@@ -241,168 +402,48 @@
                 listener.hear()
 
     async def _callbacks_twice(self, trouble: Trouble, name: str) -> None:
-        worker = self.stage.workers[name]
+        worker = self.workers[name]
         worker.twice = True
         await self._lasts(trouble)
         worker.twice = False
 
-    # Dispatchers.
-
-    async def _kill(self, trouble: Trouble, name: str) -> None:
-        number = int(name[1:])
-        self.stage.kill(number)
-        self.stage.front.died(number)
-        self.stage.lose(number, trouble.how or "synced")
-        await self._lasts(trouble)
-        await self.stage.start(number, again=True)
-
-    async def _term(self, trouble: Trouble, name: str) -> None:
-        """A planned restart: SIGTERM, and a new one once it has ended."""
-        number = int(name[1:])
-        self.world.add("stopping", dispatcher=number)
-        self.stage.signal(number, signal.SIGTERM)
-        self.stage.front.died(number)
-        await self.stage.gone(number)
-        await self._lasts(trouble)
-        await self.stage.start(number, again=True)
-
-    async def _disk_ill(self, trouble: Trouble, name: str) -> None:
-        """Every commit fails, as on a disk that is full. On the virtual ground alone."""
-        disk = self.stage.disks.get(int(name[1:]))
-        if disk is not None:
-            disk.ill = OSError(28, "no space left")
-            await self._lasts(trouble)
-            disk.ill = None
-
-    async def _disk_slow(self, trouble: Trouble, name: str) -> None:
-        """One sync takes `strength` seconds more. On the virtual ground alone."""
-        disk = self.stage.disks.get(int(name[1:]))
-        if disk is not None:
-            disk.slow = trouble.strength
-            await self._lasts(trouble)
-            disk.slow = 0.0
-
-    async def _hup(self, trouble: Trouble, name: str) -> None:
-        self.stage.signal(int(name[1:]), signal.SIGHUP)
-
-    async def _stall(self, trouble: Trouble, name: str) -> None:
-        """It stands still, as by SIGSTOP, and goes on with what it believed."""
-        number = int(name[1:])
-        self.stage.stall(number)
-        self.stage.front.died(number)
-        await self._lasts(trouble)
-        self.stage.go_on(number)
-
-    async def _clock_step(self, trouble: Trouble, name: str) -> None:
-        """Its wall clock is off by `strength` seconds from now on. On the virtual ground alone."""
-        self.stage.clock_step(int(name[1:]), trouble.strength * (-1 if trouble.how == "back" else 1))
-
-    async def _clock_rate(self, trouble: Trouble, name: str) -> None:
-        """Its monotonic clock runs faster, or slower, by the part `strength`. On the virtual ground alone."""
-        number, off = int(name[1:]), trouble.strength * (-1 if trouble.how == "slow" else 1)
-        self.stage.clock_rate(number, 1.0 + off)
-        await self._lasts(trouble)
-        self.stage.clock_rate(number, 1.0)
-
-    # What dispatchers tell one another.
-
-    async def _blight(self, trouble: Trouble, name: str, **more: float) -> None:
-        plan, charter = self.world.plan, self.world.charter
-        one = named(plan, charter, trouble.of) if trouble.of else [f"d{self.chance.choice(self.stage.numbers)}"]
-        other = named(plan, charter, trouble.among) if trouble.among else [
-            f"d{d}" for d in self.stage.numbers if f"d{d}" not in one]
-        blight = Blight(frozenset(one), frozenset(other), trouble.oneway, **more)
-        self.world.add("blight", kind=trouble.kind, one=sorted(one), other=sorted(other), oneway=trouble.oneway)
-        self.stage.air.blights[blight] = None
-        await self._lasts(trouble)
-        self.stage.air.blights.pop(blight)
-
-    async def _link_cut(self, trouble: Trouble, name: str) -> None:
-        """Nothing gets through."""
-        await self._blight(trouble, name, lost=1.0)
-
-    async def _link_lossy(self, trouble: Trouble, name: str) -> None:
-        """The part `strength` is lost."""
-        await self._blight(trouble, name, lost=min(1.0, trouble.strength))
-
-    async def _link_slow(self, trouble: Trouble, name: str) -> None:
-        """All takes `extra` longer, one way."""
-        await self._blight(trouble, name, extra=trouble.extra / TICKS)
-
-    async def _link_doubles(self, trouble: Trouble, name: str) -> None:
-        """The part `strength` comes twice, the second up to `extra` later."""
-        await self._blight(trouble, name, doubled=min(1.0, trouble.strength), shuffle=trouble.extra / TICKS)
-
-    async def _link_shuffles(self, trouble: Trouble, name: str) -> None:
-        """Each takes up to `extra` longer, so that they come out of their order."""
-        await self._blight(trouble, name, shuffle=trouble.extra / TICKS)
-
     # The roster.
 
     async def _outage(self, trouble: Trouble, name: str) -> None:
-        self.stage.roster.outage()
+        self.roster.outage()
         await self._lasts(trouble)
-        self.stage.roster.back()
+        self.roster.back()
 
     async def _roster_restart(self, trouble: Trouble, name: str) -> None:
-        self.stage.roster.restart()
+        self.roster.restart()
 
     async def _roster_moves(self, trouble: Trouble, name: str) -> None:
         """To another address; the operator tells every dispatcher after `for`."""
-        self.stage.roster.move()
+        self.roster.move()
         await self._lasts(trouble)
-        for number in self.stage.numbers:
-            self.stage.tell(number)
-            self.stage.signal(number, signal.SIGHUP)
+        for number in self.dispatchers.numbers:
+            self.moved(number)
+            self.dispatchers.signal(number, signal.SIGHUP)
 
     async def _roster_late(self, trouble: Trouble, name: str) -> None:
         """By `strength` seconds."""
-        self.stage.roster.extra += int(trouble.strength * TICKS)
+        self.roster.extra += int(trouble.strength * TICKS)
         await self._lasts(trouble)
-        self.stage.roster.extra -= int(trouble.strength * TICKS)
-
-    # The network.
-
-    async def _reset(self, trouble: Trouble, name: str) -> None:
-        """Messages break their connection at some byte, with the chance `strength`."""
-        self.world.weather.resets = min(1.0, trouble.strength)
-        await self._lasts(trouble)
-        self.world.weather.resets = 0.0
-
-    async def _cut(self, trouble: Trouble, name: str) -> None:
-        """A zone is cut off from all others and comes back."""
-        await self._silence(trouble, name)
-
-    async def _slow_link(self, trouble: Trouble, name: str) -> None:
-        """A zone's way to another, or to all: `extra` longer each way, and `strength` of what is sent is lost."""
-        way = Way(name, (trouble.among,) if trouble.among else None, int(trouble.extra), trouble.strength)
-        self.world.weather.ways[way] = None
-        await self._lasts(trouble)
-        self.world.weather.ways.pop(way)
-
-    async def _cut_worker(self, trouble: Trouble, name: str) -> None:
-        await self._silence(trouble, name)
-
-    async def _silence(self, trouble: Trouble, name: str) -> None:
-        self.world.weather.cut[name] = None
-        self.stage.parted()
-        await self._lasts(trouble)
-        self.world.weather.heal(name)
-        self.stage.parted()
+        self.roster.extra -= int(trouble.strength * TICKS)
 
     # The load.
 
     async def _heavy(self, trouble: Trouble, name: str) -> None:
         """One scheme's jobs cost `strength` times the usual."""
         scheme = trouble.scheme or self.world.charter.schemes[0].name
-        self.stage.clients.heavy[scheme] = max(1.0, trouble.strength)
+        self.clients.heavy[scheme] = max(1.0, trouble.strength)
         await self._lasts(trouble)
-        self.stage.clients.heavy.pop(scheme, None)
+        self.clients.heavy.pop(scheme, None)
 
     async def _surge(self, trouble: Trouble, name: str) -> None:
         """One customer (`of`), or the first, sends `strength` times the usual."""
         customers = self.world.charter.customers
         whom = name or (customers[0].name if customers else "all")
-        self.stage.clients.surge[whom] = max(1.0, trouble.strength)
+        self.clients.surge[whom] = max(1.0, trouble.strength)
         await self._lasts(trouble)
-        self.stage.clients.surge.pop(whom, None)
+        self.clients.surge.pop(whom, None)
--- a/pathsaddle/emulator/datagrams.py
+++ b/pathsaddle/emulator/ground/datagrams.py
@@ -12,9 +12,9 @@
 from collections import deque
 from typing import Any
 
-from pathsaddle.emulator.air import Air
-from pathsaddle.emulator.links import Host
-from pathsaddle.emulator.moments import HOST, Moments
+from pathsaddle.emulator.ground.air import Air
+from pathsaddle.emulator.ground.links import Host
+from pathsaddle.emulator.ground.moments import HOST, Linked, Moments
 from pathsaddle.net.wire.terms import Peer
 
 WAITING = 256  # datagrams in a socket's buffer
@@ -29,6 +29,9 @@
         self.context = contextvars.copy_context()  # nobody's: what is under way arrives whoever stands still
         self.context.run(HOST.set, None)
 
+    def socket(self, host: Host) -> LinkedDatagrams:
+        return LinkedDatagrams(self, host)
+
     def carry(self, sender: Host, data: bytes, address: Peer) -> None:
         self.air.sent(sender.name, self.loop.true_time(), len(data))
         there = self.bound.get(address)
@@ -43,7 +46,7 @@
             there.arrives(data)
 
 
-class LinkedDatagrams:
+class LinkedDatagrams(Linked):
     """What the program takes for a UDP socket that doesn't block."""
 
     def __init__(self, net: Datagrams, host: Host) -> None:
--- a/pathsaddle/emulator/links.py
+++ b/pathsaddle/emulator/ground/links.py
@@ -18,15 +18,13 @@
 from collections.abc import Callable, Coroutine
 from typing import TYPE_CHECKING, Any, cast
 
-from pathsaddle.emulator.moments import HOST, Moments
+from pathsaddle.emulator.ground.moments import HOST, Linked, Moments, OwnClock, Process
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.wire.terms import Peer, peer_of
 
 if TYPE_CHECKING:
-    from pathsaddle.emulator.datagrams import Datagrams, LinkedDatagrams
-    from pathsaddle.emulator.world import World
     from pathsaddle.fleet.driver import Fellows
     from pathsaddle.net.memory.counters import Counters
 
@@ -34,36 +32,16 @@
 USUAL_DESCRIPTORS = 8  # a process's own at start: the loop's, the log's
 
 
-class OwnClock:
-    """A machine's monotonic clock that runs `rate` times as fast as it should, from some moment on."""
-
-    def __init__(self, true: float, mine: float, rate: float) -> None:
-        self.true_0, self.mine_0, self.rate = true, mine, rate
-
-    def mine(self, true: float) -> float:
-        return self.mine_0 + (true - self.true_0) * self.rate
-
-    def true(self, mine: float) -> float:
-        return self.true_0 + (mine - self.mine_0) / self.rate
-
-
-class Host:
-    """One emulated process: its tasks, its sockets, its signals."""
+class Host(Process):
+    """One emulated process with what it has of the network: its sockets, its zone."""
 
     def __init__(self, net: Net, name: str, zone: str = "", descriptors: int = 1 << 20) -> None:
+        super().__init__(name)
         self.net = net
-        self.name = name
         self.zone = zone
-        self.alive = True
         self.most = descriptors
-        self.tasks: dict[asyncio.Task[Any], None] = {}
         self.sockets: dict[LinkedSocket, None] = {}
-        self.signals: dict[int, Callable[[], object]] = {}
-        self.datagrams: dict[LinkedDatagrams, None] = {}
-        self.stands = False  # still: what becomes due waits
-        self.waiting: deque[asyncio.Handle] = deque()
-        self.clock: OwnClock | None = None  # where it does not run as it should
-        self.wall_off = 0.0  # seconds by which its wall clock was stepped
+        self.datagrams: dict[Linked, None] = {}
         self.context = contextvars.copy_context()
         self.context.run(HOST.set, self)
 
@@ -71,9 +49,6 @@
         """Starts a coroutine as this host's."""
         return self.context.run(lambda: self.net.loop.create_task(work()))
 
-    def task_done(self, task: asyncio.Task[Any]) -> None:
-        self.tasks.pop(task, None)
-
     def signal(self, sig: int) -> None:
         told = self.signals.get(sig)
         if self.alive and told is not None:
@@ -111,28 +86,6 @@
         self.tasks.clear()
 
 
-class Hosts:
-    """Dispatchers as hosts: what can be done to one besides killing it. Part of a stage of the virtual ground."""
-
-    world: World
-    net: Net
-    hosts: dict[int, Host]
-
-    def stall(self, dispatcher: int) -> None:
-        self.world.add("stalled", dispatcher=dispatcher)
-        self.hosts[dispatcher].stall()
-
-    def go_on(self, dispatcher: int) -> None:
-        self.world.add("goes_on", dispatcher=dispatcher)
-        self.net.loop.go_on(self.hosts[dispatcher])
-
-    def clock_step(self, dispatcher: int, seconds: float) -> None:
-        self.hosts[dispatcher].wall_off += seconds
-
-    def clock_rate(self, dispatcher: int, rate: float) -> None:
-        self.hosts[dispatcher].run_clock(rate)
-
-
 class Net:
     """Who listens where, and a digest of every byte that was sent."""
 
@@ -142,7 +95,7 @@
         self.digest = hashlib.blake2b(digest_size=16)
         self.ports = 20_000
         self.connections = 0
-        self.datagrams: Datagrams | None = None  # where dispatchers have a way to talk
+        self.datagram: Callable[[Host], Linked] | None = None  # a new socket for them, where there is a way to talk
         self.parted: Callable[[Host, Host], bool] = lambda one, other: False  # no new connection comes up
 
     def stream(self, host: Host) -> LinkedSocket:
@@ -183,7 +136,7 @@
         self.peer.stir()
 
 
-class LinkedSocket:
+class LinkedSocket(Linked):
     """What the program takes for a TCP socket that doesn't block."""
 
     def __init__(self, net: Net, host: Host) -> None:
@@ -397,9 +350,8 @@
         self._fellows = fellows
 
     def datagrams(self, address: str) -> tuple[socket.socket, Peer]:
-        from pathsaddle.emulator.datagrams import LinkedDatagrams
-        assert self.host.net.datagrams is not None
-        return cast(socket.socket, LinkedDatagrams(self.host.net.datagrams, self.host)), peer_of(address)
+        assert self.host.net.datagram is not None
+        return cast(socket.socket, self.host.net.datagram(self.host)), peer_of(address)
 
     def fellows(self, counters: Counters) -> Fellows | None:
         return self._fellows(self, counters)
--- a/pathsaddle/emulator/moments.py
+++ b/pathsaddle/emulator/ground/moments.py
@@ -11,22 +11,70 @@
 
 import asyncio
 import contextvars
+import errno
 import heapq
 import signal
 from collections import deque
 from collections.abc import Callable
 from types import FrameType
-from typing import TYPE_CHECKING, Any
-
-if TYPE_CHECKING:
-    from pathsaddle.emulator.links import Host
+from typing import Any
 
 NANO = 1_000_000_000
 STEPS = 300_000  # handles at one moment, beyond which time is taken to stand still for good
 PATIENCE = 20  # seconds of real time in one step, beyond which it is taken never to yield
 EPOCH = 1_700_000_000.0  # what the emulated machines' one clock says at the start, Unix seconds
 
-HOST: contextvars.ContextVar[Host | None] = contextvars.ContextVar("host", default=None)
+class OwnClock:
+    """A machine's monotonic clock that runs `rate` times as fast as it should, from some moment on."""
+
+    def __init__(self, true: float, mine: float, rate: float) -> None:
+        self.true_0, self.mine_0, self.rate = true, mine, rate
+
+    def mine(self, true: float) -> float:
+        return self.mine_0 + (true - self.true_0) * self.rate
+
+    def true(self, mine: float) -> float:
+        return self.true_0 + (mine - self.mine_0) / self.rate
+
+
+class Process:
+    """One emulated process, as the loop knows it: its tasks, its signals, whether it runs, how its clocks go."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.alive = True
+        self.tasks: dict[asyncio.Task[Any], None] = {}
+        self.signals: dict[int, Callable[[], object]] = {}
+        self.stands = False  # still: what becomes due waits
+        self.waiting: deque[asyncio.Handle] = deque()
+        self.clock: OwnClock | None = None  # where it does not run as it should
+        self.wall_off = 0.0  # seconds by which its wall clock was stepped
+
+    def task_done(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.pop(task, None)
+
+
+class Linked:
+    """What the program takes for a socket, on which the loop's `sock_*` calls act; raises OSError as the kernel's."""
+
+    async def connect(self, address: Any) -> None:
+        raise OSError(errno.EOPNOTSUPP, "nothing to connect")
+
+    async def accept(self) -> tuple[Any, Any]:
+        raise OSError(errno.EOPNOTSUPP, "nothing to accept")
+
+    async def recv_into(self, buf: Any) -> int:
+        raise OSError(errno.EOPNOTSUPP, "nothing to read")
+
+    async def sendall(self, data: Any) -> None:
+        raise OSError(errno.EOPNOTSUPP, "nothing to write")
+
+    def vanish(self) -> None:
+        """Its process has died."""
+        raise NotImplementedError
+
+
+HOST: contextvars.ContextVar[Process | None] = contextvars.ContextVar("host", default=None)
 
 
 class Spinning(BaseException):
@@ -34,7 +82,7 @@
 
 
 class Moments(asyncio.AbstractEventLoop):
-    """The event loop; `sock_*` calls act on LinkedSocket alone."""
+    """The event loop; `sock_*` calls act on what is Linked alone."""
 
     def __init__(self) -> None:
         self._ns = 0
@@ -100,7 +148,7 @@
     def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
         pass  # it stays in the heap and is passed over
 
-    def go_on(self, host: Host) -> None:
+    def go_on(self, host: Process) -> None:
         """A host that stood still runs what has become due meanwhile: its alarms first, then what has come for it.
         Real loops do either; this is the worse for who judges others by alarms."""
         host.stands = False
@@ -231,12 +279,10 @@
         await self._linked(sock).connect(address)
 
     async def sock_accept(self, sock: Any) -> tuple[Any, Any]:
-        taken: tuple[Any, Any] = await self._linked(sock).accept()
-        return taken
+        return await self._linked(sock).accept()
 
     async def sock_recv_into(self, sock: Any, buf: Any) -> int:
-        count: int = await self._linked(sock).recv_into(buf)
-        return count
+        return await self._linked(sock).recv_into(buf)
 
     async def sock_recv(self, sock: Any, nbytes: int) -> bytes:
         room = bytearray(nbytes)
@@ -246,10 +292,8 @@
         await self._linked(sock).sendall(data)
 
     @staticmethod
-    def _linked(sock: Any) -> Any:
-        from pathsaddle.emulator.datagrams import LinkedDatagrams
-        from pathsaddle.emulator.links import LinkedSocket
-        if not isinstance(sock, (LinkedSocket, LinkedDatagrams)):
+    def _linked(sock: Any) -> Linked:
+        if not isinstance(sock, Linked):
             raise TypeError("a kernel's socket has no place in virtual time")
         return sock
 
--- a/pathsaddle/emulator/relays.py
+++ b/pathsaddle/emulator/ground/relays.py
@@ -8,11 +8,10 @@
 
 import asyncio
 import socket
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
-from pathsaddle.emulator.air import Air
-from pathsaddle.emulator.world import World
+from pathsaddle.emulator.ground.air import Air
 from pathsaddle.net.wire.terms import Peer, peer_of
 
 MOST = 65_536
@@ -20,9 +19,9 @@
 
 
 class Relays:
-    def __init__(self, world: World, air: Air, ways: dict[str, tuple[str, str]]) -> None:
-        """`ways`: by name, (its own address, ours for it)."""
-        self.world, self.air = world, air
+    def __init__(self, now: Callable[[], int], air: Air, ways: dict[str, tuple[str, str]]) -> None:
+        """`now`: the run's clock, ticks. `ways`: by name, (its own address, ours for it)."""
+        self.now, self.air = now, air
         self.loop = asyncio.get_running_loop()
         self.own: dict[str, Peer] = {name: peer_of(own) for name, (own, _) in ways.items()}
         self.names = {peer: name for name, peer in self.own.items()}
@@ -44,7 +43,7 @@
             sender = self.names.get(source)
             if sender is None:
                 continue
-            self.air.sent(sender, self.world.now() / 10_000, len(data))
+            self.air.sent(sender, self.now() / 10_000, len(data))
             for delay in self.air.copies(sender, taker):
                 if delay > 0:
                     self.loop.call_later(delay, self._go, sender, taker, data)
@@ -73,8 +72,8 @@
     sends them again.
     """
 
-    def __init__(self, world: World, air: Air, sender: str, taker: str, ours: str, own: str) -> None:
-        self.world, self.air, self.ends = world, air, (sender, taker)
+    def __init__(self, air: Air, sender: str, taker: str, ours: str, own: str) -> None:
+        self.air, self.ends = air, (sender, taker)
         self.own = peer_of(own)
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
--- a/pathsaddle/emulator/judge.py
+++ b/pathsaddle/emulator/judges/judge.py
@@ -38,8 +38,8 @@
 from hdrh.histogram import HdrHistogram
 
 from pathsaddle.charter.form import Charter, Scheme
-from pathsaddle.emulator import fleet_judge
 from pathsaddle.emulator.events import Event
+from pathsaddle.emulator.judges import fleet_judge
 
 FAR = 1 << 60
 SECOND = 10_000
--- /dev/null
+++ b/pathsaddle/emulator/membership/__init__.py
@@ -0,0 +1,1 @@
+"""The world of members alone: no jobs, workers or roster, on the virtual ground."""
--- /dev/null
+++ b/pathsaddle/emulator/served/__init__.py
@@ -0,0 +1,1 @@
+"""Who is around the dispatchers: workers, roster, clients, and the dispatchers' places in a fleet."""
--- a/pathsaddle/emulator/clients.py
+++ b/pathsaddle/emulator/served/clients.py
@@ -8,19 +8,16 @@
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import httptools
 import msgspec
 
 from pathsaddle.charter.form import Customer, Scheme
-from pathsaddle.emulator import speech
+from pathsaddle.emulator.ground import speech
+from pathsaddle.emulator.ground.speech import Hearing, Said
 from pathsaddle.emulator.plan import Kind
-from pathsaddle.emulator.speech import Hearing, Said
-from pathsaddle.emulator.world import TICKS, Place, Wire, World
-
-if TYPE_CHECKING:
-    from pathsaddle.emulator.stage import Stage
+from pathsaddle.emulator.served.world import TICKS, Place, Sites, Wire, World
 
 COMES_UP = 1.0  # seconds a client waits for a connection
 CROSSING = 200  # ticks in which a close and a call may have crossed
@@ -46,16 +43,16 @@
 class FrontLayer:
     """Deals out connections among the dispatchers of a zone that it takes to be alive."""
 
-    def __init__(self, world: World, stage: Stage) -> None:
+    def __init__(self, world: World, sites: Sites) -> None:
         self.world = world
-        self.stage = stage
+        self.sites = sites
         self.chance = world.chance("front")
         self.up: dict[int, bool] = dict.fromkeys(range(world.plan.fleet.dispatchers), False)
-        self.place = stage.place("front", "")
+        self.place = sites.place("front", "")
         self.turn = 0
 
     def pick(self, zone: str) -> int | None:
-        near = [d for d, up in self.up.items() if up and self.stage.zone_of(d) == zone]
+        near = [d for d, up in self.up.items() if up and self.sites.zone_of(d) == zone]
         near = near or [d for d, up in self.up.items() if up]
         if not near:
             return None
@@ -78,7 +75,7 @@
             wire = None
             try:
                 async with asyncio.timeout(COMES_UP):
-                    wire = await dial(self.world, self.stage, self.place, dispatcher)
+                    wire = await dial(self.world, self.sites, self.place, dispatcher)
                     await wire.send(speech.call("GET", "/ready", {}))
                     said = await wire.said(Hearing(calls=False))
                     self.up[dispatcher] = said is not None and said.status == 200
@@ -97,31 +94,31 @@
                 for when, scheme, work, customer in csv.reader(file)]
 
 
-async def dial(world: World, stage: Stage, place: Place, dispatcher: int, sips: float = 0.0) -> Wire:
-    sock, peer = place.stream(stage.listen_of(dispatcher))
+async def dial(world: World, sites: Sites, place: Place, dispatcher: int, sips: float = 0.0) -> Wire:
+    sock, peer = place.stream(sites.listen_of(dispatcher))
     try:
         await world.loop.sock_connect(sock, peer)
     except BaseException:
         place.let_go(sock)
         raise
-    zone = stage.zone_of(dispatcher)
+    zone = sites.zone_of(dispatcher)
     return Wire(world, place, sock, place.zone or zone, sips=sips)
 
 
 class Clients:
-    def __init__(self, world: World, stage: Stage, front: FrontLayer) -> None:
+    def __init__(self, world: World, sites: Sites, front: FrontLayer) -> None:
         self.world = world
-        self.stage = stage
+        self.sites = sites
         self.front = front
         self.load = world.plan.load
         self.chance = world.chance("clients")
-        self.places = {zone: stage.place(f"clients in {zone}", zone) for zone in world.charter.zones}
+        self.places = {zone: sites.place(f"clients in {zone}", zone) for zone in world.charter.zones}
         self.kept: dict[tuple[str, int], list[tuple[Wire, Hearing]]] = {}
         self.number = 0
         self.durably = world.chance("durable")
         self.heavy: dict[str, float] = {}  # schemes whose jobs cost so many times the usual for a while
         self.surge: dict[str, float] = {}  # customers that send so many times the usual
-        self.zones = [stage.zone_of(d) for d in range(world.plan.fleet.dispatchers)]
+        self.zones = [sites.zone_of(d) for d in range(world.plan.fleet.dispatchers)]
         schemes = [s for s in world.charter.schemes if s.name in self.load.jobs] or world.charter.schemes
         self.schemes = schemes
         self.kinds = {s.name: self.load.jobs.get(s.name, Kind()) for s in schemes}
@@ -244,7 +241,7 @@
                 return wire, hearing, True
             wire.close()
         async with asyncio.timeout(COMES_UP):
-            return (await dial(self.world, self.stage, self.places[zone], dispatcher), Hearing(calls=False),
+            return (await dial(self.world, self.sites, self.places[zone], dispatcher), Hearing(calls=False),
                     False)
 
     async def _call(self, wish: Wish, number: int, chance: Random, dispatcher: int, wire: Wire,
@@ -409,7 +406,7 @@
 
     async def misbehave(self, until: float) -> None:
         chance = self.world.chance("bad clients")
-        place = self.stage.place("strangers", "")
+        place = self.sites.place("strangers", "")
         begun = self.world.loop.time()
         number = 0
         while True:
@@ -434,7 +431,7 @@
         wire = None
         try:
             async with asyncio.timeout(15.0):
-                wire = await dial(self.world, self.stage, place, dispatcher, 0.02 if how == "sips" else 0.0)
+                wire = await dial(self.world, self.sites, place, dispatcher, 0.02 if how == "sips" else 0.0)
                 begun = self.world.now()
                 if says[how]:
                     await wire.send(says[how].encode("latin-1"))
--- a/pathsaddle/emulator/roster.py
+++ b/pathsaddle/emulator/served/roster.py
@@ -5,18 +5,15 @@
 import asyncio
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import httptools
 import msgspec
 
-from pathsaddle.emulator import speech
-from pathsaddle.emulator.speech import Hearing
-from pathsaddle.emulator.workers import Worker
-from pathsaddle.emulator.world import TICKS, Listener, Wire, World
-
-if TYPE_CHECKING:
-    from pathsaddle.emulator.stage import Stage
+from pathsaddle.emulator.ground import speech
+from pathsaddle.emulator.ground.speech import Hearing
+from pathsaddle.emulator.served.workers import Worker
+from pathsaddle.emulator.served.world import TICKS, Listener, Sites, Wire, World
 
 BEAT = 2.0  # seconds between signs of life of a watch on which nothing changes
 PATIENCE = 2.0  # seconds that a call waits for its turn; it finds no place behind twice as much work
@@ -44,9 +41,9 @@
 
 
 class Roster:
-    def __init__(self, world: World, stage: Stage, workers: dict[str, Worker]) -> None:
+    def __init__(self, world: World, sites: Sites, workers: dict[str, Worker]) -> None:
         self.world = world
-        self.stage = stage
+        self.sites = sites
         self.workers = workers
         self.chance = world.chance("roster")
         self.index = 1
@@ -58,11 +55,11 @@
         self.down = 0
         self.moves = 0
         self.busy_until = 0  # when all calls that have come are worked through, where there is a bound
-        self.addresses = [stage.address("roster", d, 0) for d in range(world.plan.fleet.dispatchers)]
+        self.addresses = [sites.address("roster", d, 0) for d in range(world.plan.fleet.dispatchers)]
         self._open()
 
     def _open(self) -> None:
-        self.place = self.stage.place(f"roster{self.moves or ''}", "")
+        self.place = self.sites.place(f"roster{self.moves or ''}", "")
         self.listeners = [Listener(self.place, address, self._visits(d))
                           for d, address in enumerate(self.addresses)]
 
@@ -117,14 +114,14 @@
         """To another address; who moves each dispatcher's watch there is its operator."""
         self.place.kill()
         self.moves += 1
-        self.addresses = [self.stage.address("roster", d, self.moves) for d in range(len(self.views))]
+        self.addresses = [self.sites.address("roster", d, self.moves) for d in range(len(self.views))]
         if not self.down:
             self._open()
 
     # Calls that come.
 
     async def _serve(self, sock: Any, dispatcher: int) -> None:
-        wire = Wire(self.world, self.place, sock, self.stage.zone_of(dispatcher))
+        wire = Wire(self.world, self.place, sock, self.sites.zone_of(dispatcher))
         hearing = Hearing(calls=True)
         try:
             while True:
--- a/pathsaddle/emulator/workers.py
+++ b/pathsaddle/emulator/served/workers.py
@@ -6,19 +6,16 @@
 from collections import deque
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 import httptools
 import msgspec
 
 from pathsaddle.charter.form import Scheme
-from pathsaddle.emulator import speech
+from pathsaddle.emulator.ground import speech
+from pathsaddle.emulator.ground.speech import Hearing, Said
 from pathsaddle.emulator.plan import Machines
-from pathsaddle.emulator.speech import Hearing, Said
-from pathsaddle.emulator.world import TICKS, Listener, Wire, World
-
-if TYPE_CHECKING:
-    from pathsaddle.emulator.stage import Stage
+from pathsaddle.emulator.served.world import TICKS, Listener, Sites, Wire, World
 
 TRIES = 10  # that a callback makes
 ANSWERS_IN = 2 * TICKS  # in which a dispatcher must answer a callback
@@ -66,13 +63,25 @@
         return job if job is not None and now - when < window else None
 
 
+class Memories:
+    """Who shares what it remembers with whom: by scheme, as far as its group reaches."""
+
+    def __init__(self) -> None:
+        self.shared: dict[tuple[str, str, int], Shared] = {}
+
+    def of(self, scheme: Scheme, zone: str, cell: int) -> Shared:
+        key = (scheme.name, "" if scheme.group == "all" else zone, cell if scheme.group == "cell" else 0)
+        return self.shared.setdefault(key, Shared())
+
+
 class Worker:
     """One worker machine; its process may die and start anew."""
 
-    def __init__(self, world: World, stage: Stage, name: str, kind: Machines, zone: str, cell: int,
-                 addresses: list[str]) -> None:
+    def __init__(self, world: World, sites: Sites, memories: Memories, name: str, kind: Machines, zone: str,
+                 cell: int, addresses: list[str]) -> None:
         self.world = world
-        self.stage = stage
+        self.sites = sites
+        self.memories = memories
         self.name = name
         self.kind = kind
         self.zone = zone
@@ -101,7 +110,7 @@
 
     def boot(self) -> None:
         """Its process starts, with nothing in it."""
-        self.place = self.stage.place(self.name, self.zone)
+        self.place = self.sites.place(self.name, self.zone)
         self.running: dict[Job, None] = {}
         self.line: deque[Job] = deque()
         self.jobs: dict[tuple[str, int], Job] = {}
@@ -169,7 +178,7 @@
         """Whether what crosses between it and that dispatcher now gets lost."""
         strength = self._side(dispatcher, "loss", *(["hole"] if posting else []))
         return (strength > 0 and self.chance.random() < strength
-                or self.world.weather.loses(self.zone, self.stage.zone_of(dispatcher), self.name, f"d{dispatcher}"))
+                or self.world.weather.loses(self.zone, self.sites.zone_of(dispatcher), self.name, f"d{dispatcher}"))
 
     def crash(self, told: bool = True) -> None:
         """Its process dies: what it held is gone; the machine's agent may tell whose it was."""
@@ -183,7 +192,7 @@
             self.alarm.cancel()
         self.place.kill()
         if told:
-            agent = self.stage.place(f"{self.name}'s agent", self.zone)
+            agent = self.sites.place(f"{self.name}'s agent", self.zone)
             agent.start(self._agent(agent, [job for job in lost if job.taken]))
 
     async def _agent(self, place: Any, lost: list[Job]) -> None:
@@ -203,7 +212,7 @@
     # Calls that come.
 
     async def _serve(self, sock: Any, dispatcher: int) -> None:
-        there = self.stage.zone_of(dispatcher)
+        there = self.sites.zone_of(dispatcher)
         wire = Wire(self.world, self.place, sock, there, self.name, f"d{dispatcher}", gate=self.awake)
         lost, last = False, self.world.now()  # what crosses from now on is lost; when something last did
         hearing = Hearing(calls=True)
@@ -353,7 +362,7 @@
             job.failing = True
         if self._topples(work * slots):
             return None
-        first = self.stage.shared(self, scheme).knows(tag, self.world.now(), scheme.window) \
+        first = self.memories.of(scheme, self.zone, self.cell).knows(tag, self.world.now(), scheme.window) \
             if scheme.semantics == "referenced" and self.world.plan.fleet.repeats else None
         if first is not None:
             self.world.add("dropped_repeat", id=tag, worker=self.name)
@@ -368,7 +377,7 @@
             return speech.answer(503, {"Srv-Declined": "1", "Srv-Load": self._load_line()})
         self.jobs[tag, dispatcher] = job
         if scheme.semantics == "referenced":
-            self.stage.shared(self, scheme).marks[tag] = (said.whole, job)
+            self.memories.of(scheme, self.zone, self.cell).marks[tag] = (said.whole, job)
         held.append(job)
         self._advance()
         self.line.append(job)
@@ -499,7 +508,7 @@
         if stops:
             self._leave(job)
             self._over(job, "withdrawn")
-            shared = self.stage.shared(self, job.scheme)
+            shared = self.memories.of(job.scheme, self.zone, self.cell)
             if job.started is None and shared.marks.get(job.tag, (0, None))[1] is job:
                 del shared.marks[job.tag]
             self._admit()
@@ -596,15 +605,15 @@
                     wire.close()
                     wire = None
                 if wire is None:
-                    sock, peer = place.stream(self.stage.listen_of(dispatcher))
+                    sock, peer = place.stream(self.sites.listen_of(dispatcher))
                     try:
-                        await self.world.weather.passes(self.zone, self.stage.zone_of(dispatcher), self.name,
+                        await self.world.weather.passes(self.zone, self.sites.zone_of(dispatcher), self.name,
                                                                  f"d{dispatcher}")
                         await self.world.loop.sock_connect(sock, peer)
                     except BaseException:
                         place.let_go(sock)
                         raise
-                    wire = Wire(self.world, place, sock, self.stage.zone_of(dispatcher), self.name,
+                    wire = Wire(self.world, place, sock, self.sites.zone_of(dispatcher), self.name,
                                 f"d{dispatcher}", gate=self.awake)
                     hearing = Hearing(calls=False)
                 await wire.send(call)
--- a/pathsaddle/emulator/world.py
+++ b/pathsaddle/emulator/served/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 from collections import deque
@@ -12,9 +13,9 @@
 
 from pathsaddle.charter.form import Charter
 from pathsaddle.emulator.events import Events
-from pathsaddle.emulator.links import Host, Net
+from pathsaddle.emulator.ground.links import Host, Net
+from pathsaddle.emulator.ground.speech import Hearing, Said
 from pathsaddle.emulator.plan import Plan
-from pathsaddle.emulator.speech import Hearing, Said
 from pathsaddle.net.service import pump
 
 TICKS = 10_000
@@ -112,6 +113,28 @@
         return None
 
 
+class Hosts:
+    """Dispatchers as hosts: what can be done to one besides killing it. Part of a stage of the virtual ground."""
+
+    world: World
+    net: Net
+    hosts: dict[int, Host]
+
+    def stall(self, dispatcher: int) -> None:
+        self.world.add("stalled", dispatcher=dispatcher)
+        self.hosts[dispatcher].stall()
+
+    def go_on(self, dispatcher: int) -> None:
+        self.world.add("goes_on", dispatcher=dispatcher)
+        self.net.loop.go_on(self.hosts[dispatcher])
+
+    def clock_step(self, dispatcher: int, seconds: float) -> None:
+        self.hosts[dispatcher].wall_off += seconds
+
+    def clock_rate(self, dispatcher: int, rate: float) -> None:
+        self.hosts[dispatcher].run_clock(rate)
+
+
 class Place:
     """Where a peer runs: on the kernel's sockets, in this process."""
 
@@ -189,6 +212,68 @@
         self.host.kill()
 
 
+class Sites:
+    """Where everybody stands and is reached: what a room needs of the ground it is on."""
+
+    def __init__(self, zones: list[str]) -> None:
+        self.zones = zones
+
+    def place(self, name: str, zone: str) -> Place:
+        raise NotImplementedError
+
+    def address(self, kind: str, dispatcher: int, number: int) -> str:
+        """Where somebody listens: `dispatcher` itself, or a peer for that dispatcher."""
+        raise NotImplementedError
+
+    def listen_of(self, dispatcher: int) -> str:
+        return self.address("dispatcher", dispatcher, 0)
+
+    def zone_of(self, dispatcher: int) -> str:
+        return self.zones[dispatcher % len(self.zones)]
+
+
+class VirtualSites(Sites):
+    def __init__(self, zones: list[str], net: Net) -> None:
+        super().__init__(zones)
+        self.net = net
+
+    def place(self, name: str, zone: str) -> Place:
+        return VirtualPlace(self.net, name, zone)
+
+    def address(self, kind: str, dispatcher: int, number: int) -> str:
+        if kind == "dispatcher":
+            return f"10.0.0.{dispatcher + 1}:8000"
+        if kind == "roster":
+            return f"10.2.{number}.{dispatcher + 1}:7000"
+        return f"10.1.{number >> 8}.{number & 255}:{9000 + dispatcher}"
+
+
+class SocketSites(Sites):
+    """Free ports of the loopback, each kept for whom it was first found for."""
+
+    def __init__(self, zones: list[str], loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(zones)
+        self.loop = loop
+        self.port = 11_000 + os.getpid() * 61 % 17_000
+        self.taken: dict[tuple[str, int, int], str] = {}
+
+    def place(self, name: str, zone: str) -> Place:
+        return Place(self.loop, name, zone)
+
+    def address(self, kind: str, dispatcher: int, number: int) -> str:
+        key = (kind, dispatcher, number)
+        while key not in self.taken:
+            self.port = self.port + 1 if self.port < 32_000 else 11_000
+            with socket.socket() as sock:
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    sock.bind(("127.0.0.1", self.port))
+                except OSError:
+                    continue
+            self.taken[key] = f"127.0.0.1:{self.port}"
+        return self.taken[key]
+
+
 async def always() -> None:
     pass
 
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -7,7 +7,6 @@
 import json
 import os
 import signal
-import socket
 import sys
 import tempfile
 from collections.abc import Iterator
@@ -16,23 +15,23 @@
 
 from loguru import logger
 
-from pathsaddle.charter.form import Scheme
 from pathsaddle.charter.told import told
-from pathsaddle.emulator.air import Air
-from pathsaddle.emulator.clients import Clients, FrontLayer
 from pathsaddle.emulator.events import Events
-from pathsaddle.emulator.faults import Faults
-from pathsaddle.emulator.links import Host, Hosts, Net, VirtualGround
-from pathsaddle.emulator.moments import Moments
+from pathsaddle.emulator.faults.faults import ServedFaults
+from pathsaddle.emulator.ground.air import Air
+from pathsaddle.emulator.ground.links import Host, Net, VirtualGround
+from pathsaddle.emulator.ground.moments import Moments
+from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.plan import SECRET, Plan, charter_of, worker_names
-from pathsaddle.emulator.relays import Relays
-from pathsaddle.emulator.roster import Roster
-from pathsaddle.emulator.workers import Shared, Worker
-from pathsaddle.emulator.world import TICKS, Place, VirtualPlace, World
+from pathsaddle.emulator.served.clients import Clients, FrontLayer
+from pathsaddle.emulator.served.roster import Roster
+from pathsaddle.emulator.served.workers import Memories, Worker
+from pathsaddle.emulator.served.world import TICKS, Hosts, Sites, SocketSites, VirtualSites, World
 from pathsaddle.net.service.desk import Desk
 
 if TYPE_CHECKING:  # earlier commits of ours, over which this is laid, have no jobs
-    from pathsaddle.emulator.members import Fleet, MembersStage
+    from pathsaddle.emulator.membership.stage import MembersStage
+    from pathsaddle.emulator.served.members import Fleet
     from pathsaddle.fleet.driver import Fellows
     from pathsaddle.jobs.store import DiskWriter, Store
     from pathsaddle.net.memory.counters import Counters
@@ -45,23 +44,16 @@
 class Stage:
     """What both grounds share: who is there, and how a run goes."""
 
-    def __init__(self, world: World) -> None:
+    def __init__(self, world: World, sites: Sites) -> None:
         self.world = world
+        self.sites = sites
         plan = world.plan
         self.numbers = list(range(plan.fleet.dispatchers))
         self.told: dict[int, dict[str, Any]] = {}
-        self.memories: dict[tuple[str, str, int], Shared] = {}
         self.workers: dict[str, Worker] = {}
         self.disks: dict[int, DiskWriter] = {}  # of dispatchers with a store, on the virtual ground
         self.air = Air(world.chance("air"), lambda one, other: 0.0)
 
-    def place(self, name: str, zone: str) -> Place:
-        raise NotImplementedError
-
-    def address(self, kind: str, dispatcher: int, number: int) -> str:
-        """Where somebody listens: `dispatcher` itself, or a peer for that dispatcher."""
-        raise NotImplementedError
-
     async def start(self, dispatcher: int, again: bool = False) -> None:
         """A dispatcher's process; `again`: it has nothing but an old list."""
         raise NotImplementedError
@@ -100,43 +92,33 @@
     async def finish(self) -> None:
         """All processes end."""
 
-    def listen_of(self, dispatcher: int) -> str:
-        return str(self.told[dispatcher]["listen"])
-
-    def zone_of(self, dispatcher: int) -> str:
-        zones = self.world.charter.zones
-        return zones[dispatcher % len(zones)]
-
-    def shared(self, worker: Worker, scheme: Scheme) -> Shared:
-        zone = "" if scheme.group == "all" else worker.zone
-        cell = worker.cell if scheme.group == "cell" else 0
-        return self.memories.setdefault((scheme.name, zone, cell), Shared())
-
     def build(self) -> None:
         plan, charter = self.world.plan, self.world.charter
         for d in self.numbers:
-            self.told[d] = {"listen": self.address("dispatcher", d, 0)}
+            self.told[d] = {"listen": self.sites.listen_of(d)}
+        memories = Memories()
         names = iter(worker_names(plan))
         number = 0
         for kind in plan.fleet.workers:
             zones = kind.zones or charter.zones
             for i in range(kind.count):
-                addresses = [self.address("worker", d, number) for d in self.numbers]
+                addresses = [self.sites.address("worker", d, number) for d in self.numbers]
                 name = next(names)
-                self.workers[name] = Worker(self.world, self, name, kind, zones[i % len(zones)],
+                self.workers[name] = Worker(self.world, self.sites, memories, name, kind, zones[i % len(zones)],
                                             i // len(zones) // kind.cell, addresses)
                 number += 1
-        self.roster = Roster(self.world, self, self.workers)
+        self.roster = Roster(self.world, self.sites, self.workers)
         self.roster.wall = self.wall()
         seeds = self.world.chance("dispatchers")
         for d in self.numbers:
-            mine = charter_of(plan, name=f"d{d}", listen=self.listen_of(d), number=d,
-                              discovery=self.roster.addresses[d], zone=self.zone_of(d),
+            mine = charter_of(plan, name=f"d{d}", listen=self.sites.listen_of(d), number=d,
+                              discovery=self.roster.addresses[d], zone=self.sites.zone_of(d),
                               seed=f"{seeds.getrandbits(64):016x}")
             self.told[d] = told(mine, self.roster.known(d))
-        self.front = FrontLayer(self.world, self)
-        self.clients = Clients(self.world, self, self.front)
-        self.faults = Faults(self.world, self)
+        self.front = FrontLayer(self.world, self.sites)
+        self.clients = Clients(self.world, self.sites, self.front)
+        self.faults = ServedFaults(self.world, self.sites.place("faults", "").start, self, self.air, self.front.died,
+                                   self.parted, self.workers, self.roster, self.clients, self.tell)
 
     def wall(self) -> float:
         """Unix time at the run's moment 0."""
@@ -178,7 +160,7 @@
     """Several dispatchers' unchanged `net` code on one virtual loop."""
 
     def __init__(self, world: World, net: Net) -> None:
-        super().__init__(world)
+        super().__init__(world, VirtualSites(world.charter.zones, net))
         self.net = net
         self.hosts: dict[int, Host] = {}
         self.ends: dict[int, asyncio.Task[Any]] = {}
@@ -190,28 +172,18 @@
             zones[int(one[1:]) % len(zones)], zones[int(other[1:]) % len(zones)]))
         self.fleet: Fleet | None = None
         if world.charter.fleet is not None:
-            from pathsaddle.emulator.members import Fleet
+            from pathsaddle.emulator.served.members import Fleet
             self.fleet = Fleet(world, net, self.air)
         net.parted = lambda one, other: world.weather.parted(one.zone, other.zone, one.name, other.name)
 
     def wall(self) -> float:
         return self.net.loop.wall()
 
-    def place(self, name: str, zone: str) -> Place:
-        return VirtualPlace(self.net, name, zone)
-
-    def address(self, kind: str, dispatcher: int, number: int) -> str:
-        if kind == "dispatcher":
-            return f"10.0.0.{dispatcher + 1}:8000"
-        if kind == "roster":
-            return f"10.2.{number}.{dispatcher + 1}:7000"
-        return f"10.1.{number >> 8}.{number & 255}:{9000 + dispatcher}"
-
     async def start(self, dispatcher: int, again: bool = False) -> None:
         told = self.told[dispatcher]
         if again and self.world.plan.fleet.old_list == "death":
             told["known"] = self.roster.known(dispatcher)
-        host = Host(self.net, f"d{dispatcher}", self.zone_of(dispatcher), told["limits"]["sockets"])
+        host = Host(self.net, f"d{dispatcher}", self.sites.zone_of(dispatcher), told["limits"]["sockets"])
         host.wall_off = self.hosts[dispatcher].wall_off if dispatcher in self.hosts else 0.0
         self.hosts[dispatcher] = host
         self.world.add("started", dispatcher=dispatcher)
@@ -235,7 +207,7 @@
     def _fellows(self, dispatcher: int, ground: VirtualGround, counters: Counters) -> Fellows | None:
         if self.fleet is None:
             return None
-        return self.fleet.fellows(dispatcher, ground, counters, self.zone_of(dispatcher))
+        return self.fleet.fellows(dispatcher, ground, counters, self.sites.zone_of(dispatcher))
 
     def _desk(self, dispatcher: int, *told: Any) -> Desk:
         jobs = self.world.charter.jobs
@@ -295,14 +267,12 @@
     """Real processes on the loopback, in real time."""
 
     def __init__(self, world: World, folder: Path, command: list[str], root: Path) -> None:
-        super().__init__(world)
+        super().__init__(world, SocketSites(world.charter.zones, world.loop))
         self.folder = folder
         self.command = command
         self.root = root
         self.processes: dict[int, asyncio.subprocess.Process] = {}
         self.meant: dict[int, None] = {}  # whose end was asked for
-        self.port = 11_000 + os.getpid() * 61 % 17_000
-        self.taken: dict[tuple[str, int, int], str] = {}
         self.relays: Relays | None = None
         self.first_life: dict[int, bytes] = {}
         # The platform's file has no word for a store or a fleet.
@@ -312,28 +282,12 @@
         import time
         return time.time() - (self.world.loop.time() - self.world.begun)
 
-    def place(self, name: str, zone: str) -> Place:
-        return Place(self.world.loop, name, zone)
-
-    def address(self, kind: str, dispatcher: int, number: int) -> str:
-        key = (kind, dispatcher, number)
-        while key not in self.taken:
-            self.port = self.port + 1 if self.port < 32_000 else 11_000
-            with socket.socket() as sock:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    sock.bind(("127.0.0.1", self.port))
-                except OSError:
-                    continue
-            self.taken[key] = f"127.0.0.1:{self.port}"
-        return self.taken[key]
-
     async def start(self, dispatcher: int, again: bool = False) -> None:
         if again and self.world.plan.fleet.old_list == "death":
             self.told[dispatcher]["known"] = self.roster.known(dispatcher)
         if self.world.charter.fleet is not None and self.relays is None:
-            self.relays = Relays(self.world, self.air, {f"d{d}": (
-                self.address("member", d, 0), self.address("relay", d, 0)) for d in self.numbers})
+            self.relays = Relays(self.world.now, self.air, {f"d{d}": (
+                self.sites.address("member", d, 0), self.sites.address("relay", d, 0)) for d in self.numbers})
         self.tell_file(dispatcher)
         self.world.add("started", dispatcher=dispatcher)
         self.meant.pop(dispatcher, None)
@@ -364,17 +318,17 @@
             told, plan = self.told[dispatcher], self.world.plan.charter
             table = {**plan, "name": f"d{dispatcher}", "listen": told["listen"], "discovery": told["discovery"],
                      "seed": told["seed"], "number": dispatcher, "dispatchers": len(self.numbers),
-                     "zone": self.zone_of(dispatcher)}
+                     "zone": self.sites.zone_of(dispatcher)}
             if "jobs" in plan:
                 table["jobs"] = {**plan["jobs"], "path": str(self.folder / f"d{dispatcher}.db")}
             if "fleet" in plan:
                 state = self.folder / f"state{dispatcher}"
                 state.mkdir(exist_ok=True)
                 table["log"] = {**plan.get("log", {}), "form": "json"}
-                table["fleet"] = {"name": "emulated", "key": SECRET, "listen": self.address("member", dispatcher, 0),
-                                  "address": self.address("relay", dispatcher, 0), "folder": str(state),
-                                  "seeds": [self.address("relay", d, 0) for d in self.numbers[:3]],
-                                  "control": self.address("control", dispatcher, 0), **plan["fleet"]}
+                table["fleet"] = {"name": "emulated", "key": SECRET, "listen": self.sites.address("member", dispatcher, 0),
+                                  "address": self.sites.address("relay", dispatcher, 0), "folder": str(state),
+                                  "seeds": [self.sites.address("relay", d, 0) for d in self.numbers[:3]],
+                                  "control": self.sites.address("control", dispatcher, 0), **plan["fleet"]}
             text = json.dumps(table)
         other.write_text(text, encoding="utf-8")
         other.replace(path)
@@ -427,7 +381,7 @@
     async def _sample(self, dispatcher: int) -> None:
         """Asks a member now and then what it claims to have heard, as its operator would."""
         from pathsaddle.fleet.asking import ask
-        address = self.address("control", dispatcher, 0)
+        address = self.sites.address("control", dispatcher, 0)
         while True:
             await asyncio.sleep(1.0)
             begun = self.world.now()
@@ -464,11 +418,11 @@
         for worker in self.workers.values():
             if worker.place.alive:
                 for d, listener in enumerate(worker.listeners):
-                    cut = weather.parted(worker.zone, self.zone_of(d), worker.name)
+                    cut = weather.parted(worker.zone, self.sites.zone_of(d), worker.name)
                     (listener.deafen if cut else listener.hear)()
         if self.roster.place.alive:
             for d, listener in enumerate(self.roster.listeners):
-                (listener.deafen if weather.parted("", self.zone_of(d)) else listener.hear)()
+                (listener.deafen if weather.parted("", self.sites.zone_of(d)) else listener.hear)()
 
     async def finish(self) -> None:
         for d, process in self.processes.items():
@@ -508,7 +462,7 @@
 @contextlib.contextmanager
 def logged(world: World, path: Path | None) -> Iterator[None]:
     """The program's log of a virtual run: faults become events, the rest goes to a file if one is given."""
-    from pathsaddle.emulator.moments import HOST
+    from pathsaddle.emulator.ground.moments import HOST
 
     def where() -> str:
         host = HOST.get()
@@ -535,7 +489,7 @@
     world = World(plan, charter, seed, loop)
     stage: VirtualStage | MembersStage
     if plan.only == "fleet":
-        from pathsaddle.emulator.members import MembersStage
+        from pathsaddle.emulator.membership.stage import MembersStage
         stage = MembersStage(world, net)
     else:
         stage = VirtualStage(world, net)
--- a/pathsaddle/experiment/run.py
+++ b/pathsaddle/experiment/run.py
@@ -26,7 +26,7 @@
 import msgspec
 
 from pathsaddle.emulator import stage
-from pathsaddle.emulator.judge import judge
+from pathsaddle.emulator.judges.judge import judge
 from pathsaddle.emulator.plan import Plan, Variant, charter_of, of, plain, varied
 from pathsaddle.experiment.baseline import instead
 from pathsaddle.experiment.keep import ROOT, Result, Store, commit_of, digest_of, machine
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -8,7 +8,7 @@
 
 import os
 import socket
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import pump
@@ -17,8 +17,16 @@
 from pathsaddle.net.wire.birth import WHERE, moved_to
 from pathsaddle.net.wire.terms import Peer
 
-if TYPE_CHECKING:
-    from pathsaddle.fleet.driver import Fellows
+
+class Fellows(Protocol):
+    """Our place among other dispatchers, as this layer knows it: what it is lies above (pathsaddle/fleet)."""
+
+    def begin(self) -> None: ...
+
+    def leave(self) -> None:
+        """Tells the others that we go on purpose."""
+
+    def end(self) -> None: ...
 
 
 class Ground:
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -10,11 +10,10 @@
 import tempfile
 import unittest
 from pathlib import Path
-from types import SimpleNamespace
 
-from pathsaddle.emulator.air import Air, Blight
 from pathsaddle.emulator.events import read
-from pathsaddle.emulator.relays import Streams
+from pathsaddle.emulator.ground.air import Air, Blight
+from pathsaddle.emulator.ground.relays import Streams
 
 ROOT = Path(__file__).resolve().parent.parent
 CHARTER = """name = "alone"
@@ -122,7 +121,7 @@
             server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
             own = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
             ours = f"127.0.0.1:{free(socket.SOCK_STREAM)}"
-            streams = Streams(SimpleNamespace(), air, "d0", "d1", ours, own)
+            streams = Streams(air, "d0", "d1", ours, own)
             reader, writer = await asyncio.open_connection(*ours.split(":"))
             writer.write(b"one")
             self.assertEqual(await asyncio.wait_for(reader.readexactly(3), 10), b"one")
--- /dev/null
+++ b/tests/test_house.py
@@ -0,0 +1,99 @@
+"""The house's order, read from its source alone: no circle of imports, and none that runs upward."""
+
+import ast
+import unittest
+from graphlib import CycleError, TopologicalSorter
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+ABOVE = ("emulator", "experiment")  # and `cli`, which nobody but `__main__` takes
+RUNS = ("emulator.judges", "emulator.stage", "emulator.membership")
+# Of each part: what it may not import, wherever in its source the import stands.
+BELOW = {
+    "trade": ("net", "fleet", "jobs", "charter", *ABOVE),
+    "choice": ("net", "fleet", "jobs", "charter", *ABOVE),
+    "loop": ("net", "fleet", "jobs", "charter", *ABOVE),
+    "net": ("fleet", *ABOVE),
+    "fleet": ABOVE,
+    "jobs": ABOVE,
+    "charter": ABOVE,
+    "emulator": ("experiment",),
+    "emulator.ground": ("emulator.served", "emulator.faults", "emulator.plan", *RUNS),
+    "emulator.served": ("emulator.faults", *RUNS),
+    "emulator.faults": RUNS,
+    "emulator.judges": ("emulator.ground", "emulator.served", "emulator.faults", "emulator.stage",
+                        "emulator.membership"),
+}
+
+
+def modules(root: Path) -> dict[str, Path]:
+    """By name, the package's own left out."""
+    found = {}
+    for path in sorted((root / "pathsaddle").rglob("*.py")):
+        parts = path.relative_to(root).with_suffix("").parts
+        found[".".join(parts[1:-1] if parts[-1] == "__init__" else parts[1:])] = path
+    return found
+
+
+def imports(source: str, known: dict[str, Path]) -> tuple[set[str], set[str]]:
+    """Modules of ours that a source imports: as it is loaded, or for its types; and those that its functions do."""
+    loaded: set[str] = set()
+    later: set[str] = set()
+
+    def ours(name: str) -> str | None:
+        name = name.removeprefix("pathsaddle").removeprefix(".") if name.split(".")[0] == "pathsaddle" else "?"
+        return name if name in known else None
+
+    def walk(node: ast.AST, found: set[str]) -> None:
+        for part in ast.iter_child_nodes(node):
+            names = [alias.name for alias in part.names] if isinstance(part, (ast.Import, ast.ImportFrom)) else []
+            if isinstance(part, ast.ImportFrom):
+                assert not part.level, "a relative import"
+                # Of a package its modules, of a module its names.
+                names = [f"{part.module}.{name}" if ours(f"{part.module}.{name}") else str(part.module)
+                         for name in names]
+            found.update(name for name in map(ours, names) if name)
+            walk(part, later if isinstance(part, (ast.FunctionDef, ast.AsyncFunctionDef)) else found)
+
+    walk(ast.parse(source), loaded)
+    return loaded, later
+
+
+def within(name: str, part: str) -> bool:
+    return name == part or name.startswith(part + ".")
+
+
+def upward(name: str, others: set[str]) -> list[str]:
+    found = [other for other in sorted(others) for part, barred in BELOW.items()
+             if within(name, part) and any(within(other, bar) for bar in barred)]
+    return found + [other for other in sorted(others)
+                    if within(other, "cli") and not within(name, "cli") and name != "__main__"]
+
+
+class TheHouse(unittest.TestCase):
+    def setUp(self):
+        self.known = modules(ROOT)
+        self.found = {name: imports(path.read_text(encoding="utf-8"), self.known)
+                      for name, path in self.known.items()}
+
+    def test_no_module_imports_itself_by_way_of_others(self):
+        try:
+            TopologicalSorter({name: loaded for name, (loaded, _) in self.found.items()}).prepare()
+        except CycleError as fault:
+            self.fail("a circle: " + " <- ".join(fault.args[1]))
+
+    def test_no_import_runs_upward(self):
+        wrong = [f"{name} takes {other}" for name, (loaded, later) in self.found.items()
+                 for other in upward(name, loaded | later)]
+        self.assertEqual(wrong, [])
+
+    def test_the_rules_name_parts_that_are_there(self):
+        for part in [*BELOW, *(bar for barred in BELOW.values() for bar in barred)]:
+            self.assertIn(part, self.known)
+
+    def test_what_only_types_need_counts_and_what_a_function_imports_counts_apart(self):
+        source = ("from typing import TYPE_CHECKING\nif TYPE_CHECKING:\n    from pathsaddle.emulator.stage import Stage\n"
+                  "def one():\n    from pathsaddle.cli import main\nimport pathsaddle.trade\n")
+        loaded, later = imports(source, self.known)
+        self.assertEqual((loaded, later), ({"emulator.stage", "trade"}, {"cli.main"}))
+        self.assertEqual(upward("net.service.desk", loaded | later), ["emulator.stage", "cli.main"])
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -13,8 +13,8 @@
 from typing import Any
 from unittest import mock
 
-from pathsaddle.emulator.links import Host, Net
-from pathsaddle.emulator.moments import Moments
+from pathsaddle.emulator.ground.links import Host, Net
+from pathsaddle.emulator.ground.moments import Moments
 from pathsaddle.jobs import life, model
 from pathsaddle.jobs.desk import DurableDesk, Ways
 from pathsaddle.jobs.life import End, Impossible, Job, Kind, Next, Record, Word
--- a/tests/test_judge.py
+++ b/tests/test_judge.py
@@ -8,8 +8,8 @@
 
 from pathsaddle.emulator import plan, stage
 from pathsaddle.emulator.events import Event
-from pathsaddle.emulator.judge import Judge, judge
-from pathsaddle.emulator.mutants import FLEET_MUTANTS, JOB_MUTANTS, MUTANTS, mutated
+from pathsaddle.emulator.judges.judge import Judge, judge
+from pathsaddle.emulator.judges.mutants import FLEET_MUTANTS, JOB_MUTANTS, MUTANTS, mutated
 
 ROOT = Path(__file__).parent.parent
 PLAN = ROOT / "experiments/mutants.toml"
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -9,8 +9,8 @@
 
 from pathsaddle.emulator import plan as plans
 from pathsaddle.emulator import stage
-from pathsaddle.emulator.judge import judge
-from pathsaddle.emulator.mutants import MEMBER_MUTANTS, mutated
+from pathsaddle.emulator.judges.judge import judge
+from pathsaddle.emulator.judges.mutants import MEMBER_MUTANTS, mutated
 from pathsaddle.fleet import wire
 from pathsaddle.fleet.members import MOST_MEMBERS, Membership, Ways, life_of
 from pathsaddle.fleet.purse import Purse
--- a/tests/test_untrue.py
+++ b/tests/test_untrue.py
@@ -6,7 +6,7 @@
 
 from pathsaddle.emulator import plan, stage
 from pathsaddle.emulator.events import Event
-from pathsaddle.emulator.workers import Worker
+from pathsaddle.emulator.served.workers import Worker
 
 BASE: dict[str, Any] = {
     "name": "untrue", "seconds": 5,
--- a/tests/test_virtual.py
+++ b/tests/test_virtual.py
@@ -11,9 +11,9 @@
 from typing import Any
 from unittest import mock
 
-from pathsaddle.emulator import moments
-from pathsaddle.emulator.links import Host, Net
-from pathsaddle.emulator.moments import Moments, Spinning
+from pathsaddle.emulator.ground import moments
+from pathsaddle.emulator.ground.links import Host, Net
+from pathsaddle.emulator.ground.moments import Moments, Spinning
 
 ROOT = Path(__file__).parent.parent
 HERE = "10.0.0.1:80"
