A silent watch is asked for anew within the time after which its news counts as told

At fault: Choice.listed took the silence for an outage: its wait, list_spread, is a tenth of a second for each other dispatcher, up to half of AskEvery: 0.5 to 5 s on top of the 3 s, against 6. One call that had come up in that moment and had no answer for 4 s ("code=unanswered") waited as long again.

Change: the roster's driver tells silence (ListNews.SILENT) from failure, and the next call goes out by 1.5 s before the 6 s are over: within 1.5 s of a silent watch, 0.5 s of an unanswered call. Spread, not at once, for all fall silent together. Births, breaks and failed calls keep their spread. The bound is the protocol's, so it holds for every size of fleet; with 2 it had held by chance.

Covers also a way that is cut without a reset. Harm: where discovery is silent and truly down, each dispatcher makes one call up to 5 s sooner than before, once.

The emulator has the fault watch-silent and its judge the clock for it: with 40 and 120 dispatchers the text before breaks the drain, with 2 it doesn't; now none does.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -21,6 +21,9 @@
 from typing import Any
 
 from pathsaddle.trade import (
+    LIST_ANSWER,
+    LIST_SILENT,
+    LIST_TOLD,
     MILLISECOND,
     SECOND,
     Cancel,
@@ -114,9 +117,7 @@
             del self.past[:512]
 
     def lives(self, now: int) -> None:
-        self.alive = now
-        self.suspect, self.trials = False, 0
-        self.believed_until = 0
+        self.alive, self.suspect, self.trials, self.believed_until = now, False, 0, 0
 
 
 class Account:
@@ -240,8 +241,7 @@
         self.silence = terms.progress_every + terms.progress_every // 2
         self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
         self.must_ask = terms.must_ask
-        self.list_due = FAR
-        self.list_failures, self.list_lost = 0, now
+        self.list_due, self.list_failures, self.list_lost, self.list_by = FAR, 0, now, -FAR
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
@@ -272,8 +272,7 @@
             if self.now >= until:
                 break  # nothing more can be done for it: say so now, not when its time is up
             self.hold(txn)
-            held_at = self.now
-            news = None
+            held_at, news = self.now, None
             while self.now < (until := min(until, self.give_up_at(txn) if txn.cut else self.last(txn))):
                 in_time = self.in_time_until(txn)
                 news = yield Wait(min(until, in_time) if self.now < in_time else until)
@@ -858,11 +857,10 @@
             book.cold_sent.append((self.now, int(self.run_of(posting.txn) * posting.txn.slots)))
 
     def ended(self, posting: Posting, spent: int, report: Report | None) -> None:
-        self.stirred = True
         book = self.books[posting.worker]
         book.out.remove(posting)
         book.counts(self.now)
-        book.believed_until = 0
+        self.stirred, book.believed_until = True, 0
         book.owed[posting.txn.kind] -= posting.work
         outcome = posting.outcome
         if posting.worker.zone != self.home:
@@ -877,9 +875,8 @@
             self.lights(book.worker)
             book.failed, book.proven = 0, self.now
             # Whoever found unusable what this one has done was at fault itself, and is known for it only now.
-            for earlier in posting.txn.postings:
-                if earlier.outcome is Outcome.UNUSABLE:
-                    self.fails(self.books[earlier.worker])
+            for earlier in (p for p in posting.txn.postings if p.outcome is Outcome.UNUSABLE):
+                self.fails(self.books[earlier.worker])
             book.head = {kind: work / 2 for kind, work in book.head.items() if work > 1}
         elif book.suspect and outcome in (Outcome.TIMED_OUT, Outcome.CANCELLED):
             # A worker that stands still keeps each new posting: trials grow rarer.
@@ -931,8 +928,7 @@
             self.dark_until[worker.zone] = self.now + min(2 * SECOND, SECOND // 4 << len(dark) - FEW)
 
     def lights(self, worker: Worker) -> None:
-        if worker.zone in self.dark:
-            del self.dark[worker.zone]
+        if self.dark.pop(worker.zone, None) is not None:
             self.dark_until.pop(worker.zone, None)
 
     def turn_comes(self) -> int:
@@ -1024,8 +1020,7 @@
 
     def probed(self, worker: Worker, outcome: Outcome, spent: int, report: Report | None) -> None:
         book = self.books[worker]
-        book.probing = False
-        self.stirred = True
+        book.probing, self.stirred = False, True
         if report is not None:
             self.probe_times.append(spent)
             self.read(book, report)
@@ -1041,11 +1036,17 @@
     # The list, and what is due.
 
     def listed(self, news: ListNews, workers: Iterable[Worker]) -> None:
-        if news is ListNews.FAILED:
+        if news is ListNews.FAILED or news is ListNews.SILENT:
             self.list_lost = self.list_lost if self.list_failures else self.now
             self.list_failures += 1
-            wait = max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8)
-            self.list_due = self.now + int(min(wait, self.list_rarest) * (0.1 + 0.9 * self.random()))
+            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8), self.list_rarest)
+            if news is ListNews.SILENT:
+                # What it missed counts as told, come or not: 5 s of spread on top of the silence broke drains.
+                since = self.now - LIST_SILENT if self.list_due == FAR else self.list_due - self.ask_again
+                self.list_by = since + LIST_TOLD - LIST_ANSWER
+            if self.now < self.list_by:
+                wait = min(wait, max(SECOND // 2, self.list_by - self.now))
+            self.list_due = self.now + int(wait * (0.1 + 0.9 * self.random()))
             return
         if news is ListNews.MOVED:
             # At once: what the new place tells counts as told soon; failures of the old say nothing of it.
@@ -1053,8 +1054,7 @@
             return
         if news is not ListNews.REMEMBERED:
             self.list_failures, self.list_due = 0, FAR
-        told = dict.fromkeys(workers)
-        self.stirred = True
+        self.stirred, told = True, dict.fromkeys(workers)
         self.order.cache_clear()
         if news is not ListNews.CHANGES:
             for worker in self.books:
--- a/pathsaddle/emulator/faults/faults.py
+++ b/pathsaddle/emulator/faults/faults.py
@@ -425,6 +425,10 @@
             self.moved(number)
             self.dispatchers.signal(number, signal.SIGHUP)
 
+    async def _watch_silent(self, trouble: Trouble, name: str) -> None:
+        """The watches that are open now say nothing more, and stay open; who asks anew is answered."""
+        self.roster.hush()
+
     async def _roster_late(self, trouble: Trouble, name: str) -> None:
         """By `strength` seconds."""
         self.roster.extra += int(trouble.strength * TICKS)
--- a/pathsaddle/emulator/judges/judge.py
+++ b/pathsaddle/emulator/judges/judge.py
@@ -177,6 +177,7 @@
         self.changed: dict[str, list[tuple[int, str]]] = {}
         self.asked: dict[int, list[int]] = {}
         self.watches: dict[int, list[tuple[int, bool]]] = {}
+        self.hushed: dict[int, list[int]] = {}  # when a watch that was open fell silent
         self.cold: dict[str, list[tuple[int, float]]] = {}
         self.findings: list[Finding] = []
         self.faults: Counter[str] = Counter()
@@ -294,6 +295,9 @@
     def _asked_list(self, at: int, more: dict[str, Any]) -> None:
         self.asked.setdefault(more["dispatcher"], []).append(at)
 
+    def _hushed(self, at: int, more: dict[str, Any]) -> None:
+        self.hushed.setdefault(more["dispatcher"], []).append(at)
+
     def _watched(self, at: int, more: dict[str, Any]) -> None:
         self.watches.setdefault(more["dispatcher"], []).append((at, True))
 
@@ -471,6 +475,10 @@
         """When a change at that moment counts as told: a watch that stays open for long enough has had it to
         tell; and who neither watches nor asks is taken to know."""
         watches = [(when, on) for when, on in self.watches.get(dispatcher, []) if when <= until]
+        for silent in self.hushed.get(dispatcher, []):
+            # What a silent watch misses counts as told, asked for again or not.
+            if silent <= at < silent + TOLD_WITHIN and not any(on and silent < when <= at for when, on in watches):
+                return silent + TOLD_WITHIN
         asked = self.asked.get(dispatcher, [])
         open_since = FAR
         for when, on in watches:
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -153,6 +153,7 @@
     "stall": "dispatcher", "clock-step": "dispatcher", "clock-rate": "dispatcher",
     "link-cut": "link", "link-lossy": "link", "link-slow": "link", "link-doubles": "link", "link-shuffles": "link",
     "outage": "roster", "roster-restart": "roster", "roster-moves": "roster", "roster-late": "roster",
+    "watch-silent": "roster",
     "reset": "network", "cut": "zone", "cut-worker": "worker", "heavy": "load", "surge": "load",
 }
 
--- a/pathsaddle/emulator/served/roster.py
+++ b/pathsaddle/emulator/served/roster.py
@@ -53,6 +53,8 @@
         self.wall = 0.0  # Unix seconds at the run's start
         self.extra = 0  # by how much word is later than usual
         self.down = 0
+        self.watching: dict[Wire, int] = {}  # open watches: of which dispatcher
+        self.hushed: dict[Wire, None] = {}  # those that say nothing more
         self.moves = 0
         self.busy_until = 0  # when all calls that have come are worked through, where there is a bound
         self.addresses = [sites.address("roster", d, 0) for d in range(world.plan.fleet.dispatchers)]
@@ -103,6 +105,12 @@
         if not self.down and not self.place.alive:
             self._open()
 
+    def hush(self) -> None:
+        for wire, dispatcher in self.watching.items():
+            if wire not in self.hushed:
+                self.hushed[wire] = None
+                self.world.add("hushed", dispatcher=dispatcher)
+
     def restart(self) -> None:
         """Another process, whose versions begin elsewhere."""
         self.outage()
@@ -166,11 +174,15 @@
         view = self.views[dispatcher]
         self.world.add("watched", dispatcher=dispatcher)
         wire.on_gone = lambda at: self.world.events.add(at, "unwatched", dispatcher=dispatcher)
+        self.watching[wire] = dispatcher
         try:
             await wire.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             known = any(change.index == index for change in view.log) or index == view.index
             sent, first = index if known else None, True
             while wire.gone_at is None:
+                if wire in self.hushed:
+                    await asyncio.sleep(BEAT)
+                    continue
                 changed = None if sent is None else list(dict.fromkeys(
                     change.worker for change in view.log if change.index > sent))
                 view.watch.clear()
@@ -191,8 +203,11 @@
                     async with asyncio.timeout(BEAT):
                         await view.watch.wait()
                 except TimeoutError:
-                    await wire.send(b"1\r\n\n\r\n")
+                    if wire not in self.hushed:
+                        await wire.send(b"1\r\n\n\r\n")
         finally:
+            del self.watching[wire]
+            self.hushed.pop(wire, None)
             if wire.gone_at is None:
                 self.world.add("unwatched", dispatcher=dispatcher)
 
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -13,11 +13,10 @@
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Calling
 from pathsaddle.net.wire.ring import Ring
-from pathsaddle.trade import SECOND, ListNews
+from pathsaddle.trade import LIST_SILENT, SECOND, ListNews
 
 COMES_UP = SECOND  # in which discovery's machine must take our connection
 FIRST = 4 * SECOND  # in which it must begin to answer: it gives up by itself on calls that waited too long
-BEAT = 3 * SECOND  # of silence after which a watch is dead: while nothing changes a line comes every 2 s
 
 
 class Roster:
@@ -51,9 +50,7 @@
         try:
             sock, peer = outgoing(address, self.opening)
             code = await self._watch(sock, peer)
-        except TimeoutError:
-            code = "silent"
-        except OSError as fault:
+        except OSError as fault:  # among them a connection that does not come up in time
             code = "reset" if isinstance(fault, ConnectionResetError) else "unreachable"
         except Broken as fault:
             code = "malformed"
@@ -68,7 +65,7 @@
             logbook.discovery_end(code=code, peer=address, index=self.index)
             if sock is not None:
                 asyncio.get_running_loop().call_soon(sock.close)
-        self.desk.listed(ListNews.FAILED, [])
+        self.desk.listed(ListNews.SILENT if code in ("silent", "unanswered") else ListNews.FAILED, [])
 
     async def _watch(self, sock: socket.socket, peer: tuple[str, int]) -> str:
         """Until the watch ends; says how."""
@@ -78,9 +75,12 @@
         call = machine.ask("GET", forms.watch_target(self.index), self.address, [])
         await events.sock_sendall(sock, call)
         while True:
-            # A machine that is cut off says nothing, and what it would have told counts as told all the same.
-            async with asyncio.timeout(seconds(BEAT if machine.status else FIRST)):
-                count = await events.sock_recv_into(sock, inward.space())
+            try:
+                async with asyncio.timeout(seconds(LIST_SILENT if machine.status else FIRST)):
+                    count = await events.sock_recv_into(sock, inward.space())
+            except TimeoutError:
+                # A machine that is cut off says nothing, and what it would have told counts as told all the same.
+                return "silent" if machine.status else "unanswered"
             if not count:
                 return "closed"
             inward.fill(count)
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -13,6 +13,11 @@
 
 MILLISECOND = 10
 SECOND = 10_000
+# The list's clock, as the operators' protocol has it: a watch says something every 2 s; what one that has fallen silent
+# misses counts as told LIST_TOLD later, whether or not it ever comes.
+LIST_SILENT = 3 * SECOND  # without a byte, after which a watch is taken for dead
+LIST_TOLD = 6 * SECOND
+LIST_ANSWER = 3 * SECOND // 2  # of that, what the call that asks again may take until it is answered
 
 
 class Semantics(Enum):
@@ -62,6 +67,7 @@
     WHOLE = "the complete list"
     REMEMBERED = "the complete list as last held, maybe out of date"
     FAILED = "a call failed or the subscription broke"
+    SILENT = "nothing came on a subscription for LIST_SILENT, or since the call for it: taken for dead"
     MOVED = "it is to be had elsewhere from now on"
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -3,7 +3,7 @@
 import unittest
 from collections import deque
 
-from pathsaddle.trade import SECOND, ListNews, Outcome, Report, Worker
+from pathsaddle.trade import LIST_SILENT, LIST_TOLD, SECOND, ListNews, Outcome, Report, Worker
 from tests.fakehost import ONCE_ONLY, FakeHost, full, scheme
 
 MOMENT = SECOND // 100
@@ -11,26 +11,29 @@
 
 class SlowList:
     """A list service that works through calls in turn, five a second, also those that have waited two
-    seconds and were told so; a twentieth finds no place."""
+    seconds and were told so; who comes behind four seconds' work finds no place."""
 
-    def __init__(self, hosts: list[FakeHost]) -> None:
-        self.hosts = hosts
+    def __init__(self, hosts: list[FakeHost], rate: int = 5) -> None:
+        self.hosts, self.rate = hosts, rate
+        self.falls: dict[int, list[FakeHost]] = {}  # whose watch is taken for dead, so long after the start
         self.queue: deque[tuple[int, FakeHost, bool]] = deque()
         self.watching: dict[int, int] = {}  # who has the list, and since when
         self.calls = 0
 
     def plays(self, time: int) -> None:
         now = begun = self.hosts[0].now
-        asked = [0] * len(self.hosts)
+        asked = [host.subscribed for host in self.hosts] if self.falls else [0] * len(self.hosts)
         done = now
         while now < begun + time:
             now += MOMENT
+            for host in self.falls.pop(now - begun, []):
+                host.list(ListNews.SILENT)
             for number, host in enumerate(self.hosts):
                 host.passes(MOMENT)
                 if host.subscribed > asked[number]:
                     asked[number] = host.subscribed
                     self.calls += 1
-                    if len(self.queue) < 20:
+                    if len(self.queue) < 4 * self.rate:
                         self.queue.append((now, host, True))
                     else:
                         host.list(ListNews.FAILED)
@@ -38,7 +41,7 @@
                 if waits and now - at > 2 * SECOND:
                     self.queue[place] = (at, host, False)
                     host.list(ListNews.FAILED)
-            if self.queue and now >= done + SECOND // 5:
+            if self.queue and now >= done + SECOND // self.rate:
                 done = now
                 _, host, waits = self.queue.popleft()
                 if waits:
@@ -57,6 +60,32 @@
         self.assertEqual(len(service.watching), 40)
         self.assertLess(service.calls, 100)
 
+    def test_watches_that_fall_silent_are_asked_for_anew_before_what_they_missed_counts_as_told(self) -> None:
+        """Discovery answered all the while, in 17 ms; the wait after an outage on top of 3 s of silence had 3 to 7
+        postings at draining workers, the first 0.6 s after the change counted as told. 72 calls in one second
+        stood in no queue there."""
+        for many, rate in ((2, 5), (40, 25), (200, 72)):
+            hosts = [FakeHost(must_ask=True, dispatchers=many, number=n, seed=n) for n in range(many)]
+            service = SlowList(hosts, rate)
+            for n, host in enumerate(hosts):
+                # Each had its last line at a moment of its own, up to a beat before all fell silent.
+                last = (2 * SECOND - 2 * SECOND * n // many) // MOMENT * MOMENT
+                service.falls.setdefault(LIST_SILENT - last, []).append(host)
+            service.plays(LIST_TOLD)
+            self.assertEqual(len(service.watching), many)
+            self.assertLessEqual(service.calls, 1.1 * many)
+
+    def test_a_call_that_nobody_answers_is_made_again_in_the_same_time(self) -> None:
+        """Its connection came up in the moment in which the watches fell silent: it counts as one of them."""
+        for seed in range(20):
+            host = FakeHost(must_ask=True, dispatchers=200, seed=seed, news=ListNews.REMEMBERED)
+            while not host.subscribed:
+                host.passes(MOMENT)
+            host.passes(4 * SECOND)
+            host.list(ListNews.SILENT)
+            host.passes(SECOND // 2 + MOMENT)
+            self.assertEqual(host.subscribed, 2, seed)
+
     def test_one_alone_asks_at_once(self) -> None:
         """Nobody else is there to be spread from."""
         self.assertEqual(FakeHost(must_ask=True, news=ListNews.REMEMBERED).subscribed, 1)
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -312,12 +312,12 @@
 
             def listed(self, news: ListNews, rows: list[Row]) -> None:
                 told.append((news, len(rows)))
-                if news is ListNews.FAILED:
+                if news in (ListNews.FAILED, ListNews.SILENT):
                     done.set()
 
         self.counters = Counters()
         self.roster = Roster(await self.peer(answering), 4, Told(), self.counters)  # type: ignore[arg-type]
-        with mock.patch.object(roster_module, "BEAT", SECOND // 10):
+        with mock.patch.multiple(roster_module, LIST_SILENT=SECOND // 10, FIRST=SECOND // 5):
             self.roster.ask()
             await asyncio.wait_for(done.wait(), 2.0)
         await asyncio.sleep(0.1)
@@ -339,7 +339,7 @@
                 writer.write(self.chunk(piece))
             await reader.read()
 
-        self.assertEqual(await self.watch(beats), [(ListNews.WHOLE, 1), (ListNews.FAILED, 0)])
+        self.assertEqual(await self.watch(beats), [(ListNews.WHOLE, 1), (ListNews.SILENT, 0)])
         self.assertIn(b"index=4 ", self.call)
         self.assertEqual((self.roster.index, self.came, self.counters["watch_end.silent"]), (5, 1, 1))
 
@@ -347,8 +347,8 @@
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
             await reader.read()
 
-        with mock.patch.object(roster_module, "FIRST", SECOND // 10):
-            self.assertEqual(await self.watch(silent), [(ListNews.FAILED, 0)])
+        self.assertEqual(await self.watch(silent), [(ListNews.SILENT, 0)])
+        self.assertEqual(self.counters["watch_end.unanswered"], 1)
 
     async def test_a_call_that_fails_or_makes_no_sense_is_told_once(self) -> None:
         for said, code in ((b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n", "status-503"), (b"", "closed"),
--- a/tests/test_untrue.py
+++ b/tests/test_untrue.py
@@ -6,6 +6,7 @@
 
 from pathsaddle.emulator import plan, stage
 from pathsaddle.emulator.events import Event
+from pathsaddle.emulator.judges.judge import judge
 from pathsaddle.emulator.served.workers import Worker
 
 BASE: dict[str, Any] = {
@@ -25,6 +26,21 @@
     return [row for row in rows if row.what == what and all(row.more.get(k) == v for k, v in more.items())]
 
 
+class SilentWatches(unittest.TestCase):
+    def test_watches_fall_silent_and_no_drain_is_broken_whatever_the_size_of_the_fleet(self) -> None:
+        """What they miss counts as told 6 s later, come or not; roster and ways are well all the while. Alone a call
+        after a silence waits half a second, among forty or more it had waited for up to 5 s."""
+        for many in (2, 40, 120):
+            given = {**BASE, "seconds": 12, "fleet": {**BASE["fleet"], "dispatchers": many, "roster_rate": 60},
+                     "load": {**BASE["load"], "rate": 60}, "faults": [
+                         {"kind": "watch-silent", "at": "4s"},
+                         {"kind": "drain", "of": "node-0", "at": "5s", "for": "5s"}]}
+            told = plan.of(given, "story")
+            rows = stage.virtual(told, 1).events.rows
+            self.assertGreater(len(of(rows, "hushed")), many // 2)
+            self.assertEqual([f.text for f in judge(plan.charter_of(told), rows).findings], [])
+
+
 class UntrueStory(unittest.TestCase):
     def test_without_a_fault_all_that_came_ends(self) -> None:
         rows = events()
