Lists that come indented are read: an object ends with its braces, not with its line

The watch was read a line at a time, each line taken for an object: the first line of an indented list, "{", was malformed, the watch ended, was asked for again after a wait and ended again, so that no change ever came.

At fault: Calling.lines. Now Calling.records counts braces outside strings, over lines (no JSON string goes on over a line's end); an empty line between objects is a sign of life as before. An object of over 4 MiB ends the watch: a line without end had been kept whole.

The story feeds the list plain, indented by 0 and by 2, cut at each byte, with a worker called by braces; it fails on the text before.

--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -89,9 +89,9 @@
             inward.drop(len(part))
             if machine.status not in (0, 200):
                 return f"status-{machine.status}"
-            for line in machine.lines():
-                if line.strip():
-                    self.index, news, rows = self.desk.words.list_line(line)
+            for record in machine.records():
+                if record.strip():
+                    self.index, news, rows = self.desk.words.list_line(record)
                     self.desk.listed(news, rows)
             if end is not None:
                 return "ended"
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from dataclasses import dataclass, field
 
@@ -9,11 +10,13 @@
 
 MOST_BODY = 64 * 1024
 MOST_HEAD = 16 * 1024
+MOST_RECORD = 4 * 1024 * 1024  # of the list: some twenty thousand workers
 MOST_RAW = 8 * MOST_BODY  # with its framing, in however small chunks
 REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 403: "Forbidden", 404: "Not Found",
            405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
            431: "Request Header Fields Too Large", 500: "Internal Server Error", 501: "Not Implemented",
            503: "Service Unavailable", 505: "HTTP Version Not Supported"}
+STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')  # of JSON: none goes on over the end of a line
 ONCE = (b"host", b"content-type")  # and all that speak of the job: said twice, which one counts is a guess
 
 
@@ -217,6 +220,7 @@
         self.streams = streams  # body bytes are handed on as they come, not gathered
         self.status = 0  # of an answer whose head is here
         self.flow = bytearray()
+        self.record, self.depth = bytearray(), 0  # of an object that is not yet whole: its lines, its open braces
         self.asked = False
 
     def ask(self, method: str, target: bytes, host: str, headers: list[tuple[bytes, bytes]],
@@ -253,8 +257,19 @@
         message.status = self._parser.get_status_code()
         message.keep = self._parser.should_keep_alive()
 
-    def lines(self) -> list[bytes]:
-        """The whole lines that have come of a streamed answer; empty ones count as signs of life."""
-        *whole, rest = bytes(self.flow).split(b"\n")
+    def records(self) -> list[bytes]:
+        """The whole objects that have come of a streamed answer, each on one line or indented over several; an empty
+        one for each empty line between them, a sign of life. Raises Broken where one does not end."""
+        *lines, rest = bytes(self.flow).split(b"\n")
+        found = []
+        for line in lines:
+            self.record += line
+            bare = STRING.sub(b"", line)
+            self.depth += bare.count(b"{") - bare.count(b"}")
+            if self.depth <= 0:
+                found.append(bytes(self.record))
+                self.record, self.depth = bytearray(), 0
         self.flow = bytearray(rest)
-        return whole
+        if len(self.record) + len(rest) > MOST_RECORD:
+            raise Broken(400, f"an object of over {MOST_RECORD} bytes")
+        return found
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -191,9 +191,9 @@
             machine = Calling(streams=True)
             machine.ask("GET", forms.watch_target(41), "d:1", [])
             machine.feed(flow[:cut])
-            lines = machine.lines()
+            lines = machine.records()
             machine.feed(flow[cut:])
-            lines += machine.lines()
+            lines += machine.records()
             self.assertEqual(len(lines), 2)
             index, news, rows = words().list_line(lines[0])
             worker = rows[0].worker
@@ -202,6 +202,34 @@
                              (1, 1, 3, Standing.DRAINING, 12345670))
 
 
+    def test_a_list_may_come_indented_and_a_worker_may_be_called_by_a_brace(self) -> None:
+        """Read a line at a time, each of its lines was malformed: the watch ended at the first, again and again."""
+        told = {"index": 43, "snapshot": True, "endpoints": [
+            {"name": name, "address": name, "zone": "a", "type": "m2", "status": "active"} for name in ("w}{", 'w"}\\', "w")]}
+        for indent in (None, 0, 2):
+            body = json.dumps(told, indent=indent).encode() + b"\n\n"
+            flow = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n" % (len(body), body)
+            for cut in range(1, len(flow)):
+                machine = Calling(streams=True)
+                machine.ask("GET", forms.watch_target(0), "d:1", [])
+                machine.feed(flow[:cut])
+                records = machine.records()
+                machine.feed(flow[cut:])
+                records += machine.records()
+                self.assertEqual((len(records), records[1]), (2, b""))
+                self.assertEqual([row.address for row in words().list_line(records[0])[2]],
+                                 ["w}{", 'w"}\\', "w"])
+
+    def test_an_object_without_end_is_refused_before_it_takes_memory(self) -> None:
+        machine = Calling(streams=True)
+        machine.ask("GET", forms.watch_target(0), "d:1", [])
+        machine.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        with self.assertRaises(Broken):
+            for _ in range(80):
+                machine.feed(b"10000\r\n" + b'{"a":\n'.ljust(65_536) + b"\r\n")
+                machine.records()
+
+
 class FormsStory(unittest.TestCase):
     def test_a_status_that_nobody_knows_spoils_no_line_and_gets_nothing_new(self) -> None:
         _, _, rows = words().list({"index": 1, "endpoints": [{"name": "a", "status": "dreaming"},
