A charter's faults are typed: each says what to write at which key, all of a form at once

Faults are of the family of pathsaddle/errors.py; a key's kind may say that it is an address or a secret (which is not printed); a form's contradictions are yielded, so that all of them are told with the key of each. A wildcard or port 0 as a fleet's address, to which nobody could send, is a fault now.

--- a/pathsaddle/charter/check.py
+++ b/pathsaddle/charter/check.py
@@ -11,7 +11,6 @@
 import re
 import tomllib
 import typing
-from dataclasses import dataclass
 from pathlib import Path
 from types import NoneType, UnionType
 from typing import Any, Literal, TypeVar, Union, get_args, get_origin
@@ -19,44 +18,142 @@
 import msgspec
 
 from pathsaddle.charter.units import Duration, Size, hook, written
+from pathsaddle.errors import Error, access, why
 
 T = TypeVar("T")
 
 
-@dataclass(frozen=True)
-class Fault:
-    """One thing that is wrong in a file."""
+class Fault(Error):
+    """One thing that is wrong in a file. `path`: of its key, as `schemes[0].expiry`; "-" of the file as a whole."""
 
-    file: str
-    path: str
-    text: str
+    name = "charter.wrong"
+    what = "{path} does not fit the rest"
+    do = "change {path}"
+
+    def __init__(self, file: str, path: str, what: str = "", do: str = "", /, **told: object) -> None:
+        super().__init__(what, do, file=file, path=path, **told)
+        self.file, self.path = file, path
+        self.args = (file, path, self.what, self.do)
+
+    @property
+    def text(self) -> str:
+        return f"{self.what}; {self.do}"
 
     def __str__(self) -> str:
-        return f"{self.file}: {self.path}: {self.text}"
+        return f"{self.file}: {self.path}: {super().__str__()}"
+
+
+class Unreadable(Fault):
+    name = "charter.unreadable"
+    what = "can't be read: {why}"
+
+
+class NoText(Fault):
+    name = "charter.no-text"
+    what = "is no text in UTF-8: byte {at} is none"
+    do = "save {file} as UTF-8"
+
+
+class NoForm(Fault):
+    name = "charter.no-form"
+    what = "is not {form}: {why}"
+    do = "write {file} as {form} there"
+
+
+class UnknownKey(Fault):
+    name = "charter.unknown-key"
+    what = "no such key{hint}"
+    do = "rename {path} or take it out"
+
+
+class Missing(Fault):
+    name = "charter.missing"
+    what = "is missing"
+    do = "write {may} at {path}"
+
+
+class WrongKind(Fault):
+    name = "charter.wrong-kind"
+    what = "{shown} stands there"
+    do = "write {may} at {path}"
+
+
+class OutOfBounds(WrongKind):
+    name = "charter.out-of-bounds"
+
+
+class TooShort(Fault):
+    name = "charter.too-short"
+    what = "{shown} stands there, of {count} {unit}"
+    do = "write {least} {unit} at least at {path}"
+
+
+class TooLong(Fault):
+    name = "charter.too-long"
+    what = "{shown} stands there, of {count} {unit}"
+    do = "write {most} {unit} at most at {path}"
 
 
-class Faulty(ValueError):
-    """The file can't be used; holds all that is wrong in it."""
+class NotAmong(WrongKind):
+    name = "charter.not-among"
+
+
+class NoAddress(Fault):
+    name = "charter.no-address"
+    what = "{shown} stands there, which is no address{why}"
+    do = "write {may} at {path}"
+
+
+class Twice(Fault):
+    name = "charter.twice"
+    what = "{shown} stands there twice"
+    do = "give each of {path} a name of its own"
+
+
+class Faulty(Error):
+    """The file can't be used; holds all that is wrong in it, and prints as one line each."""
+
+    name = "charter.faulty"
+    what = "{count} things are wrong in {file}: {all}"
+    do = "mend them all, then `pathsaddle check {file}`"
 
     def __init__(self, faults: list[Fault]) -> None:
-        super().__init__("; ".join(map(str, faults)))
+        super().__init__(count=len(faults), file=faults[0].file, all="; ".join(map(str, faults)))
         self.faults = faults
+        self.args = (faults,)
+
+    def __str__(self) -> str:
+        return "\n".join(map(str, self.faults))
+
+
+class Amiss(Exception):
+    """Of a form whose keys don't fit together: what fault is to be made of it. Only `check` knows file and path."""
+
+    def __init__(self, key: str, kind: type[Fault], what: str = "", do: str = "", /, **told: object) -> None:
+        super().__init__(key, what)
+        self.key, self.kind, self.what, self.do, self.told = key, kind, what, do, told
+
+    def of(self, file: str, path: str) -> Fault:
+        return self.kind(file, _join(path, self.key) or "-", self.what, self.do, **self.told)
 
 
 def load(path: str | Path) -> dict[str, Any]:
     """The file's table; raises Faulty where it can't be read or is no TOML."""
+    file = str(path)
     try:
         text = Path(path).read_text(encoding="utf-8")
-        if str(path).endswith(".json"):  # the same table, as programs write it
+        if file.endswith(".json"):  # the same table, as programs write it
             told = json.loads(text)
             return told if isinstance(told, dict) else {"": told}
         return tomllib.loads(text)
-    except (OSError, UnicodeDecodeError) as fault:
-        raise Faulty([Fault(str(path), "-", f"can't be read: {fault}")]) from None
+    except UnicodeDecodeError as fault:
+        raise Faulty([NoText(file, "-", at=fault.start)]) from None
+    except OSError as fault:
+        raise Faulty([Unreadable(file, "-", "", access(fault, path), why=why(fault))]) from None
     except tomllib.TOMLDecodeError as fault:
-        raise Faulty([Fault(str(path), "-", f"is not TOML: {fault}")]) from None
+        raise Faulty([NoForm(file, "-", form="TOML", why=why(fault))]) from None
     except json.JSONDecodeError as fault:
-        raise Faulty([Fault(str(path), "-", f"is not JSON: {fault}")]) from None
+        raise Faulty([NoForm(file, "-", form="JSON", why=why(fault))]) from None
 
 
 def check(kind: type[T], told: Any, file: str) -> T:
@@ -86,25 +183,89 @@
         return _form(plain, told, path, file, faults)
     if get_origin(plain) is list and is_form(get_args(plain)[0]):
         if not isinstance(told, list):
-            faults.append(Fault(file, path, f"{_shown(told)} stands there; a list of tables may"))
+            faults.append(WrongKind(file, path, shown=_shown(told), may="a list of tables"))
             return []
         return [_form(get_args(plain)[0], item, f"{path}[{i}]", file, faults) for i, item in enumerate(told)]
     if get_origin(plain) is dict and is_form(get_args(plain)[1]):
         if not isinstance(told, dict):
-            faults.append(Fault(file, path, f"{_shown(told)} stands there; a table of tables may"))
+            faults.append(WrongKind(file, path, shown=_shown(told), may="a table of tables"))
             return {}
         return {name: _form(get_args(plain)[1], item, f"{path}.{name}", file, faults)
                 for name, item in told.items()}
     try:
-        return msgspec.convert(told, kind, dec_hook=hook)
+        made = msgspec.convert(told, kind, dec_hook=hook)
     except (msgspec.ValidationError, ValueError):
-        faults.append(Fault(file, path, f"{_shown(told)} stands there; {may_stand(kind)} may"))
+        faults.append(_unfit(kind, told, path, file))
         return None
+    if get_origin(plain) is list:
+        of, texts = get_args(plain)[0], [(f"{path}[{i}]", one) for i, one in enumerate(told)]
+    else:
+        of, texts = kind, [(path, told)]
+    if address := _more(of).get("address"):
+        faults += [NoAddress(file, key, shown=_shown(one), why=fault, may=may_stand(of))
+                   for key, one in texts if one is not None and (fault := no_address(one, address == "IPv4"))]
+    return made
+
+
+def _unfit(kind: Any, told: Any, path: str, file: str) -> Fault:
+    """What is wrong with a value that is none of its kind."""
+    plain, shown = bare(kind), _shown(told)
+    # A secret is not shown: faults go to logs, and are pasted where help is asked for.
+    if _more(kind).get("secret") and isinstance(told, str):
+        shown = "a text"
+    metas = [meta for meta in get_args(plain)[1:] if isinstance(meta, msgspec.Meta)] if (
+        get_origin(plain) is typing.Annotated) else []
+    inner = bare(get_args(plain)[0]) if metas else plain
+    if isinstance(told, (str, list)) and (inner is str if isinstance(told, str) else get_origin(inner) is list):
+        unit = "characters" if isinstance(told, str) else "values"
+        for meta in metas:
+            if meta.min_length is not None and len(told) < meta.min_length:
+                return TooShort(file, path, shown=shown, count=len(told), unit=unit, least=meta.min_length)
+            if meta.max_length is not None and len(told) > meta.max_length:
+                return TooLong(file, path, shown=shown, count=len(told), unit=unit, most=meta.max_length)
+    if inner in (int, float) and type(told) in (int, float) and (inner is float or type(told) is int):
+        return OutOfBounds(file, path, shown=shown, may=may_stand(kind))
+    if get_origin(plain) is Literal and type(told) in {type(value) for value in get_args(plain)}:
+        return NotAmong(file, path, shown=shown, may=may_stand(kind))
+    return WrongKind(file, path, shown=shown, may=may_stand(kind))
+
+
+def _more(kind: Any) -> dict[str, Any]:
+    """What a form says of a kind beyond what msgspec checks: `address`, `secret`, in `extra`."""
+    plain = bare(kind)
+    found: dict[str, Any] = {}
+    if get_origin(plain) is typing.Annotated:
+        for meta in get_args(plain)[1:]:
+            found |= getattr(meta, "extra", None) or {}
+    return found
+
+
+def no_address(told: str, ipv4: bool = False) -> str:
+    """Why a text is no host:port, to stand after "no address"; empty where it is one, or is empty itself."""
+    if not told:
+        return ""
+    host, colon, port = told.rpartition(":")
+    if not colon:
+        return ": it names no port"
+    if not re.fullmatch(r"[0-9]{1,5}", port) or int(port) >= 1 << 16:
+        return f": {port[:20]!r} is no port of 0 to 65535"
+    if ":" in host and not re.fullmatch(r"\[[0-9A-Fa-f:.]+\]", host):
+        return ": an IPv6 host stands in brackets"
+    if not re.fullmatch(r"[A-Za-z0-9_.-]+|\[.+\]", host):
+        return f": {host[:40]!r} is no host"
+    if ipv4 and ":" in host:
+        return " of IPv4"
+    if re.fullmatch(r"[0-9.]+", host) and not re.fullmatch(OCTET + r"([.]" + OCTET + "){3}", host):
+        return f": {host[:40]!r} is no IPv4 address"
+    return ""
+
+
+OCTET = "(25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 
 
 def _form(kind: Any, told: Any, path: str, file: str, faults: list[Fault]) -> Any:
     if not isinstance(told, dict):
-        faults.append(Fault(file, path or "-", f"{_shown(told)} stands there; a table may"))
+        faults.append(WrongKind(file, path or "-", shown=_shown(told), may="a table"))
         return None
     fields = {field.encode_name: field for field in msgspec.structs.fields(kind)}
     made, before = {}, len(faults)
@@ -112,23 +273,30 @@
         if key not in fields:
             near = difflib.get_close_matches(key, fields, 1, 0.5)
             hint = f"; the nearest known key is {near[0]}" if near else f"; known are {', '.join(fields)}"
-            faults.append(Fault(file, _join(path, key), f"no such key{hint}"))
+            faults.append(UnknownKey(file, _join(path, key), hint=hint))
         else:
             made[fields[key].name] = _value(fields[key].type, value, _join(path, key), file, faults)
     for key, field in fields.items():
         if field.required and key not in told:
-            faults.append(Fault(file, _join(path, key), f"is missing; {may_stand(field.type)} may stand there"))
+            faults.append(Missing(file, _join(path, key), may=may_stand(field.type)))
     if len(faults) > before:
         return None
     try:
-        return kind(**made)
-    except ValueError as fault:  # a check across keys, in __post_init__
-        faults.append(Fault(file, path or "-", str(fault)))
+        form = kind(**made)
+    except ValueError as fault:  # a check across keys, in __post_init__: `key: what` names the key itself
+        key, colon, text = str(fault).partition(": ")
+        if not (colon and key in fields):
+            key, text = "", str(fault)
+        what, _, more = text.partition("; ")
+        faults.append(Fault(file, _join(path, key) or "-", what, f"at {_join(path, key)} {more}" if more else ""))
         return None
+    found = list(form.amiss()) if hasattr(form, "amiss") else []
+    faults += [one.of(file, path) for one in found]
+    return None if found else form
 
 
 def _join(path: str, key: str) -> str:
-    return f"{path}.{key}" if path else key
+    return f"{path}.{key}" if path and key else path or key
 
 
 def _shown(told: Any) -> str:
@@ -144,18 +312,30 @@
 def may_stand(kind: Any) -> str:
     """What may stand at a key of this kind, in words."""
     kind = bare(kind)
+    if get_origin(kind) in (Union, UnionType):
+        return ", or ".join(map(may_stand, get_args(kind)))
     if get_origin(kind) is typing.Annotated:
         inner, *more = get_args(kind)
+        if words := _more(kind).get("words"):
+            return str(words)
+        if counts := [f"{word} {count}" for meta in more if isinstance(meta, msgspec.Meta)
+                      for word, count in (("at least", meta.min_length), ("at most", meta.max_length))
+                      if count is not None]:
+            unit = "characters" if inner is str else "values"
+            return f"{may_stand(inner)}, {' and '.join(counts)} {unit}"
         bounds = [f"{word} {value:g}" for meta in more if isinstance(meta, msgspec.Meta)
                   for word, value in (("at least", meta.ge), ("above", meta.gt), ("at most", meta.le),
                                       ("below", meta.lt)) if value is not None]
         return " ".join([may_stand(inner), *bounds])
     if get_origin(kind) is Literal:
         return " or ".join(f'"{value}"' for value in get_args(kind))
+    if get_origin(kind) is list and is_form(get_args(kind)[0]):
+        return "a list of tables"
     if get_origin(kind) is list:
         return f"a list, each {may_stand(get_args(kind)[0])}"
     if get_origin(kind) is dict:
-        return f"a table, each {may_stand(get_args(kind)[1])}"
+        inner = get_args(kind)[1]
+        return "a table" if inner is Any else f"a table, each {may_stand(inner)}"
     if is_form(kind):
         return "a table"
     return NAMES.get(kind, getattr(kind, "__name__", str(kind)))
--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Iterator
 from typing import Annotated, Literal
 
 import msgspec
 from msgspec import Meta, Struct, field
 
-from pathsaddle.charter.units import Duration, Size
+from pathsaddle.charter.check import Amiss, Fault, Missing, NotAmong, OutOfBounds, Twice
+from pathsaddle.charter.units import Duration, Size, written
 
 Part = Annotated[float, Meta(ge=0, le=1)]
 Count = Annotated[int, Meta(ge=1)]
 Some = Annotated[float, Meta(ge=0)]
+Address = Annotated[str, Meta(extra={"address": "any", "words": 'an address such as "127.0.0.1:8080"'})]
+Reached = Annotated[str, Meta(extra={"address": "IPv4", "words": 'host:port of IPv4, such as "127.0.0.1:7100"'})]
+Secret = Annotated[str, Meta(min_length=16, extra={"secret": True})]
 MS, S = 10, 10_000
 MIB = 1 << 20
 
@@ -20,6 +25,40 @@
 class Form(Struct, kw_only=True, forbid_unknown_fields=True):
     """A table of the file."""
 
+    def amiss(self) -> Iterator[Amiss]:
+        """What in it doesn't fit together, beyond each key's own kind; asked where each key is of its kind."""
+        yield from ()
+
+
+class NeedsWindow(Fault):
+    name = "charter.needs-window"
+    what = "a referenced scheme needs a window, and {scheme} has none"
+    do = 'write at {path} for how long its workers drop repeats, such as "6s", or make it repeatable'
+
+
+class NotLoopback(Fault):
+    name = "charter.not-loopback"
+    what = "{shown} stands there, which others reach, and nobody signs in there"
+    do = "write an address of the loopback, such as \"127.0.0.1:7199\", at {path}"
+
+
+class NotReached(Fault):
+    name = "charter.not-reached"
+    what = "{shown} stands there, to which no other member can send"
+    do = "write at {path} the address, host:port, by which the others reach this one"
+
+
+class TooSlow(Fault):
+    name = "charter.patience"
+    what = "patience {patience} leaves no time for asking others within a beat of {beat}"
+    do = "write less than half of the beat, and more than 0, at {path}"
+
+
+class NeedsName(Fault):
+    name = "charter.needs-name"
+    what = "with a fleet each dispatcher needs a name of its own, and \"pathsaddle\" is what all have"
+    do = "write a name that no other member has at {path}"
+
 
 class Limits(Form):
     """What the process may take of its machine.
@@ -62,12 +101,14 @@
     window: Duration = Duration(0)
     machine: str | None = None
 
-    def __post_init__(self) -> None:
+    def amiss(self) -> Iterator[Amiss]:
         if not re.fullmatch(r"[A-Za-z0-9._~-]+", self.name) or self.name in ("ready", "callback"):
-            raise ValueError(f'name: "{self.name}" stands there; what a path may begin with may, not ready or '
-                             "callback")
+            yield Amiss("name", NotAmong, shown=written(self.name), may="letters, digits and ._~- (a call's path begins "
+                        "with it; `ready` and `callback` are taken)")
         if self.semantics == "referenced" and not self.window:
-            raise ValueError("a referenced scheme needs a window")
+            yield Amiss("window", NeedsWindow, scheme=self.name)
+        if not self.expiry:
+            yield Amiss("expiry", OutOfBounds, shown=written(self.expiry), may='a time above "0ms"')
 
 
 class Customer(Form):
@@ -210,32 +251,30 @@
     """
 
     name: str
-    key: Annotated[str, Meta(min_length=16)]
-    listen: str
-    address: str = ""
-    seeds: list[str] = field(default_factory=list)
+    key: Secret
+    listen: Reached
+    address: Reached = ""
+    seeds: list[Reached] = field(default_factory=list)
     folder: str = ""
-    control: str = ""
+    control: Reached = ""
     beat: Duration = Duration(S)
     patience: Duration = Duration(300 * MS)
     bytes: Annotated[int, Meta(ge=6000)] = 24_000
     datagrams: Annotated[int, Meta(ge=16)] = 60
     lifeguard: bool = True
 
-    def __post_init__(self) -> None:
-        from pathsaddle.net.wire.terms import peer_of
-        for key, told in (("listen", self.listen), ("address", self.address), ("control", self.control),
-                          *(("seeds", seed) for seed in self.seeds)):
-            try:
-                if told and ":" in peer_of(told)[0]:
-                    raise ValueError
-            except ValueError:
-                raise ValueError(f'{key}: "{told}" stands there; host:port of IPv4 may') from None
-        if self.control and not peer_of(self.control)[0].startswith("127."):
-            raise ValueError(f'control: "{self.control}" stands there; an address of the loopback may, since nobody '
-                             "signs in there")
-        if self.beat < 50 * MS or not 0 < self.patience < self.beat // 2:
-            raise ValueError("beat: 50ms at least, and patience under half of it")
+    def amiss(self) -> Iterator[Amiss]:
+        if self.control and not self.control.startswith("127."):
+            yield Amiss("control", NotLoopback, shown=written(self.control))
+        where = self.address or self.listen
+        if where.startswith("0.0.0.0:") or where.endswith(":0"):
+            yield Amiss("address", NotReached, shown=written(where))
+        if not self.listen:
+            yield Amiss("listen", Missing, may="an address, host:port")
+        if self.beat < 50 * MS:
+            yield Amiss("beat", OutOfBounds, shown=written(self.beat), may="50ms at least")
+        elif not 0 < self.patience < self.beat // 2:
+            yield Amiss("patience", TooSlow, patience=written(self.patience), beat=written(self.beat))
 
 
 class Log(Form):
@@ -275,8 +314,8 @@
     fleet: other dispatchers, and who of them is there; off where the table is missing.
     """
 
-    listen: str
-    discovery: str
+    listen: Address
+    discovery: Address
     schemes: list[Scheme]
     name: str = "pathsaddle"
     seed: str = "0"
@@ -297,34 +336,34 @@
     jobs: Jobs | None = None
     fleet: Fleet | None = None
 
-    def __post_init__(self) -> None:
-        from pathsaddle.net.wire.terms import peer_of
+    def amiss(self) -> Iterator[Amiss]:
         for key in ("listen", "discovery"):
-            try:
-                peer_of(getattr(self, key))
-            except ValueError:
-                raise ValueError(f'{key}: "{getattr(self, key)}" stands there; host:port may') from None
+            if not getattr(self, key):
+                yield Amiss(key, Missing, may="an address, host:port")
         if not re.fullmatch(r"[0-9a-fA-F]{1,64}", self.seed):
-            raise ValueError(f'seed: "{self.seed}" stands there; hexadecimal digits may')
+            yield Amiss("seed", NotAmong, shown=written(self.seed), may="1 to 64 hexadecimal digits")
         if self.number >= self.dispatchers:
-            raise ValueError(f"number: {self.number} stands there; less than dispatchers ({self.dispatchers}) may")
+            yield Amiss("number", OutOfBounds, shown=written(self.number), may=f"less than dispatchers ({self.dispatchers})")
         if not self.schemes:
-            raise ValueError("schemes: none stands there; at least one must")
+            yield Amiss("schemes", Missing, may="at least one table, [[schemes]],")
         for key, names in (("schemes", [s.name for s in self.schemes]), ("zones", self.zones),
                            ("customers", [c.name for c in self.customers]), ("machines", self.machines)):
             for name in dict.fromkeys(names):
                 if names.count(name) > 1:
-                    raise ValueError(f'{key}: "{name}" stands there twice')
+                    yield Amiss(key, Twice, shown=written(name))
+        if not self.zones:
+            yield Amiss("zones", Missing, may="at least one zone's name")
         if self.fleet is not None and self.name == "pathsaddle" and self.dispatchers > 1:
-            raise ValueError("name: with fleet each dispatcher needs a name of its own")
+            yield Amiss("name", NeedsName)
         if self.jobs is not None and any(scheme.name == "jobs" for scheme in self.schemes):
-            raise ValueError('schemes: "jobs" is the path of durable jobs')
+            yield Amiss("schemes", NotAmong, shown='the name "jobs"', may="another name for that scheme, since /jobs/ is the "
+                        "path of durable jobs,")
         if self.zone is not None and self.zone not in self.zones:
-            raise ValueError(f'zone: "{self.zone}" stands there; one of zones may: {", ".join(self.zones)}')
-        for scheme in self.schemes:
+            yield Amiss("zone", NotAmong, shown=written(self.zone), may=f"one of zones ({', '.join(self.zones)})")
+        for i, scheme in enumerate(self.schemes):
             if scheme.machine is not None and scheme.machine not in self.machines:
-                raise ValueError(f'schemes: "{scheme.name}" asks for the machine "{scheme.machine}", which is '
-                                 "none of machines")
+                yield Amiss(f"schemes[{i}].machine", NotAmong, shown=written(scheme.machine),
+                            may=f"one of machines ({', '.join(self.machines) or 'none is named there'})")
 
 
 IN_SERVICE = ("discovery", "log.level")  # what a reread file may change
--- a/pathsaddle/errors.py
+++ b/pathsaddle/errors.py
@@ -35,9 +35,8 @@
     def __init_subclass__(cls, **more: object) -> None:
         super().__init_subclass__(**more)
         # A base of several states no name of its own: nobody raises it.
-        if "name" in cls.__dict__:
-            if CATALOGUE.setdefault(cls.name, cls).__qualname__ != cls.__qualname__:
-                raise TypeError(f"two errors are called {cls.name}")
+        if "name" in cls.__dict__ and CATALOGUE.setdefault(cls.name, cls).__qualname__ != cls.__qualname__:
+            raise TypeError(f"two errors are called {cls.name}")
 
     def __init__(self, what: str = "", do: str = "", name: str = "", /, **told: object) -> None:
         self.what = what or type(self).what.format(**told)
--- a/tests/test_charter.py
+++ b/tests/test_charter.py
@@ -45,14 +45,15 @@
     def test_all_faults_are_told_at_once_with_the_nearest_key(self) -> None:
         found = self.faults(GOOD.replace('"400ms"', '"400"') + 'vlaue = 3\n[limits]\nsockets = 3\nmemory = 7\n')
         self.assertEqual(len(found), 4)
-        self.assertIn("schemes[0].vlaue: no such key; the nearest known key is value", found)
-        self.assertIn('schemes[0].sla: "400" stands there; a duration such as "250ms" may', found)
-        self.assertIn("limits.sockets: 3 stands there; a whole number at least 64 may", found)
-        self.assertIn('limits.memory: 7 stands there; a size such as "64MiB" may', found)
+        self.assertIn("schemes[0].vlaue: no such key; the nearest known key is value; rename schemes[0].vlaue or take it out",
+                      found)
+        self.assertIn('schemes[0].sla: "400" stands there; write a duration such as "250ms" at schemes[0].sla', found)
+        self.assertIn("limits.sockets: 3 stands there; write a whole number at least 64 at limits.sockets", found)
+        self.assertIn('limits.memory: 7 stands there; write a size such as "64MiB" at limits.memory', found)
 
     def test_what_is_missing_or_no_toml_or_not_there(self) -> None:
-        self.assertIn("discovery: is missing; a text may stand there", self.faults('listen = "a:1"\n'))
-        self.assertIn("is not TOML", self.faults("listen = ")[0])
+        self.assertIn('discovery: is missing; write an address such as "127.0.0.1:8080" at discovery', self.faults('listen = "a:1"\n'))
+        self.assertIn("is not TOML: ", self.faults("listen = ")[0])
         self.path.unlink()
         with self.assertRaises(Faulty):
             read(self.path)
@@ -66,7 +67,7 @@
         self.assertIn("a referenced scheme needs a window", self.faults(
             GOOD.replace("once-only", "referenced"))[0])
         self.assertIn("less than dispatchers", self.faults("number = 1\n" + GOOD)[0])
-        self.assertIn("host:port may", self.faults(GOOD.replace("127.0.0.1:8080", "here"))[0])
+        self.assertIn("it names no port", self.faults(GOOD.replace("127.0.0.1:8080", "here"))[0])
         self.assertIn("stands there twice", self.faults(GOOD + GOOD[GOOD.index("[[") :])[0])
 
     def test_units(self) -> None:
@@ -135,7 +136,7 @@
         return "\n".join(map(str, caught.exception.faults))
 
     def test_bad_plans_end_before_anything_starts(self) -> None:
-        self.assertIn('faults[0].at: "-3s" stands there; a duration', self.faults(
+        self.assertIn('faults[0].at: "-3s" stands there; write a duration', self.faults(
             faults=[{"kind": "freeze", "at": "-3s"}]))
         self.assertIn("no worker is called so", self.faults(
             faults=[{"kind": "freeze", "at": "1s", "of": "nobody"}]))
