--- a/pathsaddle/charter/check.py
+++ b/pathsaddle/charter/check.py
@@ -31,6 +31,9 @@
     do = "change {path}"
 
     def __init__(self, file: str, path: str, what: str = "", do: str = "", /, **told: object) -> None:
+        if what and not do:  # as forms say it in one: `X stands there; Y may`
+            what, _, may = what.partition("; ")
+            do = f"write {may[:-4]} at {path}" if may.endswith(" may") else may
         super().__init__(what, do, file=file, path=path, **told)
         self.file, self.path = file, path
         self.args = (file, path, self.what, self.do)
@@ -40,7 +43,8 @@
         return f"{self.what}; {self.do}"
 
     def __str__(self) -> str:
-        return f"{self.file}: {self.path}: {super().__str__()}"
+        where = "" if self.path == "-" else f"{self.path}: "
+        return f"{self.file}: {where}{super().__str__()}"
 
 
 class Unreadable(Fault):
@@ -57,7 +61,7 @@
 class NoForm(Fault):
     name = "charter.no-form"
     what = "is not {form}: {why}"
-    do = "write {file} as {form} there"
+    do = "write {form} at that place of {file}"
 
 
 class UnknownKey(Fault):
@@ -278,7 +282,9 @@
             made[fields[key].name] = _value(fields[key].type, value, _join(path, key), file, faults)
     for key, field in fields.items():
         if field.required and key not in told:
-            faults.append(Missing(file, _join(path, key), may=may_stand(field.type)))
+            inner = get_args(bare(field.type))[:1] if get_origin(bare(field.type)) is list else ()
+            may = f"at least one table, [[{key}]]," if inner and is_form(inner[0]) else may_stand(field.type)
+            faults.append(Missing(file, _join(path, key), may=may))
     if len(faults) > before:
         return None
     try:
@@ -287,8 +293,7 @@
         key, colon, text = str(fault).partition(": ")
         if not (colon and key in fields):
             key, text = "", str(fault)
-        what, _, more = text.partition("; ")
-        faults.append(Fault(file, _join(path, key) or "-", what, f"at {_join(path, key)} {more}" if more else ""))
+        faults.append(Fault(file, _join(path, key) or "-", text))
         return None
     found = list(form.amiss()) if hasattr(form, "amiss") else []
     faults += [one.of(file, path) for one in found]
@@ -318,6 +323,9 @@
         inner, *more = get_args(kind)
         if words := _more(kind).get("words"):
             return str(words)
+        for meta in more:
+            if isinstance(meta, msgspec.Meta) and meta.min_length and meta.min_length == meta.max_length:
+                return f"{may_stand(inner)}, {meta.min_length} of them"
         if counts := [f"{word} {count}" for meta in more if isinstance(meta, msgspec.Meta)
                       for word, count in (("at least", meta.min_length), ("at most", meta.max_length))
                       if count is not None]:
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -7,7 +7,6 @@
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
-from pathsaddle.charter.check import Faulty
 from pathsaddle.charter.form import IN_SERVICE, changes
 from pathsaddle.charter.told import read, told
 from pathsaddle.net.memory.counters import Counters
@@ -26,6 +25,9 @@
         self.form = form  # of the log, where the command line says it
         self.charter = read(path)
 
+    def file(self) -> str:
+        return str(self.path)
+
     def told(self) -> str:
         return json.dumps(told(self.charter))
 
@@ -33,11 +35,14 @@
         if self.charter.jobs is None:
             return super().desk(*told)
         from pathsaddle.jobs.desk import DurableDesk, Ways
-        from pathsaddle.jobs.store import Store, ThreadWriter
+        from pathsaddle.jobs.store import Store, ThreadWriter, Unusable
         jobs = self.charter.jobs
-        return DurableDesk(*told, store=Store(Path(jobs.path), ThreadWriter()), ways=Ways(
-            jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin),
-            chance=Random(self.charter.seed))
+        try:
+            return DurableDesk(*told, store=Store(Path(jobs.path), ThreadWriter()), ways=Ways(
+                jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin),
+                chance=Random(self.charter.seed))
+        except Unusable as fault:  # the store knows its file alone
+            raise type(fault)(f"{self.path}: jobs.path: {fault.what}", fault.do) from None
 
     def fellows(self, counters: Counters) -> Fellows | None:
         if self.charter.fleet is None:
@@ -46,7 +51,7 @@
         from pathsaddle.fleet.driver import Fellows
         from pathsaddle.fleet.lives import Lives
         folder = self.charter.fleet.folder
-        told = fellow(self.charter)
+        told = fellow(self.charter, self.file())
         return Fellows(told, self, Lives(Path(folder) if folder else None, told.name), SystemRandom(), counters)
 
     def open_log(self) -> None:
@@ -54,10 +59,7 @@
 
     def moved(self) -> str:
         """The file again: what may change in service does, what may not is named and stays."""
-        try:
-            other = read(self.path)
-        except Faulty as fault:
-            raise ValueError("; ".join(map(str, fault.faults))) from None
+        other = read(self.path)
         differs = changes(self.charter, other)
         for key in differs:
             if key not in IN_SERVICE:
--- a/pathsaddle/cli/fleet.py
+++ b/pathsaddle/cli/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from pathlib import Path
 from typing import Any
 
 import click
@@ -11,20 +12,18 @@
 def _asked(charter: str, word: str) -> Any:
     """By the control address that a charter names, or that stands in its place."""
     from pathsaddle.charter.told import read
-    from pathsaddle.cli.main import Stop, checked
-    from pathsaddle.fleet.asking import asked
+    from pathsaddle.cli.stop import NoControl
+    from pathsaddle.fleet.asking import NoAddress, asked
     address = charter
+    if not Path(charter).exists() and not charter.endswith((".toml", ".json")) and "/" not in charter and (
+            not charter.rpartition(":")[1]):
+        raise NoAddress(address=charter)
     if not charter.rpartition(":")[2].isdigit():
-        told = checked(read, charter)
+        told = read(charter)
         if told.fleet is None or not told.fleet.control:
-            raise Stop(f"{charter}: fleet.control: none stands there, so nobody can ask", 2)
+            raise NoControl(charter=charter)
         address = told.fleet.control
-    try:
-        return asked(address, word)
-    except OSError as fault:
-        raise Stop(f"{address}: can't be asked: {fault}", 1) from None
-    except ValueError as fault:
-        raise Stop(f"{address}: {fault}", 1) from None
+    return asked(address, word)
 
 
 @click.group()
--- a/pathsaddle/cli/jobs.py
+++ b/pathsaddle/cli/jobs.py
@@ -2,21 +2,13 @@
 
 from __future__ import annotations
 
-import fcntl
 import json
-import shutil
-import sqlite3
 from pathlib import Path
 from typing import Any
 
 import click
 
 
-def _unusable(fault: Exception) -> Exception:
-    from pathsaddle.cli.main import Stop
-    return Stop(str(fault), 2)
-
-
 @click.group()
 def jobs() -> None:
     """Look at, copy and restore the store of durable jobs (docs/jobs.md)."""
@@ -36,13 +28,10 @@
 @click.option("--open", "open_", is_flag=True, help="Only those without their end.")
 def list_(store: str, open_: bool) -> None:
     """All jobs in a STORE, one JSON object a line."""
-    from pathsaddle.jobs.store import Unusable, rows
-    try:
-        for told, job in rows(Path(store)):
-            if not open_ or job.open:
-                click.echo(json.dumps(_shown(told, job)))
-    except Unusable as fault:
-        raise _unusable(fault) from None
+    from pathsaddle.jobs.store import rows
+    for told, job in rows(Path(store)):
+        if not open_ or job.open:
+            click.echo(json.dumps(_shown(told, job)))
 
 
 @jobs.command()
@@ -50,13 +39,10 @@
 @click.argument("job")
 def show(store: str, job: str) -> None:
     """One JOB of a STORE, with its result."""
-    from pathsaddle.jobs.store import Unusable, rows
-    try:
-        found = [(told, one) for told, one in rows(Path(store)) if one.tag == job]
-    except Unusable as fault:
-        raise _unusable(fault) from None
+    from pathsaddle.jobs.store import NoJob, rows
+    found = [(told, one) for told, one in rows(Path(store)) if one.tag == job]
     if not found:
-        raise _unusable(ValueError(f"{store}: no job {job}"))
+        raise NoJob(path=store, job=job)
     told, one = found[0]
     click.echo(json.dumps({**_shown(told, one), "result": one.result.decode(errors="replace")}, indent=1))
 
@@ -67,12 +53,8 @@
     """All that is wrong in a STORE; exit 1 if anything is."""
     import sys
 
-    from pathsaddle.jobs.store import Unusable
     from pathsaddle.jobs.store import verify as look
-    try:
-        found = look(Path(store))
-    except Unusable as fault:
-        raise _unusable(fault) from None
+    found = look(Path(store))
     for text in found:
         click.echo(text)
     click.echo(f"{store}: {len(found)} findings" if found else f"{store}: nothing is wrong")
@@ -84,17 +66,13 @@
 @click.argument("copy", type=click.Path(dir_okay=False))
 def backup(store: str, copy: str) -> None:
     """Copy a STORE to COPY while it is in use; COPY is there whole or not at all."""
-    from pathsaddle.jobs.store import Unusable
     from pathsaddle.jobs.store import backup as make
-    try:
-        make(Path(store), Path(copy))
-    except (Unusable, OSError, sqlite3.Error) as fault:
-        raise _unusable(fault) from None
+    make(Path(store), Path(copy))
     click.echo(copy)
 
 
 @jobs.command()
-@click.argument("copy", type=click.Path(exists=True, dir_okay=False))
+@click.argument("copy", type=click.Path(dir_okay=False))
 @click.argument("store", type=click.Path(dir_okay=False))
 def restore(copy: str, store: str) -> None:
     """Put a COPY in a STORE's place. Its dispatcher must not run; what the store held until now is kept beside it.
@@ -102,20 +80,6 @@
     Jobs accepted, or ended, after the copy was made are not in it: a once-only job that the copy shows open is
     asked for at its worker, and reversed where that can't say.
     """
-    from pathsaddle.jobs.store import verify as look
-    found = look(Path(copy))
-    if found:
-        raise _unusable(ValueError(f"{copy}: {found[0]}"))
-    path = Path(store)
-    with path.with_name(path.name + ".lock").open("ab") as lock:
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except BlockingIOError:
-            raise _unusable(ValueError(f"{store}: a dispatcher has it open")) from None
-        part = path.with_name(path.name + ".part")
-        shutil.copyfile(copy, part)
-        for old in (path, path.with_name(path.name + "-wal"), path.with_name(path.name + "-shm")):
-            if old.exists():
-                old.replace(old.with_name(old.name.replace(path.name, path.name + ".before")))
-        part.replace(path)
+    from pathsaddle.jobs.store import restore as put
+    put(Path(copy), Path(store))
     click.echo(store)
--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -14,29 +14,10 @@
 import click
 
 from pathsaddle import __version__
+from pathsaddle.cli.stop import Defect, Interrupted, NoPlans, Usage, writable
+from pathsaddle.errors import Error
 
-INTERRUPTED = 130
-
-
-class Stop(click.ClickException):
-    """Ends with its code."""
-
-    def __init__(self, text: str, code: int) -> None:
-        super().__init__(text)
-        self.exit_code: int = code  # type: ignore[misc]
-
-    def show(self, file: Any = None) -> None:
-        click.echo(self.message, err=True)
-
-
-def checked(read: Any, path: str) -> Any:
-    """A file's object, or an end with one line a fault."""
-    from pathsaddle.charter.check import Faulty
-    try:
-        return read(path)
-    except Faulty as fault:
-        raise Stop("\n".join(map(str, fault.faults)), 2) from None
-
+SECONDS = click.FloatRange(min=0, min_open=True)
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
 @click.version_option(__version__, prog_name="pathsaddle")
@@ -49,24 +30,15 @@
 @click.option("--log-form", type=click.Choice(["text", "json"]), help="Instead of what the charter says.")
 def serve(charter: str, log_form: str | None) -> None:
     """Serve by the operator's CHARTER, in the foreground, until SIGTERM or Ctrl-C. SIGHUP rereads it."""
-    from pathsaddle.charter.check import Faulty
     from pathsaddle.charter.ground import CharterGround
-    from pathsaddle.fleet.lives import NoFolder
-    from pathsaddle.jobs.store import Unusable
-    from pathsaddle.net.service import start
-    try:
-        ground = CharterGround(Path(charter), log_form)
-    except Faulty as fault:
-        raise Stop("\n".join(map(str, fault.faults)), 2) from None
+    from pathsaddle.net.service import logbook, start
+    ground = CharterGround(Path(charter), log_form)
     ground.open_log()
     try:
         start.run(ground)
-    except Unusable as fault:
-        raise Stop(f"{charter}: jobs.path: {fault}", 2) from None
-    except NoFolder as fault:
-        raise Stop(f"{charter}: fleet.folder: {fault}", 2) from None
-    except OSError as fault:
-        raise Stop(f"{charter}: listen: can't be had: {fault}", 2) from None
+    except Error as fault:  # from here on by the log, in the form that its reader wants
+        logbook.refused(name=fault.name, what=fault.what, do=fault.do)
+        sys.exit(fault.code)
 
 
 @cli.command()
@@ -84,9 +56,9 @@
         click.echo(explained(rows(plans.Plan if plan else Charter)))
     if file is None:
         if not explain:
-            raise click.UsageError("a FILE, or --explain")
+            raise click.UsageError("neither a FILE nor --explain is said")
         return
-    checked(plans.read if plan else read, file)
+    (plans.read if plan else read)(file)
     click.echo(f"{file}: nothing is wrong")
 
 
@@ -100,7 +72,9 @@
     from pathsaddle.emulator.judge import judge
     from pathsaddle.experiment.run import SLACK
     console = Console(width=None if sys.stdout.isatty() else 110)
-    plan = checked(plans.read, str(path))
+    plan = plans.read(str(path))
+    keep_events = writable("--events", events)
+    keep_log = writable("--log", log, folder=ground == "sockets")
     if seconds is not None:
         plan.seconds = seconds
     begun = time.perf_counter()
@@ -110,12 +84,12 @@
                   f"seed {seed}")
     try:
         if ground == "virtual":
-            outcome = stage.virtual(plan, seed, Path(log) if log else None)
+            outcome = stage.virtual(plan, seed, keep_log)
         else:
-            outcome = stage.sockets(plan, seed, Path(log) if log else None)
+            outcome = stage.sockets(plan, seed, keep_log)
     except KeyboardInterrupt:
-        raise Stop(f"interrupted after {time.perf_counter() - begun:.1f} s of the run: its dispatchers are ended, "
-                   "nothing is judged", INTERRUPTED) from None
+        raise Interrupted(at=f" after {time.perf_counter() - begun:.1f} s of the run: its dispatchers are ended, nothing is "
+                          "judged", rest="the same command runs it anew") from None
     took = time.perf_counter() - begun
     verdict = judge(plans.charter_of(plan), outcome.events.rows, SLACK[ground])
     if plan.only != "fleet":
@@ -125,8 +99,8 @@
     if verdict.fleet:
         show.fleet(console, verdict.fleet)
     show.rules(console, verdict)
-    if events:
-        outcome.events.write(Path(events))
+    if keep_events is not None:
+        outcome.events.write(keep_events)
     console.print(f"took {took:.1f} s; {len(outcome.events.rows)} events, digest {outcome.digest}")
     short = verdict.whole.part < plan.bounds.value
     if short:
@@ -138,7 +112,7 @@
 @click.option("--virtual", is_flag=True, help="In virtual time instead of on real sockets.")
 @click.option("--fleet", is_flag=True, help="Instead: five that talk, a partition and its end, one killed.")
 @click.option("--seed", default=7, show_default=True)
-@click.option("--seconds", type=float, help="Shorter or longer than the plan's.")
+@click.option("--seconds", type=SECONDS, help="Shorter or longer than the plan's.")
 @click.option("--events", type=click.Path(dir_okay=False), help="Keep the event log here.")
 @click.option("--log", type=click.Path(), help="Keep the dispatchers' logs: a file, or on sockets a folder.")
 def demo(virtual: bool, fleet: bool, seed: int, seconds: float | None, events: str | None, log: str | None) -> None:
@@ -153,14 +127,14 @@
 @click.argument("plan", type=click.Path(dir_okay=False))
 @click.option("--ground", type=click.Choice(["sockets", "virtual"]), help="Instead of what the plan says.")
 @click.option("--seed", type=int, help="Instead of the plan's first.")
-@click.option("--seconds", type=float)
+@click.option("--seconds", type=SECONDS)
 @click.option("--events", type=click.Path(dir_okay=False), help="Keep the event log here.")
 @click.option("--log", type=click.Path(), help="Keep the dispatchers' logs: a file, or on sockets a folder.")
 def emulate(plan: str, ground: str | None, seed: int | None, seconds: float | None, events: str | None,
             log: str | None) -> None:
     """Run a PLAN once, and show what became of it."""
     from pathsaddle.emulator import plan as plans
-    told = checked(plans.read, plan)
+    told = plans.read(plan)
     sys.exit(_one(Path(plan), ground or told.ground, told.all_seeds[0] if seed is None else seed, events, seconds,
                   log))
 
@@ -182,7 +156,7 @@
 @click.argument("plan", type=click.Path(dir_okay=False))
 @FOLDER
 @click.option("--ground", type=click.Choice(["sockets", "virtual"]), help="Instead of what the plan says.")
-@click.option("--jobs", type=int, help="Runs side by side; by default one a core, on sockets one.")
+@click.option("--jobs", type=click.IntRange(min=1), help="Runs side by side; by default one a core, on sockets one.")
 @click.option("--seeds", help="Instead of the plan's: such as 1..20 or 3,5.")
 @click.option("--fresh", is_flag=True, help="Run again what is kept already.")
 def run(plan: str, folder: str, ground: str | None, jobs: int | None, seeds: str | None, fresh: bool) -> None:
@@ -193,16 +167,14 @@
     from pathsaddle.emulator import plan as plans
     from pathsaddle.experiment.report import groups, quantiles, spread
     from pathsaddle.experiment.run import Run, failings, whole_digest
-    told = checked(plans.read, plan)
+    told = plans.read(plan)
+    writable("--folder", folder, folder=True)
     if told.throughput is not None:
         from pathsaddle.experiment import throughput
         sys.exit(throughput.run(told, _store(folder, told.name).path))
     begun = time.perf_counter()
     console = Console(width=None if sys.stdout.isatty() else 110)
-    try:
-        whole = Run(told, _store(folder, told.name), ground, fresh, jobs, _seeds(seeds))
-    except ValueError as fault:
-        raise Stop(f"{plan}: {fault}", 2) from None
+    whole = Run(told, _store(folder, told.name), ground, fresh, jobs, _seeds(seeds))
     kept = len(whole.results)
     if kept:
         console.print(f"{kept} of {len(whole.tasks)} runs are kept from before")
@@ -212,8 +184,8 @@
             line = bar.add_task(told.name, total=len(whole.tasks), completed=kept)
             results = whole.go(lambda result: bar.update(line, advance=1))
     except KeyboardInterrupt:
-        raise Stop(f"interrupted: {len(whole.results)} of {len(whole.tasks)} runs are kept, the other "
-                   f"{len(whole.left)} are run by the same command", INTERRUPTED) from None
+        raise Interrupted(at=f": {len(whole.results)} of {len(whole.tasks)} runs are kept", rest="the same command runs the "
+                          f"other {len(whole.left)}") from None
     took = time.perf_counter() - begun
     for variant, rs in groups(results).items():
         click.echo(f"{variant}: {len(rs)} runs, value {spread([r.verdict['part'] for r in rs])}, p99 ms "
@@ -249,24 +221,25 @@
     try:
         if ".." in told:
             first, last = told.split("..")
-            return list(range(int(first), int(last) + 1))
-        return [int(part) for part in told.split(",")]
+            seeds = list(range(int(first), int(last) + 1))
+        else:
+            seeds = [int(part) for part in told.split(",")]
     except ValueError:
-        raise click.UsageError(f"--seeds {told}: such as 1..20 or 3,5") from None
+        seeds = []
+    if not seeds:
+        raise click.UsageError(f"--seeds {told} names no seeds; such as 1..20 or 3,5 does")
+    return seeds
 
 
 @experiment.command()
 @click.argument("a")
 @click.argument("b")
-@click.option("--loss", default=0.03, show_default=True, help="Of value that B may have less than A.")
+@click.option("--loss", type=click.FloatRange(min=0), default=0.03, show_default=True, help="Of value that B may have less than A.")
 def compare(a: str, b: str, loss: float) -> None:
     """Paired differences of B against A, each FILE or FILE:VARIANT; exit 1 where B loses more than --loss."""
     from pathsaddle.experiment.compare import choose
     from pathsaddle.experiment.compare import compare as paired
-    try:
-        found = paired(choose(a), choose(b))
-    except ValueError as fault:
-        raise Stop(str(fault), 2) from None
+    found = paired(choose(a), choose(b))
     for d in found:
         click.echo(f"{d.figure:16} {d.a:10.3f} {d.b:10.3f}  {d.mean:+.4f} [{d.low:+.4f} to {d.high:+.4f}] "
                    f"over {d.seeds} seeds")
@@ -276,21 +249,24 @@
 
 
 @experiment.command()
-@click.argument("file", type=click.Path(exists=True, dir_okay=False))
+@click.argument("file", type=click.Path(dir_okay=False))
 @click.option("--out", type=click.Path(dir_okay=False), help="By default beside FILE, as .html")
 @click.option("--png", type=click.Path(dir_okay=False), help="The plots as files too, numbered: NAME-1.png ...")
 def report(file: str, out: str | None, png: str | None) -> None:
     """One HTML page with tables and plots of the results in FILE; of the last commit that each variant ran on."""
-    from pathsaddle.experiment.keep import Store
-    from pathsaddle.experiment.report import write
+    from pathsaddle.experiment.keep import NoResults, Store
+    from pathsaddle.experiment.report import groups, write
+    results = Store(Path(file)).read(must=True)
     last: dict[tuple[str, int], Any] = {}
-    for result in Store(Path(file)).read():
+    for result in results:
         last[result.variant, result.seed] = result
+    if not groups(list(last.values())):
+        raise NoResults(path=file, variant="any variant")
     path = Path(out) if out else Path(file).with_suffix(".html")
-    try:
-        write(list(last.values()), path, Path(png) if png else None)
-    except ValueError as fault:
-        raise Stop(f"{file}: {fault}", 2) from None
+    writable("--out", str(path))
+    if png:
+        writable("--png", str(Path(png).with_name(Path(png).stem + "-1.png")))
+    write(list(last.values()), path, Path(png) if png else None)
     click.echo(str(path))
 
 
@@ -301,7 +277,10 @@
     """The plans that are here, and what is kept of each."""
     from pathsaddle.charter.check import Faulty
     from pathsaddle.emulator import plan as forms
-    for path in sorted(Path(plans).glob("*.toml")):
+    found = sorted(Path(plans).glob("*.toml"))
+    if not found:
+        raise NoPlans(folder=plans)
+    for path in found:
         try:
             told = forms.read(path)
         except Faulty as fault:
@@ -320,12 +299,40 @@
     try:
         cli.main(standalone_mode=False)
     except click.exceptions.Abort:
-        click.echo("interrupted", err=True)
-        return INTERRUPTED
+        return _ended(Interrupted(at="", rest="the same command begins anew"))
     except click.ClickException as fault:
-        fault.show()
-        return fault.exit_code
+        return _ended(_usage(fault))
     except BrokenPipeError:
         os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
         return 0
+    except Error as fault:
+        return _ended(fault)
+    except Exception as fault:  # noqa: BLE001  # a defect of ours: with its trace, and by its name
+        import traceback
+        traceback.print_exc()
+        return _ended(Defect(command=_command(None), why=f"{type(fault).__name__}: {fault}"))
     return 0
+
+
+def _ended(fault: Error) -> int:
+    click.echo(str(fault), err=True)
+    return fault.code
+
+
+def _command(context: click.Context | None) -> str:
+    """As the operator would say it, whatever way the program was started."""
+    if context is None:
+        return " ".join(["pathsaddle", *sys.argv[1:3]])
+    names = []
+    while context is not None and context.parent is not None:
+        names.append(context.info_name or "")
+        context = context.parent
+    return " ".join(["pathsaddle", *reversed(names)])
+
+
+def _usage(fault: click.ClickException) -> Error:
+    context = getattr(fault, "ctx", None)
+    command = _command(context) if context is not None else "pathsaddle"
+    pieces = " ".join(context.command.collect_usage_pieces(context)) if context is not None else "COMMAND"
+    text = fault.format_message().rstrip(".")
+    return Usage(command=command, why=text[:1].lower() + text[1:], usage=f"{command} {pieces}")
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -4,6 +4,7 @@
 
 import copy
 import fnmatch
+import re
 from pathlib import Path
 from typing import Annotated, Any, Literal
 
@@ -13,6 +14,7 @@
 from pathsaddle.charter.check import Fault, Faulty, check, load
 from pathsaddle.charter.form import Charter, Form
 from pathsaddle.charter.units import Duration
+from pathsaddle.errors import access, why
 
 MS, S = 10, 10_000
 Part = Annotated[float, Meta(ge=0, le=1)]
@@ -215,9 +217,9 @@
         if self.kind not in FAULTS:
             raise ValueError(f'kind: "{self.kind}" stands there; one of {", ".join(FAULTS)} may')
         if (self.at is None) == (self.rate == 0):
-            raise ValueError("either at or rate must be given")
+            raise ValueError('either at or rate must be given; write one, such as at = "5s", and not both')
         if self.after and (self.at is None or self.every):
-            raise ValueError("after another fault: at must be given, and every can't")
+            raise ValueError("after another fault at must be given, and every can't; write at and take every out")
 
 
 class Bounds(Form):
@@ -363,7 +365,10 @@
     schemes = [scheme.name for scheme in charter.schemes]
     for name in plan.load.jobs:
         if name not in schemes:
-            faults.append(Fault(file, f"load.jobs.{name}", f"no such scheme; known are {', '.join(schemes)}"))
+            faults.append(Fault(file, f"load.jobs.{name}", "no such scheme", f"name one of charter.schemes there "
+                                f"({', '.join(schemes)})"))
+    if plan.load.shape == "trace":
+        faults += traced(plan, file, schemes)
     workers = worker_names(plan)
     dispatchers = [f"d{i}" for i in range(plan.fleet.dispatchers)]
     for i, machines in enumerate(plan.fleet.workers):
@@ -380,19 +385,22 @@
         if FAULTS[trouble.kind] == "link":
             if charter.fleet is None:
                 faults.append(Fault(file, f"faults[{i}].kind", f"{trouble.kind} strikes what dispatchers tell one "
-                                    "another, and charter.fleet is missing"))
+                                    "another, and charter.fleet is missing", "add the table [charter.fleet]"))
             for key, who in (("of", trouble.of), ("among", trouble.among)):
                 if who and not named(plan, charter, who):
                     faults.append(Fault(file, f"faults[{i}].{key}", f'"{who}" stands there, and no dispatcher, zone '
-                                        "or part is called so"))
+                                        "or part is called so", f"write {dispatchers[0]} to {dispatchers[-1]}, a zone or "
+                                        f"a part of fleet.parts at faults[{i}].{key}"))
         if trouble.of and names is not None and not fnmatch.filter(names, trouble.of):
             faults.append(Fault(file, f"faults[{i}].of", f'"{trouble.of}" stands there, and no '
-                                f"{FAULTS[trouble.kind]} is called so; there are {names[0]} to {names[-1]}"))
+                                f"{FAULTS[trouble.kind]} is called so", f"write one of {names[0]} to {names[-1]} "
+                                f"at faults[{i}].of"))
         if trouble.scheme and trouble.scheme not in schemes:
             faults.append(Fault(file, f"faults[{i}].scheme", f'"{trouble.scheme}" stands there; one of '
                                 f"{', '.join(schemes)} may"))
     if plan.only == "fleet" and (charter.fleet is None or plan.ground != "virtual"):
-        faults.append(Fault(file, "only", "charter.fleet and the virtual ground are needed for it"))
+        faults.append(Fault(file, "only", "charter.fleet and the virtual ground are needed for it", "add the table "
+                            '[charter.fleet] and ground = "virtual", or take `only` out'))
     if plan.only != "fleet" and plan.fleet.dispatchers > 250:
         faults.append(Fault(file, "fleet.dispatchers", f'{plan.fleet.dispatchers} stands there; at most 250 may, or '
                             'only = "fleet"'))
@@ -406,6 +414,26 @@
     return plan
 
 
+def traced(plan: Plan, file: str, schemes: list[str]) -> list[Fault]:
+    """What is wrong with the trace: that it can't be read, or its first bad line."""
+    path = plan.load.trace
+    if not path:
+        return [Fault(file, "load.trace", "no file stands there, and shape is a trace", "write a trace's path at load.trace")]
+    try:
+        for number, line in enumerate(Path(path).read_text(encoding="utf-8").splitlines(), 1):
+            parts = line.split(",")
+            if len(parts) != 4 or parts[1] not in schemes or not all(map(NUMBER.fullmatch, (parts[0], parts[2]))):
+                return [Fault(file, "load.trace", f"{path}, line {number}: {line[:60]!r} stands there",
+                              f"write in {path} lines of seconds,scheme,milliseconds of work,customer (schemes: "
+                              f"{', '.join(schemes)})")]
+    except (OSError, UnicodeDecodeError) as fault:
+        return [Fault(file, "load.trace", f"{path} can't be read: {why(fault)}", access(fault, path))]
+    return []
+
+
+NUMBER = re.compile(r" *[0-9]+([.][0-9]*)?(e-?[0-9]+)? *")
+
+
 def varied(plan: Plan, variant: Variant) -> Plan:
     """The plan as the variant has it."""
     other = copy.deepcopy(plan)
--- a/pathsaddle/errors.py
+++ b/pathsaddle/errors.py
@@ -65,4 +65,6 @@
         return f"name another path than {path}: a part of it that should be a folder is a file"
     if isinstance(fault, IsADirectoryError):
         return f"name a file instead of the folder {path}"
+    if isinstance(fault, UnicodeError):
+        return f"save {path} as text in UTF-8, or name another file"
     return f"see that {folder or path} can be had by the user who runs this, or name another"
--- a/pathsaddle/experiment/compare.py
+++ b/pathsaddle/experiment/compare.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from pathsaddle.experiment.keep import Result, Store
+from pathsaddle.experiment.keep import NoResults, NoSeeds, Result, Store
 
 RESAMPLES = 10_000
 FIGURES: dict[str, tuple[Callable[[Result], float], bool]] = {  # and whether more is better
@@ -33,27 +33,25 @@
 
 
 def choose(told: str) -> list[Result]:
-    """Results of `FILE` or `FILE:VARIANT`, the last one of each seed; raises ValueError where there are none."""
+    """Results of `FILE` or `FILE:VARIANT`, the last one of each seed; raises NoResults, Unkept."""
     path, _, variant = told.partition(":")
     found: dict[int, Result] = {}
     variant = variant or "base"
-    if not Path(path).exists():
-        raise ValueError(f"{path}: no such file")
-    for result in Store(Path(path)).read():
+    for result in Store(Path(path)).read(must=True):
         if result.variant == variant and not result.fault:
             found[result.seed] = result
     if not found:
-        raise ValueError(f"{told}: no results of a variant {variant!r}")
+        raise NoResults(path=path, variant=f"the variant {variant!r}")
     return [found[seed] for seed in sorted(found)]
 
 
 def compare(one: list[Result], other: list[Result], seed: int = 1) -> list[Difference]:
-    """Raises ValueError where they have no seed in common."""
+    """Raises NoSeeds where they have no seed in common."""
     import numpy as np
     a, b = {r.seed: r for r in one}, {r.seed: r for r in other}
     seeds = [s for s in sorted(a) if s in b]
     if not seeds:
-        raise ValueError("they have no seed in common")
+        raise NoSeeds(a=f"{one[0].plan}:{one[0].variant}", b=f"{other[0].plan}:{other[0].variant}")
     chance = np.random.default_rng(seed)
     draws = chance.integers(0, len(seeds), (RESAMPLES, len(seeds)))
     found = []
--- a/pathsaddle/experiment/keep.py
+++ b/pathsaddle/experiment/keep.py
@@ -13,6 +13,43 @@
 import msgspec
 
 from pathsaddle.emulator.plan import Plan, Variant, plain
+from pathsaddle.errors import Error, access, why
+
+
+class Unkept(Error):
+    name = "experiment.unreadable"
+    what = "{path}: results can't be read: {why}"
+
+
+class NoResults(Error):
+    name = "experiment.no-results"
+    what = "{path}: no result of {variant} that came to its end is in it"
+    do = "name a file and a variant with results, FILE:VARIANT (`pathsaddle experiment list`, `experiment run PLAN`)"
+
+
+class NoSeeds(Error):
+    name = "experiment.no-common-seed"
+    what = "{a} and {b} have no seed in common, so nothing can be paired"
+    do = "run both with the same seeds: `pathsaddle experiment run PLAN --seeds 1..20`"
+
+
+class NoCommit(Error):
+    name = "experiment.no-commit"
+    what = "variants: no commit {commit!r} is in this clone"
+    do = "`git fetch` it, or write a commit that `git log` shows at commit of that variant"
+
+
+class NoProgram(Error):
+    name = "experiment.no-program"
+    what = "variants: commit {commit} has no pathsaddle/ in it"
+    do = "write a later commit at commit of that variant"
+
+
+class NoGround(Error):
+    name = "experiment.no-ground"
+    what = "variants: commit {commit} is from before the virtual ground"
+    do = "run it with --ground sockets, or write a later commit at commit of that variant"
+
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 
@@ -79,12 +116,16 @@
     def __init__(self, path: Path) -> None:
         self.path = path
 
-    def read(self) -> list[Result]:
-        """A last line that a break cut short is passed over."""
-        if not self.path.exists():
+    def read(self, must: bool = False) -> list[Result]:
+        """A last line that a break cut short is passed over. `must`: it has to be there. Raises Unkept."""
+        if not must and not self.path.exists():
             return []
         found = []
-        for line in self.path.read_bytes().splitlines():
+        try:
+            told = self.path.read_bytes()
+        except OSError as fault:
+            raise Unkept("", access(fault, self.path), path=self.path, why=why(fault)) from None
+        for line in told.splitlines():
             try:
                 found.append(msgspec.json.decode(line, type=Result))
             except msgspec.DecodeError:
--- a/pathsaddle/experiment/report.py
+++ b/pathsaddle/experiment/report.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from pathsaddle.experiment.compare import FIGURES, compare
-from pathsaddle.experiment.keep import Result
+from pathsaddle.experiment.keep import NoResults, Result
 
 STYLE = """body{font:15px/1.5 sans-serif;max-width:70em;margin:2em auto;padding:0 1em;color:#222}
 table{border-collapse:collapse;margin:1em 0}td,th{padding:.25em .7em;border-bottom:1px solid #ddd;text-align:right}
@@ -106,10 +106,10 @@
 
 
 def page(results: list[Result]) -> str:
-    """The whole page; raises ValueError where there is no result."""
+    """The whole page; raises NoResults."""
     found = groups(results)
     if not found:
-        raise ValueError("no result of a run that came to its end")
+        raise NoResults(path="what is to be shown", variant="any run")
     first = next(iter(found.values()))[0]
     commits = dict.fromkeys(r.commit for r in results)
     parts = ["<!doctype html><meta charset=utf-8>", f"<title>{html.escape(first.plan)}</title>",
--- a/pathsaddle/experiment/run.py
+++ b/pathsaddle/experiment/run.py
@@ -29,7 +29,7 @@
 from pathsaddle.emulator.judge import judge
 from pathsaddle.emulator.plan import Plan, Variant, charter_of, of, plain, varied
 from pathsaddle.experiment.baseline import instead
-from pathsaddle.experiment.keep import ROOT, Result, Store, commit_of, digest_of, machine
+from pathsaddle.experiment.keep import ROOT, NoCommit, NoGround, NoProgram, Result, Store, commit_of, digest_of, machine
 
 SLACK = {"virtual": 20, "sockets": 500}  # ticks by which the judge's limits are longer
 OURS = ("emulator", "charter", "experiment", "cli")  # laid over an earlier commit for the virtual ground
@@ -77,7 +77,7 @@
 
 
 def tree(commit: str, ground: str, where: Path) -> tuple[Path, str]:
-    """A tree with an earlier commit's program, and that commit's name; raises ValueError where there is none.
+    """A tree with an earlier commit's program, and that commit's name; raises NoCommit, NoProgram, NoGround.
 
     On the virtual ground today's emulator is laid over it, which stands on a handed-in Ground: commits from
     before that run on sockets alone.
@@ -85,16 +85,18 @@
     name = subprocess.run(["git", "rev-parse", "--short=10", f"{commit}^{{commit}}"], cwd=ROOT,
                           capture_output=True, text=True, check=False).stdout.strip()
     if not name:
-        raise ValueError(f"no commit {commit!r} here")
+        raise NoCommit(commit=commit)
     root = where / f"{name}-{ground}"
     shutil.rmtree(root, ignore_errors=True)
-    packed = subprocess.run(["git", "archive", name, "pathsaddle"], cwd=ROOT, capture_output=True,
-                            check=True).stdout
+    done = subprocess.run(["git", "archive", name, "pathsaddle"], cwd=ROOT, capture_output=True, check=False)
+    if done.returncode:
+        raise NoProgram(commit=name)
+    packed = done.stdout
     with tarfile.open(fileobj=io.BytesIO(packed)) as archive:
         archive.extractall(root, filter="data")
     if ground == "virtual":
         if not (root / "pathsaddle/net/service/ground.py").exists():
-            raise ValueError(f"{name} has no handed-in ground: on sockets alone it can run")
+            raise NoGround(commit=name)
         for package in OURS:
             shutil.rmtree(root / "pathsaddle" / package, ignore_errors=True)
             shutil.copytree(ROOT / "pathsaddle" / package, root / "pathsaddle" / package)
--- a/pathsaddle/experiment/throughput.py
+++ b/pathsaddle/experiment/throughput.py
@@ -28,6 +28,7 @@
 
 from pathsaddle.charter.told import told
 from pathsaddle.emulator.plan import Plan, charter_of, varied
+from pathsaddle.errors import FINDING, Error
 from pathsaddle.experiment.keep import ROOT, commit_of, machine
 from pathsaddle.experiment.run import tree
 
@@ -38,6 +39,13 @@
 MOST = 60_000_000  # microseconds
 
 
+class NeverReady(Error):
+    name = "experiment.never-ready"
+    what = "the dispatcher at {listen} is not ready after 10 s"
+    do = "run it again on a quieter machine; if that does not help, report it with the commit it ran"
+    code = FINDING
+
+
 class _Worker(asyncio.Protocol):
     """Says 202 and has the job done at once, on a connection of its own back to the dispatcher."""
 
@@ -370,7 +378,7 @@
                     return
         except (OSError, urllib.error.URLError):
             time.sleep(0.05)
-    raise RuntimeError("the dispatcher is never ready")
+    raise NeverReady(listen=listen)
 
 
 def run(plan: Plan, path: Path) -> int:
--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -1,4 +1,11 @@
-"""The thin driver: datagrams between the socket and the core, its timer, its log lines, its control address."""
+"""The thin driver: datagrams between the socket and the core, its timer, its log lines, its control address.
+
+A defect of ours inside the core is caught here, counted (`fleet.fault`) and logged by name with its trace, one line a
+second at most. Whatever it struck is given up alone: a datagram is dropped, who hears of a change hears of the next,
+who asks at the control address is told. A timer that fails is set again a beat later; with the WAKES-th failure in a
+row the membership ends, since one that answers and no longer looks would be taken for well: its socket closes, others
+find it dead, `pathsaddle fleet` says so, jobs go on.
+"""
 
 from __future__ import annotations
 
@@ -11,6 +18,7 @@
 from random import Random
 from typing import Any, Protocol
 
+from pathsaddle.errors import access, why
 from pathsaddle.fleet.lives import Lives, NoFolder
 from pathsaddle.fleet.members import Change, Membership, Ways, life_of
 from pathsaddle.fleet.wire import ALIVE, LEFT, MOST, STATES, Row
@@ -23,6 +31,13 @@
 AT_ONCE = 64  # datagrams read in one go before others have their turn
 TALK = 2 * SECOND  # for one who asks at the control address
 ASKERS = 8  # of them at a time
+WAKES = 8  # failures of the core's timer in a row by which the membership ends
+DOUBT = SECOND  # between two log lines of faults: what comes in between is counted
+WORDS = ("members",)  # that may be asked at the control address
+
+
+def _said(fault: Exception) -> str:
+    return f"{type(fault).__name__}: {fault}" if str(fault) else type(fault).__name__
 
 
 class Ground(Protocol):
@@ -40,7 +55,7 @@
     """A member as its operator wants it.
 
     listen: where it takes datagrams. address: where others send them, as they reach it. control: where
-    `pathsaddle fleet` asks; empty: nowhere.
+    `pathsaddle fleet` asks; empty: nowhere. file: where all that stands, for an operator.
     """
 
     name: str
@@ -50,6 +65,7 @@
     seeds: list[str]
     control: str
     ways: Ways
+    file: str = "the charter"
 
 
 class Fellows:
@@ -65,35 +81,55 @@
         try:
             lives.keep(life)
         except OSError as fault:
-            raise NoFolder(fault) from None
+            folder = lives.path.parent if lives.path is not None else ""
+            raise NoFolder("", access(fault, folder, folder) + f", at fleet.folder in {told.file}", file=told.file,
+                           folder=folder, why=why(fault)) from None
         me = Row(told.name, life, 0, ALIVE, told.address, told.zone)
         self.life = life
         self.core = Membership(me, told.ways, told.seeds, chance, now)
-        self.sock, peer = ground.datagrams(told.listen)
-        self.sock.bind(peer)
+        try:
+            self.sock, peer = ground.datagrams(told.listen)
+            self.sock.bind(peer)
+        except (OSError, ValueError) as fault:
+            from pathsaddle.net.service.place import unhad
+            raise unhad(fault, "fleet.listen", told.listen, told.file) from None
         self._peers: dict[str, Peer | None] = {}
         self._alarm: asyncio.TimerHandle | None = None
         self._alarm_at = 1 << 60
         self._events: asyncio.AbstractEventLoop
         self._tasks: list[asyncio.Task[None]] = []
+        self._reader: asyncio.Task[None] | None = None
         self._control: socket.socket | None = None
         self._askers = 0
+        self._failed = 0  # wakes in a row
+        self._doubted = -DOUBT  # when a fault was logged last
+        self.ended = ""  # by which fault of ours; empty: it goes on
 
     def begin(self) -> None:
         self._events = asyncio.get_running_loop()
-        self._tasks.append(self._events.create_task(self._read()))
+        self._reader = self._events.create_task(self._read())
+        self._tasks.append(self._reader)
         if self.told.control:
-            self._control, peer = self.ground.stream(self.told.control)
-            self._control.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._control.bind(peer)
-            self._control.listen(ASKERS)
+            try:
+                self._control, peer = self.ground.stream(self.told.control)
+                self._control.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                self._control.bind(peer)
+                self._control.listen(ASKERS)
+            except (OSError, ValueError) as fault:
+                from pathsaddle.net.service.place import unhad
+                raise unhad(fault, "fleet.control", self.told.control, self.told.file) from None
             self._tasks.append(self._events.create_task(self._listen(self._control)))
         self._wake()
 
     def leave(self) -> None:
         """We end: told at once."""
-        self.core.leave(self.clock.now())
-        self._flush()
+        if self.ended:
+            return
+        try:
+            self.core.leave(self.clock.now())
+            self._flush()
+        except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
+            self._fault("the word that we leave", fault, "others find us dead instead")
 
     def end(self) -> None:
         if self._alarm is not None:
@@ -107,30 +143,72 @@
     # Datagrams and the timer.
 
     async def _read(self) -> None:
-        while True:
+        while not self.ended:
             try:
                 data = await self._events.sock_recv(self.sock, MOST + 1)
             except OSError as fault:  # such as a peer's port that nobody has: told to the next call
+                if self.ended:
+                    return
                 self.counters.add("fleet.socket")
                 logbook.fleet_socket(why=fault)
                 await asyncio.sleep(0.05)
                 continue
-            try:
-                for _ in range(AT_ONCE):
-                    self.core.heard(data, self.clock.now())
+            for _ in range(AT_ONCE):
+                self._heard(data)
+                try:
                     data = self.sock.recv(MOST + 1)
-            except OSError:
-                pass
-            self._flush()
-            self._set(self.core.due(self.clock.now()))
+                except OSError:
+                    break
+            try:
+                self._flush()
+                due = self.core.due(self.clock.now())
+            except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
+                self._fault("what datagrams led to", fault, "the timer looks after it")
+                due = self.clock.now() + self.told.ways.beat
+            self._set(due)
+
+    def _heard(self, data: bytes) -> None:
+        try:
+            self.core.heard(data, self.clock.now())
+        except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
+            self._fault("a datagram", fault, "it is dropped, the next is read")
 
     def _wake(self) -> None:
         self._alarm = None
-        due = self.core.wake(self.clock.now())
-        self._flush()
+        try:
+            due = self.core.wake(self.clock.now())
+            self._flush()
+        except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
+            self._failed += 1
+            if self._failed >= WAKES:
+                self._give_up(fault)
+                return
+            self._fault("its timer", fault, f"it is tried again after a beat, {WAKES - self._failed} more times")
+            due = self.clock.now() + self.told.ways.beat
+        else:
+            self._failed = 0
         self._set(due)
 
+    def _fault(self, step: str, fault: Exception, then: str, always: bool = False) -> None:
+        self.counters.add("fleet.fault")
+        now = self.clock.now()
+        if always or now - self._doubted >= DOUBT:
+            self._doubted = now
+            logbook.fault_member(fault, step=step, why=_said(fault), then=then)
+
+    def _give_up(self, fault: Exception) -> None:
+        """Visibly: nothing of ours is heard any more, and whoever asks here is told."""
+        self.ended = _said(fault)
+        self._fault("its timer", fault, "the membership has ended, jobs go on", always=True)
+        if self._alarm is not None:
+            self._alarm.cancel()
+        if self._reader is not None:
+            self._reader.cancel()
+        self.sock.close()
+
     def _set(self, due: int) -> None:
+        if self.ended:
+            return
         if self._alarm is not None:
             if self._alarm_at <= due:
                 return
@@ -152,7 +230,11 @@
         for change in changes:
             self._log(change)
             for hear in self.on_change:
-                hear(change)
+                try:
+                    hear(change)
+                except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
+                    self.counters.add("fleet.fault")
+                    logbook.fault_hearer(fault, member=change.name, why=_said(fault))
         out, core.out = core.out, []
         for address, data in out:
             peer = self._peer(address)
@@ -194,8 +276,10 @@
         while True:
             try:
                 sock, _ = await self._events.sock_accept(listener)
-            except OSError:
-                await asyncio.sleep(0.05)
+            except OSError as fault:
+                self.counters.add("fleet.control")
+                logbook.accept_failed(why=f"{self.told.control} (fleet.control): {why(fault)}")
+                await asyncio.sleep(0.5)
                 continue
             if self._askers >= ASKERS:
                 sock.close()
@@ -216,8 +300,7 @@
                         return
                     asked += data
                 word = asked.split(b"\n")[0].decode("ascii", "replace").strip()
-                told = self.view() if word == "members" else {"fault": f"{word!r} asked; members may be"}
-                await self._events.sock_sendall(sock, json.dumps(told).encode() + b"\n")
+                await self._events.sock_sendall(sock, self._told(word) + b"\n")
         except (OSError, TimeoutError):
             pass
         finally:
@@ -225,6 +308,20 @@
             with contextlib.suppress(OSError):
                 sock.close()
 
+    def _told(self, word: str) -> bytes:
+        try:
+            if word not in WORDS:
+                return json.dumps({"fault": f"{word!r} was asked, and it knows {', '.join(WORDS)}",
+                                   "name": "control.no-such-word"}).encode()
+            if self.ended:
+                return json.dumps({"fault": f"its membership has ended by a fault of its own: {self.ended}",
+                                   "name": "control.ended"}).encode()
+            return json.dumps(self.view()).encode()
+        except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
+            self.counters.add("fleet.fault")
+            logbook.fault_control(fault, why=_said(fault))
+            return json.dumps({"fault": f"a fault of its own: {_said(fault)}", "name": "control.fault"}).encode()
+
     def view(self) -> dict[str, Any]:
         """What this member believes, times in milliseconds ago."""
         now, core = self.clock.now(), self.core
--- a/pathsaddle/fleet/lives.py
+++ b/pathsaddle/fleet/lives.py
@@ -5,9 +5,12 @@
 import os
 from pathlib import Path
 
+from pathsaddle.errors import Error
 
-class NoFolder(OSError):
-    """The folder for the number of lives can't be used."""
+
+class NoFolder(Error):
+    name = "fleet.no-folder"
+    what = "{file}: fleet.folder: the number of our life can't be kept in {folder}: {why}"
 
 
 class Lives:
--- a/pathsaddle/jobs/store.py
+++ b/pathsaddle/jobs/store.py
@@ -8,9 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import fcntl
 import os
 import queue
+import shutil
 import sqlite3
 import threading
 import zlib
@@ -20,6 +22,7 @@
 from random import Random
 from typing import IO, Any, Protocol
 
+from pathsaddle.errors import Error, access, why
 from pathsaddle.jobs.life import End, Impossible, Job, Kind, Record
 from pathsaddle.trade import Semantics
 
@@ -48,8 +51,60 @@
     """Another process has the store now: nothing of ours is written any more."""
 
 
-class Unusable(Exception):
-    """The store can't be opened; says why."""
+class Unusable(Error):
+    """The store can't be opened. `path`: its file."""
+
+    name = "store.unusable"
+    what = "{path}: can't be used: {why}"
+
+
+class InUse(Unusable):
+    name = "store.in-use"
+    what = "{path}: another process has it open"
+    do = "end that process (`fuser {path}.lock` names it), or give each dispatcher a file of its own at jobs.path"
+
+
+class NoFile(Unusable):
+    name = "store.no-file"
+    what = "{path}: no such file"
+    do = "say the file that stands at jobs.path in the dispatcher's charter instead of {path}"
+
+
+class NoDatabase(Unusable):
+    name = "store.no-database"
+    what = "{path}: is no store of jobs: {why}"
+    do = "say another file, or put a backup in its place with `pathsaddle jobs restore COPY {path}`"
+
+
+class Newer(Unusable):
+    name = "store.newer"
+    what = "{path}: its schema {version} is newer than this program's, {known}"
+    do = "run the release that wrote {path}, or one after it"
+
+
+class NoJob(Unusable):
+    name = "store.no-job"
+    what = "{path}: holds no job {job}"
+    do = "look at `pathsaddle jobs list {path}`: an ended job is let go after jobs.retention"
+
+
+def unusable(path: Path, fault: Exception) -> Unusable:
+    """What the kernel's or SQLite's word means for who owns the file."""
+    if isinstance(fault, Unusable):
+        return fault
+    if isinstance(fault, OSError):
+        return Unusable("", access(fault, path, path.parent), path=path, why=why(fault))
+    code = getattr(fault, "sqlite_errorname", "") or ""
+    if code.startswith(("SQLITE_NOTADB", "SQLITE_CORRUPT")) or "no such table" in str(fault):
+        return NoDatabase(path=path, why=why(fault))
+    if path.is_dir():
+        return Unusable("", f"name a file instead of the folder {path}", path=path, why="it is a folder")
+    if code.startswith(("SQLITE_BUSY", "SQLITE_LOCKED")):
+        return InUse(path=path)
+    if code.startswith("SQLITE_READONLY"):
+        return Unusable("", f"let the user who runs this write {path} and in {path.parent}", path=path, why=why(fault))
+    return Unusable("", f"see that {path.parent} is there, has room, and can be written by the user who runs this", path=path,
+                    why=why(fault))
 
 
 @dataclass(slots=True)
@@ -240,9 +295,9 @@
                 self._lock = self.path.with_name(self.path.name + ".lock").open("ab")
                 fcntl.flock(self._lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
-            raise Unusable(f"{self.path}: another process has it open") from None
+            raise InUse(path=self.path) from None
         except OSError as fault:
-            raise Unusable(f"{self.path}: {fault}") from None
+            raise unusable(self.path, fault) from None
         try:
             self._db = connect(self.path, self.sync)
             migrate(self._db)
@@ -252,7 +307,9 @@
             self.epoch = int(self._db.execute("SELECT value FROM meta WHERE key = 'epoch'").fetchone()[0])
             found = self._read()
         except sqlite3.Error as fault:
-            raise Unusable(f"{self.path}: {fault}") from None
+            raise unusable(self.path, fault) from None
+        except Newer as fault:
+            raise Newer(**{**fault.told, "path": self.path}) from None
         self.writer.begin(self._commit)
         return found
 
@@ -307,7 +364,7 @@
     """To today's schema, a version at a time, each whole or not at all; raises Unusable for a newer one."""
     version = int(db.execute("PRAGMA user_version").fetchone()[0])
     if version > VERSION:
-        raise Unusable(f"schema {version} is newer than this program's, {VERSION}")
+        raise Newer(path="the store", version=version, known=VERSION)
     for number in range(version + 1, VERSION + 1):
         db.executescript(f"BEGIN IMMEDIATE; {MIGRATIONS[number]} PRAGMA user_version = {number}; COMMIT;")
 
@@ -373,41 +430,66 @@
 
 
 def verify(path: Path) -> list[str]:
-    """All that is wrong in a store; nothing is changed. Raises Unusable where there is none."""
+    """All that is wrong in a store; nothing is changed. Raises Unusable where there is none, or it can't be read."""
     if not path.exists():
-        raise Unusable(f"{path}: no such file")
+        raise NoFile(path=path)
     try:
         db = sqlite3.connect(f"file:{path}?mode=ro", uri=True)
         found = [str(row[0]) for row in db.execute("PRAGMA integrity_check") if row[0] != "ok"]
         return found + load(db)[1]
-    except sqlite3.DatabaseError as fault:
-        return [str(fault)]
+    except sqlite3.Error as fault:
+        told = unusable(path, fault)
+        if isinstance(told, NoDatabase):
+            return [why(fault)]
+        raise told from None
 
 
 def backup(path: Path, to: Path) -> None:
     """A whole copy while the store is in use; there whole or not at all."""
     if not path.exists():
-        raise Unusable(f"{path}: no such file")
+        raise NoFile(path=path)
     part = to.with_name(to.name + ".part")
-    part.unlink(missing_ok=True)
-    source, target = sqlite3.connect(f"file:{path}?mode=ro", uri=True), sqlite3.connect(part)
     try:
-        source.backup(target)
-    except sqlite3.Error as fault:
-        raise Unusable(f"{path}: {fault}") from None
-    finally:
-        target.close()
-        source.close()
-    with part.open("rb") as file:
-        os.fsync(file.fileno())
-    part.replace(to)
+        part.unlink(missing_ok=True)
+        part.touch()  # first: what can't be written there must not be said of the store
+    except OSError as fault:
+        raise unusable(to, fault) from None
+    try:
+        with contextlib.closing(sqlite3.connect(f"file:{path}?mode=ro", uri=True)) as source, \
+                contextlib.closing(sqlite3.connect(part)) as target:
+            source.backup(target)
+        with part.open("rb") as file:
+            os.fsync(file.fileno())
+        part.replace(to)
+    except (sqlite3.Error, OSError) as fault:
+        part.unlink(missing_ok=True)
+        raise unusable(to if isinstance(fault, OSError) else path, fault) from None
 
 
 def rows(path: Path) -> Iterable[tuple[Accepted, Job]]:
     """What a store holds, read only."""
     if not path.exists():
-        raise Unusable(f"{path}: no such file")
+        raise NoFile(path=path)
     try:
         return load(sqlite3.connect(f"file:{path}?mode=ro", uri=True))[0]
     except sqlite3.Error as fault:
-        raise Unusable(f"{path}: {fault}") from None
+        raise unusable(path, fault) from None
+
+
+def restore(copy: Path, path: Path) -> None:
+    """A copy in a store's place; what the store held stays beside it as `.before`. Raises Unusable."""
+    if found := verify(copy):
+        raise NoDatabase(path=copy, why=found[0])
+    try:
+        with path.with_name(path.name + ".lock").open("ab") as lock:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+            part = path.with_name(path.name + ".part")
+            shutil.copyfile(copy, part)
+            for old in (path, path.with_name(path.name + "-wal"), path.with_name(path.name + "-shm")):
+                if old.exists():
+                    old.replace(old.with_name(old.name.replace(path.name, path.name + ".before")))
+            part.replace(path)
+    except BlockingIOError:
+        raise InUse(path=path) from None
+    except OSError as fault:
+        raise unusable(path, fault) from None
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -10,11 +10,12 @@
 import socket
 from typing import TYPE_CHECKING, Any
 
+from pathsaddle.errors import why
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import pump
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.desk import Desk
-from pathsaddle.net.wire.birth import WHERE, moved_to
+from pathsaddle.net.wire.birth import WHERE, Unreadable, moved_to
 from pathsaddle.net.wire.terms import Peer
 
 if TYPE_CHECKING:
@@ -53,11 +54,18 @@
             resident, shared = file.read().split()[1:3]
         return (int(resident) - int(shared)) * os.sysconf("SC_PAGE_SIZE") / 1e6
 
+    def file(self) -> str:
+        """The file that tells us, by the name that its operator knows."""
+        return os.environ.get(WHERE, "")
+
     def moved(self) -> str:
-        """Where discovery is by the file as it stands now; raises OSError, ValueError where it can't say."""
+        """Where discovery is by the file as it stands now; raises an Error where it can't say."""
         return moved_to(self.told())
 
     def told(self) -> str:
-        """What the dispatcher is told, as it stands now; raises OSError, UnicodeDecodeError (a ValueError)."""
-        with open(os.environ[WHERE], encoding="utf-8") as file:
-            return file.read()
+        """What the dispatcher is told, as it stands now; raises Unreadable."""
+        try:
+            with open(os.environ[WHERE], encoding="utf-8") as file:
+                return file.read()
+        except (OSError, UnicodeDecodeError) as fault:
+            raise Unreadable(file=self.file(), why=why(fault)) from None
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -9,6 +9,7 @@
 
 import uvloop
 
+from pathsaddle.errors import Error
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
@@ -49,8 +50,12 @@
                          lambda: self.roster.ask())
         self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
         self.desk.listed(ListNews.REMEMBERED, told.rows)
-        self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
-                           ground.stream)
+        try:
+            self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
+                               ground.stream)
+        except (OSError, ValueError) as fault:
+            from pathsaddle.net.service.place import unhad
+            raise unhad(fault, "listen", told.listen, ground.file()) from None
         self.fellows = ground.fellows(self.counters)
         self.longest = min(LONGEST, max((scheme.expiry for scheme in told.terms.schemes), default=LONGEST))
         self._stop = asyncio.Event()
@@ -119,9 +124,9 @@
         self.counters.add("reread")
         try:
             address = self.ground.moved()
-        except (OSError, ValueError) as fault:
+        except Error as fault:
             self.counters.add("reread.failed")
-            logbook.not_reread(why=fault)
+            logbook.not_reread(why=" / ".join(str(fault).splitlines()))
             return
         logbook.reread(discovery=address)
         self.roster.move(address)
@@ -154,5 +159,9 @@
     if WHERE not in os.environ:
         logbook.untold(variable=WHERE)
         return 2
-    run(Ground())
+    try:
+        run(Ground())
+    except Error as fault:
+        logbook.refused(name=fault.name, what=fault.what, do=fault.do)
+        return fault.code
     return 0
--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from pathsaddle.errors import Error, why
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
 from pathsaddle.net.wire.terms import Reach, peer_of
@@ -14,6 +15,30 @@
 WHERE = "GW_CONFIG"  # the variable that says where the rest stands
 
 
+class Unreadable(Error):
+    name = "start.unreadable"
+    what = "what GW_CONFIG names, {file!r}, can't be read: {why}"
+    do = "let GW_CONFIG name a file of JSON that is there and that the user who runs this may read"
+
+
+class NoForm(Error):
+    name = "start.no-form"
+    what = "what GW_CONFIG names is no JSON object: {why}"
+    do = "let $GW_CONFIG name a file of the form that README.md shows (a charter goes with `pathsaddle serve CHARTER`)"
+
+
+class Lacks(Error):
+    name = "start.lacks"
+    what = "what GW_CONFIG names says nothing of {key}"
+    do = "write {key} in the file that $GW_CONFIG names, as README.md says"
+
+
+class Unfit(Error):
+    name = "start.unfit"
+    what = "what GW_CONFIG names can't be used: {why}"
+    do = "mend {key} in the file that $GW_CONFIG names, by README.md"
+
+
 @dataclass(slots=True)
 class Birth:
     listen: str
@@ -29,20 +54,41 @@
 
 
 def moved_to(text: str) -> str:
-    """Where discovery is by the file as it stands now; raises ValueError where it does not say.
+    """Where discovery is by the file as it stands now; raises NoForm, Lacks, Unfit where it does not say.
 
     Everything else in it holds from the start to the end: open txns stand on it.
     """
-    told = json.loads(text)
-    where = told.get("discovery") if isinstance(told, dict) else None
+    where = _table(text).get("discovery")
     if not isinstance(where, str):
-        raise ValueError("it names no discovery")  # noqa: TRY004  # the file's fault, not a caller's
-    peer_of(where)
+        raise Lacks(key="discovery")
+    try:
+        peer_of(where)
+    except ValueError as fault:
+        raise Unfit(key="discovery", why=why(fault)) from None
     return where
 
 
+def _table(text: str) -> dict[str, Any]:
+    try:
+        told = json.loads(text)
+    except (ValueError, RecursionError) as fault:
+        raise NoForm(why=why(fault)) from None
+    if not isinstance(told, dict):
+        raise NoForm(why=f"a {type(told).__name__} stands there")
+    return told
+
+
 def birth(text: str) -> Birth:
-    return born(json.loads(text))
+    """Raises NoForm, Lacks, Unfit."""
+    told = _table(text)
+    for key in ("listen", "discovery"):
+        if key not in told:
+            raise Lacks(key=key)
+    try:
+        return born(told)
+    except (LookupError, TypeError, ValueError, AttributeError) as fault:
+        # Which of its many figures it was, only the fault itself says.
+        raise Unfit(key="that", why=f"{type(fault).__name__} {fault}") from None
 
 
 def born(told: dict[str, Any]) -> Birth:
--- a/tests/test_charter.py
+++ b/tests/test_charter.py
@@ -97,7 +97,7 @@
         ground = CharterGround(self.path)
         with mock.patch.object(logbook, "stays") as stays, mock.patch.object(logbook, "open_log") as opened:
             self.path.write_text('[log]\nlevel = "WARNING"\n[limits]\nsockets = 128\n')
-            with self.assertRaises(ValueError):
+            with self.assertRaises(Faulty):
                 ground.moved()
             self.assertEqual(ground.charter.discovery, "127.0.0.1:9090", "a broken file changes nothing")
             self.path.write_text(GOOD.replace("9090", "9091").replace("8080", "8081").replace("400ms", "401ms")
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -74,7 +74,8 @@
         bad = self.file("listen = 3\n")
         done = pathsaddle("serve", bad)
         self.assertEqual(done.returncode, 2)
-        self.assertEqual(done.stderr.splitlines()[0], f"{bad}: listen: 3 stands there; a text may")
+        self.assertEqual(done.stderr.splitlines()[0], f'{bad}: listen: 3 stands there; write an address such as '
+                         '"127.0.0.1:8080" at listen [charter.wrong-kind]')
         done = pathsaddle("serve", self.file(
             'listen = "127.0.0.1:0"\ndiscovery = "127.0.0.1:9"\njobs = { path = "/nowhere/x.db" }\n'
             '[[schemes]]\nname = "a"\nsemantics = "repeatable"\nexpiry = "5s"\n'))
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -91,7 +91,7 @@
             process.send_signal(signal.SIGTERM)
             self.assertIn("told to end", process.communicate(timeout=30)[0])
             nobody = pathsaddle("fleet", "members", str(path))
-            self.assertIn("can't be asked", nobody.communicate(timeout=30)[0])
+            self.assertIn("nobody takes connections there", nobody.communicate(timeout=30)[0])
             self.assertEqual(nobody.returncode, 1)
 
     def test_a_folder_that_is_not_there_is_said_at_once(self):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -197,7 +197,7 @@
             return subprocess.run([*run, *told], cwd=ROOT, capture_output=True, text=True, check=False)
         done = command("restore", str(copy), str(self.path))
         self.assertEqual(done.returncode, 2)
-        self.assertIn("a dispatcher has it open", done.stderr)
+        self.assertIn("another process has it open", done.stderr)
         store.close()
         self.assertEqual(command("restore", str(copy), str(self.path)).returncode, 0)
         listed = command("list", str(self.path), "--open").stdout
