--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -426,14 +426,14 @@
 
     async def _sample(self, dispatcher: int) -> None:
         """Asks a member now and then what it claims to have heard, as its operator would."""
-        from pathsaddle.fleet.asking import ask
+        from pathsaddle.fleet.asking import Unasked, ask
         address = self.address("control", dispatcher, 0)
         while True:
             await asyncio.sleep(1.0)
             begun = self.world.now()
             try:
                 told = await ask(address, "members", 1.0)
-            except (OSError, ValueError):
+            except Unasked:
                 continue
             of = [(m["name"], m["life"], min(ages) * 10) for m in told["members"]
                   if (ages := [age for age in (m["heard"], m["heard_by"]) if age is not None])]
