Shared state is carried between members; a limiter takes and lends rates

Need: shares on lease were a core that no process carried. Options for the carrying: flooding (bytes grow with members squared), a log for each pair (state for each pair), Scuttlebutt's comparison of versions with news passed on at once: taken, since what it costs does not depend on what was lost. Datagrams have a form byte of their own, so that members without it count them as newer and go on; who reads it says so in its row. All is paid from the purse of membership, behind it.

Limiter.takes(budget, units, now) is asked just before each use. Rights are rates, so uses are counted back over a window of a second by a fast clock, and what changes its place has rested that long: no border of seconds lets a burst through. An owner may lend a single unit whole, or 200 members for a budget of ten could move nothing.

[fleet.budgets] in the charter, 'fleet show budgets', a log line; off where the table is missing.

--- a/pathsaddle/charter/fellows.py
+++ b/pathsaddle/charter/fellows.py
@@ -5,6 +5,7 @@
 from pathsaddle.charter.form import Charter
 from pathsaddle.fleet.driver import Told
 from pathsaddle.fleet.members import Ways
+from pathsaddle.fleet.state.limiter import Dealt
 
 
 def told(charter: Charter) -> Told:
@@ -12,5 +13,14 @@
     assert fleet is not None
     ways = Ways(fleet.name, fleet.key.encode(), int(fleet.beat), int(fleet.patience), fleet.bytes, fleet.datagrams,
                 lifeguard=fleet.lifeguard)
+    budgets = None
+    if fleet.budgets:
+        budgets = {name: Dealt(rate, fleet.parts.get(name, equal_part(rate, charter.dispatchers, charter.number)),
+                               int(fleet.lease)) for name, rate in fleet.budgets.items()}
     return Told(charter.name, charter.zone or charter.zones[0], fleet.listen, fleet.address or fleet.listen,
-                list(fleet.seeds), fleet.control, ways)
+                list(fleet.seeds), fleet.control, ways, budgets)
+
+
+def equal_part(rate: int, members: int, number: int) -> int:
+    """Of a budget dealt equally: the first ones have what does not divide."""
+    return rate // members + (number < rate % members)
--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -207,6 +207,10 @@
     bytes: that this member sends in any second at most.
     datagrams: that it sends in any second at most.
     lifeguard: own health, witnesses and the word to the accused; off only to measure what they bring.
+    budgets: rates in units a second that all members together keep, by name; none: nothing is shared.
+    parts: this member's units of a budget, where they are not equal parts by `number` of `dispatchers`; all members'
+      parts together must not pass the budget.
+    lease: for how long units that are not wanted are lent to others.
     """
 
     name: str
@@ -221,6 +225,9 @@
     bytes: Annotated[int, Meta(ge=6000)] = 24_000
     datagrams: Annotated[int, Meta(ge=16)] = 60
     lifeguard: bool = True
+    budgets: dict[str, Annotated[int, Meta(ge=1, le=1_000_000)]] = field(default_factory=dict)
+    parts: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
+    lease: Duration = Duration(10 * S)
 
     def __post_init__(self) -> None:
         from pathsaddle.net.wire.terms import peer_of
@@ -236,6 +243,18 @@
                              "signs in there")
         if self.beat < 50 * MS or not 0 < self.patience < self.beat // 2:
             raise ValueError("beat: 50ms at least, and patience under half of it")
+        if len(self.budgets) > 16:
+            raise ValueError(f"budgets: {len(self.budgets)} stand there; 16 at most may")
+        for name in self.budgets:
+            if not re.fullmatch(r"[A-Za-z0-9_.-]{1,32}", name):
+                raise ValueError(f'budgets: "{name}" stands there; up to 32 letters, digits, ".", "_", "-" may')
+        for name, part in self.parts.items():
+            if part > self.budgets.get(name, -1):
+                raise ValueError(f"parts.{name}: {part} stands there; " + (
+                    f"at most budgets.{name} ({self.budgets[name]}) may" if name in self.budgets else
+                    f"a name of budgets may: {', '.join(self.budgets) or 'there is none'}"))
+        if not 2 * S <= self.lease <= 600 * S:
+            raise ValueError("lease: from 2s to 10min may stand there")
 
 
 class Log(Form):
--- a/pathsaddle/cli/fleet.py
+++ b/pathsaddle/cli/fleet.py
@@ -36,6 +36,32 @@
     return "never" if ms is None else f"{ms / 1000:.1f} s"
 
 
+@fleet.command()
+@click.argument("what", type=click.Choice(["budgets"]))
+@click.argument("charter")
+@click.option("--json", "as_json", is_flag=True, help="All that it says, as one JSON object.")
+def show(what: str, charter: str, as_json: bool) -> None:
+    """What the dispatcher of CHARTER (or at HOST:PORT) shares with others: who holds how much of each budget, how old
+    that word is (docs/shared-state.md)."""
+    told = _asked(charter, what)
+    if as_json:
+        click.echo(json.dumps(told))
+        return
+    from rich.console import Console
+    from rich.table import Table
+    table = Table(title=f"budgets as {told['name']}/{told['life']} holds them", title_justify="left")
+    for name in ("budget", "rate", "part", "usable", "free", "taken", "refused", "lent to", "held of", "others may lend"):
+        table.add_column(name)
+    for row in told["budgets"]:
+        spare = [f"{one['member']} {one['spare'][row['budget']]} ({_ago(one['least'])} to {_ago(one['most'])})"
+                 for one in told["others"] if one["member"] != told["name"] and one["spare"].get(row["budget"])]
+        table.add_row(row["budget"] + (" (alone)" if row["alone"] else ""),
+                      *(str(row[key]) for key in ("rate", "part", "usable", "free", "taken", "refused")),
+                      *("\n".join(f"{one[whom]} {one['units']} for {one['for'] / 1000:.1f} s" for one in row[key])
+                        for key, whom in (("lent", "to"), ("held", "of"))), "\n".join(spare[:16]))
+    Console(width=160).print(table)
+
+
 @fleet.command()
 @click.argument("charter")
 @click.option("--json", "as_json", is_flag=True, help="All that it says, as one JSON object.")
--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -13,7 +13,9 @@
 
 from pathsaddle.fleet.lives import Lives, NoFolder
 from pathsaddle.fleet.members import Change, Membership, Ways, life_of
-from pathsaddle.fleet.wire import ALIVE, LEFT, MOST, STATES, Row
+from pathsaddle.fleet.state.limiter import Dealt
+from pathsaddle.fleet.state.shared import Shared
+from pathsaddle.fleet.wire import ALIVE, CARRIED, DEAD, FORM, LEFT, MOST, STATES, Row
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
@@ -40,7 +42,7 @@
     """A member as its operator wants it.
 
     listen: where it takes datagrams. address: where others send them, as they reach it. control: where
-    `pathsaddle fleet` asks; empty: nowhere.
+    `pathsaddle fleet` asks; empty: nowhere. budgets: by name, of rates that all share; None: no state is shared.
     """
 
     name: str
@@ -50,6 +52,7 @@
     seeds: list[str]
     control: str
     ways: Ways
+    budgets: dict[str, Dealt] | None = None
 
 
 class Fellows:
@@ -66,9 +69,13 @@
             lives.keep(life)
         except OSError as fault:
             raise NoFolder(fault) from None
-        me = Row(told.name, life, 0, ALIVE, told.address, told.zone)
+        me = Row(told.name, life, 0, ALIVE, told.address, told.zone, FORM if told.budgets is None else CARRIED)
         self.life = life
         self.core = Membership(me, told.ways, told.seeds, chance, now)
+        self.shared: Shared | None = None
+        if told.budgets is not None:
+            self.shared = Shared(told.name, life, told.ways.fleet, told.ways.key, self.core.purse, told.ways.beat,
+                                 told.budgets, chance, now)
         self.sock, peer = ground.datagrams(told.listen)
         self.sock.bind(peer)
         self._peers: dict[str, Peer | None] = {}
@@ -81,6 +88,8 @@
 
     def begin(self) -> None:
         self._events = asyncio.get_running_loop()
+        if self.shared is not None:
+            self.shared.limiter.stir = self._stir
         self._tasks.append(self._events.create_task(self._read()))
         if self.told.control:
             self._control, peer = self.ground.stream(self.told.control)
@@ -117,16 +126,20 @@
                 continue
             try:
                 for _ in range(AT_ONCE):
-                    self.core.heard(data, self.clock.now())
+                    hears = self.shared if self.shared is not None and data[:1] == bytes((CARRIED,)) else self.core
+                    hears.heard(data, self.clock.now())
                     data = self.sock.recv(MOST + 1)
             except OSError:
                 pass
             self._flush()
-            self._set(self.core.due(self.clock.now()))
+            now = self.clock.now()
+            self._set(min(self.core.due(now), self.shared.due(now) if self.shared is not None else now + SECOND))
 
     def _wake(self) -> None:
         self._alarm = None
         due = self.core.wake(self.clock.now())
+        if self.shared is not None and not (self.core.silent or self.core.gone):
+            due = min(due, self.shared.wake(self.clock.now()))
         self._flush()
         self._set(due)
 
@@ -149,11 +162,17 @@
             except OSError as fault:
                 # Told all the same: a later life that is lower is refuted by whoever remembers this one.
                 logbook.fleet_disk(why=fault)
+            if self.shared is not None:
+                self.shared.claimed(self.life, self.clock.now())
         for change in changes:
             self._log(change)
+            if self.shared is not None:
+                self._there(self.shared, change)
             for hear in self.on_change:
                 hear(change)
         out, core.out = core.out, []
+        if self.shared is not None:
+            out += self._shared(self.shared)
         for address, data in out:
             peer = self._peer(address)
             if peer is None:
@@ -166,6 +185,30 @@
                 self.counters.add("fleet.sent")
                 self.counters.add("fleet.bytes", len(data))
 
+    def _stir(self) -> None:
+        self._events.call_soon(self._flush)
+
+    def _there(self, shared: Shared, change: Change) -> None:
+        """Who shares: members that are taken to be there and read this form of datagrams."""
+        member = self.core.members.get(change.name)
+        if change.state >= DEAD or member is None or not member.here:
+            shared.ended(change.name, change.life)
+        elif member.row.form >= CARRIED:
+            shared.joined(change.name, member.row.life, member.row.address)
+
+    def _shared(self, shared: Shared) -> list[tuple[str, bytes]]:
+        """What the shared state has to say; notes are logged."""
+        shared.say(self.clock.now())
+        for note in shared.limiter.notes:
+            self.counters.add(f"fleet.budget.{note.what}")
+            if not self.quiet:
+                logbook.fleet_budget(budget=note.budget, now=note.what, usable=note.usable, why=note.why)
+        shared.limiter.notes.clear()
+        shared.carry.over.clear()
+        out = shared.out[:]
+        shared.out.clear()
+        return out
+
     def _peer(self, address: str) -> Peer | None:
         """Others tell addresses: one that is none must not harm us."""
         if address not in self._peers:
@@ -216,7 +259,11 @@
                         return
                     asked += data
                 word = asked.split(b"\n")[0].decode("ascii", "replace").strip()
-                told = self.view() if word == "members" else {"fault": f"{word!r} asked; members may be"}
+                if word == "budgets" and self.shared is not None:
+                    told = self.shared.view(self.clock.now())
+                else:
+                    told = self.view() if word == "members" else {"fault": f"{word!r} asked; members may be, and budgets "
+                                                                           "where the charter's [fleet.budgets] has one"}
                 await self._events.sock_sendall(sock, json.dumps(told).encode() + b"\n")
         except (OSError, TimeoutError):
             pass
--- /dev/null
+++ b/pathsaddle/fleet/state/limiter.py
@@ -0,0 +1,234 @@
+"""Rates that all members together must not exceed, as one member asks for them: just before each use, `takes`.
+
+Bound: in any second the units taken by all members together are no more than the budget, whatever is lost, doubled or late,
+whoever stops, restarts or is cut off, as long as no clock runs off by more than DRIFT and the parts add up to the budget.
+
+Why. A unit is one use a second. At each instant it is usable at one member at most (`shares.py`), and there it is used once in
+any WINDOW, a second by a clock taken to be fast: so much is counted back from each use, and what stands there is what is
+usable at that instant less it. Where a unit changes its place it was not used for a WINDOW: an owner lends only what it did
+not use within the last one; a lease's end is followed by a WINDOW (`guard`) before its owner has it again; a new life uses
+nothing for its first one. So no border of seconds lets a burst through: a second may begin anywhere.
+
+A process that stands still between `takes` and the use itself moves that one use: n members that stood still may bring n uses,
+one each, into a second that is not theirs. Nothing that asks beforehand can prevent that; `takes` asked after the stall is
+refused what has ended in it.
+
+Floor: who hears nothing has its part less what it lent, all of it a lease later. No I/O; all chance comes from one Random.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from pathsaddle.fleet.purse import SECOND
+from pathsaddle.fleet.state.shares import DRIFT, Lend, State, Want, born
+
+WINDOW = int(SECOND * (1 + DRIFT)) + 1
+PAUSE = SECOND // 10  # between askings for one budget at least; twice as long after each that brought nothing
+LONGEST = 16 * PAUSE
+ASKED = 3  # others at a time
+QUIET = 2 * SECOND  # so long back the own need is looked at before anything is lent
+AHEAD = 0.3  # of a lease: so long before a loan ends its like is asked for, if it is still wanted
+LIVES = 4096
+
+
+@dataclass(frozen=True)
+class Dealt:
+    """What the charter says of one budget: its rate in units a second, our part of it, its lease in ticks."""
+
+    rate: int
+    part: int
+    lease: int
+
+
+@dataclass(frozen=True)
+class Note:
+    """For the log: what is `short`, `alone` or `back`."""
+
+    what: str
+    budget: str
+    usable: int
+    why: str
+
+
+@dataclass(slots=True)
+class Budget:
+    name: str
+    dealt: Dealt
+    state: State
+    spent: deque[tuple[int, int]] = field(default_factory=deque)  # (when, units) of the last WINDOW
+    sum: int = 0
+    wants: deque[tuple[int, int]] = field(default_factory=deque)  # (when, units) of those refused
+    need: int = 0  # the most that was wanted in a WINDOW of late
+    need_at: int = 0
+    ask_due: int = 0
+    pause: int = PAUSE
+    answered: dict[str, tuple[int, int]] = field(default_factory=dict)  # taker -> (its life, its last number)
+    refused: int = 0
+    taken: int = 0
+    short_at: int = -(1 << 60)
+    alone: bool = False
+
+
+class Limiter:
+    """Several budgets. `out`: (member, budget, what), to be sent; `notes`: to be logged."""
+
+    def __init__(self, name: str, life: int, dealt: dict[str, Dealt], chance: Random, now: int,
+                 window: int = WINDOW) -> None:
+        self.name, self.life, self.chance, self.born, self.window = name, life, chance, now, window
+        self.stir: Callable[[], None] = lambda: None  # called when there is something to send before the next `wake`
+        self.due = now  # when it wants to be woken
+        self.budgets = {budget: Budget(budget, told, born(name, life, told.part, told.lease, now, window))
+                        for budget, told in dealt.items()}
+        self.out: list[tuple[str, str, Want | Lend]] = []
+        self.notes: list[Note] = []
+        self.spares: dict[str, dict[str, int]] = {budget: {} for budget in dealt}  # what others last told to have left
+        self.there: list[str] = []  # who may be asked
+        self.heard_at = now
+
+    # Using.
+
+    def takes(self, budget: str, units: int, now: int) -> bool:
+        """Whether so many uses may be made now; asked just before them, it counts them as made. KeyError: no such budget."""
+        one = self.budgets[budget]
+        if units <= self.free(budget, now):
+            one.spent.append((now, units))
+            one.sum += units
+            one.taken += units
+            self._wish(one, 0, now)
+            return True
+        one.refused += units
+        self._wish(one, units, now)
+        if now >= one.ask_due:
+            self._ask(one, now)
+            if self.out:
+                self.stir()
+        if now - one.short_at >= 10 * SECOND:
+            one.short_at = now
+            self.notes.append(Note("short", budget, one.state.usable(now), f"{one.need} wanted in a second"))
+        return False
+
+    def free(self, budget: str, now: int) -> int:
+        """How many `takes` would grant now."""
+        one = self.budgets[budget]
+        self._clear(one, now)
+        if now < self.born + self.window:  # what an earlier life used just before it ended
+            return 0
+        return max(0, one.state.usable(now) - one.sum)
+
+    def _clear(self, one: Budget, now: int) -> None:
+        while one.spent and one.spent[0][0] <= now - self.window:
+            one.sum -= one.spent.popleft()[1]
+        while one.wants and one.wants[0][0] <= now - self.window:
+            one.wants.popleft()
+
+    def _wish(self, one: Budget, units: int, now: int) -> None:
+        """The most wanted at a time, of the last QUIET or two."""
+        if units:
+            one.wants.append((now, units))
+            if len(one.wants) > 512:  # of a storm as many say enough
+                one.wants.popleft()
+        need = one.sum + min(sum(units for _, units in one.wants), one.dealt.rate)
+        if need >= one.need or now - one.need_at > QUIET:
+            one.need, one.need_at = min(need, one.dealt.rate), now
+
+    def _needed(self, one: Budget, now: int) -> int:
+        """Wanted of late; nothing where nobody asked for QUIET."""
+        return one.need if now - one.need_at <= 2 * QUIET else one.sum
+
+    # Lending and borrowing.
+
+    def wake(self, now: int) -> int:
+        """Asks others where it runs short; when it wants to be called again."""
+        self.due = now + SECOND
+        for one in self.budgets.values():
+            self._clear(one, now)
+            one.state = one.state.at(now)
+            self._fallback(one, now)
+            if now >= one.ask_due:
+                self._ask(one, now)
+            elif self._lack(one, now) > 0:
+                self.due = min(self.due, one.ask_due)
+        return self.due
+
+    def _lack(self, one: Budget, now: int) -> int:
+        """By how much what was wanted passes what will be there for some time yet."""
+        lasting = one.state.usable(now + int(AHEAD * one.dealt.lease))
+        return self._needed(one, now) - min(lasting, one.state.usable(now))
+
+    def _ask(self, one: Budget, now: int) -> None:
+        """Those who told to have the most left, then whom chance names: what was told may be long past."""
+        lack = self._lack(one, now)
+        if lack <= 0:
+            one.pause = PAUSE
+            return
+        one.ask_due = now + int(one.pause * (0.5 + self.chance.random()))
+        one.pause = min(LONGEST, 2 * one.pause)
+        self.due = min(self.due, one.ask_due)
+        told = self.spares[one.name]
+        there = [name for name in self.there if name != self.name]
+        if not there:
+            return
+        rich = sorted((name for name in there if told.get(name, 0) > 0), key=lambda name: -told[name])[:3 * ASKED]
+        whom = self.chance.sample(rich, min(ASKED - 1, len(rich)))
+        others = [name for name in there if name not in whom]
+        whom += self.chance.sample(others, min(ASKED - len(whom), len(others)))
+        for name in whom:
+            units = max(1, -(-lack // max(1, min(len(rich), ASKED - 1)))) if name in rich else lack
+            one.state, want = one.state.want(min(lack, units), now)
+            self.out.append((name, one.name, want))
+
+    def asked(self, budget: str, want: Want, now: int) -> None:
+        """Another asks. What we did not use in the last window and have not wanted of late may go."""
+        one = self.budgets.get(budget)
+        if one is None or want.name == self.name or want.units <= 0 or now < self.born + self.window:
+            return
+        life, number = one.answered.get(want.name, (0, 0))
+        if (want.life, want.number) <= (life, number):  # twice, or late
+            return
+        self._clear(one, now)
+        state = one.state.at(now)
+        spare = min(state.own(now), state.usable(now) - max(one.sum, self._needed(one, now)))
+        one.state, lend = state.asked_by(want, spare, now)
+        if lend is not None:
+            if len(one.answered) >= LIVES:
+                del one.answered[next(iter(one.answered))]
+            one.answered[want.name] = want.life, want.number
+            self.out.append((want.name, budget, lend))
+
+    def lent(self, budget: str, lend: Lend, now: int) -> None:
+        """An answer to our asking."""
+        one = self.budgets.get(budget)
+        if one is None or not 0 < lend.units <= one.dealt.rate:
+            return
+        before = one.state.usable(now)
+        one.state = one.state.lent_by(lend, now)
+        if one.state.usable(now) > before:
+            one.pause, one.ask_due = PAUSE, min(one.ask_due, now + PAUSE)
+
+    def spare(self, budget: str, now: int) -> int:
+        """What it would lend now: told to the others, who may find it gone."""
+        one = self.budgets[budget]
+        self._clear(one, now)
+        state = one.state.at(now)
+        if now < self.born + state._surely():
+            return 0
+        free = state.lendable - sum(loan.units for loan in state.lent)
+        return max(0, min(free, state.own(now), state.usable(now) - max(one.sum, self._needed(one, now))))
+
+    def claimed(self, life: int) -> None:
+        """We have another life: askings of the old one are answered to nobody; what is lent and held stays as it is."""
+        self.life = life
+        for one in self.budgets.values():
+            one.state = replace(one.state, life=life, open=())
+
+    def _fallback(self, one: Budget, now: int) -> None:
+        """Nobody was heard for a lease while there are others: we go by our own part."""
+        alone = bool(self.there) and now - self.heard_at > one.dealt.lease
+        if alone != one.alone:
+            one.alone = alone
+            self.notes.append(Note("alone" if alone else "back", one.name, one.state.usable(now),
+                                   f"nobody heard for {(now - self.heard_at) // 10} ms" if alone else "others are heard"))
--- /dev/null
+++ b/pathsaddle/fleet/state/shared.py
@@ -0,0 +1,122 @@
+"""What one member shares with the others, put together for a driver: the carrying layer and the shares of budgets."""
+
+from __future__ import annotations
+
+from random import Random
+from typing import Any
+
+import msgspec
+
+from pathsaddle.fleet.purse import Purse
+from pathsaddle.fleet.state.carry import SHARES, Carry
+from pathsaddle.fleet.state.form import Lent, Saying, Wanted
+from pathsaddle.fleet.state.limiter import Dealt, Limiter
+from pathsaddle.fleet.state.shares import Lend, Want
+
+SPARE = "spare"  # the topic under which each tells what it would lend
+_encode = msgspec.msgpack.Encoder().encode
+_decode = msgspec.msgpack.Decoder(dict[str, int]).decode
+
+
+class Shared:
+    """Fed datagrams, moments and who is there; `out` is to be sent, `notes` of the limiter to be logged."""
+
+    def __init__(self, name: str, life: int, fleet: str, key: bytes, purse: Purse, beat: int, dealt: dict[str, Dealt],
+                 chance: Random, now: int) -> None:
+        self.carry = Carry(name, life, fleet, key, purse, beat, chance, now)
+        self.limiter = Limiter(name, life, dealt, chance, now)
+        self.beat = beat
+        self.told_due = now
+        self.out = self.carry.out
+
+    def joined(self, name: str, life: int, address: str) -> None:
+        self.carry.joined(name, life, address)
+        self._there()
+
+    def ended(self, name: str, life: int) -> None:
+        self.carry.ended(name, life)
+        self._there()
+
+    def _there(self) -> None:
+        self.limiter.there = sorted(self.carry.peers)
+        for spares in self.limiter.spares.values():
+            for name in [name for name in spares if name not in self.carry.peers]:
+                del spares[name]
+
+    def claimed(self, life: int, now: int) -> None:
+        self.carry.claimed(life, now)
+        self.limiter.claimed(life)
+
+    def heard(self, data: bytes, now: int) -> None:
+        packet = self.carry.heard(data, now)
+        if packet is None:
+            return
+        limiter = self.limiter
+        limiter.heard_at = now
+        for said in packet.said:
+            if isinstance(said, Wanted):
+                limiter.asked(said.budget, Want(packet.name, packet.life, said.number, said.units), now)
+            elif isinstance(said, Lent):
+                limiter.lent(said.budget, Lend(packet.name, packet.life, packet.to, said.taker_life, said.number,
+                                               said.units, said.lease), now)
+        self.say(now)
+
+    def wake(self, now: int) -> int:
+        """Does what is due; when it wants to be called again."""
+        limiter = self.limiter
+        if now >= self.told_due and limiter.budgets:
+            # Rarer among many, so that what all tell together stays the same.
+            self.told_due = now + self.beat * (1 + len(self.carry.peers) // 10)
+            self.carry.put(SPARE, _encode({name: limiter.spare(name, now) for name in list(limiter.budgets)[:16]}), now)
+            for name in limiter.spares:
+                limiter.spares[name].clear()
+            for shown in self.carry.records(SPARE, now):
+                try:
+                    told = _decode(shown.body)
+                except msgspec.MsgspecError:
+                    continue
+                for name, units in told.items():
+                    if name in limiter.spares and shown.member != self.carry.name:
+                        limiter.spares[name][shown.member] = units
+        limiter.wake(now)
+        self.say(now)
+        self.carry.wake(now)
+        return self.due(now)
+
+    def due(self, now: int) -> int:
+        due = min(self.limiter.due, self.carry.due(now))
+        return max(now + 1, min(due, self.told_due) if self.limiter.budgets else due)
+
+    def say(self, now: int) -> None:
+        """Askings and loans go at once; what the purse refuses is lost like any datagram."""
+        out, self.limiter.out = self.limiter.out, []
+        to: dict[str, list[Saying]] = {}
+        for name, budget, said in out:
+            to.setdefault(name, []).append(
+                Wanted(budget, said.number, said.units) if isinstance(said, Want) else
+                Lent(budget, said.taker_life, said.number, said.units, said.lease))
+        for name, sayings in to.items():
+            self.carry.send(name, sayings, now, SHARES)
+
+    def view(self, now: int) -> dict[str, Any]:
+        """Each budget as we hold it, times in milliseconds; of others what they last told, with its age as an interval."""
+        budgets = []
+        for name, one in self.limiter.budgets.items():
+            state = one.state.at(now)
+            budgets.append({
+                "budget": name, "rate": one.dealt.rate, "part": one.dealt.part, "usable": state.usable(now),
+                "free": self.limiter.free(name, now), "taken": one.taken, "refused": one.refused, "alone": one.alone,
+                "lent": [{"to": given[0], "units": loan.units, "for": (loan.until - now) // 10}
+                         for given, loan in zip(state.given, state.lent, strict=False)],
+                "held": [{"of": row[0], "units": row[3].units, "for": (row[3].until - now) // 10} for row in state.held]})
+        others = []
+        for shown in self.carry.records(SPARE, now):
+            try:
+                told = _decode(shown.body)
+            except msgspec.MsgspecError:
+                continue
+            others.append({"member": shown.member, "life": shown.life, "spare": told, "least": shown.least // 10,
+                           "most": None if shown.most is None else shown.most // 10,
+                           "sure": None if shown.sure is None else shown.sure // 10})
+        return {"name": self.carry.name, "life": self.carry.mine.life, "counts": dict(sorted(self.carry.counts.items())),
+                "budgets": budgets, "others": others}
--- a/pathsaddle/fleet/state/shares.py
+++ b/pathsaddle/fleet/state/shares.py
@@ -7,7 +7,8 @@
 lends it. Lent, it counts as spent at the owner until a lease has surely ended: from after the promise, by a clock taken
 to be fast. At the taker it is usable from its arrival until the lease may have ended: from before the asking, by a clock
 taken to be slow. So no unit is usable at two places at once, and nothing has to arrive for that. A new life of an owner
-does not know what the old one lent: what may be lent at all (a half) is out of its use until any such lease has ended.
+does not know what the old one lent: what may be lent at all (half, a single unit whole) is out of its use until any such
+lease has ended.
 
 Floor: who hears nothing has its own part less what it lent, all of it again one lease later. Idle at most: what is lent
 to one that stopped, for one lease. No I/O; times are ticks of a clock handed in, that goes on while a process stands.
@@ -64,13 +65,16 @@
     given: tuple[tuple[str, int, int], ...] = ()  # (taker, its life, number) answered, while the lease runs
     held: tuple[tuple[str, int, int, Loan], ...] = ()  # (owner, its life, number, what)
 
+    guard: int = 0  # ticks that a unit rests at its owner after a lease: so long ago it was last used elsewhere
+
     @property
     def lendable(self) -> int:
-        return self.part // 2
+        """Half, a single unit whole: 200 members for a budget of ten have no halves to lend."""
+        return (self.part + 1) // 2
 
     def _surely(self) -> int:
-        """A lease's length by a clock that may be fast: over by then for certain."""
-        return -int(-self.lease * (1 + DRIFT) // 1) + 1
+        """A lease's length by a clock that may be fast: over by then for certain, and what was done in it rested."""
+        return -int(-(self.lease + self.guard) * (1 + DRIFT) // 1) + 1
 
     def _maybe(self) -> int:
         """And by one that may be slow: not over until then for certain."""
@@ -129,6 +133,6 @@
         return replace(state, held=(*state.held, (lend.owner, lend.life, lend.number, loan))).at(now)
 
 
-def born(name: str, life: int, part: int, lease: int, now: int) -> State:
+def born(name: str, life: int, part: int, lease: int, now: int, guard: int = 0) -> State:
     """A member's life begins; it has no state but what the charter says."""
-    return State(name, life, part, lease, now)
+    return State(name, life, part, lease, now, guard=guard)
--- a/pathsaddle/fleet/wire.py
+++ b/pathsaddle/fleet/wire.py
@@ -14,6 +14,7 @@
 FORM = 1  # of this text; a datagram of a higher one is not read
 MOST = 1200  # bytes: under what passes a usual link in one piece
 SUM = 16
+CARRIED = 2  # what is not membership's (fleet/state): not read by members that tell a lower form of themselves
 
 ALIVE, SUSPECT, DEAD, LEFT = range(4)
 STATES = ("alive", "suspect", "dead", "left")
@@ -83,23 +84,33 @@
     return len(_encode(row))
 
 
-def encode(said: Said, key: bytes) -> bytes:
-    body = bytes((FORM,)) + _encode(said)
+def sealed(form: int, told: bytes, key: bytes) -> bytes:
+    body = bytes((form,)) + told
     return body + hmac.digest(key, body, "sha256")[:SUM]
 
 
-def decode(data: bytes, key: bytes, fleet: str) -> Said:
-    """Raises Refused."""
+def opened(data: bytes, key: bytes) -> tuple[int, bytes]:
+    """Its form and what it holds; raises Refused."""
     if len(data) <= OVERHEAD or len(data) > MOST:
         raise Refused("cut")
     body, told = data[:-SUM], data[-SUM:]
     if not hmac.compare_digest(hmac.digest(key, body, "sha256")[:SUM], told):
         # One of another form can't be told from noise without its sum; one whose sum is right is a fellow's.
         raise Refused("stranger")
-    if body[0] > FORM:
+    return body[0], body[1:]
+
+
+def encode(said: Said, key: bytes) -> bytes:
+    return sealed(FORM, _encode(said), key)
+
+
+def decode(data: bytes, key: bytes, fleet: str) -> Said:
+    """Raises Refused."""
+    form, told = opened(data, key)
+    if form > FORM:
         raise Refused("newer")
     try:
-        said = _decode(body[1:])
+        said = _decode(told)
     except (msgspec.DecodeError, msgspec.ValidationError):
         raise Refused("cut") from None
     if said.fleet != fleet:
--- a/pathsaddle/net/service/logbook.py
+++ b/pathsaddle/net/service/logbook.py
@@ -67,6 +67,7 @@
                      "silent from now on: {why}")
 fleet_socket = line("fleet-socket", "WARNING", "fleet socket: {why}")
 fleet_disk = line("fleet-disk", "WARNING", "fleet life can't be kept: {why}")
+fleet_budget = line("fleet-budget", "INFO", "fleet budget={budget} now={now} usable={usable}: {why}")
 fault_decisions = line("fault-decisions", "ERROR", "fault in the decisions")
 fault_task = line("fault-task", "ERROR", "fault in a task")
 fault_watch = line("fault-watch", "ERROR", "fault on the watch")
