--- a/pathsaddle/fleet/state/limiter.py
+++ b/pathsaddle/fleet/state/limiter.py
@@ -30,7 +30,7 @@
 PAUSE = SECOND // 10  # between askings for one budget at least; twice as long after each that brought nothing
 LONGEST = 16 * PAUSE
 ASKED = 3  # others at a time
-QUIET = 2 * SECOND  # so long back the own need is looked at before anything is lent
+QUIET = SECOND  # so long back the own need is looked at before anything is lent
 AHEAD = 0.4  # of a lease: so long before a loan ends it is asked to go on, if it is still wanted
 LIVES = 4096
 
--- a/pathsaddle/fleet/state/shares.py
+++ b/pathsaddle/fleet/state/shares.py
@@ -156,7 +156,8 @@
         asked = next((row for row in state.open if row[0] == lend.number), None)
         if asked is None or (lend.taker, lend.taker_life) != (state.name, state.life) or lend.lease != state.lease:
             return state
-        held = tuple(row for row in state.held if not asked[2] or row[:3] != (lend.owner, lend.life, asked[2]))
+        # Whatever life its owner has by now: it still counts the loan once.
+        held = tuple(row for row in state.held if not asked[2] or (row[0], row[2]) != (lend.owner, asked[2]))
         loan = Loan(lend.units, asked[1] + state._maybe())
         return replace(state, held=(*held, (lend.owner, lend.life, lend.number, loan)),
                        open=tuple(row for row in state.open if row is not asked)).at(now)
