A limiter whose name is another's too is closed

Need: two processes under one name would each use its part; membership silences one of them, and now its limiter uses, asks for and lends nothing more.

--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -173,6 +173,8 @@
         out, core.out = core.out, []
         if self.shared is not None:
             out += self._shared(self.shared)
+            if core.silent:  # another process has our name, and with it our part
+                self.shared.limiter.close()
         for address, data in out:
             peer = self._peer(address)
             if peer is None:
--- a/pathsaddle/fleet/state/limiter.py
+++ b/pathsaddle/fleet/state/limiter.py
@@ -79,6 +79,7 @@
     def __init__(self, name: str, life: int, dealt: dict[str, Dealt], chance: Random, now: int,
                  window: int = WINDOW) -> None:
         self.name, self.life, self.chance, self.born, self.window = name, life, chance, now, window
+        self.closed = False
         self.stir: Callable[[], None] = lambda: None  # called when there is something to send before the next `wake`
         self.due = now  # when it wants to be woken
         self.budgets = {budget: Budget(budget, told, born(name, life, told.part, told.lease, now, window))
@@ -115,10 +116,14 @@
         """How many `takes` would grant now."""
         one = self.budgets[budget]
         self._clear(one, now)
-        if now < self.born + self.window:  # what an earlier life used just before it ended
+        if self.closed or now < self.born + self.window:  # what an earlier life used just before it ended
             return 0
         return max(0, one.state.usable(now) - one.sum)
 
+    def close(self) -> None:
+        """Our name is another process's too: nothing is used, asked for or lent any more."""
+        self.closed, self.there = True, []
+
     def _clear(self, one: Budget, now: int) -> None:
         while one.spent and one.spent[0][0] <= now - self.window:
             one.sum -= one.spent.popleft()[1]
@@ -196,7 +201,7 @@
     def asked(self, budget: str, want: Want, now: int) -> None:
         """Another asks. What we did not use in the last window and have not wanted of late may go."""
         one = self.budgets.get(budget)
-        if one is None or want.units <= 0 or now < self.born + self.window:
+        if one is None or self.closed or want.units <= 0 or now < self.born + self.window:
             return
         life, number = one.answered.get(want.name, (0, 0))
         if (want.life, want.number) <= (life, number):  # twice, or late
--- a/pathsaddle/fleet/state/shared.py
+++ b/pathsaddle/fleet/state/shared.py
@@ -38,7 +38,7 @@
         self._there()
 
     def _there(self) -> None:
-        self.limiter.there = sorted(self.carry.peers)
+        self.limiter.there = [] if self.limiter.closed else sorted(self.carry.peers)
         for spares in self.limiter.spares.values():
             for name in [name for name in spares if name not in self.carry.peers]:
                 del spares[name]
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -217,6 +217,28 @@
         self.assertEqual([note.what for note in one.notes], ["alone", "back"])
 
 
+    def test_a_limiter_whose_name_is_anothers_too_uses_and_lends_nothing_more(self):
+        one, now = self.limiter(6, 30 * SECOND)
+        one.close()
+        one.asked("r", Want("b", 3, 1, 9), now)
+        self.assertEqual((one.takes("r", 1, now), one.out), (False, []))
+
+    def test_what_is_wrong_in_a_charters_budgets_is_said(self):
+        from pathsaddle.charter.check import Faulty, check
+        from pathsaddle.charter.fellows import equal_part
+        from pathsaddle.charter.form import Fleet
+        base = {"name": "f", "key": "sixteen bytes or more", "listen": "127.0.0.1:3"}
+        check(Fleet, {**base, "budgets": {"repeats": 30}, "parts": {"repeats": 12}}, "x")
+        for wrong, word in (({"budgets": {"a b": 1}}, '"a b" stands there'), ({"budgets": {"a": 0}}, "at least 1"),
+                            ({"budgets": {"a": 3}, "parts": {"a": 4}}, "at most budgets.a (3)"),
+                            ({"budgets": {"a": 3}, "parts": {"b": 1}}, "a name of budgets may: a"),
+                            ({"lease": "1s"}, "from 2s"), ({"budgets": {f"b{n}": 1 for n in range(17)}}, "16 at most")):
+            with self.assertRaises(Faulty) as caught:
+                check(Fleet, {**base, **wrong}, "x")
+            self.assertIn(word, str(caught.exception))
+        self.assertEqual([equal_part(10, 4, number) for number in range(4)], [3, 3, 2, 2])
+
+
 class HardStory(unittest.TestCase):
     """On the ground, by the judge: rights at each instant, uses in each second, ages, lives."""
 
