--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -101,6 +101,8 @@
 
     def leave(self) -> None:
         """We end: told at once."""
+        if self.shared is not None:
+            self.shared.leave(self.clock.now())
         self.core.leave(self.clock.now())
         self._flush()
 
@@ -126,7 +128,8 @@
                 continue
             try:
                 for _ in range(AT_ONCE):
-                    hears = self.shared if self.shared is not None and data[:1] == bytes((CARRIED,)) else self.core
+                    hears = (self.shared if self.shared is not None and data[:1] == bytes((CARRIED,))
+                             and not self.core.silent else self.core)
                     hears.heard(data, self.clock.now())
                     data = self.sock.recv(MOST + 1)
             except OSError:
--- a/pathsaddle/fleet/state/limiter.py
+++ b/pathsaddle/fleet/state/limiter.py
@@ -79,7 +79,7 @@
     def __init__(self, name: str, life: int, dealt: dict[str, Dealt], chance: Random, now: int,
                  window: int = WINDOW) -> None:
         self.name, self.life, self.chance, self.born, self.window = name, life, chance, now, window
-        self.closed = False
+        self.closed = self.leaving = False
         self.stir: Callable[[], None] = lambda: None  # called when there is something to send before the next `wake`
         self.due = now  # when it wants to be woken
         self.budgets = {budget: Budget(budget, told, born(name, life, told.part, told.lease, now, window))
@@ -122,7 +122,16 @@
 
     def close(self) -> None:
         """Our name is another process's too: nothing is used, asked for or lent any more."""
-        self.closed, self.there = True, []
+        self.closed = self.leaving = True
+        self.there = []
+
+    def leave(self, now: int) -> None:
+        """We end: what we hold goes back at once, and its owner lets it rest; our own part is used to the end."""
+        self.leaving, self.there = True, []
+        for one in self.budgets.values():
+            for owner, _, number, _ in one.state.held:
+                one.state, back = one.state.returns(number, now)
+                self.out.append((owner, one.name, back))
 
     def _clear(self, one: Budget, now: int) -> None:
         while one.spent and one.spent[0][0] <= now - self.window:
@@ -201,7 +210,7 @@
     def asked(self, budget: str, want: Want, now: int) -> None:
         """Another asks. What we did not use in the last window and have not wanted of late may go."""
         one = self.budgets.get(budget)
-        if one is None or self.closed or want.units <= 0 or now < self.born + self.window:
+        if one is None or self.leaving or want.units <= 0 or now < self.born + self.window:
             return
         life, number = one.answered.get(want.name, (0, 0))
         if (want.life, want.number) <= (life, number):  # twice, or late
--- a/pathsaddle/fleet/state/shared.py
+++ b/pathsaddle/fleet/state/shared.py
@@ -38,7 +38,7 @@
         self._there()
 
     def _there(self) -> None:
-        self.limiter.there = [] if self.limiter.closed else sorted(self.carry.peers)
+        self.limiter.there = [] if self.limiter.leaving else sorted(self.carry.peers)
         for spares in self.limiter.spares.values():
             for name in [name for name in spares if name not in self.carry.peers]:
                 del spares[name]
@@ -47,6 +47,11 @@
         self.carry.claimed(life, now)
         self.limiter.claimed(life)
 
+    def leave(self, now: int) -> None:
+        """We end: what is held goes back."""
+        self.limiter.leave(now)
+        self.say(now)
+
     def heard(self, data: bytes, now: int) -> None:
         packet = self.carry.heard(data, now)
         if packet is None:
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -9,7 +9,7 @@
 from pathsaddle.fleet.purse import SECOND, Purse
 from pathsaddle.fleet.state.carry import Carry
 from pathsaddle.fleet.state.limiter import WINDOW, Dealt, Limiter
-from pathsaddle.fleet.state.shares import Want
+from pathsaddle.fleet.state.shares import Lend, Want
 
 KEY = b"sixteen bytes or more"
 
@@ -207,6 +207,16 @@
         self.assertEqual((b.free("r", late), a.free("r", late)), (5, 3))
         self.assertEqual(a.free("r", late + 2 * SECOND), 5)
 
+    def test_who_leaves_gives_back_what_it_holds_and_uses_its_own_to_the_end(self):
+        b = Limiter("b", 1, {"r": Dealt(10, 5, 10 * SECOND)}, Random(1), 0)
+        b.there, now = ["a"], 30 * SECOND
+        self.assertFalse(b.takes("r", 7, now))
+        [(_, _, want)] = b.out
+        b.lent("r", Lend("a", 1, "b", 1, want.number, 2, 10 * SECOND), now)
+        b.out.clear()
+        b.leave(now + 1)
+        self.assertEqual(([(to, back.number) for to, _, back in b.out], b.free("r", now + 2)), ([("a", want.number)], 5))
+
     def test_who_hears_nobody_for_a_lease_says_so_once_and_when_it_is_over(self):
         one, now = self.limiter(4)
         one.there = ["b"]
