--- a/pathsaddle/emulator/state/processes.py
+++ b/pathsaddle/emulator/state/processes.py
@@ -1,6 +1,6 @@
 """Seven members as real processes, what is between them broken by relays, they themselves stopped and killed; then the judge.
 
-    python -m pathsaddle.emulator.state.processes --seconds 600 --seed 1
+    python -m pathsaddle.emulator.state.processes --seconds 600 --seed 1 --events all.log
 
 Its last lines are figures; exit 0 only if every bound held. Faults come from here: relays, signals, lost folders. Each process
 dies with this one.
@@ -24,6 +24,8 @@
 from types import SimpleNamespace
 from typing import Any
 
+import msgspec
+
 from pathsaddle.emulator.air import Air, Blight
 from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.relays import Relays
@@ -152,11 +154,14 @@
         return judge(self.events)
 
 
-def main(seconds: float, seed: int) -> int:
+def main(seconds: float, seed: int, events: str) -> int:
     with tempfile.TemporaryDirectory() as folder:
         run = Run(Path(folder), seed)
         asyncio.run(run.play(seconds))
         verdict = run.judged()
+        if events:
+            run.events.sort(key=lambda event: event.at)
+            Path(events).write_bytes(b"".join(msgspec.json.encode(event) + b"\n" for event in run.events))
         for name in run.names:
             said = (Path(folder) / f"{name}.err").read_text()
             if said:
@@ -176,5 +181,6 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--events", default="", help="a file that all that was logged is written to, a line each")
     told = parser.parse_args()
-    sys.exit(main(told.seconds, told.seed))
+    sys.exit(main(told.seconds, told.seed, told.events))
