--- a/pathsaddle/emulator/state/ground.py
+++ b/pathsaddle/emulator/state/ground.py
@@ -162,6 +162,9 @@
     def claim(self, place: Place, life: int) -> None:
         if place.shared is None or place.life != life:
             return
+        if place.stopped:
+            place.waiting.append((self.claim, place, life))
+            return
         self.lives += 1
         place.life = self.lives * 1000
         place.shared.claimed(place.life, place.clock())
@@ -171,6 +174,7 @@
                 self.at(self.now + self.chance.randrange(SECOND), self.tell, other, place, place.life, True)
         place.wake_at = self.now
         self.at(self.now, self.wake, place, place.life)
+        self.rest(place)
 
     def kill(self, place: Place) -> None:
         if place.shared is None:
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -2,12 +2,15 @@
 
 import unittest
 from random import Random
+from unittest import mock
 
 from pathsaddle.emulator.state import mutants
 from pathsaddle.emulator.state.ground import BUDGET, Ground, Plan, varied
 from pathsaddle.emulator.state.judge import judge
 from pathsaddle.fleet.purse import SECOND, Purse
+from pathsaddle.fleet.state import check_carry
 from pathsaddle.fleet.state.carry import Carry
+from pathsaddle.fleet.state.check import Exceeded
 from pathsaddle.fleet.state.limiter import WINDOW, Dealt, Limiter
 from pathsaddle.fleet.state.shares import Lend, Want
 
@@ -139,6 +142,27 @@
             b.put("t", bytes(401), 0)
 
 
+class EveryOrderStory(unittest.TestCase):
+    """Three members, one that writes two topics and begins anew: compared, passed on, lost, doubled, late."""
+
+    def test_nothing_is_lacked_up_to_what_was_seen_and_no_old_life_shown_in_every_world_within_six_steps(self):
+        count = check_carry.check(6)
+        print(f"carry: {count} worlds to depth 6", flush=True)
+        self.assertGreater(count, 20_000)
+
+    def test_what_breaks_that_is_found(self):
+        take = Carry._take
+
+        def over_gaps(self, delta, now, asked):
+            take(self, delta, now, asked)
+            origin = self.origins.get(delta.name)
+            if origin is not None and origin.life == delta.life:
+                origin.seen = max(origin.seen, delta.upto)
+        for name, instead in (("_take", over_gaps), ("_life", mutants._all_lives)):
+            with self.subTest(name), mock.patch.object(Carry, name, instead), self.assertRaises(Exceeded):
+                check_carry.check(5)
+
+
 class DocumentStory(unittest.TestCase):
     def test_a_quarter_of_a_mebibyte_comes_in_pieces_through_loss_and_is_checked_whole(self):
         few = Few("a", "b", "c")
