--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -9,7 +9,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
-from pathsaddle.charter.check import Amiss, Fault, Missing, NotAmong, OutOfBounds, Twice, shown
+from pathsaddle.charter.check import Amiss, Fault, Missing, NotAmong, OutOfBounds, TooLong, Twice, shown
 from pathsaddle.charter.units import Duration, Size
 
 Part = Annotated[float, Meta(ge=0, le=1)]
@@ -255,6 +255,10 @@
     bytes: that this member sends in any second at most.
     datagrams: that it sends in any second at most.
     lifeguard: own health, witnesses and the word to the accused; off only to measure what they bring.
+    budgets: rates in units a second that all members together keep, by name; none: nothing is shared.
+    parts: this member's units of a budget, where they are not equal parts by `number` of `dispatchers`; all members'
+      parts together must not pass the budget.
+    lease: for how long units that are not wanted are lent to others.
     """
 
     name: str
@@ -269,6 +273,9 @@
     bytes: Annotated[int, Meta(ge=6000)] = 24_000
     datagrams: Annotated[int, Meta(ge=16)] = 60
     lifeguard: bool = True
+    budgets: dict[str, Annotated[int, Meta(ge=1, le=1_000_000)]] = field(default_factory=dict)
+    parts: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
+    lease: Duration = Duration(10 * S)
 
     def amiss(self) -> Iterator[Amiss]:
         if self.control and not self.control.startswith("127."):
@@ -289,6 +296,19 @@
             yield Amiss("beat", OutOfBounds, shown=shown(self.beat), may="50ms at least")
         elif not 0 < self.patience < self.beat // 2:
             yield Amiss("patience", TooSlow, patience=shown(self.patience), beat=shown(self.beat))
+        if len(self.budgets) > 16:
+            yield Amiss("budgets", TooLong, shown=f"{len(self.budgets)} budgets", count=len(self.budgets), unit="budgets", most=16)
+        for name in self.budgets:
+            if not re.fullmatch(r"[A-Za-z0-9_.-]{1,32}", name):
+                yield Amiss("budgets", NotAmong, shown=shown(name), may="names of 1 to 32 letters, digits and ._-")
+        for name, part in self.parts.items():
+            if name not in self.budgets:
+                yield Amiss(f"parts.{name}", NotAmong, shown=shown(name),
+                            may=f"a name of budgets ({', '.join(self.budgets) or 'none is there'})")
+            elif part > self.budgets[name]:
+                yield Amiss(f"parts.{name}", OutOfBounds, shown=shown(part), may=f"budgets.{name} ({self.budgets[name]}) at most")
+        if not 2 * S <= self.lease <= 600 * S:
+            yield Amiss("lease", OutOfBounds, shown=shown(self.lease), may="2s to 10min")
 
 
 class Log(Form):
--- a/pathsaddle/fleet/asking.py
+++ b/pathsaddle/fleet/asking.py
@@ -62,6 +62,12 @@
     do = "let the dispatcher at {address} run the same release as this command"
 
 
+class NoBudgets(Unasked):
+    name = "control.no-budgets"
+    what = "{address}: {why}"
+    do = "write the budgets that all members share in [fleet.budgets] of its charter, alike at all, and restart it"
+
+
 class Ended(Unasked):
     name = "control.ended"
     what = "{address}: {why}"
@@ -74,7 +80,7 @@
     do = "report the trace at `fault-control` in the log of the dispatcher at {address}"
 
 
-TOLD: dict[str, type[Unasked]] = {kind.name: kind for kind in (NoSuchWord, Ended, Faulted)}
+TOLD: dict[str, type[Unasked]] = {kind.name: kind for kind in (NoSuchWord, NoBudgets, Ended, Faulted)}
 
 
 async def ask(address: str, word: str, within: float) -> dict[str, Any]:
--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -21,7 +21,9 @@
 from pathsaddle.errors import access, why
 from pathsaddle.fleet.lives import Lives, NoFolder
 from pathsaddle.fleet.members import Change, Membership, Ways, life_of
-from pathsaddle.fleet.wire import ALIVE, LEFT, MOST, STATES, Row
+from pathsaddle.fleet.state.limiter import Dealt
+from pathsaddle.fleet.state.shared import Shared
+from pathsaddle.fleet.wire import ALIVE, CARRIED, DEAD, FORM, LEFT, MOST, STATES, Row
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
@@ -33,7 +35,7 @@
 ASKERS = 8  # of them at a time
 WAKES = 8  # failures of the core's timer in a row by which the membership ends
 DOUBT = SECOND  # between two log lines of faults: what comes in between is counted
-WORDS = ("members",)  # that may be asked at the control address
+WORDS = ("members", "budgets")  # that may be asked at the control address
 
 
 def _said(fault: Exception) -> str:
@@ -55,7 +57,8 @@
     """A member as its operator wants it.
 
     listen: where it takes datagrams. address: where others send them, as they reach it. control: where
-    `pathsaddle fleet` asks; empty: nowhere. file: where all that stands, for an operator.
+    `pathsaddle fleet` asks; empty: nowhere. file: where all that stands, for an operator. budgets: by name, of rates that all
+    share; None: no state is shared.
     """
 
     name: str
@@ -66,6 +69,7 @@
     control: str
     ways: Ways
     file: str = "the charter"
+    budgets: dict[str, Dealt] | None = None
 
 
 class Fellows:
@@ -84,9 +88,13 @@
             folder = getattr(getattr(lives, "path", None), "parent", "")  # a stand-in's disk has no path
             raise NoFolder("", access(fault, folder, folder) + f", at fleet.folder in {told.file}", file=told.file,
                            folder=folder, why=why(fault)) from None
-        me = Row(told.name, life, 0, ALIVE, told.address, told.zone)
+        me = Row(told.name, life, 0, ALIVE, told.address, told.zone, FORM if told.budgets is None else CARRIED)
         self.life = life
         self.core = Membership(me, told.ways, told.seeds, chance, now)
+        self.shared: Shared | None = None
+        if told.budgets is not None:
+            self.shared = Shared(told.name, life, told.ways.fleet, told.ways.key, self.core.purse, told.ways.beat,
+                                 told.budgets, chance, now)
         try:
             self.sock, peer = ground.datagrams(told.listen)
             self.sock.bind(peer)
@@ -107,6 +115,8 @@
 
     def begin(self) -> None:
         self._events = asyncio.get_running_loop()
+        if self.shared is not None:
+            self.shared.limiter.stir = self._stir
         self._reader = self._events.create_task(self._read())
         self._tasks.append(self._reader)
         if self.told.control:
@@ -126,6 +136,8 @@
         if self.ended:
             return
         try:
+            if self.shared is not None:
+                self.shared.leave(self.clock.now())
             self.core.leave(self.clock.now())
             self._flush()
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
@@ -161,7 +173,8 @@
                     break
             try:
                 self._flush()
-                due = self.core.due(self.clock.now())
+                now = self.clock.now()
+                due = min(self.core.due(now), self.shared.due(now) if self.shared is not None else now + SECOND)
             except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
                 self._fault("what datagrams led to", fault, "the timer looks after it")
                 due = self.clock.now() + self.told.ways.beat
@@ -169,7 +182,9 @@
 
     def _heard(self, data: bytes) -> None:
         try:
-            self.core.heard(data, self.clock.now())
+            hears = (self.shared if self.shared is not None and data[:1] == bytes((CARRIED,)) and not self.core.silent
+                     else self.core)
+            hears.heard(data, self.clock.now())
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
             self._fault("a datagram", fault, "it is dropped, the next is read")
 
@@ -177,6 +192,8 @@
         self._alarm = None
         try:
             due = self.core.wake(self.clock.now())
+            if self.shared is not None and not (self.core.silent or self.core.gone):
+                due = min(due, self.shared.wake(self.clock.now()))
             self._flush()
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
             self._failed += 1
@@ -227,8 +244,12 @@
             except OSError as fault:
                 # Told all the same: a later life that is lower is refuted by whoever remembers this one.
                 logbook.fleet_disk(why=why(fault))
+            if self.shared is not None:
+                self.shared.claimed(self.life, self.clock.now())
         for change in changes:
             self._log(change)
+            if self.shared is not None:
+                self._there(self.shared, change)
             for hear in self.on_change:
                 try:
                     hear(change)
@@ -236,6 +257,10 @@
                     self.counters.add("fleet.fault")
                     logbook.fault_hearer(fault, member=change.name, why=_said(fault))
         out, core.out = core.out, []
+        if self.shared is not None:
+            out += self._shared(self.shared)
+            if core.silent:  # another process has our name, and with it our part
+                self.shared.limiter.close()
         for address, data in out:
             peer = self._peer(address)
             if peer is None:
@@ -248,6 +273,30 @@
                 self.counters.add("fleet.sent")
                 self.counters.add("fleet.bytes", len(data))
 
+    def _stir(self) -> None:
+        self._events.call_soon(self._flush)
+
+    def _there(self, shared: Shared, change: Change) -> None:
+        """Who shares: members that are taken to be there and read this form of datagrams."""
+        member = self.core.members.get(change.name)
+        if change.state >= DEAD or member is None or not member.here:
+            shared.ended(change.name, change.life)
+        elif member.row.form >= CARRIED:
+            shared.joined(change.name, member.row.life, member.row.address)
+
+    def _shared(self, shared: Shared) -> list[tuple[str, bytes]]:
+        """What the shared state has to say; notes are logged."""
+        shared.say(self.clock.now())
+        for note in shared.limiter.notes:
+            self.counters.add(f"fleet.budget.{note.what}")
+            if not self.quiet:
+                logbook.fleet_budget(budget=note.budget, now=note.what, usable=note.usable, why=note.why)
+        shared.limiter.notes.clear()
+        shared.carry.over.clear()
+        out = shared.out[:]
+        shared.out.clear()
+        return out
+
     def _peer(self, address: str) -> Peer | None:
         """Others tell addresses: one that is none must not harm us."""
         if address not in self._peers:
@@ -316,6 +365,10 @@
             if self.ended:
                 return json.dumps({"fault": f"its membership has ended by a fault of its own: {self.ended}",
                                    "name": "control.ended"}).encode()
+            if word == "budgets":
+                if self.shared is None:
+                    return json.dumps({"fault": "its charter's [fleet.budgets] names none", "name": "control.no-budgets"}).encode()
+                return json.dumps(self.shared.view(self.clock.now())).encode()
             return json.dumps(self.view()).encode()
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
             self.counters.add("fleet.fault")
--- a/pathsaddle/net/service/logbook.py
+++ b/pathsaddle/net/service/logbook.py
@@ -73,6 +73,7 @@
                      "others are answered")
 fault_hearer = line("fault-hearer", "ERROR", "fault in what hears of members, at {member}: {why}; the membership "
                     "goes on")
+fleet_budget = line("fleet-budget", "INFO", "fleet budget={budget} now={now} usable={usable}: {why}")
 fault_decisions = line("fault-decisions", "ERROR", "fault in the decisions")
 fault_task = line("fault-task", "ERROR", "fault in a task")
 fault_watch = line("fault-watch", "ERROR", "fault on the watch")
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -489,6 +489,7 @@
         self.assertIn("[control.fault]", said)
         self.assertEqual(self.lines[0][0], "fault_control")
         self.assertEqual((await asking.ask(self.control, "members", 5.0))["name"], "a")
+        self.assertIn("[control.no-budgets]", await self.ask("budgets"))
         self.assertIn("'nonsense' was asked, and it knows members", said := await self.ask("nonsense"))
         self.assertIn("same release", said)
 
