Turns at cold workers hold a third of N + 3 root N + 3 mean jobs

N, what the settings allow a worker that has just started, is 4 x 0.3 x 2 to 3 slots x 2 s of work: about seven mean jobs. A turn held three tenths of that: two jobs, one a holder and none above the mean, for a worker that falls at seventeen.

Not tried: other numbers of holders.

The mean is of the last 48 hints; it replaces the mark that hints are there.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -16,7 +16,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 from itertools import chain
-from math import exp, log
+from math import exp, log, sqrt
 from random import Random
 from typing import Any
 
@@ -218,8 +218,8 @@
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.takes: deque[int] = deque(maxlen=32)  # from posting to the worker's word that it has it
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
-        self.usual_run = float(SECOND)
-        self.hinted = False  # whether jobs come with hints at their work
+        self.usual_run = self.mean_job = float(SECOND)
+        self.hints: deque[float] = deque(maxlen=48)  # work of the last jobs that came with hints at it
         self.keep_for = LOOK  # how long a worked out room holds, against ranking a fleet anew each event
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick of hints
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
@@ -670,7 +670,8 @@
     def appraise(self, txn: Txn) -> None:
         txn.kind, txn.work = self.type_of(txn), self.work_of(txn)
         txn.mark = (txn.scheme, txn.customer, txn.hint, txn.slots, txn.memory)
-        self.hinted = self.hinted or txn.hint is not None
+        if txn.hint is not None:
+            self.hints.append(txn.hint * txn.slots)
         txn.first = self.first_asked(txn)
         if txn.key is not None:
             txn.fair = len(self.books) * self.asked_of.count(txn.key) / max(1, len(self.asked_of))
@@ -806,24 +807,24 @@
         left = self.cold_for(book)
         if not left:
             return True
-        if self.now < self.born + self.fall_time:
-            return False  # what we sent before our own restart may still weigh on it
-        if txn.hint is None and not self.runs[txn.scheme]:
-            return False
+        if self.now < self.born + self.fall_time or txn.hint is None and not self.runs[txn.scheme]:
+            return False  # what we sent before our own restart may still weigh on it; of what size it is nobody knows
         able = self.able(left)
         while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
             book.cold_sent.popleft()
         spent = sum(work for _, work in book.cold_sent) + self.run_of(txn) * txn.slots
-        size = self.least_slots if self.hinted else book.size or self.least_slots
+        size = self.least_slots if self.hints else book.size or self.least_slots
         whole = self.cold_whole * able * size
         if self.cold_by_turns:
-            # As many at once as have a whole job each of what a turn may hold: a few had more than they had
-            # jobs for, and a worker that came back cold every six seconds stood idle for most of them.
-            # Hinted jobs are uneven: dealt out so, all over the mean had no place (large fleet, join 0.73 to 0.69).
-            at_once = 2 if self.hinted else max(2, int(0.6 * whole / self.usual_run))
+            # It falls at N + 3 root N + 3 mean jobs in a span, N being what it is allowed: a third of that a turn, for a
+            # span touches two, dealt out by one mean job, of uneven (hinted) ones by two. By a share of N sixty of a
+            # hundred workers stood all but idle for seconds, while a quarter of the value was lost (join).
+            jobs = 2.0 * whole / self.mean_job
+            turn = (jobs + 3.0 * sqrt(jobs) + 3.0) * self.mean_job / 3.0
+            at_once = max(2, int(turn / self.mean_job / (2 if self.hints else 1)))
             if at_once >= self.dispatchers:
-                return spent <= 1.2 * whole / self.dispatchers  # everyone's, in any span
-            return spent <= 0.6 * whole / at_once and self.cold_turn(book, at_once)
+                return spent <= 2.0 * turn / self.dispatchers  # everyone's, in any span
+            return spent <= turn / at_once and self.cold_turn(book, at_once)
         return spent <= whole / self.dispatchers or self.cold_turn(book) and spent <= whole / 4
 
     def cold_turn(self, book: Book, at_once: int = 1) -> bool:
@@ -913,8 +914,7 @@
                 # Counts among the answers' reports; where only probes report, those are the fairer sample.
                 book.readings.append(max(1.0, self.burden(full)) - len(book.out))
                 self.usual.setdefault(book.worker.zone, Usual()).learns(self.now, book.readings[-1])
-            book.report, book.seen, book.reported = full, self.now, self.now
-            book.own_then = len(book.out)
+            book.report, book.seen, book.reported, book.own_then = full, self.now, self.now, len(book.out)
         elif report is not None:
             self.read(book, report)
 
@@ -1075,8 +1075,7 @@
             book.head = dict(mean)
             book.started = worker.started
             book.wary = book.wary or worker.started is not None
-            book.report, book.suspect, book.failed, book.shut_until = None, False, 0, 0
-            book.believed_until = 0
+            book.report, book.suspect, book.failed, book.shut_until, book.believed_until = None, False, 0, 0, 0
 
     def mean_backlog(self) -> dict[Type, float]:
         others = [book for worker, book in self.books.items()
@@ -1097,6 +1096,7 @@
             self.judge_part()
             self.judge_starts()
             self.usual_run = self.mean_run()
+            self.mean_job = sum(self.hints) / len(self.hints) if self.hints else self.usual_run
             # What a probe takes of a worker is not told; no more than the shortest of the last ones took.
             self.probe_income = min(100.0, 0.01 / max(
                 0.0001, self.probe_price + min(self.probe_times) / self.usual_run))
