--- a/pathsaddle/fleet/asking.py
+++ b/pathsaddle/fleet/asking.py
@@ -98,7 +98,7 @@
         raise Silent(address=address, word=word, within=within) from None
     except (socket.gaierror, UnicodeError):  # the latter where it could be no host's name at all
         raise NoHost(address=address) from None
-    except ConnectionResetError:
+    except (ConnectionResetError, BrokenPipeError):
         raise Closed(address=address, word=word) from None
     except OSError as fault:
         raise Unreached(address=address, why=_kernel(fault)) from None
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -14,6 +14,7 @@
 import signal
 import socket
 import sqlite3
+import struct
 import subprocess
 import sys
 import tempfile
@@ -380,17 +381,22 @@
         self.says(("fleet", "members", "x..y:9"), 1, "control.no-host", "x..y:9")
 
     def test_somebody_else_there(self) -> None:
-        async def meets(said: bytes) -> str:
+        async def meets(said: bytes | None) -> str:
             async def answers(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
                 await reader.readline()
-                writer.write(said)
-                writer.close()
+                if said is None:
+                    writer.transport.abort()  # with a reset, for what it lingers
+                else:
+                    writer.write(said)
+                    writer.close()
             server = await asyncio.start_server(answers, "127.0.0.1", 0)
+            server.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", said is None, 0))
             async with server:
                 with self.assertRaises(asking.Unasked) as caught:
                     await asking.ask(f"127.0.0.1:{server.sockets[0].getsockname()[1]}", "members", 5.0)
                 return str(caught.exception)
-        self.reads(asyncio.run(meets(b"")), "control.closed", "without an answer", "eight at a time")
+        for said in (b"", None):
+            self.reads(asyncio.run(meets(said)), "control.closed", "without an answer", "eight at a time")
         self.reads(asyncio.run(meets(b"HTTP/1.1 400 Bad\r\n\r\n")), "control.garbled", "not at listen")
         self.reads(asyncio.run(meets(b"[1]\n")), "control.garbled", "[1]")
 
@@ -470,8 +476,9 @@
         self.fellows.told.ways.beat = 10  # a millisecond
         with mock.patch.object(self.fellows.core, "wake", side_effect=ZeroDivisionError("of ours")):
             self.fellows.begin()
-            while not self.fellows.ended:
-                await self.logged()
+            async with asyncio.timeout(10.0):
+                while not self.fellows.ended:
+                    await self.logged()
         self.assertEqual(self.lines[-1][1]["then"], "the membership has ended, jobs go on")
         self.assertEqual(len(self.lines), 2)  # a second line within a second would say nothing new
         self.assertEqual(self.fellows.counters["fleet.fault"], WAKES)
