A burst of datagrams neither loses one in 65 nor uses up the timer's tries

The reader's last recv of each turn was thrown away; and a due that datagrams told would have had a failing timer tried at once, eight times in one burst. Both found on reading the driver for its faults; a story each fails without.

--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -102,6 +102,7 @@
         self._control: socket.socket | None = None
         self._askers = 0
         self._failed = 0  # wakes in a row
+        self._not_before = 0  # the next wake after a failed one: datagrams in a burst must not use up all of WAKES
         self._doubted = -DOUBT  # when a fault was logged last
         self.ended = ""  # by which fault of ours; empty: it goes on
 
@@ -153,8 +154,10 @@
                 logbook.fleet_socket(why=why(fault))
                 await asyncio.sleep(0.05)
                 continue
-            for _ in range(AT_ONCE):
+            for left in range(AT_ONCE, 0, -1):
                 self._heard(data)
+                if left == 1:  # what is not heard in this turn stays with the kernel
+                    break
                 try:
                     data = self.sock.recv(MOST + 1)
                 except OSError:
@@ -184,7 +187,7 @@
                 self._give_up(fault)
                 return
             self._fault("its timer", fault, f"it is tried again after a beat, {WAKES - self._failed} more times")
-            due = self.clock.now() + self.told.ways.beat
+            due = self._not_before = self.clock.now() + self.told.ways.beat
         else:
             self._failed = 0
         self._set(due)
@@ -209,6 +212,7 @@
     def _set(self, due: int) -> None:
         if self.ended:
             return
+        due = max(due, self._not_before)
         if self._alarm is not None:
             if self._alarm_at <= due:
                 return
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -458,6 +458,22 @@
         self.assertEqual(self.fellows.counters["fleet.fault"], 1)
         self.assertEqual(self.unheard, [])
 
+    async def test_of_a_burst_longer_than_one_turn_each_datagram_is_heard(self) -> None:
+        """The last of each turn's 64 was read and thrown away."""
+        heard, all_ = [], asyncio.Event()
+
+        def hear(data: bytes, now: int) -> None:
+            heard.append(data)
+            if data == b"199":
+                all_.set()
+        with mock.patch.object(self.fellows.core, "heard", hear), socket.socket(
+                socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            for n in range(200):
+                sock.sendto(b"%d" % n, self.fellows.sock.getsockname())
+            self.fellows.begin()
+            await asyncio.wait_for(all_.wait(), 10.0)
+        self.assertEqual(len(heard), 200)
+
     async def test_a_timer_that_fails_is_tried_again_after_a_beat(self) -> None:
         woke, wake = asyncio.Event(), self.fellows.core.wake
 
@@ -466,9 +482,12 @@
                 raise ZeroDivisionError
             woke.set()
             return wake(now)
+        begun = self.fellows.clock.now()
         with mock.patch.object(self.fellows.core, "wake", once):
             self.fellows.begin()
             self.assertIn("tried again", str((await self.logged())["then"]))
+            self.fellows._set(0)  # as datagrams in a burst would
+            self.assertGreaterEqual(self.fellows._alarm_at, begun + self.fellows.told.ways.beat)
             await asyncio.wait_for(woke.wait(), 10.0)
         self.assertEqual((self.fellows.ended, self.unheard), ("", []))
 
