Histories checked after the fact: seven checkers, each proven by planted histories

pathsaddle/histories reads events alone; the form of an event is all it knows of the program. Checkers: register (linearizable by a just-in-time search with memory, a key at a time, unknown calls open to the end; numbers; fenced effects; leases), shares, counts, shedding, placement, federation, txns. Each is told by how much clocks may be off and accuses only what that can't explain. A failing history is made small by delta debugging over members, groups, events and time, and printed as lanes. Histories that found something are files in tests/histories, replayed by a test.

--- /dev/null
+++ b/pathsaddle/histories/smoke.py
@@ -0,0 +1,126 @@
+"""A plan that proves the checkers: what is planted is found under its name, what is right passes, and how long it took.
+
+A plan of its own form: the emulator's plans run the program, these checkers know nothing of it.
+"""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable
+from dataclasses import dataclass, field, fields
+from pathlib import Path
+from time import perf_counter, process_time
+from typing import Any
+
+from pathsaddle.histories.logs import HistoryError, check
+from pathsaddle.histories.planted import CHECKERS, PLANTED, checker, looks_wrong, wrong
+from pathsaddle.histories.small import small
+from pathsaddle.histories.worlds import right
+
+
+@dataclass
+class Plan:
+    """seeds: how many of each. events: of a history. skew: ticks that clocks are off, each seed without and with.
+    small: the most events that a history made small may have left. timed: events by which the seconds for a million
+    are measured. million, seconds: what that and the whole run may take."""
+
+    name: str = ""
+    about: str = ""
+    checks: list[str] = field(default_factory=lambda: list(CHECKERS))
+    seeds: int = 3
+    events: int = 3000
+    skew: int = 50
+    small: int = 30
+    timed: int = 50_000
+    million: float = 20.0
+    seconds: float = 40.0
+
+
+def read_plan(path: Path) -> Plan:
+    """Raises HistoryError with the key that is wrong."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except OSError as fault:
+        raise HistoryError("plan-unreadable", f"{path}: {fault.strerror}", f"name a plan that is there in place of {path}") \
+            from fault
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
+        raise HistoryError("plan-malformed", f"{path}: {fault}", f"mend {path} where it says") from fault
+    plan = Plan()
+    known = {each.name: type(getattr(plan, each.name)) for each in fields(Plan)}
+    for key, value in told.items():
+        if key not in known:
+            raise HistoryError("plan-unknown-key", f"{path}: {key}", f"take {key} out; known are {', '.join(known)}")
+        if not isinstance(value, known[key]) and not (known[key] is float and isinstance(value, int)):
+            raise HistoryError("plan-wrong-value", f"{path}: {key} = {value!r}",
+                               f"write {key} as a {known[key].__name__}")
+        setattr(plan, key, value)
+    for name in plan.checks:
+        if name not in CHECKERS:
+            raise HistoryError("plan-unknown-check", f"{path}: checks: {name}",
+                               f"take {name} out; known are {', '.join(CHECKERS)}")
+    return plan
+
+
+def run(plan: Plan, say: Callable[[str], None]) -> bool:
+    """Says a line for each that does not hold, figures last; whether all held."""
+    began, cpu = perf_counter(), process_time()
+    bad = 0
+    rows = []
+    for name in plan.checks:
+        found = played = passed = 0
+        for kind in PLANTED[name]:
+            for seed in range(plan.seeds):
+                for skew in (0, plan.skew):
+                    expected, events = wrong(name, kind, seed, plan.events, skew)
+                    names = {finding.name for finding in check(events, [checker(name, skew)])}
+                    played += 1
+                    found += expected in names
+                    if expected not in names:
+                        say(f"MISSED {name}: {kind}, seed {seed}, skew {skew}: {expected} is not among "
+                            f"{', '.join(sorted(names)) or 'nothing'}")
+        bad += played - found
+        looks = looks_wrong(name)
+        rights = [(kind, events, 0) for kind, events in looks.items()]
+        rights += [(f"seed {seed}", right(name, seed, plan.events, skew), skew)
+                   for seed in range(2 * plan.seeds) for skew in (0, plan.skew)]
+        for kind, events, skew in rights:
+            findings = check(events, [checker(name, skew)])
+            passed += not findings
+            if findings:
+                say(f"WRONGLY ACCUSED {kind}, skew {skew}: {findings[0]}")
+        bad += len(rights) - passed
+        left = _smallest(name, plan)
+        if left > plan.small:
+            bad += 1
+            say(f"NOT SMALL {name}: {left} events are left")
+        took = million(name, plan.timed)
+        if took > plan.million:
+            bad += 1
+            say(f"SLOW {name}: {took:.1f} s for a million events")
+        rows.append((name, len(PLANTED[name]), found, played, passed, len(rights), left, took))
+    whole = perf_counter() - began
+    if process_time() - cpu > plan.seconds:
+        bad += 1
+        say(f"SLOW: {process_time() - cpu:.0f} s, {plan.seconds:g} are allowed")
+    say(f"{'checker':<12}{'kinds':>6}{'found':>10}{'passed':>10}{'small':>7}{'s a million':>13}")
+    for name, kinds, found, played, passed, of, left, took in rows:
+        say(f"{name:<12}{kinds:>6}{f'{found}/{played}':>10}{f'{passed}/{of}':>10}{left:>7}{took:>13.1f}")
+    say(f"{whole:.1f} s, {process_time() - cpu:.1f} s of processor time; "
+        f"{'every bound holds' if not bad else f'{bad} do not hold'}")
+    return not bad
+
+
+def _smallest(name: str, plan: Plan) -> int:
+    """How many events are left of one planted history that was made small by itself."""
+    kind = next(iter(PLANTED[name]))
+    expected, events = wrong(name, kind, 0, plan.events, 0)
+    findings = [row for row in check(events, [checker(name)]) if row.name == expected]
+    return len(small(events, lambda: checker(name), findings[0])) if findings else len(events)
+
+
+def million(name: str, events: int, seed: int = 0) -> float:
+    """Seconds of processor time that a million events of a right history take, by so many."""
+    rows: list[Any] = right(name, seed, events)
+    began = process_time()
+    check(rows, [checker(name)])
+    return (process_time() - began) / len(rows) * 1e6
