--- a/pathsaddle/histories/__main__.py
+++ b/pathsaddle/histories/__main__.py
@@ -9,6 +9,7 @@
 
 import click
 
+from pathsaddle.histories.checkers import CHECKERS, checker
 from pathsaddle.histories.keeping import Kept, read_kept
 from pathsaddle.histories.lanes import lanes
 from pathsaddle.histories.logs import (
@@ -22,7 +23,6 @@
     in_order,
     read_folder,
 )
-from pathsaddle.histories.planted import CHECKERS, checker
 from pathsaddle.histories.small import small
 from pathsaddle.histories.smoke import million, read_plan, run
 
--- a/pathsaddle/histories/federation.py
+++ b/pathsaddle/histories/federation.py
@@ -28,7 +28,7 @@
 
 class Federation(Checker):
     """Finds `forbidden-region`, `tightening-ignored`, `loosened-early`, `beyond-lease`, `two-regions`, `crossed-twice`,
-    `circle`, `crossed-again`, `stale-copy`, `force-early`.
+    `circle`, `crossed-again`, `stale-copy`, `force-early`, `own-after-foreign`.
 
     What may be used at a moment: any version that was committed by then and is not older than the newest that was
     reported in force before. What a member itself holds binds it at once, committed or not, where it is tighter.
@@ -44,11 +44,14 @@
         self.told: dict[str, list[Event]] = {}  # of a member, the last few that it held
         self.regions: dict[str, str] = {}
         self.ended: dict[str, int] = {}
+        self.offered: dict[str, list[Event]] = {}  # texts that a member has and that are not committed
+        self.waiting: dict[str, dict[Hashable, Event]] = {}  # own jobs that wait in a region
         self.crossings: dict[Hashable, dict[Hashable, tuple[Event, str]]] = {}
         self.ran: dict[Hashable, Event] = {}
         self.on = {"member.began": self._began, "member.ended": self._ended, "spec.version": self._version,
                    "abroad.sent": self._sent, "abroad.ended": self._abroad_ended, "data.read": self._read,
-                   "region.ran": self._ran}
+                   "region.ran": self._ran, "spec.offered": self._offered, "work.queued": self._queued,
+                   "work.left": self._left, "work.ended": self._left}
 
     def _began(self, event: Event) -> None:
         region = event.more.get("region")
@@ -83,6 +86,21 @@
         else:
             raise ValueError(f"state {state!r}")
 
+    def _offered(self, event: Event) -> None:
+        version = self.versions.setdefault(event.more["version"], Version(event.more["version"]))
+        if "may" in event.more and version.may is None:
+            version.may, version.data = event.more["may"], event.more.get("data", {})
+        rows = self.offered.setdefault(event.more["who"], [])
+        rows.append(event)
+        del rows[:-FEW]
+
+    def _queued(self, event: Event) -> None:
+        if event.more.get("own", True):
+            self.waiting.setdefault(event.more["region"], {})[event.more["post"]] = event
+
+    def _left(self, event: Event) -> None:
+        self.waiting.get(event.more["region"], {}).pop(event.more["post"], None)
+
     def _force(self, event: Event) -> None:
         """Told in force: each member holds it, or its hold on an older one has surely ended."""
         number, slack = event.more["version"], 2 * self.skew
@@ -129,6 +147,8 @@
     def _go_by(self, event: Event, abroad: bool) -> None:
         """By its own clock and order what it holds itself; by all versions once they are known."""
         held = self.held.get(event.more["who"])
+        # Without a lease the home of the scheme is left, wherever the txn came from.
+        abroad = abroad and ("home" not in event.more or event.more["home"] != event.more.get("to"))
         if abroad and held is not None and event.at >= held.more.get("until", 1 << 60):
             self.find("beyond-lease", f"{event.more['who']} went abroad {(event.at - held.more['until']) / 10:g} ms after "
                       "its hold on the spec had ended", held, event)
@@ -137,6 +157,12 @@
             if version.may is not None and not version.allows(event):
                 self.find("tightening-ignored", f"{event.more['who']} holds version {version.number} and went against it "
                           f"by {event.more['version']}: {self._what(event)}", held, event)
+        for row in self.offered.get(event.more["who"], ()):
+            version = self.versions[row.more["version"]]
+            if version.may is not None and version.number >= event.more["version"] and not version.allows(event):
+                self.find("tightening-ignored", f"{event.more['who']} had the text of version {version.number} and went "
+                          f"against it by {event.more['version']}: {self._what(event)}", row, event)
+                break
         if self.versions:
             self.later(self._allowed, event)
 
@@ -171,6 +197,13 @@
                       f"{force or 'none'} was in force, and nothing since allows it", *rows)
 
     def _ran(self, event: Event) -> None:
+        region, home = event.more["region"], event.more.get("home")
+        waiting = self.waiting.get(region)
+        if waiting:
+            waiting.pop(event.more["post"], None)
+            if home is not None and home != region and waiting:
+                self.find("own-after-foreign", f"{region} began {event.more['txn']} of {home} while own work waited",
+                          next(iter(waiting.values())), event)
         if event.more.get("kind") != ONCE:
             return
         first = self.ran.setdefault(event.more["txn"], event)
--- a/pathsaddle/histories/keeping.py
+++ b/pathsaddle/histories/keeping.py
@@ -11,8 +11,8 @@
 from pathlib import Path
 from typing import Any
 
+from pathsaddle.histories.checkers import CHECKERS, checker
 from pathsaddle.histories.logs import BROKEN, Event, Finding, HistoryError, check, read, write
-from pathsaddle.histories.planted import CHECKERS, checker
 
 
 @dataclass
--- a/pathsaddle/histories/small.py
+++ b/pathsaddle/histories/small.py
@@ -11,9 +11,10 @@
 from collections.abc import Callable, Hashable, Sequence
 from typing import Any
 
-from pathsaddle.histories.logs import MOMENTS, Checker, Event, Finding, check
+from pathsaddle.histories.logs import MOMENTS, SECOND, Checker, Event, Finding, check
 
 Row = tuple[int, Event]  # its place in the first history, which stays its name when its moment is changed
+SELDOM = 200  # lines of one kind that are kept whole at first
 MOST_PLAYS = 2_000  # checks of one history; beyond it what is reached by then is told
 
 
@@ -29,6 +30,7 @@
         check([event for _, event in self.rows], [checker])
         # A register's call is named by its end and by its begin: both go or stay.
         self.fixed = dict.fromkeys(checker.stays(events, finding))
+        self.rows_at = {place: event.at for place, event in self.rows}
         self.groups = {place: checker.group(event) for place, event in self.rows}
         self.own = dict.fromkeys(self.groups[place] for place in self.accused)
 
@@ -37,12 +39,27 @@
         if end is not None:
             self._try([row for row in self.rows if row[1].at <= end])
         self._try([row for row in self.rows if self.groups[row[0]] in self.own or self.groups[row[0]] is None])
+        self._near()
         self._fewer(lambda row: row[1].more.get("who"), True)
         self._fewer(self._txn, False)
         self._fewer(lambda row: row[0], False)
         self._time()
         return [event for _, event in self.rows]
 
+    def _near(self) -> None:
+        """Of a long history first what is near the accused, with what is told seldom (limits, charters, versions): else
+        each of the plays that come reads all of it."""
+        begin = min((self.rows_at[place] for place in self.accused), default=0)
+        often: dict[str, int] = {}
+        for _, event in self.rows:
+            often[event.what] = often.get(event.what, 0) + 1
+        near = SECOND // 10
+        while near < begin and len(self.rows) > SELDOM:
+            if self._try([row for row in self.rows if row[1].at >= begin - near or row[0] in self.fixed
+                          or often[row[1].what] <= SELDOM or row[0] in self.accused]):
+                return
+            near *= 8
+
     def _txn(self, row: Row) -> Hashable:
         """What begins and ends one thing goes together."""
         more = row[1].more
