Histories: the program's own mutants are found by logs alone; runs at lenders are judged

Cause: the checkers had been proven by worlds of their own. Logs of the other parts' worlds, with their mutants, showed what these had not thought of: a job that a lender's dispatcher runs by an uncommitted version or beyond its lease (only postings abroad were judged), a version used before its commit where an older one allows the same place, a keeper that lets an old planner do anything but reserve, the budget of cold units.

--- a/pathsaddle/histories/federation.py
+++ b/pathsaddle/histories/federation.py
@@ -19,11 +19,26 @@
     committed: Event | None = None
 
     def allows(self, event: Event) -> bool:
+        """A posting abroad, a run that names its dispatcher, or a read."""
         if self.may is None:
             return False
         if event.what == "data.read":
             return event.more["data"] not in self.data or event.more["region"] in self.data[event.more["data"]]
-        return event.more["to"] in self.may.get(event.more["scheme"], ())
+        return _place(event) in self.may.get(event.more["scheme"], ())
+
+    def narrower(self, other: Version, event: Event) -> bool:
+        """Than the other, for what this event is about."""
+        if self.may is None or other.may is None:
+            return False
+        if event.what == "data.read":
+            name = event.more["data"]
+            return name not in other.data or all(place in other.data[name] for place in self.data.get(name, ()))
+        scheme = event.more["scheme"]
+        return all(place in other.may.get(scheme, ()) for place in self.may.get(scheme, ()))
+
+
+def _place(event: Event) -> str:
+    return str(event.more["to" if event.what == "abroad.sent" else "region"])
 
 
 class Federation(Checker):
@@ -146,32 +161,41 @@
 
     def _go_by(self, event: Event, abroad: bool) -> None:
         """By its own clock and order what it holds itself; by all versions once they are known."""
-        held = self.held.get(event.more["who"])
+        more = event.more
+        who = more.get("by", more["who"])
+        # What a dispatcher did may stand in the log of whoever saw it done, by that one's clock.
+        slack = 2 * self.skew if who != more["who"] else 0
+        held = self.held.get(who)
         # Without a lease the home of the scheme is left, wherever the txn came from.
-        abroad = abroad and ("home" not in event.more or event.more["home"] != event.more.get("to"))
-        if abroad and held is not None and event.at >= held.more.get("until", 1 << 60):
-            self.find("beyond-lease", f"{event.more['who']} went abroad {(event.at - held.more['until']) / 10:g} ms after "
-                      "its hold on the spec had ended", held, event)
-        if held is not None and event.more["version"] <= held.more["version"]:
+        abroad = abroad and ("home" not in more or more["home"] != _place(event))
+        if abroad and held is not None and event.at - slack >= held.more.get("until", 1 << 60):
+            self.find("beyond-lease", f"{who} went abroad {(event.at - held.more['until']) / 10:g} ms after its hold on "
+                      "the spec had ended", held, event)
+        if held is not None and held.at <= event.at - slack and more.get("version", 0) <= held.more["version"]:
             version = self.versions[held.more["version"]]
             if version.may is not None and not version.allows(event):
-                self.find("tightening-ignored", f"{event.more['who']} holds version {version.number} and went against it "
-                          f"by {event.more['version']}: {self._what(event)}", held, event)
-        for row in self.offered.get(event.more["who"], ()):
+                self.find("tightening-ignored", f"{who} holds version {version.number} and went against it"
+                          f"{self._by(event)}: {self._what(event)}", held, event)
+        for row in self.offered.get(who, ()):
             version = self.versions[row.more["version"]]
-            if version.may is not None and version.number >= event.more["version"] and not version.allows(event):
-                self.find("tightening-ignored", f"{event.more['who']} had the text of version {version.number} and went "
-                          f"against it by {event.more['version']}: {self._what(event)}", row, event)
+            if version.may is not None and row.at <= event.at - slack and not version.allows(event) \
+                    and version.number >= max(more.get("version", 0), held.more["version"] if held is not None else 0):
+                self.find("tightening-ignored", f"{who} had the text of version {version.number} and went against it"
+                          f"{self._by(event)}: {self._what(event)}", row, event)
                 break
         if self.versions:
             self.later(self._allowed, event)
 
+    @staticmethod
+    def _by(event: Event) -> str:
+        return f" by version {event.more['version']}" if "version" in event.more else ""
+
     @staticmethod
     def _what(event: Event) -> str:
         more: dict[str, Any] = event.more
         if event.what == "data.read":
             return f"{more['data']} read in {more['region']}"
-        return f"{more['scheme']} posted to {more['to']}"
+        return f"{more['scheme']} posted to {_place(event)}"
 
     def _allowed(self, event: Event) -> None:
         slack = 2 * self.skew
@@ -182,22 +206,24 @@
                 force, by = row.more["version"], row
                 break
         by_then = event.at + slack
-        for version in self.versions.values():
-            if version.number >= force and version.committed is not None and version.committed.at <= by_then \
-                    and version.allows(event):
+        there = [version for version in self.versions.values()
+                 if version.committed is not None and version.committed.at <= by_then]
+        if "version" in event.more:
+            used = self.versions.get(event.more["version"])
+            if used not in there and not (used is not None and there and used.narrower(there[-1], event)):
+                rows = [event] if used is None or used.committed is None else [event, used.committed]
+                self.find("loosened-early", f"{self._what(event)}{self._by(event)}, which was not committed", *rows)
                 return
-        used = self.versions.get(event.more["version"])
-        if used is None or used.committed is None or used.committed.at > by_then:
-            rows = [event] if used is None or used.committed is None else [event, used.committed]
-            self.find("loosened-early", f"{self._what(event)} by version {event.more['version']}, which was not "
-                      "committed, and no other allows it", *rows)
-        else:
-            rows = [row for row in (used.committed, by, event) if row is not None]
-            self.find("forbidden-region", f"{self._what(event)} by version {event.more['version']}; "
-                      f"{force or 'none'} was in force, and nothing since allows it", *rows)
+        if not any(version.number >= force and version.allows(event) for version in there):
+            last = there[-1].committed if there else None
+            rows = [row for row in (last, by, event) if row is not None]
+            self.find("forbidden-region", f"{self._what(event)}{self._by(event)}; {force or 'none'} was in force, and "
+                      "nothing since allows it", *rows)
 
     def _ran(self, event: Event) -> None:
         region, home = event.more["region"], event.more.get("home")
+        if "by" in event.more and "scheme" in event.more:
+            self._go_by(event, home is not None)
         waiting = self.waiting.get(region)
         if waiting:
             waiting.pop(event.more["post"], None)
--- a/pathsaddle/histories/placement.py
+++ b/pathsaddle/histories/placement.py
@@ -14,7 +14,7 @@
 
 class Placement(Checker):
     """Finds `bay-twice`, `unit-twice`, `island-over`, `step-order`, `late-planner`, `stale-revision`, `unreserved`,
-    `released-early`.
+    `released-early`, `cold-over`.
 
     Where reservations are kept one process decides, so what concerns one keeper is judged by its own order; between
     keepers, planners and walkers only what is surely apart accuses.
@@ -34,11 +34,16 @@
         self.numbers: dict[str, tuple[int, Event]] = {}
         self.last: dict[tuple[str, Place], int] = {}  # when a unit was last installed, warmed, taken out
         self.holds: dict[Hashable, tuple[int, Event]] = {}  # till when a walker takes a unit's reservation to hold
+        self.budget: Event | None = None  # how many may be cold at once
+        self.cold: dict[Place, Event] = {}
+        self.warmed: dict[Place, int] = {}  # when a unit last served, left or was released
         self.done_steps: dict[Hashable, dict[Hashable, Event]] = {}
         self.on = {"island.limits": self._limits, "unit.needs": self._needs, "bay.reserve": self._reserve,
                    "bay.release": self._release, "bay.install": self._walked, "bay.warm": self._walked,
                    "bay.serve": self._walked, "bay.out": self._out, "bay.leave": self._out, "bay.fail": self._out,
-                   "bay.hold": self._hold, "plan.step": self._step}
+                   "bay.hold": self._hold, "planner": self._planner, "planner.did": self._planner,
+                   "plan.new": self._planner,
+                   "cold.budget": self._cold_budget, "plan.step": self._step}
 
     def _limits(self, event: Event) -> None:
         self.limits[event.more["island"]] = event.more
@@ -46,6 +51,34 @@
     def _needs(self, event: Event) -> None:
         self.needs[event.more["unit"]] = event.more
 
+    def _planner(self, event: Event) -> None:
+        """By the order of whoever writes it, the keeper above all: numbers only grow."""
+        who, number = event.more["who"], event.more["number"]
+        top = self.numbers.get(who)
+        if top is not None and number < top[0]:
+            self.find("late-planner", f"{who} let {event.more.get('does', 'a plan')} by {number} after "
+                      f"{top[0]}", top[1], event)
+        else:
+            self.numbers[who] = number, event
+
+    def _cold_budget(self, event: Event) -> None:
+        event.more["units"] + 0  # a number, or the line is broken
+        self.budget = event
+
+    def _warm(self, event: Event) -> None:
+        """Counted late, and no more once it may have served: what is over was so for certain."""
+        place = event.more["unit"], event.more["bay"]
+        if self.warmed.get(place, NEVER) >= event.at - 2 * self.skew:
+            return
+        self.cold[place] = event
+        if self.budget is not None and len(self.cold) > self.budget.more["units"]:
+            self.find("cold-over", f"{len(self.cold)} units are cold at once, {self.budget.more['units']} may be",
+                      self.budget, *self.cold.values())
+
+    def _warmed(self, place: Place, at: int) -> None:
+        self.warmed[place] = at
+        self.cold.pop(place, None)
+
     def _reserve(self, event: Event) -> None:
         more = event.more
         if not more["taken"]:
@@ -123,6 +156,7 @@
         if more.get("why") == "lease" and event.at < until - (0 if told is row else 2 * self.skew):
             self.find("released-early", f"{bay} was taken from {unit} {(until - event.at) / 10:g} ms before its lease "
                       "ended", told, event)
+        self._warmed((unit, bay), event.at)
         del self.units[unit][bay]
         if self.bays.get(bay) is row:
             del self.bays[bay]
@@ -140,12 +174,17 @@
             self.holds[event.more["unit"]] = until, event
 
     def _walked(self, event: Event) -> None:
+        if event.what == "bay.warm":
+            self.later(self._warm, event)
+        elif event.what == "bay.serve":
+            self._warmed((event.more["unit"], event.more["bay"]), event.at)
         if event.what != "bay.serve":
             self.last[event.what, (event.more["unit"], event.more["bay"])] = event.at
         self.later(self._in_order, event)
 
     def _out(self, event: Event) -> None:
         self.last["bay.out", (event.more["unit"], event.more["bay"])] = event.at
+        self._warmed((event.more["unit"], event.more["bay"]), event.at)
 
     def _in_order(self, event: Event) -> None:
         unit, bay = event.more["unit"], event.more["bay"]
--- a/pathsaddle/histories/planted.py
+++ b/pathsaddle/histories/planted.py
@@ -370,6 +370,13 @@
         super().walk(who, plan, first, unit, bay, 1 if step == 0 and self.chance.random() < 0.2 else step)
 
 
+class ColdIgnored(PlacementWorld):
+    """Warms whatever is installed."""
+
+    def room(self) -> bool:
+        return True
+
+
 class WalksWithout(PlacementWorld):
     """A walker that goes on after its reservation is gone."""
 
@@ -630,6 +637,7 @@
         "number-unchecked": ("late-planner", NumberUnchecked),
         "revision-unchecked": ("stale-revision", RevisionUnchecked),
         "order-ignored": ("step-order", OrderIgnored),
+        "cold-ignored": ("cold-over", ColdIgnored),
         "walks-without": ("unreserved", WalksWithout),
         "released-early": ("released-early", ReleasedEarly),
     },
--- a/pathsaddle/histories/worlds.py
+++ b/pathsaddle/histories/worlds.py
@@ -355,6 +355,8 @@
 class PlacementWorld(World):
     """Islands, one keeper of reservations, three planners that take turns and wake late, walkers that install."""
 
+    COLD = 4
+
     def __init__(self, chance: Random, size: int) -> None:
         super().__init__(chance, size)
         self.limits: dict[str, dict[str, int]] = {}
@@ -374,6 +376,8 @@
         self.revision, self.number = 1, 0
         self.planners = {f"p{i}": (0, 0) for i in range(3)}  # number, revision that it has read
         self.steps = 0
+        self.cold: dict[str, None] = {}
+        self.say("cold.budget", who="k", units=self.COLD)
         self.then(1, self.plans)
         self.then(2, self.reserve)
         self.then(SECOND, self.lapse)
@@ -415,6 +419,13 @@
         held = self.held.get(unit)
         if held is None or held[0] != bay or held[2] < self.now + 3 * SECOND:
             return
+        if step == 1 and not self.room():
+            self.then(self.some(SECOND // 10), self.walk, who, plan, first, unit, bay, step)
+            return
+        if step == 1:
+            self.cold[unit] = None
+        elif step == 2:
+            self.cold.pop(unit, None)
         does = ("install", "warm", "serve")[step]
         after = [first + step - 1] if step else []
         self.say("plan.step", who=who, plan=plan, step=first + step, state="begun", does=does, unit=unit, bay=bay,
@@ -422,6 +433,9 @@
         self.say(f"bay.{does}", who=who, unit=unit, bay=bay, number=plan)
         self.then(self.some(SECOND // 10), self.walked, who, plan, first, unit, bay, step)
 
+    def room(self) -> bool:
+        return len(self.cold) < self.COLD
+
     def walked(self, who: str, plan: int, first: int, unit: str, bay: str, step: int) -> None:
         self.say("plan.step", who=who, plan=plan, step=first + step, state="done")
         if step < 2:
@@ -438,6 +452,7 @@
             self.say("bay.release", who="k", unit=unit, bay=bay, why="lease" if over else "word")
             self.revision += 1
             del self.bays[bay], self.held[unit]
+            self.cold.pop(unit, None)
             for what, needs in {"bays": 1, **self.needs[unit]}.items():
                 self.used[island][what] -= needs
 
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -204,6 +204,13 @@
         self.assertEqual(found("placement", rows), ["released-early"])
         self.assertEqual(found("placement", rows[:1] + rows[2:]), [])
 
+    def test_a_keeper_that_lets_an_old_planner_do_anything_is_found(self):
+        rows = [Event(0, "planner", {"who": "k", "number": 1}), Event(5, "planner", {"who": "k", "number": 2}),
+                Event(6, "planner", {"who": "p1", "number": 1}),
+                Event(9, "planner.did", {"who": "k", "does": "cold", "number": 1})]
+        self.assertEqual(found("placement", rows), ["late-planner"])
+        self.assertEqual(found("placement", rows[:3]), [])
+
     def test_without_a_lease_home_is_left_and_a_text_on_offer_binds_where_it_is_narrower(self):
         may = {"may": {"s": ["north", "west"]}}
         sent = {"who": "a", "post": 1, "txn": 1, "scheme": "s", "origin": "west", "from": "west", "version": 1}
