Histories: repeated proposals are one call; a life that is over owns nothing

A call may now say `again` and names the first; both are one, open from its begin to the repeat's end. A member that ended holds no lease from then on, and its next life can't act by the old one.

--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -220,6 +220,26 @@
         self.assertEqual(found("placement", rows), ["released-early"])
         self.assertEqual(found("placement", rows[:1] + rows[2:]), [])
 
+    def test_a_life_that_is_over_owns_nothing_and_the_next_does_not_act_by_its_lease(self):
+        rows = [Event(0, "lease", {"who": "a", "key": "k", "number": 1, "from": 0, "until": 900}),
+                Event(100, "member.ended", {"who": "a", "why": "killed"}),
+                Event(200, "lease", {"who": "b", "key": "k", "number": 2, "from": 200, "until": 1100})]
+        self.assertEqual(found("register", rows), [])
+        self.assertEqual(found("register", rows[:1] + rows[2:]), ["leases-overlap"])
+        self.assertEqual(found("register", [*rows, Event(300, "act", {"who": "a", "key": "k", "number": 1})]),
+                         ["act-without-lease"])
+
+    def test_a_proposal_sent_again_may_have_taken_effect_the_first_time(self):
+        sets = {"who": "a", "key": "k", "kind": "set", "value": "x", "revision": 0}
+        seen = {"outcome": "ok", "revision": 1, "value": "x"}
+        rows = [Event(0, "reg.call", {**sets, "op": 1}), Event(5, "reg.end", {"who": "a", "op": 1, "outcome": "unknown"}),
+                Event(6, "reg.call", {"who": "b", "op": 2, "key": "k", "kind": "read"}),
+                Event(7, "reg.end", {"who": "b", "op": 2, **seen}),
+                Event(8, "reg.call", {**sets, "op": 3}), Event(9, "reg.end", {"who": "a", "op": 3, **seen})]
+        self.assertEqual(found("register", rows), ["register-not-linearizable"])
+        rows[4].more["again"] = 1
+        self.assertEqual(found("register", rows), [])
+
     def test_a_keeper_that_lets_an_old_planner_do_anything_is_found(self):
         rows = [Event(0, "planner", {"who": "k", "number": 1}), Event(5, "planner", {"who": "k", "number": 2}),
                 Event(6, "planner", {"who": "p1", "number": 1}),
