Placement: plan, book and walk of new hardware, free of I/O, with a ledger on disk

Need: new units must come into islands so that large jobs fit at every step, under several planners that stop, die and wake late.

--- /dev/null
+++ b/pathsaddle/placement/ledger.py
@@ -0,0 +1,193 @@
+"""The book on a disk: one SQLite file that any number of planners' processes share, one change at a time.
+
+Each change is one transaction: the book as it stands now, the change's own guards (`book`), what came of it and its
+story, all or nothing, synced before it is told. So a planner that was stopped between its look and its reservation
+finds the numbers as they are when it writes, not as they were when it looked; one killed at any moment leaves a change
+that was made or one that was not.
+"""
+
+from __future__ import annotations
+
+import sqlite3
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+import msgspec
+
+from pathsaddle.placement.book import Book
+from pathsaddle.placement.check import broken
+from pathsaddle.placement.faults import Refused, Untrue, Unusable
+from pathsaddle.placement.inventory import Demand, Inventory, Island, Kind, Target, Unit
+from pathsaddle.placement.plan import Plan
+from pathsaddle.placement.story import KEEPER, opening, refused, told
+
+VERSION = 1
+SCHEMA = """
+    CREATE TABLE meta (key TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
+    CREATE TABLE parts (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
+    CREATE TABLE units (name TEXT PRIMARY KEY, place INTEGER NOT NULL, value BLOB NOT NULL) WITHOUT ROWID;
+    CREATE TABLE story (row INTEGER PRIMARY KEY, at INTEGER NOT NULL, what TEXT NOT NULL, more BLOB NOT NULL);
+"""
+PARTS: dict[str, Any] = {"kinds": tuple[Kind, ...], "islands": tuple[Island, ...], "demand": tuple[Demand, ...],
+                         "targets": tuple[Target, ...], "blocked": tuple[tuple[str, str], ...], "plan": Plan | None}
+
+
+class Ledger(Protocol):
+    """Where the book is kept. All that a walk needs of it."""
+
+    def read(self) -> Book:
+        """As it stands, surely committed."""
+
+    def do(self, does: str, *words: Any) -> Book:
+        """A change by its name in Book. Returns what came of it; raises Refused, with nothing changed."""
+
+
+class Memory:
+    """A book that lives no longer than its process: for planning alone, and for the virtual ground."""
+
+    def __init__(self, book: Book, tell: Callable[[str, dict[str, Any]], None] = lambda what, more: None) -> None:
+        self.book = book
+        self.tell = tell
+        for what, more in opening(book):
+            tell(what, more)
+
+    def read(self) -> Book:
+        return self.book
+
+    def do(self, does: str, *words: Any) -> Book:
+        before = self.book
+        try:
+            self.book = getattr(before, does)(*words)
+        except Refused as why:
+            for what, more in refused(does, words, before, why):
+                self.tell(what, more)
+            raise
+        if self.book is not before:
+            for what, more in told(does, words, before, self.book):
+                self.tell(what, more)
+        return self.book
+
+
+class File:
+    """clock: ticks, for the story alone."""
+
+    def __init__(self, path: Path, clock: Callable[[], int]) -> None:
+        if not path.exists():
+            raise Unusable(f"{path}: no such ledger", f"make one with `python -m pathsaddle.placement FILE --ledger {path}`")
+        self.path, self.clock = path, clock
+        self.cache: Book | None = None
+        try:
+            self.base = _opened(path)
+            row = self.base.execute("SELECT value FROM meta WHERE key = 'version'").fetchone()
+        except sqlite3.Error as fault:
+            raise Unusable(f"{path}: {fault}", "see that it is a placement ledger and that this user may write there") from None
+        if row is None or row[0] != VERSION:
+            raise Unusable(f"{path}: version {row and row[0]}, this program writes {VERSION}",
+                           "use the program that wrote it, or make a new ledger from the inventory")
+
+    def close(self) -> None:
+        self.base.close()
+
+    def _meta(self) -> dict[str, int]:
+        return {str(key): int(value) for key, value in self.base.execute("SELECT key, value FROM meta")}
+
+    def _book(self) -> Book:
+        """Within a transaction. What was read before is used again while its revision is the one on the disk."""
+        meta = self._meta()
+        if self.cache is not None and self.cache.inventory.revision == meta["revision"]:
+            return self.cache
+        parts = {name: msgspec.json.decode(value, type=PARTS[name])
+                 for name, value in self.base.execute("SELECT name, value FROM parts")}
+        units = tuple(msgspec.json.decode(row[0], type=Unit)
+                      for row in self.base.execute("SELECT value FROM units ORDER BY place"))
+        plan = parts.pop("plan")
+        self.cache = Book(Inventory(units=units, cold=meta["cold"], revision=meta["revision"], base=meta["base"], **parts),
+                          meta["number"], plan)
+        return self.cache
+
+    def read(self) -> Book:
+        self.base.execute("BEGIN")
+        try:
+            return self._book()
+        finally:
+            self.base.execute("ROLLBACK")
+
+    def do(self, does: str, *words: Any) -> Book:
+        self.base.execute("BEGIN IMMEDIATE")
+        try:
+            before = self._book()
+            try:
+                after: Book = getattr(before, does)(*words)
+            except Refused as why:
+                self._tell(refused(does, words, before, why))
+                self.base.execute("COMMIT")
+                raise
+            if after is not before:
+                _written(self.base, before, after)
+                self._tell(told(does, words, before, after))
+            self.base.execute("COMMIT")
+        except BaseException:
+            if self.base.in_transaction:
+                self.base.execute("ROLLBACK")
+            raise
+        self.cache = after
+        return after
+
+    def _tell(self, rows: list[tuple[str, dict[str, Any]]]) -> None:
+        last = self.base.execute("SELECT at FROM story ORDER BY row DESC LIMIT 1").fetchone()
+        _tell(self.base, max(self.clock(), last[0] if last else 0), rows)
+
+    def story(self) -> list[tuple[int, str, dict[str, Any]]]:
+        """All that became true, in order: (at, what, more)."""
+        return [(at, what, msgspec.json.decode(more))
+                for at, what, more in self.base.execute("SELECT at, what, more FROM story ORDER BY row")]
+
+
+def _opened(path: Path) -> sqlite3.Connection:
+    base = sqlite3.connect(path, isolation_level=None, timeout=30)
+    base.execute("PRAGMA journal_mode = WAL")
+    base.execute("PRAGMA synchronous = FULL")
+    return base
+
+
+def _tell(base: sqlite3.Connection, at: int, rows: list[tuple[str, dict[str, Any]]]) -> None:
+    base.executemany("INSERT INTO story (at, what, more) VALUES (?, ?, ?)",
+                     [(at, what, msgspec.json.encode({"who": KEEPER} | more)) for what, more in rows])
+
+
+def _written(base: sqlite3.Connection, before: Book | None, after: Book) -> None:
+    """What differs, within a transaction."""
+    new, old = after.inventory, before.inventory if before is not None else None
+    for name in PARTS:
+        value = after.plan if name == "plan" else getattr(new, name)
+        if before is None or value is not (before.plan if name == "plan" else getattr(old, name)):
+            base.execute("INSERT OR REPLACE INTO parts VALUES (?, ?)", (name, msgspec.json.encode(value)))
+    known = {} if old is None else old.unit
+    base.executemany("INSERT OR REPLACE INTO units VALUES (?, ?, ?)", [
+        (unit.name, place, msgspec.json.encode(unit)) for place, unit in enumerate(new.units)
+        if known.get(unit.name) is not unit])
+    for key, value in (("version", VERSION), ("revision", new.revision), ("base", new.base), ("cold", new.cold),
+                       ("number", after.number)):
+        base.execute("INSERT OR REPLACE INTO meta VALUES (?, ?)", (key, value))
+
+
+def made(path: Path, inventory: Inventory, clock: Callable[[], int]) -> File:
+    """A new ledger. Raises Unusable where one stands there, Untrue where the inventory breaks a rule."""
+    if path.exists():
+        raise Unusable(f"{path}: stands there already", "name another file, or tell what changed with `tell`")
+    for name, what in broken(inventory):
+        raise Untrue(f"{name}: {what}", "set the inventory file right")
+    try:
+        base = _opened(path)
+        base.execute("BEGIN IMMEDIATE")
+        for statement in SCHEMA.split(";"):
+            base.execute(statement)
+        book = Book(inventory)
+        _written(base, None, book)
+        _tell(base, clock(), opening(book))
+        base.execute("COMMIT")
+        base.close()
+    except sqlite3.Error as fault:
+        raise Unusable(f"{path}: {fault}", "see that the folder is there and that this user may write in it") from None
+    return File(path, clock)
--- /dev/null
+++ b/pathsaddle/placement/walk.py
@@ -0,0 +1,114 @@
+"""The owner's walk over the plan: what is to be done next, from the book as it was last seen. Free of I/O.
+
+It keeps almost nothing: what is done is read off the book, so that whoever takes over, or comes back after a kill, goes
+on from what is there. What it keeps are its leases: until when it may surely have a bay installed with no word from
+the book, and since when it has seen another's reservation stand unrenewed.
+
+Bound: an install is told to an island only while the lease may not have ended for certain, by a slow clock from before
+the reservation was asked for; another's reservation is ended only when it surely did, by a fast clock from after it
+was seen. Clocks need not agree, only not run off by more than DRIFT.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from pathsaddle.placement.book import Book
+from pathsaddle.placement.inventory import Inventory, State
+from pathsaddle.placement.plan import PLACE, done, waits
+
+DRIFT = 0.02  # as for the fleet's leases
+AHEAD = 4  # how many units are reserved beyond those that may be cold at once
+
+
+@dataclass(frozen=True)
+class Order:
+    """does: `stop` (a later planner has begun), `plan`, `renew`, `lapse`, `reserve`, `withdraw`, `cold`: to the book;
+    `install`, `warm`, `pull`: to the island of `bay`, with the number, and harmless when told again."""
+
+    does: str
+    unit: str = ""
+    bay: str = ""
+    step: int = -1
+    renewed: int = 0
+
+
+@dataclass
+class Walk:
+    """One planner's, under one number. lease: ticks."""
+
+    number: int
+    lease: int
+    hold: dict[str, int] = field(default_factory=dict)  # unit: until when it may be installed
+    watched: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # unit: (number, renewed, since)
+
+    def surely(self) -> int:
+        return -int(-self.lease * (1 + DRIFT) // 1) + 1
+
+    def maybe(self) -> int:
+        return int(self.lease * (1 - 2 * DRIFT)) - 1
+
+    def held(self, unit: str, asked: int) -> None:
+        """The book has reserved or renewed it; `asked`: the moment before that was asked for."""
+        self.hold[unit] = asked + self.maybe()
+
+    def renewed(self, inventory: Inventory, asked: int) -> None:
+        for unit in inventory.units:
+            if unit.state is State.RESERVED and unit.number == self.number:
+                self.held(unit.name, asked)
+
+    def unheard(self, inventory: Inventory, now: int) -> list[Order]:
+        """With no word from the book: what it has reserved it still has installed, while its lease runs."""
+        return [Order("install", unit.name, unit.bay) for unit in inventory.units
+                if unit.state is State.RESERVED and unit.number == self.number
+                and now < self.hold.get(unit.name, now)]
+
+    def due(self, book: Book, now: int) -> list[Order]:
+        inventory, plan = book.inventory, book.plan
+        if book.number > self.number:
+            return [Order("stop")]
+        found: list[Order] = []
+        watched: dict[str, tuple[int, int, int]] = {}
+        busy = renew = 0
+        for unit in inventory.units:
+            if unit.state is State.RESERVED:
+                busy += 1
+                if unit.number == self.number:
+                    if now < self.hold.get(unit.name, now):
+                        found.append(Order("install", unit.name, unit.bay))
+                    renew += now >= self.hold.get(unit.name, 0) - self.maybe() // 2
+                    continue
+                seen = self.watched.get(unit.name)
+                if seen is None or seen[:2] != (unit.number, unit.renewed):
+                    seen = (unit.number, unit.renewed, now)
+                watched[unit.name] = seen
+                if now >= seen[2] + self.surely():
+                    found.append(Order("lapse", unit.name, renewed=unit.renewed))
+            elif unit.state is State.INSTALLING:
+                busy += 1
+                found.append(Order("cold", unit.name, unit.bay))
+            elif unit.state is State.COLD:
+                found.append(Order("warm", unit.name, unit.bay))
+            elif unit.state is State.WITHDRAWN and unit.bay:
+                found.append(Order("pull", unit.name, unit.bay))
+        self.watched = watched
+        if renew:
+            found.insert(0, Order("renew"))
+        if plan is None or plan.base != inventory.base:
+            return [*found, Order("plan")]
+        for at, step in enumerate(plan.steps):
+            if done(inventory, step):
+                continue
+            unit = inventory.unit[step.unit]
+            if step.does == PLACE:
+                if unit.state is State.HERE and busy < inventory.cold + AHEAD:
+                    found.append(Order("reserve", unit.name, step.bay, at))
+                    busy += 1
+                continue
+            if not waits(inventory, plan, at):
+                if unit.state in (State.SERVING, State.FAILING) and unit.bay:
+                    found.append(Order("withdraw", unit.name, step.bay, at))
+                elif not unit.bay:
+                    found.append(Order("pull", unit.name, step.bay))
+            break  # nothing after it begins before it is done
+        return found
