Placement: a virtual world of islands, its judge, mutants and smoke plan

Need: the bounds of placement must hold at every instant while planners stop, die, are cut off and hardware comes wrong or dead.

An island's demand is its part of those jobs that it could hold; what fails is pulled without holding up what it does not bar.

--- a/pathsaddle/placement/__main__.py
+++ b/pathsaddle/placement/__main__.py
@@ -52,6 +52,8 @@
         wide = ", ".join(f"{kind} {width}" for kind, width in step.widest.items())
         rows.append(f"{at + 1:5} {step.does:8} {step.unit} {'in' if step.does == 'place' else 'out of'} {step.bay}"
                     f"   fits after a loss: {wide}" + (f"   BELOW THE TARGET: {step.why}" if step.why else ""))
+    rows.append("at the end a job fits after a loss of: "
+                + ", ".join(f"{kind} {width}" for kind, width in plan.reaches.items()))
     return "\n".join([*rows, *(f"note: {note}" for note in plan.notes)])
 
 
--- a/pathsaddle/placement/book.py
+++ b/pathsaddle/placement/book.py
@@ -17,7 +17,7 @@
 from pathsaddle.placement.inventory import Demand, Inventory, Island, State, Target, Unit
 from pathsaddle.placement.plan import PLACE, WITHDRAW, Plan, waits
 
-SAME = 0.1  # demand that differs by less from what a plan was reckoned on doesn't end it
+SAME = 0.1  # demand that differs by this part of it, or by one job, from what a plan was reckoned on doesn't end it
 
 
 @dataclass(frozen=True)
@@ -84,12 +84,12 @@
 
     # What islands and stores tell. Told again, nothing changes.
 
-    def came(self, unit: Unit) -> Book:
-        """Ordered, or here."""
-        known = self.inventory.unit.get(unit.name)
-        if known is not None and (known.state is not State.ORDERED or unit.state is State.ORDERED):
-            return self
-        return self._changed(unit, base=unit.state is not State.ORDERED)
+    def came(self, *units: Unit) -> Book:
+        """Ordered, or here: a batch is told at once."""
+        known = self.inventory.unit
+        new = [unit for unit in units if unit.name not in known
+               or known[unit.name].state is State.ORDERED and unit.state is not State.ORDERED]
+        return self._changed(*new, base=any(unit.state is not State.ORDERED for unit in new)) if new else self
 
     def put(self, name: str, bay: str) -> Book:
         """An island finds this unit in this bay."""
@@ -165,13 +165,13 @@
         return self._changed(*rows, base=True, islands=tuple(known.values()))
 
     def asked(self, demand: tuple[Demand, ...], targets: tuple[Target, ...]) -> Book:
-        """What dispatchers count, and the charter's targets. A small change is kept for the next plan and ends none."""
+        """What dispatchers count, and the charter's targets. A small change ends no plan: it is let be until it has grown."""
         if demand == self.inventory.demand and targets == self.inventory.targets:
             return self
         old = {(row.kind, row.width): row.high for row in self.inventory.demand}
         new = {(row.kind, row.width): row.high for row in demand}
         same = targets == self.inventory.targets and old.keys() == new.keys() and all(
-            abs(new[key] - was) <= SAME * was for key, was in old.items())
+            abs(new[key] - was) <= max(1, SAME * was) for key, was in old.items())
         if same:
             return self
         return self._changed(base=True, demand=demand, targets=targets)
@@ -211,7 +211,7 @@
         self._number(number)
         self._base(base)
         plan = self.plan
-        if plan is None or plan.name != name or plan.base != base or not 0 <= at < len(plan.steps) \
+        if plan is None or plan.name != name or not 0 <= at < len(plan.steps) \
                 or plan.steps[at].does != does:
             raise Refused("plan", f"step {at} of {name}, and {plan.name if plan else 'none'} counts")
         self._order(plan, at)
--- a/pathsaddle/placement/plan.py
+++ b/pathsaddle/placement/plan.py
@@ -3,12 +3,12 @@
 Bound: at each step the widest job of each kind fits as the target says, whichever one island is lost, or the plan
 said beforehand that it cannot, how wide a job then fits, and why. Reckoned with what serves alone: what is on its way
 counts when it serves. What adds comes first, then what takes least away; a step that takes away waits until all
-before it are done.
+before it are done, one that adds only for what makes its room or brings its unit.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from heapq import heapify, heappop, heappush
 
@@ -21,19 +21,22 @@
 @dataclass(frozen=True)
 class Step:
     """place: reserve, install, warm and serve `unit` in `bay`. withdraw: it takes nothing new and leaves `bay`.
-    widest: by kind, slots of the widest job that fits from this step's beginning on until the next one that
-    withdraws, whichever island is lost. why: where that is less than the target."""
+    widest: by kind, slots of the widest job that surely fits from this step's beginning on until the next one that
+    withdraws, whichever island is lost: what is placed between them is not counted, since it comes up side by side.
+    why: where that is less than the target. after: the steps that must be done before it may begin."""
 
     does: str
     unit: str
     bay: str
     widest: dict[str, int]
     why: str = ""
+    after: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
 class Plan:
-    """name: unique. wanted: units by island and kind at the end. by, gap: as the answer says. notes: for people."""
+    """name: unique. wanted: units by island and kind at the end. reaches: by kind, what fits then, whichever island is
+    lost. by, gap: as the answer says. notes: for people."""
 
     name: str
     number: int
@@ -41,6 +44,7 @@
     steps: tuple[Step, ...]
     wanted: dict[str, dict[str, int]]
     target: dict[str, int]
+    reaches: dict[str, int]
     by: str
     gap: float
     notes: tuple[str, ...] = ()
@@ -56,9 +60,8 @@
 
 
 def waits(inventory: Inventory, plan: Plan, at: int) -> bool:
-    """Step `at` must not begin yet: it withdraws and one before it is not done, or one that withdraws is not."""
-    withdraws = plan.steps[at].does == WITHDRAW
-    return any(not done(inventory, step) for step in plan.steps[:at] if withdraws or step.does == WITHDRAW)
+    """Step `at` must not begin yet."""
+    return any(not done(inventory, plan.steps[before]) for before in plan.steps[at].after)
 
 
 class _Sim:
@@ -146,16 +149,24 @@
     final = figures(problem, counts)
     last = {kind.name: final.widest[k] for k, kind in enumerate(problem.kinds)}
 
-    def add(does: str, unit: str, bay: str, wide: dict[str, int], because: str) -> None:
+    def add(does: str, unit: str, bay: str, wide: dict[str, int], because: str, after: Iterable[int] = ()) -> None:
         short = [name for name, width in target.items() if wide[name] < width]
         why = "; ".join(f"{name}: {wide[name]} of {target[name]}, "
                         + (f"no plan reaches more than {last[name]} with what is here" if last[name] <= wide[name]
                            else because) for name in short)
-        steps.append(Step(does, unit, bay, wide, why))
+        steps.append(Step(does, unit, bay, wide, why, tuple(sorted(after))))
 
+    floor = sim.widest()
+    frees: dict[int, list[int]] = {}  # by island, the steps that make room on it
+    out: dict[str, int] = {}  # unit: the step that brings it out
     for unit, bay in sim.leaving:
-        add(WITHDRAW, unit.name, bay, sim.widest(), "what is still to be installed does not serve yet")
+        # It serves nothing: nothing that does waits for it but what needs its room.
+        out[unit.name] = len(steps)
+        if sim.island_of[bay].up:
+            frees.setdefault(sim.at[sim.island_of[bay].name], []).append(len(steps))
+        add(WITHDRAW, unit.name, bay, floor, "what is still to be installed does not serve yet")
         sim.pulled(unit, bay)
+    barrier = len(steps)  # since the last step that took something away, itself among them
     while sim.todo or sim.over:
         wide = sim.widest()
         short = {name: width - wide[name] for name, width in target.items()}
@@ -170,7 +181,8 @@
                 heappush(heap, again)
                 continue
             name, bay = sim.place(i, k)
-            add(PLACE, name, bay, wide, "what is still to be installed does not serve yet")
+            add(PLACE, name, bay, floor, "what is still to be installed does not serve yet",
+                [*frees.get(i, ()), *([out[name]] if name in out and out[name] not in frees.get(i, ()) else ())])
             wide = sim.widest() if short.get(problem.kinds[k].name, 0) > 0 else wide
             short = {name: width - wide[name] for name, width in target.items()}
             if sim.can(i, k):
@@ -178,7 +190,7 @@
         if not sim.over:
             break
 
-        def lost(at: tuple[int, int]) -> tuple[int, int, int, int]:
+        def lost(at: tuple[int, int]) -> tuple[int, bool, int, int]:
             """How far below the target it takes the widest job; then whether somebody waits for that room."""
             i, k = at
             sim.now[i][k] -= 1
@@ -191,8 +203,15 @@
         sim.over[i, k] -= 1
         if not sim.over[i, k]:
             del sim.over[i, k]
-        add(WITHDRAW, unit.name, unit.bay, sim.widest(),
-            f"{unit.name} must leave {problem.islands[i].name} before its room or it can be used elsewhere")
+        wide = sim.widest()
+        # What does not wait for this step may begin on either side of it.
+        floor = {name: min(floor[name], one) for name, one in wide.items()}
+        frees.setdefault(i, []).append(len(steps))
+        out[unit.name] = len(steps)
+        add(WITHDRAW, unit.name, unit.bay, wide,
+            f"{unit.name} must leave {problem.islands[i].name} before its room or it can be used elsewhere",
+            range(barrier, len(steps)))
+        barrier = len(steps) - 1
         sim.pulled(unit, unit.bay)
     for i, k in sim.todo:
         notes.append(f"{problem.islands[i].name}: {sim.todo[i, k]} of {problem.kinds[k].name} find no room on the way")
@@ -223,4 +242,6 @@
     return Plan(f"{number}/{inventory.base}", number, inventory.base, steps,
                 {island.name: {kind.name: counts[i][k] for k, kind in enumerate(problem.kinds)}
                  for i, island in enumerate(problem.islands)},
-                {kind.name: problem.width[k] for k, kind in enumerate(problem.kinds)}, by, gap, notes)
+                {kind.name: problem.width[k] for k, kind in enumerate(problem.kinds)},
+                dict(zip((kind.name for kind in problem.kinds), figures(problem, counts).widest, strict=True)),
+                by, gap, notes)
--- a/pathsaddle/placement/problem.py
+++ b/pathsaddle/placement/problem.py
@@ -128,13 +128,16 @@
     parts = {}
     for end in ("low", "high"):
         parts[end] = [[0] * len(kinds) for _ in islands]
-        for k, kind in enumerate(kinds):
-            asked = sum(row.width * getattr(row, end) for row in inventory.demand if row.kind == kind.name)
-            bays = sum(room for room, island in zip(rooms, islands, strict=True) if island.holds(kind.name))
-            for i, island in enumerate(islands):
-                if bays and island.holds(kind.name):
+        for row in inventory.demand:
+            k = of[row.kind]
+            # An island's demand is its part, by bays, of the jobs that it could hold: none of what is too wide for it.
+            could = [i for i, island in enumerate(islands) if island.holds(row.kind)]
+            could = [i for i in could if _most(kinds[k], rooms[i], limits[i]) >= row.width] or could
+            bays = sum(rooms[i] for i in could)
+            for i in could:
+                if bays:
                     # Rounded up: an island's demand is never told as less than it is.
-                    parts[end][i][k] = -(-asked * PER * rooms[i] // bays)
+                    parts[end][i][k] += -(-row.width * getattr(row, end) * PER * rooms[i] // bays)
     before = None
     if last is not None:
         before = tuple(tuple(last.get(island.name, {}).get(kind.name, 0) for kind in kinds) for island in islands)
@@ -144,5 +147,11 @@
                    tuple(inventory.usual(kind.name) for kind in kinds), limits, before)
 
 
+def _most(kind: Kind, rooms: int, limits: tuple[int, int, int]) -> int:
+    """Slots of this kind alone that an island could hold."""
+    return kind.slots * min([rooms, *(limit // one for limit, one in
+                                      zip(limits, (kind.power, kind.ports, kind.carries), strict=True) if one)])
+
+
 def _rows(rows: Counts) -> tuple[tuple[int, ...], ...]:
     return tuple(tuple(row) for row in rows)
--- /dev/null
+++ b/pathsaddle/placement/smoke.py
@@ -0,0 +1,97 @@
+"""python -m pathsaddle.placement.smoke PLAN: worlds of islands over seeds and policies, judged from their logs alone.
+
+Figures last; exits 0 only if every bound of the plan holds and each mutant is found under its name, 2 for a bad file.
+"""
+
+from __future__ import annotations
+
+import sys
+import tomllib
+from dataclasses import fields
+from pathlib import Path
+from statistics import mean
+from typing import Any
+
+from pathsaddle.emulator.placement.judge import judged
+from pathsaddle.emulator.placement.mutants import MUTANTS
+from pathsaddle.emulator.placement.policies import POLICIES
+from pathsaddle.emulator.placement.world import Site, Trouble, World
+from pathsaddle.placement.faults import PlacementFault, Unreadable
+
+KEYS = ("name", "about", "seeds", "policies", "mutants", "site", "trouble", "bounds")
+BOUNDS = ("broken", "work", "gap")
+
+
+def read(path: Path) -> dict[str, Any]:
+    """A plan, whole. Raises Unreadable."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as fault:
+        raise Unreadable(f"{path}: {fault}", "name a plan that is there and is TOML") from None
+    known = {"": KEYS, "site": tuple(one.name for one in fields(Site) if one.name != "trouble"),
+             "trouble": tuple(one.name for one in fields(Trouble)), "bounds": BOUNDS}
+    for table, keys in known.items():
+        for key in told.get(table, {}) if table else told:
+            if key not in keys:
+                raise Unreadable(f"{path}: {table + '.' if table else ''}{key}: no such key",
+                                 "one of " + ", ".join(keys))
+    for policy in told.get("policies", ()):
+        if policy not in POLICIES:
+            raise Unreadable(f"{path}: policies: no `{policy}`", "one of " + ", ".join(POLICIES))
+    return told
+
+
+def run(told: dict[str, Any]) -> tuple[list[str], bool]:
+    """(lines, whether all bounds hold)."""
+    lines: list[str] = []
+    trouble = Trouble(**told.get("trouble", {}))
+    site = Site(trouble=trouble, **told.get("site", {}))
+    bounds = told.get("bounds", {})
+    holds, broken, gap, least = True, 0, 0.0, 1.0
+    figures: dict[str, list[dict[str, float]]] = {}
+    for seed in told["seeds"]:
+        for policy in told["policies"]:
+            world = World(site, seed, POLICIES[policy]).ran()
+            found = judged(world.events.rows)
+            broken += len(found)
+            for at, name, what in found[:5]:
+                lines.append(f"BROKEN seed {seed}, {policy}, at {at}: {name}: {what}")
+            measured = world.measured()
+            figures.setdefault(policy, []).append(measured)
+            if policy == "plan":
+                least = min(least, measured["work"])
+                gap = max([gap, *(event.more["gap"] for event in world.events.rows if event.what == "plan.new")])
+    for name, (book, walk, policy, want) in MUTANTS.items() if told.get("mutants") else ():
+        caught = next((seed for seed in range(1, told["mutants"] + 1) if want in {row[1] for row in judged(
+            World(site, seed, POLICIES[policy], book=book, walk=walk).ran().events.rows)}), 0)
+        holds = holds and caught > 0
+        lines.append(f"mutant {name}: " + (f"found as {want}, seed {caught}" if caught else f"NOT FOUND as {want}"))
+    names = list(next(iter(figures.values()))[0])
+    lines.append(f"{'emulated, mean over seeds':26}" + "".join(f"{name:>10}" for name in names))
+    for policy, rows in figures.items():
+        lines.append(f"{policy:26}" + "".join(f"{mean(row[name] for row in rows):10.3f}" for name in names))
+    for name, value, bound, good in (
+            ("broken", broken, bounds.get("broken", 0), broken <= bounds.get("broken", 0)),
+            ("work", least, bounds.get("work", 0.0), least >= bounds.get("work", 0.0)),
+            ("gap", gap, bounds.get("gap", 1.0), gap <= bounds.get("gap", 1.0))):
+        holds = holds and good
+        lines.append(f"{'holds' if good else 'FAILS'}  {name} {value:.4g} (bound {bound})")
+    return lines, holds
+
+
+def main(words: list[str]) -> int:
+    if len(words) != 1:
+        print("usage: python -m pathsaddle.placement.smoke PLAN", file=sys.stderr)
+        return 2
+    try:
+        told = read(Path(words[0]))
+    except PlacementFault as fault:
+        print(fault, file=sys.stderr)
+        return 2
+    lines, holds = run(told)
+    print("\n".join(lines))
+    return 0 if holds else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
--- a/pathsaddle/placement/solver.py
+++ b/pathsaddle/placement/solver.py
@@ -224,7 +224,9 @@
     value = _sum(aim, now)
     # What the second aim reached is kept but for a thousandth, so that the last ones have something to choose from.
     model.row(value - 0.001 * abs(value), INF, *aim.items())
+    # What fits no job of usual width is better in a bay than in the store, but for that nothing else is given up.
     last = ({at: float(problem.kinds[k].slots) for (_, k), at in cols.fit.items()}
+            | {row[k]: 0.05 * problem.kinds[k].slots for row in cols.n for k in kinds}
             | {at: -0.1 for at in moves} | {at: -0.02 for at in changes})
     stage(last, 0.9)
     counts = [[round(now[at]) for at in row] for row in cols.n]
--- a/pathsaddle/placement/story.py
+++ b/pathsaddle/placement/story.py
@@ -2,7 +2,7 @@
 them in the order in which changes became true. Pure.
 
 Beside the common words: `island.lost`, `island.back`; `bay.leave`: the unit takes nothing new from now on; `bay.fail`;
-`plan.step` carries `widest`, `target` and `why`; a reservation's `revision` and `now` are the book's `base`.
+`planner.did`: any other change by a planner, with its number; `plan.step` carries `widest`, `target` and `why`; a reservation's `revision` and `now` are the book's `base`.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 from pathsaddle.placement.book import Book
 from pathsaddle.placement.faults import Refused
 from pathsaddle.placement.inventory import Island, State, Unit
-from pathsaddle.placement.plan import PLACE, WITHDRAW
+from pathsaddle.placement.plan import PLACE
 
 Row = tuple[str, dict[str, Any]]
 KEEPER = "k"
@@ -76,6 +76,8 @@
         new = after.plan
         rows.append(("plan.new", {"plan": new.name, "number": new.number, "revision": new.base, "by": new.by,
                                   "gap": new.gap, "steps": len(new.steps), "notes": list(new.notes)}))
+    if does in ("renew", "lapse", "cold"):
+        rows.append(("planner.did", {"does": does, "number": words[0]}))
     more: dict[str, Any] = {}
     if does in ("reserve", "withdraw"):
         number, base, name, at = words
@@ -85,8 +87,8 @@
         rows.append(("plan.step", {
             "plan": name, "step": at, "state": "begun", "does": "reserve" if does == "reserve" else "release",
             "unit": step.unit, "bay": step.bay, "number": number, "widest": step.widest, "target": plan.target,
-            "why": step.why, "before": [[one.does, one.unit, one.bay] for one in plan.steps[:at]
-                                        if does == "withdraw" or one.does == WITHDRAW]}))
+            "why": step.why, "after": list(step.after),
+            "before": [[plan.steps[one].does, plan.steps[one].unit, plan.steps[one].bay] for one in step.after]}))
         more = {"base": base, "now": before.inventory.base, "word": False, "step": at}
     if does == "lapse":
         more = {"why": "lease"}
--- a/pathsaddle/placement/walk.py
+++ b/pathsaddle/placement/walk.py
@@ -97,18 +97,15 @@
         if plan is None or plan.base != inventory.base:
             return [*found, Order("plan")]
         for at, step in enumerate(plan.steps):
-            if done(inventory, step):
-                continue
             unit = inventory.unit[step.unit]
             if step.does == PLACE:
-                if unit.state is State.HERE and busy < inventory.cold + AHEAD:
+                if unit.state is State.HERE and busy < inventory.cold + AHEAD and not waits(inventory, plan, at):
                     found.append(Order("reserve", unit.name, step.bay, at))
                     busy += 1
+            elif done(inventory, step):
                 continue
-            if not waits(inventory, plan, at):
-                if unit.state in (State.SERVING, State.FAILING) and unit.bay:
-                    found.append(Order("withdraw", unit.name, step.bay, at))
-                elif not unit.bay:
-                    found.append(Order("pull", unit.name, step.bay))
-            break  # nothing after it begins before it is done
+            elif unit.state is State.FAILING and not unit.bay:
+                found.append(Order("pull", unit.name, step.bay))  # it is where it should not be, and holds nothing
+            elif unit.state in (State.SERVING, State.FAILING) and not waits(inventory, plan, at):
+                found.append(Order("withdraw", unit.name, step.bay, at))
         return found
