--- a/pathsaddle/placement/book.py
+++ b/pathsaddle/placement/book.py
@@ -214,6 +214,9 @@
         if plan is None or plan.name != name or not 0 <= at < len(plan.steps) \
                 or plan.steps[at].does != does:
             raise Refused("plan", f"step {at} of {name}, and {plan.name if plan else 'none'} counts")
+        # Not what the planner says that it looked at, but what its plan was reckoned on: a look between two steps at
+        # a newer book does not make an old plan new.
+        self._base(plan.base)
         self._order(plan, at)
         return plan, self._unit(plan.steps[at].unit)
 
--- a/pathsaddle/placement/story.py
+++ b/pathsaddle/placement/story.py
@@ -89,7 +89,7 @@
             "unit": step.unit, "bay": step.bay, "number": number, "widest": step.widest, "target": plan.target,
             "why": step.why, "after": list(step.after),
             "before": [[plan.steps[one].does, plan.steps[one].unit, plan.steps[one].bay] for one in step.after]}))
-        more = {"base": base, "now": before.inventory.base, "word": False, "step": at}
+        more = {"base": min(base, plan.base), "now": before.inventory.base, "word": False, "step": at}
     if does == "lapse":
         more = {"why": "lease"}
     known = {island.name: island for island in before.inventory.islands}
