--- a/pathsaddle/placement/__main__.py
+++ b/pathsaddle/placement/__main__.py
@@ -9,6 +9,7 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 from dataclasses import replace
 from pathlib import Path
 from typing import Any
@@ -18,13 +19,13 @@
 
 from pathsaddle.emulator.events import Event
 from pathsaddle.placement.book import Book
-from pathsaddle.placement.faults import PlacementFault, Refused
+from pathsaddle.placement.faults import PlacementFault, Refused, Unusable
 from pathsaddle.placement.files import read
 from pathsaddle.placement.inventory import State, Unit
 from pathsaddle.placement.ledger import File, Memory, made
 from pathsaddle.placement.plan import Plan, plan_of
 from pathsaddle.placement.problem import Counts, Problem
-from pathsaddle.placement.walk import Walk
+from pathsaddle.placement.walk import Order, Walk
 from pathsaddle.trade import SECOND
 
 LOOK = 0.1  # seconds between looks at the ledger
@@ -108,7 +109,7 @@
     for one in (signal.SIGTERM, signal.SIGINT):
         signal.signal(one, lambda *_: ended.set())
 
-    def tell(what: str, **more: Any) -> None:
+    def tell(what: str, /, **more: Any) -> None:
         sys.stdout.buffer.write(msgspec.json.encode(Event(ticks(), what, {"who": name} | more)) + b"\n")
         sys.stdout.buffer.flush()
     kept = File(ledger, ticks)
@@ -121,54 +122,82 @@
     tell("planner", number=book.number)
     ordered: dict[tuple[str, str, str], int] = {}
     while not ended.is_set():
-        now = steady()
-        book = kept.read()
-        orders = walker.due(book, now)
-        for order in orders:
-            words: tuple[Any, ...]
-            if order.does == "stop":
-                tell("planner.ended", why="number", more=f"{book.number} has begun")
-                sys.exit(1)
-            if order.does in ("install", "warm", "pull"):
-                key = (order.does, order.unit, order.bay)
-                if key not in ordered:
-                    ordered[key] = now
-                    tell("order", does=order.does, unit=order.unit, bay=order.bay, number=walker.number)
-                continue
-            if order.does == "plan":
-                tell("plan.began", revision=book.inventory.base, number=walker.number)
-                found = plan_of(book.inventory, walker.number, book.plan, lambda problem: chosen(problem, seconds))
-                words = ("replaced", found)
-            elif order.does in ("reserve", "withdraw"):
-                assert book.plan is not None
-                words = (order.does, walker.number, book.inventory.base, book.plan.name, order.step)
-            elif order.does == "renew":
-                words = ("renew", walker.number)
-            elif order.does == "lapse":
-                words = ("lapse", walker.number, order.unit, order.renewed)
-            else:
-                words = (order.does, walker.number, order.unit)
-            asked = steady()
-            try:
-                after = kept.do(*words)
-            except Refused as why:
-                tell("refused", does=order.does, why=why.why, unit=order.unit, number=walker.number)
-                if why.why == "number":
-                    tell("planner.ended", why="number", more=str(why))
-                    sys.exit(1)
-                if why.why in ("base", "plan"):
-                    break
-                continue
-            if order.does == "renew":
-                walker.renewed(after.inventory, asked)
-            elif order.does == "reserve":
-                walker.held(order.unit, asked)
-            tell("did", does=order.does, unit=order.unit, bay=order.bay, number=walker.number)
-        if once and not orders:
+        try:
+            orders = round_(kept, walker, tell, ordered, seconds)
+        except Unusable as fault:
+            # Nothing is heard of the book: what is reserved goes on while its lease runs, and nothing new begins.
+            tell("unheard", what=fault.what, do=fault.do)
+            for order in walker.unheard(book.inventory, steady()):
+                said(order, walker, tell, ordered)
+            continue
+        except Ended as why:
+            tell("planner.ended", why="number", more=str(why))
+            sys.exit(1)
+        book = kept.cache or book
+        if once and not orders and walker.over(book):
             return
         ended.wait(LOOK)
 
 
+class Ended(Exception):
+    """A later planner has begun. Steers `walk` alone."""
+
+
+Tell = Callable[..., None]
+
+
+def said(order: Order, walker: Walk, tell: Tell, ordered: dict[tuple[str, str, str], int]) -> None:
+    """To those who install: once in this process's life."""
+    key = (order.does, order.unit, order.bay)
+    if key not in ordered:
+        ordered[key] = steady()
+        tell("order", does=order.does, unit=order.unit, bay=order.bay, number=walker.number)
+
+
+def round_(kept: File, walker: Walk, tell: Tell, ordered: dict[tuple[str, str, str], int],
+           seconds: float) -> list[Order]:
+    """One look, and all that is due by it."""
+    book = kept.read()
+    orders = walker.due(book, steady())
+    for order in orders:
+        words: tuple[Any, ...]
+        if order.does == "stop":
+            raise Ended(f"{book.number} has begun")
+        if order.does in ("install", "warm", "pull"):
+            said(order, walker, tell, ordered)
+            continue
+        if order.does == "plan":
+            tell("plan.began", revision=book.inventory.base, number=walker.number)
+            words = ("replaced", plan_of(book.inventory, walker.number, book.plan,
+                                         lambda problem: chosen(problem, seconds)))
+        elif order.does in ("reserve", "withdraw"):
+            assert book.plan is not None
+            words = (order.does, walker.number, book.inventory.base, book.plan.name, order.step)
+        elif order.does == "renew":
+            words = ("renew", walker.number)
+        elif order.does == "lapse":
+            words = ("lapse", walker.number, order.unit, order.renewed)
+        else:
+            words = (order.does, walker.number, order.unit)
+        asked = steady()
+        try:
+            after = kept.do(*words)
+        except Refused as why:
+            if why.why != "budget":
+                tell("refused", does=order.does, why=why.why, unit=order.unit, number=walker.number)
+            if why.why == "number":
+                raise Ended(str(why)) from None
+            if why.why in ("base", "plan"):
+                break
+            continue
+        if order.does == "renew":
+            walker.renewed(after.inventory, asked)
+        elif order.does == "reserve":
+            walker.held(order.unit, asked)
+        tell("did", does=order.does, unit=order.unit, bay=order.bay, number=walker.number)
+    return orders
+
+
 WORDS = {"put": ("unit", "bay"), "warmed": ("unit",), "dead": ("unit",), "pulled": ("unit",), "cleared": ("bay",),
          "here": ("unit", "kind"), "ordered": ("unit", "kind"), "lost": ("island",), "back": ("island",)}
 
--- a/pathsaddle/placement/ledger.py
+++ b/pathsaddle/placement/ledger.py
@@ -23,6 +23,7 @@
 from pathsaddle.placement.story import KEEPER, opening, refused, told
 
 VERSION = 1
+PATIENCE = 2.0  # seconds
 SCHEMA = """
     CREATE TABLE meta (key TEXT PRIMARY KEY, value INTEGER NOT NULL) WITHOUT ROWID;
     CREATE TABLE parts (name TEXT PRIMARY KEY, value BLOB NOT NULL) WITHOUT ROWID;
@@ -70,7 +71,8 @@
 
 
 class File:
-    """clock: ticks, for the story alone."""
+    """clock: ticks, for the story alone. `read` and `do` raise Unusable where the file can't be had for PATIENCE
+    seconds, with nothing changed."""
 
     def __init__(self, path: Path, clock: Callable[[], int]) -> None:
         if not path.exists():
@@ -107,13 +109,25 @@
         return self.cache
 
     def read(self) -> Book:
-        self.base.execute("BEGIN")
         try:
-            return self._book()
-        finally:
-            self.base.execute("ROLLBACK")
+            self.base.execute("BEGIN")
+            try:
+                return self._book()
+            finally:
+                self.base.execute("ROLLBACK")
+        except sqlite3.Error as fault:
+            raise self._unusable(fault) from None
 
     def do(self, does: str, *words: Any) -> Book:
+        try:
+            return self._do(does, words)
+        except sqlite3.Error as fault:
+            raise self._unusable(fault) from None
+
+    def _unusable(self, fault: sqlite3.Error) -> Unusable:
+        return Unusable(f"{self.path}: {fault}", "see who holds it open for writing, and that its disk has room")
+
+    def _do(self, does: str, words: tuple[Any, ...]) -> Book:
         self.base.execute("BEGIN IMMEDIATE")
         try:
             before = self._book()
@@ -145,7 +159,7 @@
 
 
 def _opened(path: Path) -> sqlite3.Connection:
-    base = sqlite3.connect(path, isolation_level=None, timeout=30)
+    base = sqlite3.connect(path, isolation_level=None, timeout=PATIENCE)
     base.execute("PRAGMA journal_mode = WAL")
     base.execute("PRAGMA synchronous = FULL")
     return base
--- a/pathsaddle/placement/walk.py
+++ b/pathsaddle/placement/walk.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, field
 
 from pathsaddle.placement.book import Book
-from pathsaddle.placement.inventory import Inventory, State
+from pathsaddle.placement.inventory import COMING, Inventory, State
 from pathsaddle.placement.plan import PLACE, done, waits
 
 DRIFT = 0.02  # as for the fleet's leases
@@ -63,6 +63,13 @@
                 if unit.state is State.RESERVED and unit.number == self.number
                 and now < self.hold.get(unit.name, now)]
 
+    def over(self, book: Book) -> bool:
+        """All steps of the plan that counts are done, and nothing is on its way in or out."""
+        plan, inventory = book.plan, book.inventory
+        return plan is not None and plan.base == inventory.base and all(
+            done(inventory, step) for step in plan.steps) and not any(
+            unit.state in COMING or unit.state is State.WITHDRAWN and unit.bay for unit in inventory.units)
+
     def due(self, book: Book, now: int) -> list[Order]:
         inventory, plan = book.inventory, book.plan
         if book.number > self.number:
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -101,7 +101,7 @@
 
     def walked(self, dead=()):
         for _ in range(400):
-            if not self.step(dead):
+            if not self.step(dead) and self.walk.over(self.kept.read()):
                 return self.kept.read()
         raise AssertionError("the walk does not end")
 
@@ -392,7 +392,7 @@
             path = Path(folder, "i.toml")
             path.write_text(text)
             out = subprocess.run([sys.executable, "-m", "pathsaddle.placement", str(path)], cwd=ROOT, timeout=60,
-                                 capture_output=True, text=True)
+                                 check=False, capture_output=True, text=True)
             self.assertEqual(0, out.returncode, out.stderr)
             self.assertIn("1 place    n in a/1", out.stdout)
             path.write_text(text.replace("bays", "bay"))
@@ -407,7 +407,8 @@
     def test_the_program_itself_loads_nothing_of_it(self):
         code = ("import sys, pathsaddle.net.service.start, pathsaddle.choice\n"
                 "sys.exit(any(name.startswith(('highspy', 'pathsaddle.placement')) for name in sys.modules))")
-        self.assertEqual(0, subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=60).returncode)
+        self.assertEqual(0, subprocess.run([sys.executable, "-c", code], cwd=ROOT, timeout=60,
+                                           check=False).returncode)
 
 
 if __name__ == "__main__":
