--- a/pathsaddle/placement/story.py
+++ b/pathsaddle/placement/story.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import Any
 
 from pathsaddle.placement.book import Book
 from pathsaddle.placement.faults import Refused
 from pathsaddle.placement.inventory import Island, State, Unit
-from pathsaddle.placement.plan import PLACE
+from pathsaddle.placement.plan import PLACE, done
 
 Row = tuple[str, dict[str, Any]]
 KEEPER = "k"
@@ -30,7 +31,11 @@
     for unit in book.inventory.units:
         rows.append(_needs(book, unit))
         if unit.bay:
-            rows += _moved(book, _bare(unit), unit)
+            was = _bare(unit)
+            # As it must have come about.
+            for state in (State.INSTALLING, State.COLD) if unit.state is State.SERVING else ():
+                rows += _moved(book, was, was := replace(unit, state=state))
+            rows += _moved(book, was, unit)
     return rows
 
 
@@ -56,9 +61,12 @@
         return rows
     bay = named | {"bay": unit.bay, "island": book.inventory.island_of[unit.bay].name}
     if was.bay != unit.bay:
-        rows.append(("bay.reserve", bay | {"by": f"p{unit.number}", "number": unit.number, "taken": True,
+        # What an island found is no planner's doing: it is told under the number that counts.
+        word = more.get("word", True)
+        number = book.number if word else unit.number
+        rows.append(("bay.reserve", bay | {"by": KEEPER if word else f"p{number}", "number": number, "taken": True,
                                            "revision": more.get("base", book.inventory.base),
-                                           "now": more.get("now", book.inventory.base), "word": more.get("word", True)}))
+                                           "now": more.get("now", book.inventory.base), "word": word}))
     if unit.state is not was.state or was.bay != unit.bay:
         for state, what in ((State.INSTALLING, "bay.install"), (State.COLD, "bay.warm"), (State.SERVING, "bay.serve"),
                             (State.FAILING, "bay.fail"), (State.WITHDRAWN, "bay.leave")):
@@ -105,6 +113,13 @@
             rows.append(_needs(after, unit))
         elif old is not unit and old != unit:
             rows += _moved(after, old, unit, **more)
+    if does in ("warmed", "pulled", "replaced") and after.plan is not None:
+        for at, step in enumerate(after.plan.steps):
+            # Of a new plan, what became so between its look and now.
+            if done(after.inventory, step) and (does == "replaced" or step.unit == words[0]
+                                                and not done(before.inventory, step)):
+                rows.append(("plan.step", {"plan": after.plan.name, "step": at, "state": "done", "unit": step.unit,
+                                           "does": "serve" if step.does == PLACE else "release", "bay": step.bay}))
     return rows
 
 
