--- /dev/null
+++ b/pathsaddle/emulator/placement/smoke.py
@@ -0,0 +1,104 @@
+"""python -m pathsaddle.emulator.placement.smoke PLAN: worlds of islands over seeds and policies, judged from their logs alone.
+
+Figures last; exits 0 only if every bound of the plan holds and each mutant is found under its name, 2 for a bad file.
+"""
+
+from __future__ import annotations
+
+import sys
+import tomllib
+from dataclasses import fields
+from pathlib import Path
+from statistics import mean
+from typing import Any
+
+from pathsaddle.emulator.placement.judge import judged
+from pathsaddle.emulator.placement.mutants import MUTANTS
+from pathsaddle.emulator.placement.policies import POLICIES
+from pathsaddle.emulator.placement.world import Site, Trouble, World
+from pathsaddle.placement.faults import PlacementFault, Unreadable
+
+KEYS = ("name", "about", "seeds", "policies", "mutants", "site", "trouble", "bounds")
+BOUNDS = ("broken", "work", "gap")
+
+
+def read(path: Path) -> dict[str, Any]:
+    """A plan, whole. Raises Unreadable."""
+    try:
+        told = tomllib.loads(path.read_text())
+    except (OSError, ValueError) as fault:
+        raise Unreadable(f"{path}: {fault}", "name a plan that is there and is TOML") from None
+    site, trouble = tuple(one.name for one in fields(Site) if one.name != "trouble"), tuple(
+        one.name for one in fields(Trouble))
+    mutants = told.get("mutants", {})
+    for name, table, keys in (("", told, KEYS), ("site.", told.get("site", {}), site),
+                              ("trouble.", told.get("trouble", {}), trouble), ("bounds.", told.get("bounds", {}), BOUNDS),
+                              ("mutants.", mutants, ("seeds", "site", "trouble")),
+                              ("mutants.site.", mutants.get("site", {}), site),
+                              ("mutants.trouble.", mutants.get("trouble", {}), trouble)):
+        for key in table:
+            if key not in keys:
+                raise Unreadable(f"{path}: {name}{key}: no such key", "one of " + ", ".join(keys))
+    for policy in told.get("policies", ()):
+        if policy not in POLICIES:
+            raise Unreadable(f"{path}: policies: no `{policy}`", "one of " + ", ".join(POLICIES))
+    return told
+
+
+def run(told: dict[str, Any]) -> tuple[list[str], bool]:
+    """(lines, whether all bounds hold)."""
+    lines: list[str] = []
+    trouble = Trouble(**told.get("trouble", {}))
+    site = Site(trouble=trouble, **told.get("site", {}))
+    bounds = told.get("bounds", {})
+    holds, broken, gap, least = True, 0, 0.0, 1.0
+    figures: dict[str, list[dict[str, float]]] = {}
+    for seed in told["seeds"]:
+        for policy in told["policies"]:
+            world = World(site, seed, POLICIES[policy]).ran()
+            found = judged(world.events.rows)
+            broken += len(found)
+            for at, name, what in found[:5]:
+                lines.append(f"BROKEN seed {seed}, {policy}, at {at}: {name}: {what}")
+            measured = world.measured()
+            figures.setdefault(policy, []).append(measured)
+            if policy == "plan":
+                least = min(least, measured["work"])
+                gap = max([gap, *(event.more["gap"] for event in world.events.rows if event.what == "plan.new")])
+    # On ground of their own: long walks and planners that stand still, with little else that would end a plan first.
+    mutants = told.get("mutants", {})
+    theirs = Site(trouble=Trouble(**mutants.get("trouble", {})), **mutants.get("site", {}))
+    for name, (book, walk, policy, want) in MUTANTS.items() if mutants else ():
+        caught = next((seed for seed in range(1, mutants["seeds"] + 1) if want in {row[1] for row in judged(
+            World(theirs, seed, POLICIES[policy], book=book, walk=walk).ran().events.rows)}), 0)
+        holds = holds and caught > 0
+        lines.append(f"mutant {name}: " + (f"found as {want}, seed {caught}" if caught else f"NOT FOUND as {want}"))
+    names = list(next(iter(figures.values()))[0])
+    lines.append(f"{'emulated, mean over seeds':26}" + "".join(f"{name:>10}" for name in names))
+    for policy, rows in figures.items():
+        lines.append(f"{policy:26}" + "".join(f"{mean(row[name] for row in rows):10.3f}" for name in names))
+    for name, value, bound, good in (
+            ("broken", broken, bounds.get("broken", 0), broken <= bounds.get("broken", 0)),
+            ("work", least, bounds.get("work", 0.0), least >= bounds.get("work", 0.0)),
+            ("gap", gap, bounds.get("gap", 1.0), gap <= bounds.get("gap", 1.0))):
+        holds = holds and good
+        lines.append(f"{'holds' if good else 'FAILS'}  {name} {value:.4g} (bound {bound})")
+    return lines, holds
+
+
+def main(words: list[str]) -> int:
+    if len(words) != 1:
+        print("usage: python -m pathsaddle.emulator.placement.smoke PLAN", file=sys.stderr)
+        return 2
+    try:
+        told = read(Path(words[0]))
+    except PlacementFault as fault:
+        print(fault, file=sys.stderr)
+        return 2
+    lines, holds = run(told)
+    print("\n".join(lines))
+    return 0 if holds else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
