--- a/pathsaddle/emulator/state/ground.py
+++ b/pathsaddle/emulator/state/ground.py
@@ -240,6 +240,7 @@
             self.at(self.now + max(1, int(self.chance.expovariate(place.wants) * SECOND)), self.use, place)
         if place.shared is None or place.stopped or place.wants <= 0:
             return
+        self.step(place)  # what it may use from this very moment on is written before the use
         units = 1 if self.chance.random() < 0.9 else 3
         if place.shared.limiter.takes(BUDGET, units, place.clock()):
             self.log("share.spend", who=place.name, budget=BUDGET, units=units)
--- a/pathsaddle/fleet/state/carry.py
+++ b/pathsaddle/fleet/state/carry.py
@@ -49,7 +49,7 @@
 NEVER = -(1 << 60)
 LONGER = 1 + 2.1 * DRIFT  # by how much more our clock may run while another's tells a span; (1 + d) / (1 - d)
 SHORTER = 1 - 2.1 * DRIFT
-SPREAD = 2  # each news is passed on so many times the logarithm of the fleet's size
+SPREAD = 3  # each news is passed on so many times the logarithm of the fleet's size
 FANOUT = 2  # to so many at a time
 ROWS = 24  # of a comparison
 MOST_TOPICS = 32
