Overload as one: standing, level, budgets and advice as cores, with a gate before Choice

Need: each dispatcher sheds by what it sees, so that one declines dear txns while its neighbour serves cheap ones, and repeats, trials, looks and advised returns each fit one dispatcher's limit and add up to all of theirs.

Weighed: a level from told sums against local queue delay (DAGOR), credits (Breakwater), client throttling, retry budgets (Finagle, Envoy) and leases of capacity (Doorman), all kept as baselines in the same ground.

Change: pathsaddle/fleet/overload (standing, record of 200 bytes at most, level, advice, budgets, gate, the gate beside a Choice), a ground of its own with a judge that reads the log alone, and a smoke plan with four mutants. Choice asks one question before the first posting and one before repeats, trials and looks; None stands for it alone.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -15,7 +15,7 @@
 from collections.abc import Generator, Iterable
 from functools import lru_cache
 from hashlib import blake2b
-from itertools import chain
+from itertools import chain, islice
 from math import exp, log
 from random import Random
 from typing import Any
@@ -26,6 +26,7 @@
     Cancel,
     Decline,
     Door,
+    Gate,
     Group,
     ListNews,
     Order,
@@ -164,10 +165,10 @@
 
 
 class Choice:
-    def __init__(self, terms: Terms, seed: int, now: int, door: Door) -> None:
+    def __init__(self, terms: Terms, seed: int, now: int, door: Door, gate: Gate | None = None) -> None:
         chance = Random(seed)
         self.random, self.choose = chance.random, chance.choice
-        self.door = door
+        self.door, self.gate = door, gate
         self.now = self.born = now
         self.books: dict[Worker, Book] = {}
         self.home = terms.zone
@@ -183,10 +184,8 @@
         self.for_trials = ([s for s in terms.schemes if self.runs_again_anywhere(s)]
                            or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED] or terms.schemes)
         self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
-        self.max_postings = terms.max_postings
-        self.two_at_once = terms.two_at_once
-        self.may_cancel = terms.may_cancel
-        self.dropped_stay_open = terms.dropped_stay_open
+        self.max_postings, self.two_at_once = terms.max_postings, terms.two_at_once
+        self.may_cancel, self.dropped_stay_open = terms.may_cancel, terms.dropped_stay_open
         self.tick = max(1, terms.tick)
         self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
         self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
@@ -239,8 +238,7 @@
         self.judged = now
         self.silence = terms.progress_every + terms.progress_every // 2
         self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
-        self.must_ask = terms.must_ask
-        self.list_due = FAR
+        self.must_ask, self.list_due = terms.must_ask, FAR
         self.list_failures, self.list_lost = 0, now
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
@@ -267,7 +265,7 @@
         for posting in txn.postings:
             yield from self.watch(txn, posting)
         # Full to the last txn we would have no connection left for the word that ends one of them.
-        while self.open <= self.most_open:
+        while self.open <= self.most_open and (not self.gate or self.gate.lets_in(txn, self)):
             until = self.worth_posting_until(txn)
             if self.now >= until:
                 break  # nothing more can be done for it: say so now, not when its time is up
@@ -293,7 +291,8 @@
             yield Wait(self.last(txn))
         if self.may_decline(txn) and not self.unusable(txn):
             self.remember(txn)
-            yield Decline(self.come_back, txn.cut and self.give_up_at(txn) < self.in_time_until(txn))
+            wait = self.gate.come_back(txn, self) if self.gate else self.come_back
+            yield Decline(wait, txn.cut and self.give_up_at(txn) < self.in_time_until(txn))
         else:
             yield Reverse()
 
@@ -596,7 +595,7 @@
             tried = blind or txn.key is not None or most >= self.need(txn)
             book = self.best(txn, rooms or {}, blind) if tried else None
             looks = self.look(txn, book, rooms or {})
-            if book is not None and not looks:
+            if book is not None and not looks and (not self.gate or self.gate.goes_out(txn, book.worker, self)):
                 self.granted = True
                 return txn, book.worker
             if book is None and not any(p.may_have_run for p in txn.postings):
@@ -649,7 +648,8 @@
                   if not self.fresh(book) and not book.probing
                   and (self.cross_price <= 0 or (book.worker.zone == self.home) == home)]
         ranked.sort(key=lambda entry: entry[:2])
-        txn.looks = [book for _, _, book in ranked[:min(FEW, int(self.probe_purse))]]
+        may = (book for _, _, book in ranked if not self.gate or self.gate.may_look(book.worker, self))
+        txn.looks = list(islice(may, min(FEW, int(self.probe_purse))))
         for book in txn.looks:
             self.probe(book)
         txn.looked += chosen is not None
@@ -1123,7 +1123,7 @@
             next_look = max(book.asked, book.reported) + every
             if self.now < next_look:
                 due = min(due, next_look)
-            elif self.probe_purse < 1.0:
+            elif self.probe_purse < 1.0 or self.gate and not self.gate.may_look(book.worker, self):
                 return self.now + every // 8
             else:
                 self.probe(book)
--- /dev/null
+++ b/pathsaddle/emulator/overload/plan.py
@@ -0,0 +1,74 @@
+"""What an emulated run of overload is told. Times in seconds in the file, in ticks in the world."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Literal
+
+import msgspec
+
+from pathsaddle.fleet.overload.faults import BadPlan
+
+POLICIES = ("alone", "fleet", "whole", "dagor", "breakwater", "throttle", "finagle", "envoy", "doorman")
+MUTANTS = ("jumpy", "dice", "arrival", "unspread")
+
+
+class Trouble(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
+    """lose: workers die, and come back. slow: workers are strength times slower. flap: workers lost each second.
+    cut: members hear nobody and are heard by nobody; oneway: they hear nobody. kill: members end, their clients come
+    to the rest. stall: members stand still. lies, mute: members tell strength times their load, or nothing. sick: the
+    workers swallow what the first half of the members sends. lossy: so many records are lost. share: of members or
+    workers. most: the members with the most load."""
+
+    kind: Literal["lose", "slow", "flap", "cut", "kill", "stall", "lies", "mute", "sick", "lossy"]
+    at: float
+    for_: float = msgspec.field(name="for", default=10.0)
+    share: float = 0.34
+    strength: float = 100.0
+    oneway: bool = False
+    most: bool = False
+
+
+class Plan(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
+    """load: of capacity, as first tries. surge: (from, to, load) instead. again: how often a client comes again;
+    -1: without end. skew: how uneven the members' loads are; flood: what part the first customer sends."""
+
+    name: str
+    seconds: float = 30.0
+    members: int = 40
+    workers: int = 12
+    slots: int = 4
+    load: float = 0.8
+    surge: tuple[float, float, float] | None = None
+    again: int = 3
+    customers: int = 8
+    skew: float = 0.0
+    flood: float = 0.0
+    bunched: bool = False  # all that come again on their own wait the same time
+    troubles: list[Trouble] = msgspec.field(default_factory=list)
+    back_within: float = 0.0  # seconds from the last trouble or surge to 0.95 of the value before; 0: not judged
+    policy: str = "fleet"
+    mutant: str = ""
+
+
+class Smoke(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    name: str
+    about: str = ""
+    seeds: list[int]
+    plans: list[Plan]
+    mutants: dict[str, tuple[str, str]] = msgspec.field(default_factory=dict)  # (bound that is to break, on which plan)
+
+
+def of(path: Path) -> Smoke:
+    """Raises BadPlan."""
+    try:
+        smoke = msgspec.toml.decode(path.read_bytes(), type=Smoke)
+    except OSError as fault:
+        raise BadPlan(f"{path} can't be read: {fault.strerror}", "name a file that is there") from None
+    except msgspec.MsgspecError as fault:
+        raise BadPlan(f"{path}: {fault}", "mend that key of the file") from None
+    for plan in smoke.plans:
+        if plan.policy not in POLICIES or plan.mutant not in ("", *MUTANTS):
+            raise BadPlan(f"{path}: plan {plan.name}: no policy {plan.policy!r} or mutant {plan.mutant!r}",
+                          f"name one of {', '.join(POLICIES)}")
+    return smoke
--- /dev/null
+++ b/pathsaddle/fleet/overload/gate.py
@@ -0,0 +1,227 @@
+"""One member's gate: whether a txn is let in, whether a posting may go out, what it tells the others.
+
+Free of I/O: it is fed moments, what this member saw and the others' records; `word` says what to tell. Where nothing is
+heard it goes by its own part of what can be served and by what its own postings meet, and every bound of the package
+holds all the same (docs/overload.md).
+
+Out of it again. Nothing waits for a fixed time: the level falls as the sums do, and past the sums a trim rises while
+slots are seen idle and falls while lines are seen. What a trigger leaves behind (returns, held txns, repeats) is offered
+work like any other: it stands in its bands, its repeats in a budget, and so can't keep up what it feeds on.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from math import exp
+
+from pathsaddle.fleet.overload import budgets
+from pathsaddle.fleet.overload.advice import Returns
+from pathsaddle.fleet.overload.budgets import Budgets, Limiter
+from pathsaddle.fleet.overload.faults import BadWord
+from pathsaddle.fleet.overload.level import STALE, Level, Sums, middle
+from pathsaddle.fleet.overload.standing import BANDS, Ask, band, drawn
+from pathsaddle.fleet.overload.word import TELLS, Word, packed, read, short
+from pathsaddle.trade import SECOND
+
+Row = tuple[str, int, int, bytes, tuple[int, int]]  # name, life, version, body, how old at the least and at most
+REMEMBERS = SECOND  # over what time offered work is averaged
+WAKES = SECOND // 10
+LEAST, LINE, IDLE = 0.5, 0.4, 0.06  # trims' floor; waiting jobs a slot that are a line; free slots that are idle
+DOWN, UP = 0.04, 0.02  # what a wake may change a trim by
+HEARD = 0.9  # of all parts: less is a fleet cut in two, or half of it dead, which nobody can tell apart
+KNOWN = 2048  # declined txns that are remembered
+
+
+@dataclass(frozen=True)
+class Ways:
+    """What the charter says, alike at every member.
+
+    secret: keys the draw. unit: value for a slot-tick in the middle of the scale. allowances: slots that each
+    customer may keep busy over the fleet. returns: advised returns in any second, over all members. longest,
+    soonest: of an advice, ticks.
+    """
+
+    secret: bytes
+    members: int
+    unit: float
+    allowances: dict[str, float]
+    returns: float
+    soonest: int
+    longest: int
+
+
+@dataclass(slots=True)
+class Verdict:
+    let: bool
+    stands: float  # the txn's standing
+    level: float
+    over: bool = False  # beyond its customer's share
+    come_back: int = 0  # ticks; 0: no advice
+    why: str = ""
+    period: int = 0  # of its draw
+
+
+class Fading:
+    """A rate, of what is added, averaged over REMEMBERS with the latest first."""
+
+    __slots__ = ("at", "sum")
+
+    def __init__(self, now: int) -> None:
+        self.sum, self.at = 0.0, now
+
+    def add(self, amount: float, now: int) -> None:
+        self.sum = self.sum * exp((self.at - now) / REMEMBERS) + amount
+        self.at = now
+
+    def rate(self, now: int) -> float:
+        return self.sum * exp((self.at - now) / REMEMBERS) / REMEMBERS
+
+
+class Gate:
+    """name: its own, as the records' rows name it. number: its place among the members by the charter, from 0."""
+
+    def __init__(self, ways: Ways, name: str, number: int, limiter: Limiter, now: int) -> None:
+        self.ways, self.name, self.now = ways, name, now
+        self.part = 1.0 / ways.members
+        self.budgets = Budgets(limiter)
+        self.returns = Returns(ways.returns, self.part, number / ways.members, ways.longest)
+        self.level = Level(now)
+        self.offered = [Fading(now) for _ in range(BANDS)]
+        self.customers: dict[str, Fading] = {}
+        self.shorts_of = {who: short(who) for who in ways.allowances}
+        self.could = 0.0
+        self.trim = 1.0
+        self.idle, self.line = 0.0, 0.0  # of the slots seen lately: free, and jobs waiting for each
+        self.turned = 0.0  # of the last postings, how many were turned away
+        self.heard: dict[str, tuple[int, int, Word, int]] = {}  # (life, version, word, told at, the latest by our clock)
+        self.sums = Sums([self.own(now)], self.part)
+        self.overs: dict[str, float] = {}  # by customer: what part is beyond its share
+        self.known: dict[tuple[str, str, str], int] = {}  # declined with advice: not before
+        # Two hundred records each tenth of a second would be a fortieth of a core; three times in a second is enough.
+        self.every = max(WAKES, WAKES * ways.members // 64)
+
+    # What this member saw.
+
+    def sees(self, could: float, idle: float, line: float) -> None:
+        """Of the workers as this member knows them now. could: slots that can be kept busy, pace included; idle: what
+        part is free; line: jobs that wait, for each slot."""
+        self.could, self.idle, self.line = could, idle, line
+
+    def came_of(self, turned_away: bool) -> None:
+        self.turned += 0.05 * (turned_away - self.turned)
+
+    # What others told.
+
+    def hears(self, rows: Iterable[Row], now: int) -> None:
+        """The others' records as the fleet's layer has them. A record counts for STALE from when it was written at the
+        latest, by the greater of its ages: who is not heard has its part, and nothing said of it is taken for word."""
+        for name, life, version, body, (_, oldest) in rows:
+            held = self.heard.get(name)
+            if name == self.name or held is not None and (life, version) <= held[:2]:
+                continue
+            try:
+                self.heard[name] = (life, version, read(body), now - oldest)
+            except BadWord:
+                continue
+
+    def hears_read(self, name: str, life: int, version: int, word: Word, told: int) -> None:
+        """The same, of one record that is read."""
+        held = self.heard.get(name)
+        if held is None or (life, version) > held[:2]:
+            self.heard[name] = (life, version, word, told)
+
+    # What it tells.
+
+    def own(self, now: int) -> Word:
+        rates = {who: rate for who, fading in self.customers.items() if (rate := fading.rate(now)) > 0.0}
+        if len(rates) > TELLS:
+            rates = {who: rates[who] for who in sorted(rates, key=lambda who: (-rates[who], who))[:TELLS]}
+        return Word(self.could, self.trim, self.idle, [fading.rate(now) for fading in self.offered],
+                    {short(who): rate for who, rate in rates.items()})
+
+    def word(self, now: int) -> bytes:
+        return packed(self.own(now))
+
+    def wake(self, now: int) -> int:
+        """Works out the level anew; when it wants to be called again."""
+        self.now = now
+        words = [self.own(now)]
+        words += [word for _, _, word, told in self.heard.values() if now - told < STALE]
+        self.sums = sums = Sums(words, self.part)
+        self.learns(sums)
+        self.level.moves(sums.target(), sums.heard, now)
+        self.shares(sums)
+        self.returns.passes(now)
+        return now + self.every
+
+    def shares(self, sums: Sums) -> None:
+        """What part of each customer's txns is beyond its share. Where the middle customer is over its own, all shares
+        grow by as much: a surge of everybody's is for the level to judge by value, and a flood of one does not move the
+        middle. Heard in part, a customer has that part of its share, and more as trims tell of room."""
+        ratios = {}
+        for who, allowance in self.ways.allowances.items():
+            rate = sums.customers.get(self.shorts_of[who], 0.0)
+            ratios[who] = rate / (allowance * min(1.0, sums.heard * max(1.0, sums.trim)))
+        scale = max(1.0, middle(ratios.values()))
+        self.overs = {who: 1.0 - scale / ratio for who, ratio in ratios.items() if ratio > scale}
+
+    def learns(self, sums: Sums) -> None:
+        """The trim: what its own postings meet, against what the sums said. It moves by steps, and up only
+        while it is what binds: a trim that grew in quiet times would let all in when trouble comes."""
+        if self.line > LINE or self.turned > 0.2:
+            self.trim *= 1.0 - DOWN
+        elif self.idle > IDLE and self.line < LINE / 2 and (self.level.stands > 0.0 or sums.heard < HEARD):
+            # Cut off, idle slots are others' part that they do not want: learnt before it is missed.
+            self.trim *= 1.0 + UP
+        elif self.level.stands == 0.0:
+            self.trim += 0.05 * (1.0 - self.trim)
+        # Ours follows the others': alone in its opinion it would only be clipped.
+        if sums.heard > HEARD:
+            self.trim += 0.05 * (sums.trim - self.trim)
+        self.trim = min(1.0 / sums.heard * 1.05, max(LEAST, self.trim))
+
+    # The question, and its answer.
+
+    def lets_in(self, ask: Ask, now: int) -> Verdict:
+        """Asked once for each try, before its first posting."""
+        place, period = drawn(self.ways.secret, ask, now)
+        over = False
+        if ask.customer in self.overs:
+            over = drawn(self.ways.secret, ask, now, b"over")[0] < self.overs[ask.customer]
+        in_band = band(ask, self.ways.unit, over)
+        stands, level = in_band + place, self.level.stands
+        # Offered is what comes for the first time, or when it was told to: not what comes again at once.
+        mark = (ask.customer, ask.key, ask.scheme)
+        early = now < self.known.get(mark, 0)
+        if not early:
+            self.offered[in_band].add(ask.work, now)
+            if ask.customer in self.ways.allowances:
+                self.customers.setdefault(ask.customer, Fading(now)).add(ask.work, now)
+        if stands >= level and ask.left >= ask.run:
+            self.known.pop(mark, None)
+            return Verdict(True, stands, level, over, period=period)
+        why = "level" if stands < level else "late"
+        if early:
+            return Verdict(False, stands, level, over, self.known[mark] - now, why, period)
+        wait = self.advises(ask, now)
+        return Verdict(False, stands, level, over, wait, why, period)
+
+    def advises(self, ask: Ask, now: int) -> int:
+        """What the client of a txn that is declined now, whyever, is told: ticks to wait, 0: nothing."""
+        free = self.sums.free() / max(1e-9, self.sums.could)
+        wait = self.returns.advise(drawn(self.ways.secret, ask, now)[0], free, self.ways.soonest, now)
+        if wait:
+            self.known[ask.customer, ask.key, ask.scheme] = now + wait
+            if len(self.known) > KNOWN:
+                del self.known[next(iter(self.known))]
+        return wait
+
+    def goes_out(self, kind: str, worker: str | None, now: int) -> bool:
+        """Whether a posting beyond the first, a trial, a look, a list call, a new connection may go."""
+        return self.budgets.takes(kind, worker, now)
+
+
+def kind_of(again: bool, suspect: bool) -> str:
+    """Which budget a posting asks: a first posting at a worker in good standing asks none."""
+    return budgets.TRIAL if suspect else budgets.REPEAT if again else ""
--- /dev/null
+++ b/pathsaddle/fleet/overload/word.py
@@ -0,0 +1,59 @@
+"""What a member tells of its load: one record of at most 200 bytes, whatever its size or trouble.
+
+Form: version, trim, what it could serve, offered work by band, then the customers that offer most, each by a short hash.
+Rates are slot-ticks a tick, that is, slots kept busy. A record that is none raises BadWord and is passed over.
+"""
+
+from __future__ import annotations
+
+import struct
+from dataclasses import dataclass, field
+from hashlib import blake2b
+from math import isfinite
+
+from pathsaddle.fleet.overload.faults import BadWord
+from pathsaddle.fleet.overload.standing import BANDS
+
+FORM = 1
+MOST = 200
+TELLS = 32  # customers
+HEAD = struct.Struct(f"!BBfff{BANDS}e")
+CUSTOMER = struct.Struct("!He")
+HIGHEST = 60_000.0  # what a half float holds
+
+
+@dataclass(slots=True)
+class Word:
+    could: float  # slots of the whole fleet that it believes can be kept busy
+    trim: float  # by how much its own experience corrects that
+    free: float  # share of the slots it saw lately that stood idle
+    offered: list[float]  # by band
+    customers: dict[int, float] = field(default_factory=dict)
+
+    @property
+    def total(self) -> float:
+        return sum(self.offered)
+
+
+def short(customer: str) -> int:
+    return int.from_bytes(blake2b(customer.encode(), digest_size=2).digest())
+
+
+def packed(word: Word) -> bytes:
+    rows = sorted(word.customers.items(), key=lambda row: (-row[1], row[0]))[:TELLS]
+    head = HEAD.pack(FORM, len(rows), word.could, word.trim, word.free, *(min(HIGHEST, part) for part in word.offered))
+    return head + b"".join(CUSTOMER.pack(who, min(HIGHEST, rate)) for who, rate in rows)
+
+
+def read(body: bytes) -> Word:
+    """Raises BadWord."""
+    try:
+        form, count, could, trim, free, *offered = HEAD.unpack_from(body)
+        rows = [CUSTOMER.unpack_from(body, HEAD.size + CUSTOMER.size * i) for i in range(count)]
+    except struct.error as fault:
+        raise BadWord(f"{len(body)} bytes are no record ({fault})",
+                      "bring all members to one release") from None
+    figures = [could, trim, free, *offered, *(rate for _, rate in rows)]
+    if form != FORM or len(body) > MOST or not all(isfinite(part) and part >= 0.0 for part in figures):
+        raise BadWord(f"a record of form {form} with figures that are none", "bring all members to one release")
+    return Word(could, trim, free, list(offered), dict(rows))
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -15,6 +15,7 @@
     Cancel,
     Decline,
     Door,
+    Gate,
     ListNews,
     Outcome,
     Post,
@@ -29,10 +30,10 @@
 
 
 class Loop:
-    def __init__(self, door: Door, terms: Terms, seed: int, now: int) -> None:
+    def __init__(self, door: Door, terms: Terms, seed: int, now: int, gate: Gate | None = None) -> None:
         self.door = door
         self.now = now
-        self.choice = Choice(terms, seed, now, door)
+        self.choice = Choice(terms, seed, now, door, gate)
         self._timers: list[tuple[int, int, Txn, int]] = []
         self._order = 0
         self._wake: int | None = None
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -250,6 +250,21 @@
     def note(self, text: str) -> None: ...
 
 
+class Gate(Protocol):
+    """What the fleet says of what one dispatcher would do; `choice` is the one who asks. None stands for it alone."""
+
+    def lets_in(self, txn: Txn, choice: Any) -> bool:
+        """Whether its first posting may be looked for; a txn that has one is in."""
+
+    def goes_out(self, txn: Txn, worker: Worker, choice: Any) -> bool:
+        """Whether this posting may go there now: asked just before, and taken as sent if so."""
+
+    def may_look(self, worker: Worker, choice: Any) -> bool: ...
+
+    def come_back(self, txn: Txn, choice: Any) -> int:
+        """What its client is advised, ticks; 0: nothing."""
+
+
 @dataclass(slots=True)
 class Terms:
     """What a dispatcher is told at its start. The decisions turn it into what they use and let it go."""
--- /dev/null
+++ b/tests/test_overload.py
@@ -0,0 +1,303 @@
+"""Overload as one: the decisions, each promise with the story that breaks it."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import unittest
+from random import Random
+
+from pathsaddle.fleet.overload import budgets
+from pathsaddle.fleet.overload.advice import Returns
+from pathsaddle.fleet.overload.beside import Beside
+from pathsaddle.fleet.overload.faults import BadWord, OverloadFault
+from pathsaddle.fleet.overload.gate import Gate, Ways
+from pathsaddle.fleet.overload.level import DEAD, FALLS, RISES, Level, Sums
+from pathsaddle.fleet.overload.standing import BANDS, PERIOD, Ask, band, drawn
+from pathsaddle.fleet.overload.word import MOST, TELLS, Word, packed, read, short
+from pathsaddle.trade import SECOND, Outcome, Scheme
+from tests.fakehost import ONCE_ONLY, FakeHost, idle, scheme
+
+
+class Free:
+    """A limiter that refuses what it is told to."""
+
+    def __init__(self, *refuses: str) -> None:
+        self.refuses, self.asked = refuses, list[str]()
+
+    def takes(self, budget: str, units: int, now: int) -> bool:
+        self.asked.append(budget)
+        return budget not in self.refuses
+
+
+def ask(value: float = 1.0, key: str = "k", customer: str = "c0", work: float = 2000.0, left: int = SECOND,
+        **more: object) -> Ask:
+    return Ask(customer, key, "s0", value, 0.3, work, left, 2000, **more)  # type: ignore[arg-type]
+
+
+def ways(members: int = 4, **more: float) -> Ways:
+    return Ways(b"secret", members, 0.001, {f"c{c}": 10.0 for c in range(4)}, more.get("returns", 20.0), SECOND // 2,
+                8 * SECOND)
+
+
+def word(total: float, could: float = 40.0, at: int = 8, **customers: float) -> Word:
+    offered = [0.0] * BANDS
+    offered[at] = total
+    return Word(could, 1.0, 0.0, offered, {short(who): rate for who, rate in customers.items()})
+
+
+class Standings(unittest.TestCase):
+    def test_the_dearer_work_stands_higher_and_what_is_over_its_share_lower(self) -> None:
+        self.assertGreater(band(ask(4.0), 0.001, False), band(ask(1.0), 0.001, False))
+        self.assertGreater(band(ask(1.0, work=500.0), 0.001, False), band(ask(1.0), 0.001, False))
+        self.assertLess(band(ask(4.0), 0.001, True), band(ask(4.0), 0.001, False))
+
+    def test_work_already_spent_raises_and_time_run_out_lowers(self) -> None:
+        self.assertGreater(band(ask(spent=1500.0), 0.001, False), band(ask(), 0.001, False))
+        self.assertLess(band(ask(left=100), 0.001, False), band(ask(), 0.001, False))
+        self.assertEqual(0, band(Ask("c", "k", "s", 5.0, 0.0, 2000.0, 100, 2000), 0.001, False))
+
+    def test_a_draw_is_the_same_at_all_for_its_period_and_another_in_the_next(self) -> None:
+        place, period = drawn(b"secret", ask(), 3 * PERIOD)
+        # Of two moments half a period apart one at least stands in the same period as the first.
+        same = [drawn(b"secret", ask(), 3 * PERIOD + off) for off in (-PERIOD // 2, PERIOD // 2)]
+        self.assertIn((place, period), same)
+        self.assertNotEqual(place, drawn(b"secret", ask(), 4 * PERIOD)[0])
+        self.assertNotEqual(place, drawn(b"another", ask(), 3 * PERIOD)[0])
+
+    def test_a_period_ends_at_another_moment_for_each(self) -> None:
+        periods = {drawn(b"secret", ask(key=f"k{n}"), PERIOD * 7 // 2)[1] for n in range(40)}
+        self.assertEqual({3, 4}, periods)
+
+
+class Words(unittest.TestCase):
+    def test_a_record_of_the_busiest_member_fits_two_hundred_bytes(self) -> None:
+        told = Word(1e9, 2.0, 0.5, [1e9] * BANDS, {n: 1e9 for n in range(500)})
+        body = packed(told)
+        self.assertLessEqual(len(body), MOST)
+        self.assertEqual(TELLS, len(read(body).customers))
+
+    def test_no_bytes_harm_a_reader(self) -> None:
+        chance = Random(5)
+        good = packed(word(3.0, c1=1.0))
+        for _ in range(2000):
+            body = bytearray(good[:chance.randrange(len(good) + 1)])
+            for _ in range(chance.randrange(4)):
+                if body:
+                    body[chance.randrange(len(body))] = chance.randrange(256)
+            try:
+                told = read(bytes(body))
+            except BadWord as fault:
+                self.assertIn("release", fault.do)
+            else:
+                self.assertTrue(0.0 <= told.total < 1e7)
+        self.assertTrue(issubclass(BadWord, OverloadFault))
+
+
+class Levels(unittest.TestCase):
+    def test_what_fits_is_let_in_whole(self) -> None:
+        self.assertEqual(0.0, Sums([word(9.0) for _ in range(4)], 0.25).target())
+
+    def test_the_marginal_band_is_cut_where_the_rest_fits(self) -> None:
+        # 60 offered of band 8 and 20 of band 12; 40 can be served: 20 of 60 are let in.
+        words = [word(15.0) for _ in range(4)]
+        for told in words:
+            told.offered[12] = 5.0
+        self.assertAlmostEqual(8.0 + 40.0 / 60.0, Sums(words, 0.25).target())
+
+    def test_one_that_tells_a_hundred_times_its_load_moves_little(self) -> None:
+        honest = Sums([word(9.0) for _ in range(20)], 0.05)
+        lied = Sums([word(9.0) for _ in range(19)] + [word(900.0)], 0.05)
+        self.assertLessEqual(sum(lied.offered), 1.06 * sum(honest.offered))
+        could = Sums([word(9.0) for _ in range(19)] + [word(9.0, could=4e6)], 0.05)
+        self.assertLessEqual(could.could, 1.06 * honest.could)
+
+    def test_who_hears_nothing_goes_by_its_part(self) -> None:
+        alone = Sums([word(20.0)], 0.25)
+        self.assertEqual(10.0, alone.supply)
+        self.assertAlmostEqual(8.5, alone.target())
+
+    def test_a_level_keeps_its_pace_and_a_stall_is_no_licence_to_leap(self) -> None:
+        level = Level(0)
+        self.assertLessEqual(level.moves(16.0, 1.0, SECOND // 10), RISES / 10 + 1e-9)
+        up = level.stands
+        level.moves(16.0, 1.0, 90 * SECOND)
+        self.assertLessEqual(level.stands - up, RISES)
+        top = level.stands
+        level.moves(0.0, 1.0, 90 * SECOND + SECOND // 10)
+        self.assertAlmostEqual(top - FALLS / 10, level.stands)
+
+    def test_sums_that_tremble_do_not_move_it(self) -> None:
+        level = Level(0)
+        level.moves(4.0, 1.0, SECOND)
+        stood = level.stands
+        for n in range(50):
+            level.moves(4.0 + (DEAD * 0.9) * (-1) ** n, 1.0, SECOND + n)
+        self.assertEqual(stood, level.stands)
+
+
+class Spreads(unittest.TestCase):
+    def test_all_members_advice_together_fits_any_second(self) -> None:
+        """All clients told the same wait came back as one; here 200 members decline 40 each in one moment."""
+        for members in (1, 5, 40, 200):
+            told = []
+            for number in range(members):
+                returns = Returns(24.0, 1 / members, number / members, 8 * SECOND)
+                for n in range(8000 // members):
+                    if wait := returns.advise(Random(number * 1000 + n).random(), 1.0, SECOND // 2, 12_345):
+                        told.append(12_345 + wait)
+            told.sort()
+            for n, moment in enumerate(told[:-24]):
+                self.assertGreaterEqual(told[n + 24] - moment, SECOND // 2 if members == 1 else 1)
+            seconds = [sum(second * SECOND <= moment < (second + 1) * SECOND for moment in told)
+                       for second in range(1, 10)]
+            self.assertLessEqual(max(seconds), 13)
+            self.assertGreater(len(told), 40)
+
+    def test_little_free_means_few_told_to_come(self) -> None:
+        counts = []
+        for free in (0.0, 1.0):
+            returns = Returns(200.0, 1.0, 0.0, 8 * SECOND)
+            counts.append(sum(returns.advise(0.5, free, SECOND // 2, 0) > 0 for _ in range(2000)))
+        self.assertLess(counts[0], counts[1] / 5)
+        self.assertGreater(counts[0], 0)
+
+
+class Gates(unittest.TestCase):
+    def gate(self, name: str = "d0", members: int = 4, now: int = 0, limiter: Free | None = None) -> Gate:
+        gate = Gate(ways(members), name, int(name[1:]), limiter or Free(), now)
+        gate.sees(40.0, 0.0, 0.0)
+        return gate
+
+    def crowd(self, gate: Gate, now: int, total: float = 30.0, version: int = 1, **customers: float) -> None:
+        body = packed(word(total, **customers))
+        gate.hears([(f"d{n}", 1, version, body, (0, 100)) for n in range(1, 4)], now)
+
+    def stands(self, gate: Gate, now: int, seconds: int) -> int:
+        for step in range(seconds * 10):
+            now += SECOND // 10
+            gate.wake(now)
+        return now
+
+    def test_the_same_txn_is_shed_by_each_member_that_knows_the_same(self) -> None:
+        one, other = self.gate("d0"), self.gate("d3")
+        for gate in (one, other):
+            body = packed(word(30.0))
+            gate.hears([(f"d{n}", 1, 1, body, (0, 0)) for n in range(4)], 0)
+            self.stands(gate, 0, 2)
+        self.assertGreater(one.level.stands, 7.0)
+        for n in range(200):
+            first, second = one.lets_in(ask(2.0, key=f"k{n}"), 21_000), other.lets_in(ask(2.0, key=f"k{n}"), 21_000)
+            self.assertEqual((first.let, first.stands), (second.let, second.stands))
+
+    def test_a_next_try_within_its_advised_wait_is_told_the_rest_of_it_and_counted_once(self) -> None:
+        gate = self.gate()
+        self.crowd(gate, 0)
+        now = self.stands(gate, 0, 2)
+        low = next(a for n in range(99) if not gate.lets_in(a := ask(0.2, key=f"k{n}"), now).let)
+        wait = gate.known[low.customer, low.key, low.scheme] - now
+        offered = sum(fading.sum for fading in gate.offered)
+        again = gate.lets_in(low, now + 100)
+        self.assertEqual((False, wait - 100), (again.let, again.come_back))
+        self.assertLessEqual(sum(fading.sum for fading in gate.offered), offered)
+
+    def test_words_that_age_are_worth_nothing_and_an_older_version_changes_nothing(self) -> None:
+        gate = self.gate()
+        self.crowd(gate, 0, version=7)
+        gate.hears([("d1", 1, 6, packed(word(9000.0)), (0, 0)), ("d2", 1, 9, b"none", (0, 0))], 0)
+        self.assertEqual(30.0, gate.heard["d1"][2].total)
+        now = self.stands(gate, 0, 2)
+        self.assertGreater(gate.level.stands, 7.0)
+        self.stands(gate, now, 8)
+        self.assertEqual(0.0, gate.level.stands)
+
+    def test_a_flood_of_one_customer_is_over_and_a_surge_of_all_is_not(self) -> None:
+        gate = self.gate()
+        self.crowd(gate, 0, c0=20.0, c1=2.0, c2=2.0, c3=2.0)
+        gate.wake(1)
+        self.assertEqual(["c0"], list(gate.overs))
+        self.crowd(gate, 0, version=2, c0=20.0, c1=20.0, c2=20.0, c3=20.0)
+        gate.wake(2)
+        self.assertEqual({}, gate.overs)
+
+    def test_cut_off_it_learns_of_the_others_idle_part_and_unlearns_it_by_lines(self) -> None:
+        gate = self.gate()
+        gate.sees(40.0, 0.3, 0.0)
+        now = self.stands(gate, 0, 10)
+        self.assertGreater(gate.trim, 3.9)
+        gate.sees(40.0, 0.0, 1.0)
+        self.stands(gate, now, 10)
+        self.assertLess(gate.trim, 1.0)
+
+    def test_a_budget_of_the_worker_refuses_before_the_fleets_is_asked(self) -> None:
+        limiter = Free("repeat:w1")
+        gate = self.gate(limiter=limiter)
+        self.assertFalse(gate.goes_out(budgets.REPEAT, "w1", 0))
+        self.assertEqual(["repeat:w1"], limiter.asked)
+        self.assertTrue(gate.goes_out(budgets.REPEAT, "w2", 0))
+        self.assertEqual(1, gate.budgets.refused[budgets.REPEAT])
+
+
+class BesideAChoice(unittest.TestCase):
+    """The gate beside a real Choice."""
+
+    def host(self, limiter: Free | None = None, *schemes: Scheme) -> FakeHost:
+        host = FakeHost(*(schemes or (scheme(), scheme(ONCE_ONLY, index=1))))
+        core = Gate(ways(1), "d0", 0, limiter or Free(), host.now)
+        host.loop.choice.gate = Beside(core)
+        self.core = core
+        return host
+
+    def shut(self, host: FakeHost) -> None:
+        """The level stands over everything, and stays there."""
+        self.core.level.stands = 99.0
+        self.core.level.moves = lambda target, heard, now: 99.0  # type: ignore[method-assign]
+
+    def test_what_is_below_the_level_is_declined_at_once_with_advice_and_never_posted(self) -> None:
+        host = self.host()
+        self.shut(host)
+        host.ask("a")
+        self.assertEqual(([], {"a": ["declined"]}), (host.posted, host.answers))
+        self.assertEqual(1, len(self.core.known))
+
+    def test_rule_2_comes_first_a_txn_that_may_have_run_is_never_declined_by_the_level(self) -> None:
+        host = self.host()
+        host.ask("a", of=1)
+        self.shut(host)
+        host.end(host.posted[0], Outcome.RESET)
+        host.passes(10 * SECOND)
+        self.assertEqual({"a": ["reversed"]}, host.answers)
+
+    def test_a_repeat_waits_for_its_budget_and_a_first_posting_never_asks(self) -> None:
+        limiter = Free("repeat")
+        host = self.host(limiter)
+        host.ask("a")
+        self.assertEqual(1, len(host.posted))
+        self.assertNotIn("repeat", limiter.asked)
+        host.end(host.posted[0], Outcome.ERROR)
+        host.passes(SECOND // 10)
+        self.assertEqual(1, len(host.posted))
+        limiter.refuses = ()
+        host.passes(SECOND // 2)
+        self.assertEqual(2, len(host.posted))
+
+    def test_the_mechanisms_room_is_what_the_gate_is_told(self) -> None:
+        host = self.host()
+        for worker in host.workers:
+            host.tell(worker, idle(2.0))
+        host.passes(SECOND // 5)
+        host.ask("a")
+        self.assertGreaterEqual(self.core.could, 4.0)
+        self.assertEqual(0.0, self.core.level.stands)
+
+
+class Off(unittest.TestCase):
+    def test_the_mechanism_loads_nothing_of_it(self) -> None:
+        look = ("import sys, pathsaddle.loop, pathsaddle.cli.main, pathsaddle.net.service.start;"
+                "print([name for name in sys.modules if 'overload' in name])")
+        out = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, check=True, timeout=60)
+        self.assertEqual("[]", out.stdout.strip())
+
+
+if __name__ == "__main__":
+    unittest.main()
