--- a/pathsaddle/emulator/overload/ground.py
+++ b/pathsaddle/emulator/overload/ground.py
@@ -15,13 +15,13 @@
 from itertools import accumulate
 from math import exp
 from random import Random
-from typing import Any
 
 from pathsaddle.emulator.events import Events
 from pathsaddle.emulator.overload.plan import Plan, Trouble
-from pathsaddle.emulator.overload.policies import Decided, Policy, policy, ways_of
+from pathsaddle.emulator.overload.policies import Decided, Policy, fleet, policy, ways_of
 from pathsaddle.fleet.overload import budgets
 from pathsaddle.fleet.overload.standing import Ask
+from pathsaddle.fleet.state.shares import Back, Lend, Want
 from pathsaddle.trade import MILLISECOND, SECOND
 
 VALUES = (1.0, 2.0, 4.0, 12.0)  # by scheme
@@ -519,10 +519,11 @@
                 self.to(other, lambda o=other: send(o))  # type: ignore[misc]
         self.after(after, arrives)
 
-    def asks(self, one: Member, other: int, call: Callable[[Member], Any]) -> None:
-        """A datagram to one member."""
+    def asks(self, one: Member, other: int, budget: str, said: Want | Lend | Back) -> None:
+        """A datagram to one member, of the limiter's."""
         self.bytes += 60
         if one.number in self.cut or other in self.cut or self.chance.random() < self.lossy:
             return
         target = self.members[other]
-        self.after(int(self.chance.uniform(0.001, 0.02) * SECOND), lambda: self.to(target, lambda: call(target)))
+        self.after(int(self.chance.uniform(0.001, 0.02) * SECOND), lambda: self.to(
+            target, lambda: fleet(target).leases.heard(budget, said, self.now)))
--- a/pathsaddle/emulator/overload/policies.py
+++ b/pathsaddle/emulator/overload/policies.py
@@ -29,7 +29,6 @@
 from pathsaddle.fleet.overload.gate import Gate, Verdict, Ways
 from pathsaddle.fleet.overload.level import Level
 from pathsaddle.fleet.overload.standing import BANDS, Ask, band, drawn
-from pathsaddle.fleet.state import shares
 from pathsaddle.trade import MILLISECOND, SECOND
 
 if TYPE_CHECKING:
@@ -91,8 +90,8 @@
     rate = plan.workers * plan.slots * SECOND // RUN
     units = {budgets.REPEAT: rate // 5, budgets.LOOK: 3 * rate, budgets.TRIAL: max(4, rate // 20)}
     for w in range(plan.workers):
-        units |= {f"{budgets.REPEAT}:w{w}": max(4, rate // 5 * 2 // plan.workers),
-                  f"{budgets.LOOK}:w{w}": max(4, rate * 6 // plan.workers), f"{budgets.TRIAL}:w{w}": 4}
+        units |= {f"{budgets.REPEAT}.w{w}": max(4, rate // 5 * 2 // plan.workers),
+                  f"{budgets.LOOK}.w{w}": max(4, rate * 6 // plan.workers), f"{budgets.TRIAL}.w{w}": 4}
     return units
 
 
@@ -104,11 +103,12 @@
         if plan.policy == "whole":
             plan = msgspec.structs.replace(plan, members=1)
         ground, units = member.ground, units_of(plan)
-        self.leases = Leases(member.name, number, units, plan.members, self.chance, self.spent, 0)
+        self.leases = Leases(member, units, plan.members, self.chance)
         for budget, whole in units.items() if number == 0 else ():
             ground.events.add(0, "share.budget", who=member.name, budget=budget, units=whole)
         self.gate = Gate(ways_of(plan), member.name, number, self.leases, 0)
         self.version = 0
+        self.counted: deque[tuple[int, str]] = deque()  # of the mutant that counts by arrival
         # Two hundred tell once a second, few twice: bytes stay what they are.
         self.tell_every = SECOND // 2 if plan.members < 100 else SECOND
         self.tell_at = self.chance.randrange(self.tell_every)
@@ -116,10 +116,6 @@
         if plan.mutant == "jumpy":
             self.gate.level = Jumpy(0)
 
-    def spent(self, budget: str, units: int) -> None:
-        self.member.ground.events.add(self.member.ground.now, "share.spend", who=self.member.name, budget=budget,
-                                      units=units)
-
     def asks(self, ask: Ask, now: int) -> Decided:
         given = self.gate.lets_in(ask, now)
         if self.plan.mutant == "dice":
@@ -135,18 +131,16 @@
     def goes_out(self, kind: str, worker: str, now: int) -> bool:
         if self.plan.mutant == "arrival":
             # Each goes by what it counts itself to have come over all: the whole budget, whoever came first.
-            used = self.leases.uses(f"{kind}:{worker}", now)
-            if len(used) >= self.leases_whole(kind):
+            while self.counted and self.counted[0][0] <= now - SECOND:
+                self.counted.popleft()
+            if sum(one == kind for _, one in self.counted) >= units_of(self.plan)[kind] // 4:
                 return False
-            used.append(now)
-            self.spent(kind, 1)
-            self.spent(f"{kind}:{worker}", 1)
+            self.counted.append((now, kind))
+            self.leases.spent(kind, 1)
+            self.leases.spent(f"{kind}.{worker}", 1)
             return True
         return self.gate.goes_out(kind, worker, now)
 
-    def leases_whole(self, kind: str) -> int:
-        return units_of(self.plan)[kind] // 4
-
     def came_of(self, what: str, waited: int, now: int) -> None:
         self.gate.came_of(what == "full")
 
@@ -167,19 +161,11 @@
             read = word.read(body)
             name = member.name
             ground.tells(member, lambda other: fleet(other).hears(name, version, read, now), len(body))
-        for other, budget, want in self.leases.asks(now):
-            ground.asks(member, other, lambda to, b=budget, w=want: fleet(to).wanted(member, b, w))  # type: ignore[misc]
+        self.leases.tick(now)
 
     def hears(self, name: str, version: int, told: word.Word, at: int) -> None:
         self.gate.hears_read(name, 1, version, told, at)
 
-    def wanted(self, asker: Member, budget: str, want: shares.Want) -> None:
-        now = self.member.ground.now
-        lend = self.leases.asked_by(budget, want, now)
-        if lend is not None:
-            self.member.ground.asks(self.member, asker.number, lambda to: fleet(to).leases.lent(
-                budget, lend, self.member.ground.now))
-
 
 def fleet(member: Member) -> Fleet:
     assert isinstance(member.policy, Fleet)
--- a/pathsaddle/fleet/overload/beside.py
+++ b/pathsaddle/fleet/overload/beside.py
@@ -1,8 +1,8 @@
 """The gate beside a real Choice: what it is asked in trade's words, put in the fleet's.
 
 It reads the mechanism's books, and writes but one thing: a suspect whose trial is refused is shut for a moment. What identifies a txn to all is its customer, its key (its hint and size
-where it has none) and its scheme, by the charter's numbers; workers go by the lot drawn from their name. List calls
-are told to the budget but never refused: rule 3 needs no other dispatcher.
+where it has none) and its scheme, by the charter's numbers; workers share a few budgets by the lot drawn from
+their name. List calls ask none: rule 3 needs no other dispatcher.
 """
 
 from __future__ import annotations
@@ -18,6 +18,12 @@
     from pathsaddle.choice import Choice
 
 VERDICTS = 4096  # of txns that are open
+PLACES = 4  # budgets that workers have of each kind: a charter deals them by name before it knows any worker
+
+
+def place(worker: Worker) -> str:
+    """Whose budget it is, alike at all members; workers that share one are together bound by what bounds each."""
+    return f"w{worker.lot % PLACES}"
 
 
 class Beside:
@@ -70,14 +76,14 @@
 
     def goes_out(self, txn: Txn, worker: Worker, choice: Choice) -> bool:
         kind = kind_of(bool(txn.postings), choice.books[worker].suspect)
-        if not kind or self.core.goes_out(kind, str(worker.lot), choice.now):
+        if not kind or self.core.goes_out(kind, place(worker), choice.now):
             return True
         if kind == budgets.TRIAL:  # it would be the least again: for a moment the next one is
             choice.books[worker].shut_until = choice.now + SECOND // 10
         return False
 
     def may_look(self, worker: Worker, choice: Choice) -> bool:
-        return self.core.goes_out(budgets.LOOK, str(worker.lot), choice.now)
+        return self.core.goes_out(budgets.LOOK, place(worker), choice.now)
 
     def come_back(self, txn: Txn, choice: Choice) -> int:
         """None where clients take none; what lies past the longest that the deployment allows is not said either, for
--- a/pathsaddle/fleet/overload/budgets.py
+++ b/pathsaddle/fleet/overload/budgets.py
@@ -20,16 +20,21 @@
 
 
 class Budgets:
+    """The limiter raises KeyError for a name that the charter deals nothing for: such a budget binds nothing."""
+
     def __init__(self, limiter: Limiter) -> None:
         self.limiter = limiter
         self.refused: dict[str, int] = dict.fromkeys(KINDS, 0)
 
     def takes(self, kind: str, worker: str | None, now: int) -> bool:
         """The worker's first, which is the narrower: a unit of the fleet's is rarely taken for nothing."""
-        if worker is not None and not self.limiter.takes(f"{kind}:{worker}", 1, now):
-            self.refused[kind] += 1
-            return False
-        if not self.limiter.takes(kind, 1, now):
+        if worker is not None and not self._takes(f"{kind}.{worker}", now) or not self._takes(kind, now):
             self.refused[kind] += 1
             return False
         return True
+
+    def _takes(self, budget: str, now: int) -> bool:
+        try:
+            return self.limiter.takes(budget, 1, now)
+        except KeyError:
+            return True
--- a/pathsaddle/fleet/overload/gate.py
+++ b/pathsaddle/fleet/overload/gate.py
@@ -24,7 +24,7 @@
 from pathsaddle.fleet.overload.word import TELLS, Word, packed, read, short
 from pathsaddle.trade import SECOND
 
-Row = tuple[str, int, int, bytes, tuple[int, int]]  # name, life, version, body, how old at the least and at most
+Row = tuple[str, int, int, bytes, tuple[int, int | None]]  # name, life, version, body, age at the least, at most
 REMEMBERS = SECOND  # over what time offered work is averaged
 WAKES = SECOND // 10
 LEAST, LINE, IDLE = 0.5, 0.4, 0.06  # trims' floor; waiting jobs a slot that are a line; free slots that are idle
@@ -115,13 +115,14 @@
 
     def hears(self, rows: Iterable[Row], now: int) -> None:
         """The others' records as the fleet's layer has them. A record counts for STALE from when it was written at the
-        latest, by the greater of its ages: who is not heard has its part, and nothing said of it is taken for word."""
-        for name, life, version, body, (_, oldest) in rows:
+        earliest, or from when it came where nobody answers for that: who is not heard has its part, and nothing said of
+        it is taken for word. An age too low makes a level older, and breaks no bound."""
+        for name, life, version, body, (youngest, oldest) in rows:
             held = self.heard.get(name)
             if name == self.name or held is not None and (life, version) <= held[:2]:
                 continue
             try:
-                self.heard[name] = (life, version, read(body), now - oldest)
+                self.heard[name] = (life, version, read(body), now - (youngest if oldest is None else oldest))
             except BadWord:
                 continue
 
--- a/pathsaddle/fleet/overload/smoke.py
+++ b/pathsaddle/fleet/overload/smoke.py
@@ -79,9 +79,9 @@
         parts = [row["earned"] / row["offered"] for row in mine]
 
         def mean(name: str, of: list[dict[str, Any]] = mine) -> float:
-            return sum(row[name] for row in of) / len(of)
+            return sum(float(row[name]) for row in of) / len(of)
         backs = [row["back"] for row in mine]
-        back = "never" if min(backs) < 0 else f"{max(backs):.2f}"
+        back = "-" if min(backs) < -1 else "never" if min(backs) < 0 else f"{max(backs):.2f}"
         cut = f"{min(row['cut'] for row in mine):.3f}" if "cut" in mine[0] else "-"
         print(f"{plan.name:<14}{sum(parts) / len(parts):>8.3f}{f'{min(parts):.3f}..{max(parts):.3f}':>15}"
               f"{mean('on_time') / mean('offered'):>9.3f}{mean('inverted') / mean('offered'):>10.3f}{mean('least'):>7.2f}"
