--- /dev/null
+++ b/pathsaddle/fleet/overload/driver.py
@@ -0,0 +1,47 @@
+"""The thin driver of a gate: its moments, and its records by the layer that carries what members share."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from pathsaddle.fleet.driver import Fellows
+from pathsaddle.fleet.overload.gate import Gate
+from pathsaddle.net.service.clock import seconds
+from pathsaddle.trade import SECOND
+
+TOPIC = "load"
+TELLS = SECOND // 2  # rarer among many, so that what all tell stays the same
+
+
+class Levels:
+    """One process's gate in its fleet. `before`: called before each of its moments, to tell it what was seen; `after` it,
+    with the level as it stands."""
+
+    def __init__(self, fellows: Fellows, gate: Gate, before: Callable[[], None], after: Callable[[], None]) -> None:
+        assert fellows.shared is not None, "a charter with [fleet.budgets] has shared state"
+        self.fellows, self.shared, self.gate = fellows, fellows.shared, gate
+        self.before, self.after = before, after
+        self.tell_due = 0
+        self._alarm: asyncio.TimerHandle | None = None
+
+    def begin(self) -> None:
+        self._events = asyncio.get_running_loop()
+        self._wake()
+
+    def end(self) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+
+    def _wake(self) -> None:
+        now = self.fellows.clock.now()
+        self.before()
+        rows = ((shown.member, shown.life, shown.version, shown.body, (shown.least, shown.most))
+                for shown in self.shared.carry.records(TOPIC, now))
+        self.gate.hears(rows, now)
+        due = self.gate.wake(now)
+        self.after()
+        if now >= self.tell_due:
+            self.tell_due = now + max(TELLS, TELLS * self.gate.ways.members // 64)
+            self.shared.carry.put(TOPIC, self.gate.word(now), now)
+        self._alarm = self._events.call_later(max(0.0, seconds(due - now)), self._wake)
--- a/pathsaddle/fleet/overload/gate.py
+++ b/pathsaddle/fleet/overload/gate.py
@@ -30,6 +30,7 @@
 LEAST, LINE, IDLE = 0.5, 0.4, 0.06  # trims' floor; waiting jobs a slot that are a line; free slots that are idle
 DOWN, UP = 0.04, 0.02  # what a wake may change a trim by
 HEARD = 0.9  # of all parts: less is a fleet cut in two, or half of it dead, which nobody can tell apart
+MORE = 1.25  # over its share by less than that is what chance brings in a second
 KNOWN = 2048  # declined txns that are remembered
 
 
@@ -165,7 +166,8 @@
             rate = sums.customers.get(self.shorts_of[who], 0.0)
             ratios[who] = rate / (allowance * min(1.0, sums.heard * max(1.0, sums.trim)))
         scale = max(1.0, middle(ratios.values()))
-        self.overs = {who: 1.0 - scale / ratio for who, ratio in ratios.items() if ratio > scale}
+        most = MORE * scale
+        self.overs = {who: 1.0 - most / ratio for who, ratio in ratios.items() if ratio > most}
 
     def learns(self, sums: Sums) -> None:
         """The trim: what its own postings meet, against what the sums said. It moves by steps, and up only
@@ -185,7 +187,10 @@
     # The question, and its answer.
 
     def lets_in(self, ask: Ask, now: int) -> Verdict:
-        """Asked once for each try, before its first posting."""
+        """Asked once for each try, before its first posting. Who stood still goes by what it knows now, not by what it
+        worked out before: words have aged meanwhile."""
+        if now - self.now > 5 * self.every:
+            self.wake(now)
         place, period = drawn(self.ways.secret, ask, now)
         over = False
         if ask.customer in self.overs:
