--- a/pathsaddle/fleet/overload/level.py
+++ b/pathsaddle/fleet/overload/level.py
@@ -8,7 +8,8 @@
 of a mean clipped to half and twice the middle one.
 Bound (pace): in any second a level rises by at most RISES and falls by at most FALLS bands.
 Bound (turns): while the sums call for a level within DEAD of the one that stands, it stands; within DEAD over the root
-of the part heard, where that is not the whole: ten times as far where it is a hundredth.
+of the part heard, where that is not the whole: ten times as far where it is a hundredth. It moves slower by that root as
+well, to a quarter.
 
 Whoever is not heard keeps its part of what can be served: the rest share theirs, and what trims teach them above it.
 """
@@ -103,5 +104,6 @@
         self.at = max(self.at, now)
         off = target - self.stands
         if abs(off) > DEAD / max(0.001, heard) ** 0.5 or target == 0.0:
+            spent *= max(0.25, heard ** 0.5)
             self.stands += min(RISES * spent, max(-FALLS * spent, off))
         return self.stands
