Real processes also try a sick worker in one moment, one of them heard by nobody

Need: trials that are due at all members at once, and a cut one way while shares move, were played on the virtual ground alone.

--- a/pathsaddle/emulator/overload/ground.py
+++ b/pathsaddle/emulator/overload/ground.py
@@ -340,7 +340,7 @@
             one.closed = True
             self.again(one, 0)
 
-    def again(self, one: Try, advised: int) -> None:
+    def again(self, one: Try, advised: int, period: int = 0) -> None:
         job, plan = one.job, self.plan
         backoff = SECOND // 2 << min(job.tries - 1, 4)
         # Without advice it goes by its own, as clients do: doubling, and spread unless the plan says otherwise.
@@ -354,7 +354,7 @@
         def comes() -> None:
             if advised:
                 self.events.add(self.now, "shed.back", who="c", txn=f"{job.number}/{job.tries + 1}",
-                                customer=job.customer, key=job.key, scheme=f"s{job.scheme}", period=0,
+                                customer=job.customer, key=job.key, scheme=f"s{job.scheme}", period=period,
                                 declined=declared, until=declared + advised, obeys=True)
             self.tries(job, at)
         self.after(wait, comes)
@@ -372,7 +372,8 @@
         self.events.add(self.now, "shed.out", who=member.name, txn=one.name, customer=ask.customer, key=ask.key,
                         scheme=ask.scheme, period=decided.period, standing=decided.stands, level=decided.level,
                         wait=decided.come_back, why=decided.why, over=decided.over, work=ask.work)
-        self.after(WAY, lambda: self.again(one, decided.come_back) if not one.job.over else None)
+        self.after(WAY, lambda: None if one.job.over else self.again(
+            one, decided.come_back, decided.period))
 
     def reaches(self, member: int, worker: int) -> bool:
         return self.workers[worker].up and not (member in self.sick and worker % 3 == 0)
--- a/pathsaddle/emulator/overload/member.py
+++ b/pathsaddle/emulator/overload/member.py
@@ -88,15 +88,27 @@
             if chance.random() < FAILS and self.gate.goes_out(budgets.REPEAT, worker, now):
                 self.log(now, "post.sent", post=f"{txn}/2", txn=txn, worker=worker, kind="repeat")
 
+    async def trials(self) -> None:
+        """A worker that all have failed at, and all want to try again in the same moment: each whole second."""
+        while True:
+            await asyncio.sleep((SECOND - self.fellows.clock.now() % SECOND) / SECOND)
+            now = self.fellows.clock.now()
+            if self.gate.goes_out(budgets.TRIAL, "w1", now):
+                self.count += 1
+                self.log(now, "post.sent", post=f"{self.name}/t{self.count}", txn=f"{self.name}/t{self.count}",
+                         worker="w1", kind="trial")
+
     async def run(self) -> None:
         loop = asyncio.get_running_loop()
         loop.add_reader(sys.stdin.fileno(), self.told_more)
         self.fellows.begin()
         self.levels.begin()
         self.log(self.fellows.clock.now(), "member.began", life=self.fellows.life)
+        trials = loop.create_task(self.trials())
         while self.rate > 0:
             await asyncio.sleep(self.chance.expovariate(self.rate))
             self.offers()
+        trials.cancel()
         self.levels.end()
         self.fellows.end()
 
--- a/pathsaddle/emulator/overload/processes.py
+++ b/pathsaddle/emulator/overload/processes.py
@@ -1,7 +1,7 @@
 """Members as real processes at twice capacity, with what is between them broken, and their logs judged together.
 
 A third hears nothing for a while; the one with the most load is stopped for longer than a lease and wakes with an old
-level; half are killed, and what they were offered comes to the rest. Faults are the ground's: relays, SIGSTOP, SIGKILL.
+level, and meanwhile one is heard by nobody though it hears all; half are killed, and what they were offered comes to the rest. Faults are the ground's: relays, SIGSTOP, SIGKILL.
 `python -m pathsaddle.emulator.overload.processes` prints what broke and ends with 0 only if nothing did.
 """
 
@@ -30,7 +30,7 @@
 
 MEMBERS, COULD, LEASE = 9, 12.0, 3 * SECOND
 RATE = 2 * COULD / 0.2 / (MEMBERS + 2)  # txns a second, each; the first one has three times as much
-BUDGETS = {"repeat": 12, "look": 40, "repeat.w0": 6, "look.w0": 15, "look.w1": 15}
+BUDGETS = {"repeat": 12, "look": 40, "trial": 4, "repeat.w0": 6, "look.w0": 15, "look.w1": 15, "trial.w1": 3}
 RETURNS = 12.0
 
 
@@ -98,7 +98,11 @@
         await until(times.stop[0])
         mark("fault", kind="stall", long=int((times.stop[1] - times.stop[0]) * SECOND), members=names[:1])
         processes["d0"].send_signal(signal.SIGSTOP)
+        oneway = Blight(frozenset(["d1"]), frozenset(names[2:]), oneway=True, lost=1.0)
+        mark("fault", kind="cut", long=int((times.stop[1] - times.stop[0]) * SECOND), members=["d1"], oneway=True)
+        air.blights[oneway] = None
         await until(times.stop[1])
+        air.blights.pop(oneway)
         processes["d0"].send_signal(signal.SIGCONT)
         await until(times.kill)
         half = names[-(MEMBERS // 2):]
@@ -137,7 +141,7 @@
     for bound, at, what in judge.found[:20]:
         print(f"BROKEN {bound} at {at / SECOND:.2f} s: {what}")
     figures = judge.figures
-    print(f"{MEMBERS} processes, {len(rows)} events, {figures.postings} postings, {figures.repeats} repeats, "
+    print(f"{MEMBERS} processes, {len(rows)} events, {figures.postings} postings, {figures.repeats} repeats, {figures.trials} trials, "
           f"{figures.looks} looks, {figures.declined} declined, widest inversion {figures.widest:.2f} bands, "
           f"{figures.turns} turns, {figures.most_returns} returns in a second, {figures.bytes:.0f} B/s each")
     return 1 if judge.found else 0
--- a/tests/test_overload_processes.py
+++ b/tests/test_overload_processes.py
@@ -26,6 +26,8 @@
         self.assertTrue(any(event.more["who"] == "d0" and event.at > 19 * SECOND for event in rows
                             if event.what == "shed.in"))
         self.assertGreater(judge.figures.repeats, 50)
+        # All want to try a worker again in the same moment, each second: three a second may.
+        self.assertGreater(judge.figures.trials, 20)
 
 
 if __name__ == "__main__":
