Who comes before its time while a level stands waits out what it was told

Need: advice that need not be kept bunches returns, and what was declined here would try the next moment.

--- a/pathsaddle/fleet/overload/gate.py
+++ b/pathsaddle/fleet/overload/gate.py
@@ -211,10 +211,11 @@
                 self.customers.setdefault(ask.customer, Fading(now)).add(ask.work, now)
         # While the fleet sheds, what can't be in time goes first, also where late answers earn something: at 2x it took
         # the room of what could be (0.81 of the value for 0.84, one that sees all, emulated). Else the mechanism decides.
-        if stands >= level and (ask.left >= ask.run or level == 0.0 and ask.late > 0.0):
+        # Who comes before its time while a level stands waits out what it was told: advice that need not be kept bunches.
+        if stands >= level and (level == 0.0 and ask.late > 0.0 or ask.left >= ask.run) and not (early and level > 0.0):
             self.known.pop(mark, None)
             return Verdict(True, stands, level, over, period=period)
-        why = "level" if stands < level else "late"
+        why = "level" if stands < level else "early" if early else "late"
         if early:
             return Verdict(False, stands, level, over, self.known[mark] - now, why, period)
         wait = self.advises(ask, now)
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -212,6 +212,16 @@
         self.assertEqual((False, wait - 100), (again.let, again.come_back))
         self.assertLessEqual(sum(fading.sum for fading in gate.offered), offered)
 
+    def test_one_that_comes_before_its_time_waits_it_out_while_a_level_stands_and_no_longer(self) -> None:
+        gate = self.gate()
+        self.crowd(gate, 0)
+        now = self.stands(gate, 0, 2)
+        low = next(a for n in range(99) if not gate.lets_in(a := ask(0.2, key=f"k{n}"), now).let)
+        gate.level.stands = 0.1
+        self.assertEqual((False, "early"), ((given := gate.lets_in(low, now + 10)).let, given.why))
+        gate.level.stands = 0.0
+        self.assertTrue(gate.lets_in(low, now + 20).let)
+
     def test_words_that_age_are_worth_nothing_and_an_older_version_changes_nothing(self) -> None:
         gate = self.gate()
         self.crowd(gate, 0, version=7)
