--- a/pathsaddle/net/service/logbook.py
+++ b/pathsaddle/net/service/logbook.py
@@ -71,6 +71,7 @@
 fault_member = line("fault-member", "ERROR", "fault in the membership at {step}: {why}; {then}")
 fault_control = line("fault-control", "ERROR", "fault in an answer at the control address: {why}; its asker is told, "
                      "others are answered")
+fault_level = line("fault-level", "ERROR", "fault in the level of overload: {why}; it is tried again half a second later")
 fault_hearer = line("fault-hearer", "ERROR", "fault in what hears of members, at {member}: {why}; the membership "
                     "goes on")
 fleet_budget = line("fleet-budget", "INFO", "fleet budget={budget} now={now} usable={usable}: {why}")
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -7,7 +7,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 ABOVE = ("emulator", "experiment")  # and `cli`, which nobody but `__main__` takes
-RUNS = ("emulator.judges", "emulator.stage", "emulator.membership")
+RUNS = ("emulator.judges", "emulator.stage", "emulator.membership", "emulator.state", "emulator.overload",
+        "emulator.placement")
 # Of each part: what it may not import, wherever in its source the import stands.
 BELOW = {
     "trade": ("net", "fleet", "jobs", "charter", *ABOVE),
@@ -16,6 +17,8 @@
     "net": ("fleet", *ABOVE),
     "fleet": ABOVE,
     "jobs": ABOVE,
+    "histories": ("net", "fleet", "jobs", "charter", "emulator.ground", "emulator.served", "emulator.faults", *RUNS),
+    "placement": ("emulator.ground", "emulator.served", "emulator.faults", "experiment", *RUNS),  # it writes events
     "charter": ABOVE,
     "emulator": ("experiment",),
     "emulator.ground": ("emulator.served", "emulator.faults", "emulator.plan", *RUNS),
