Federation: the spec checked whole, versions in force by rule, the region's choice

Weighed: a keeper that grants leases and remembers them (its successor must wait out what it granted, two at once need a fence) against leases that prove a reading of the register made after the asking: nobody need remember a grant, several keepers do no harm. Built is the second. A version that withdraws a home waits for each word.

--- /dev/null
+++ b/pathsaddle/federation/lend.py
@@ -0,0 +1,93 @@
+"""What a region lends to foreigners: only what is free, its own jobs first, by shares on lease.
+
+Bound: at no instant may all members of a region together take on more foreign jobs in a second than its
+budget (`lend` of its capacity), whatever is lost, doubled or late (`fleet.state.shares`); none is taken on
+while own ones wait for room.
+
+Each member has its part of the budget, and lends what it doesn't want to its fellows. A second is counted as
+it slides: what was used in the last one is not lent on, and of what was borrowed only loans that run for a
+further second count, so that no unit is used by two within one second. What doesn't fit is declined, which
+proves to its sender that nothing ran.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from dataclasses import dataclass
+
+from pathsaddle.federation.spec import Rule
+from pathsaddle.fleet.state.shares import Lend, State, Want, born
+from pathsaddle.trade import SECOND
+
+LEASE = 4 * SECOND  # of a loan among members
+
+
+@dataclass(frozen=True)
+class Free:
+    """The region's own workers as this member last had it. foreign: how many jobs of others they run; of: by
+    scheme."""
+
+    slots: int
+    waiting: int
+    foreign: int
+    of: dict[str, int]
+
+
+class Lender:
+    """One member's part in it. No I/O; `out` is what it says to its fellows."""
+
+    def __init__(self, name: str, life: int, part: int, now: int) -> None:
+        self.shares: State = born(name, life, part, LEASE, now)
+        self.used: deque[int] = deque()
+        self.wanted = 0  # declined for want of a share since the last asking
+        self.out: list[Want | Lend] = []
+
+    def _spent(self, now: int) -> int:
+        while self.used and self.used[0] <= now - SECOND:
+            self.used.popleft()
+        return len(self.used)
+
+    def usable(self, now: int) -> int:
+        """In any second from now on."""
+        held = sum(row[3].units for row in self.shares.held if now + SECOND < row[3].until)
+        return self.shares.own(now) + held
+
+    def until(self, now: int) -> tuple[int, int]:
+        """Until when that stands if nothing more is heard, and what stands after."""
+        ends = [row[3].until - SECOND for row in self.shares.held if now + SECOND < row[3].until]
+        return (min(ends) if ends else 1 << 60), self.shares.own(now)
+
+    def asked(self, scheme: str, rule: Rule, here: str, free: Free, now: int) -> str:
+        """Whether a foreign job is taken on now: an empty text, or why not."""
+        if here not in rule.may:
+            return "residency"
+        if free.waiting:
+            return "own-first"
+        if free.slots <= 0 or free.of.get(scheme, 0) + 1 > rule.at_most * (free.slots + free.foreign):
+            return "no-room"
+        if self._spent(now) >= self.usable(now):
+            self.wanted += 1
+            return "no-share"
+        self.used.append(now)
+        return ""
+
+    def asks(self, now: int) -> None:
+        """Now and then: for what was missed."""
+        if self.wanted:
+            self.shares, want = self.shares.want(self.wanted, now)
+            self.wanted = 0
+            self.out.append(want)
+
+    def hears(self, said: Want | Lend, now: int) -> None:
+        if isinstance(said, Lend):
+            self.shares = self.shares.lent_by(said, now)
+            return
+        spare = self.shares.own(now) - self._spent(now) - self.wanted
+        self.shares, lend = self.shares.asked_by(said, spare, now)
+        if lend is not None:
+            self.out.append(lend)
+
+
+def parts(budget: int, members: int) -> list[int]:
+    """Whole units that add up to the budget."""
+    return [budget * (i + 1) // members - budget * i // members for i in range(members)]
--- /dev/null
+++ b/pathsaddle/federation/versions.py
@@ -0,0 +1,296 @@
+"""Versions of the spec by rule, not by arrival: what a member may do, and when a tightening is in force.
+
+Bound: at no instant after a version was told to be in force is a job posted to, or data read in, a region
+that it forbids, unless a later version that allows it was committed before; whatever is lost, doubled, late,
+whoever stops, restarts, or is cut off, as long as no clock runs off by more than DRIFT.
+
+Why. A version has a number from a register that only grows, and the digest of its text; that is all that is
+needed of the register. Whoever goes by more than home alone holds a lease: somebody has read the register
+*after* it asked, and the lease counts from before the asking, by a clock taken to be slow. So once a number
+is committed, no lease on a lower one outlasts `surely` of a lease from then, whoever dies, and nobody need
+remember what was granted: several keepers at once do no harm. What is offered and not committed binds as far
+as it narrows, at once, and allows nothing. So a loosening waits for its commit, and a tightening doesn't.
+
+In force sooner than a lease from its commit: when all who could act on an older one say that they have it
+*committed*. A word of having the mere offer proves nothing: its sayer may start again from an older disk and
+be granted the older number once more, before the commit. After it every reading gives the new one.
+
+Home alone holds without a lease. So a version that forbids what an older one has as home can't be in force
+by the end of
+leases: each member of that region has to say so, and keeps what it said on disk, synced before. No I/O;
+  ticks of a
+monotonic clock of each.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field, replace
+
+from pathsaddle.federation.spec import Rule, Spec
+from pathsaddle.fleet.state.shares import DRIFT
+
+LEASE = 100_000  # ticks
+MOST_OPEN = 8  # askings that may still be answered
+
+
+def surely(lease: int) -> int:
+    """A lease's length by a clock that may be fast: over by then for certain."""
+    return -int(-lease * (1 + DRIFT) // 1) + 1
+
+
+def maybe(lease: int) -> int:
+    """And by one that may be slow: not over until then for certain."""
+    return int(lease * (1 - 2 * DRIFT)) - 1
+
+
+@dataclass(frozen=True)
+class Version:
+    number: int
+    digest: str
+    spec: Spec = field(compare=False, repr=False)
+
+
+@dataclass(frozen=True)
+class Offer:
+    """A text that may become the version of that number."""
+
+    version: Version
+
+
+@dataclass(frozen=True)
+class Commit:
+    """The register has this number with this digest, or a higher one."""
+
+    number: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class Have:
+    """`name` goes by this number, and knows that it is committed."""
+
+    name: str
+    number: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class Ask:
+    """Asks what is committed. echo: grows with each asking of a life."""
+
+    name: str
+    life: int
+    echo: int
+
+
+@dataclass(frozen=True)
+class Renewed:
+    """What the register had after that asking came."""
+
+    name: str
+    life: int
+    echo: int
+    number: int
+    digest: str
+
+
+@dataclass(frozen=True)
+class Holder:
+    """What one member knows; never changed, only replaced.
+
+    base: the highest committed version whose text it has. known: (number, digest) of the highest committed.
+    offers: of higher numbers than known. until: of its own clock, the end of its lease; a new life has none.
+    """
+
+    name: str
+    here: str
+    life: int
+    lease: int
+    base: Version
+    known: tuple[int, str]
+    offers: tuple[Version, ...] = ()
+    until: int = -1 << 60
+    echo: int = 0
+    open: tuple[tuple[int, int], ...] = ()
+
+    def asks(self, now: int) -> tuple[Holder, Ask]:
+        echo = self.echo + 1
+        return replace(self, echo=echo, open=(*self.open, (echo, now))[-MOST_OPEN:]), Ask(self.name, self.life, echo)
+
+    def offered(self, version: Version) -> Holder:
+        """Binds at once as far as it narrows; is kept until a commit settles its number."""
+        if version in self.offers or version.number <= self.base.number:
+            return self
+        if version.number <= self.known[0]:  # settled already: it is the one committed, or it is nothing
+            return replace(self, base=version) if (version.number, version.digest) == self.known else self
+        return replace(self, offers=(*self.offers, version))
+
+    def committed(self, number: int, digest: str) -> Holder:
+        if number <= self.known[0]:
+            return self
+        base = next((one for one in self.offers if (one.number, one.digest) == (number, digest)), self.base)
+        return replace(self, known=(number, digest), base=base,
+                       offers=tuple(one for one in self.offers if one.number > number))
+
+    def told(self, commit: Commit) -> tuple[Holder, Have | None]:
+        """Keep what it returns on disk, synced, before the word is sent."""
+        after = self.committed(commit.number, commit.digest)
+        return after, after.has()
+
+    def has(self) -> Have | None:
+        if (self.base.number, self.base.digest) != self.known:
+            return None
+        return Have(self.name, *self.known)
+
+    def renewed(self, told: Renewed, now: int) -> Holder:
+        asked = dict(self.open).get(told.echo)
+        if asked is None or (told.name, told.life) != (self.name, self.life) or told.number < self.known[0]:
+            return self
+        after = self.committed(told.number, told.digest)
+        until = asked + maybe(self.lease)
+        if until <= self.until and after is self:
+            return self
+        return replace(after, until=max(self.until, until),
+                       open=tuple(row for row in self.open if row[0] > told.echo))
+
+    def leased(self, now: int) -> bool:
+        """Whether it may go by more than home alone now; asked before each use."""
+        return (now < self.until and (self.base.number, self.base.digest) == self.known
+                and self.name in self.base.spec.regions[self.here].members
+                if self.here in self.base.spec.regions else False)
+
+    def rule(self, scheme: str, now: int) -> Rule:
+        """The narrowest of what is known; home alone without a lease."""
+        rule = self.base.spec.rule(scheme, self.here)
+        for offer in self.offers:
+            rule = rule.narrowed(offer.spec.rule(scheme, self.here))
+        return rule if self.leased(now) else rule.alone()
+
+    def may_read(self, data: str, region: str) -> bool:
+        """Where data may be read, likewise; a txn's own rule says where that txn may be."""
+        return all(region in one.spec.readable(data) for one in (self.base, *self.offers))
+
+
+def holder(name: str, here: str, life: int, lease: int, version: Version) -> Holder:
+    """A life begins with the version that its disk has: any committed one."""
+    return Holder(name, here, life, lease, version, (version.number, version.digest))
+
+
+@dataclass(frozen=True)
+class Keeper:
+    """Reads the register for others and tells what is in force; holds no right that another keeper lacks.
+
+    history: the texts of committed versions that it knows. since: when it learnt of the highest. rows:
+    (member, highest number that it said to have). force: the highest number told to be in force.
+    """
+
+    lease: int
+    born: int
+    known: tuple[int, str] = (0, "")
+    history: tuple[Version, ...] = ()
+    since: int = 0
+    rows: tuple[tuple[str, int], ...] = ()
+    force: int = 0
+
+    def reads(self, number: int, digest: str, version: Version | None, now: int) -> Keeper:
+        """What the register has now, with the text where it is at hand."""
+        history = self.history
+        if version is not None and version not in history and (version.number, version.digest) == (number, digest):
+            history = tuple(sorted((*history, version), key=lambda one: one.number))
+        if number > self.known[0]:
+            return replace(self, known=(number, digest), since=now, history=history)
+        return replace(self, history=history) if history is not self.history else self
+
+    def answers(self, ask: Ask) -> Renewed:
+        """After a reading of the register that began after the asking came."""
+        return Renewed(ask.name, ask.life, ask.echo, *self.known)
+
+    def hears(self, have: Have) -> Keeper:
+        if (have.number, have.digest) != self.known and not any(
+                (one.number, one.digest) == (have.number, have.digest) for one in self.history):
+            return self
+        rows = dict(self.rows)
+        if rows.get(have.name, 0) >= have.number:
+            return self
+        rows[have.name] = have.number
+        return replace(self, rows=tuple(sorted(rows.items())))
+
+    def waits_for(self, now: int) -> tuple[str, ...]:
+        """The members without whose word, or before whose lease's end, the highest version is not in force;
+        "?" where this keeper does not know all versions that somebody may go by."""
+        number = self.known[0]
+        if not self.history or (self.history[-1].number, self.history[-1].digest) != self.known:
+            return ("?",)
+        whole = [one.number for one in self.history] == list(range(1, number + 1))
+        over = now >= self.since + surely(self.lease)
+        if not whole:
+            return ("?",)
+        new = self.history[-1].spec
+        told = dict(self.rows)
+        names: dict[str, str] = {}
+        for one in self.history:
+            names.update(one.spec.members())
+        late = []
+        for name, here in sorted(names.items()):
+            has = told.get(name, 0)
+            if has >= number:
+                continue
+            if not over or any(withdrawn(one.spec, new, here) for one in self.history[:-1] if one.number >= has):
+                late.append(name)
+        return tuple(late)
+
+    def judged(self, now: int) -> Keeper:
+        if self.force < self.known[0] and not self.waits_for(now):
+            return replace(self, force=self.known[0])
+        return self
+
+
+@dataclass(frozen=True)
+class Change:
+    """region: which is allowed no more, or newly; empty where another right of the scheme differs. key:
+    which."""
+
+    scheme: str
+    region: str
+    key: str
+    tightens: bool
+
+
+def compared(old: Spec, new: Spec) -> list[Change]:
+    """All that `new` takes away or gives, in the order of schemes and regions. Order of failing over,
+    home and copies are no
+    rights: they change with the commit, like a loosening."""
+    found = []
+    for name in sorted({**old.schemes, **new.schemes}):
+        if name not in old.schemes or name not in new.schemes:
+            # Outside a spec it stays where it was taken: with it each region but its own is given or taken.
+            inside = (new if name in new.schemes else old).rule(name, "")
+            found += [Change(name, region, "scheme", name not in new.schemes) for region in sorted(inside.may)]
+            found += [Change(name, region, "scheme", name in new.schemes)
+                      for region in sorted(new.regions) if region not in inside.may]
+            continue
+        one, two = old.rule(name, ""), new.rule(name, "")
+        found += [Change(name, region, "may", region in one.may) for region in sorted(one.may ^ two.may)]
+        found += [Change(name, "", f"when.{word}", word in one.when) for word in sorted(one.when ^ two.when)]
+        if one.at_most != two.at_most:
+            found.append(Change(name, "", "at_most", two.at_most < one.at_most))
+        if one.staleness != two.staleness:
+            far = 1 << 60
+            found.append(Change(name, "", "staleness", (far if two.staleness is None else two.staleness)
+                                < (far if one.staleness is None else one.staleness)))
+    for name in sorted({**old.data, **new.data}):
+        found += [Change(f"data.{name}", region, "may", region in old.readable(name))
+                  for region in sorted(old.readable(name) ^ new.readable(name))]
+    return found
+
+
+def withdrawn(old: Spec, new: Spec, here: str) -> bool:
+    """Whether somebody in `here` that hears nothing would, by `old`, post to what `new` forbids."""
+    return any(not old.rule(name, here).alone().may <= new.rule(name, here).may
+               for name in {**old.schemes, **new.schemes})
+
+
+def first_offer(texts: Iterable[Version]) -> int:
+    """The number that the next version is to have."""
+    return max((one.number for one in texts), default=0) + 1
