--- a/pathsaddle/emulator/federation/ground.py
+++ b/pathsaddle/emulator/federation/ground.py
@@ -1,6 +1,8 @@
-"""The ground under three regions: one heap of moments, ways that are slow, lossy, cut or flapping, clocks that run off.
+"""The ground under three regions: one heap of moments, ways that are slow, lossy, cut or flapping, clocks
+that run off.
 
-Deterministic: all chance comes from one Random, same seed, same events. Times in ticks; `Clock` is a member's own.
+Deterministic: all chance comes from one Random, same seed, same events. Times in ticks; `Clock` is a member's
+own.
 """
 
 from __future__ import annotations
@@ -30,7 +32,8 @@
 
 @dataclass
 class Path:
-    """One direction between two regions. cuts: (from, until, period): down then; with a period: every other of it."""
+    """One direction between two regions. cuts: (from, until, period): down then; with a period: every other
+    of it."""
 
     delay: int
     jitter: int
--- a/pathsaddle/emulator/federation/judge.py
+++ b/pathsaddle/emulator/federation/judge.py
@@ -1,7 +1,9 @@
-"""What a log of a federation shows: bounds that were broken, by name, and what was earned. Reads events alone.
+"""What a log of a federation shows: bounds that were broken, by name, and what was earned. Reads events
+alone.
 
-Knows the vocabulary of histories and nothing of the program: events in true time, as the virtual ground writes them, or of
-processes whose clocks differ by at most `skew` ticks (then only what is sure is a finding).
+Knows the vocabulary of histories and nothing of the program: events in true time, as the virtual ground
+writes them, or of processes whose clocks differ by at most `skew` ticks (then only what is sure is a
+finding).
 """
 
 from __future__ import annotations
@@ -28,7 +30,9 @@
         self.held: dict[str, tuple[int, int]] = {}
         self.offered: dict[str, dict[int, None]] = {}
 
-    def lawful(self, scheme: str, region: str, table: dict[int, dict[str, list[str]]], now: int, skew: int) -> bool:
+    def lawful(
+        self, scheme: str, region: str, table: dict[int, dict[str, list[str]]], now: int, skew: int
+    ) -> bool:
         """Whether the one in force, or one committed after it, allows it."""
         force = self.force if now > self.forced_at + 2 * skew else 0
         return any(number >= force and region in told.get(scheme, [region]) for number, told in table.items())
@@ -138,8 +142,9 @@
 
 
 def earned(events: Iterable[Event], since: int = 0, until: int = FAR) -> dict[str, Any]:
-    """Of txns whose clients came within [since, until): by home region: value offered, value settled in time, what was
-    declined, of value taken at home (`own`) what was settled, and how many were sent abroad, in vain, fetched; all regions together under "all"."""
+    """Of txns whose clients came within [since, until): by home region: value offered, value settled in time,
+    what was declined, of value taken at home (`own`) what was settled, and how many were sent abroad, in
+    vain, fetched; all regions together under "all"."""
     began: dict[str, tuple[int, str, str]] = {}
     regions: dict[str, dict[str, float]] = {}
     counts: Counter[str] = Counter()
@@ -186,8 +191,8 @@
 
 
 def lent(events: Iterable[Event], slots: int, since: int, until: int) -> dict[str, tuple[float, float, int]]:
-    """By region: seconds of its slots that foreigners had within [since, until), that its own left free for them, and how
-    many of theirs began then."""
+    """By region: seconds of its slots that foreigners had within [since, until), that its own left free for
+    them, and how many of theirs began then."""
     began: dict[str, tuple[int, str, bool]] = {}
     own: dict[str, int] = {}
     foreign: dict[str, int] = {}
@@ -202,7 +207,11 @@
         last = event.at
         if event.what == "region.ran":
             runs[event.more["region"]] += event.more["home"] != event.more["region"] and since <= last < until
-            began[event.more["post"]] = (event.at, event.more["region"], event.more["home"] == event.more["region"])
+            began[event.more["post"]] = (
+                event.at,
+                event.more["region"],
+                event.more["home"] == event.more["region"],
+            )
         elif event.what == "work.ended" and event.more["post"] in began:
             ended(event.more["post"], event.at)
         elif event.what == "region.lost":
@@ -216,8 +225,8 @@
 
 
 def turned(events: Iterable[Event], region: str, lost: int, back: int) -> tuple[float, float]:
-    """Seconds from the loss of a region until a job of it settled elsewhere, and from its return until nineteen of
-    twenty of its jobs that began to run within a second did so at home; -1: never."""
+    """Seconds from the loss of a region until a job of it settled elsewhere, and from its return until
+    nineteen of twenty of its jobs that began to run within a second did so at home; -1: never."""
     over = -1.0
     runs: list[tuple[int, bool]] = []
     for event in events:
--- a/pathsaddle/emulator/federation/mutants.py
+++ b/pathsaddle/emulator/federation/mutants.py
@@ -11,8 +11,8 @@
 from typing import Any
 from unittest import mock
 
-from pathsaddle.emulator.federation.plans import COURSES
-from pathsaddle.emulator.federation.world import Piece, Plan, Pool
+from pathsaddle.emulator.federation.plans import COURSES, Plan
+from pathsaddle.emulator.federation.pool import Piece, Pool
 from pathsaddle.federation.lend import Free, Lender
 from pathsaddle.federation.spec import Rule, Spec
 from pathsaddle.federation.versions import Have, Holder, Keeper, Renewed, Version
@@ -102,7 +102,7 @@
     return [mock.patch.object(State, "own", lambda self, now: self.part)]
 
 
-# name -> (patches, the finding by which the world's judge names it, or "model": found by every order of events alone)
+# name -> (patches, the finding by which the judge names it; "model": found by every order of events)
 IN_MODEL = ("loosened-on-arrival", "force-early", "force-by-offer", "lease-by-arrival", "widest")
 MUTANTS: dict[str, tuple[Callable[[], Patches], str]] = {
     "loosened-on-arrival": (_loosened_on_arrival, "loosened-early"),
--- a/pathsaddle/federation/__main__.py
+++ b/pathsaddle/federation/__main__.py
@@ -32,7 +32,9 @@
 def compare_command(old: Path, new: Path) -> None:
     """What the new one takes away and gives."""
     for row in compared(load(old), load(new)):
-        click.echo(f"{'tightens' if row.tightens else 'loosens'}: {row.scheme}.{row.key} {row.region}".rstrip())
+        click.echo(
+            f"{'tightens' if row.tightens else 'loosens'}: {row.scheme}.{row.key} {row.region}".rstrip()
+        )
 
 
 @main.command("commit")
--- a/pathsaddle/federation/check.py
+++ b/pathsaddle/federation/check.py
@@ -94,8 +94,12 @@
         found.append(("the register takes 2", replace(world, register=2)))
     after = read(world.keeper)
     if after is not world.keeper:
-        found.append(("the keeper reads", replace(world, keeper=after,
-                                                  air=world.air | {Commit(committed.number, committed.digest)})))
+        found.append(
+            (
+                "the keeper reads",
+                replace(world, keeper=after, air=world.air | {Commit(committed.number, committed.digest)}),
+            )
+        )
     if world.lives < lives:
         found.append(("another keeper", replace(world, lives=world.lives + 1, keeper=read(Keeper(
             LEASE, now, history=(one,), rows=(("s", 2), ("w", 2)))))))
@@ -137,8 +141,18 @@
             if heard is not world.keeper:
                 found.append((f"the keeper hears {message.name}", replace(world, keeper=heard)))
     for slow in range(-1, len(world.clocks)):
-        found.append((f"a moment, clock {slow} slow" if slow >= 0 else "a moment", replace(world, clocks=tuple(
-            clock + (MOMENT - MOMENT // SLOW if i == slow else MOMENT) for i, clock in enumerate(world.clocks)))))
+        found.append(
+            (
+                f"a moment, clock {slow} slow" if slow >= 0 else "a moment",
+                replace(
+                    world,
+                    clocks=tuple(
+                        clock + (MOMENT - MOMENT // SLOW if i == slow else MOMENT)
+                        for i, clock in enumerate(world.clocks)
+                    ),
+                ),
+            )
+        )
     return found
 
 
--- a/pathsaddle/federation/disk.py
+++ b/pathsaddle/federation/disk.py
@@ -1,8 +1,8 @@
 """Files: what a member goes by, synced before it says so; and a register for one machine.
 
-`FolderRegister` is one voter: a file a number, made by a link that fails where the number is taken. Whoever wants the
-register to outlast a machine puts another in its place: `read` (a number and a digest, and the text) and `commit` (only if the number
-is free) are all that is asked of it.
+`FolderRegister` is one voter: a file a number, made by a link that fails where the number is taken. Whoever
+wants the register to outlast a machine puts another in its place: `read` (a number and a digest, and the
+text) and `commit` (only if the number is free) are all that is asked of it.
 """
 
 from __future__ import annotations
@@ -49,11 +49,13 @@
         try:
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as fault:
-            raise NoWay(f"{folder} can't be made: {fault}", f"give members.{name}.disk a folder that may be written"
-                        ) from None
+            raise NoWay(
+                f"{folder} can't be made: {fault}", f"give members.{name}.disk a folder that may be written"
+            ) from None
 
     def last(self) -> Version | None:
-        """What can't be read counts as not there: an older one, or the first, goes, and home alone till a lease."""
+        """What can't be read counts as not there: an older one, or the first, goes, and home alone till a
+        lease."""
         for path in sorted(self.folder.glob(f"{self.name}-*.toml"), reverse=True):
             # A cut or changed file of ours is never a reason not to start.
             with contextlib.suppress(OSError, ValueError, FederationFault):
@@ -76,7 +78,9 @@
         try:
             folder.mkdir(parents=True, exist_ok=True)
         except OSError as fault:
-            raise NoWay(f"{folder} can't be made: {fault}", "give `register` a folder that may be written") from None
+            raise NoWay(
+                f"{folder} can't be made: {fault}", "give `register` a folder that may be written"
+            ) from None
 
     def read(self) -> list[Version]:
         """All that is committed, lowest first. Raises OSError."""
@@ -91,7 +95,10 @@
         path = self.folder / f"{version.number:09}.toml"
         have = self.read()
         if version.number != (have[-1].number if have else 0) + 1:
-            raise Outrun(f"{version.number} is not the next number", "read what was committed meanwhile and commit again")
+            raise Outrun(
+                f"{version.number} is not the next number",
+                "read what was committed meanwhile and commit again",
+            )
         new = self.folder / f"new.{os.getpid()}"
         synced(new, version.spec.text.encode())
         try:
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -1,7 +1,7 @@
 """The thin drivers: datagrams between a socket and the cores, timers, the disk before the word, the log.
 
-A fault inside a core is caught here, logged as `driver.fault` with its type and text, and the driver goes on: what that datagram
-would have changed is not changed, which is the same as if it had been lost.
+A fault inside a core is caught here, logged as `driver.fault` with its type and text, and the driver goes on:
+what that datagram would have changed is not changed, which is the same as if it had been lost.
 """
 
 from __future__ import annotations
@@ -73,9 +73,9 @@
 class GroundForm(msgspec.Struct, kw_only=True):
     """Who there is.
 
-    key: the secret of all of them, at least 16 characters. lease: on the spec. register: a folder that all keepers and
-    committers see. spec: the first version. members, keepers: by name. log: a folder for histories. drill: jobs without
-    work that each member sends a second, to prove the bound.
+    key: the secret of all of them, at least 16 characters. lease: on the spec. register: a folder that all
+    keepers and committers see. spec: the first version. members, keepers: by name. log: a folder for
+    histories. drill: jobs without work that each member sends a second, to prove the bound.
     """
 
     key: str
@@ -95,7 +95,9 @@
     except Faulty as fault:
         raise SpecFaulty(path, [str(one) for one in fault.faults]) from None
     if len(ground.key) < 16:
-        raise BadKey(f"{path}: key has {len(ground.key)} characters", "give it 16 or more, the same in all files")
+        raise BadKey(
+            f"{path}: key has {len(ground.key)} characters", "give it 16 or more, the same in all files"
+        )
     for table, rows in (("members", ground.members), ("keepers", ground.keepers)):
         for name, row in rows.items():
             try:
@@ -135,7 +137,9 @@
     async def begin(self) -> None:
         """Raises NoWay."""
         try:
-            await asyncio.get_running_loop().create_datagram_endpoint(lambda: self, local_addr=peer_of(self.listen))
+            await asyncio.get_running_loop().create_datagram_endpoint(
+                lambda: self, local_addr=peer_of(self.listen)
+            )
         except OSError as fault:
             raise NoWay(f"{self.listen} can't be listened at: {fault}",
                         f"free it, or give {self.name} another `listen`") from None
@@ -293,18 +297,40 @@
                          home=rule.home, **{"from": self.region})
                 names = [name for name, row in sorted(self.ground.members.items()) if row.region == region]
                 if names:
-                    self.say(names[self.count % len(names)], JOB, scheme=scheme, home=rule.home, region=self.region,
-                             data=f"{txn}/{region}".encode(), number=self.holder.base.number)
+                    self.say(
+                        names[self.count % len(names)],
+                        JOB,
+                        scheme=scheme,
+                        home=rule.home,
+                        region=self.region,
+                        data=f"{txn}/{region}".encode(),
+                        number=self.holder.base.number,
+                    )
 
     def asked(self, said: Said, now: int) -> None:
-        """A job of another region: it is begun only where our own rule allows it, whatever its sender thought. A sender that
-        stood still between its look and its sending is stopped here."""
+        """A job of another region: it is begun only where our own rule allows it, whatever its sender
+        thought. A sender that stood still between its look and its sending is stopped here."""
         rule = self.holder.rule(said.scheme, now)
         if self.region not in rule.may:
-            self.log("job.refused", now, txn=said.data.decode(), scheme=said.scheme, version=self.holder.base.number)
+            self.log(
+                "job.refused",
+                now,
+                txn=said.data.decode(),
+                scheme=said.scheme,
+                version=self.holder.base.number,
+            )
             return
-        self.log("region.ran", now, by=self.name, region=self.region, txn=said.data.decode(), post=said.data.decode(),
-                 kind=rule.semantics, scheme=said.scheme, home=said.home)
+        self.log(
+            "region.ran",
+            now,
+            by=self.name,
+            region=self.region,
+            txn=said.data.decode(),
+            post=said.data.decode(),
+            kind=rule.semantics,
+            scheme=said.scheme,
+            home=said.home,
+        )
 
 
 class KeeperProcess(Process):
@@ -353,8 +379,16 @@
             self.read()  # after the asking came
             if self.core.known[0]:
                 told = self.core.answers(Ask(said.name, said.life, said.echo))
-                self.say(said.name, RENEWED, to=said.name, first=said.life, echo=said.echo, number=told.number,
-                         digest=told.digest, size=self.size())
+                self.say(
+                    said.name,
+                    RENEWED,
+                    to=said.name,
+                    first=said.life,
+                    echo=said.echo,
+                    number=told.number,
+                    digest=told.digest,
+                    size=self.size(),
+                )
         elif said.kind == HAVE:
             self.core = self.core.hears(Have(said.name, said.number, said.digest))
         elif said.kind == WANT:
@@ -362,7 +396,8 @@
 
 
 class Committer(Process):
-    """Offers a text to all, serves it for a time, then commits it under the next number. Keepers tell the rest."""
+    """Offers a text to all, serves it for a time, then commits it under the next number. Keepers tell the
+    rest."""
 
     def __init__(self, ground: GroundForm, listen: str, path: str) -> None:
         """Raises SpecFaulty, NoWay."""
--- a/pathsaddle/federation/lend.py
+++ b/pathsaddle/federation/lend.py
@@ -38,7 +38,7 @@
 
     def __init__(self, name: str, life: int, part: int, now: int) -> None:
         self.shares: State = born(name, life, part, LEASE, now)
-        # What an earlier life took on in the second before this one is not known here: none until that is past.
+        # What an earlier life took on in the second before is not known here: none until that is past.
         self.opens = now + int(SECOND * (1 + DRIFT)) + 1
         self.used: deque[int] = deque()
         self.wanted = 0  # declined for want of a share since the last asking
--- a/pathsaddle/federation/smoke.py
+++ b/pathsaddle/federation/smoke.py
@@ -1,7 +1,8 @@
 """Runs a plan of federated regions on the virtual ground: `python -m pathsaddle.federation.smoke PLAN`.
 
-Each course of trouble, load and seed is played off, plain and on with the same clients; each log is judged alone. Figures come
-last; exit 0 only if every bound holds, 1 for one that doesn't, 2 for a plan that can't be used.
+Each course of trouble, load and seed is played off, plain and on with the same clients; each log is judged
+alone. Figures come last; exit 0 only if every bound holds, 1 for one that doesn't, 2 for a plan that can't be
+used.
 """
 
 from __future__ import annotations
@@ -16,8 +17,8 @@
 from pathsaddle.charter.check import Faulty, check, load
 from pathsaddle.emulator.federation.judge import earned, judged, lent, turned
 from pathsaddle.emulator.federation.mutants import MUTANTS, mutant, shown_in
-from pathsaddle.emulator.federation.plans import COURSES, any_course
-from pathsaddle.emulator.federation.world import Plan, World
+from pathsaddle.emulator.federation.plans import COURSES, Plan, any_course
+from pathsaddle.emulator.federation.world import World
 from pathsaddle.federation.check import Forbidden
 from pathsaddle.federation.check import check as every_order
 from pathsaddle.trade import SECOND
@@ -28,7 +29,8 @@
 
     lenders: the most that a region that lost nothing may lose of its own value against off.
     of_free: the least of what free capacity abroad could serve that is served, where a region is lost.
-    over: seconds until the first job of a lost region runs elsewhere. home: until 95% run at home once it is back.
+    over: seconds until the first job of a lost region runs elsewhere. home: until 95% run at home once
+      it is back.
     turns: how often a dispatcher may take a region for lost or back in one course, on the mean.
     seconds: of the whole plan.
     """
@@ -44,9 +46,12 @@
 class SmokeForm(msgspec.Struct, kw_only=True):
     """A plan.
 
-    name, about: told with its figures. members: dispatchers a region. seconds: of each run. loads, seeds, courses: each
-    with each; hows: the variants. any: seeds of courses drawn by chance, judged, not measured. mutants: seeds that each
-    mutant may need until it is found; 0: none are run. depth: of the model of versions, with three members.
+    name, about: told with its figures. members: dispatchers a region. seconds: of each run. loads,
+    seeds, courses: each
+    with each; hows: the variants. any: seeds of courses drawn by chance, judged, not measured. mutants:
+    seeds that each
+    mutant may need until it is found; 0: none are run. depth: of the model of versions, with three
+    members.
     bounds: beside the judge's.
     """
 
@@ -71,6 +76,10 @@
     return f"{mean:.{digits}f} ({min(values):.{digits}f} to {max(values):.{digits}f})"
 
 
+def says(line: str) -> None:
+    print(line, flush=True)
+
+
 def played(plan: SmokeForm, course: str, at: float, how: str, seed: int) -> dict[str, Any]:
     """One run's figures, within the trouble: from the first one's beginning to the last one's end."""
     troubles = COURSES[course]
@@ -95,7 +104,9 @@
         used = sum(row[0] for region, row in table.items() if region != lost[0])
         row = earned(rows, begin, end)["regions"][lost[0]]
         # What each of them truly took there, its fetch included.
-        needed = row["jobs"] * used / max(1, sum(told[2] for region, told in table.items() if region != lost[0]))
+        needed = (
+            row["jobs"] * used / max(1, sum(told[2] for region, told in table.items() if region != lost[0]))
+        )
         figures["used"] = used / max(1e-9, free)
         figures["of_free"] = row["of_declared"] / row["declared"] / min(1.0, free / max(1e-9, needed))
         figures["over"], figures["home"] = turned(rows, lost[0], begin, end)
@@ -105,7 +116,6 @@
 def run(plan: SmokeForm) -> list[str]:
     """All that doesn't hold; prints the figures."""
     wrong: list[str] = []
-    lines: list[str] = []
     bounds = plan.bounds
     for course in plan.courses:
         for at in plan.loads:
@@ -119,14 +129,16 @@
             told = [f"{course} at {at}:"]
             told += [f"value {how} {spread([row['share'] for row in table[how]])}" for how in plan.hows]
             on = table.get("on", [])
-            if on and "off" in table:
+            for how in plan.hows if "off" in table else ():
                 losses = [off["regions"][region] - row["regions"][region]
-                          for off, row in zip(table["off"], on, strict=True)
+                          for off, row in zip(table["off"], table[how], strict=True)
                           for region in sorted(row["regions"]) if region not in row["touched"]]
-                if losses:
-                    told.append(f"lenders lose {spread(losses, 4)}")
-                    if course in ("lost", "surge") and sum(losses) / len(losses) > bounds.lenders:
-                        wrong.append(f"{course} at {at}: lenders lose {sum(losses) / len(losses):.4f} of their own")
+                if losses and how != "off":
+                    told.append(f"lenders lose {how} {spread(losses, 4)}")
+                    if how == "on" and sum(losses) / len(losses) > bounds.lenders:
+                        wrong.append(
+                            f"{course} at {at}: lenders lose {sum(losses) / len(losses):.4f} of their own"
+                        )
             if on and "of_free" in on[0]:
                 figures = [row["of_free"] for row in on]
                 told += [f"of what free capacity could serve {spread(figures)}",
@@ -134,7 +146,9 @@
                          f"failing over {spread([row['over'] for row in on], 2)} s",
                          f"home {spread([row['home'] for row in on], 1)} s"]
                 if sum(figures) / len(figures) < bounds.of_free:
-                    wrong.append(f"{course} at {at}: {sum(figures) / len(figures):.3f} of what free capacity could serve")
+                    wrong.append(
+                        f"{course} at {at}: {sum(figures) / len(figures):.3f} of what free capacity could serve"
+                    )
                 if any(not 0 <= row["over"] <= bounds.over for row in on):
                     wrong.append(f"{course} at {at}: failing over took more than {bounds.over} s")
                 if any(not 0 <= row["home"] <= bounds.home for row in on):
@@ -146,17 +160,17 @@
                          f"turns {spread([row['turns'] for row in on], 1)}"]
                 if sum(row["turns"] for row in on) / len(on) > bounds.turns:
                     wrong.append(f"{course} at {at}: regions are taken for lost and back too often")
-            lines.append("  ".join(told))
+            says("  ".join(told))
     for seed in range(1, plan.any + 1):
         world = World(Plan(seconds=50, members=3 + seed % 4, load=(0.5, 0.7, 0.85)[seed % 3],
                            troubles=any_course(seed)), seed)
         for name, count in sorted(judged(world.run().rows).items()):
             wrong.append(f"any course, seed {seed}: {name}, {count} times")
     if plan.any:
-        lines.append(f"any course: {plan.any} seeds judged")
+        says(f"any course: {plan.any} seeds judged")
     if plan.depth:
         try:
-            lines.append(f"versions: {every_order(plan.depth, 3)} worlds to depth {plan.depth}")
+            says(f"versions: {every_order(plan.depth, 3)} worlds to depth {plan.depth}")
         except Forbidden as fault:
             wrong.append(f"versions: {fault}")
     for name, (_, finding) in MUTANTS.items():
@@ -169,11 +183,9 @@
                 break
         if finding == "model" or not plan.mutants:
             continue  # a matter of a few steps in one order: tests/test_federation.py
-        lines.append(f"mutant {name}: {finding}: {caught or 'NOT FOUND'}")
+        says(f"mutant {name}: {finding}: {caught or 'NOT FOUND'}")
         if not caught:
             wrong.append(f"mutant {name} is not found under {finding}")
-    for line in lines:
-        print(line)
     return wrong
 
 
@@ -189,7 +201,10 @@
         return 2
     unknown = [name for name in plan.courses if name not in COURSES]
     if unknown:
-        print(f"{sys.argv[1]}: courses: no such course {unknown[0]!r}; known are {', '.join(COURSES)}", file=sys.stderr)
+        print(
+            f"{sys.argv[1]}: courses: no such course {unknown[0]!r}; known are {', '.join(COURSES)}",
+            file=sys.stderr,
+        )
         return 2
     began = time.process_time()
     wrong = run(plan)
--- a/pathsaddle/federation/spec.py
+++ b/pathsaddle/federation/spec.py
@@ -25,7 +25,7 @@
 
 Part = Annotated[float, Meta(gt=0, le=1)]
 Added = Annotated[float, Meta(ge=0)]
-HINTS = 50  # nearest names are looked for so often at most: a file that is wrong throughout is checked as fast
+HINTS = 50  # nearest names are looked for so often: a file that is wrong throughout is checked as fast
 MOST = 8 << 20  # bytes of a spec
 
 
@@ -114,14 +114,28 @@
         """What both allow; what is no right (order, home, data) is this one's."""
         ages = [age for age in (self.staleness, other.staleness) if age is not None]
         may = self.may & other.may
-        return Rule(may, self.home, tuple(region for region in self.order if region in may), self.when & other.when,
-                    min(self.at_most, other.at_most), min(ages) if ages else None, self.stale, self.data,
-                    self.semantics)
+        return Rule(
+            may,
+            self.home,
+            tuple(region for region in self.order if region in may),
+            self.when & other.when,
+            min(self.at_most, other.at_most),
+            min(ages) if ages else None,
+            self.stale,
+            self.data,
+            self.semantics,
+        )
 
     def alone(self) -> Rule:
         """Home, where that is allowed, and nothing else."""
-        return Rule(self.may & {self.home}, self.home, staleness=self.staleness, stale=self.stale, data=self.data,
-                    semantics=self.semantics)
+        return Rule(
+            self.may & {self.home},
+            self.home,
+            staleness=self.staleness,
+            stale=self.stale,
+            data=self.data,
+            semantics=self.semantics,
+        )
 
 
 @dataclass(frozen=True, eq=False)
@@ -144,8 +158,16 @@
             if form is None:
                 return Rule(frozenset((here,)), here)
             found = self._rules[scheme] = Rule(
-                frozenset(form.may if form.may is not None else (form.home,)), form.home, tuple(form.fail_over),
-                frozenset(form.when), form.at_most, form.staleness, form.stale, form.data, form.semantics)
+                frozenset(form.may if form.may is not None else (form.home,)),
+                form.home,
+                tuple(form.fail_over),
+                frozenset(form.when),
+                form.at_most,
+                None if form.staleness is None else int(form.staleness),
+                form.stale,
+                form.data,
+                form.semantics,
+            )
         return found
 
     def readable(self, data: str) -> frozenset[str]:
@@ -181,10 +203,14 @@
     try:
         raw = Path(path).read_bytes()
         if len(raw) > MOST:
-            raise SpecFaulty(str(path), [f"{path}: -: {len(raw)} bytes; at most {MOST} may stand there: split it"])
+            raise SpecFaulty(
+                str(path), [f"{path}: -: {len(raw)} bytes; at most {MOST} may stand there: split it"]
+            )
         return parse(raw.decode("utf-8"), str(path))
     except (OSError, UnicodeDecodeError) as fault:
-        raise SpecFaulty(str(path), [f"{path}: -: can't be read ({fault}): give a file that may be read"]) from None
+        raise SpecFaulty(
+            str(path), [f"{path}: -: can't be read ({fault}): give a file that may be read"]
+        ) from None
 
 
 def parse(text: str, file: str = "spec") -> Spec:
@@ -217,7 +243,9 @@
             self._hints += 1
             near = difflib.get_close_matches(name, known, 1, 0.5)
         hint = f"the nearest known is {near[0]}" if near else f"known are {', '.join(known[:8]) or 'none'}"
-        self.says(path, f"nobody has a {kind} {name!r}; {hint}; write that, or add [{kind_table(kind)}.{name}]")
+        self.says(
+            path, f"nobody has a {kind} {name!r}; {hint}; write that, or add [{kind_table(kind)}.{name}]"
+        )
 
 
 def kind_table(kind: str) -> str:
@@ -235,18 +263,25 @@
                                                     f"[regions.{region}] out")
         for member in told.members:
             if member in of:
-                found.says(f"regions.{region}.members", f"{member!r} is of {of[member]} already; leave it in one")
+                found.says(
+                    f"regions.{region}.members", f"{member!r} is of {of[member]} already; leave it in one"
+                )
             of[member] = region
     for name, data in form.data.items():
         path = f"data.{name}"
         if not data.copies:
-            found.says(f"{path}.copies", 'no copy stands anywhere; say where one does, such as { north = "0s" }')
+            found.says(
+                f"{path}.copies", 'no copy stands anywhere; say where one does, such as { north = "0s" }'
+            )
         for region in data.copies:
             if region not in names:
                 found.unknown(f"{path}.copies", region, "region", names)
             elif data.may is not None and region not in data.may:
-                found.says(f"{path}.copies", f"a copy stands in {region}, where {path}.may forbids to read it; add "
-                                             f"{region!r} there or take the copy out")
+                found.says(
+                    f"{path}.copies",
+                    f"a copy stands in {region}, where {path}.may forbids to read it; add "
+                    f"{region!r} there or take the copy out",
+                )
         for region in data.may or ():
             if region not in names:
                 found.unknown(f"{path}.may", region, "region", names)
@@ -269,29 +304,44 @@
             found.says(f"{path}.{key}", f"{twice!r} stands there twice, a circle; leave it once"
                        if key == "fail_over" else f"{twice!r} stands there twice; leave it once")
     if scheme.home not in may:
-        found.says(f"{path}.home", f"home is {scheme.home}, where {path}.may forbids it to run; add {scheme.home!r} "
-                                   "there or move home")
+        found.says(
+            f"{path}.home",
+            f"home is {scheme.home}, where {path}.may forbids it to run; add {scheme.home!r} "
+            "there or move home",
+        )
     if scheme.home in scheme.fail_over:
         found.says(f"{path}.fail_over", f"it fails over from {scheme.home} to itself, a circle; take "
                                         f"{scheme.home!r} out")
     for region in dict.fromkeys(scheme.fail_over):
         if region not in may and region in names:
-            found.says(f"{path}.fail_over", f"it fails over to {region}, where it may not be; add {region!r} to "
-                                            f"{path}.may or take it out here")
+            found.says(
+                f"{path}.fail_over",
+                f"it fails over to {region}, where it may not be; add {region!r} to "
+                f"{path}.may or take it out here",
+            )
     if scheme.semantics == "once-only":
         for region in dict.fromkeys(may):
             if region in names and names[region].repeats:
-                found.says(f"{path}.may", f"a once-only effect could run twice in {region} (regions.{region}.repeats);"
-                                          f" take {region!r} out, or see to it that nothing there posts again and "
-                                          "write repeats = false")
+                found.says(
+                    f"{path}.may",
+                    f"a once-only effect could run twice in {region} (regions.{region}.repeats);"
+                    f" take {region!r} out, or see to it that nothing there posts again and "
+                    "write repeats = false",
+                )
     if not scheme.when and scheme.fail_over:
-        found.says(f"{path}.when", 'nothing makes it fail over; write "lost" or "overloaded", or take fail_over out')
+        found.says(
+            f"{path}.when", 'nothing makes it fail over; write "lost" or "overloaded", or take fail_over out'
+        )
     if len(may) > 1 and not scheme.fail_over and scheme.may is not None:
-        found.says(f"{path}.may", f"it may be elsewhere but never goes there; add {path}.fail_over, or leave home "
-                                  "alone in may")
+        found.says(
+            f"{path}.may",
+            f"it may be elsewhere but never goes there; add {path}.fail_over, or leave home alone in may",
+        )
     if scheme.data is None:
         if scheme.staleness is not None:
-            found.says(f"{path}.staleness", f"staleness of nothing: no data is named; add {path}.data or take it out")
+            found.says(
+                f"{path}.staleness", f"staleness of nothing: no data is named; add {path}.data or take it out"
+            )
         return
     data = form.data.get(scheme.data)
     if data is None:
@@ -299,10 +349,16 @@
         return
     for region in may:
         if data.may is not None and region not in data.may and region in names:
-            found.says(f"{path}.may", f"it may run in {region}, where data.{scheme.data}.may forbids to read its data; "
-                                      f"add {region!r} there or take it out here")
+            found.says(
+                f"{path}.may",
+                f"it may run in {region}, where data.{scheme.data}.may forbids to read its data; "
+                f"add {region!r} there or take it out here",
+            )
     if scheme.staleness is not None and data.copies:
         fresh = [region for region, age in data.copies.items() if age <= scheme.staleness]
         if not fresh:
-            found.says(f"{path}.staleness", f"no copy in data.{scheme.data}.copies is ever as young as that; raise "
-                                            "staleness or keep a copy fresher")
+            found.says(
+                f"{path}.staleness",
+                f"no copy in data.{scheme.data}.copies is ever as young as that; raise "
+                "staleness or keep a copy fresher",
+            )
--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -116,7 +116,9 @@
 
     def asks(self, now: int) -> tuple[Holder, Ask]:
         echo = self.echo + 1
-        return replace(self, echo=echo, open=(*self.open, (echo, now))[-MOST_OPEN:]), Ask(self.name, self.life, echo)
+        return replace(self, echo=echo, open=(*self.open, (echo, now))[-MOST_OPEN:]), Ask(
+            self.name, self.life, echo
+        )
 
     def offered(self, version: Version) -> Holder:
         """Binds at once as far as it narrows; is kept until a commit settles its number."""
@@ -196,7 +198,11 @@
     def reads(self, number: int, digest: str, version: Version | None, now: int) -> Keeper:
         """What the register has now, with the text where it is at hand."""
         history = self.history
-        if version is not None and version not in history and (version.number, version.digest) == (number, digest):
+        if (
+            version is not None
+            and version not in history
+            and (version.number, version.digest) == (number, digest)
+        ):
             history = tuple(sorted((*history, version), key=lambda one: one.number))
         if number > self.known[0]:
             return replace(self, known=(number, digest), since=now, history=history)
@@ -236,7 +242,9 @@
             has = told.get(name, 0)
             if has >= number:
                 continue
-            if not over or any(withdrawn(one.spec, new, here) for one in self.history[:-1] if one.number >= has):
+            if not over or any(
+                withdrawn(one.spec, new, here) for one in self.history[:-1] if one.number >= has
+            ):
                 late.append(name)
         return tuple(late)
 
@@ -266,7 +274,9 @@
         if name not in old.schemes or name not in new.schemes:
             # Outside a spec it stays where it was taken: with it each region but its own is given or taken.
             inside = (new if name in new.schemes else old).rule(name, "")
-            found += [Change(name, region, "scheme", name not in new.schemes) for region in sorted(inside.may)]
+            found += [
+                Change(name, region, "scheme", name not in new.schemes) for region in sorted(inside.may)
+            ]
             found += [Change(name, region, "scheme", name in new.schemes)
                       for region in sorted(new.regions) if region not in inside.may]
             continue
--- a/pathsaddle/federation/ways.py
+++ b/pathsaddle/federation/ways.py
@@ -15,7 +15,7 @@
 from __future__ import annotations
 
 import hashlib
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from pathsaddle.federation.spec import Rule, Spec
@@ -65,7 +65,8 @@
     words: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # fellow -> (overdue, heard, told)
 
     def room(self, now: int) -> bool:
-        """Whether one more of ours may be abroad there; none where nothing was free when it last told of itself."""
+        """Whether one more of ours may be abroad there; none where nothing was free when it last told of
+        itself."""
         return self.free > 0 and self.open < self.window and (self.window >= 1 or now >= self.next)
 
     def patience(self) -> int:
@@ -104,6 +105,9 @@
     version: int = 0
 
 
+Placer = Callable[..., Place]
+
+
 class Ways:
     """Bound: see the rules above; each is asked in `choose` and nowhere else.
 
@@ -119,7 +123,9 @@
 
     # Evidence.
 
-    def answered(self, region: str, asked: int, now: int, took: int, wait: int, free: int, ages: Mapping[str, int]) -> None:
+    def answered(
+        self, region: str, asked: int, now: int, took: int, wait: int, free: int, ages: Mapping[str, int]
+    ) -> None:
         """An answer to an asking of ours that went out at `asked`, `took` of it was work or waiting there."""
         way = self.ways[region]
         trip = max(1, now - asked - took)
@@ -167,11 +173,13 @@
         self.turns += 1
 
     def opened(self, region: str, lent: bool) -> None:
-        """lent: it is abroad there. What goes home is bounded by trust, not by what that region lends to others."""
+        """lent: it is abroad there. What goes home is bounded by trust, not by what that region lends to
+        others."""
         self.ways[region].open += lent
 
     def ended(self, region: str, outcome: str, lent: bool, now: int) -> None:
-        """settled, declined (nothing ran), unknown, or gone: nobody waits for it any more, which says nothing."""
+        """settled, declined (nothing ran), unknown, or gone: nobody waits for it any more, which says
+        nothing."""
         way = self.ways[region]
         way.open -= lent
         if outcome == "settled":
@@ -237,20 +245,20 @@
         return place("decline", f"{why}-no-way" if why != "residency" else "residency",
                      "may" if why == "residency" else "fail_over")
 
-    def _here(self, job: Job, rule: Rule, spec: Spec, place, now: int, code: str) -> Place:  # type: ignore[no-untyped-def]
+    def _here(self, job: Job, rule: Rule, spec: Spec, place: Placer, now: int, code: str) -> Place:
         """In this region, if its data may be had."""
         if rule.data is not None:
             age = self._age(spec, rule.data, self.here, now)
             if age is None or (rule.staleness is not None and age > rule.staleness):
                 if rule.stale == "decline" and age is not None:
-                    return place("decline", "stale", "stale")  # type: ignore[no-any-return]
+                    return place("decline", "stale", "stale")
                 if rule.stale == "wait" and age is not None:
                     later = now + 200 * MILLISECOND
                     if later + job.work > job.left:
-                        return place("decline", "stale", "stale")  # type: ignore[no-any-return]
-                    return place("hold", "stale", "stale", until=later)  # type: ignore[no-any-return]
-                return place("run", code, "data", region=self.here, fetch=True)  # type: ignore[no-any-return]
-        return place("run", code, "home" if code == "home" else "fail_over",  # type: ignore[no-any-return]
+                        return place("decline", "stale", "stale")
+                    return place("hold", "stale", "stale", until=later)
+                return place("run", code, "data", region=self.here, fetch=True)
+        return place("run", code, "home" if code == "home" else "fail_over",
                      region=self.here)
 
     def _abroad(self, job: Job, rule: Rule, spec: Spec, now: int) -> tuple[str, bool] | None:
@@ -258,7 +266,11 @@
         must fetch."""
         after: tuple[str, bool] | None = None
         for region in rule.order:
-            if region not in rule.may or now < job.again.get(region, NEVER) or not self._group(job, rule, spec, region):
+            if (
+                region not in rule.may
+                or now < job.again.get(region, NEVER)
+                or not self._group(job, rule, spec, region)
+            ):
                 continue
             if region == self.here:
                 cost = job.work + AHEAD
@@ -309,7 +321,9 @@
         if rule.semantics == "once-only" or region not in spec.regions:
             return False
         group = spec.regions[region].group
-        return bool(group) and all(one in spec.regions and spec.regions[one].group == group for one in job.unknown)
+        return bool(group) and all(
+            one in spec.regions and spec.regions[one].group == group for one in job.unknown
+        )
 
 
 def _spread(tag: str) -> float:
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -1,4 +1,4 @@
-"""The spec of a federation: checked whole, compared, in force by rule; every order of events to a stated depth."""
+"""The spec of a federation: checked whole, compared, in force by rule; every order of events to a depth."""
 
 import time
 import unittest
@@ -50,15 +50,26 @@
     (HEAD + 'may = ["north", "west"]\n', "a.may", "add schemes.a.fail_over"),
     (HEAD + 'staleness = "3s"\n', "a.staleness", "staleness of nothing"),
     (HEAD + 'data = "maps"\n', "a.data", "nobody has a data 'maps'"),
-    (HEAD + 'semantics = "once-only"\nmay = ["north", "south"]\nfail_over = ["south"]\n', "a.may",
-     "could run twice in south"),
+    (
+        HEAD + 'semantics = "once-only"\nmay = ["north", "south"]\nfail_over = ["south"]\n',
+        "a.may",
+        "could run twice in south",
+    ),
     (HEAD + OUT + "when = []\n", "a.when", 'write "lost"'),
     ("[regions.east]\nmembers = []\n", "regions.east.members", "a region that nobody has"),
     ('[regions.east]\nmembers = ["n0"]\n', "regions.east.members", "'n0' is of north already"),
-    (HEAD + 'data = "d"\nstaleness = "1s"\n[data.d]\ncopies = { west = "5s" }\n', "a.staleness",
-     "no copy in data.d.copies is ever as young"),
+    (
+        HEAD + 'data = "d"\nstaleness = "1s"\n[data.d]\ncopies = { west = "5s" }\n',
+        "a.staleness",
+        "no copy in data.d.copies is ever as young",
+    ),
     (HEAD + 'data = "d"\n[data.d]\ncopies = {}\n', "data.d.copies", "no copy stands anywhere"),
-    (HEAD + 'data = "d"\n[data.d]\nmay = ["west"]\ncopies = { west = "5s" }\n', "a.may", "data.d.may forbids"))
+    (
+        HEAD + 'data = "d"\n[data.d]\nmay = ["west"]\ncopies = { west = "5s" }\n',
+        "a.may",
+        "data.d.may forbids",
+    ),
+)
 
 
 class SpecStory(unittest.TestCase):
@@ -70,7 +81,9 @@
     def test_the_spec_of_the_page_is_read_and_a_reason_finds_its_line(self):
         spec = parse(REGIONS + RENDER)
         rule = spec.rule("render", "north")
-        self.assertEqual((sorted(rule.may), rule.order, rule.staleness), (["north", "west"], ("west",), 300_000))
+        self.assertEqual(
+            (sorted(rule.may), rule.order, rule.staleness), (["north", "west"], ("west",), 300_000)
+        )
         line = spec.text.splitlines()[spec.line("render", "fail_over") - 1]
         self.assertEqual(line, 'fail_over = ["west"]')
         self.assertEqual(spec.rule("unnamed", "west").may, {"west"})
--- a/tests/test_federation_processes.py
+++ b/tests/test_federation_processes.py
@@ -1,4 +1,4 @@
-"""The spec's members as real processes, and what is between them broken: cut off, SIGSTOP, SIGKILL, a committer killed.
+"""The spec's members as real processes, and what is between them broken: cut off, SIGSTOP, SIGKILL.
 Histories are judged from the logs alone; each process dies with the test that started it."""
 
 import os
@@ -81,7 +81,11 @@
                 port = free()
                 relay = self.relays[name] = Relay(port)
                 self.addCleanup(relay.end)
-                lines += [f"[{kind}.{name}]", f'address = "127.0.0.1:{relay.port}"', f'listen = "127.0.0.1:{port}"']
+                lines += [
+                    f"[{kind}.{name}]",
+                    f'address = "127.0.0.1:{relay.port}"',
+                    f'listen = "127.0.0.1:{port}"',
+                ]
                 if kind == "members":
                     lines += [f'region = "{NAMES[name]}"', f'disk = "{self.folder}/disk"']
         self.ground = self.folder / "ground.toml"
@@ -96,8 +100,13 @@
                                     for name in NAMES), "everybody has a lease")
 
     def run_one(self, *words):
-        process = subprocess.Popen([sys.executable, "-m", "pathsaddle.federation", *words], cwd=ROOT,
-                                   stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL, start_new_session=True)
+        process = subprocess.Popen(
+            [sys.executable, "-m", "pathsaddle.federation", *words],
+            cwd=ROOT,
+            stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL,
+            start_new_session=True,
+        )
 
         def end():
             if process.poll() is None:
@@ -149,8 +158,14 @@
         self.until(lambda rows: path.exists(), f"version {number} is committed")
 
     def held(self, name, number, rows, after=0):
-        return any(row.what == "spec.version" and row.more["state"] == "held" and row.more["version"] == number
-                   and row.more["who"] == name and row.at > after for row in rows)
+        return any(
+            row.what == "spec.version"
+            and row.more["state"] == "held"
+            and row.more["version"] == number
+            and row.more["who"] == name
+            and row.at > after
+            for row in rows
+        )
 
     def good(self):
         rows = self.rows()
@@ -165,7 +180,9 @@
         began = time.monotonic()
         self.commit(2, "south")
         self.forced(2)
-        self.assertGreater(time.monotonic() - began, 2.0)  # no word of two of them: not before the lease's end
+        self.assertGreater(
+            time.monotonic() - began, 2.0
+        )  # no word of two of them: not before the lease's end
         self.relays["w0"].cut = False
         os.kill(self.processes["s0"].pid, signal.SIGCONT)
         rows = self.until(lambda rows: self.held("w0", 2, rows) and self.held("s0", 2, rows), "both have it")
@@ -174,8 +191,14 @@
         rows = self.good()
         self.assertFalse([row for row in rows if row.what == "region.ran" and row.more["region"] == "west"
                           and row.at > forced + SKEW])
-        silent = [row for row in rows if row.what == "abroad.sent" and row.more["who"] == "w0" and row.at > forced
-                  and row.more["to"] == "west"]
+        silent = [
+            row
+            for row in rows
+            if row.what == "abroad.sent"
+            and row.more["who"] == "w0"
+            and row.at > forced
+            and row.more["to"] == "west"
+        ]
         self.assertEqual(silent, [])
 
     def test_loosened_by_a_committer_that_is_killed_before_it_tells_and_a_keeper_with_it(self):
