Federation processes: cut one way each in turn, flapping; the door and the command line

Stories with real processes: askings lost, then answers lost, then all ways flapping while a version is committed; what is refused at the door by its reason; texts in pieces; exit codes and sentences of the command line.

--- a/pathsaddle/federation/ways.py
+++ b/pathsaddle/federation/ways.py
@@ -208,7 +208,7 @@
             # Another region's dispatcher sent it: here or nowhere.
             if self.here not in rule.may:
                 return place("decline", "residency", "may")
-            return self._here(job, rule, spec, place, now, "lent")
+            return self._here(job, rule, spec, place, now, "home" if rule.home == self.here else "lent")
         why = ""
         home = self.ways.get(rule.home)
         if rule.home in rule.may and self._group(job, rule, spec, rule.home):
--- a/tests/test_federation_processes.py
+++ b/tests/test_federation_processes.py
@@ -1,6 +1,7 @@
 """The spec's members as real processes, and what is between them broken: cut off, SIGSTOP, SIGKILL.
 Histories are judged from the logs alone; each process dies with the test that started it."""
 
+import hashlib
 import os
 import select
 import signal
@@ -15,6 +16,7 @@
 
 from pathsaddle.emulator.events import read
 from pathsaddle.emulator.federation.judge import judged
+from pathsaddle.federation import wire
 
 ROOT = Path(__file__).resolve().parent.parent
 NAMES = {"n0": "north", "n1": "north", "w0": "west", "s0": "south"}
@@ -231,6 +233,72 @@
         self.assertEqual(wrong, [])
         self.good()
 
+    def test_cut_one_way_each_in_turn_and_then_ways_that_flap(self):
+        keepers, members = [self.relays[name] for name in ("k0", "k1")], [self.relays[name] for name in NAMES]
+        for relay in keepers:
+            relay.cut = True  # askings are lost; what keepers tell of themselves comes
+
+        def quiet(rows):
+            sent = [row.at for row in rows if row.what == "abroad.sent" and row.more["to"] != "north"]
+            return time.monotonic() * 10_000 - sent[-1] > 10_000
+
+        self.until(quiet, "home alone")
+        self.commit(2, "west")
+        self.forced(2)
+        for relay in keepers:
+            relay.cut = False
+        for relay in members:
+            relay.cut = True  # answers are lost
+        self.until(quiet, "home alone still")
+        pause = threading.Event()
+        committer = self.commit(3, "south", "west")
+        for i in range(20):
+            for relay in (*keepers, *members):
+                relay.cut = i % 2 == 0
+            pause.wait(0.15)
+        committer.wait(20)
+        for relay in (*keepers, *members):
+            relay.cut = False
+        self.forced(3)
+        self.until(lambda rows: all(self.held(name, 3, rows) for name in NAMES), "all go by it")
+        self.good()
+
+
+class DoorStory(unittest.TestCase):
+    """What comes from outside: datagrams of strangers, files that are wrong."""
+
+    def test_a_datagram_that_is_cut_a_strangers_or_of_another_form_is_refused_by_its_reason(self):
+        data = wire.encode(wire.Said("n", 1, wire.ASK, echo=3), b"k" * 16)
+        self.assertEqual(wire.decode(data, b"k" * 16).echo, 3)
+        for why, bad, key in (("cut", data[:9], b"k" * 16), ("stranger", data, b"x" * 16),
+                              ("stranger", data[:-1] + b"!", b"k" * 16), ("cut", data + bytes(1200), b"k" * 16)):
+            with self.subTest(why), self.assertRaisesRegex(wire.Refused, why):
+                wire.decode(bad, key)
+
+    def test_a_text_in_pieces_counts_when_it_is_whole_and_is_what_its_digest_says(self):
+        text = bytes(range(256)) * 9
+        digest = hashlib.blake2b(text, digest_size=16).hexdigest()
+        for told, found in ((digest, text), ("f" * 32, None)):
+            pieces = wire.Pieces()
+            self.assertEqual(pieces.begin(2, told, len(text)), 0)
+            last = [pieces.took(wire.Said("k", 1, wire.TEXT, number=2, digest=told, size=len(text), first=i,
+                                          data=text[i * 1024:(i + 1) * 1024])) for i in (2, 0, 0, 1)]
+            self.assertEqual(last, [None, None, None, found])
+
+    def test_the_command_line_tells_each_fault_and_what_to_do(self):
+        with tempfile.TemporaryDirectory() as folder:
+            good, bad, ground = (Path(folder) / name for name in ("good.toml", "bad.toml", "ground.toml"))
+            good.write_text(spec("west"))
+            bad.write_text(spec("wset"))
+            ground.write_text('key = "short"\nregister = "r"\nspec = "s"\nlog = "l"\n[members]\n[keepers]\n')
+            for words, code, says in ((("check", good), 0, "1 schemes, 3 regions"),
+                                      (("check", bad), 2, "the nearest known is west"),
+                                      (("compare", good, good), 0, ""),
+                                      (("member", ground, "n0"), 2, "give it 16 or more")):
+                done = subprocess.run([sys.executable, "-m", "pathsaddle.federation", *map(str, words)], cwd=ROOT,
+                                      capture_output=True, text=True, timeout=60, check=False)
+                self.assertEqual((done.returncode, says in done.stdout + done.stderr), (code, True), done)
+
 
 if __name__ == "__main__":
     unittest.main()
