Federation: large texts come in dozens of pieces; a first text of one's own is no version

A spec of 5,000 tables took 12 pieces a renewal, 70 s at the usual lease; now each dozen asks for the next. Seen by it: a member that knew a higher number without its text logged a lease on the old one (it went by home alone all the same), so that the judge found force-early; what is logged is what may be used. A member started with another text under the committed number got a lease on its own text; now it is home alone until it has the committed one (story).

--- a/pathsaddle/emulator/federation/judge.py
+++ b/pathsaddle/emulator/federation/judge.py
@@ -62,13 +62,13 @@
                 offers = versions.offered.get(who)
                 if offers:
                     versions.offered[who] = {one: None for one in offers if one > number}
-            elif more["state"] == "offered":
-                versions.offered.setdefault(who, {})[number] = None
             elif more["state"] == "force":
                 for held, until in versions.held.values():
                     if held < number and until > now + 2 * skew:
                         found["force-early"] += 1
                 versions.force, versions.forced_at = max(versions.force, number), now
+        elif what == "spec.offered":
+            versions.offered.setdefault(who, {})[more["version"]] = None
         elif what == "member.began":
             versions.held.pop(who, None)
             versions.offered.pop(who, None)
--- a/pathsaddle/emulator/federation/member.py
+++ b/pathsaddle/emulator/federation/member.py
@@ -135,7 +135,7 @@
         self.holder = before.offered(version)
         if self.holder is not before:
             if self.holder.base is before.base:
-                self.world.log("spec.version", who=self.name, state="offered", version=version.number)
+                self.world.log("spec.offered", who=self.name, version=version.number)
             self.keep()
 
     def told(self, commit: Commit, keeper: KeeperMan) -> None:
@@ -149,17 +149,17 @@
         self.holder = before.renewed(told, self.now())
         if self.holder is not before:
             self.keep()
-            self.held()
 
     def keep(self) -> None:
         """On disk, synced, before any word of it is sent."""
-        if self.holder.base is not self.disk:
-            self.disk = self.holder.base
+        self.disk = self.holder.base
+        if (self.holder.base.number, self.holder.ends()) != self.shown:
             self.held()
 
     def held(self) -> None:
-        self.world.log("spec.version", who=self.name, state="held", version=self.holder.base.number,
-                       until=self.clock.true(self.holder.until))
+        self.shown = self.holder.base.number, self.holder.ends()
+        self.world.log("spec.version", who=self.name, state="held", version=self.shown[0],
+                       until=self.clock.true(self.shown[1]))
 
     # Evidence, and shares among fellows.
 
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -174,11 +174,11 @@
             self.transport.sendto(data, peer)
 
     def serve(self, said: Said) -> None:
-        """Some pieces of a text that somebody wants."""
+        """Some pieces of a text that somebody wants: to the end of their dozen, after which it asks for more."""
         text = self.texts.get((said.number, said.digest))
         if text is None:
             return
-        for i in range(said.first, min(said.first + AT_ONCE, -(-len(text) // PIECE))):
+        for i in range(said.first, min((said.first // AT_ONCE + 1) * AT_ONCE, -(-len(text) // PIECE))):
             self.say(said.name, TEXT, number=said.number, digest=said.digest, size=len(text), first=i,
                      data=text[i * PIECE:(i + 1) * PIECE])
 
@@ -223,7 +223,7 @@
         await asyncio.gather(*jobs)
 
     def held(self) -> None:
-        self.log("spec.version", state="held", version=self.holder.base.number, until=self.holder.until)
+        self.log("spec.version", state="held", version=self.holder.base.number, until=self.holder.ends())
 
     def renew(self) -> None:
         now = self.now()
@@ -234,7 +234,7 @@
             self.want(number, digest, size)
 
     def want(self, number: int, digest: str, size: int, of: str = "") -> None:
-        if number <= self.holder.base.number:
+        if number < self.holder.known[0] or (number, digest) == self.has():
             self.wanted.pop((number, digest), None)
             return
         while len(self.wanted) >= 4:
@@ -262,15 +262,20 @@
                 spec = parse(text.decode("utf-8"))
                 after = before.offered(Version(said.number, spec.digest, spec))
                 if after is not before and after.base is before.base:
-                    self.log("spec.version", state="offered", version=said.number)
+                    self.log("spec.offered", version=said.number)
                 self.goes_by(after)
+            elif said.first % AT_ONCE == AT_ONCE - 1 and (said.number, said.digest) in self.wanted:
+                self.want(said.number, said.digest, said.size, said.name)
         elif said.kind == JOB:
             self.asked(said, now)
-        if said.kind in (RENEWED, COMMIT, OFFER) and said.number > self.holder.base.number and said.size:
-            known = any((one.number, one.digest) == (said.number, said.digest) for one in self.holder.offers)
-            if not known:
+        if said.kind in (RENEWED, COMMIT, OFFER) and said.number >= self.holder.known[0] and said.size:
+            known = [self.has(), *((one.number, one.digest) for one in self.holder.offers)]
+            if (said.number, said.digest) not in known:
                 self.want(said.number, said.digest, said.size, said.name)
 
+    def has(self) -> tuple[int, str]:
+        return self.holder.base.number, self.holder.base.digest
+
     def goes_by(self, after: Any) -> None:
         """On disk, synced, before it is gone by and before any word of it."""
         before = self.holder
@@ -279,7 +284,7 @@
         if after.base is not before.base:
             self.disk.keep(after.base)
         self.holder = after
-        if after.base is not before.base or after.until != before.until:
+        if after.base is not before.base or after.ends() != before.ends():
             self.held()
 
     # The drill: jobs without work.
--- a/pathsaddle/federation/faults.py
+++ b/pathsaddle/federation/faults.py
@@ -17,7 +17,7 @@
 class SpecFaulty(FederationFault):
     """The spec can't be used. lines: all that is wrong in it, a line a fault."""
 
-    name = "spec-faulty"
+    name = "federation.spec-faulty"
 
     def __init__(self, file: str, lines: list[str]) -> None:
         super().__init__(f"{file} has {len(lines)} faults: " + " / ".join(lines[:3]),
@@ -28,20 +28,20 @@
 class Outrun(FederationFault):
     """Another spec was committed under the number that this one was to have."""
 
-    name = "spec-outrun"
+    name = "federation.spec-outrun"
 
 
 class NoSpec(FederationFault):
     """A member without any version can't say what is forbidden, so it doesn't start."""
 
-    name = "spec-missing"
+    name = "federation.spec-missing"
 
 
 class BadKey(FederationFault):
-    name = "federation-key"
+    name = "federation.key"
 
 
 class NoWay(FederationFault):
     """A socket or folder that can't be used."""
 
-    name = "federation-way"
+    name = "federation.way"
--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -26,11 +26,13 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
+from functools import lru_cache
 
 from pathsaddle.federation.spec import Rule, Spec
 from pathsaddle.fleet.state.shares import DRIFT
 
 LEASE = 100_000  # ticks
+NEVER = -1 << 60
 MOST_OPEN = 8  # askings that may still be answered
 
 
@@ -110,7 +112,7 @@
     base: Version
     known: tuple[int, str]
     offers: tuple[Version, ...] = ()
-    until: int = -1 << 60
+    until: int = NEVER
     echo: int = 0
     open: tuple[tuple[int, int], ...] = ()
 
@@ -122,14 +124,15 @@
 
     def offered(self, version: Version) -> Holder:
         """Binds at once as far as it narrows; is kept until a commit settles its number."""
-        if version in self.offers or version.number <= self.base.number:
+        if (version.number, version.digest) == self.known:  # settled already: it is the one committed
+            return self if version == self.base else replace(self, base=version)
+        if version in self.offers or version.number <= self.known[0]:
             return self
-        if version.number <= self.known[0]:  # settled already: it is the one committed, or it is nothing
-            return replace(self, base=version) if (version.number, version.digest) == self.known else self
         return replace(self, offers=(*self.offers, version))
 
     def committed(self, number: int, digest: str) -> Holder:
-        if number <= self.known[0]:
+        # The same number with another digest: what this member was started with is not what was committed.
+        if number < self.known[0] or (number, digest) == self.known:
             return self
         base = next((one for one in self.offers if (one.number, one.digest) == (number, digest)), self.base)
         return replace(self, known=(number, digest), base=base,
@@ -156,11 +159,17 @@
         return replace(after, until=max(self.until, until),
                        open=tuple(row for row in self.open if row[0] > told.echo))
 
+    def ends(self) -> int:
+        """Until when it goes by `base` and more than home alone: not at all, where a higher one is known without its
+        text, or where the spec doesn't name this member."""
+        region = self.base.spec.regions.get(self.here)
+        if (self.base.number, self.base.digest) != self.known or region is None or self.name not in region.members:
+            return NEVER
+        return self.until
+
     def leased(self, now: int) -> bool:
         """Whether it may go by more than home alone now; asked before each use."""
-        return (now < self.until and (self.base.number, self.base.digest) == self.known
-                and self.name in self.base.spec.regions[self.here].members
-                if self.here in self.base.spec.regions else False)
+        return now < self.ends()
 
     def rule(self, scheme: str, now: int) -> Rule:
         """The narrowest of what is known; home alone without a lease."""
@@ -295,6 +304,7 @@
     return found
 
 
+@lru_cache(1024)
 def withdrawn(old: Spec, new: Spec, here: str) -> bool:
     """Whether somebody in `here` that hears nothing would, by `old`, post to what `new` forbids."""
     return any(not old.rule(name, here).alone().may <= new.rule(name, here).may
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -153,6 +153,14 @@
         self.assertIs(state.offered(Version(2, "another", one.spec)), state)
         self.assertEqual(state.offered(two).rule("a", 10).may, {"north", "south"})
 
+    def test_a_member_started_with_another_first_text_is_home_alone_until_it_has_the_committed_one(self):
+        one, _, _ = self.held()
+        other = Version(1, "mine", one.spec)
+        state, ask = holder("m0", "north", 1, LEASE, other).asks(0)
+        state = state.renewed(Renewed("m0", 1, ask.echo, 1, one.digest), 5)
+        self.assertEqual(state.rule("a", 10).may, {"north"})
+        self.assertEqual(state.offered(one).rule("a", 10).may, {"north", "west"})
+
     def test_in_force_needs_each_ones_word_or_a_leases_end_and_a_home_withdrawn_needs_the_word(self):
         one, two = versions(1)
         keeper = Keeper(LEASE, 0).reads(1, one.digest, one, 0).reads(2, two.digest, two, 50)
--- a/tests/test_federation_processes.py
+++ b/tests/test_federation_processes.py
@@ -93,9 +93,10 @@
         self.ground = self.folder / "ground.toml"
         self.ground.write_text("\n".join(lines) + "\n")
         (self.folder / "first.toml").write_text(spec("west", "south"))
-        self.commit(1, "west", "south").wait(20)
+        self.run_one("commit", str(self.ground), str(self.folder / "first.toml"), "--offer", "0.1").wait(20)
         for name in ("k0", "k1"):
             self.start("keeper", name)
+        self.until(lambda rows: any(row.what == "spec.version" for row in rows), "a keeper has read version 1")
         for name in NAMES:
             self.start("member", name)
         self.until(lambda rows: all(any(row.what == "abroad.sent" and row.more["who"] == name for row in rows)
@@ -263,6 +264,19 @@
         self.until(lambda rows: all(self.held(name, 3, rows) for name in NAMES), "all go by it")
         self.good()
 
+    def test_a_spec_of_five_thousand_tables_comes_in_pieces_past_lost_ones(self):
+        path = self.folder / "large.toml"
+        path.write_text(spec("west") + "".join(
+            f'[data.d{i}]\ncopies = {{ north = "0s" }}\nfetch = 0.25\n' for i in range(5000)))
+        self.run_one("commit", str(self.ground), str(path), "--offer", "0.2")
+        self.committed(2)
+        self.relays["w0"].cut = True
+        self.until(lambda rows: self.held("n0", 2, rows), "one has it", 60)
+        self.relays["w0"].cut = False
+        self.until(lambda rows: all(self.held(name, 2, rows) for name in NAMES), "all have it", 60)
+        self.forced(2)
+        self.good()
+
 
 class DoorStory(unittest.TestCase):
     """What comes from outside: datagrams of strangers, files that are wrong."""
--- a/tests/test_federation_world.py
+++ b/tests/test_federation_world.py
@@ -333,7 +333,7 @@
             "loosened-early": [self.sent(10, "south")],
             "beyond-lease": [self.sent(101)],
             "tightening-ignored": [
-                (55, {"what": "spec.version", "who": "n", "state": "offered", "version": 2}),
+                (55, {"what": "spec.offered", "who": "n", "version": 2}),
                 self.sent(60),
             ],
             "two-regions": [self.ran(1), self.ran(5, "north", "2")],
