--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -76,6 +76,7 @@
     key: the secret of all of them, at least 16 characters. lease: on the spec. register: a folder that all
     keepers and committers see. spec: the first version. members, keepers: by name. log: a folder for
     histories. drill: jobs without work that each member sends a second, to prove the bound.
+    gone: members that never start again with the disk that they had.
     """
 
     key: str
@@ -84,6 +85,7 @@
     spec: str
     log: str
     drill: float = 0.0
+    gone: list[str] = []
     members: dict[str, MemberForm]
     keepers: dict[str, KeeperForm]
 
@@ -347,7 +349,7 @@
         form = ground.keepers[name]
         super().__init__(ground, name, form.listen or form.address)
         self.register = FolderRegister(Path(ground.register))
-        self.core = Keeper(int(ground.lease), self.now())
+        self.core = Keeper(int(ground.lease), self.now(), gone=tuple(ground.gone))
 
     async def run(self) -> None:
         await self.begin()
--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -194,6 +194,7 @@
 
     history: the texts of committed versions that it knows. since: when it learnt of the highest. rows:
     (member, highest number that it said to have). force: the highest number told to be in force.
+    gone: members that, by the operator's word, never start again with the disk that they had.
     """
 
     lease: int
@@ -203,6 +204,7 @@
     since: int = 0
     rows: tuple[tuple[str, int], ...] = ()
     force: int = 0
+    gone: tuple[str, ...] = ()
 
     def reads(self, number: int, digest: str, version: Version | None, now: int) -> Keeper:
         """What the register has now, with the text where it is at hand."""
@@ -249,7 +251,7 @@
         late = []
         for name, here in sorted(names.items()):
             has = told.get(name, 0)
-            if has >= number:
+            if has >= number or name in self.gone:
                 continue
             if not over or any(
                 withdrawn(one.spec, new, here) for one in self.history[:-1] if one.number >= has
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from dataclasses import replace
 
 from pathsaddle.emulator.federation.mutants import IN_MODEL, mutant
 from pathsaddle.federation.check import Forbidden, check, versions
@@ -169,6 +170,7 @@
         _, moved = versions(1, moved="south")
         keeper = Keeper(LEASE, 0).reads(1, one.digest, one, 0).reads(2, moved.digest, moved, 50)
         self.assertEqual(keeper.waits_for(100 * LEASE), ("m0", "s", "w"))
+        self.assertEqual(replace(keeper, gone=("m0", "w")).waits_for(100 * LEASE), ("s",))
 
     def test_of_two_texts_under_one_number_both_narrow_until_one_is_committed(self):
         one, two, state = self.held()
