Federation processes: choice and lenders by datagrams, a region killed

Askings, words to fellows and shares go by datagrams; jobs without work leave their effect in the log. With real processes: the home region killed, then its lender, both back; answers lost, then askings lost; a once-only job whose answer is lost runs once and is neither declined nor sent again.

--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -17,6 +17,7 @@
 
 from pathsaddle.charter.check import Faulty, check, load
 from pathsaddle.charter.units import Duration
+from pathsaddle.federation.abroad import Abroad
 from pathsaddle.federation.disk import Disk, FolderRegister
 from pathsaddle.federation.faults import BadKey, NoSpec, NoWay, SpecFaulty
 from pathsaddle.federation.spec import load as load_spec
@@ -76,6 +77,8 @@
     key: the secret of all of them, at least 16 characters. lease: on the spec. register: a folder that all
     keepers and committers see. spec: the first version. members, keepers: by name. log: a folder for
     histories. drill: jobs without work that each member sends a second, to prove the bound.
+    jobs: txns without work that each member takes a second, to prove the choice; capacity: what a region's
+    workers are taken to do a second.
     gone: members that never start again with the disk that they had.
     """
 
@@ -86,6 +89,8 @@
     log: str
     drill: float = 0.0
     gone: list[str] = []
+    jobs: float = 0.0
+    capacity: float = 200.0
     members: dict[str, MemberForm]
     keepers: dict[str, KeeperForm]
 
@@ -216,10 +221,17 @@
         self.count = 0
         self.log("member.began", life=self.life, region=self.region)
         self.held()
+        regions: dict[str, list[str]] = {row.region: [] for row in ground.members.values()}
+        for other, row in sorted(ground.members.items()):
+            regions[row.region].append(other)
+        self.abroad = Abroad(self, regions, ground.capacity)
 
     async def run(self) -> None:
         await self.begin()
         jobs = [self.every(int(self.ground.lease) // 6, self.renew)]
+        if self.ground.jobs:
+            jobs += [self.every(SECOND // 4, self.abroad.beat),
+                     self.every(int(SECOND / self.ground.jobs), self.abroad.takes)]
         if self.ground.drill:
             jobs.append(self.every(int(SECOND / self.ground.drill), self.drill))
         await asyncio.gather(*jobs)
@@ -268,8 +280,10 @@
                 self.goes_by(after)
             elif said.first % AT_ONCE == AT_ONCE - 1 and (said.number, said.digest) in self.wanted:
                 self.want(said.number, said.digest, said.size, said.name)
-        elif said.kind == JOB:
+        elif said.kind == JOB and self.ground.drill:
             self.asked(said, now)
+        elif said.kind >= JOB:
+            self.abroad.heard(said)
         if said.kind in (RENEWED, COMMIT, OFFER) and said.number >= self.holder.known[0] and said.size:
             known = [self.has(), *((one.number, one.digest) for one in self.holder.offers)]
             if (said.number, said.digest) not in known:
--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -24,7 +24,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
 
@@ -178,10 +177,6 @@
             rule = rule.narrowed(offer.spec.rule(scheme, self.here))
         return rule if self.leased(now) else rule.alone()
 
-    def may_read(self, data: str, region: str) -> bool:
-        """Where data may be read, likewise; a txn's own rule says where that txn may be."""
-        return all(region in one.spec.readable(data) for one in (self.base, *self.offers))
-
 
 def holder(name: str, here: str, life: int, lease: int, version: Version) -> Holder:
     """A life begins with the version that its disk has: any committed one."""
@@ -311,8 +306,3 @@
     """Whether somebody in `here` that hears nothing would, by `old`, post to what `new` forbids."""
     return any(not old.rule(name, here).alone().may <= new.rule(name, here).may
                for name in {**old.schemes, **new.schemes})
-
-
-def first_offer(texts: Iterable[Version]) -> int:
-    """The number that the next version is to have."""
-    return max((one.number for one in texts), default=0) + 1
--- a/pathsaddle/federation/wire.py
+++ b/pathsaddle/federation/wire.py
@@ -17,6 +17,7 @@
 SUM = 16
 PIECE = 1024  # bytes of a text in one datagram
 ASK, RENEWED, OFFER, COMMIT, HAVE, WANT, TEXT, JOB = range(8)
+PING, PONG, WORD, SHARE, ANSWER, LOOK, NEVER = range(8, 15)
 
 
 class Said(Struct, array_like=True, frozen=True):
@@ -26,6 +27,8 @@
     echo: ASK, RENEWED: by what an answer is known. to: RENEWED: whose asking of which life.
     number, digest, size: of a version, and how many bytes its text has.
     first: WANT: from which piece on; TEXT: which piece. data: that piece, or a JOB's txn.
+    Of dealings abroad: echo: PING, PONG; size: PONG: what is free; NEVER: the age of that life; data: the posting
+      (JOB, ANSWER, LOOK, NEVER), or what is said (WORD, SHARE); first: ANSWER: 1 for settled, 0 for declined.
     scheme, home, region: JOB: what, where it belongs, where its client came.
     """
 
--- a/tests/test_federation_processes.py
+++ b/tests/test_federation_processes.py
@@ -31,6 +31,24 @@
 may = ["north"{0}]
 fail_over = [{1}]
 """
+JOBS = """[regions.north]
+members = ["n0", "n1"]
+[regions.west]
+members = ["w0"]
+[regions.south]
+members = ["s0"]
+[schemes.once]
+semantics = "once-only"
+home = "west"
+may = ["north", "west", "south"]
+fail_over = ["south", "north"]
+at_most = 1.0
+[schemes.again]
+home = "west"
+may = ["north", "west", "south"]
+fail_over = ["south", "north"]
+at_most = 1.0
+"""
 SKEW = 100  # ticks: one machine, one clock, and the time between a look at it and the line in the log
 
 
@@ -69,13 +87,15 @@
         self.sock.close()
 
 
-class ProcessesStory(unittest.TestCase):
+class Processes(unittest.TestCase):
+    drives, first = "drill = 20.0", spec("west", "south")
+
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
         self.specs, self.processes, self.relays = {}, {}, {}
-        lines = ['key = "sixteen bytes or more"', 'lease = "2s"', "drill = 20.0",
+        lines = ['key = "sixteen bytes or more"', 'lease = "2s"', self.drives,
                  f'register = "{self.folder}/register"', f'spec = "{self.folder}/first.toml"',
                  f'log = "{self.folder}/log"']
         for kind, names in (("members", NAMES), ("keepers", ("k0", "k1"))):
@@ -92,14 +112,15 @@
                     lines += [f'region = "{NAMES[name]}"', f'disk = "{self.folder}/disk"']
         self.ground = self.folder / "ground.toml"
         self.ground.write_text("\n".join(lines) + "\n")
-        (self.folder / "first.toml").write_text(spec("west", "south"))
+        (self.folder / "first.toml").write_text(self.first)
         self.run_one("commit", str(self.ground), str(self.folder / "first.toml"), "--offer", "0.1").wait(20)
         for name in ("k0", "k1"):
             self.start("keeper", name)
         self.until(lambda rows: any(row.what == "spec.version" for row in rows), "a keeper has read version 1")
         for name in NAMES:
             self.start("member", name)
-        self.until(lambda rows: all(any(row.what == "abroad.sent" and row.more["who"] == name for row in rows)
+        self.until(lambda rows: all(any(row.what == "spec.version" and row.more["state"] == "held"
+                                        and row.more["until"] > row.at and row.more["who"] == name for row in rows)
                                     for name in NAMES), "everybody has a lease")
 
     def run_one(self, *words):
@@ -176,6 +197,10 @@
         self.assertEqual([row for row in rows if row.what == "driver.fault"], [])
         return rows
 
+
+class ProcessesStory(Processes):
+    """What the rule allows is sent, all the time, to all regions."""
+
     def test_tightened_while_one_is_cut_off_and_one_stopped_for_longer_than_the_lease(self):
         for name in ("w0",):
             self.relays[name].cut = True
@@ -278,6 +303,58 @@
         self.good()
 
 
+class AbroadStory(Processes):
+    """Jobs without work, each with an effect in the log, by the choice and the lenders of real processes."""
+
+    drives, first = "jobs = 10.0", JOBS
+
+    def ran(self, rows, region, after=0, by=""):
+        """Txns taken elsewhere that ran there."""
+        return [row for row in rows if row.what == "region.ran" and row.more["region"] == region and row.at > after
+                and (not by or row.more["txn"].startswith(by))]
+
+    def now(self):
+        return time.monotonic() * 10_000
+
+    def test_a_region_is_lost_and_comes_back_and_then_the_lender_is_lost(self):
+        self.until(lambda rows: self.ran(rows, "west", by="n0"), "north's clients are served at home, in the west")
+        self.kill("w0")
+        lost = self.now()
+        self.until(lambda rows: len(self.ran(rows, "south", lost, "n0")) > 5, "south lends")
+        self.kill("s0")
+        lost = self.now()
+        self.until(lambda rows: len(self.ran(rows, "north", lost, "n0")) > 5, "the last lends")
+        self.start("member", "w0")
+        self.start("member", "s0")
+        back = self.now()
+        self.until(lambda rows: len(self.ran(rows, "west", back, "n0")) > 20, "home again")
+        self.good()
+
+    def test_cut_one_way_each_in_turn_the_answer_of_a_once_only_job_is_lost_on_the_way_back(self):
+        self.until(lambda rows: self.ran(rows, "west", by="s0"), "south's clients are served at home, in the west")
+        self.relays["s0"].cut = True  # what the south sends comes, the answers don't
+        cut = self.now()
+
+        def unknown(rows):
+            ran = {row.more["txn"] for row in self.ran(rows, "west", cut, "s0") if row.more["kind"] == "once-only"}
+            return [row for row in rows if row.what == "txn.answer" and row.more["txn"] in ran
+                    and row.more["outcome"] == "failed"]
+
+        self.until(unknown, "it ran, and its caller is told that nobody knows")
+        self.relays["s0"].cut = False
+        self.relays["w0"].cut = True  # now what others send to the west is lost
+        cut = self.now()
+        self.until(lambda rows: len(self.ran(rows, "south", cut, "s0")) > 5, "the next in order")
+        self.relays["w0"].cut = False
+        back = self.now()
+        self.until(lambda rows: len(self.ran(rows, "west", back, "s0")) > 20, "home again")
+        rows = self.good()
+        ran = [row.more["txn"] for row in rows if row.what == "region.ran" and row.more["kind"] == "once-only"]
+        self.assertEqual(len(ran), len(set(ran)))
+        declined = {row.more["txn"] for row in rows if row.what == "txn.answer" and row.more["outcome"] == "declined"}
+        self.assertFalse(declined & set(ran))
+
+
 class DoorStory(unittest.TestCase):
     """What comes from outside: datagrams of strangers, files that are wrong."""
 
