--- a/pathsaddle/federation/check.py
+++ b/pathsaddle/federation/check.py
@@ -11,6 +11,7 @@
 
 from dataclasses import dataclass, replace
 from functools import cache
+from random import Random
 
 from pathsaddle.federation.spec import parse
 from pathsaddle.federation.versions import (
@@ -192,6 +193,26 @@
     return len(seen)
 
 
+def walk(seed: int, length: int = 60, members: int = 3, asks: int = 6, lives: int = 4) -> int:
+    """One order of events, far longer than all can be tried, drawn by chance; how many steps were taken. Raises
+    Forbidden."""
+    chance = Random(seed)
+    one, two = versions(members)
+    world = start(one, two, members)
+    path: list[str] = []
+    for _ in range(length):
+        found = steps(world, one, two, asks, lives)
+        moments = [row for row in found if row[0].startswith("a moment")]
+        others = [row for row in found if not row[0].startswith("a moment")]
+        # Time goes on now and then: else every lease is over before a message is taken.
+        name, world = chance.choice(moments if not others or chance.random() < 0.2 else others)
+        path.append(name)
+        wrong = breach(world)
+        if wrong:
+            raise Forbidden(f"{wrong}: " + ", ".join(path))
+    return len(path)
+
+
 def _moved(world: World) -> str:
     for state, clock in zip(world.members, world.clocks, strict=False):
         if world.forced and not state.rule("a", clock).may <= {"south", "west"}:
--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from pathsaddle.emulator.federation.mutants import IN_MODEL, mutant
-from pathsaddle.federation.check import Forbidden, check, versions
+from pathsaddle.federation.check import Forbidden, check, versions, walk
 from pathsaddle.federation.faults import SpecFaulty
 from pathsaddle.federation.spec import parse
 from pathsaddle.federation.versions import (
@@ -188,6 +188,9 @@
         self.assertGreater(check(5, 3), 40_000)
         self.assertGreater(check(7, 1), 10_000)
 
+    def test_nor_in_orders_far_longer_drawn_by_chance(self):
+        self.assertEqual(sum(walk(seed) for seed in range(300)), 300 * 60)
+
     def test_a_home_that_is_withdrawn_is_left_before_in_force(self):
         self.assertGreater(check(6, 2, lives=0, moved="south"), 1000)
 
