--- a/pathsaddle/emulator/federation/member.py
+++ b/pathsaddle/emulator/federation/member.py
@@ -474,7 +474,7 @@
             return
         if post.region in txn.job.unknown:
             txn.job.unknown.remove(post.region)  # it is proven now that this one never ran
-        txn.job.again[post.region] = self.now() + 100 * MILLISECOND
+        txn.job.again[post.region] = self.now() + int(self.ways.ways[post.region].trip)
         self.consider(txn)
 
     def silent(self, txn: Txn, post: Post) -> None:
--- a/pathsaddle/federation/abroad.py
+++ b/pathsaddle/federation/abroad.py
@@ -237,7 +237,7 @@
             return
         if sent.region in txn.job.unknown:
             txn.job.unknown.remove(sent.region)
-        txn.job.again[sent.region] = now + 100 * MILLISECOND
+        txn.job.again[sent.region] = now + int(self.ways.ways[sent.region].trip)
         self.consider(txn)
 
     def heard(self, said: Said) -> None:
--- a/pathsaddle/federation/ways.py
+++ b/pathsaddle/federation/ways.py
@@ -62,6 +62,7 @@
     need: int = BACK
     trust: float = 1.0
     settled: int = 0
+    # of the last 64 fellows that said something
     words: dict[str, tuple[int, int, int]] = field(default_factory=dict)  # fellow -> (overdue, heard, told)
 
     def room(self, now: int) -> bool:
