Dispatchers cross: what finds no place at home is offered to another region's door, once

A [federation] table in the charter puts FederatedDesk in the plain Desk's place. Decisions stay as they are: only what would be declined here, which proves that nothing ran, is sent on by a client's call, with the time left cut by the way; its answer is the answer. A decline there proves that nothing ran, silence doesn't. The end of our connection tells a hang-up on. Foreign calls are let in by the lender.

--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -238,6 +238,21 @@
             raise ValueError("beat: 50ms at least, and patience under half of it")
 
 
+class Federation(Form):
+    """Other regions, by the spec that `ground` names.
+
+    ground: the file of the federation's members and keepers (docs/federation.md).
+    member: this dispatcher's name there.
+    doors: region -> where its dispatchers take clients' calls, host:port.
+    room: how many txns may be open here before nothing is lent to other regions.
+    """
+
+    ground: str
+    member: str
+    doors: dict[str, list[str]] = field(default_factory=dict)
+    room: Count = 64
+
+
 class Log(Form):
     """What is logged, to standard error.
 
@@ -273,6 +288,7 @@
     log: what is logged.
     jobs: durable jobs; off where the table is missing.
     fleet: other dispatchers, and who of them is there; off where the table is missing.
+    federation: other regions; off where the table is missing.
     """
 
     listen: str
@@ -296,6 +312,7 @@
     log: Log = field(default_factory=Log)
     jobs: Jobs | None = None
     fleet: Fleet | None = None
+    federation: Federation | None = None
 
     def __post_init__(self) -> None:
         from pathsaddle.net.wire.terms import peer_of
@@ -317,6 +334,8 @@
                     raise ValueError(f'{key}: "{name}" stands there twice')
         if self.fleet is not None and self.name == "pathsaddle" and self.dispatchers > 1:
             raise ValueError("name: with fleet each dispatcher needs a name of its own")
+        if self.jobs is not None and self.federation is not None:
+            raise ValueError("federation: durable jobs don't leave their region; take [jobs] or [federation] out")
         if self.jobs is not None and any(scheme.name == "jobs" for scheme in self.schemes):
             raise ValueError('schemes: "jobs" is the path of durable jobs')
         if self.zone is not None and self.zone not in self.zones:
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -30,6 +30,12 @@
         return json.dumps(told(self.charter))
 
     def desk(self, *told: Any) -> Desk:
+        if self.charter.federation is not None:
+            from pathsaddle.federation.desk import FederatedDesk
+            from pathsaddle.federation.driver import MemberProcess, ground_of
+            regions = self.charter.federation
+            member = MemberProcess(ground_of(regions.ground), regions.member, serving=True)
+            return FederatedDesk(*told, member=member, doors=regions.doors, room=regions.room)
         if self.charter.jobs is None:
             return super().desk(*told)
         from pathsaddle.jobs.desk import DurableDesk, Ways
--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -51,6 +51,7 @@
     """Serve by the operator's CHARTER, in the foreground, until SIGTERM or Ctrl-C. SIGHUP rereads it."""
     from pathsaddle.charter.check import Faulty
     from pathsaddle.charter.ground import CharterGround
+    from pathsaddle.federation.faults import FederationFault
     from pathsaddle.fleet.lives import NoFolder
     from pathsaddle.jobs.store import Unusable
     from pathsaddle.net.service import start
@@ -63,6 +64,8 @@
         start.run(ground)
     except Unusable as fault:
         raise Stop(f"{charter}: jobs.path: {fault}", 2) from None
+    except FederationFault as fault:
+        raise Stop(f"{charter}: federation: {fault}", 2) from None
     except NoFolder as fault:
         raise Stop(f"{charter}: fleet.folder: {fault}", 2) from None
     except OSError as fault:
--- a/pathsaddle/federation/abroad.py
+++ b/pathsaddle/federation/abroad.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from pathsaddle.federation.lend import Free, Lender, parts
+from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.versions import Holder
 from pathsaddle.federation.ways import SOON, Job, Ways
 from pathsaddle.federation.wire import ANSWER, JOB, LOOK, NEVER, PING, PONG, SHARE, WORD, Said
@@ -75,6 +76,7 @@
         budget = int((form.lend if form is not None else 0.0) * capacity)
         self.capacity = int(capacity)
         self.born = process.now()
+        self.free: Callable[[], Free] = lambda: Free(self.capacity, 0, 0, {})
         self.lender = Lender(process.name, process.life, parts(budget, len(fellows))[fellows.index(process.name)],
                              self.born)
         self.budget = budget
@@ -182,15 +184,20 @@
         if process.region not in rule.may:
             process.log("job.refused", now, txn=tag, scheme=scheme, version=process.holder.base.number)
             return False
-        if home != process.region:
-            if self.lender.asked(scheme, rule, process.region, Free(self.capacity, 0, 0, {}), now):
-                return False
-            self.tell()
-            process.log("share.spend", now, budget=f"lend-{process.region}", units=1)
+        if home != process.region and self.lent_to(scheme, rule, self.free(), now):
+            return False
         process.log("region.ran", now, by=process.name, region=process.region, txn=tag, post=post,
                     kind=rule.semantics, scheme=scheme, home=home)
         return True
 
+    def lent_to(self, scheme: str, rule: Rule, free: Free, now: int) -> str:
+        """An empty text where a foreign job is let in now, and counted; else why not."""
+        why = self.lender.asked(scheme, rule, self.process.region, free, now)
+        if not why:
+            self.tell()
+            self.process.log("share.spend", now, budget=f"lend-{self.process.region}", units=1)
+        return why
+
     def answers(self, txn: Txn, outcome: str, **more: Any) -> None:
         if not txn.done:
             txn.done = True
@@ -243,7 +250,8 @@
     def heard(self, said: Said) -> None:
         process, now = self.process, self.process.now()
         if said.kind == PING:
-            process.say(said.name, PONG, echo=said.echo, size=self.capacity)
+            free = self.free()
+            process.say(said.name, PONG, echo=said.echo, size=0 if free.waiting else max(0, free.slots))
         elif said.kind == PONG:
             row = self.pings.pop(said.echo, None)
             if row is not None:
--- /dev/null
+++ b/pathsaddle/federation/desk.py
@@ -0,0 +1,245 @@
+"""The door of a dispatcher that may send jobs to another region, and takes some from there.
+
+It stands in the plain Desk's place where the charter has a `[federation]` table. All is decided as ever; only what would be
+declined here, which proves that nothing of it ran, is offered to the other regions that the spec allows, by a client's call
+at one of their doors. Its answer is the answer. A decline from there, or a call whose last byte did not go out, proves that
+nothing ran there either; silence doesn't: then it is declined only if it may be repeated, and fails otherwise.
+
+What has crossed once stays: a call that names the region it came from is served here or declined here. Foreign jobs are
+let in by `Lender` alone: own ones first, what is free, by shares.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from functools import partial
+from typing import Any
+
+from pathsaddle.federation.driver import MemberProcess
+from pathsaddle.federation.faults import SpecFaulty
+from pathsaddle.federation.lend import Free
+from pathsaddle.federation.spec import Rule
+from pathsaddle.federation.ways import Job, Place
+from pathsaddle.net.memory.ledger import Answer, Entry
+from pathsaddle.net.service import logbook
+from pathsaddle.net.service.clock import seconds
+from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.workers import Lost, NeverSent
+from pathsaddle.net.wire import forms
+from pathsaddle.net.wire.http import Message
+from pathsaddle.trade import MILLISECOND, Semantics, Txn
+
+CROSSED = b"crossed-from"
+LAST = 30 * MILLISECOND  # before its expiry an answer is given, whatever is out
+FAR = 1 << 50
+
+
+@dataclass(eq=False)
+class Crossing:
+    """One txn of ours that is at another region's door."""
+
+    txn: Txn
+    answer: Answer | None
+    post: str
+    region: str
+    sent: bool = False
+    task: asyncio.Task[None] | None = None
+    alarm: asyncio.TimerHandle | None = None
+
+
+class FederatedDesk(Desk):
+    """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing is
+    lent; a region's members' rooms together are what it can do at once."""
+
+    def __init__(self, *told: Any, member: MemberProcess, doors: dict[str, list[str]], room: int) -> None:
+        super().__init__(*told)
+        self.member, self.doors, self.room = member, doors, room
+        self.names = {scheme.index: name for name, scheme in self.words.schemes.items()}
+        self.crossings: dict[str, Crossing] = {}
+        self.foreign: dict[str, str] = {}  # tag -> scheme, of what came from abroad and is open
+        member.abroad.free = self.free
+        spec = member.holder.base.spec
+        for name, scheme in sorted(self.words.schemes.items()):
+            told_here = scheme.semantics.name.lower().replace("_", "-")
+            if name in spec.schemes and spec.schemes[name].semantics != told_here:
+                raise SpecFaulty(member.ground.spec, [
+                    f"schemes.{name}.semantics: {spec.schemes[name].semantics} stands there, {told_here} in the "
+                    + "charter; write the same"])
+
+    async def begin(self) -> None:
+        await super().begin()
+        await self.member.run()
+
+    async def finish(self) -> None:
+        await super().finish()
+        self.member.end()
+
+    def free(self) -> Free:
+        """Of this dispatcher's room. Own ones wait: they are taken and nowhere posted."""
+        waiting = sum(not entry.txn.postings for entry in self.ledger.unanswered()
+                      if entry.txn.tag not in self.foreign)
+        of: dict[str, int] = {}
+        for scheme in self.foreign.values():
+            of[scheme] = of.get(scheme, 0) + 1
+        return Free(self.room - len(self.ledger.unanswered()), waiting, len(self.foreign), of)
+
+    # From abroad.
+
+    def take(self, call: Message, answer: Answer) -> Entry | None:
+        origin = call.text(CROSSED)
+        if origin is None:
+            return super().take(call, answer)
+        # Before anything is open: a fault in the call is the same fault as ever.
+        txn, now = self.words.txn(call, self.loop.now), self.member.now()
+        scheme = self.names[txn.scheme.index]
+        holder = self.member.holder
+        rule = holder.rule(scheme, now)
+        why = self._lent(scheme, rule, now)
+        if why:
+            self.counters.add(f"abroad.refused.{why}")
+            self.member.log("job.refused", now, txn=txn.tag, scheme=scheme, why=why, version=holder.base.number)
+            answer(503, b"", (), True)
+            return None
+        entry = super().take(call, answer)
+        if entry is not None and not entry.txn.closed:
+            self.foreign[txn.tag] = scheme
+            self.counters.add("abroad.taken")
+            self.member.log("region.ran", now, by=self.member.name, region=self.member.region, txn=txn.tag,
+                            post=txn.tag, kind=rule.semantics, scheme=scheme, home=rule.home)
+        return entry
+
+    def _lent(self, scheme: str, rule: Rule, now: int) -> str:
+        if rule.home == self.member.region:
+            return "" if self.member.region in rule.may else "residency"
+        return self.member.abroad.lent_to(scheme, rule, self.free(), now)
+
+    def _answer(self, txn: Txn, *told: Any, **more: Any) -> None:
+        self.foreign.pop(txn.tag, None)
+        super()._answer(txn, *told, **more)
+
+    # To another region.
+
+    def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None:
+        if not self._leaves(txn, come_back):
+            super().decline(txn, come_back, elsewhere)
+
+    def _leaves(self, txn: Txn, come_back: int) -> bool:
+        entry = self.ledger[txn.tag]
+        if entry.answer is None or txn.tag in self.foreign or entry.call.text(CROSSED) is not None:
+            return False
+        member, now = self.member, self.member.now()
+        holder = member.holder
+        left = now + txn.expires - self.clock.now() - LAST
+        unknown = []
+        if txn.scheme.semantics is Semantics.REFERENCED and any(errand.sent for errand in entry.errands):
+            unknown = [member.region]  # it may have run here: only where one group drops repeats of both
+        job = Job(txn.tag, self.names[txn.scheme.index], txn.scheme.sla_time, left, member.region, unknown)
+        member.abroad.ways.own_wait = FAR  # it has just been declined here
+        place = member.abroad.ways.choose(job, holder.rule(job.scheme, now), holder.base.spec, holder.base.number, now)
+        logbook.note(text=f"{txn.tag} {place.what} {place.code} {place.region} {place.key} line {place.line} "
+                          f"version {place.version}")
+        doors = self.doors.get(place.region)
+        if place.what != "send" or not doors:
+            self.counters.add(f"abroad.not.{place.code}")
+            return False
+        crossing = Crossing(txn, entry.answer, f"{txn.tag}/{member.name}", place.region)
+        entry.answer = None
+        self.crossings[txn.tag] = crossing
+        self.counters.add(f"abroad.sent.{place.code}")
+        member.abroad.ways.opened(place.region, place.region != holder.base.spec.rule(job.scheme, member.region).home)
+        rule = holder.rule(job.scheme, now)
+        member.log("abroad.sent", now, post=crossing.post, txn=txn.tag, scheme=job.scheme, kind=rule.semantics,
+                   origin=member.region, to=place.region, version=place.version, home=rule.home, code=place.code,
+                   line=place.line, **{"from": member.region})
+        due = seconds(txn.expires - self.clock.now() - LAST)
+        crossing.alarm = self._events.call_later(max(0.0, due), self._overdue, crossing)
+        crossing.task = self._start(self._cross(crossing, entry.call, place, doors, come_back))
+        self._events.call_soon(self.ledger.close, entry)
+        return True
+
+    async def _cross(self, crossing: Crossing, call: Message, place: Place, doors: list[str], come_back: int) -> None:
+        door = self.member.chance.choice(doors)
+        name = f"door:{door}"
+        self.workers.located(name, door)
+        # Its decline must be back before ours is due: silence would be all that we know.
+        way = self.member.abroad.ways.ways[place.region].patience()
+        left = crossing.txn.expires - self.clock.now() - 2 * LAST - way
+        headers = [row for row in forms.posting_headers(call, left) if row[0].lower() != CROSSED]
+
+        def begins() -> None:
+            # Connecting took time, and a process may stand still between its look and its sending.
+            now = self.member.now()
+            if place.region not in self.member.holder.rule(self.names[crossing.txn.scheme.index], now).may:
+                raise NeverSent("the spec was tightened")
+
+        def sent() -> None:
+            crossing.sent = True
+
+        try:
+            answer = await self.workers.call(
+                name, "POST", call.target, [*headers, (b"Crossed-From", self.member.region.encode())], call.body,
+                begins, sent)
+        except NeverSent:
+            self._crossed(crossing, "declined", come_back)
+        except Lost:
+            self._crossed(crossing, "unknown", come_back)
+        else:
+            if answer.status == 200:
+                self._crossed(crossing, "settled", body=answer.body)
+            elif answer.status in (429, 503) or 400 <= answer.status < 500:
+                self._crossed(crossing, "declined", come_back)
+            else:
+                self._crossed(crossing, "reversed", come_back)
+
+    def _overdue(self, crossing: Crossing) -> None:
+        """Its time is up; the end of the connection tells the other region that nobody waits."""
+        self._crossed(crossing, "unknown" if crossing.sent else "declined", 0)
+        if crossing.task is not None:
+            crossing.task.cancel()
+
+    def _crossed(self, crossing: Crossing, outcome: str, come_back: int = 0, body: bytes = b"") -> None:
+        if self.crossings.pop(crossing.txn.tag, None) is None:
+            return
+        if crossing.alarm is not None:
+            crossing.alarm.cancel()
+        member, txn = self.member, crossing.txn
+        now = member.now()
+        told = "unknown" if outcome == "reversed" else outcome
+        lent = crossing.region != member.holder.base.spec.rule(self.names[txn.scheme.index], member.region).home
+        member.abroad.ways.ended(crossing.region, told, lent, now)
+        member.log("abroad.ended", now, post=crossing.post, txn=txn.tag, outcome=outcome)
+        self.counters.add(f"abroad.{outcome}")
+        if crossing.answer is None:
+            return
+        # Declined, if nothing ran anywhere or it may be repeated; what may have run and may not, failed.
+        headers: tuple[str, ...] = ()
+        if outcome == "settled":
+            kind, status = "settled", 200
+        elif outcome == "declined" or txn.scheme.semantics is Semantics.REPEATABLE:
+            kind, status, headers = "declined", 503, forms.come_back_header(come_back)
+        else:
+            kind, status = "reversed", 500
+        self.counters.add(f"txn.{kind}")
+        crossing.answer(status, body, headers, True)
+
+    def hang_up(self, entry: Entry) -> None:
+        crossing = self.crossings.get(entry.txn.tag)
+        self.foreign.pop(entry.txn.tag, None)
+        if crossing is None:
+            super().hang_up(entry)
+            return
+        # Told on: the end of the connection is a hang-up there.
+        crossing.answer = None
+        self.counters.add("txn.hung_up")
+        self._crossed(crossing, "unknown" if crossing.sent else "declined")
+        if crossing.task is not None:
+            crossing.task.cancel()
+
+    def stop(self, by: int) -> None:
+        for crossing in self.crossings.values():
+            if crossing.txn.cut_to(by) and crossing.alarm is not None:
+                crossing.alarm.cancel()
+                due = seconds(by - self.clock.now() - LAST)
+                crossing.alarm = self._events.call_later(max(0.0, due), partial(self._overdue, crossing))
+        super().stop(by)
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -189,6 +189,10 @@
             self.say(said.name, TEXT, number=said.number, digest=said.digest, size=len(text), first=i,
                      data=text[i * PIECE:(i + 1) * PIECE])
 
+    def end(self) -> None:
+        if self.transport is not None:
+            self.transport.close()
+
     async def every(self, ticks: int, call: Callable[[], None]) -> None:
         while True:
             try:
@@ -201,8 +205,9 @@
 class MemberProcess(Process):
     """A dispatcher's part in the spec: `rule` is what its door may ask before each posting abroad."""
 
-    def __init__(self, ground: GroundForm, name: str) -> None:
-        """Raises NoSpec, NoWay, SpecFaulty."""
+    def __init__(self, ground: GroundForm, name: str, serving: bool = False) -> None:
+        """serving: a dispatcher's own jobs go abroad. Raises NoSpec, NoWay, SpecFaulty."""
+        self.serving = serving
         if name not in ground.members:
             raise NoSpec(f"members.{name} is missing", f"add [members.{name}] or start one of "
                                                        f"{', '.join(sorted(ground.members))}")
@@ -229,9 +234,10 @@
     async def run(self) -> None:
         await self.begin()
         jobs = [self.every(int(self.ground.lease) // 6, self.renew)]
+        if self.ground.jobs or self.serving:
+            jobs.append(self.every(SECOND // 4, self.abroad.beat))
         if self.ground.jobs:
-            jobs += [self.every(SECOND // 4, self.abroad.beat),
-                     self.every(int(SECOND / self.ground.jobs), self.abroad.takes)]
+            jobs.append(self.every(int(SECOND / self.ground.jobs), self.abroad.takes))
         if self.ground.drill:
             jobs.append(self.every(int(SECOND / self.ground.drill), self.drill))
         await asyncio.gather(*jobs)
--- a/tests/test_charter.py
+++ b/tests/test_charter.py
@@ -2,6 +2,7 @@
 
 import json
 import tempfile
+import tomllib
 import unittest
 from pathlib import Path
 from typing import Any, ClassVar
@@ -148,7 +149,8 @@
 
     def test_plans_that_are_here_are_good(self) -> None:
         for path in (ROOT / "experiments").glob("*.toml"):
-            plan.read(path)
+            if "charter" in tomllib.loads(path.read_text()):  # others are plans of other entries
+                plan.read(path)
 
 
 if __name__ == "__main__":
