A client that came to the wrong region is sent home, as the spec stands

A dispatcher served whatever came as its own, also what may not run in its region. Now what belongs elsewhere goes home by one crossing, and here only as a foreign job; a txn held while the spec is tightened is not posted any more.

--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/desk.py
@@ -5,7 +5,7 @@
 at one of their doors. Its answer is the answer. A decline from there, or a call whose last byte did not go out, proves that
 nothing ran there either; silence doesn't: then it is declined only if it may be repeated, and fails otherwise.
 
-What has crossed once stays: a call that names the region it came from is served here or declined here. Foreign jobs are
+A client whose txn belongs to another region is sent home; here its txn is foreign. What has crossed once stays: a call that names the region it came from is served here or declined here. Foreign jobs are
 let in by `Lender` alone: own ones first, what is free, by shares.
 """
 
@@ -21,14 +21,14 @@
 from pathsaddle.federation.lend import Free
 from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.ways import Job, Place
-from pathsaddle.net.memory.ledger import Answer, Entry
+from pathsaddle.net.memory.ledger import Answer, Entry, Errand
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.wire import forms
-from pathsaddle.net.wire.http import Message
-from pathsaddle.trade import MILLISECOND, Semantics, Txn
+from pathsaddle.net.wire.http import Broken, Message
+from pathsaddle.trade import MILLISECOND, Outcome, Semantics, Txn
 
 CROSSED = b"crossed-from"
 LAST = 30 * MILLISECOND  # before its expiry an answer is given, whatever is out
@@ -87,15 +87,26 @@
     # From abroad.
 
     def take(self, call: Message, answer: Answer) -> Entry | None:
-        origin = call.text(CROSSED)
-        if origin is None:
-            return super().take(call, answer)
         # Before anything is open: a fault in the call is the same fault as ever.
         txn, now = self.words.txn(call, self.loop.now), self.member.now()
         scheme = self.names[txn.scheme.index]
         holder = self.member.holder
         rule = holder.rule(scheme, now)
-        why = self._lent(scheme, rule, now)
+        here = self.member.region
+        if call.text(CROSSED) is None:
+            if here == rule.home and here in rule.may:
+                return super().take(call, answer)
+            if self.ledger.knows(txn.tag) or txn.tag in self.crossings:
+                raise Broken(409, "this id is not new")
+            # It belongs elsewhere: home first, and here only as a lender.
+            elsewhere = Entry(txn, call, answer)
+            place = self._choose(txn, [], 0)
+            if place.what == "send" and self._sets_out(elsewhere, place, 0):
+                txn.closed = True  # to the decisions here: they never see it
+                return elsewhere
+            why = place.code if place.what != "run" else self._lent(scheme, rule, now)
+        else:
+            why = self._lent(scheme, rule, now)
         if why:
             self.counters.add(f"abroad.refused.{why}")
             self.member.log("job.refused", now, txn=txn.tag, scheme=scheme, why=why, version=holder.base.number)
@@ -124,38 +135,63 @@
         if not self._leaves(txn, come_back):
             super().decline(txn, come_back, elsewhere)
 
+    async def _carry(self, errand: Errand) -> None:
+        """Each posting here is asked for by the spec as it stands now: it may have been tightened while a txn was held."""
+        txn = errand.posting.txn
+        if self.member.region in self.member.holder.rule(self.names[txn.scheme.index], self.member.now()).may:
+            await super()._carry(errand)
+            return
+        self._end(errand, Outcome.MOOT)
+        if not txn.closed:
+            if any(one.sent for one in errand.entry.errands) and txn.scheme.semantics is not Semantics.REPEATABLE:
+                self.reverse(txn)
+            else:
+                super().decline(txn, 0, True)
+            self.loop.hang_up(txn)
+
+    def _choose(self, txn: Txn, unknown: list[str], own_wait: int) -> Place:
+        member, now = self.member, self.member.now()
+        holder, name = member.holder, self.names[txn.scheme.index]
+        left = now + txn.expires - self.clock.now() - LAST
+        job = Job(txn.tag, name, txn.scheme.sla_time, left, member.region, unknown)
+        member.abroad.ways.own_wait = own_wait
+        place = member.abroad.ways.choose(job, holder.rule(name, now), holder.base.spec, holder.base.number, now)
+        logbook.note(text=f"{txn.tag} {place.what} {place.code} {place.region} {place.key} line {place.line} "
+                          f"version {place.version}")
+        return place
+
     def _leaves(self, txn: Txn, come_back: int) -> bool:
         entry = self.ledger[txn.tag]
         if entry.answer is None or txn.tag in self.foreign or entry.call.text(CROSSED) is not None:
             return False
-        member, now = self.member, self.member.now()
-        holder = member.holder
-        left = now + txn.expires - self.clock.now() - LAST
         unknown = []
         if txn.scheme.semantics is Semantics.REFERENCED and any(errand.sent for errand in entry.errands):
-            unknown = [member.region]  # it may have run here: only where one group drops repeats of both
-        job = Job(txn.tag, self.names[txn.scheme.index], txn.scheme.sla_time, left, member.region, unknown)
-        member.abroad.ways.own_wait = FAR  # it has just been declined here
-        place = member.abroad.ways.choose(job, holder.rule(job.scheme, now), holder.base.spec, holder.base.number, now)
-        logbook.note(text=f"{txn.tag} {place.what} {place.code} {place.region} {place.key} line {place.line} "
-                          f"version {place.version}")
-        doors = self.doors.get(place.region)
-        if place.what != "send" or not doors:
+            unknown = [self.member.region]  # it may have run here: only where one group drops repeats of both
+        place = self._choose(txn, unknown, FAR)  # it has just been declined here
+        if place.what != "send" or not self._sets_out(entry, place, come_back):
             self.counters.add(f"abroad.not.{place.code}")
             return False
-        crossing = Crossing(txn, entry.answer, f"{txn.tag}/{member.name}", place.region)
         entry.answer = None
+        self._events.call_soon(self.ledger.close, entry)
+        return True
+
+    def _sets_out(self, entry: Entry, place: Place, come_back: int) -> bool:
+        """Whether there is a door to go to; then its answer is the answer."""
+        txn, member, now = entry.txn, self.member, self.member.now()
+        doors = self.doors.get(place.region)
+        if not doors:
+            return False
+        rule = member.holder.rule(self.names[txn.scheme.index], now)
+        crossing = Crossing(txn, entry.answer, f"{txn.tag}/{member.name}", place.region)
         self.crossings[txn.tag] = crossing
         self.counters.add(f"abroad.sent.{place.code}")
-        member.abroad.ways.opened(place.region, place.region != holder.base.spec.rule(job.scheme, member.region).home)
-        rule = holder.rule(job.scheme, now)
-        member.log("abroad.sent", now, post=crossing.post, txn=txn.tag, scheme=job.scheme, kind=rule.semantics,
+        member.abroad.ways.opened(place.region, place.region != rule.home)
+        member.log("abroad.sent", now, post=crossing.post, txn=txn.tag, scheme=self.names[txn.scheme.index], kind=rule.semantics,
                    origin=member.region, to=place.region, version=place.version, home=rule.home, code=place.code,
                    line=place.line, **{"from": member.region})
         due = seconds(txn.expires - self.clock.now() - LAST)
         crossing.alarm = self._events.call_later(max(0.0, due), self._overdue, crossing)
         crossing.task = self._start(self._cross(crossing, entry.call, place, doors, come_back))
-        self._events.call_soon(self.ledger.close, entry)
         return True
 
     async def _cross(self, crossing: Crossing, call: Message, place: Place, doors: list[str], come_back: int) -> None:
--- a/tests/test_federation_dispatchers.py
+++ b/tests/test_federation_dispatchers.py
@@ -67,6 +67,7 @@
         self.folder = Path(folder.name)
         self.moods = {"n": "full", "w": "done"}  # of each region's worker
         self.seen = {"n": [], "w": []}  # heads of the postings that came to it
+        self.serving = {}
         self.ports = {"n": free(), "w": free()}
         (self.folder / "spec.toml").write_text(SPEC)
         ground = ['key = "sixteen bytes or more"', 'lease = "5s"', f'register = "{folder.name}/register"',
@@ -88,7 +89,7 @@
             path = self.folder / f"{name}.toml"
             path.write_text(CHARTER.format(name=name, port=self.ports[name], folder=folder.name, other=other,
                                            door=self.ports[there], discovery=discovery.sockets[0].getsockname()[1]))
-            await self.start("pathsaddle", "serve", path)
+            self.serving[name] = await self.start("pathsaddle", "serve", path)
         await self.until(lambda rows: {row.more["who"] for row in rows if row.what == "spec.version"
                                        and row.more["state"] == "held" and row.more["until"] > row.at} == {"n", "w"})
         await self.until(lambda rows: any(row.what == "share.rights" and row.more["who"] == "w" and row.more["units"]
@@ -191,6 +192,24 @@
         self.assertEqual(dict(judged(rows, 100)), {})
         self.assertEqual({row.more["to"] for row in rows if row.what == "abroad.sent"}, {"west"})
 
+    async def test_a_client_that_came_to_the_wrong_region_is_sent_home_and_served_there_or_as_a_foreigner(self):
+        self.moods["n"] = "done"
+        for kind in ("vault", "render"):
+            self.assertEqual(await self.call("w", self.job(kind, kind)), (200, b"n"))
+        self.moods["n"] = "full"
+        self.assertEqual((await self.call("w", self.job("a", "vault")))[0], 503)
+        os.killpg(self.serving["n"].pid, signal.SIGKILL)
+        await self.serving["n"].wait()
+        for i in range(60):  # until it is lost to the west: then it runs there, but for what may not
+            status, body = await self.call("w", self.job(f"b{i}", "render", 1500))
+            if (status, body) == (200, b"w"):
+                break
+            await asyncio.sleep(0.1)
+        self.assertEqual((status, body), (200, b"w"))
+        self.assertEqual((await self.call("w", self.job("c", "vault", 1500)))[0], 503)
+        self.assertFalse([head for head in self.seen["w"] if b"/vault" in head])
+        self.assertEqual(dict(judged(self.rows(), 100)), {})
+
     async def test_a_caller_that_hangs_up_is_told_on_to_the_other_region(self):
         self.moods["w"] = "hold"
         _, writer = await asyncio.open_connection("127.0.0.1", self.ports["n"])
