--- a/tests/test_federation_dispatchers.py
+++ b/tests/test_federation_dispatchers.py
@@ -210,6 +210,19 @@
         self.assertFalse([head for head in self.seen["w"] if b"/vault" in head])
         self.assertEqual(dict(judged(self.rows(), 100)), {})
 
+    async def test_told_to_end_while_a_job_is_abroad_it_gives_its_answer_first(self):
+        self.moods["w"] = "hold"
+        runs = asyncio.create_task(self.call("n", self.job("a", "render")))
+        for _ in range(100):
+            if self.seen["w"]:
+                break
+            await asyncio.sleep(0.05)
+        self.serving["n"].send_signal(signal.SIGTERM)
+        told = json.dumps({"id": "a", "from": "w", "state": "done", "result": "late"}).encode()
+        await self.call("w", b"POST /callback HTTP/1.1\r\nContent-Length: %d\r\n\r\n" % len(told) + told)
+        self.assertEqual(await runs, (200, b"late"))
+        self.assertEqual(await asyncio.wait_for(self.serving["n"].wait(), 10), 0)
+
     async def test_a_caller_that_hangs_up_is_told_on_to_the_other_region(self):
         self.moods["w"] = "hold"
         _, writer = await asyncio.open_connection("127.0.0.1", self.ports["n"])
