Federated desk: a socket that can't be had is seen and leaves home alone

Need: a member whose socket can't be had went on as if it were heard. It is logged, and the desk goes by home alone; refused datagrams cost one log line a second at most, since anybody can send them.

--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/desk.py
@@ -17,7 +17,7 @@
 from typing import Any
 
 from pathsaddle.federation.driver import MemberProcess
-from pathsaddle.federation.faults import SpecFaulty
+from pathsaddle.federation.faults import FederationFault, SpecFaulty
 from pathsaddle.federation.lend import Free
 from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.ways import Job, Place
@@ -69,7 +69,11 @@
 
     async def begin(self) -> None:
         await super().begin()
-        await self.member.run()
+        try:
+            await self.member.run()
+        except FederationFault as fault:  # such as its socket: without a lease all stays at home
+            self.counters.add("fault")
+            logbook.fault_task(fault)
 
     async def finish(self) -> None:
         await super().finish()
@@ -87,6 +91,7 @@
     # From abroad.
 
     def take(self, call: Message, answer: Answer) -> Entry | None:
+        self._at()
         # Before anything is open: a fault in the call is the same fault as ever.
         txn, now = self.words.txn(call, self.loop.now), self.member.now()
         scheme = self.names[txn.scheme.index]
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -125,6 +125,7 @@
         self.chance = chance or SystemRandom()
         self.life = time.time_ns() // 1_000_000
         self.purse = Purse(BYTES, 2000, self.now())
+        self.refused, self.refused_at = 0, self.now() - SECOND
         self.texts: dict[tuple[int, str], bytes] = {}
         self.transport: asyncio.DatagramTransport | None = None
         folder = Path(ground.log)
@@ -158,7 +159,11 @@
         try:
             said = decode(data, self.key)
         except Refused as reason:
-            self.log("datagram.refused", why=str(reason))
+            # Anybody can send what is refused: a line a second at most.
+            self.refused += 1
+            if self.now() >= self.refused_at + SECOND:
+                self.log("datagram.refused", why=str(reason), count=self.refused)
+                self.refused, self.refused_at = 0, self.now()
             return
         try:
             self.heard(said)
