--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -311,6 +311,21 @@
             yield Amiss("lease", OutOfBounds, shown=shown(self.lease), may="2s to 10min")
 
 
+class Federation(Form):
+    """Other regions, by the spec that `ground` names.
+
+    ground: the file of the federation's members and keepers (docs/federation.md).
+    member: this dispatcher's name there.
+    doors: region -> where its dispatchers take clients' calls, host:port.
+    room: how many txns may be open here before nothing is lent to other regions.
+    """
+
+    ground: str
+    member: str
+    doors: dict[str, list[str]] = field(default_factory=dict)
+    room: Count = 64
+
+
 class Log(Form):
     """What is logged, to standard error.
 
@@ -346,6 +361,7 @@
     log: what is logged.
     jobs: durable jobs; off where the table is missing.
     fleet: other dispatchers, and who of them is there; off where the table is missing.
+    federation: other regions; off where the table is missing.
     """
 
     listen: Address
@@ -369,6 +385,7 @@
     log: Log = field(default_factory=Log)
     jobs: Jobs | None = None
     fleet: Fleet | None = None
+    federation: Federation | None = None
 
     def amiss(self) -> Iterator[Amiss]:
         for key in ("listen", "discovery"):
@@ -394,6 +411,9 @@
             for key, name in (("name", self.name), ("zone", self.zone or "".join(self.zones[:1]))):
                 if not re.fullmatch(NAME, name):
                     yield Amiss(key, NotAmong, shown=shown(name), may="1 to 64 letters, digits and ._-")
+        if self.jobs is not None and self.federation is not None:
+            yield Amiss("federation", Fault, "stands beside jobs, and durable jobs don't leave their region",
+                        "take [jobs] or [federation] out")
         if self.jobs is not None and any(scheme.name == "jobs" for scheme in self.schemes):
             yield Amiss("schemes", NotAmong, shown='the name "jobs"', may="another name for that scheme, since /jobs/ "
                         "is the path of durable jobs,")
