What comes back from abroad with nothing done is offered to the next place

A door that nobody is at proves that nothing ran: the txn then goes to the next region that the spec allows, or runs here as a foreign one. What may have run goes on only where that can't double it.

--- a/pathsaddle/federation/abroad.py
+++ b/pathsaddle/federation/abroad.py
@@ -1,9 +1,11 @@
-"""A member's dealings with other regions, as a process: evidence, shares among fellows, and jobs without work.
-
-Carries `Ways` and `Lender` in datagrams: small askings to other regions, words of them to fellows, wants and loans. The jobs of the
-drill (`jobs` a second, taken as a client's would be) go where the choice sends them and leave an effect in the log, `region.ran`,
-nothing else: by them lost regions, cut ways and lost answers are judged with real processes. A dispatcher's own jobs
-go by its own calls, with the same three questions: `choose`, `asked`, `never`.
+"""A member's dealings with other regions, as a process: evidence, shares among fellows, and jobs without
+work.
+
+Carries `Ways` and `Lender` in datagrams: small askings to other regions, words of them to fellows, wants and
+loans. The jobs of the drill (`jobs` a second, taken as a client's would be) go where the choice sends them
+and leave an effect in the log, `region.ran`, nothing else: by them lost regions, cut ways and lost answers
+are judged with real processes. A dispatcher's own jobs go by its own calls, with the same three questions:
+`choose`, `asked`, `never`.
 """
 
 from __future__ import annotations
@@ -65,7 +67,8 @@
 
 
 class Abroad:
-    """capacity: jobs a second that this region's workers do. regions: region -> its members, this one's among them."""
+    """capacity: jobs a second that this region's workers do. regions: region -> its members, this one's among
+    them."""
 
     def __init__(self, process: Process, regions: dict[str, list[str]], capacity: float) -> None:
         self.process, self.regions = process, regions
@@ -77,8 +80,9 @@
         self.capacity = int(capacity)
         self.born = process.now()
         self.free: Callable[[], Free] = lambda: Free(self.capacity, 0, 0, {})
-        self.lender = Lender(process.name, process.life, parts(budget, len(fellows))[fellows.index(process.name)],
-                             self.born)
+        self.lender = Lender(
+            process.name, process.life, parts(budget, len(fellows))[fellows.index(process.name)], self.born
+        )
         self.budget = budget
         self.rights = -1, 0
         self.pings: dict[int, tuple[str, int]] = {}
@@ -148,7 +152,9 @@
             tag = f"{process.name}/{process.life}/{self.count}/{scheme}"
             txn = Txn(Job(tag, scheme, WORK, now + PATIENCE, process.region), form.home, form.semantics)
             self.txns[tag] = txn
-            process.log("txn.taken", now, txn=tag, scheme=scheme, kind=txn.kind, expiry=now + PATIENCE + SECOND)
+            process.log(
+                "txn.taken", now, txn=tag, scheme=scheme, kind=txn.kind, expiry=now + PATIENCE + SECOND
+            )
             self.later(PATIENCE + SECOND, self.expired, txn)
             self.consider(txn)
 
@@ -164,7 +170,9 @@
         elif place.what in ("run", "hold"):
             self.later(SOON, self.consider, txn)
         elif place.what == "decline":
-            self.answers(txn, "declined", code=place.code, key=place.key, line=place.line, version=place.version)
+            self.answers(
+                txn, "declined", code=place.code, key=place.key, line=place.line, version=place.version
+            )
         elif place.what == "send":
             member = process.chance.choice(sorted(self.regions[place.region]))
             sent = Sent(f"{job.tag}/{len(txn.posts)}", place.region, member, now, place.region != txn.home)
@@ -264,7 +272,9 @@
                     self.ways.word(region, said.name, overdue, heard, now)
         elif said.kind == SHARE:
             what, told = msgspec.msgpack.decode(said.data, type=tuple[str, dict[str, Any]])
-            share: Want | Lend = msgspec.convert(told, Lend) if what == "lend" else msgspec.convert(told, Want)
+            share: Want | Lend = (
+                msgspec.convert(told, Lend) if what == "lend" else msgspec.convert(told, Want)
+            )
             self.lender.hears(share, now)
             self.flush()
         elif said.kind == JOB:
@@ -277,7 +287,9 @@
                 process.say(said.name, ANSWER, data=said.data, first=int(self.lent[post] == "settled"))
             else:
                 self.remember(post, "declined")  # if it comes after this word, it is not begun
-                process.say(said.name, NEVER, data=said.data, size=min(8 << 20, int((now - self.born) * (1 - DRIFT))))
+                process.say(
+                    said.name, NEVER, data=said.data, size=min(8 << 20, int((now - self.born) * (1 - DRIFT)))
+                )
         elif said.kind == NEVER:
             post = said.data.decode()
             txn = self.txns.get(post.rpartition("/")[0])
@@ -292,13 +304,16 @@
             tag = post.rpartition("/")[0]
             holder = self.process.holder
             job = Job(tag, said.scheme, WORK, now + PATIENCE, said.region)
-            place = self.ways.choose(job, holder.rule(said.scheme, now), holder.base.spec, holder.base.number, now)
+            place = self.ways.choose(
+                job, holder.rule(said.scheme, now), holder.base.spec, holder.base.number, now
+            )
             ran = place.what == "run" and self.runs(tag, post, said.scheme, said.home, now)
             self.remember(post, "settled" if ran else "declined")
         self.process.say(said.name, ANSWER, data=said.data, first=int(self.lent[post] == "settled"))
 
     def remember(self, post: str, outcome: str) -> None:
-        """Who is forgotten here was sent longer ago than its caller waits, at the rate at which others may send."""
+        """Who is forgotten here was sent longer ago than its caller waits, at the rate at which others may
+        send."""
         self.lent[post] = outcome
         if len(self.lent) > MOST:
             del self.lent[next(iter(self.lent))]
--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/desk.py
@@ -1,12 +1,14 @@
 """The door of a dispatcher that may send jobs to another region, and takes some from there.
 
-It stands in the plain Desk's place where the charter has a `[federation]` table. All is decided as ever; only what would be
-declined here, which proves that nothing of it ran, is offered to the other regions that the spec allows, by a client's call
-at one of their doors. Its answer is the answer. A decline from there, or a call whose last byte did not go out, proves that
-nothing ran there either; silence doesn't: then it is declined only if it may be repeated, and fails otherwise.
-
-A client whose txn belongs to another region is sent home; here its txn is foreign. What has crossed once stays: a call that names the region it came from is served here or declined here. Foreign jobs are
-let in by `Lender` alone: own ones first, what is free, by shares.
+It stands in the plain Desk's place where the charter has a `[federation]` table. All is decided as ever; only
+what would be declined here, which proves that nothing of it ran, is offered to the other regions that the
+spec allows, by a client's call at one of their doors. Its answer is the answer. A decline from there, or a
+call whose last byte did not go out, proves that nothing ran there either; silence doesn't: then it is
+declined only if it may be repeated, and fails otherwise.
+
+A client whose txn belongs to another region is sent home; here its txn is foreign. What has crossed once
+stays: a call that names the region it came from is served here or declined here. Foreign jobs are let in by
+`Lender` alone: own ones first, what is free, by shares.
 """
 
 from __future__ import annotations
@@ -37,20 +39,24 @@
 
 @dataclass(eq=False)
 class Crossing:
-    """One txn of ours that is at another region's door."""
+    """One txn of ours that is at another region's door. unknown, again: as in `Job`, over all doors that it
+    was at."""
 
     txn: Txn
+    entry: Entry
     answer: Answer | None
     post: str
     region: str
+    unknown: list[str]
+    again: dict[str, int]
     sent: bool = False
     task: asyncio.Task[None] | None = None
     alarm: asyncio.TimerHandle | None = None
 
 
 class FederatedDesk(Desk):
-    """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing is
-    lent; a region's members' rooms together are what it can do at once."""
+    """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing
+    is lent; a region's members' rooms together are what it can do at once."""
 
     def __init__(self, *told: Any, member: MemberProcess, doors: dict[str, list[str]], room: int) -> None:
         super().__init__(*told)
@@ -63,9 +69,13 @@
         for name, scheme in sorted(self.words.schemes.items()):
             told_here = scheme.semantics.name.lower().replace("_", "-")
             if name in spec.schemes and spec.schemes[name].semantics != told_here:
-                raise SpecFaulty(member.ground.spec, [
-                    f"schemes.{name}.semantics: {spec.schemes[name].semantics} stands there, {told_here} in the "
-                    + "charter; write the same"])
+                raise SpecFaulty(
+                    member.ground.spec,
+                    [
+                        f"schemes.{name}.semantics: {spec.schemes[name].semantics} stands there, {told_here} in the "
+                        + "charter; write the same"
+                    ],
+                )
 
     async def begin(self) -> None:
         await super().begin()
@@ -98,14 +108,14 @@
         holder = self.member.holder
         rule = holder.rule(scheme, now)
         here = self.member.region
+        if call.text(CROSSED) is None and here == rule.home and here in rule.may:
+            return super().take(call, answer)
+        if self.ledger.knows(txn.tag) or txn.tag in self.crossings:
+            raise Broken(409, "this id is not new")
         if call.text(CROSSED) is None:
-            if here == rule.home and here in rule.may:
-                return super().take(call, answer)
-            if self.ledger.knows(txn.tag) or txn.tag in self.crossings:
-                raise Broken(409, "this id is not new")
             # It belongs elsewhere: home first, and here only as a lender.
             elsewhere = Entry(txn, call, answer)
-            place = self._choose(txn, [], 0)
+            place = self._choose(txn, [], {}, 0)
             if place.what == "send" and self._sets_out(elsewhere, place, 0):
                 txn.closed = True  # to the decisions here: they never see it
                 return elsewhere
@@ -114,16 +124,20 @@
             why = self._lent(scheme, rule, now)
         if why:
             self.counters.add(f"abroad.refused.{why}")
-            self.member.log("job.refused", now, txn=txn.tag, scheme=scheme, why=why, version=holder.base.number)
+            self.member.log(
+                "job.refused", now, txn=txn.tag, scheme=scheme, why=why, version=holder.base.number
+            )
             answer(503, b"", (), True)
             return None
-        entry = super().take(call, answer)
-        if entry is not None and not entry.txn.closed:
-            self.foreign[txn.tag] = scheme
-            self.counters.add("abroad.taken")
-            self.member.log("region.ran", now, by=self.member.name, region=self.member.region, txn=txn.tag,
-                            post=txn.tag, kind=rule.semantics, scheme=scheme, home=rule.home)
-        return entry
+        self._lets_in(txn, scheme, rule, now)
+        return super().take(call, answer)
+
+    def _lets_in(self, txn: Txn, scheme: str, rule: Rule, now: int) -> None:
+        """Before any of it can have an effect."""
+        self.foreign[txn.tag] = scheme
+        self.counters.add("abroad.taken")
+        self.member.log("region.ran", now, by=self.member.name, region=self.member.region, txn=txn.tag,
+                        post=txn.tag, kind=rule.semantics, scheme=scheme, home=rule.home)
 
     def _lent(self, scheme: str, rule: Rule, now: int) -> str:
         if rule.home == self.member.region:
@@ -141,26 +155,32 @@
             super().decline(txn, come_back, elsewhere)
 
     async def _carry(self, errand: Errand) -> None:
-        """Each posting here is asked for by the spec as it stands now: it may have been tightened while a txn was held."""
+        """Each posting here is asked for by the spec as it stands now: it may have been tightened while a txn
+        was held."""
         txn = errand.posting.txn
         if self.member.region in self.member.holder.rule(self.names[txn.scheme.index], self.member.now()).may:
             await super()._carry(errand)
             return
         self._end(errand, Outcome.MOOT)
         if not txn.closed:
-            if any(one.sent for one in errand.entry.errands) and txn.scheme.semantics is not Semantics.REPEATABLE:
+            if (
+                any(one.sent for one in errand.entry.errands)
+                and txn.scheme.semantics is not Semantics.REPEATABLE
+            ):
                 self.reverse(txn)
             else:
                 super().decline(txn, 0, True)
             self.loop.hang_up(txn)
 
-    def _choose(self, txn: Txn, unknown: list[str], own_wait: int) -> Place:
+    def _choose(self, txn: Txn, unknown: list[str], again: dict[str, int], own_wait: int) -> Place:
         member, now = self.member, self.member.now()
         holder, name = member.holder, self.names[txn.scheme.index]
         left = now + txn.expires - self.clock.now() - LAST
-        job = Job(txn.tag, name, txn.scheme.sla_time, left, member.region, unknown)
+        job = Job(txn.tag, name, txn.scheme.sla_time, left, member.region, unknown, again)
         member.abroad.ways.own_wait = own_wait
-        place = member.abroad.ways.choose(job, holder.rule(name, now), holder.base.spec, holder.base.number, now)
+        place = member.abroad.ways.choose(
+            job, holder.rule(name, now), holder.base.spec, holder.base.number, now
+        )
         logbook.note(text=f"{txn.tag} {place.what} {place.code} {place.region} {place.key} line {place.line} "
                           f"version {place.version}")
         return place
@@ -172,34 +192,57 @@
         unknown = []
         if txn.scheme.semantics is Semantics.REFERENCED and any(errand.sent for errand in entry.errands):
             unknown = [self.member.region]  # it may have run here: only where one group drops repeats of both
-        place = self._choose(txn, unknown, FAR)  # it has just been declined here
-        if place.what != "send" or not self._sets_out(entry, place, come_back):
+        place = self._choose(txn, unknown, {}, FAR)  # it has just been declined here
+        if place.what != "send" or not self._sets_out(entry, place, come_back, unknown=unknown):
             self.counters.add(f"abroad.not.{place.code}")
             return False
         entry.answer = None
         self._events.call_soon(self.ledger.close, entry)
         return True
 
-    def _sets_out(self, entry: Entry, place: Place, come_back: int) -> bool:
-        """Whether there is a door to go to; then its answer is the answer."""
+    def _sets_out(self, entry: Entry, place: Place, come_back: int, before: Crossing | None = None,
+                  unknown: list[str] | None = None) -> bool:
+        """Whether there is a door to go to; then its answer is the answer. before: it comes back from
+        another."""
         txn, member, now = entry.txn, self.member, self.member.now()
         doors = self.doors.get(place.region)
         if not doors:
             return False
         rule = member.holder.rule(self.names[txn.scheme.index], now)
-        crossing = Crossing(txn, entry.answer, f"{txn.tag}/{member.name}", place.region)
+        if before is None:
+            crossing = Crossing(
+                txn, entry, entry.answer, f"{txn.tag}/{member.name}", place.region, unknown or [], {}
+            )
+        else:
+            crossing = Crossing(
+                txn, entry, before.answer, f"{before.post}+", place.region, before.unknown, before.again
+            )
         self.crossings[txn.tag] = crossing
         self.counters.add(f"abroad.sent.{place.code}")
         member.abroad.ways.opened(place.region, place.region != rule.home)
-        member.log("abroad.sent", now, post=crossing.post, txn=txn.tag, scheme=self.names[txn.scheme.index], kind=rule.semantics,
-                   origin=member.region, to=place.region, version=place.version, home=rule.home, code=place.code,
-                   line=place.line, **{"from": member.region})
+        member.log(
+            "abroad.sent",
+            now,
+            post=crossing.post,
+            txn=txn.tag,
+            scheme=self.names[txn.scheme.index],
+            kind=rule.semantics,
+            origin=member.region,
+            to=place.region,
+            version=place.version,
+            home=rule.home,
+            code=place.code,
+            line=place.line,
+            **{"from": member.region},
+        )
         due = seconds(txn.expires - self.clock.now() - LAST)
         crossing.alarm = self._events.call_later(max(0.0, due), self._overdue, crossing)
         crossing.task = self._start(self._cross(crossing, entry.call, place, doors, come_back))
         return True
 
-    async def _cross(self, crossing: Crossing, call: Message, place: Place, doors: list[str], come_back: int) -> None:
+    async def _cross(
+        self, crossing: Crossing, call: Message, place: Place, doors: list[str], come_back: int
+    ) -> None:
         door = self.member.chance.choice(doors)
         name = f"door:{door}"
         self.workers.located(name, door)
@@ -219,8 +262,14 @@
 
         try:
             answer = await self.workers.call(
-                name, "POST", call.target, [*headers, (b"Crossed-From", self.member.region.encode())], call.body,
-                begins, sent)
+                name,
+                "POST",
+                call.target,
+                [*headers, (b"Crossed-From", self.member.region.encode())],
+                call.body,
+                begins,
+                sent,
+            )
         except NeverSent:
             self._crossed(crossing, "declined", come_back)
         except Lost:
@@ -247,23 +296,53 @@
         member, txn = self.member, crossing.txn
         now = member.now()
         told = "unknown" if outcome == "reversed" else outcome
-        lent = crossing.region != member.holder.base.spec.rule(self.names[txn.scheme.index], member.region).home
+        lent = (
+            crossing.region != member.holder.base.spec.rule(self.names[txn.scheme.index], member.region).home
+        )
         member.abroad.ways.ended(crossing.region, told, lent, now)
         member.log("abroad.ended", now, post=crossing.post, txn=txn.tag, outcome=outcome)
         self.counters.add(f"abroad.{outcome}")
         if crossing.answer is None:
             return
+        if outcome != "settled" and self._goes_on(crossing, outcome, come_back):
+            return
         # Declined, if nothing ran anywhere or it may be repeated; what may have run and may not, failed.
         headers: tuple[str, ...] = ()
         if outcome == "settled":
             kind, status = "settled", 200
-        elif outcome == "declined" or txn.scheme.semantics is Semantics.REPEATABLE:
+        elif not crossing.unknown or txn.scheme.semantics is Semantics.REPEATABLE:
             kind, status, headers = "declined", 503, forms.come_back_header(come_back)
         else:
             kind, status = "reversed", 500
         self.counters.add(f"txn.{kind}")
         crossing.answer(status, body, headers, True)
 
+    def _goes_on(self, crossing: Crossing, outcome: str, come_back: int) -> bool:
+        """Nothing came of it there: whether another place is found, by the same choice."""
+        txn, member, now = crossing.txn, self.member, self.member.now()
+        if outcome != "declined":
+            crossing.unknown.append(crossing.region)
+        crossing.again[crossing.region] = now + int(member.abroad.ways.ways[crossing.region].trip)
+        if self.stopping is not None or self.clock.now() + 2 * LAST >= txn.expires:
+            return False
+        place = self._choose(txn, crossing.unknown, crossing.again, FAR)
+        if place.what == "send":
+            return self._sets_out(crossing.entry, place, come_back, crossing)
+        if place.what != "run" or self.ledger.knows(txn.tag):
+            return False
+        # It belongs elsewhere, and the decisions here have not seen it yet.
+        scheme = self.names[txn.scheme.index]
+        rule = member.holder.rule(scheme, now)
+        if self._lent(scheme, rule, now):
+            return False
+        self._lets_in(txn, scheme, rule, now)
+        crossing.entry.answer, txn.closed = crossing.answer, False
+        self.ledger.open(crossing.entry)
+        self.counters.add("txn.taken")
+        self._at()
+        self._guard(txn, lambda: self.loop.arrive(txn))
+        return True
+
     def hang_up(self, entry: Entry) -> None:
         crossing = self.crossings.get(entry.txn.tag)
         self.foreign.pop(entry.txn.tag, None)
--- a/pathsaddle/federation/smoke.py
+++ b/pathsaddle/federation/smoke.py
@@ -48,7 +48,8 @@
 
     name, about: told with its figures. members: dispatchers a region. seconds: of each run. loads,
     seeds, courses: each
-    with each; hows: the variants. any: seeds of courses drawn by chance, judged, not measured. mutants:
+    with each; hows: the variants. any: seeds of courses drawn by chance, judged, not measured; kept:
+    further ones of them that found something. mutants:
     seeds that each
     mutant may need until it is found; 0: none are run. depth: of the model of versions, with three
     members.
@@ -64,6 +65,7 @@
     courses: list[str] = msgspec.field(default_factory=lambda: ["lost"])
     hows: list[str] = msgspec.field(default_factory=lambda: ["off", "on"])
     any: int = 0
+    kept: list[int] = []
     mutants: int = 0
     depth: int = 0
     bounds: BoundsForm = msgspec.field(default_factory=BoundsForm)
@@ -161,13 +163,13 @@
                 if sum(row["turns"] for row in on) / len(on) > bounds.turns:
                     wrong.append(f"{course} at {at}: regions are taken for lost and back too often")
             says("  ".join(told))
-    for seed in range(1, plan.any + 1):
+    for seed in [*range(1, plan.any + 1), *plan.kept]:
         world = World(Plan(seconds=50, members=3 + seed % 4, load=(0.5, 0.7, 0.85)[seed % 3],
                            troubles=any_course(seed)), seed)
         for name, count in sorted(judged(world.run().rows).items()):
             wrong.append(f"any course, seed {seed}: {name}, {count} times")
     if plan.any:
-        says(f"any course: {plan.any} seeds judged")
+        says(f"any course: {plan.any} seeds judged, and {plan.kept}")
     if plan.depth:
         try:
             says(f"versions: {every_order(plan.depth, 3)} worlds to depth {plan.depth}")
--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -162,7 +162,11 @@
         """Until when it goes by `base` and more than home alone: not at all, where a higher one is known without its
         text, or where the spec doesn't name this member."""
         region = self.base.spec.regions.get(self.here)
-        if (self.base.number, self.base.digest) != self.known or region is None or self.name not in region.members:
+        if (
+            (self.base.number, self.base.digest) != self.known
+            or region is None
+            or self.name not in region.members
+        ):
             return NEVER
         return self.until
 
