--- a/pathsaddle/emulator/placement/policies.py
+++ b/pathsaddle/emulator/placement/policies.py
@@ -1,4 +1,5 @@
-"""Ways to choose how many units of each kind stand on each island: the plan's baselines and the plan itself."""
+"""Ways to choose how many units of each kind stand on each island: the plan's baselines and the plan
+itself."""
 
 from __future__ import annotations
 
--- a/pathsaddle/emulator/placement/world.py
+++ b/pathsaddle/emulator/placement/world.py
@@ -1,8 +1,9 @@
 """Islands on a virtual ground: discrete events, one seed, the same story each time.
 
-The book's keeper stands in for the register's voters; three planners take turns by a lease that they keep badly when
-they are stopped; hands install what they are told, now and then into the wrong bay; hardware comes in batches, late or
-dead; islands and units fail; large jobs come, hold slots of one island and end. A month is a minute.
+The book's keeper stands in for the register's voters; three planners take turns by a lease that they keep
+badly when they are stopped; hands install what they are told, now and then into the wrong bay; hardware comes
+in batches, late or dead; islands and units fail; large jobs come, hold slots of one island and end. A month
+is a minute.
 """
 
 from __future__ import annotations
@@ -48,7 +49,8 @@
 
 @dataclass(frozen=True)
 class Site:
-    """islands: how many; filled: part of the bays that serve at first; batches: every so many seconds; jobs: a second."""
+    """islands: how many; filled: part of the bays that serve at first; batches: every so many seconds; jobs:
+    a second."""
 
     seconds: int = 300
     islands: int = 10
@@ -109,8 +111,8 @@
 
 
 class Planner:
-    """One of three processes. Its life is a generator, so that it can be stopped and killed between any two of its
-    moves; its clock runs up to 2% off."""
+    """One of three processes. Its life is a generator, so that it can be stopped and killed between any two
+    of its moves; its clock runs up to 2% off."""
 
     def __init__(self, world: World, name: str) -> None:
         self.world, self.name = world, name
@@ -590,8 +592,9 @@
         return self
 
     def measured(self) -> dict[str, float]:
-        """work: part of the work that came and ended; waits in seconds (a job that gave up: its patience); the rest are
-        means over time. widest: part of the target that fits after the loss of any one island, the worst kind."""
+        """work: part of the work that came and ended; waits in seconds (a job that gave up: its patience);
+        the rest are means over time. widest: part of the target that fits after the loss of any one island,
+        the worst kind."""
         end = self.bench.now
         came = self.offered - sum(job.width * job.hold for job in [*self.waiting, *self.running.values()])
         waits = sorted([*self.waits, *(end - job.came for job in self.waiting)])
--- a/pathsaddle/placement/__main__.py
+++ b/pathsaddle/placement/__main__.py
@@ -1,4 +1,5 @@
-"""python -m pathsaddle.placement FILE: the plan for an inventory. With a ledger: keep it, walk it, tell it what is so.
+"""python -m pathsaddle.placement FILE: the plan for an inventory. With a ledger: keep it, walk it, tell it
+what is so.
 
 A program of its own: planning takes a processor for seconds, which no dispatcher has.
 """
@@ -102,7 +103,8 @@
 @click.option("--seconds", default=10.0, show_default=True, help="How long it may think.")
 @click.option("--once", is_flag=True, help="End when nothing is left to do.")
 def walk(ledger: Path, number: int | None, name: str, lease: float, seconds: float, once: bool) -> None:
-    """Walks the plan of LEDGER: reserves, says what is to be installed, warmed and pulled, plans anew where it must.
+    """Walks the plan of LEDGER: reserves, says what is to be installed, warmed and pulled, plans anew where
+    it must.
 
     Each line is one event. Who does the work by hand answers with `tell`.
     """
@@ -209,8 +211,8 @@
 @click.argument("word", type=click.Choice([*WORDS, "inventory"]))
 @click.argument("more", nargs=-1)
 def tell(ledger: Path, word: str, more: tuple[str, ...]) -> None:
-    """Tells LEDGER what is so: put UNIT BAY, warmed UNIT, dead UNIT, pulled UNIT, cleared BAY, here UNIT KIND,
-    ordered UNIT KIND, lost ISLAND, back ISLAND; inventory FILE: its islands, demand and targets."""
+    """Tells LEDGER what is so: put UNIT BAY, warmed UNIT, dead UNIT, pulled UNIT, cleared BAY, here UNIT
+    KIND, ordered UNIT KIND, lost ISLAND, back ISLAND; inventory FILE: its islands, demand and targets."""
     kept = File(ledger, ticks)
     book = kept.read()
     if word == "inventory":
--- a/pathsaddle/placement/book.py
+++ b/pathsaddle/placement/book.py
@@ -1,12 +1,13 @@
-"""The one book of what is where: what planners do to it and what islands tell. Pure; `ledger` keeps it on a disk.
+"""The one book of what is where: what planners do to it and what islands tell. Pure; `ledger` keeps it on a
+disk.
 
-Bounds. A planner's change is made only under the highest number that ever came here, and a step only of the plan that
-counts, on the base that it was reckoned on. One unit a bay, one bay a unit, no island over a limit, no more cold units
-than may be: checked at each change that could break it. A reservation ends only by word (the island's) or by a lease
-that surely ended, as the one that ends it measured by its own clock (`walk`).
+Bounds. A planner's change is made only under the highest number that ever came here, and a step only of the
+plan that counts, on the base that it was reckoned on. One unit a bay, one bay a unit, no island over a limit,
+no more cold units than may be: checked at each change that could break it. A reservation ends only by word
+(the island's) or by a lease that surely ended, as the one that ends it measured by its own clock (`walk`).
 
-What islands tell is true whatever any plan says: it is never refused. Where it contradicts the book, the bay is
-blocked until it is cleared up.
+What islands tell is true whatever any plan says: it is never refused. Where it contradicts the book, the bay
+is blocked until it is cleared up.
 """
 
 from __future__ import annotations
@@ -57,7 +58,8 @@
         return self._changed(*mine)
 
     def lapse(self, number: int, name: str, renewed: int) -> Book:
-        """Another's reservation ends: its lease surely did, as this planner saw it stand since that renewal."""
+        """Another's reservation ends: its lease surely did, as this planner saw it stand since that
+        renewal."""
         self._number(number)
         unit = self._unit(name)
         if unit.state is not State.RESERVED or unit.renewed != renewed or unit.number >= number:
@@ -155,7 +157,8 @@
         return self._changed(*rows, base=True, blocked=blocked)
 
     def island(self, told: Island) -> Book:
-        """New, lost, back, or with other limits. Reservations there end where it is lost: that is its word."""
+        """New, lost, back, or with other limits. Reservations there end where it is lost: that is its
+        word."""
         known = {island.name: island for island in self.inventory.islands}
         if known.get(told.name) == told:
             return self
@@ -165,7 +168,8 @@
         return self._changed(*rows, base=True, islands=tuple(known.values()))
 
     def asked(self, demand: tuple[Demand, ...], targets: tuple[Target, ...]) -> Book:
-        """What dispatchers count, and the charter's targets. A small change ends no plan: it is let be until it has grown."""
+        """What dispatchers count, and the charter's targets. A small change ends no plan: it is let be until
+        it has grown."""
         if demand == self.inventory.demand and targets == self.inventory.targets:
             return self
         old = {(row.kind, row.width): row.high for row in self.inventory.demand}
--- a/pathsaddle/placement/check.py
+++ b/pathsaddle/placement/check.py
@@ -1,8 +1,8 @@
 """The rules that never break, as one pure function over an inventory: what it says is wrong, by name.
 
-Bounds: one unit a bay and one bay a unit; no island over power, ports or what its switches carry; no unit where its
-kind may not be; no more units cold at once than the fleet's cold budget. Whoever holds a bay counts in full from its
-reservation until it is pulled, running or not.
+Bounds: one unit a bay and one bay a unit; no island over power, ports or what its switches carry; no unit
+where its kind may not be; no more units cold at once than the fleet's cold budget. Whoever holds a bay counts
+in full from its reservation until it is pulled, running or not.
 """
 
 from __future__ import annotations
--- a/pathsaddle/placement/faults.py
+++ b/pathsaddle/placement/faults.py
@@ -1,10 +1,12 @@
-"""What an operator reads of placement: each fault has a stable name, what happened, and what an operator can do."""
+"""What an operator reads of placement: each fault has a stable name, what happened, and what an operator can
+do."""
 
 from __future__ import annotations
 
 
 class PlacementFault(Exception):
-    """Of placement. name: stable; what: what happened; do: what an operator can do, with the very key, file or member."""
+    """Of placement. name: stable; what: what happened; do: what an operator can do, with the very key, file
+    or member."""
 
     name = "placement"
 
@@ -31,8 +33,8 @@
 class Refused(Exception):
     """A change that the ledger did not make; nothing was changed. It steers our own code and never leaves it.
 
-    why: `number` (a later planner has begun), `base` (what the change was reckoned on is no longer so), `plan` (it
-    is not of the plan that counts), `state`, `bay`, `limit`, `order`, `budget`, `lease`.
+    why: `number` (a later planner has begun), `base` (what the change was reckoned on is no longer so),
+    `plan` (it is not of the plan that counts), `state`, `bay`, `limit`, `order`, `budget`, `lease`.
     """
 
     def __init__(self, why: str, more: str) -> None:
--- a/pathsaddle/placement/files.py
+++ b/pathsaddle/placement/files.py
@@ -1,4 +1,5 @@
-"""The inventory as an operator writes it (TOML), checked whole: each fault names its key and what may stand there."""
+"""The inventory as an operator writes it (TOML), checked whole: each fault names its key and what may stand
+there."""
 
 from __future__ import annotations
 
--- a/pathsaddle/placement/greedy.py
+++ b/pathsaddle/placement/greedy.py
@@ -1,7 +1,9 @@
-"""A plan by rules of thumb, our own: the answer when the solver has none in time, and what the solver is held against.
+"""A plan by rules of thumb, our own: the answer when the solver has none in time, and what the solver is held
+against.
 
-Nothing that serves is moved. First the target of each kind, on the islands that are nearest to it; then always to the
-island and kind with the least headroom; what is left, to where a job of usual width fits or soonest will.
+Nothing that serves is moved. First the target of each kind, on the islands that are nearest to it; then
+always to the island and kind with the least headroom; what is left, to where a job of usual width fits or
+soonest will.
 """
 
 from __future__ import annotations
--- a/pathsaddle/placement/inventory.py
+++ b/pathsaddle/placement/inventory.py
@@ -1,8 +1,9 @@
-"""What there is: kinds, islands with bays, units with their states, demand as intervals. Plain values, never changed.
+"""What there is: kinds, islands with bays, units with their states, demand as intervals. Plain values, never
+changed.
 
-Two numbers stand on it all. `revision` grows with every change. `base` grows with each that no plan foresaw: a unit
-that comes, is dead or elsewhere, an island that goes, another demand or target. A plan is reckoned on a base and dies
-with it; its own steps do not end it.
+Two numbers stand on it all. `revision` grows with every change. `base` grows with each that no plan foresaw:
+a unit that comes, is dead or elsewhere, an island that goes, another demand or target. A plan is reckoned on
+a base and dies with it; its own steps do not end it.
 """
 
 from __future__ import annotations
@@ -29,7 +30,8 @@
 
 @dataclass(frozen=True)
 class Kind:
-    """Of unit: its slots, and what it draws of an island's power (watts), ports and of what the switches carry."""
+    """Of unit: its slots, and what it draws of an island's power (watts), ports and of what the switches
+    carry."""
 
     name: str
     slots: int
@@ -86,9 +88,8 @@
 
 @dataclass(frozen=True)
 class Inventory:
-    """blocked: (bay, unit) that was found there and should not be: nothing is put there until it is pulled, or there is
-    word that it is not there. cold: how many units may be
-    cold at once (rule 4)."""
+    """blocked: (bay, unit) that was found there and should not be: nothing is put there until it is pulled,
+    or there is word that it is not there. cold: how many units may be cold at once (rule 4)."""
 
     kinds: tuple[Kind, ...]
     islands: tuple[Island, ...]
@@ -119,7 +120,8 @@
         return {unit.name: unit for unit in self.units}
 
     def width(self, kind: str, end: str = "high") -> int:
-        """The widest job that must fit: the charter's target, else the widest that is asked for at that end."""
+        """The widest job that must fit: the charter's target, else the widest that is asked for at that
+        end."""
         told = [target.width for target in self.targets if target.kind == kind]
         if told:
             return max(told)
@@ -148,8 +150,9 @@
 
 
 def demand(counts: tuple[Count, ...], members: tuple[str, ...], fresh: int, most: int) -> tuple[Demand, ...]:
-    """The sum over members, as intervals: one whose word is older than `fresh` ticks, or that never told, may have
-    none or as many as `most` of each kind and width that anybody tells (or what it told last, if more)."""
+    """The sum over members, as intervals: one whose word is older than `fresh` ticks, or that never told, may
+    have none or as many as `most` of each kind and width that anybody tells (or what it told last, if
+    more)."""
     rows = []
     for kind, width in sorted({(count.kind, count.width) for count in counts}):
         low = high = 0
--- a/pathsaddle/placement/ledger.py
+++ b/pathsaddle/placement/ledger.py
@@ -1,9 +1,9 @@
 """The book on a disk: one SQLite file that any number of planners' processes share, one change at a time.
 
-Each change is one transaction: the book as it stands now, the change's own guards (`book`), what came of it and its
-story, all or nothing, synced before it is told. So a planner that was stopped between its look and its reservation
-finds the numbers as they are when it writes, not as they were when it looked; one killed at any moment leaves a change
-that was made or one that was not.
+Each change is one transaction: the book as it stands now, the change's own guards (`book`), what came of it
+and its story, all or nothing, synced before it is told. So a planner that was stopped between its look and
+its reservation finds the numbers as they are when it writes, not as they were when it looked; one killed at
+any moment leaves a change that was made or one that was not.
 """
 
 from __future__ import annotations
@@ -71,19 +71,21 @@
 
 
 class File:
-    """clock: ticks, for the story alone. `read` and `do` raise Unusable where the file can't be had for PATIENCE
-    seconds, with nothing changed."""
+    """clock: ticks, for the story alone. `read` and `do` raise Unusable where the file can't be had for
+    PATIENCE seconds, with nothing changed."""
 
     def __init__(self, path: Path, clock: Callable[[], int]) -> None:
         if not path.exists():
-            raise Unusable(f"{path}: no such ledger", f"make one with `python -m pathsaddle.placement FILE --ledger {path}`")
+            raise Unusable(f"{path}: no such ledger",
+                           f"make one with `python -m pathsaddle.placement FILE --ledger {path}`")
         self.path, self.clock = path, clock
         self.cache: Book | None = None
         try:
             self.base = _opened(path)
             row = self.base.execute("SELECT value FROM meta WHERE key = 'version'").fetchone()
         except sqlite3.Error as fault:
-            raise Unusable(f"{path}: {fault}", "see that it is a placement ledger and that this user may write there") from None
+            raise Unusable(f"{path}: {fault}",
+                           "see that it is a placement ledger and that this user may write there") from None
         if row is None or row[0] != VERSION:
             raise Unusable(f"{path}: version {row and row[0]}, this program writes {VERSION}",
                            "use the program that wrote it, or make a new ledger from the inventory")
@@ -95,7 +97,8 @@
         return {str(key): int(value) for key, value in self.base.execute("SELECT key, value FROM meta")}
 
     def _book(self) -> Book:
-        """Within a transaction. What was read before is used again while its revision is the one on the disk."""
+        """Within a transaction. What was read before is used again while its revision is the one on the
+        disk."""
         meta = self._meta()
         if self.cache is not None and self.cache.inventory.revision == meta["revision"]:
             return self.cache
@@ -104,8 +107,8 @@
         units = tuple(msgspec.json.decode(row[0], type=Unit)
                       for row in self.base.execute("SELECT value FROM units ORDER BY place"))
         plan = parts.pop("plan")
-        self.cache = Book(Inventory(units=units, cold=meta["cold"], revision=meta["revision"], base=meta["base"], **parts),
-                          meta["number"], plan)
+        inventory = Inventory(units=units, cold=meta["cold"], revision=meta["revision"], base=meta["base"], **parts)
+        self.cache = Book(inventory, meta["number"], plan)
         return self.cache
 
     def read(self) -> Book:
--- a/pathsaddle/placement/plan.py
+++ b/pathsaddle/placement/plan.py
@@ -1,9 +1,10 @@
-"""A plan: how many units of each kind each island is to have, as steps in an order in which large jobs fit all the way.
+"""A plan: how many units of each kind each island is to have, as steps in an order in which large jobs fit
+all the way.
 
-Bound: at each step the widest job of each kind fits as the target says, whichever one island is lost, or the plan
-said beforehand that it cannot, how wide a job then fits, and why. Reckoned with what serves alone: what is on its way
-counts when it serves. What adds comes first, then what takes least away; a step that takes away waits until all
-before it are done, one that adds only for what makes its room or brings its unit.
+Bound: at each step the widest job of each kind fits as the target says, whichever one island is lost, or the
+plan said beforehand that it cannot, how wide a job then fits, and why. Reckoned with what serves alone: what
+is on its way counts when it serves. What adds comes first, then what takes least away; a step that takes away
+waits until all before it are done, one that adds only for what makes its room or brings its unit.
 """
 
 from __future__ import annotations
@@ -20,10 +21,11 @@
 
 @dataclass(frozen=True)
 class Step:
-    """place: reserve, install, warm and serve `unit` in `bay`. withdraw: it takes nothing new and leaves `bay`.
-    widest: by kind, slots of the widest job that surely fits from this step's beginning on until the next one that
-    withdraws, whichever island is lost: what is placed between them is not counted, since it comes up side by side.
-    why: where that is less than the target. after: the steps that must be done before it may begin."""
+    """place: reserve, install, warm and serve `unit` in `bay`. withdraw: it takes nothing new and leaves
+    `bay`. widest: by kind, slots of the widest job that surely fits from this step's beginning on until the
+    next one that withdraws, whichever island is lost: what is placed between them is not counted, since it
+    comes up side by side. why: where that is less than the target. after: the steps that must be done before
+    it may begin."""
 
     does: str
     unit: str
@@ -35,8 +37,8 @@
 
 @dataclass(frozen=True)
 class Plan:
-    """name: unique. wanted: units by island and kind at the end. reaches: by kind, what fits then, whichever island is
-    lost. by, gap: as the answer says. notes: for people."""
+    """name: unique. wanted: units by island and kind at the end. reaches: by kind, what fits then, whichever
+    island is lost. by, gap: as the answer says. notes: for people."""
 
     name: str
     number: int
@@ -133,7 +135,8 @@
             self.pool[self.of[unit.kind]].append(unit)
 
     def key(self, i: int, k: int, short: dict[str, int]) -> tuple[int, int, int, int]:
-        """What is placed first: what a target still lacks, on the islands nearest to it; then the least headroom."""
+        """What is placed first: what a target still lacks, on the islands nearest to it; then the least
+        headroom."""
         kind, part = self.problem.kinds[k], self.problem.part[i][k]
         slots = self.now[i][k] * kind.slots
         lacks = short.get(kind.name, 0) > 0 and self.counts[i][k] * kind.slots >= self.problem.width[k] > slots
--- a/pathsaddle/placement/problem.py
+++ b/pathsaddle/placement/problem.py
@@ -1,8 +1,8 @@
 """An inventory as numbers: what a planner may choose, and the figures by which any choice is judged.
 
-Units of one kind are alike, and so are the bays of one island: the choice is how many units of each kind stand on each
-island at the end (`Counts`), not which one in which bay. That is what keeps it small: 200 islands and 10,000 units are
-some hundred whole numbers, and no two choices differ by names alone.
+Units of one kind are alike, and so are the bays of one island: the choice is how many units of each kind
+stand on each island at the end (`Counts`), not which one in which bay. That is what keeps it small: 200
+islands and 10,000 units are some hundred whole numbers, and no two choices differ by names alone.
 """
 
 from __future__ import annotations
@@ -52,9 +52,10 @@
 
 @dataclass(frozen=True)
 class Figures:
-    """widest: by kind, the slots that the widest job may have whichever one island is lost. headroom: the least over
-    islands and kinds of slots against demand, thousandths; None where nothing is asked for. stranded: slots on islands
-    where no job of usual width fits, or on none. moves: serving units taken elsewhere. changes: against the last plan."""
+    """widest: by kind, the slots that the widest job may have whichever one island is lost. headroom: the
+    least over islands and kinds of slots against demand, thousandths; None where nothing is asked for.
+    stranded: slots on islands where no job of usual width fits, or on none. moves: serving units taken
+    elsewhere. changes: against the last plan."""
 
     widest: tuple[int, ...]
     reached: tuple[bool, ...]
--- a/pathsaddle/placement/smoke.py
+++ b/pathsaddle/placement/smoke.py
@@ -1,6 +1,8 @@
-"""python -m pathsaddle.placement.smoke PLAN: worlds of islands over seeds and policies, judged from their logs alone.
+"""python -m pathsaddle.placement.smoke PLAN: worlds of islands over seeds and policies, judged from their
+logs alone.
 
-Figures last; exits 0 only if every bound of the plan holds and each mutant is found under its name, 2 for a bad file.
+Figures last; exits 0 only if every bound of the plan holds and each mutant is found under its name, 2 for a
+bad file.
 """
 
 from __future__ import annotations
--- a/pathsaddle/placement/solver.py
+++ b/pathsaddle/placement/solver.py
@@ -1,8 +1,10 @@
-"""The plan as a mixed-integer program for HiGHS. Imported in a planner's process alone: never on a dispatcher's loop.
+"""The plan as a mixed-integer program for HiGHS. Imported in a planner's process alone: never on a
+dispatcher's loop.
 
-The aims in their order, each solved with what the earlier ones reached as a bound: the targets, then the least
-headroom, then what is stranded and, last, moves. A move costs in the second too: PRICE thousandths of the least
-headroom, and a change against the last plan CHANGE, so that a small change of what is told does not turn a plan over.
+The aims in their order, each solved with what the earlier ones reached as a bound: the targets, then the
+least headroom, then what is stranded and, last, moves. A move costs in the second too: PRICE thousandths of
+the least headroom, and a change against the last plan CHANGE, so that a small change of what is told does not
+turn a plan over.
 """
 
 from __future__ import annotations
@@ -178,8 +180,8 @@
 
 @dataclass(frozen=True)
 class Answer:
-    """by: `solver`, or `greedy` where the solver had nothing better in time. bound: what the least headroom, less what
-    moves cost, can at most be; value: what it is here. gap: their distance, a part of the bound."""
+    """by: `solver`, or `greedy` where the solver had nothing better in time. bound: what the least headroom,
+    less what moves cost, can at most be; value: what it is here. gap: their distance, a part of the bound."""
 
     counts: Counts
     by: str
--- a/pathsaddle/placement/story.py
+++ b/pathsaddle/placement/story.py
@@ -1,8 +1,9 @@
-"""What a change of the book was, as events that a checker reads (the words of docs/histories.md). The keeper writes
-them in the order in which changes became true. Pure.
+"""What a change of the book was, as events that a checker reads (the words of docs/histories.md). The keeper
+writes them in the order in which changes became true. Pure.
 
-Beside the common words: `island.lost`, `island.back`; `bay.leave`: the unit takes nothing new from now on; `bay.fail`;
-`planner.did`: any other change by a planner, with its number; `plan.step` carries `widest`, `target` and `why`; a reservation's `revision` and `now` are the book's `base`.
+Beside the common words: `island.lost`, `island.back`; `bay.leave`: the unit takes nothing new from now on;
+`bay.fail`; `planner.did`: any other change by a planner, with its number; `plan.step` carries `widest`,
+`target` and `why`; a reservation's `revision` and `now` are the book's `base`.
 """
 
 from __future__ import annotations
--- a/pathsaddle/placement/walk.py
+++ b/pathsaddle/placement/walk.py
@@ -1,12 +1,12 @@
 """The owner's walk over the plan: what is to be done next, from the book as it was last seen. Free of I/O.
 
-It keeps almost nothing: what is done is read off the book, so that whoever takes over, or comes back after a kill, goes
-on from what is there. What it keeps are its leases: until when it may surely have a bay installed with no word from
-the book, and since when it has seen another's reservation stand unrenewed.
+It keeps almost nothing: what is done is read off the book, so that whoever takes over, or comes back after a
+kill, goes on from what is there. What it keeps are its leases: until when it may surely have a bay installed
+with no word from the book, and since when it has seen another's reservation stand unrenewed.
 
-Bound: an install is told to an island only while the lease may not have ended for certain, by a slow clock from before
-the reservation was asked for; another's reservation is ended only when it surely did, by a fast clock from after it
-was seen. Clocks need not agree, only not run off by more than DRIFT.
+Bound: an install is told to an island only while the lease may not have ended for certain, by a slow clock
+from before the reservation was asked for; another's reservation is ended only when it surely did, by a fast
+clock from after it was seen. Clocks need not agree, only not run off by more than DRIFT.
 """
 
 from __future__ import annotations
@@ -23,8 +23,9 @@
 
 @dataclass(frozen=True)
 class Order:
-    """does: `stop` (a later planner has begun), `plan`, `renew`, `lapse`, `reserve`, `withdraw`, `cold`: to the book;
-    `install`, `warm`, `pull`: to the island of `bay`, with the number, and harmless when told again."""
+    """does: `stop` (a later planner has begun), `plan`, `renew`, `lapse`, `reserve`, `withdraw`, `cold`: to
+    the book; `install`, `warm`, `pull`: to the island of `bay`, with the number, and harmless when told
+    again."""
 
     does: str
     unit: str = ""
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -385,7 +385,8 @@
 
 class Program(unittest.TestCase):
     def test_a_file_is_planned_for_and_a_wrong_key_is_named(self):
-        text = '[[kinds]]\nname = "gpu"\nslots = 8\n[[islands]]\nname = "a"\nbays = 2\n[[units]]\nname = "n"\nkind = "gpu"\n'
+        text = ('[[kinds]]\nname = "gpu"\nslots = 8\n[[islands]]\nname = "a"\nbays = 2\n'
+                '[[units]]\nname = "n"\nkind = "gpu"\n')
         with TemporaryDirectory() as folder:
             path = Path(folder, "i.toml")
             path.write_text(text)
--- a/tests/test_placement_processes.py
+++ b/tests/test_placement_processes.py
@@ -1,6 +1,8 @@
-"""Planners as real processes over one ledger: stopped between look and reservation, killed at each step, shut out.
+"""Planners as real processes over one ledger: stopped between look and reservation, killed at each step, shut
+out.
 
-The hands are this test: they obey each order that a process prints. Whatever happens here, all of them are ended.
+The hands are this test: they obey each order that a process prints. Whatever happens here, all of them are
+ended.
 """
 
 import os
@@ -105,7 +107,8 @@
         return planner
 
     def stopped(self, planner):
-        """Stands still, outside a commit: inside one it bars the ledger for all, which is safe and lets nobody on."""
+        """Stands still, outside a commit: inside one it bars the ledger for all, which is safe and lets
+        nobody on."""
         other = sqlite3.connect(self.path, isolation_level=None, timeout=0.5)
         self.addCleanup(other.close)
         for _ in range(50):
