Histories: versions older than the one in force are left out; a million events measured

Seen: a million events of federation took 18.8 s where 50,000 took 1.6 s by the million: each posting was held against every version ever committed (about 1,700 there).

--- a/pathsaddle/histories/federation.py
+++ b/pathsaddle/histories/federation.py
@@ -54,6 +54,8 @@
     def __init__(self, skew: int = 0) -> None:
         super().__init__(skew)
         self.versions: dict[int, Version] = {}
+        self.live: list[Version] = []  # committed, and not older than what was in force when it was last asked
+        self.live_from = 0
         self.force: list[Event] = []  # in the order told, numbers that grow
         self.held: dict[str, Event] = {}
         self.told: dict[str, list[Event]] = {}  # of a member, the last few that it held
@@ -89,6 +91,7 @@
         if state == "committed":
             if version.committed is None:
                 version.committed = event
+                self.live.append(version)
         elif state == "held":
             self.held[who] = event
             rows = self.told.setdefault(who, [])
@@ -206,15 +209,18 @@
                 force, by = row.more["version"], row
                 break
         by_then = event.at + slack
-        there = [version for version in self.versions.values()
-                 if version.committed is not None and version.committed.at <= by_then]
+        if force > self.live_from:
+            self.live = [version for version in self.live if version.number >= force]
+            self.live_from = force
+        there = [version for version in self.live if version.committed is not None and version.committed.at <= by_then]
         if "version" in event.more:
             used = self.versions.get(event.more["version"])
-            if used not in there and not (used is not None and there and used.narrower(there[-1], event)):
+            if (used is None or used.committed is None or used.committed.at > by_then) \
+                    and not (used is not None and there and used.narrower(there[-1], event)):
                 rows = [event] if used is None or used.committed is None else [event, used.committed]
                 self.find("loosened-early", f"{self._what(event)}{self._by(event)}, which was not committed", *rows)
                 return
-        if not any(version.number >= force and version.allows(event) for version in there):
+        if not any(version.allows(event) for version in there):
             last = there[-1].committed if there else None
             rows = [row for row in (last, by, event) if row is not None]
             self.find("forbidden-region", f"{self._what(event)}{self._by(event)}; {force or 'none'} was in force, and "
