--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta, Struct, field
 
+from pathsaddle.charter.owners import Owners
 from pathsaddle.charter.units import Duration, Size
 
 Part = Annotated[float, Meta(ge=0, le=1)]
@@ -207,6 +208,7 @@
     bytes: that this member sends in any second at most.
     datagrams: that it sends in any second at most.
     lifeguard: own health, witnesses and the word to the accused; off only to measure what they bring.
+    owners: one owner at a time for a key of the fleet's work; off where the table is missing.
     """
 
     name: str
@@ -221,6 +223,7 @@
     bytes: Annotated[int, Meta(ge=6000)] = 24_000
     datagrams: Annotated[int, Meta(ge=16)] = 60
     lifeguard: bool = True
+    owners: Owners | None = None
 
     def __post_init__(self) -> None:
         from pathsaddle.net.wire.terms import peer_of
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -47,6 +47,10 @@
         from pathsaddle.fleet.lives import Lives
         folder = self.charter.fleet.folder
         told = fellow(self.charter)
+        if self.charter.fleet.owners is not None:
+            from pathsaddle.ownership.fellows import OwningFellows
+            return OwningFellows(self.charter, told, self, Lives(Path(folder) if folder else None, told.name), SystemRandom(),
+                                 counters)
         return Fellows(told, self, Lives(Path(folder) if folder else None, told.name), SystemRandom(), counters)
 
     def open_log(self) -> None:
