--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -10,6 +10,7 @@
 from msgspec import Meta, Struct, field
 
 from pathsaddle.charter.check import Amiss, Fault, Missing, NotAmong, OutOfBounds, TooLong, Twice, shown
+from pathsaddle.charter.owners import Owners
 from pathsaddle.charter.units import Duration, Size
 
 Part = Annotated[float, Meta(ge=0, le=1)]
@@ -259,6 +260,7 @@
     parts: this member's units of a budget, where they are not equal parts by `number` of `dispatchers`; all members'
       parts together must not pass the budget.
     lease: for how long units that are not wanted are lent to others.
+    owners: one owner at a time for a key of the fleet's work; off where the table is missing.
     """
 
     name: str
@@ -276,6 +278,7 @@
     budgets: dict[str, Annotated[int, Meta(ge=1, le=1_000_000)]] = field(default_factory=dict)
     parts: dict[str, Annotated[int, Meta(ge=0)]] = field(default_factory=dict)
     lease: Duration = Duration(10 * S)
+    owners: Owners | None = None
 
     def amiss(self) -> Iterator[Amiss]:
         if self.control and not self.control.startswith("127."):
--- a/pathsaddle/net/service/logbook.py
+++ b/pathsaddle/net/service/logbook.py
@@ -75,6 +75,13 @@
 fault_hearer = line("fault-hearer", "ERROR", "fault in what hears of members, at {member}: {why}; the membership "
                     "goes on")
 fleet_budget = line("fleet-budget", "INFO", "fleet budget={budget} now={now} usable={usable}: {why}")
+owner = line("owner", "INFO", "owner key={key} number={number}")
+owner_lost = line("owner-lost", "WARNING", "owner lost key={key} number={number}: {why}")
+owner_given = line("owner-given", "INFO", "owner gave back key={key} number={number}: {why}")
+voter_out = line("voter-out", "WARNING", "voter takes no part until enough others let it in: {why}")
+voter_in = line("voter-in", "INFO", "voter takes part start={start} keys={keys}")
+voter_disk = line("voter-disk", "ERROR", "voter can't sync, it answers nothing: {why}")
+fault_ownership = line("fault-ownership", "ERROR", "fault in ownership")
 fault_decisions = line("fault-decisions", "ERROR", "fault in the decisions")
 fault_task = line("fault-task", "ERROR", "fault in a task")
 fault_watch = line("fault-watch", "ERROR", "fault on the watch")
