Placement, federation, overload and histories tell their errors in the one family

Each of the four had a base of its own, with names of its own making (inventory-untrue, federation.key, plan-malformed) printed in three forms, and sentences such as "set them right" that named nothing. A missing folder of logs, a ledger's story or a plan without seeds still ended in a trace.

All derive from pathsaddle.errors.Error now: dotted names, one line `what; do [name]` a fault, end code 2, or 1 where another spec was committed meanwhile. Each `do` names the key, file, member or command; what breaks a rule of an inventory says by the rule what to write. A record of overload that is none only steers: it left the family. Weighed: keeping the old names beside the new ones; nothing outside reads them, so they are gone.

Bytes in a plan's file that are no UTF-8, folders that can't be written, stray files in a register and unknown mutants, policies, courses of the emulated plans are told as well.

--- a/pathsaddle/emulator/federation/smoke.py
+++ b/pathsaddle/emulator/federation/smoke.py
@@ -14,7 +14,7 @@
 
 import msgspec
 
-from pathsaddle.charter.check import Faulty, check, load
+from pathsaddle.charter.check import Faulty, NotAmong, check, load
 from pathsaddle.emulator.federation.judge import earned, judged, lent, turned
 from pathsaddle.emulator.federation.mutants import MUTANTS, mutant, shown_in
 from pathsaddle.emulator.federation.plans import COURSES, Plan, any_course
@@ -23,6 +23,8 @@
 from pathsaddle.federation.check import check as every_order
 from pathsaddle.trade import SECOND
 
+HOWS = ("off", "plain", "on")
+
 
 class BoundsForm(msgspec.Struct, kw_only=True):
     """What must hold beside the judge's findings.
@@ -201,12 +203,11 @@
         for one in fault.faults:
             print(one, file=sys.stderr)
         return 2
-    unknown = [name for name in plan.courses if name not in COURSES]
+    unknown = [NotAmong(sys.argv[1], key, shown=repr(name), may=f"some of {', '.join(known)}")
+               for key, told, known in (("courses", plan.courses, COURSES), ("hows", plan.hows, HOWS))
+               for name in told if name not in known]
     if unknown:
-        print(
-            f"{sys.argv[1]}: courses: no such course {unknown[0]!r}; known are {', '.join(COURSES)}",
-            file=sys.stderr,
-        )
+        print(*unknown, sep="\n", file=sys.stderr)
         return 2
     began = time.process_time()
     wrong = run(plan)
--- a/pathsaddle/emulator/overload/plan.py
+++ b/pathsaddle/emulator/overload/plan.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from pathsaddle.errors import access, why
 from pathsaddle.fleet.overload.faults import BadPlan
 
 POLICIES = ("alone", "fleet", "whole", "dagor", "breakwater", "throttle", "finagle", "envoy", "doorman")
@@ -64,11 +65,24 @@
     try:
         smoke = msgspec.toml.decode(path.read_bytes(), type=Smoke)
     except OSError as fault:
-        raise BadPlan(f"{path} can't be read: {fault.strerror}", "name a file that is there") from None
-    except msgspec.MsgspecError as fault:
-        raise BadPlan(f"{path}: {fault}", "mend that key of the file") from None
+        raise BadPlan(f"{path}: can't be read: {why(fault)}", access(fault, path)) from None
+    except msgspec.ValidationError as fault:
+        text, _, at = str(fault).partition(" - at ")
+        at = at.strip("`").removeprefix("$.") or "its top"
+        raise BadPlan(f"{path}: {at}: {why(ValueError(text))}",
+                      f"write what {at} may hold, as experiments/overload-smoke.toml shows, in {path}") from None
+    except (msgspec.DecodeError, UnicodeError) as fault:
+        raise BadPlan(f"{path}: is not TOML: {why(fault)}", f"mend that place of {path}") from None
     for plan in smoke.plans:
-        if plan.policy not in POLICIES or plan.mutant not in ("", *MUTANTS):
-            raise BadPlan(f"{path}: plan {plan.name}: no policy {plan.policy!r} or mutant {plan.mutant!r}",
-                          f"name one of {', '.join(POLICIES)}")
+        for key, told, known in (("policy", plan.policy, POLICIES), ("mutant", plan.mutant, ("", *MUTANTS))):
+            if told not in known:
+                raise BadPlan(f"{path}: plans: {plan.name}: no {key} is called {told!r}",
+                              f"write one of {', '.join(filter(None, known))} at {key} of {plan.name} in {path}")
+    names = [plan.name for plan in smoke.plans]
+    for mutant, (_, on) in smoke.mutants.items():
+        if mutant not in MUTANTS or on not in names:
+            raise BadPlan(f"{path}: mutants.{mutant}: there is no such mutant, or no plan is called {on!r}",
+                          f"write one of {', '.join(MUTANTS)} there, and one of {', '.join(names)} as its plan")
+    if not smoke.seeds or not smoke.plans:
+        raise BadPlan(f"{path}: seeds, plans: nothing is to be played", f"write a seed and a plan at least in {path}")
     return smoke
--- a/pathsaddle/emulator/overload/smoke.py
+++ b/pathsaddle/emulator/overload/smoke.py
@@ -20,7 +20,7 @@
 from pathsaddle.emulator.overload.ground import Ground
 from pathsaddle.emulator.overload.judge import Judge, cut_off
 from pathsaddle.emulator.overload.plan import POLICIES, Plan, of
-from pathsaddle.fleet.overload.faults import BadPlan, OverloadFault
+from pathsaddle.fleet.overload.faults import BadPlan
 
 AT_ONCE = min(8, os.cpu_count() or 4)
 
@@ -48,11 +48,11 @@
     options = [word for word in words if word.startswith("--")]
     names = [word for word in words if not word.startswith("--")]
     if not names:
-        raise BadPlan("no plan is named", "name its file, such as experiments/overload-smoke.toml")
+        raise BadPlan("no plan is named", "name its file after the command, such as experiments/overload-smoke.toml")
     smoke = of(Path(names[0]))
     policy = names[1] if "--policy" in options and len(names) > 1 else ""
     if policy and policy not in POLICIES:
-        raise BadPlan(f"no policy {policy!r}", f"name one of {', '.join(POLICIES)}")
+        raise BadPlan(f"--policy: no policy is called {policy!r}", f"write after --policy one of {', '.join(POLICIES)}")
     began = time.monotonic()
     runs = [(msgspec.structs.replace(plan, policy=policy) if policy else plan, seed)
             for plan in smoke.plans for seed in smoke.seeds]
@@ -96,5 +96,6 @@
 if __name__ == "__main__":
     try:
         sys.exit(main(sys.argv[1:]))
-    except OverloadFault as fault:
-        sys.exit(str(fault))
+    except BadPlan as fault:
+        print(fault, file=sys.stderr)
+        sys.exit(fault.code)
--- a/pathsaddle/emulator/placement/smoke.py
+++ b/pathsaddle/emulator/placement/smoke.py
@@ -6,42 +6,69 @@
 from __future__ import annotations
 
 import sys
-import tomllib
 from dataclasses import fields
 from pathlib import Path
 from statistics import mean
-from typing import Any
+from typing import Annotated, Any
+
+import msgspec
 
 from pathsaddle.emulator.placement.judge import judged
 from pathsaddle.emulator.placement.mutants import MUTANTS
 from pathsaddle.emulator.placement.policies import POLICIES
 from pathsaddle.emulator.placement.world import Site, Trouble, World
-from pathsaddle.placement.faults import PlacementFault, Unreadable
+from pathsaddle.errors import why
+from pathsaddle.placement.faults import Key, PlacementFault
+from pathsaddle.placement.files import table
 
 KEYS = ("name", "about", "seeds", "policies", "mutants", "site", "trouble", "bounds")
 BOUNDS = ("broken", "work", "gap")
 
 
+class Mutants(msgspec.Struct):
+    seeds: int
+    site: Site = Site()
+    trouble: Trouble = Trouble()
+
+
+AtLeastOne = msgspec.Meta(min_length=1)
+SHAPES: tuple[tuple[str, Any, str], ...] = (  # key, what stands there, in words
+    ("seeds", Annotated[list[int], AtLeastOne], "a list of one whole number or more"),
+    ("policies", Annotated[list[str], AtLeastOne], "a list of one policy or more"),
+    ("site", Site, "a table of numbers as docs/placement.md has them"),
+    ("trouble", Trouble, "a table of numbers as docs/placement.md has them"),
+    ("bounds", dict[str, float], "a table of numbers"),
+    ("mutants", Mutants, "a table with seeds, a whole number, and site and trouble as above"),
+)
+
+
 def read(path: Path) -> dict[str, Any]:
-    """A plan, whole. Raises Unreadable."""
-    try:
-        told = tomllib.loads(path.read_text())
-    except (OSError, ValueError) as fault:
-        raise Unreadable(f"{path}: {fault}", "name a plan that is there and is TOML") from None
+    """A plan, whole. Raises Unreadable, NoToml or Key."""
+    told = table(path)
+    for key, kind, may in SHAPES:
+        if key not in told and key not in ("seeds", "policies"):
+            continue
+        try:
+            msgspec.convert(told.get(key, []), kind)
+        except msgspec.ValidationError as fault:
+            text, _, at = str(fault).partition(" - at ")
+            raise Key(f"{path}: {key}{at.strip('`').removeprefix('$')}: {why(ValueError(text))}",
+                      f"write {may} at {key} in {path}") from None
     site, trouble = tuple(one.name for one in fields(Site) if one.name != "trouble"), tuple(
         one.name for one in fields(Trouble))
     mutants = told.get("mutants", {})
-    for name, table, keys in (("", told, KEYS), ("site.", told.get("site", {}), site),
+    for name, rows, keys in (("", told, KEYS), ("site.", told.get("site", {}), site),
                               ("trouble.", told.get("trouble", {}), trouble), ("bounds.", told.get("bounds", {}), BOUNDS),
                               ("mutants.", mutants, ("seeds", "site", "trouble")),
                               ("mutants.site.", mutants.get("site", {}), site),
                               ("mutants.trouble.", mutants.get("trouble", {}), trouble)):
-        for key in table:
+        for key in rows:
             if key not in keys:
-                raise Unreadable(f"{path}: {name}{key}: no such key", "one of " + ", ".join(keys))
+                raise Key(f"{path}: {name}{key}: no such key", f"take {name}{key} out of {path}; known are {', '.join(keys)}")
     for policy in told.get("policies", ()):
         if policy not in POLICIES:
-            raise Unreadable(f"{path}: policies: no `{policy}`", "one of " + ", ".join(POLICIES))
+            raise Key(f"{path}: policies: no policy is called `{policy}`",
+                      f"write some of {', '.join(POLICIES)} at policies in {path}")
     return told
 
 
@@ -94,7 +121,7 @@
         told = read(Path(words[0]))
     except PlacementFault as fault:
         print(fault, file=sys.stderr)
-        return 2
+        return fault.code
     lines, holds = run(told)
     print("\n".join(lines))
     return 0 if holds else 1
--- a/pathsaddle/emulator/state/smoke.py
+++ b/pathsaddle/emulator/state/smoke.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from pathsaddle.charter.check import Faulty, check, load
+from pathsaddle.charter.check import Faulty, NotAmong, check, load
 from pathsaddle.charter.form import Count, Form, Part
 from pathsaddle.emulator.state import mutants
 from pathsaddle.emulator.state.ground import Ground, Place, Plan, varied
@@ -167,8 +167,12 @@
     told = words.parse_args()
     try:
         plan = check(Smoke, load(told.plan), told.plan)
+        unknown = [name for name in plan.mutants if name not in mutants.MUTANTS]
+        if unknown:
+            raise Faulty([NotAmong(told.plan, "mutants", shown=repr(name), may=f"some of {', '.join(mutants.MUTANTS)}")
+                          for name in unknown])
     except Faulty as faulty:
-        print("\n".join(map(str, faulty.faults)))
+        print(faulty, file=sys.stderr)
         return 2
     if told.seeds:
         return int(play_seeds(told.members, told.first, told.seeds)[0] > 0)
--- a/pathsaddle/federation/__main__.py
+++ b/pathsaddle/federation/__main__.py
@@ -8,7 +8,7 @@
 
 import click
 
-from pathsaddle.federation.faults import FederationFault, SpecFaulty
+from pathsaddle.errors import Error
 from pathsaddle.federation.spec import load
 from pathsaddle.federation.versions import compared
 
@@ -70,13 +70,9 @@
 if __name__ == "__main__":
     try:
         main(standalone_mode=False)
-    except SpecFaulty as fault:
-        for line in fault.lines:
-            click.echo(line, err=True)
-        sys.exit(2)
-    except FederationFault as fault:
-        click.echo(f"{fault.name}: {fault}", err=True)
-        sys.exit(2)
+    except Error as fault:
+        click.echo(str(fault), err=True)
+        sys.exit(fault.code)
     except click.ClickException as fault:
         fault.show()
         sys.exit(2)
--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/desk.py
@@ -18,8 +18,9 @@
 from functools import partial
 from typing import Any
 
+from pathsaddle.errors import Error
 from pathsaddle.federation.driver import MemberProcess
-from pathsaddle.federation.faults import FederationFault, SpecFaulty
+from pathsaddle.federation.faults import Contradiction, SpecFaulty
 from pathsaddle.federation.lend import Free
 from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.ways import Job, Place
@@ -72,8 +73,13 @@
                 raise SpecFaulty(
                     member.ground.spec,
                     [
-                        f"schemes.{name}.semantics: {spec.schemes[name].semantics} stands there, {told_here} in the "
-                        + "charter; write the same"
+                        Contradiction(
+                            member.ground.spec,
+                            f"schemes.{name}.semantics",
+                            f"{spec.schemes[name].semantics} stands there, and {told_here} at semantics of that "
+                            f"scheme in the charter of {member.name}",
+                            "write the same in both",
+                        )
                     ],
                 )
 
@@ -81,7 +87,7 @@
         await super().begin()
         try:
             await self.member.run()
-        except FederationFault as fault:  # such as its socket: without a lease all stays at home
+        except Error as fault:  # such as its socket: without a lease all stays at home
             self.counters.add("fault")
             logbook.fault_task(fault)
 
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from pathlib import Path
 from random import Random, SystemRandom
 from typing import Any
@@ -18,8 +18,8 @@
 from pathsaddle.charter.check import Faulty, check, load
 from pathsaddle.charter.units import Duration
 from pathsaddle.federation.abroad import Abroad
-from pathsaddle.federation.disk import Disk, FolderRegister
-from pathsaddle.federation.faults import BadKey, NoSpec, NoWay, SpecFaulty
+from pathsaddle.federation.disk import Disk, FolderRegister, had
+from pathsaddle.federation.faults import BadKey, GroundFaulty, NoAddress, NoMember
 from pathsaddle.federation.spec import load as load_spec
 from pathsaddle.federation.spec import parse
 from pathsaddle.federation.versions import Ask, Commit, Have, Keeper, Renewed, Version, holder
@@ -41,6 +41,7 @@
     encode,
 )
 from pathsaddle.fleet.purse import Purse
+from pathsaddle.net.service.place import unhad
 from pathsaddle.net.wire.terms import peer_of
 from pathsaddle.trade import SECOND
 
@@ -95,32 +96,43 @@
     keepers: dict[str, KeeperForm]
 
 
-def ground_of(path: str) -> GroundForm:
-    """Raises SpecFaulty or BadKey."""
+class Ground(GroundForm, kw_only=True):
+    """As it was read. file: from where, for whoever is to mend it."""
+
+    file: str
+
+    def named(self, table: str, rows: Mapping[str, Any], name: str) -> Any:
+        """Raises NoMember."""
+        if name not in rows:
+            raise NoMember(file=self.file, table=table, who=name, known=", ".join(sorted(rows)) or "nobody")
+        return rows[name]
+
+
+def ground_of(path: str) -> Ground:
+    """Raises GroundFaulty, BadKey or NoAddress."""
     try:
-        ground = check(GroundForm, load(path), path)
+        form = check(GroundForm, load(path), path)
     except Faulty as fault:
-        raise SpecFaulty(path, [str(one) for one in fault.faults]) from None
+        raise GroundFaulty(path, fault.faults) from None
+    ground = Ground(file=path, **{key: getattr(form, key) for key in form.__struct_fields__})
     if len(ground.key) < 16:
-        raise BadKey(
-            f"{path}: key has {len(ground.key)} characters", "give it 16 or more, the same in all files"
-        )
+        raise BadKey(file=path, count=len(ground.key))
     for table, rows in (("members", ground.members), ("keepers", ground.keepers)):
         for name, row in rows.items():
-            try:
-                peer_of(row.address)
-                peer_of(row.listen or row.address)
-            except ValueError:
-                raise NoWay(f"{path}: {table}.{name}: {row.address!r} is no address",
-                            'write one such as "10.0.0.7:7946"') from None
+            for key, told in (("address", row.address), ("listen", row.listen or row.address)):
+                try:
+                    peer_of(told)
+                except ValueError:
+                    raise NoAddress(file=path, key=f"{table}.{name}.{key}", address=told) from None
     return ground
 
 
 class Process(asyncio.DatagramProtocol):
     """What members, keepers and committers have in common."""
 
-    def __init__(self, ground: GroundForm, name: str, listen: str, chance: Random | None = None) -> None:
-        self.ground, self.name, self.listen = ground, name, listen
+    def __init__(self, ground: Ground, name: str, listen: str, key: str = "", chance: Random | None = None) -> None:
+        """key: of the ground's file, where `listen` stands; "": the command line said it. Raises NoFolder."""
+        self.ground, self.name, self.listen, self.listen_key = ground, name, listen, key
         self.key = ground.key.encode()
         self.chance = chance or SystemRandom()
         self.life = time.time_ns() // 1_000_000
@@ -129,7 +141,7 @@
         self.texts: dict[tuple[int, str], bytes] = {}
         self.transport: asyncio.DatagramTransport | None = None
         folder = Path(ground.log)
-        folder.mkdir(parents=True, exist_ok=True)
+        had(folder, "log", ground.file)
         self._log = (folder / f"{name}.jsonl").open("ab", buffering=0)
         self.peers = {**{name: peer_of(row.address) for name, row in ground.members.items()},
                       **{name: peer_of(row.address) for name, row in ground.keepers.items()}}
@@ -143,14 +155,14 @@
         self._log.write(msgspec.json.encode(row) + b"\n")
 
     async def begin(self) -> None:
-        """Raises NoWay."""
+        """Raises one of `pathsaddle.net.service.place`'s."""
         try:
             await asyncio.get_running_loop().create_datagram_endpoint(
                 lambda: self, local_addr=peer_of(self.listen)
             )
         except OSError as fault:
-            raise NoWay(f"{self.listen} can't be listened at: {fault}",
-                        f"free it, or give {self.name} another `listen`") from None
+            key, file = (self.listen_key, self.ground.file) if self.listen_key else ("--listen", "the command")
+            raise unhad(fault, key, self.listen, file) from None
 
     def connection_made(self, transport: Any) -> None:
         self.transport = transport
@@ -210,16 +222,14 @@
 class MemberProcess(Process):
     """A dispatcher's part in the spec: `rule` is what its door may ask before each posting abroad."""
 
-    def __init__(self, ground: GroundForm, name: str, serving: bool = False) -> None:
-        """serving: a dispatcher's own jobs go abroad. Raises NoSpec, NoWay, SpecFaulty."""
+    def __init__(self, ground: Ground, name: str, serving: bool = False) -> None:
+        """serving: a dispatcher's own jobs go abroad. Raises NoMember, NoFolder, SpecFaulty."""
         self.serving = serving
-        if name not in ground.members:
-            raise NoSpec(f"members.{name} is missing", f"add [members.{name}] or start one of "
-                                                       f"{', '.join(sorted(ground.members))}")
-        form = ground.members[name]
-        super().__init__(ground, name, form.listen or form.address)
+        form: MemberForm = ground.named("members", ground.members, name)
+        super().__init__(ground, name, form.listen or form.address,
+                         f"members.{name}.{'listen' if form.listen else 'address'}")
         self.region = form.region
-        self.disk = Disk(Path(form.disk), name)
+        self.disk = Disk(Path(form.disk), name, ground.file)
         version = self.disk.last()
         if version is None:
             spec = load_spec(ground.spec)
@@ -366,14 +376,12 @@
 
 
 class KeeperProcess(Process):
-    def __init__(self, ground: GroundForm, name: str) -> None:
-        """Raises NoSpec, NoWay."""
-        if name not in ground.keepers:
-            raise NoSpec(f"keepers.{name} is missing", f"add [keepers.{name}] or start one of "
-                                                       f"{', '.join(sorted(ground.keepers))}")
-        form = ground.keepers[name]
-        super().__init__(ground, name, form.listen or form.address)
-        self.register = FolderRegister(Path(ground.register))
+    def __init__(self, ground: Ground, name: str) -> None:
+        """Raises NoMember, NoFolder."""
+        form: KeeperForm = ground.named("keepers", ground.keepers, name)
+        super().__init__(ground, name, form.listen or form.address,
+                         f"keepers.{name}.{'listen' if form.listen else 'address'}")
+        self.register = FolderRegister(Path(ground.register), ground.file)
         self.core = Keeper(int(ground.lease), self.now(), gone=tuple(ground.gone))
 
     async def run(self) -> None:
@@ -431,18 +439,22 @@
     """Offers a text to all, serves it for a time, then commits it under the next number. Keepers tell the
     rest."""
 
-    def __init__(self, ground: GroundForm, listen: str, path: str) -> None:
-        """Raises SpecFaulty, NoWay."""
+    def __init__(self, ground: Ground, listen: str, path: str) -> None:
+        """Raises SpecFaulty, NoFolder, NoAddress."""
         self.spec = load_spec(path)
+        try:
+            at = peer_of(listen)
+        except ValueError:
+            raise NoAddress(file="the command", key="--listen", address=listen) from None
         super().__init__(ground, "committer", listen)
-        self.peers[self.name] = peer_of(listen)
-        self.register = FolderRegister(Path(ground.register))
+        self.peers[self.name] = at
+        self.register = FolderRegister(Path(ground.register), ground.file)
         have = self.register.read()
         self.version = Version((have[-1].number if have else 0) + 1, self.spec.digest, self.spec)
         self.texts[self.version.number, self.spec.digest] = self.spec.text.encode()
 
     async def run(self, offer: float) -> Version:
-        """Raises Outrun, NoWay."""
+        """Raises Outrun, or what `begin` raises."""
         await self.begin()
         until = time.monotonic() + offer
         while time.monotonic() < until:
--- a/pathsaddle/federation/spec.py
+++ b/pathsaddle/federation/spec.py
@@ -19,9 +19,10 @@
 
 from msgspec import Meta, Struct, field
 
-from pathsaddle.charter.check import Faulty, check
+from pathsaddle.charter.check import Faulty, NoForm, NoText, Unreadable, check
 from pathsaddle.charter.units import Duration
-from pathsaddle.federation.faults import SpecFaulty
+from pathsaddle.errors import access, why
+from pathsaddle.federation.faults import Contradiction, SpecFaulty, TooBig
 
 Part = Annotated[float, Meta(gt=0, le=1)]
 Added = Annotated[float, Meta(ge=0)]
@@ -203,13 +204,13 @@
     try:
         raw = Path(path).read_bytes()
         if len(raw) > MOST:
-            raise SpecFaulty(
-                str(path), [f"{path}: -: {len(raw)} bytes; at most {MOST} may stand there: split it"]
-            )
+            raise SpecFaulty(str(path), [TooBig(str(path), "-", count=len(raw), most=MOST)])
         return parse(raw.decode("utf-8"), str(path))
-    except (OSError, UnicodeDecodeError) as fault:
+    except UnicodeDecodeError as fault:
+        raise SpecFaulty(str(path), [NoText(str(path), "-", at=fault.start)]) from None
+    except OSError as fault:
         raise SpecFaulty(
-            str(path), [f"{path}: -: can't be read ({fault}): give a file that may be read"]
+            str(path), [Unreadable(str(path), "-", "", access(fault, path), why=why(fault))]
         ) from None
 
 
@@ -218,23 +219,25 @@
     try:
         form = check(SpecForm, tomllib.loads(text), file)
     except tomllib.TOMLDecodeError as fault:
-        raise SpecFaulty(file, [f"{file}: -: is not TOML: {fault}"]) from None
+        raise SpecFaulty(file, [NoForm(file, "-", form="TOML", why=why(fault))]) from None
     except Faulty as fault:
-        raise SpecFaulty(file, [str(one) for one in fault.faults]) from None
-    lines = contradictions(form)
-    if lines:
-        raise SpecFaulty(file, [f"{file}: {line}" for line in lines])
+        raise SpecFaulty(file, fault.faults) from None
+    found = contradictions(form, file)
+    if found:
+        raise SpecFaulty(file, found)
     digest = hashlib.blake2b(text.encode(), digest_size=16).hexdigest()
     return Spec(text, digest, form.regions, form.data, form.schemes)
 
 
 class _Finder:
-    def __init__(self) -> None:
-        self.lines: list[str] = []
+    def __init__(self, file: str) -> None:
+        self.file = file
+        self.faults: list[Contradiction] = []
         self._hints = 0
 
     def says(self, path: str, text: str) -> None:
-        self.lines.append(f"{path}: {text}")
+        """text: why, and after the first semicolon what to change."""
+        self.faults.append(Contradiction(self.file, path, text))
 
     def unknown(self, path: str, name: str, kind: str, known: Iterable[str]) -> None:
         known = list(known)
@@ -244,7 +247,7 @@
             near = difflib.get_close_matches(name, known, 1, 0.5)
         hint = f"the nearest known is {near[0]}" if near else f"known are {', '.join(known[:8]) or 'none'}"
         self.says(
-            path, f"nobody has a {kind} {name!r}; {hint}; write that, or add [{kind_table(kind)}.{name}]"
+            path, f"nobody has a {kind} {name!r} ({hint}); write one that is there, or add [{kind_table(kind)}.{name}]"
         )
 
 
@@ -252,14 +255,14 @@
     return {"region": "regions"}.get(kind, kind)
 
 
-def contradictions(form: SpecForm) -> list[str]:
-    """What can't all be meant, a line each: its key, why, what to change. Linear in the file's size."""
-    found = _Finder()
+def contradictions(form: SpecForm, file: str) -> list[Contradiction]:
+    """What can't all be meant, one each: its key, why, what to change. Linear in the file's size."""
+    found = _Finder(file)
     names = form.regions
     of: dict[str, str] = {}
     for region, told in names.items():
         if not told.members:
-            found.says(f"regions.{region}.members", "a region that nobody has: name its dispatchers, or take "
+            found.says(f"regions.{region}.members", "a region that nobody has; name its dispatchers, or take "
                                                     f"[regions.{region}] out")
         for member in told.members:
             if member in of:
@@ -287,7 +290,7 @@
                 found.unknown(f"{path}.may", region, "region", names)
     for name, scheme in form.schemes.items():
         _scheme(f"schemes.{name}", scheme, form, found)
-    return found.lines
+    return found.faults
 
 
 def _scheme(path: str, scheme: SchemeForm, form: SpecForm, found: _Finder) -> None:
--- a/pathsaddle/fleet/overload/faults.py
+++ b/pathsaddle/fleet/overload/faults.py
@@ -1,25 +1,15 @@
-"""What reaches an operator from here: a stable name, what happened, what to do."""
+"""What can be wrong with a record, and what with a plan."""
 
 from __future__ import annotations
 
+from pathsaddle.errors import Error
 
-class OverloadFault(Exception):
-    """`name`: stable. `what`: happened. `do`: what an operator can do, with the very key, file or member."""
 
-    name = "overload"
+class BadWord(Exception):
+    """A fellow's record is none: it is passed over. It steers our own code and never leaves it."""
 
-    def __init__(self, what: str, do: str) -> None:
-        super().__init__(f"{self.name}: {what}; {do}")
-        self.what, self.do = what, do
 
-
-class BadWord(OverloadFault):
-    """A fellow's record is none."""
-
-    name = "overload.word"
-
-
-class BadPlan(OverloadFault):
-    """A plan of an emulated run is none."""
+class BadPlan(Error):
+    """a plan of overload to emulate can't be used"""
 
     name = "overload.plan"
--- a/pathsaddle/fleet/overload/word.py
+++ b/pathsaddle/fleet/overload/word.py
@@ -54,9 +54,8 @@
         form, count, could, trim, free, line, steady, *offered = HEAD.unpack_from(body)
         rows = [CUSTOMER.unpack_from(body, HEAD.size + CUSTOMER.size * i) for i in range(count)]
     except struct.error as fault:
-        raise BadWord(f"{len(body)} bytes are no record ({fault})",
-                      "bring all members to one release") from None
+        raise BadWord(f"{len(body)} bytes are no record ({fault})") from None
     figures = [could, trim, free, line, steady, *offered, *(rate for _, rate in rows)]
     if form != FORM or len(body) > MOST or not all(isfinite(part) and part >= 0.0 for part in figures):
-        raise BadWord(f"a record of form {form} with figures that are none", "bring all members to one release")
+        raise BadWord(f"a record of form {form} with figures that are none")
     return Word(could, trim, free, line, steady, list(offered), dict(rows))
--- a/pathsaddle/placement/__main__.py
+++ b/pathsaddle/placement/__main__.py
@@ -71,7 +71,7 @@
             return super().invoke(ctx)
         except PlacementFault as fault:
             click.echo(str(fault), err=True)
-            ctx.exit(2)
+            ctx.exit(fault.code)
 
 
 @click.command(cls=Group)
--- a/pathsaddle/placement/faults.py
+++ b/pathsaddle/placement/faults.py
@@ -1,31 +1,41 @@
-"""What an operator reads of placement: each fault has a stable name, what happened, and what an operator can do."""
+"""What an operator reads of placement, all of the one family (docs/errors.md)."""
 
 from __future__ import annotations
 
+from pathsaddle.errors import Error
 
-class PlacementFault(Exception):
-    """Of placement. name: stable; what: what happened; do: what an operator can do, with the very key, file or member."""
 
-    name = "placement"
-
-    def __init__(self, what: str, do: str) -> None:
-        super().__init__(f"{self.name}: {what}; {do}")
-        self.what = what
-        self.do = do
+class PlacementFault(Error):
+    """Any of placement's."""
 
 
 class Unreadable(PlacementFault):
-    name = "inventory-unreadable"
+    name = "placement.unreadable"
+    what = "{file}: can't be read: {why}"
+
+
+class NoToml(PlacementFault):
+    name = "placement.no-toml"
+    what = "{file}: is not TOML: {why}"
+    do = "mend that place of {file}; docs/placement.md shows the form"
+
+
+class Key(PlacementFault):
+    """a key of an inventory, or of a plan to emulate, is none or has a value of another kind"""
+
+    name = "placement.key"
 
 
 class Untrue(PlacementFault):
-    """The inventory contradicts itself, or breaks a rule that never breaks."""
+    """the inventory contradicts itself, or breaks a rule that never breaks"""
 
-    name = "inventory-untrue"
+    name = "placement.untrue"
 
 
 class Unusable(PlacementFault):
-    name = "placement-ledger-unusable"
+    """a ledger is not there, or can't be used: held by another, another program's, on a full disk"""
+
+    name = "placement.ledger"
 
 
 class Refused(Exception):
--- a/pathsaddle/placement/ledger.py
+++ b/pathsaddle/placement/ledger.py
@@ -15,9 +15,11 @@
 
 import msgspec
 
+from pathsaddle.errors import why
 from pathsaddle.placement.book import Book
 from pathsaddle.placement.check import broken
 from pathsaddle.placement.faults import Refused, Untrue, Unusable
+from pathsaddle.placement.files import MENDS
 from pathsaddle.placement.inventory import Demand, Inventory, Island, Kind, Target, Unit
 from pathsaddle.placement.plan import Plan
 from pathsaddle.placement.story import KEEPER, opening, refused, told
@@ -76,17 +78,19 @@
 
     def __init__(self, path: Path, clock: Callable[[], int]) -> None:
         if not path.exists():
-            raise Unusable(f"{path}: no such ledger", f"make one with `python -m pathsaddle.placement FILE --ledger {path}`")
+            raise Unusable(f"{path}: no such file", f"make one with `python -m pathsaddle.placement FILE --ledger {path}`")
         self.path, self.clock = path, clock
         self.cache: Book | None = None
         try:
             self.base = _opened(path)
             row = self.base.execute("SELECT value FROM meta WHERE key = 'version'").fetchone()
         except sqlite3.Error as fault:
-            raise Unusable(f"{path}: {fault}", "see that it is a placement ledger and that this user may write there") from None
+            raise Unusable(f"{path}: can't be opened: {why(fault)}", f"name a placement ledger that this user may write, in place "
+                           f"of {path}, or make one with `python -m pathsaddle.placement FILE --ledger NEW`") from None
         if row is None or row[0] != VERSION:
-            raise Unusable(f"{path}: version {row and row[0]}, this program writes {VERSION}",
-                           "use the program that wrote it, or make a new ledger from the inventory")
+            raise Unusable(f"{path}: is of version {row[0] if row else 0}, and this program writes {VERSION}",
+                           f"run the release that wrote {path}, or make a new one with `python -m pathsaddle.placement FILE "
+                           "--ledger NEW`")
 
     def close(self) -> None:
         self.base.close()
@@ -125,7 +129,8 @@
             raise self._unusable(fault) from None
 
     def _unusable(self, fault: sqlite3.Error) -> Unusable:
-        return Unusable(f"{self.path}: {fault}", "see who holds it open for writing, and that its disk has room")
+        return Unusable(f"{self.path}: can't be used: {why(fault)}", f"end who holds {self.path} open for writing (`fuser "
+                        f"{self.path}` names it), or make room on its disk")
 
     def _do(self, does: str, words: tuple[Any, ...]) -> Book:
         self.base.execute("BEGIN IMMEDIATE")
@@ -153,9 +158,12 @@
         _tell(self.base, max(self.clock(), last[0] if last else 0), rows)
 
     def story(self) -> list[tuple[int, str, dict[str, Any]]]:
-        """All that became true, in order: (at, what, more)."""
-        return [(at, what, msgspec.json.decode(more))
-                for at, what, more in self.base.execute("SELECT at, what, more FROM story ORDER BY row")]
+        """All that became true, in order: (at, what, more). Raises Unusable."""
+        try:
+            return [(at, what, msgspec.json.decode(more))
+                    for at, what, more in self.base.execute("SELECT at, what, more FROM story ORDER BY row")]
+        except sqlite3.Error as fault:
+            raise self._unusable(fault) from None
 
 
 def _opened(path: Path) -> sqlite3.Connection:
@@ -189,9 +197,10 @@
 def made(path: Path, inventory: Inventory, clock: Callable[[], int]) -> File:
     """A new ledger. Raises Unusable where one stands there, Untrue where the inventory breaks a rule."""
     if path.exists():
-        raise Unusable(f"{path}: stands there already", "name another file, or tell what changed with `tell`")
+        raise Unusable(f"{path}: stands there already", f"name another file after --ledger, or tell what changed by `python -m "
+                       f"pathsaddle.placement tell {path}`")
     for name, what in broken(inventory):
-        raise Untrue(f"{name}: {what}", "set the inventory file right")
+        raise Untrue(f"{path}: {name}: {what}", MENDS[name].format("the inventory that it was to be made of"))
     try:
         base = _opened(path)
         base.execute("BEGIN IMMEDIATE")
@@ -203,5 +212,6 @@
         base.execute("COMMIT")
         base.close()
     except sqlite3.Error as fault:
-        raise Unusable(f"{path}: {fault}", "see that the folder is there and that this user may write in it") from None
+        raise Unusable(f"{path}: can't be made: {why(fault)}", f"make the folder {path.parent}, or let the user who runs this "
+                       "write there, or name another file after --ledger") from None
     return File(path, clock)
