--- a/pathsaddle/placement/ledger.py
+++ b/pathsaddle/placement/ledger.py
@@ -129,8 +129,8 @@
             raise self._unusable(fault) from None
 
     def _unusable(self, fault: sqlite3.Error) -> Unusable:
-        return Unusable(f"{self.path}: can't be used: {why(fault)}", f"end who holds {self.path} open for writing (`fuser "
-                        f"{self.path}` names it), or make room on its disk")
+        return Unusable(f"{self.path}: can't be used: {why(fault)}", f"wait for who holds {self.path} open for writing, or end "
+                        f"it (`fuser {self.path}` names it), or make room on its disk")
 
     def _do(self, does: str, words: tuple[Any, ...]) -> Book:
         self.base.execute("BEGIN IMMEDIATE")
