A damaged ledger is told as one, and bytes that are no UTF-8 without the codec's words

A ledger whose part or table is gone ended `tell` in a trace, and `history` said to end who holds the file. What SQLite says of a file's surroundings (busy, full, not to be written) is held apart by its code from what is wrong in the file.

--- a/pathsaddle/emulator/overload/plan.py
+++ b/pathsaddle/emulator/overload/plan.py
@@ -71,7 +71,9 @@
         at = at.strip("`").removeprefix("$.") or "its top"
         raise BadPlan(f"{path}: {at}: {why(ValueError(text))}",
                       f"write what {at} may hold, as experiments/overload-smoke.toml shows, in {path}") from None
-    except (msgspec.DecodeError, UnicodeError) as fault:
+    except UnicodeDecodeError as fault:
+        raise BadPlan(f"{path}: byte {fault.start} is no UTF-8", access(fault, path)) from None
+    except msgspec.DecodeError as fault:
         raise BadPlan(f"{path}: is not TOML: {why(fault)}", f"mend that place of {path}") from None
     for plan in smoke.plans:
         for key, told, known in (("policy", plan.policy, POLICIES), ("mutant", plan.mutant, ("", *MUTANTS))):
--- a/pathsaddle/histories/smoke.py
+++ b/pathsaddle/histories/smoke.py
@@ -49,7 +49,8 @@
     try:
         return tomllib.loads(path.read_bytes().decode())
     except (OSError, UnicodeError) as fault:
-        raise Unreadable("", access(fault, path), file=path, why=why(fault)) from fault
+        said = f"byte {fault.start} is no UTF-8" if isinstance(fault, UnicodeDecodeError) else why(fault)
+        raise Unreadable("", access(fault, path), file=path, why=said) from fault
     except tomllib.TOMLDecodeError as fault:
         raise NoToml(file=path, why=why(fault)) from fault
 
--- a/pathsaddle/placement/ledger.py
+++ b/pathsaddle/placement/ledger.py
@@ -72,6 +72,10 @@
         return self.book
 
 
+SURROUNDINGS = (sqlite3.SQLITE_BUSY, sqlite3.SQLITE_LOCKED, sqlite3.SQLITE_READONLY, sqlite3.SQLITE_IOERR, sqlite3.SQLITE_FULL,
+                sqlite3.SQLITE_CANTOPEN, sqlite3.SQLITE_PERM)
+
+
 class File:
     """clock: ticks, for the story alone. `read` and `do` raise Unusable where the file can't be had for PATIENCE
     seconds, with nothing changed."""
@@ -100,6 +104,12 @@
 
     def _book(self) -> Book:
         """Within a transaction. What was read before is used again while its revision is the one on the disk."""
+        try:
+            return self._whole()
+        except (msgspec.MsgspecError, KeyError, TypeError, ValueError) as fault:
+            raise self._damaged(fault) from None
+
+    def _whole(self) -> Book:
         meta = self._meta()
         if self.cache is not None and self.cache.inventory.revision == meta["revision"]:
             return self.cache
@@ -128,7 +138,15 @@
         except sqlite3.Error as fault:
             raise self._unusable(fault) from None
 
+    def _damaged(self, fault: Exception) -> Unusable:
+        said = f"it lacks {fault}" if isinstance(fault, KeyError) else why(fault)
+        return Unusable(f"{self.path}: is damaged: {said}", f"put a copy from before in place of {self.path}, or make a new one "
+                        "with `python -m pathsaddle.placement FILE --ledger NEW`")
+
     def _unusable(self, fault: sqlite3.Error) -> Unusable:
+        # The low byte of SQLite's code; what is not of the file's surroundings is in the file.
+        if getattr(fault, "sqlite_errorcode", 0) & 0xFF not in SURROUNDINGS:
+            return self._damaged(fault)
         return Unusable(f"{self.path}: can't be used: {why(fault)}", f"wait for who holds {self.path} open for writing, or end "
                         f"it (`fuser {self.path}` names it), or make room on its disk")
 
@@ -164,6 +182,8 @@
                     for at, what, more in self.base.execute("SELECT at, what, more FROM story ORDER BY row")]
         except sqlite3.Error as fault:
             raise self._unusable(fault) from None
+        except msgspec.MsgspecError as fault:
+            raise self._damaged(fault) from None
 
 
 def _opened(path: Path) -> sqlite3.Connection:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -580,6 +580,14 @@
                 ((good, "--ledger", none + "/x"), "placement.ledger", "make the folder " + none)):
             self.tells("placement", told, 2, name, *words)
         self.assertFalse(Path(ledger).exists())
+        done = subprocess.run([sys.executable, "-m", "pathsaddle.placement", good, "--ledger", ledger], cwd=ROOT,
+                              capture_output=True, text=True, check=False, timeout=60)
+        self.assertEqual(done.returncode, 0, done.stderr)
+        with contextlib.closing(sqlite3.connect(ledger)) as db, db:
+            db.execute("DELETE FROM parts WHERE name = 'kinds'")
+            db.execute("DROP TABLE story")
+        for told in (("tell", ledger, "dead", "n"), ("history", ledger)):
+            self.tells("placement", told, 2, "placement.ledger", "is damaged", "a copy from before")
 
     def test_federation(self) -> None:
         none, spec = str(self.folder / "none"), self.file(self.SPEC, "spec")
