--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -309,7 +309,7 @@
                 yield Amiss(f"parts.{name}", NotAmong, shown=shown(name),
                             may=f"a name of budgets ({', '.join(self.budgets) or 'none is there'})")
             elif part > self.budgets[name]:
-                yield Amiss(f"parts.{name}", OutOfBounds, shown=shown(part), may=f"budgets.{name} ({self.budgets[name]}) at most")
+                yield Amiss(f"parts.{name}", OutOfBounds, shown=shown(part), may=f"at most budgets.{name} ({self.budgets[name]})")
         if not 2 * S <= self.lease <= 600 * S:
             yield Amiss("lease", OutOfBounds, shown=shown(self.lease), may="2s to 10min")
 
