--- a/pathsaddle/histories/__main__.py
+++ b/pathsaddle/histories/__main__.py
@@ -1,4 +1,5 @@
-"""python -m pathsaddle.histories: prove the checkers by a plan, check a folder of logs, show a history as lanes."""
+"""python -m pathsaddle.histories: prove the checkers by a plan, check a folder of logs,
+show a history as lanes."""
 
 from __future__ import annotations
 
@@ -76,7 +77,8 @@
 @commands.command("check")
 @click.argument("folder", type=click.Path(path_type=Path))
 @click.option("--only", help="names of checkers, with commas between them")
-@click.option("--keep", type=click.Path(path_type=Path), help="a folder: the first of each name, made small, goes there")
+@click.option("--keep", type=click.Path(path_type=Path),
+              help="a folder: the first of each name, made small, goes there")
 @click.option("--lanes", "show", is_flag=True, help="the first of each name, made small, as lanes")
 def check_folder(folder: Path, only: str | None, keep: Path | None, show: bool) -> None:
     """All checkers over a folder of logs (or one file); 1 where something is found."""
--- a/pathsaddle/histories/checkers.py
+++ b/pathsaddle/histories/checkers.py
@@ -26,8 +26,8 @@
 
 def judged(events: Iterable[Event], skew: int = 0, bounds: Mapping[str, Mapping[str, Any]] | None = None,
            only: Iterable[str] = tuple(CHECKERS)) -> list[Finding]:
-    """All that is found in the logs of one run, put in order here. skew: ticks by which any clock may be off true time.
-    bounds: of checkers by name, that they can't know (`Shedding`)."""
+    """All that is found in the logs of one run, put in order here. skew: ticks by which any clock may be off
+    true time. bounds: of checkers by name, that they can't know (`Shedding`)."""
     rows = in_order(events)
     told = bounds or {}
     return check(rows, [checker(name, skew, **told.get(name, {})) for name in only])
--- a/pathsaddle/histories/federation.py
+++ b/pathsaddle/histories/federation.py
@@ -23,7 +23,8 @@
         if self.may is None:
             return False
         if event.what == "data.read":
-            return event.more["data"] not in self.data or event.more["region"] in self.data[event.more["data"]]
+            return (event.more["data"] not in self.data
+                    or event.more["region"] in self.data[event.more["data"]])
         return _place(event) in self.may.get(event.more["scheme"], ())
 
     def narrower(self, other: Version, event: Event) -> bool:
@@ -32,7 +33,8 @@
             return False
         if event.what == "data.read":
             name = event.more["data"]
-            return name not in other.data or all(place in other.data[name] for place in self.data.get(name, ()))
+            return (name not in other.data
+                    or all(place in other.data[name] for place in self.data.get(name, ())))
         scheme = event.more["scheme"]
         return all(place in other.may.get(scheme, ()) for place in self.may.get(scheme, ()))
 
@@ -42,11 +44,12 @@
 
 
 class Federation(Checker):
-    """Finds `forbidden-region`, `tightening-ignored`, `loosened-early`, `beyond-lease`, `two-regions`, `crossed-twice`,
-    `circle`, `crossed-again`, `stale-copy`, `force-early`, `own-after-foreign`.
+    """Finds `forbidden-region`, `tightening-ignored`, `loosened-early`, `beyond-lease`, `two-regions`,
+    `crossed-twice`, `circle`, `crossed-again`, `stale-copy`, `force-early`, `own-after-foreign`.
 
-    What may be used at a moment: any version that was committed by then and is not older than the newest that was
-    reported in force before. What a member itself holds binds it at once, committed or not, where it is tighter.
+    What may be used at a moment: any version that was committed by then and is not older than the newest that
+    was reported in force before. What a member itself holds binds it at once, committed or not,
+    where it is tighter.
     """
 
     name = "federation"
@@ -54,7 +57,8 @@
     def __init__(self, skew: int = 0) -> None:
         super().__init__(skew)
         self.versions: dict[int, Version] = {}
-        self.live: list[Version] = []  # committed, and not older than what was in force when it was last asked
+        # committed, and not older than what was in force when it was last asked
+        self.live: list[Version] = []
         self.live_from = 0
         self.force: list[Event] = []  # in the order told, numbers that grow
         self.held: dict[str, Event] = {}
@@ -142,7 +146,8 @@
         if more.get("kind") == ONCE:
             for sent, how in rows.values():
                 if how != "declined" and sent.more["who"] == who:
-                    self.find("crossed-again", f"once-only {txn} crosses to {to} while {sent.more['post']} to "
+                    self.find("crossed-again",
+                              f"once-only {txn} crosses to {to} while {sent.more['post']} to "
                               f"{sent.more['to']} is {how}", sent, event)
                     break
         rows[more["post"]] = event, "open"
@@ -172,9 +177,11 @@
         # Without a lease the home of the scheme is left, wherever the txn came from.
         abroad = abroad and ("home" not in more or more["home"] != _place(event))
         if abroad and held is not None and event.at - slack >= held.more.get("until", 1 << 60):
-            self.find("beyond-lease", f"{who} went abroad {(event.at - held.more['until']) / 10:g} ms after its hold on "
+            self.find("beyond-lease",
+                      f"{who} went abroad {(event.at - held.more['until']) / 10:g} ms after its hold on "
                       "the spec had ended", held, event)
-        if held is not None and held.at <= event.at - slack and more.get("version", 0) <= held.more["version"]:
+        if (held is not None and held.at <= event.at - slack
+                and more.get("version", 0) <= held.more["version"]):
             version = self.versions[held.more["version"]]
             if version.may is not None and not version.allows(event):
                 self.find("tightening-ignored", f"{who} holds version {version.number} and went against it"
@@ -182,8 +189,10 @@
         for row in self.offered.get(who, ()):
             version = self.versions[row.more["version"]]
             if version.may is not None and row.at <= event.at - slack and not version.allows(event) \
-                    and version.number >= max(more.get("version", 0), held.more["version"] if held is not None else 0):
-                self.find("tightening-ignored", f"{who} had the text of version {version.number} and went against it"
+                    and version.number >= max(more.get("version", 0),
+                                              held.more["version"] if held is not None else 0):
+                self.find("tightening-ignored",
+                          f"{who} had the text of version {version.number} and went against it"
                           f"{self._by(event)}: {self._what(event)}", row, event)
                 break
         if self.versions:
@@ -212,18 +221,21 @@
         if force > self.live_from:
             self.live = [version for version in self.live if version.number >= force]
             self.live_from = force
-        there = [version for version in self.live if version.committed is not None and version.committed.at <= by_then]
+        there = [version for version in self.live if version.committed is not None
+                 and version.committed.at <= by_then]
         if "version" in event.more:
             used = self.versions.get(event.more["version"])
             if (used is None or used.committed is None or used.committed.at > by_then) \
                     and not (used is not None and there and used.narrower(there[-1], event)):
                 rows = [event] if used is None or used.committed is None else [event, used.committed]
-                self.find("loosened-early", f"{self._what(event)}{self._by(event)}, which was not committed", *rows)
+                self.find("loosened-early", f"{self._what(event)}{self._by(event)}, which was not committed",
+                          *rows)
                 return
         if not any(version.allows(event) for version in there):
             last = there[-1].committed if there else None
             rows = [row for row in (last, by, event) if row is not None]
-            self.find("forbidden-region", f"{self._what(event)}{self._by(event)}; {force or 'none'} was in force, and "
+            self.find("forbidden-region",
+                      f"{self._what(event)}{self._by(event)}; {force or 'none'} was in force, and "
                       "nothing since allows it", *rows)
 
     def _ran(self, event: Event) -> None:
@@ -234,7 +246,8 @@
         if waiting:
             waiting.pop(event.more["post"], None)
             if home is not None and home != region and waiting:
-                self.find("own-after-foreign", f"{region} began {event.more['txn']} of {home} while own work waited",
+                self.find("own-after-foreign",
+                          f"{region} began {event.more['txn']} of {home} while own work waited",
                           next(iter(waiting.values())), event)
         if event.more.get("kind") != ONCE:
             return
--- a/pathsaddle/histories/keeping.py
+++ b/pathsaddle/histories/keeping.py
@@ -1,7 +1,8 @@
-"""Histories that found something, kept as files: a first line that says what is expected, then an event a line.
+"""Histories that found something, kept as files: a first line that says what is expected,
+then an event a line.
 
-The first line is an event too: `history`, with checker, expects (a finding's name, or "" where nothing may be found),
-skew, bounds, about, commit (the title of the change that mended its cause; "" while it is not).
+The first line is an event too: `history`, with checker, expects (a finding's name, or "" where nothing may be
+found), skew, bounds, about, commit (the title of the change that mended its cause; "" while it is not).
 """
 
 from __future__ import annotations
@@ -34,8 +35,9 @@
         return self.expects in names if self.expects else not names
 
     def write(self, path: Path) -> None:
-        head = Event(0, "history", {"who": "history", "checker": self.checker, "expects": self.expects, "skew": self.skew,
-                                    "bounds": self.bounds, "about": self.about, "commit": self.commit})
+        head = Event(0, "history",
+                     {"who": "history", "checker": self.checker, "expects": self.expects, "skew": self.skew,
+                      "bounds": self.bounds, "about": self.about, "commit": self.commit})
         write(path, [head, *self.events])
 
 
@@ -51,4 +53,5 @@
                     more["commit"])
     except (*BROKEN, IndexError) as fault:
         raise HistoryError("history-headless", f"{path} does not begin by a line `history`: {fault}",
-                           f"write the first line of {path} as docs/histories.md shows, or check it as a log") from fault
+                           f"write the first line of {path} as docs/histories.md shows, "
+                           f"or check it as a log") from fault
--- a/pathsaddle/histories/logs.py
+++ b/pathsaddle/histories/logs.py
@@ -1,10 +1,12 @@
 """Logs read and put in order, what a finding is, and what every checker has in common.
 
-Nothing here or in any checker imports the program: only the form of an event (docs/histories.md, "Vocabulary") binds.
+Nothing here or in any checker imports the program: only the form of an event (docs/histories.md,
+"Vocabulary") binds.
 
-Clocks: every writer has its own. A checker is told `skew`: by how many ticks any of them may be off true time at any
-moment. Events of two writers are in sure order only if they are more than twice that apart; what is not sure accuses
-nobody. So a greater skew finds less, and a checker told the true bound never accuses a history that was right.
+Clocks: every writer has its own. A checker is told `skew`: by how many ticks any of them may be off true time
+at any moment. Events of two writers are in sure order only if they are more than twice that apart; what is
+not sure accuses nobody. So a greater skew finds less, and a checker told the true bound never accuses a
+history that was right.
 """
 
 from __future__ import annotations
@@ -19,7 +21,8 @@
 
 from pathsaddle.emulator.events import Event
 
-__all__ = ["BROKEN", "MOMENTS", "MOST", "NEVER", "SECOND", "Checker", "Clocks", "Event", "Finding", "HistoryError", "check",
+__all__ = ["BROKEN", "MOMENTS", "MOST", "NEVER", "SECOND", "Checker", "Clocks", "Event", "Finding",
+           "HistoryError", "check",
            "in_order", "plain", "read", "read_folder", "write"]
 
 SECOND = 10_000
@@ -85,9 +88,9 @@
             self._judge()
 
     def later(self, judge: Callable[[Event], None], event: Event, at: int = NEVER) -> None:
-        """Judges an event (or what it says of the moment `at`) once all is known that may truly have come before:
-        `skew` twice, later. For that long what others wrote with a later moment may have been first; events of the
-        very moment are waited for too."""
+        """Judges an event (or what it says of the moment `at`) once all is known that may truly have come
+        before: `skew` twice, later. For that long what others wrote with a later moment may have been first;
+        events of the very moment are waited for too."""
         self._order += 1
         heappush(self._waiting, (max(at, event.at) + 2 * self.skew, self._order, judge, event))
 
@@ -108,8 +111,8 @@
         return None
 
     def stays(self, events: Sequence[Event], finding: Finding) -> list[int]:
-        """Places of events that a history made small must keep, though no finding names them: those that, left out,
-        could make what was right look wrong. Asked of a checker that has read them all."""
+        """Places of events that a history made small must keep, though no finding names them: those that,
+        left out, could make what was right look wrong. Asked of a checker that has read them all."""
         return []
 
 
@@ -152,8 +155,8 @@
 
 
 def read(path: Path) -> list[Event]:
-    """One file's events: lines that begin with a brace; other lines are the program's words and let be. A last line
-    that was cut by a kill is left out. Raises HistoryError where another line can't be read."""
+    """One file's events: lines that begin with a brace; other lines are the program's words and let be. A
+    last line that was cut by a kill is left out. Raises HistoryError where another line can't be read."""
     try:
         lines = path.read_bytes().split(b"\n")
     except OSError as fault:
@@ -170,7 +173,8 @@
             if number == len(lines):
                 break  # no line end: it was being written
             raise HistoryError("history-malformed", f"{path}, line {number}: {fault}",
-                               f"take line {number} out of {path}, or write it as in docs/histories.md") from fault
+                               f"take line {number} out of {path}, "
+                               f"or write it as in docs/histories.md") from fault
     return events
 
 
--- a/pathsaddle/histories/placement.py
+++ b/pathsaddle/histories/placement.py
@@ -1,4 +1,5 @@
-"""Placement: one unit a bay and one bay a unit, what an island bears, the order of steps, planners that wake late."""
+"""Placement: one unit a bay and one bay a unit, what an island bears, the order of steps,
+planners that wake late."""
 
 from __future__ import annotations
 
@@ -8,16 +9,17 @@
 from pathsaddle.histories.logs import NEVER, Checker, Event
 
 BEARS = ("ports", "power", "carries")
-NEEDS = {"bay.warm": "bay.install", "bay.serve": "bay.warm"}  # what must have been done to a unit in its bay before
+# what must have been done to a unit in its bay before
+NEEDS = {"bay.warm": "bay.install", "bay.serve": "bay.warm"}
 Place = tuple[Hashable, Hashable]  # unit, bay
 
 
 class Placement(Checker):
-    """Finds `bay-twice`, `unit-twice`, `island-over`, `step-order`, `late-planner`, `stale-revision`, `unreserved`,
-    `released-early`, `cold-over`.
+    """Finds `bay-twice`, `unit-twice`, `island-over`, `step-order`, `late-planner`, `stale-revision`,
+    `unreserved`, `released-early`, `cold-over`.
 
-    Where reservations are kept one process decides, so what concerns one keeper is judged by its own order; between
-    keepers, planners and walkers only what is surely apart accuses.
+    Where reservations are kept one process decides, so what concerns one keeper is judged by its own order;
+    between keepers, planners and walkers only what is surely apart accuses.
     """
 
     name = "placement"
@@ -33,14 +35,16 @@
         self.sums: dict[str, dict[str, float]] = {}
         self.numbers: dict[str, tuple[int, Event]] = {}
         self.last: dict[tuple[str, Place], int] = {}  # when a unit was last installed, warmed, taken out
-        self.holds: dict[Hashable, tuple[int, Event]] = {}  # till when a walker takes a unit's reservation to hold
+        # till when a walker takes a unit's reservation to hold
+        self.holds: dict[Hashable, tuple[int, Event]] = {}
         self.budget: Event | None = None  # how many may be cold at once
         self.cold: dict[Place, Event] = {}
         self.warmed: dict[Place, int] = {}  # when a unit last served, left or was released
         self.done_steps: dict[Hashable, dict[Hashable, Event]] = {}
         self.on = {"island.limits": self._limits, "unit.needs": self._needs, "bay.reserve": self._reserve,
                    "bay.release": self._release, "bay.install": self._walked, "bay.warm": self._walked,
-                   "bay.serve": self._walked, "bay.out": self._out, "bay.leave": self._out, "bay.fail": self._out,
+                   "bay.serve": self._walked, "bay.out": self._out, "bay.leave": self._out,
+                   "bay.fail": self._out,
                    "bay.hold": self._hold, "planner": self._planner, "planner.did": self._planner,
                    "plan.new": self._planner,
                    "cold.budget": self._cold_budget, "plan.step": self._step}
@@ -72,7 +76,8 @@
             return
         self.cold[place] = event
         if self.budget is not None and len(self.cold) > self.budget.more["units"]:
-            self.find("cold-over", f"{len(self.cold)} units are cold at once, {self.budget.more['units']} may be",
+            self.find("cold-over",
+                      f"{len(self.cold)} units are cold at once, {self.budget.more['units']} may be",
                       self.budget, *self.cold.values())
 
     def _warmed(self, place: Place, at: int) -> None:
@@ -88,16 +93,19 @@
         if more.get("word"):
             pass  # an island told that the unit is there: nobody decided that
         elif top is not None and number < top[0]:
-            self.find("late-planner", f"{keeper} took a reservation by {more['by']} with number {number} after one with "
+            self.find("late-planner",
+                      f"{keeper} took a reservation by {more['by']} with number {number} after one with "
                       f"{top[0]}", top[1], event)
         else:
             self.numbers[keeper] = number, event
         if not more.get("word") and more["revision"] < more["now"]:
-            self.find("stale-revision", f"{more['by']} reserved {bay} on revision {more['revision']}, {keeper} had "
+            self.find("stale-revision",
+                      f"{more['by']} reserved {bay} on revision {more['revision']}, {keeper} had "
                       f"{more['now']}", event)
         holder = self.bays.get(bay)
         if holder is not None and holder.more["unit"] != unit:
-            self.find("bay-twice", f"{bay} is held by {holder.more['unit']} and given to {unit}", holder, event)
+            self.find("bay-twice", f"{bay} is held by {holder.more['unit']} and given to {unit}", holder,
+                      event)
         self.bays[bay] = event
         bays = self.units.setdefault(unit, {})
         for other, row in bays.items():
@@ -123,13 +131,16 @@
         for what in BEARS:
             sums[what] += needs.get(what, 0)
         for what in ("bays", *BEARS):
-            if what in limits and sums[what] > limits[what] + 1e-9 and (what == "bays" or needs.get(what, 0) > 0):
-                self.find("island-over", f"{island} bears {limits[what]:g} {what}, {sums[what]:g} are reserved",
+            if (what in limits and sums[what] > limits[what] + 1e-9
+                    and (what == "bays" or needs.get(what, 0) > 0)):
+                self.find("island-over",
+                          f"{island} bears {limits[what]:g} {what}, {sums[what]:g} are reserved",
                           *rows.values())
                 break
 
     def _two(self, first: Event, second: Event) -> None:
-        self.find("unit-twice", f"{second.more['unit']} holds {first.more['bay']} and is given {second.more['bay']}",
+        self.find("unit-twice",
+                  f"{second.more['unit']} holds {first.more['bay']} and is given {second.more['bay']}",
                   first, second)
 
     def _units(self, event: Event) -> None:
@@ -154,7 +165,8 @@
             until, told = row.more["until"], row
         # A hold is told by the clock of who has it.
         if more.get("why") == "lease" and event.at < until - (0 if told is row else 2 * self.skew):
-            self.find("released-early", f"{bay} was taken from {unit} {(until - event.at) / 10:g} ms before its lease "
+            self.find("released-early",
+                      f"{bay} was taken from {unit} {(until - event.at) / 10:g} ms before its lease "
                       "ended", told, event)
         self._warmed((unit, bay), event.at)
         del self.units[unit][bay]
@@ -193,7 +205,8 @@
         if reserved is None or reserved.at > event.at + slack:
             self.find("unreserved", f"{event.what} of {unit} in {bay}: no reservation is kept for it", event)
         elif released is not None and reserved.at <= released.at < event.at - slack:
-            self.find("unreserved", f"{event.what} of {unit} in {bay} {(event.at - released.at) / 10:g} ms after its "
+            self.find("unreserved",
+                      f"{event.what} of {unit} in {bay} {(event.at - released.at) / 10:g} ms after its "
                       "reservation ended", reserved, released, event)
         before = NEEDS.get(event.what)
         if before is None:
@@ -216,6 +229,7 @@
         for step in more["after"]:
             row = steps.get(step)
             if row is None or row.at > event.at + 2 * self.skew:
-                self.find("step-order", f"step {more['step']} of plan {more['plan']} began and {step} was not done",
+                self.find("step-order",
+                          f"step {more['step']} of plan {more['plan']} began and {step} was not done",
                           event)
                 return
--- a/pathsaddle/histories/planted.py
+++ b/pathsaddle/histories/planted.py
@@ -1,6 +1,7 @@
 """Wrong histories on purpose: the worlds with one rule left out each, and right ones that look wrong.
 
-A checker is proven by both: each fault is found under its name, by seeds, and nothing is found in what is right.
+A checker is proven by both: each fault is found under its name, by seeds,
+and nothing is found in what is right.
 """
 
 from __future__ import annotations
@@ -48,8 +49,9 @@
 
     def stale(self, op: str, key: str, old: list[Any]) -> None:
         self.say("reg.call", who="m4", op=op, key=key, kind="read")
-        self.then(MS, self.end, "m4", op, {"outcome": "ok", "number": old[0], "owner": old[1], "value": old[2],
-                                           "revision": old[3]})
+        self.then(MS, self.end, "m4", op,
+                  {"outcome": "ok", "number": old[0], "owner": old[1], "value": old[2],
+                   "revision": old[3]})
 
 
 class SetsLost(RegisterWorld):
@@ -81,7 +83,8 @@
                back: int | None) -> None:
         if kind == "take" and self.state[key][0] and back is not None and self.chance.random() < 0.2:
             state = self.state[key]
-            told = {"outcome": "ok", "number": state[0], "owner": who, "value": state[2], "revision": state[3]}
+            told = {"outcome": "ok", "number": state[0], "owner": who, "value": state[2],
+                    "revision": state[3]}
             self.then(back, self.end, who, op, told, key, kind, called)
             return
         super().arrive(who, op, key, kind, more, called, back)
@@ -109,7 +112,8 @@
 
     STILL = 0.2
 
-    def end(self, who: str, op: str, told: dict[str, Any], key: str = "", kind: str = "", called: int = 0) -> None:
+    def end(self, who: str, op: str, told: dict[str, Any], key: str = "", kind: str = "",
+            called: int = 0) -> None:
         super().end(who, op, told, key, kind, self.now + 3 * SECOND if kind in ("take", "renew") else called)
 
 
@@ -131,7 +135,8 @@
 class BorrowedNumber(RegisterWorld):
     """A member that was refused acts by the number that it was told, which is another's."""
 
-    def end(self, who: str, op: str, told: dict[str, Any], key: str = "", kind: str = "", called: int = 0) -> None:
+    def end(self, who: str, op: str, told: dict[str, Any], key: str = "", kind: str = "",
+            called: int = 0) -> None:
         super().end(who, op, told, key, kind, called)
         if kind == "take" and told["outcome"] == "refused":
             self.ops += 1
@@ -328,7 +333,8 @@
 # Placement.
 
 class Unchecked(PlacementWorld):
-    """Now and then a reservation is taken that one check would have refused; the books are kept as if it had been."""
+    """Now and then a reservation is taken that one check would have refused;
+    the books are kept as if it had been."""
 
     left_out = ""
 
@@ -563,7 +569,8 @@
     def got(self, txn: str, outcome: str) -> None:
         super().got(txn, outcome)
         if self.chance.random() < 0.05:
-            self.say("post.sent", who=txn.split("/")[0], post=f"{txn}/late", txn=txn, worker="w0", kind="repeatable")
+            self.say("post.sent", who=txn.split("/")[0], post=f"{txn}/late", txn=txn, worker="w0",
+                     kind="repeatable")
 
 
 class OnceAgain(TxnsWorld):
--- a/pathsaddle/histories/register.py
+++ b/pathsaddle/histories/register.py
@@ -1,14 +1,16 @@
-"""A register of owners and numbers: linearizable; numbers that grow; effects that are fenced; leases that never overlap.
-
-Linearizable (Herlihy and Wing 1990): each call took effect at one moment between its begin and its end, and a plain
-register with these effects in this order gives the answers that were told. Searched as Wing and Gong 1993 and Lowe 2017
-("just-in-time linearization"): a key at a time, through the ends in order; what is carried is the set of all (state,
-calls in flight that took effect already), which is the memory of what was tried. A call whose outcome is unknown may
-take effect at any later moment or never.
-
-What keeps the set small, each without losing an answer: a read that the state answers takes effect at once, since whatever
-could come before it can as well come after; unknown calls that are alike are used in the order of their begin; of two that
-ways that reach the same, the one that used fewer unknown calls and left numbers more open can do all that the other can.
+"""A register of owners and numbers: linearizable; numbers that grow; effects that are fenced;
+leases that never overlap.
+
+Linearizable (Herlihy and Wing 1990): each call took effect at one moment between its begin and its end, and a
+plain register with these effects in this order gives the answers that were told. Searched as Wing and Gong
+1993 and Lowe 2017 ("just-in-time linearization"): a key at a time, through the ends in order; what is carried
+is the set of all (state, calls in flight that took effect already), which is the memory of what was tried. A
+call whose outcome is unknown may take effect at any later moment or never.
+
+What keeps the set small, each without losing an answer: a read that the state answers takes effect at once,
+since whatever could come before it can as well come after; unknown calls that are alike are used in the order
+of their begin; of two that ways that reach the same, the one that used fewer unknown calls and left numbers
+more open can do all that the other can.
 """
 
 from __future__ import annotations
@@ -31,7 +33,8 @@
 
 @dataclass(slots=True, eq=False)
 class Call:
-    """One call. end: FOREVER where nobody knows. like: what else it can't be told from, where it is unknown."""
+    """One call. end: FOREVER where nobody knows. like: what else it can't be told from,
+    where it is unknown."""
 
     event: Event
     order: int
@@ -121,8 +124,9 @@
 
 
 class Tried:
-    """What was reached, without what something else reached outdoes: the same calls in flight done, an owner and a
-    value that are the same, numbers that may be all that the other's may be, no more unknown calls used."""
+    """What was reached, without what something else reached outdoes: the same calls in flight done, an owner
+    and a value that are the same, numbers that may be all that the other's may be,
+    no more unknown calls used."""
 
     __slots__ = ("rows",)
 
@@ -170,7 +174,8 @@
         self.look = 8
 
     def run(self) -> tuple[str, Call | None]:
-        """("", None), ("undecided", the call at which it was given up) or ("not", the call that nothing explains)."""
+        """("", None), ("undecided", the call at which it was given up) or ("not", the call that nothing
+        explains)."""
         points: list[tuple[int, int, int, Call]] = []
         for call in self.calls:
             points.append((call.begin, 0, call.order, call))  # begins first: of one moment, they may overlap
@@ -215,9 +220,10 @@
         return after.all()
 
     @staticmethod
-    def _through(tried: list[Row], call: Call, flight: dict[int, Call], lost: dict[int, list[Call]]) -> Tried | None:
-        """All that can stand once this call has ended; None where there is too much of it. Shorter ways first: what
-        they reach outdoes most of what longer ones do."""
+    def _through(tried: list[Row], call: Call, flight: dict[int, Call],
+                 lost: dict[int, list[Call]]) -> Tried | None:
+        """All that can stand once this call has ended; None where there is too much of it. Shorter ways
+        first: what they reach outdoes most of what longer ones do."""
         after, seen = Tried(), Tried()
         todo = deque(tried)
         count = 0
@@ -264,11 +270,11 @@
 
 
 class Register(Checker):
-    """Finds `register-not-linearizable`, `register-undecided`, `number-twice`, `number-back`, `effect-unfenced`,
-    `effect-two-owners`, `effect-twice`, `leases-overlap`, `act-without-lease`.
+    """Finds `register-not-linearizable`, `register-undecided`, `number-twice`, `number-back`,
+    `effect-unfenced`, `effect-two-owners`, `effect-twice`, `leases-overlap`, `act-without-lease`.
 
-    Calls are kept till the log is over (a key is searched whole, since an outcome is known only at its end); the rest
-    is judged as it comes.
+    Calls are kept till the log is over (a key is searched whole, since an outcome is known only at its end);
+    the rest is judged as it comes.
     """
 
     name = "register"
@@ -278,7 +284,8 @@
         self.calls: dict[Hashable, Call] = {}
         self.keys: dict[str, list[Call]] = {}
         self.numbers: dict[tuple[str, int], Event] = {}
-        self.ends: dict[str, tuple[list[int], list[tuple[int, Event]]]] = {}  # when takes ended, greatest till then
+        # when takes ended, greatest till then
+        self.ends: dict[str, tuple[list[int], list[tuple[int, Event]]]] = {}
         self.fences: dict[tuple[str, str], tuple[int, Event]] = {}
         self.owners: dict[tuple[str, int], Event] = {}
         self.once: dict[tuple[str, Hashable], Event] = {}
@@ -348,7 +355,8 @@
         if call.kind == "take":
             twin = self.numbers.setdefault((key, number), event)
             if twin is not event:
-                self.find("number-twice", f"{twin.more['who']} and {call.who} both took {key} by {number}", twin, event)
+                self.find("number-twice", f"{twin.more['who']} and {call.who} both took {key} by {number}",
+                          twin, event)
             if not tops or number > tops[-1][0]:
                 times.append(event.at)
                 tops.append((number, event))
@@ -360,7 +368,8 @@
             return
         if lease.what != "lease" or lease.more["number"] != more["number"] \
                 or not lease.more["from"] <= event.at < lease.more["until"]:
-            self.find("act-without-lease", f"{more['who']} acts for {more['key']} by {more['number']} outside of its "
+            self.find("act-without-lease",
+                      f"{more['who']} acts for {more['key']} by {more['number']} outside of its "
                       "lease", lease, event)
 
     def _effect(self, event: Event) -> None:
@@ -370,19 +379,22 @@
         key, number = more["key"], more["number"]
         twin = self.owners.setdefault((key, number), event)
         if twin.more["by"] != more["by"]:
-            self.find("effect-two-owners", f"{twin.more['by']} and {more['by']} both act for {key} by {number}",
+            self.find("effect-two-owners",
+                      f"{twin.more['by']} and {more['by']} both act for {key} by {number}",
                       twin, event)
         place = (more["who"], key)
         top = self.fences.get(place)
         if top is not None and number < top[0]:
-            self.find("effect-unfenced", f"{more['who']} took an effect for {key} by {number} after one by {top[0]}",
+            self.find("effect-unfenced",
+                      f"{more['who']} took an effect for {key} by {number} after one by {top[0]}",
                       top[1], event)
         else:
             self.fences[place] = number, event
         if "id" in more:
             once = self.once.setdefault((key, more["id"]), event)
             if once is not event:
-                self.find("effect-twice", f"effect {more['id']} for {key} was taken by {once.more['who']} and again by "
+                self.find("effect-twice",
+                          f"effect {more['id']} for {key} was taken by {once.more['who']} and again by "
                           f"{more['who']}", once, event)
 
     def _lease(self, event: Event) -> None:
@@ -404,7 +416,8 @@
                 continue
             begin, end = max(since, event.more["from"]), min(until, event.more["until"])
             if end - begin > 2 * self.skew:
-                self.find("leases-overlap", f"{other} and {who} both take themselves for the owner of {key} for "
+                self.find("leases-overlap",
+                          f"{other} and {who} both take themselves for the owner of {key} for "
                           f"{(end - begin) / 10:g} ms", lease, event)
 
     def _lease_end(self, event: Event) -> None:
@@ -442,5 +455,6 @@
             else:
                 told = ", ".join(f"{name} {value}" for name, value in call.ended.more.items()
                                  if name not in ("who", "op"))
-                self.find("register-not-linearizable", f"{key}: no order of calls explains the end of {call.kind} "
+                self.find("register-not-linearizable",
+                          f"{key}: no order of calls explains the end of {call.kind} "
                           f"{call.event.more['op']} by {call.who}: {told}", call.event, call.ended)
--- a/pathsaddle/histories/seeming.py
+++ b/pathsaddle/histories/seeming.py
@@ -26,7 +26,8 @@
 
 
 _ID = {"customer": "north", "key": 7, "scheme": "render", "period": 1}
-_MAY = {"may": {"render": ["north", "west"], "sign": ["north", "west"]}, "data": {"textures": ["north", "west"]}}
+_MAY = {"may": {"render": ["north", "west"], "sign": ["north", "west"]},
+        "data": {"textures": ["north", "west"]}}
 _HOME = {"may": {"render": ["north"], "sign": ["north"]}, "data": {"textures": ["north"]}}
 
 LOOKS_WRONG: dict[str, dict[str, list[tuple[int, str, dict[str, Any]]]]] = {
@@ -35,7 +36,8 @@
             _call(0, "a", "1", "take"), _end(10, "a", "1", "unknown"),
             _call(20, "b", "2", "take"), _end(30, "b", "2", "ok", number=1, owner="b"),
             _call(40, "b", "3", "read"), _end(50, "b", "3", "ok", number=1, owner="b"),
-            _call(3600 * SECOND, "b", "4", "read"), _end(3600 * SECOND + 9, "b", "4", "ok", number=2, owner="a")],
+            _call(3600 * SECOND, "b", "4", "read"),
+            _end(3600 * SECOND + 9, "b", "4", "ok", number=2, owner="a")],
         "a read that began first saw the new, one that ended later the old": [
             _call(0, "a", "1", "take"), _call(1, "b", "2", "read"), _call(2, "c", "3", "read"),
             _end(5, "b", "2", "ok", number=1, owner="a"), _end(9, "c", "3", "ok", number=0, owner=""),
@@ -85,21 +87,24 @@
     },
     "counts": {
         "an interval that held only where its age begins": [
-            _say(0, "count.true", "a", name="open", units=5), _say(5_000, "count.true", "a", name="open", units=50),
+            _say(0, "count.true", "a", name="open", units=5),
+            _say(5_000, "count.true", "a", name="open", units=50),
             _say(9_000, "count.told", "b", name="open", low=5, high=6, age=4_500)],
         "a part dropped with its member, and told as before within the age": [
             _say(0, "count.true", "a", name="open", units=5), _say(5_000, "member.ended", "a", why="killed"),
             _say(5_500, "count.told", "b", name="open", low=5, high=5, age=1_000),
             _say(9_000, "count.told", "b", name="open", low=0, high=0, age=1_000)],
         "a sum passed through": [
-            _say(0, "count.true", "a", name="open", units=1), _say(10, "count.true", "a", name="open", units=9),
+            _say(0, "count.true", "a", name="open", units=1),
+            _say(10, "count.true", "a", name="open", units=9),
             _say(20, "count.true", "a", name="open", units=1),
             _say(30, "count.told", "b", name="open", low=9, high=9, age=25)],
     },
     "shedding": {
         "a dear one declined for want of room beside a cheap one let in": [
             _say(0, "shed.in", "a", txn=1, standing=0.1, level=0.0, **_ID),
-            _say(5, "shed.out", "b", txn=2, standing=2.0, level=0.0, wait=0, why="room", **{**_ID, "key": 8})],
+            _say(5, "shed.out", "b", txn=2, standing=2.0, level=0.0, wait=0, why="room",
+                 **{**_ID, "key": 8})],
         "the same identity in the next period": [
             _say(0, "shed.out", "a", txn=1, standing=1.0, level=1.1, wait=0, **_ID),
             _say(5, "shed.in", "b", txn=2, standing=1.0, level=0.9, **{**_ID, "period": 2})],
@@ -115,27 +120,36 @@
     },
     "placement": {
         "an old planner that wakes late and is refused": [
-            _say(0, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p2", number=2, revision=1, now=1, taken=True),
-            _say(9, "bay.reserve", "k", unit="u2", bay="b1", island="i", by="p1", number=1, revision=1, now=2, taken=False)],
+            _say(0, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p2", number=2, revision=1, now=1,
+                 taken=True),
+            _say(9, "bay.reserve", "k", unit="u2", bay="b1", island="i", by="p1", number=1, revision=1, now=2,
+                 taken=False)],
         "a bay given to the next in the moment in which it is released": [
-            _say(0, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=1, now=1, taken=True),
+            _say(0, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=1, now=1,
+                 taken=True),
             _say(9, "bay.release", "k", unit="u1", bay="b1", why="word"),
-            _say(9, "bay.reserve", "k", unit="u2", bay="b1", island="i", by="p", number=1, revision=3, now=3, taken=True)],
+            _say(9, "bay.reserve", "k", unit="u2", bay="b1", island="i", by="p", number=1, revision=3, now=3,
+                 taken=True)],
         "a limit lowered under what is reserved": [
-            _say(0, "island.limits", "k", island="i", bays=8, ports=10), _say(0, "unit.needs", "k", unit="u1", ports=6),
-            _say(1, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=1, now=1, taken=True),
+            _say(0, "island.limits", "k", island="i", bays=8, ports=10),
+            _say(0, "unit.needs", "k", unit="u1", ports=6),
+            _say(1, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=1, now=1,
+                 taken=True),
             _say(9, "island.limits", "k", island="i", bays=8, ports=4)],
         "the same reservation again": [
             _say(0, "island.limits", "k", island="i", bays=1),
-            _say(0, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=1, now=1, taken=True),
-            _say(9, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=2, now=2, taken=True)],
+            _say(0, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=1, now=1,
+                 taken=True),
+            _say(9, "bay.reserve", "k", unit="u1", bay="b1", island="i", by="p", number=1, revision=2, now=2,
+                 taken=True)],
     },
     "federation": {
         "an old version used after a tighter one was committed, before that is in force": [
             _say(0, "spec.version", "k", version=1, state="committed", **_MAY),
             _say(1, "spec.version", "a", version=1, state="held", until=900),
             _say(9, "spec.version", "k", version=2, state="committed", **_HOME),
-            _say(20, "abroad.sent", "a", post="1", txn="1", scheme="render", origin="north", to="west", version=1,
+            _say(20, "abroad.sent", "a", post="1", txn="1", scheme="render", origin="north", to="west",
+                 version=1,
                  **{"from": "north"})],
         "in force while one holds an older version whose lease has ended": [
             _say(0, "spec.version", "k", version=1, state="committed", **_MAY),
@@ -146,16 +160,19 @@
             _say(600, "spec.version", "k", version=2, state="force")],
         "a once-only job that crosses again once it was declined": [
             _say(0, "spec.version", "k", version=1, state="committed", **_MAY),
-            _say(9, "abroad.sent", "a", post="1", txn="1", scheme="sign", kind="once-only", origin="north", to="west",
+            _say(9, "abroad.sent", "a", post="1", txn="1", scheme="sign", kind="once-only", origin="north",
+                 to="west",
                  version=1, **{"from": "north"}),
             _say(20, "abroad.ended", "a", post="1", txn="1", outcome="declined"),
-            _say(21, "abroad.sent", "a", post="2", txn="1", scheme="sign", kind="once-only", origin="north", to="west",
+            _say(21, "abroad.sent", "a", post="2", txn="1", scheme="sign", kind="once-only", origin="north",
+                 to="west",
                  version=1, **{"from": "north"})],
         "a region forbidden by a version and allowed by the next": [
             _say(0, "spec.version", "k", version=1, state="committed", **_HOME),
             _say(5, "spec.version", "k", version=1, state="force"),
             _say(9, "spec.version", "k", version=2, state="committed", **_MAY),
-            _say(20, "abroad.sent", "a", post="1", txn="1", scheme="render", origin="north", to="west", version=2,
+            _say(20, "abroad.sent", "a", post="1", txn="1", scheme="render", origin="north", to="west",
+                 version=2,
                  **{"from": "north"})],
     },
     "txns": {
@@ -173,7 +190,8 @@
             _say(1, "post.sent", "a", post="1/1", txn="1", worker="w1", kind="once-only"),
             _say(9, "post.ran", "w1", post="1/1", txn="1", kind="once-only"),
             _say(20, "post.ended", "a", post="1/1", txn="1", outcome="unknown"),
-            _say(21, "txn.answer", "a", txn="1", outcome="failed"), _say(30, "client.got", "c", txn="1", outcome="failed")],
+            _say(21, "txn.answer", "a", txn="1", outcome="failed"),
+            _say(30, "client.got", "c", txn="1", outcome="failed")],
         "no answer from one that was killed, and a late one from one that was stopped": [
             _say(0, "txn.taken", "a", txn="1", scheme="look", kind="repeatable", expiry=900),
             _say(0, "txn.taken", "b", txn="2", scheme="look", kind="repeatable", expiry=900),
--- a/pathsaddle/histories/shares.py
+++ b/pathsaddle/histories/shares.py
@@ -1,7 +1,9 @@
-"""Budgets dealt out: the sums of usable rights, of spending and of what is open, at every instant; and counts.
+"""Budgets dealt out: the sums of usable rights, of spending and of what is open, at every instant;
+and counts.
 
-A right counts from the moment at which it surely is held to the one until which it surely is: a rise `skew` after it was
-told, a fall `skew` before. So what is summed was truly held at once, and a sum over the budget accuses nobody wrongly.
+A right counts from the moment at which it surely is held to the one until which it surely is: a rise `skew`
+after it was told, a fall `skew` before. So what is summed was truly held at once,
+and a sum over the budget accuses nobody wrongly.
 """
 
 from __future__ import annotations
@@ -20,7 +22,8 @@
 
 @dataclass(slots=True, eq=False)
 class Held:
-    """What one member may use, as it last told. steps: (until, what stands then), each no more than before."""
+    """What one member may use, as it last told. steps: (until, what stands then),
+    each no more than before."""
 
     event: Event
     units: float
@@ -104,7 +107,8 @@
         most = max(row.more["units"] for row in budget.charters.values())
         if most < budget.most:
             # Until a window has passed in which the greater one held, it is what that window is held to.
-            budget.before, budget.before_until = budget.allowed(event.at), event.at + budget.per + 2 * self.skew
+            budget.before, budget.before_until = (budget.allowed(event.at),
+                                                  event.at + budget.per + 2 * self.skew)
         budget.most = most
 
     def _push(self, at: int, budget: Budget, who: str, units: float, version: int, kind: str) -> None:
@@ -123,7 +127,8 @@
             steps.append((until, left))
         self._hold(self._get(more["budget"]), more["who"], event, more["units"], tuple(steps))
 
-    def _hold(self, budget: Budget, who: str, event: Event, units: float, steps: tuple[tuple[int, float], ...]) -> None:
+    def _hold(self, budget: Budget, who: str, event: Event, units: float,
+              steps: tuple[tuple[int, float], ...]) -> None:
         held = budget.held.get(who)
         if held is None:
             held = budget.held[who] = Held(event, 0)
@@ -140,7 +145,8 @@
         held.event, held.units, held.steps = event, units, steps
         for until, left in steps:
             if left < units:
-                self._push(max(until, event.at) - self.skew, budget, who, left - units, held.version, "rights")
+                self._push(max(until, event.at) - self.skew, budget, who, left - units, held.version,
+                           "rights")
                 units = left
 
     def _spend(self, event: Event) -> None:
@@ -163,7 +169,8 @@
             budget.spent_over = False
         elif not budget.spent_over:
             budget.spent_over = True
-            self.find("spent-over-budget", f"{budget.name}: {budget.sum:g} spent within {budget.per / 10:g} ms, "
+            self.find("spent-over-budget",
+                      f"{budget.name}: {budget.sum:g} spent within {budget.per / 10:g} ms, "
                       f"{allowed:g} are there", *budget.charter(), *list(budget.spent)[-ROWS:])
 
     def _by_right(self, budget: Budget, who: str, event: Event) -> None:
@@ -174,7 +181,8 @@
         had = max(held.last, held.over()) if held is not None else NEVER
         if had < event.at - budget.per:
             rows = (held.event, event) if held is not None else (event,)
-            self.find("spent-without-rights", f"{who} spends {event.more['units']:g} of {budget.name} and has had no "
+            self.find("spent-without-rights",
+                      f"{who} spends {event.more['units']:g} of {budget.name} and has had no "
                       f"right for {budget.per / 10:g} ms", *rows)
 
     def _ended(self, event: Event) -> None:
@@ -199,7 +207,8 @@
                     budget.spent_over = False
                 elif units > 0 and budget.charters and not budget.spent_over:
                     budget.spent_over = True
-                    self.find("spent-over-budget", f"{budget.name}: {budget.open:g} open at once at {when / 10:g} ms, "
+                    self.find("spent-over-budget",
+                              f"{budget.name}: {budget.open:g} open at once at {when / 10:g} ms, "
                               f"{budget.allowed(when):g} are there", *budget.charter(),
                               *[row for units, row in budget.opened.values() if units > 0])
                 continue
@@ -212,8 +221,10 @@
             elif units > 0 and budget.charters and not budget.over:
                 budget.over = True
                 rows = [held.event for name, held in budget.held.items() if budget.surely.get(name, 0) > 0]
-                self.find("rights-over-budget", f"{budget.name}: {budget.rights:g} usable at once at {when / 10:g} ms by "
-                          f"{sum(units > 0 for units in budget.surely.values())} members, {budget.allowed(when):g} "
+                self.find("rights-over-budget",
+                          f"{budget.name}: {budget.rights:g} usable at once at {when / 10:g} ms by "
+                          f"{sum(units > 0 for units in budget.surely.values())} members, "
+                          f"{budget.allowed(when):g} "
                           "are there", *budget.charter(), *rows)
 
     def done(self) -> None:
@@ -234,22 +245,25 @@
         super().__init__(skew)
         self.true: dict[str, dict[str, float]] = {}
         self.sums: dict[str, float] = {}
-        self.past: dict[str, deque[tuple[int, float, float, float]]] = {}  # bucket, least, greatest, all that moved
+        # bucket, least, greatest, all that moved
+        self.past: dict[str, deque[tuple[int, float, float, float]]] = {}
         self.on = {"count.true": self._true, "count.told": self._told, "member.ended": self._ended}
 
     def group(self, event: Event) -> Hashable:
         return event.more.get("name")
 
     def stays(self, events: Sequence[Event], finding: Finding) -> list[int]:
-        """Each member's last word before the age begins and its last one in it: what it counted between only adds to
-        the sums that were there."""
+        """Each member's last word before the age begins and its last one in it: what it counted between only
+        adds to the sums that were there."""
         told = finding.events[0]
-        first = ((told.at - told.more["age"] - 2 * self.skew) // BUCKET - 4 * self.skew // BUCKET - 2) * BUCKET
+        first = ((told.at - told.more["age"] - 2 * self.skew) // BUCKET - 4 * self.skew // BUCKET
+                 - 2) * BUCKET
         last: dict[tuple[str, bool], int] = {}
         for place, event in enumerate(events):
             if event.at > told.at + 2 * self.skew:
                 break
-            if event.what == "member.ended" or (event.what == "count.true" and event.more["name"] == told.more["name"]):
+            if (event.what == "member.ended"
+                    or (event.what == "count.true" and event.more["name"] == told.more["name"])):
                 last[event.more["who"], event.at < first] = place
         return list(last.values())
 
--- a/pathsaddle/histories/shedding.py
+++ b/pathsaddle/histories/shedding.py
@@ -18,7 +18,8 @@
 
 
 class Known:
-    """What is known of one identity: (level, standing, event) let in and declined; until when it was told to wait."""
+    """What is known of one identity: (level, standing, event) let in and declined;
+    until when it was told to wait."""
 
     __slots__ = ("declined", "draw", "let_in", "until", "waits")
 
@@ -31,22 +32,23 @@
 
 
 class Shedding(Checker):
-    """Finds `inversion`, `identity-split`, `let-in-against-advice`, `back-early`, `advice-bunched`, `draw-differs`,
-    `against-level`.
+    """Finds `inversion`, `identity-split`, `let-in-against-advice`, `back-early`, `advice-bunched`,
+    `draw-differs`, `against-level`.
 
-    value, pace (a second), lag (ticks): the stated difference of views: two members' levels differ at most by value +
-    pace * (time between them + lag). No value: inversions are not judged. window: ticks within which two decisions are
-    held against each other.
+    value, pace (a second), lag (ticks): the stated difference of views: two members' levels differ at most by
+    value + pace * (time between them + lag). No value: inversions are not judged. window: ticks within which
+    two decisions are held against each other.
     returns: how many advised returns one second may hold; 0 = not judged.
 
-    Why that is the bound: were every member's level that of the fleet some moment of the last `lag` ticks, and did the
-    fleet's level move by no more than `pace`, two decisions could not lie further apart.
+    Why that is the bound: were every member's level that of the fleet some moment of the last `lag` ticks,
+    and did the fleet's level move by no more than `pace`, two decisions could not lie further apart.
     Bound: identities of one to two TURNs, the decisions of one window.
     """
 
     name = "shedding"
 
-    def __init__(self, skew: int = 0, value: float | None = None, pace: float = 0, lag: int = 0, window: int = SECOND,
+    def __init__(self, skew: int = 0, value: float | None = None, pace: float = 0, lag: int = 0,
+                 window: int = SECOND,
                  returns: int = 0, settles: int = 0, strict: bool = False, band: float = 0) -> None:
         super().__init__(skew)
         self.pace, self.window, self.returns = pace / SECOND, window, returns
@@ -54,7 +56,8 @@
         self.settles, self.strict, self.band = settles, strict, band
         self.upset: list[tuple[int, int]] = [(NEVER, settles)] if settles else []
         self.upset_members: dict[str, list[tuple[int, int]]] = {}
-        # Greatest declined and least let in of the window, each as it stands against the pace: monotone queues.
+        # Greatest declined and least let in of the window,
+        # each as it stands against the pace: monotone queues.
         self.outs: deque[tuple[int, float, Event]] = deque()
         self.ins: deque[tuple[int, float, Event]] = deque()
         self.levels: dict[str, float] = {}
@@ -65,7 +68,8 @@
         self.order = 0
         self.back: deque[tuple[int, Event]] = deque()
         self.bunched = False
-        self.on = {"shed.level": self._level, "shed.in": self._in, "shed.out": self._out, "shed.back": self._back,
+        self.on = {"shed.level": self._level, "shed.in": self._in, "shed.out": self._out,
+                   "shed.back": self._back,
                    "fault": self._fault}
 
     def _level(self, event: Event) -> None:
@@ -92,13 +96,15 @@
 
     def _settled(self, event: Event) -> bool:
         return not any(since <= event.at < until for since, until in self.upset) \
-            and not any(since <= event.at < until for since, until in self.upset_members.get(event.more["who"], ()))
+            and not any(since <= event.at < until
+                        for since, until in self.upset_members.get(event.more["who"], ()))
 
     def _decided(self, event: Event, known: Known, level: float | None, let: bool) -> None:
         """By its own level, and by the draw that its identity has everywhere."""
         standing = event.more["standing"]
         if self.strict and level is not None and let != (standing >= level):
-            self.find("against-level", f"{event.more['who']} {'let in' if let else 'declined'} {event.more['txn']} of "
+            self.find("against-level",
+                      f"{event.more['who']} {'let in' if let else 'declined'} {event.more['txn']} of "
                       f"standing {standing:g} by level {level:g}", event)
         if self.band:
             draw = standing % self.band
@@ -107,8 +113,10 @@
             else:
                 apart = abs(known.draw[0] - draw)
                 if min(apart, self.band - apart) > 1e-6:
-                    self.find("draw-differs", f"{'/'.join(map(str, identity(event)))} draws {known.draw[0]:.3f} at "
-                              f"{known.draw[1].more['who']} and {draw:.3f} at {event.more['who']}", known.draw[1], event)
+                    self.find("draw-differs",
+                              f"{'/'.join(map(str, identity(event)))} draws {known.draw[0]:.3f} at "
+                              f"{known.draw[1].more['who']} and {draw:.3f} at {event.more['who']}",
+                              known.draw[1], event)
 
     def _in(self, event: Event) -> None:
         at, more, known = event.at, event.more, self._get(event)
@@ -117,7 +125,8 @@
             return
         standing = more["standing"]
         if known.waits is not None and at < known.until - 2 * self.skew:
-            self.find("let-in-against-advice", f"{more['who']} let in {more['txn']}, which {known.waits.more['who']} had "
+            self.find("let-in-against-advice",
+                      f"{more['who']} let in {more['txn']}, which {known.waits.more['who']} had "
                       f"told to wait {(known.until - at) / 10:g} ms more", known.waits, event)
         level = self._by(event)
         self._decided(event, known, level, True)
@@ -173,25 +182,28 @@
         self.outs.append((at, stands, event))
 
     def _inversion(self, let: Event, out: Event) -> None:
-        self.find("inversion", f"{out.more['who']} declined {out.more['txn']} of standing {out.more['standing']:g}, "
+        self.find("inversion",
+                  f"{out.more['who']} declined {out.more['txn']} of standing {out.more['standing']:g}, "
                   f"{let.more['who']} let in {let.more['txn']} of {let.more['standing']:g}, "
                   f"{abs(let.at - out.at) / 10:g} ms apart", *sorted((let, out), key=lambda row: row.at))
 
     def _split(self, let: Event, out: Event) -> None:
         self.find("identity-split", f"{'/'.join(map(str, identity(let)))} was let in by {let.more['who']} "
-                  f"({let.more['txn']}) and declined by {out.more['who']} ({out.more['txn']}), whose level was no higher",
+                  f"({let.more['txn']}) and declined by {out.more['who']} ({out.more['txn']}), whose level "
+                  f"was no higher",
                   *sorted((let, out), key=lambda row: row.at))
 
     def _back(self, event: Event) -> None:
         more = event.more
         until = more.get("until", NEVER)
         if more.get("obeys") and event.at < until - 2 * self.skew:
-            self.find("back-early", f"{more['txn']} is back {(until - event.at) / 10:g} ms before it was told to be",
+            self.find("back-early",
+                      f"{more['txn']} is back {(until - event.at) / 10:g} ms before it was told to be",
                       event)
 
     def _returned(self, at: int) -> None:
-        """Advised returns that fall due are counted; all of them up to now are known, since a wait is never less
-        than nothing."""
+        """Advised returns that fall due are counted; all of them up to now are known, since a wait is never
+        less than nothing."""
         while self.due and self.due[0][0] < at - 2 * self.skew:
             when, _, event = heappop(self.due)
             self.back.append((when, event))
--- a/pathsaddle/histories/small.py
+++ b/pathsaddle/histories/small.py
@@ -1,9 +1,9 @@
-"""A failing history made small by itself: delta debugging (Zeller and Hildebrandt 2002) over members, then what is
-judged together, then events, then time.
+"""A failing history made small by itself: delta debugging (Zeller and Hildebrandt 2002) over members, then
+what is judged together, then events, then time.
 
-What is left must still be found under its name, by events that are among those of the first finding: leaving out what
-excuses (a release, a fall of rights) makes other findings, and those are not what happened. Where a checker knows that
-an event may explain another's answer (`Checker.stays`), it stays.
+What is left must still be found under its name, by events that are among those of the first finding: leaving
+out what excuses (a release, a fall of rights) makes other findings, and those are not what happened. Where a
+checker knows that an event may explain another's answer (`Checker.stays`), it stays.
 """
 
 from __future__ import annotations
@@ -38,7 +38,8 @@
         end = max((self.rows[place][1].at for place in self.accused), default=None)
         if end is not None:
             self._try([row for row in self.rows if row[1].at <= end])
-        self._try([row for row in self.rows if self.groups[row[0]] in self.own or self.groups[row[0]] is None])
+        self._try([row for row in self.rows if self.groups[row[0]] in self.own
+                   or self.groups[row[0]] is None])
         self._near()
         self._fewer(lambda row: row[1].more.get("who"), True)
         self._fewer(self._txn, False)
@@ -47,8 +48,8 @@
         return [event for _, event in self.rows]
 
     def _near(self) -> None:
-        """Of a long history first what is near the accused, with what is told seldom (limits, charters, versions): else
-        each of the plays that come reads all of it."""
+        """Of a long history first what is near the accused, with what is told seldom (limits, charters,
+        versions): else each of the plays that come reads all of it."""
         begin = min((self.rows_at[place] for place in self.accused), default=0)
         often: dict[str, int] = {}
         for _, event in self.rows:
@@ -84,8 +85,8 @@
         return True
 
     def _fewer(self, by: Callable[[Row], Hashable], whole: bool) -> None:
-        """Leaves out parts by halves, quarters and so on. whole: a part holds what must stay, and may go as a whole
-        only where it holds none of it."""
+        """Leaves out parts by halves, quarters and so on. whole: a part holds what must stay, and may go as a
+        whole only where it holds none of it."""
         names: dict[Hashable, None] = {}
         stay: dict[Hashable, None] = {}
         for row in self.rows:
@@ -114,7 +115,8 @@
         """Cuts gaps between neighbouring moments, the longest first, and begins at nothing; order stays."""
         for cut in (1, 10, 100):
             moments = sorted({moment for _, event in self.rows for moment in _moments(event)})
-            gaps = sorted(((after - before, before) for before, after in zip([0, *moments], moments, strict=False)
+            gaps = sorted(((after - before, before)
+                           for before, after in zip([0, *moments], moments, strict=False)
                            if after - before > cut), reverse=True)
             shift: list[tuple[int, int]] = []
             for gap, before in gaps[:200]:
@@ -142,7 +144,8 @@
 
 
 def small(events: Sequence[Event], make: Callable[[], Checker], finding: Finding) -> list[Event]:
-    """The least history found in which this finding stands. make: a new checker with the bounds it was found by."""
+    """The least history found in which this finding stands.
+    make: a new checker with the bounds it was found by."""
     return Small(events, make, finding).run()
 
 
--- a/pathsaddle/histories/smoke.py
+++ b/pathsaddle/histories/smoke.py
@@ -1,4 +1,5 @@
-"""A plan that proves the checkers: what is planted is found under its name, what is right passes, and how long it took.
+"""A plan that proves the checkers: what is planted is found under its name, what is right passes,
+and how long it took.
 
 A plan of its own form: the emulator's plans run the program, these checkers know nothing of it.
 """
@@ -22,9 +23,9 @@
 
 @dataclass
 class Plan:
-    """seeds: how many of each. events: of a history. skew: ticks that clocks are off, each seed without and with.
-    small: the most events that a history made small may have left. timed: events by which the seconds for a million
-    are measured. million, seconds: what that and the whole run may take."""
+    """seeds: how many of each. events: of a history. skew: ticks that clocks are off, each seed without and
+    with. small: the most events that a history made small may have left. timed: events by which the seconds
+    for a million are measured. million, seconds: what that and the whole run may take."""
 
     name: str = ""
     about: str = ""
@@ -43,7 +44,8 @@
     try:
         told = tomllib.loads(path.read_text())
     except OSError as fault:
-        raise HistoryError("plan-unreadable", f"{path}: {fault.strerror}", f"name a plan that is there in place of {path}") \
+        raise HistoryError("plan-unreadable", f"{path}: {fault.strerror}",
+                           f"name a plan that is there in place of {path}") \
             from fault
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as fault:
         raise HistoryError("plan-malformed", f"{path}: {fault}", f"mend {path} where it says") from fault
@@ -51,7 +53,8 @@
     known = {each.name: type(getattr(plan, each.name)) for each in fields(Plan)}
     for key, value in told.items():
         if key not in known:
-            raise HistoryError("plan-unknown-key", f"{path}: {key}", f"take {key} out; known are {', '.join(known)}")
+            raise HistoryError("plan-unknown-key", f"{path}: {key}",
+                               f"take {key} out; known are {', '.join(known)}")
         if not isinstance(value, known[key]) and not (known[key] is float and isinstance(value, int)):
             raise HistoryError("plan-wrong-value", f"{path}: {key} = {value!r}",
                                f"write {key} as a {known[key].__name__}")
--- a/pathsaddle/histories/txns.py
+++ b/pathsaddle/histories/txns.py
@@ -1,4 +1,5 @@
-"""Txns across everything: one final answer, nothing sent after it, once-only effects at workers against answers."""
+"""Txns across everything: one final answer, nothing sent after it,
+once-only effects at workers against answers."""
 
 from __future__ import annotations
 
@@ -23,11 +24,11 @@
 
 
 class Txns(Checker):
-    """Finds `answered-twice`, `unanswered`, `answered-late`, `sent-after-answer`, `ran-twice`, `declined-but-ran`,
-    `two-at-once`, `again-outside-group`, `settled-without-run`, `answers-differ`.
+    """Finds `answered-twice`, `unanswered`, `answered-late`, `sent-after-answer`, `ran-twice`,
+    `declined-but-ran`, `two-at-once`, `again-outside-group`, `settled-without-run`, `answers-differ`.
 
-    An answer and the postings of one dispatcher are judged by that one's own clock and order; runs at workers against
-    answers need no order at all: what is declined never ran and never will.
+    An answer and the postings of one dispatcher are judged by that one's own clock and order; runs at workers
+    against answers need no order at all: what is declined never ran and never will.
     """
 
     name = "txns"
@@ -69,7 +70,8 @@
         if event.more["outcome"] not in ANSWERS:
             raise ValueError(f"outcome {event.more['outcome']!r}")
         if txn.answer is not None:
-            self.find("answered-twice", f"{event.more['txn']} was answered {txn.answer.more['outcome']} and again "
+            self.find("answered-twice",
+                      f"{event.more['txn']} was answered {txn.answer.more['outcome']} and again "
                       f"{event.more['outcome']}", txn.answer, event)
             return
         txn.answer = event
@@ -82,7 +84,8 @@
         if event.more["outcome"] == "none":
             return
         if txn.got is not None:
-            self.find("answered-twice", f"{event.more['who']} got {txn.got.more['outcome']} for {event.more['txn']} and "
+            self.find("answered-twice",
+                      f"{event.more['who']} got {txn.got.more['outcome']} for {event.more['txn']} and "
                       f"again {event.more['outcome']}", txn.got, event)
             return
         txn.got = event
@@ -94,7 +97,8 @@
         self._get(event).left = True
 
     def _differ(self, txn: Txn) -> None:
-        if txn.got is not None and txn.answer is not None and txn.got.more["outcome"] != txn.answer.more["outcome"]:
+        if (txn.got is not None and txn.answer is not None
+                and txn.got.more["outcome"] != txn.answer.more["outcome"]):
             self.find("answers-differ", f"{txn.answer.more['who']} answered {txn.answer.more['outcome']}, "
                       f"{txn.got.more['who']} got {txn.got.more['outcome']}", txn.answer, txn.got)
 
@@ -106,7 +110,8 @@
     def _sent(self, event: Event) -> None:
         txn, more = self._get(event), event.more
         if txn.answer is not None and txn.answer.more["who"] == more["who"]:
-            self.find("sent-after-answer", f"{more['post']} of {more['txn']} went out to {more['worker']} after the "
+            self.find("sent-after-answer",
+                      f"{more['post']} of {more['txn']} went out to {more['worker']} after the "
                       "answer", txn.answer, event)
         if txn.kind in (ONCE, REFERENCED):
             for sent, how in txn.posts.values():
@@ -117,7 +122,8 @@
                               f"{sent.more['post']} at {sent.more['worker']} is {how}", sent, event)
                     break
                 if "group" in more and "group" in sent.more and more["group"] != sent.more["group"]:
-                    self.find("again-outside-group", f"referenced {more['txn']} went to group {more['group']} while "
+                    self.find("again-outside-group",
+                              f"referenced {more['txn']} went to group {more['group']} while "
                               f"{sent.more['post']} in group {sent.more['group']} is {how}", sent, event)
                     break
         txn.posts[more["post"]] = event, "open"
@@ -158,8 +164,10 @@
             self._in_time(name, txn)
             got = txn.got or txn.answer
             if txn.kind == ONCE and got is not None and got.more["outcome"] == "settled" and not txn.runs \
-                    and txn.posts and all(sent.more["worker"] in self.writers for sent, _ in txn.posts.values()):
-                self.find("settled-without-run", f"once-only {name} was settled, and ran at none of its workers", got,
+                    and txn.posts and all(sent.more["worker"] in self.writers
+                                          for sent, _ in txn.posts.values()):
+                self.find("settled-without-run",
+                          f"once-only {name} was settled, and ran at none of its workers", got,
                           *(sent for sent, _ in txn.posts.values()))
 
     def _in_time(self, name: Hashable, txn: Txn) -> None:
@@ -170,10 +178,13 @@
         who, expiry = taken.more["who"], taken.more["expiry"]
         slack = 2 * self.skew
         if any(at >= taken.at - slack and at <= expiry + slack for at in self.ended.get(who, ())) \
-                or any(since <= expiry + slack and until >= taken.at - slack for since, until in self.stood.get(who, ())):
+                or any(since <= expiry + slack
+                       and until >= taken.at - slack for since, until in self.stood.get(who, ())):
             return
         if answer is not None:
-            self.find("answered-late", f"{name} was answered {(answer.at - expiry) / 10:g} ms after its expiry", taken,
+            self.find("answered-late",
+                      f"{name} was answered {(answer.at - expiry) / 10:g} ms after its expiry", taken,
                       answer)
         elif self.last > expiry + slack and not txn.left:
-            self.find("unanswered", f"{name} was taken by {who}, its expiry has passed and it has no answer", taken)
+            self.find("unanswered", f"{name} was taken by {who}, its expiry has passed and it has no answer",
+                      taken)
--- a/pathsaddle/histories/worlds.py
+++ b/pathsaddle/histories/worlds.py
@@ -1,8 +1,10 @@
-"""Right histories, by seeded chance: small models of what each checker judges, in which nothing wrong ever happens.
+"""Right histories, by seeded chance: small models of what each checker judges,
+in which nothing wrong ever happens.
 
-They know the truth (one clock, one state) and write what members would, each by its own clock that is off by at most
-`skew`. What looks bad and is right comes about in them by itself: outcomes that are never known, effects that come when
-their owner is long another, loans that end while their taker stands, versions that arrive in any order.
+They know the truth (one clock, one state) and write what members would, each by its own clock that is off by
+at most `skew`. What looks bad and is right comes about in them by itself: outcomes that are never known,
+effects that come when their owner is long another, loans that end while their taker stands,
+versions that arrive in any order.
 """
 
 from __future__ import annotations
@@ -118,11 +120,13 @@
                 state[2], state[3] = more["value"], state[3] + 1
         if back is None:
             return
-        told = {"outcome": "ok" if fine else "refused", "number": state[0], "owner": state[1], "value": state[2],
+        told = {"outcome": "ok" if fine else "refused", "number": state[0], "owner": state[1],
+                "value": state[2],
                 "revision": state[3]}
         self.then(back, self.end, who, op, told, key, kind, called)
 
-    def end(self, who: str, op: str, told: dict[str, Any], key: str = "", kind: str = "", called: int = 0) -> None:
+    def end(self, who: str, op: str, told: dict[str, Any], key: str = "", kind: str = "",
+            called: int = 0) -> None:
         self.say("reg.end", who=who, op=op, **told)
         if not kind:
             return
@@ -143,7 +147,8 @@
             return
         self.ops += 1
         self.say("act", who=who, key=key, number=number, id=self.ops)
-        self.then(self.some(8 * SECOND), self.effect, self.chance.choice(("w1", "w2", "w3")), who, key, number, self.ops)
+        self.then(self.some(8 * SECOND), self.effect, self.chance.choice(("w1", "w2", "w3")), who, key,
+                  number, self.ops)
 
     def effect(self, receiver: str, who: str, key: str, number: int, name: int) -> None:
         taken = number >= self.fences.get((receiver, key), 0)
@@ -153,7 +158,8 @@
 
 
 class SharesWorld(World):
-    """Units that move on lease; each is spent once a second at most, wherever it is. And what is open at once."""
+    """Units that move on lease; each is spent once a second at most, wherever it is.
+    And what is open at once."""
 
     def __init__(self, chance: Random, size: int) -> None:
         super().__init__(chance, size)
@@ -277,7 +283,8 @@
         self.then(self.some(20 * MS), self.tell)
         when, sum_ = self.past[max(0, len(self.past) - self.some(200))]
         wide = self.chance.randrange(3)
-        self.say("count.told", who=self.chance.choice(self.names), name="open", low=sum_ - wide, high=sum_ + wide,
+        self.say("count.told", who=self.chance.choice(self.names), name="open", low=sum_ - wide,
+                 high=sum_ + wide,
                  age=self.now - when)
 
 
@@ -339,7 +346,8 @@
             self.say("shed.in", who=who, standing=standing, level=level, **name)
 
     def wait(self) -> int:
-        """A half second in which a third of a second's returns have room still: three of them make any second."""
+        """A half second in which a third of a second's returns have room still: three of them make any
+        second."""
         for _ in range(4):
             wait = SECOND + self.some(6 * SECOND)
             half = (self.now + wait) // (SECOND // 2)
@@ -354,7 +362,8 @@
 
 
 class PlacementWorld(World):
-    """Islands, one keeper of reservations, three planners that take turns and wake late, walkers that install."""
+    """Islands, one keeper of reservations, three planners that take turns and wake late,
+    walkers that install."""
 
     COLD = 2
 
@@ -401,9 +410,11 @@
         bay = f"{island}/{self.chance.randrange(8)}"
         used, limits, needs = self.used[island], self.limits[island], {"bays": 1, **self.needs[unit]}
         taken = (number == self.number and revision == self.revision and unit not in self.held
-                 and bay not in self.bays and all(used[what] + needs[what] <= limits[what] for what in limits))
+                 and bay not in self.bays
+                 and all(used[what] + needs[what] <= limits[what] for what in limits))
         until = self.now + 5 * SECOND + self.some(20 * SECOND)
-        self.say("bay.reserve", who="k", unit=unit, bay=bay, island=island, by=who, number=number, revision=revision,
+        self.say("bay.reserve", who="k", unit=unit, bay=bay, island=island, by=who, number=number,
+                 revision=revision,
                  now=self.revision, taken=taken, until=until)
         self.planners[who] = number, self.revision
         if not taken:
@@ -429,7 +440,8 @@
             self.cold.pop(unit, None)
         does = ("install", "warm", "serve")[step]
         after = [first + step - 1] if step else []
-        self.say("plan.step", who=who, plan=plan, step=first + step, state="begun", does=does, unit=unit, bay=bay,
+        self.say("plan.step", who=who, plan=plan, step=first + step, state="begun", does=does, unit=unit,
+                 bay=bay,
                  after=after)
         self.say(f"bay.{does}", who=who, unit=unit, bay=bay, number=plan)
         self.then(self.some(SECOND // 10), self.walked, who, plan, first, unit, bay, step)
@@ -459,7 +471,8 @@
 
 
 class FederationWorld(World):
-    """Three regions, versions that come to members in any order and late, members that are cut off for a while."""
+    """Three regions, versions that come to members in any order and late,
+    members that are cut off for a while."""
 
     REGIONS, LEASE = ("north", "west", "south"), 3 * SECOND
 
@@ -480,7 +493,8 @@
 
     def commit(self) -> None:
         self.then(self.some(6 * SECOND), self.commit)
-        may = {scheme: [region for region in self.REGIONS if self.chance.random() < 0.6] for scheme in ("render", "sign")}
+        may = {scheme: [region for region in self.REGIONS if self.chance.random() < 0.6]
+               for scheme in ("render", "sign")}
         data = {"textures": [region for region in self.REGIONS if self.chance.random() < 0.7]}
         self.versions.append({"may": may, "data": data})
         self.say("spec.version", who="k", version=len(self.versions), state="committed", may=may, data=data)
@@ -517,7 +531,8 @@
         txn, scheme = again
         places = [region for region in rules["may"][scheme] if region != home]
         if self.chance.random() < 0.3 and rules["data"]["textures"]:
-            self.say("data.read", who=name, region=self.chance.choice(rules["data"]["textures"]), data="textures",
+            self.say("data.read", who=name, region=self.chance.choice(rules["data"]["textures"]),
+                     data="textures",
                      scheme=scheme, txn=txn, version=version, age=self.some(SECOND), staleness=SECOND)
         if not places:
             return
@@ -543,7 +558,8 @@
 
 
 class TxnsWorld(World):
-    """Dispatchers, workers, clients: postings that break, are repeated where they may be, answers that are lost."""
+    """Dispatchers, workers, clients: postings that break, are repeated where they may be,
+    answers that are lost."""
 
     def __init__(self, chance: Random, size: int) -> None:
         super().__init__(chance, size)
@@ -583,7 +599,8 @@
         fate = self.chance.choice(("settled", "settled", "declined", "broken", "broken, ran"))
         self.then(self.some(SECOND // 10), self.reach, who, life, txn, kind, post, worker, fate, tries)
 
-    def reach(self, who: str, life: int, txn: str, kind: str, post: str, worker: str, fate: str, tries: int) -> None:
+    def reach(self, who: str, life: int, txn: str, kind: str, post: str, worker: str, fate: str,
+              tries: int) -> None:
         if fate in ("settled", "broken, ran"):
             self.say("post.ran", who=worker, post=post, txn=txn, kind=kind)
         else:
--- a/tests/test_histories.py
+++ b/tests/test_histories.py
@@ -1,4 +1,5 @@
-"""Histories checked after the fact: what is planted is found, what is right passes, what failed is made small."""
+"""Histories checked after the fact: what is planted is found, what is right passes,
+what failed is made small."""
 
 import io
 import subprocess
@@ -59,14 +60,17 @@
 
     def test_nothing_of_the_program_is_read_but_the_form_of_an_event(self):
         code = ("import sys, pathsaddle.histories.__main__\n"
-                "print([name for name in sys.modules if name.startswith('pathsaddle.') and 'histories' not in name])")
-        seen = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60, check=True)
+                "print([name for name in sys.modules if name.startswith('pathsaddle.') and 'histories' not "
+                "in name])")
+        seen = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, timeout=60,
+                              check=True)
         for word in ("fleet", "choice", "loop", "net", "jobs", "placement.", "federation."):
             self.assertNotIn(f"pathsaddle.{word}", seen.stdout)
 
 
 def plainly(calls, order_of=permutations):
-    """Whether any order of calls, with any of the unknown ones left out, is that of a plain register: all tried."""
+    """Whether any order of calls, with any of the unknown ones left out,
+    is that of a plain register: all tried."""
     sure = [call for call in calls if call.end < FOREVER]
     maybe = [call for call in calls if call.end == FOREVER]
     for bits in range(1 << len(maybe)):
@@ -134,7 +138,8 @@
     def test_a_key_with_too_much_to_try_is_told_as_undecided_and_not_as_right(self):
         events = []
         for op in range(16):
-            events.append(Event(op, "reg.call", {"who": f"m{op}", "op": op, "key": "k", "kind": "set", "value": op}))
+            events.append(Event(op, "reg.call",
+                                {"who": f"m{op}", "op": op, "key": "k", "kind": "set", "value": op}))
         for op in range(16):
             events.append(Event(100 + op, "reg.end", {"who": f"m{op}", "op": op, "outcome": "ok"}))
         with mock.patch("pathsaddle.histories.register.MOST_TRIED", 500):
@@ -189,7 +194,8 @@
         def rows(at):
             name = {"customer": "c", "scheme": "s", "period": 0}
             return [Event(20_000, "fault", {"kind": "cut", "long": 10_000, "members": ["a"]}),
-                    Event(at, "shed.out", {"who": "a", "txn": 1, "key": 1, "standing": 9, "level": 10, "wait": 0, **name}),
+                    Event(at, "shed.out",
+                          {"who": "a", "txn": 1, "key": 1, "standing": 9, "level": 10, "wait": 0, **name}),
                     Event(at, "shed.in", {"who": "b", "txn": 2, "key": 2, "standing": 2, "level": 1, **name})]
         bounds = {"value": 1.0, "settles": 5_000}
         for at, expected in ((21_000, []), (28_000, []), (34_000, []), (36_000, ["inversion"])):
@@ -214,12 +220,15 @@
         self.assertEqual(found("shares", rows), ["rights-over-budget"])
 
     def test_a_hang_up_and_a_hold_told_by_a_walker_excuse_and_accuse(self):
-        taken = Event(0, "txn.taken", {"who": "a", "txn": 1, "scheme": "s", "kind": "repeatable", "expiry": 50})
-        later = Event(99, "txn.taken", {"who": "a", "txn": 2, "scheme": "s", "kind": "repeatable", "expiry": 150})
+        taken = Event(0, "txn.taken",
+                      {"who": "a", "txn": 1, "scheme": "s", "kind": "repeatable", "expiry": 50})
+        later = Event(99, "txn.taken",
+                      {"who": "a", "txn": 2, "scheme": "s", "kind": "repeatable", "expiry": 150})
         self.assertEqual(found("txns", [taken, later]), ["unanswered"])
         self.assertEqual(found("txns", [taken, Event(9, "hang.up", {"who": "a", "txn": 1}), later]), [])
-        rows = [Event(0, "bay.reserve", {"who": "k", "unit": "u", "bay": "b", "island": "i", "by": "p", "number": 1,
-                                         "revision": 1, "now": 1, "taken": True}),
+        rows = [Event(0, "bay.reserve",
+                      {"who": "k", "unit": "u", "bay": "b", "island": "i", "by": "p", "number": 1,
+                       "revision": 1, "now": 1, "taken": True}),
                 Event(5, "bay.hold", {"who": "p", "unit": "u", "number": 1, "until": 500}),
                 Event(300, "bay.release", {"who": "k", "unit": "u", "bay": "b", "why": "lease"})]
         self.assertEqual(found("placement", rows), ["released-early"])
@@ -237,7 +246,8 @@
     def test_a_proposal_sent_again_may_have_taken_effect_the_first_time(self):
         sets = {"who": "a", "key": "k", "kind": "set", "value": "x", "revision": 0}
         seen = {"outcome": "ok", "revision": 1, "value": "x"}
-        rows = [Event(0, "reg.call", {**sets, "op": 1}), Event(5, "reg.end", {"who": "a", "op": 1, "outcome": "unknown"}),
+        rows = [Event(0, "reg.call", {**sets, "op": 1}),
+                Event(5, "reg.end", {"who": "a", "op": 1, "outcome": "unknown"}),
                 Event(6, "reg.call", {"who": "b", "op": 2, "key": "k", "kind": "read"}),
                 Event(7, "reg.end", {"who": "b", "op": 2, **seen}),
                 Event(8, "reg.call", {**sets, "op": 3}), Event(9, "reg.end", {"who": "a", "op": 3, **seen})]
@@ -246,7 +256,8 @@
         self.assertEqual(found("register", rows), [])
 
     def test_a_keeper_that_lets_an_old_planner_do_anything_is_found(self):
-        rows = [Event(0, "planner", {"who": "k", "number": 1}), Event(5, "planner", {"who": "k", "number": 2}),
+        rows = [Event(0, "planner", {"who": "k", "number": 1}),
+                Event(5, "planner", {"who": "k", "number": 2}),
                 Event(6, "planner", {"who": "p1", "number": 1}),
                 Event(9, "planner.did", {"who": "k", "does": "cold", "number": 1})]
         self.assertEqual(found("placement", rows), ["late-planner"])
@@ -254,7 +265,8 @@
 
     def test_without_a_lease_home_is_left_and_a_text_on_offer_binds_where_it_is_narrower(self):
         may = {"may": {"s": ["north", "west"]}}
-        sent = {"who": "a", "post": 1, "txn": 1, "scheme": "s", "origin": "west", "from": "west", "version": 1}
+        sent = {"who": "a", "post": 1, "txn": 1, "scheme": "s", "origin": "west", "from": "west",
+                "version": 1}
         rows = [Event(0, "spec.version", {"who": "k", "state": "committed", "version": 1, **may}),
                 Event(1, "spec.version", {"who": "a", "state": "held", "version": 1, "until": 100}),
                 Event(200, "abroad.sent", {**sent, "to": "north", "home": "north"})]
@@ -268,8 +280,9 @@
 
     def test_own_work_that_waits_goes_before_a_foreign_job(self):
         rows = [Event(0, "work.queued", {"who": "w", "region": "west", "post": "own", "own": True}),
-                Event(5, "region.ran", {"who": "w", "region": "west", "txn": 1, "post": "1", "kind": "repeatable",
-                                        "home": "north"})]
+                Event(5, "region.ran",
+                      {"who": "w", "region": "west", "txn": 1, "post": "1", "kind": "repeatable",
+                       "home": "north"})]
         self.assertEqual(found("federation", rows), ["own-after-foreign"])
         rows.insert(1, Event(3, "work.left", {"who": "w", "region": "west", "post": "own"}))
         self.assertEqual(found("federation", rows), [])
@@ -278,7 +291,8 @@
 class SmallStory(unittest.TestCase):
     def test_a_failing_history_is_made_small_and_says_the_same(self):
         for name, kind in (("register", "no-fence"), ("register", "sets-lost"), ("shares", "forgets-loans"),
-                           ("shedding", "dice"), ("placement", "walks-without"), ("federation", "forbidden-region"),
+                           ("shedding", "dice"), ("placement", "walks-without"),
+                           ("federation", "forbidden-region"),
                            ("txns", "once-ran-twice"), ("counts", "dead-counted")):
             with self.subTest(name=name, kind=kind):
                 expected, events = wrong(name, kind, 1, 2500, 20)
