--- a/pathsaddle/emulator/state/__init__.py
+++ b/pathsaddle/emulator/state/__init__.py
@@ -1,1 +1,2 @@
-"""A ground for the state that members share: their cores alone, what is between them broken, and a judge of the log."""
+"""A ground for the state that members share: their cores alone, what is between them broken,
+and a judge of the log."""
--- a/pathsaddle/emulator/state/ground.py
+++ b/pathsaddle/emulator/state/ground.py
@@ -1,9 +1,10 @@
-"""Members' shared state on a ground of its own: one heap of moments, cores without drivers, what is between them broken.
+"""Members' shared state on a ground of its own: one heap of moments, cores without drivers,
+what is between them broken.
 
-Why not the stage that runs whole dispatchers: hundreds of seeds with sixty members are wanted, and the cores are free of I/O.
-Membership is played by the ground, worse than it is: each member hears of each death, return and cut late by a time of its own,
-and now and then of a death that is none. All is drawn from the seed; the log's moments are the ground's own time, so its
-judge needs no clock of a member's.
+Why not the stage that runs whole dispatchers: hundreds of seeds with sixty members are wanted, and the cores
+are free of I/O. Membership is played by the ground, worse than it is: each member hears of each death, return
+and cut late by a time of its own, and now and then of a death that is none. All is drawn from the seed; the
+log's moments are the ground's own time, so its judge needs no clock of a member's.
 """
 
 from __future__ import annotations
@@ -22,14 +23,16 @@
 
 BUDGET = "uses"
 KEY = b"the ground's own secret"
-KINDS = ("cut", "cut one way", "cut all", "loss", "double", "late", "slow", "stall", "kill", "lower life", "false death", "join")
+KINDS = ("cut", "cut one way", "cut all", "loss", "double", "late", "slow", "stall", "kill", "lower life",
+         "false death", "join")
 
 
 @dataclass
 class Plan:
-    """One run. rate: of the budget; lease and seconds in seconds. loss: of all datagrams, always. faults: a second, in the whole
-    fleet. drift: the most that a clock runs off. joiners: that come in one second, half way. hot: part of the members that
-    want; mood: for how long the same ones, in seconds; want: how many times the budget they want together. others: what some members' charters say instead, by number."""
+    """One run. rate: of the budget; lease and seconds in seconds. loss: of all datagrams, always. faults: a
+    second, in the whole fleet. drift: the most that a clock runs off. joiners: that come in one second, half
+    way. hot: part of the members that want; mood: for how long the same ones, in seconds; want: how many
+    times the budget they want together. others: what some members' charters say instead, by number."""
 
     members: int
     seed: int
@@ -54,8 +57,10 @@
 def varied(members: int, seed: int, seconds: float = 30.0) -> Plan:
     """One of the many: another mix of everything for each seed."""
     chance = Random(f"plan {seed} {members}")
-    plan = Plan(members, seed, seconds, rate=chance.choice((10, 100, 100, 300)), lease=chance.choice((2.0, 4.0, 4.0, 10.0)),
-                faults=chance.choice((0.2, 0.5, 1.5)), hot=chance.choice((0.1, 0.3, 1.0)), want=chance.choice((1.5, 3.0)),
+    plan = Plan(members, seed, seconds, rate=chance.choice((10, 100, 100, 300)),
+                lease=chance.choice((2.0, 4.0, 4.0, 10.0)),
+                faults=chance.choice((0.2, 0.5, 1.5)), hot=chance.choice((0.1, 0.3, 1.0)),
+                want=chance.choice((1.5, 3.0)),
                 drift=chance.choice((0.0, 0.01, 0.02, 0.02)), loss=chance.choice((0.0, 0.0, 0.2)))
     if seed % 10 == 3:  # charters that differ: a budget that is lowered
         plan.others = {n: plan.rate // 2 for n in range(members) if chance.random() < 0.5}
@@ -135,20 +140,25 @@
         now = place.clock()
         rate = plan.others.get(place.number, plan.rate)
         chance = Random(f"{plan.seed} {place.name} {self.lives}")
-        place.shared = Shared(place.name, place.life, "f", KEY, Purse(plan.bytes, 60, now), int(plan.beat * SECOND),
-                              {BUDGET: Dealt(rate, self.part(place.number), int(plan.lease * SECOND))}, chance, now)
+        place.shared = Shared(place.name, place.life, "f", KEY, Purse(plan.bytes, 60, now),
+                              int(plan.beat * SECOND),
+                              {BUDGET: Dealt(rate, self.part(place.number), int(plan.lease * SECOND))},
+                              chance, now)
         place.stopped, place.waiting, place.rights, place.view = False, [], -1, {}
         self.log("member.began", who=place.name, life=place.life)
         if rate >= place.budget:
             self.budget(place, rate)
-        else:  # lowered: goes by it when what its old life lent has ended, and what was used of that is a second past
+        else:
+            # lowered: goes by it when what its old life lent has ended,
+            # and what was used of that is a second past
             late = place.moment(now + int((plan.lease + 2.1) * SECOND * 1.02))
             self.at(late, self.budget, place, rate)
         place.shared.limiter.stir = lambda: None
         for other in self.places:
             if other.shared is not None and other is not place:
                 self.at(self.now + self.chance.randrange(SECOND), self.tell, place, other, other.life, True)
-                self.at(self.now + self.chance.randrange(2 * SECOND), self.tell, other, place, place.life, True)
+                self.at(self.now + self.chance.randrange(2 * SECOND), self.tell, other, place, place.life,
+                        True)
         if lower:  # as membership has it: others know a higher life, and soon it hears of that
             self.at(self.now + self.chance.randrange(SECOND, 4 * SECOND), self.claim, place, place.life)
         place.wake_at = self.now
@@ -182,7 +192,8 @@
         place.shared = None
         self.log("member.ended", who=place.name, why="killed")
         for other in self.places:
-            self.at(self.now + self.chance.randrange(SECOND, 9 * SECOND), self.tell, other, place, place.life, False)
+            self.at(self.now + self.chance.randrange(SECOND, 9 * SECOND), self.tell, other, place, place.life,
+                    False)
 
     def tell(self, place: Place, other: Place, life: int, there: bool) -> None:
         """A member's membership says that another's life is there, or is over."""
@@ -249,7 +260,8 @@
         self.rest(place)
 
     def rest(self, place: Place) -> None:
-        """After anything happened there: what it sends is on its way, its rights are logged, its next moments are set."""
+        """After anything happened there: what it sends is on its way, its rights are logged,
+        its next moments are set."""
         shared = place.shared
         if shared is None:
             return
@@ -271,7 +283,8 @@
         self.step(place)
 
     def step(self, place: Place, mine: int = -1) -> None:
-        """Rights follow the clock, not the process: each change is logged at its very moment, also of one that stands still."""
+        """Rights follow the clock, not the process: each change is logged at its very moment,
+        also of one that stands still."""
         if place.shared is None or mine >= 0 and place.step_at != mine:
             return
         now = place.clock()
@@ -294,7 +307,8 @@
     def send(self, place: Place, to: int, data: bytes) -> None:
         self.log("sent", who=place.name, bytes=len(data))
         chance = self.chance
-        if to >= len(self.places) or any(cut(place.number, to) for cut in self.cuts.values()) or chance.random() < self.lossy:
+        if (to >= len(self.places) or any(cut(place.number, to) for cut in self.cuts.values())
+                or chance.random() < self.lossy):
             return
         other = self.places[to]
         times = 2 if self.doubling and chance.random() < self.doubling else 1
@@ -319,7 +333,8 @@
         self.log("fault", kind=kind, of=place.name, lasts=lasts)
         if kind in ("cut", "cut one way", "cut all"):
             part = chance.choice((0.1, 0.34, 0.5)) * len(self.places)
-            away = {n for n in range(len(self.places)) if chance.random() * len(self.places) < part} | {place.number}
+            away = {n for n in range(len(self.places))
+                    if chance.random() * len(self.places) < part} | {place.number}
             cut: Callable[[int, int], bool] = (
                 (lambda one, other: True) if kind == "cut all" else
                 (lambda one, other: one in away and other not in away) if kind == "cut one way" else
@@ -331,7 +346,8 @@
                 for one in self.places:
                     for other in self.places:
                         if other is not one and other.shared is not None and cut(other.number, one.number):
-                            self.at(self.now + chance.randrange(4 * SECOND, 9 * SECOND), self.tell, one, other, other.life, False)
+                            self.at(self.now + chance.randrange(4 * SECOND, 9 * SECOND), self.tell, one,
+                                    other, other.life, False)
                             self.at(until + chance.randrange(4 * SECOND, 9 * SECOND), self.back, one, other)
         elif kind == "loss":
             self.lossy = chance.uniform(0.2, 0.4)
@@ -405,7 +421,8 @@
                 continue
             for shown in place.shared.carry.records(SPARE, place.clock()):
                 if shown.member != place.name:
-                    self.log("state.shown", who=place.name, member=shown.member, life=shown.life, version=shown.version,
+                    self.log("state.shown", who=place.name, member=shown.member, life=shown.life,
+                             version=shown.version,
                              least=shown.least, most=shown.most, sure=shown.sure)
 
     def run(self) -> Events:
--- a/pathsaddle/emulator/state/processes.py
+++ b/pathsaddle/emulator/state/processes.py
@@ -1,9 +1,10 @@
-"""Seven members as real processes, what is between them broken by relays, they themselves stopped and killed; then the judge.
+"""Seven members as real processes, what is between them broken by relays,
+they themselves stopped and killed; then the judge.
 
     python -m pathsaddle.emulator.state.processes --seconds 600 --seed 1 --events all.log
 
-Its last lines are figures; exit 0 only if every bound held. Faults come from here: relays, signals, lost folders. Each process
-dies with this one.
+Its last lines are figures; exit 0 only if every bound held. Faults come from here: relays, signals, lost
+folders. Each process dies with this one.
 """
 
 from __future__ import annotations
@@ -71,16 +72,22 @@
     def begin(self, name: str) -> None:
         folder = self.folder / name
         folder.mkdir(exist_ok=True)
-        charter = {"name": name, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:9", "number": self.names.index(name),
+        charter = {"name": name, "listen": "127.0.0.1:1", "discovery": "127.0.0.1:9",
+                   "number": self.names.index(name),
                    "dispatchers": len(self.names),
                    "schemes": [{"name": "a", "semantics": "repeatable", "expiry": "5s"}],
                    "fleet": {"name": "f", "key": "sixteen bytes or more", "listen": self.own[name],
-                             "address": self.ours[name], "seeds": [self.ours["d0"], self.ours["d1"]], "folder": str(folder),
-                             "beat": "200ms", "patience": "80ms", "budgets": {BUDGET: RATE}, "lease": f"{LEASE}s"}}
-        told = {"charter": charter, "seed": self.seed, "start": self.start, "log": str(self.folder / f"{name}.log")}
+                             "address": self.ours[name], "seeds": [self.ours["d0"], self.ours["d1"]],
+                             "folder": str(folder),
+                             "beat": "200ms", "patience": "80ms", "budgets": {BUDGET: RATE},
+                             "lease": f"{LEASE}s"}}
+        told = {"charter": charter, "seed": self.seed, "start": self.start,
+                "log": str(self.folder / f"{name}.log")}
         with (self.folder / f"{name}.err").open("ab") as err:
-            self.running[name] = subprocess.Popen([sys.executable, "-m", "pathsaddle.emulator.state.user", json.dumps(told)],
-                                                  stderr=err, stdout=err, preexec_fn=_dies_with_us)  # noqa: PLW1509  # one thread
+            self.running[name] = subprocess.Popen([sys.executable, "-m", "pathsaddle.emulator.state.user",
+                                                   json.dumps(told)],
+                                                  stderr=err, stdout=err,
+                                                  preexec_fn=_dies_with_us)  # noqa: PLW1509  # one thread
 
     def kill(self, name: str) -> None:
         process = self.running.pop(name)
@@ -167,9 +174,12 @@
         took = {name: run.air.meters[name].most(0) for name in run.names}
     kinds = [event.more["kind"] for event in run.events if event.what == "fault"]
     lent = max((event.more["units"] for event in run.events if event.what == "share.rights"), default=0)
-    print(f"processes {len(run.names)}, faults {len(kinds)}: {', '.join(sorted(set(kinds)))}; cpus {os.cpu_count()}")
-    print(f"uses {verdict.spent}, the most in a second {verdict.most_spent} of {RATE}; usable at most {verdict.most_rights}, "
-          f"at one {lent} of its part of {RATE // len(run.names)}; bytes in a second at most {max(took.values())}")
+    print(f"processes {len(run.names)}, faults {len(kinds)}: {', '.join(sorted(set(kinds)))}; cpus "
+          f"{os.cpu_count()}")
+    print(f"uses {verdict.spent}, the most in a second {verdict.most_spent} of {RATE}; usable at most "
+          f"{verdict.most_rights}, "
+          f"at one {lent} of its part of {RATE // len(run.names)}; bytes in a second at most "
+          f"{max(took.values())}")
     for fault in verdict.faults:
         print(f"BROKEN {fault}")
     return 1 if verdict.faults or not verdict.spent else 0
@@ -179,6 +189,7 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--events", default="", help="a file that all that was logged is written to, a line each")
+    parser.add_argument("--events", default="",
+                        help="a file that all that was logged is written to, a line each")
     told = parser.parse_args()
     sys.exit(main(told.seconds, told.seed, told.events))
--- a/pathsaddle/emulator/state/smoke.py
+++ b/pathsaddle/emulator/state/smoke.py
@@ -3,8 +3,8 @@
     python -m pathsaddle.emulator.state.smoke experiments/shared-smoke.toml
     python -m pathsaddle.emulator.state.smoke experiments/shared-smoke.toml --seeds 500 --members 20 --first 0
 
-With --seeds only those seeds of random faults are played, and judged. Entirely virtual: the same figures every time, but for
-the processor's time.
+With --seeds only those seeds of random faults are played, and judged. Entirely virtual: the same figures
+every time, but for the processor's time.
 """
 
 from __future__ import annotations
@@ -78,7 +78,8 @@
             self.wanted[0].wants = 0.0
             self.figures.failed += not self.wanted[2]
         self.at(self.now + int(self.plan.mood[0] * SECOND), self.moods)
-        place = self.chance.choice([place for place in self.places if self.wanted is None or place is not self.wanted[0]])
+        place = self.chance.choice([place for place in self.places if self.wanted is None
+                                    or place is not self.wanted[0]])
         place.wants = 2.5 * PART
         self.wanted = place, self.now, False
         self.at(self.now + 1, self.use, place)
@@ -87,7 +88,8 @@
         super().rest(place)
         if self.wanted is not None and place is self.wanted[0] and not self.wanted[2]:
             ms = (self.now - self.wanted[1]) / 10
-            if place.rights > PART and len(self.figures.first) <= len(self.figures.whole) + self.figures.failed:
+            if (place.rights > PART
+                    and len(self.figures.first) <= len(self.figures.whole) + self.figures.failed):
                 self.figures.first.append(ms)
             if place.rights >= 2 * PART:
                 self.figures.whole.append(ms)
@@ -116,7 +118,8 @@
 def measure(members: int, loss: float, wants: int, seed: int = 1) -> Figures:
     """Wants of 5 s each, after the first lease: from then on every unit may be lent."""
     begun, mood = 12.0, 5.0
-    plan = Plan(members, seed, begun + wants * mood, rate=PART * members, lease=10.0, loss=loss, faults=0, mood=(mood, mood),
+    plan = Plan(members, seed, begun + wants * mood, rate=PART * members, lease=10.0, loss=loss, faults=0,
+                mood=(mood, mood),
                 quiet=True)
     ground = Wanting(plan)
     ground.places = [Place(ground, n) for n in range(members)]
@@ -145,7 +148,8 @@
 
 
 def play_seeds(members: int, first: int, count: int) -> tuple[int, int, int, int]:
-    """(broken, uses, records whose ages were checked, the most bytes of a member in any second); prints what is broken."""
+    """(broken, uses, records whose ages were checked, the most bytes of a member in any second);
+    prints what is broken."""
     broken = spent = checked = most = 0
     for seed in range(first, first + count):
         verdict = judge(Ground(varied(members, seed)).run().rows)
@@ -153,7 +157,8 @@
         spent, checked, most = spent + verdict.spent, checked + verdict.checked, max(most, verdict.most_bytes)
         for fault in verdict.faults[:2]:
             print(f"BROKEN members {members} seed {seed}: {fault}", flush=True)
-    print(f"seeds {first} to {first + count - 1} of random faults, {members} members: broken {broken}, uses {spent}, "
+    print(f"seeds {first} to {first + count - 1} of random faults, {members} members: broken {broken}, uses "
+          f"{spent}, "
           f"ages checked {checked}, bytes of one in a second at most {most}", flush=True)
     return broken, spent, checked, most
 
@@ -182,9 +187,12 @@
             print(f"BROKEN mutant {fault}", flush=True)
     for one in plan.measured:
         f = measure(one.members, one.loss, one.wants)
-        print(f"members {one.members} loss {one.loss:g}: first unit ms p50 {part(f.first, .5)} p99 {part(f.first, .99)}, all "
-              f"p50 {part(f.whole, .5)} p99 {part(f.whole, .99)} (of {one.wants}, not met {f.failed}); known by all ms p50 "
-              f"{part(f.known, .5)} p99 {part(f.known, .99)} (of {len(f.known)}); bytes {f.bytes:.0f}, cpu us {f.cpu:.0f} a "
+        print(f"members {one.members} loss {one.loss:g}: first unit ms p50 {part(f.first, .5)} p99 "
+              f"{part(f.first, .99)}, all "
+              f"p50 {part(f.whole, .5)} p99 {part(f.whole, .99)} (of {one.wants}, not met {f.failed}); known "
+              f"by all ms p50 "
+              f"{part(f.known, .5)} p99 {part(f.known, .99)} (of {len(f.known)}); bytes {f.bytes:.0f}, cpu "
+              f"us {f.cpu:.0f} a "
               f"member a second; usable nowhere {f.idle:.3f}", flush=True)
     print(f"{plan.name}: broken {broken}")
     return int(broken > 0)
--- a/pathsaddle/emulator/state/user.py
+++ b/pathsaddle/emulator/state/user.py
@@ -1,7 +1,9 @@
-"""A process of a member that makes uses at random, by the program's own driver, and writes what it may do and what it does.
+"""A process of a member that makes uses at random, by the program's own driver,
+and writes what it may do and what it does.
 
-Told by one JSON object as its argument. Each line is written before what it announces can have an effect: a fall of rights
-before the datagram that gives them away goes out, rights before a use by them. SIGKILL loses nothing that was written.
+Told by one JSON object as its argument. Each line is written before what it announces can have an effect: a
+fall of rights before the datagram that gives them away goes out, rights before a use by them.
+SIGKILL loses nothing that was written.
 """
 
 from __future__ import annotations
@@ -36,7 +38,8 @@
         self.log = os.open(told["log"], os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         ground = Ground()
         folder = self.charter.fleet.folder
-        self.fellows = Fellows(fellow(self.charter), ground, Lives(Path(folder) if folder else None, self.charter.name),
+        self.fellows = Fellows(fellow(self.charter), ground,
+                               Lives(Path(folder) if folder else None, self.charter.name),
                                self.chance, Counters())
         self.fellows.quiet = True
         self.clock = ground.clock
@@ -60,18 +63,20 @@
         """What is usable of each budget, until the next of it ends, and what is left then."""
         for name, one in self.shared.limiter.budgets.items():
             state = one.state
-            # Of our own that comes back meanwhile nothing is counted before it is told; of what is held each ends at its
-            # time, also while we stand still.
+            # Of our own that comes back meanwhile nothing is counted before it is told; of what is held each
+            # ends at its time, also while we stand still.
             own, left = state.own(now), state.usable(now)
             steps = []
-            for loan in sorted((row[3] for row in state.held if row[3].until > now), key=lambda loan: loan.until):
+            for loan in sorted((row[3] for row in state.held if row[3].until > now),
+                               key=lambda loan: loan.until):
                 left -= loan.units
                 steps.append((loan.until - self.base, left))
             rights = own, steps
             if rights != self.rights.get(name):
                 self.rights[name] = rights
                 until = steps[0][0] if steps else now - self.base + 3600 * SECOND
-                self.write(now, "share.rights", budget=name, units=state.usable(now), until=until, floor=own, steps=steps)
+                self.write(now, "share.rights", budget=name, units=state.usable(now), until=until, floor=own,
+                           steps=steps)
 
     async def use(self, budget: str, rate: int) -> None:
         """As often as its mood has it, three times its part or nothing."""
@@ -95,7 +100,8 @@
             await asyncio.sleep(0.5)
             now = self.clock.now()
             for shown in self.shared.carry.records(SPARE, now):
-                self.write(now, "record", member=shown.member, life=shown.life, version=shown.version, least=shown.least,
+                self.write(now, "record", member=shown.member, life=shown.life, version=shown.version,
+                           least=shown.least,
                            most=shown.most, sure=shown.sure)
 
     async def run(self) -> None:
--- a/pathsaddle/fleet/state/carry.py
+++ b/pathsaddle/fleet/state/carry.py
@@ -1,17 +1,20 @@
-"""One layer that carries what members share: small records by (member, life, version) and topic, and larger documents.
-
-In the tradition of Scuttlebutt (van Renesse, Dumitriu, Gough, Thomas 2008): each member alone writes its records and numbers
-each writing; of a member's life another knows up to which number it lacks nothing (`seen`), and two compare those numbers.
-What is new is also passed on at once, a few times by each, so that comparing only mends what was lost. Ours: what goes is paid
-from the purse that membership pays from, behind it; and every age is an interval that no other clock can make untrue.
-
-Bounds. Bytes and datagrams a second: the purse's, with all else that the member sends; a partition's end adds nothing to it.
-Kept: MOST_TOPICS records of at most BODY bytes for each member that is taken to be there, MOST_DOCUMENTS documents of LARGEST.
-Lives: of a member's records only those of the highest life heard of are ever told, none once that life is over; its end is told
-once (`ended`). Ages: a record was put no less than `least` and no more than `most` ticks ago, by our clock, while no clock runs
-off by more than DRIFT. How that is known: it came `least` old, so it was put before it came; and when its owner was surely still
-without it (`Row.ago` in an answer, reckoned from before our question), it was not yet put. One that nobody answers for has no
-`most`. A message's arrival proves nothing else.
+"""One layer that carries what members share: small records by (member, life, version) and topic,
+and larger documents.
+
+In the tradition of Scuttlebutt (van Renesse, Dumitriu, Gough, Thomas 2008): each member alone writes its
+records and numbers each writing; of a member's life another knows up to which number it lacks nothing
+(`seen`), and two compare those numbers. What is new is also passed on at once, a few times by each, so that
+comparing only mends what was lost. Ours: what goes is paid from the purse that membership pays from, behind
+it; and every age is an interval that no other clock can make untrue.
+
+Bounds. Bytes and datagrams a second: the purse's, with all else that the member sends; a partition's end adds
+nothing to it. Kept: MOST_TOPICS records of at most BODY bytes for each member that is taken to be there,
+MOST_DOCUMENTS documents of LARGEST. Lives: of a member's records only those of the highest life heard of are
+ever told, none once that life is over; its end is told once (`ended`). Ages: a record was put no less than
+`least` and no more than `most` ticks ago, by our clock, while no clock runs off by more than DRIFT. How that
+is known: it came `least` old, so it was put before it came; and when its owner was surely still without it
+(`Row.ago` in an answer, reckoned from before our question), it was not yet put. One that nobody answers for
+has no `most`. A message's arrival proves nothing else.
 
 No I/O: fed datagrams and moments, says what to send (`out`). All chance comes from one Random.
 """
@@ -94,8 +97,8 @@
 
 @dataclass(frozen=True)
 class Shown:
-    """A record as its users see it, ages in ticks. sure: how long ago at most its owner had nothing later than we have; None:
-    that is not known."""
+    """A record as its users see it, ages in ticks. sure: how long ago at most its owner had nothing later
+    than we have; None: that is not known."""
 
     member: str
     life: int
@@ -125,18 +128,22 @@
 
 
 class Carry:
-    def __init__(self, name: str, life: int, fleet: str, key: bytes, purse: Purse, beat: int, chance: Random, now: int) -> None:
+    def __init__(self, name: str, life: int, fleet: str, key: bytes, purse: Purse, beat: int, chance: Random,
+                 now: int) -> None:
         """`beat`: between two comparisons."""
-        self.name, self.fleet, self.key, self.purse, self.beat, self.chance = name, fleet, key, purse, beat, chance
+        self.name, self.fleet, self.key, self.purse, self.beat, self.chance = (name, fleet, key, purse, beat,
+                                                                               chance)
         self.mine = Origin(life)
         self.peers: dict[str, Peer] = {}  # who is taken to be there
         self.lives: dict[str, int] = {}  # the highest life heard of
         self.origins: dict[str, Origin] = {name: self.mine}
-        self.news: dict[tuple[str, str], int] = {}  # (member, topic) still to be passed on, and how often it was
+        # (member, topic) still to be passed on, and how often it was
+        self.news: dict[tuple[str, str], int] = {}
         self.out: list[tuple[str, bytes]] = []
         self.over: list[tuple[str, int]] = []  # lives that ended, each told once; for whoever empties it
         self.counts: dict[str, int] = {}
-        self.asked: dict[int, tuple[int, str]] = {}  # echo -> (when, whom) of comparisons that may still be answered
+        # echo -> (when, whom) of comparisons that may still be answered
+        self.asked: dict[int, tuple[int, str]] = {}
         self.documents: dict[bytes, bytes] = {}
         self.partial: dict[bytes, Partial] = {}
         self.giving: dict[tuple[str, bytes, int], None] = {}  # (to, digest, number) asked of us
@@ -173,7 +180,8 @@
             if origin is self.mine:
                 sure: int | None = 0
             else:
-                sure = now - origin.stood_at if origin.seen >= origin.stood and origin.stood_at > NEVER else None
+                sure = (now - origin.stood_at if origin.seen >= origin.stood
+                        and origin.stood_at > NEVER else None)
             found.append(Shown(name, origin.life, record.version, record.body, *record.age(now), sure))
         return found
 
@@ -394,7 +402,8 @@
     # Hearing.
 
     def heard(self, data: bytes, now: int) -> Packet | None:
-        """A datagram has come; what of it is for others than this layer is theirs to read. None: it was refused, counted."""
+        """A datagram has come; what of it is for others than this layer is theirs to read.
+        None: it was refused, counted."""
         try:
             packet = decode(data, self.key, self.fleet)
             if packet.to != self.name or packet.name == self.name:
@@ -474,7 +483,8 @@
                 continue
             if name == to:  # of itself it needs to be told only what we lack
                 since = max(since, origin.seen)
-            later = name != to and mine.ago >= 0 and (row is None or row.ago < 0 or mine.ago < row.ago or since < origin.seen)
+            later = (name != to and mine.ago >= 0
+                     and (row is None or row.ago < 0 or mine.ago < row.ago or since < origin.seen))
             if later or row is not None and since > origin.seen:
                 if room - size_of(mine) < 0:
                     more = True
@@ -537,7 +547,8 @@
             if partial.only:
                 partial.only = self.chance.choice(sorted(self.peers))
         there = [name for name in partial.holders if name in self.peers]
-        whom = partial.only or (self.chance.choice(there) if there else self.chance.choice(sorted(self.peers)))
+        whom = (partial.only
+                or (self.chance.choice(there) if there else self.chance.choice(sorted(self.peers))))
         if partial.size < 0:
             most, lacks = 1, b""
         else:
@@ -560,9 +571,11 @@
         else:
             return
         lacks = int.from_bytes(said.lacks[:LARGEST // PIECE], "little")
-        numbers = [n for n in numbers if (not lacks or lacks >> n & 1) and (to, said.digest, n) not in self.giving]
+        numbers = [n for n in numbers if (not lacks or lacks >> n & 1)
+                   and (to, said.digest, n) not in self.giving]
         # In no order: those who have some then have different ones for one another.
-        for number in self.chance.sample(numbers, max(0, min(said.most, WINDOW, len(numbers), MOST_GIVING - len(self.giving)))):
+        for number in self.chance.sample(numbers, max(0, min(said.most, WINDOW, len(numbers),
+                                                             MOST_GIVING - len(self.giving)))):
             self.giving[to, said.digest, number] = None
         self._give_on(now)
 
@@ -609,7 +622,8 @@
         # Somebody's piece is false, and whose is not known: once more, all of it from one.
         self._count("document false")
         others = [name for name in sorted(self.peers) if name != partial.only]
-        self.partial[said.digest] = Partial(partial.holders, only=self.chance.choice(others) if others else "")
+        self.partial[said.digest] = Partial(partial.holders,
+                                            only=self.chance.choice(others) if others else "")
 
     def _count(self, what: str) -> None:
         self.counts[what] = self.counts.get(what, 0) + 1
--- a/pathsaddle/fleet/state/check.py
+++ b/pathsaddle/fleet/state/check.py
@@ -1,9 +1,10 @@
 """Model checking of shares on lease and of what is used by them: every order of events to a stated depth.
 
-Members with a part each, one lease. Each step is one of: somebody asks, asks for a loan to go on, gives one back, a message is
-taken (and stays under way, to come again), a moment passes for all, or for all but one whose clock falls behind (one in `SLOW`
-at most, which is within the drift that the shares allow for), one is killed and begins anew with nothing; and with `uses`, one
-makes a use, where the limiter's rule lets it. Bounds: usable shares at each instant, uses in any second.
+Members with a part each, one lease. Each step is one of: somebody asks, asks for a loan to go on, gives one
+back, a message is taken (and stays under way, to come again), a moment passes for all, or for all but one
+whose clock falls behind (one in `SLOW` at most, which is within the drift that the shares allow for), one is
+killed and begins anew with nothing; and with `uses`, one makes a use, where the limiter's rule lets it.
+Bounds: usable shares at each instant, uses in any second.
 """
 
 from __future__ import annotations
@@ -32,7 +33,8 @@
     air: frozenset[Message]
     budget: int
     moments: int = 0
-    uses: tuple[tuple[int, int, int, int], ...] = ()  # (who, its life, its clock, moment) of the last two moments
+    # (who, its life, its clock, moment) of the last two moments
+    uses: tuple[tuple[int, int, int, int], ...] = ()
 
     def usable(self) -> int:
         return sum(state.usable(clock) for state, clock in zip(self.members, self.clocks, strict=True))
@@ -73,16 +75,19 @@
                 after, back = state.returns(number, clock)
                 found.append((f"{name} gives back to {owner}", member(i, after, world.air | {back})))
         if state.life <= lives:
-            found.append((f"{name} begins anew", member(i, born(name, state.life + 1, state.part, LEASE, clock, state.guard))))
+            found.append((f"{name} begins anew",
+                          member(i, born(name, state.life + 1, state.part, LEASE, clock, state.guard))))
         if uses and using < state.usable(clock) and clock >= state.born + WINDOW:
             found.append((f"{name} uses one", replace(world, uses=(
-                *(row for row in world.uses if row[3] >= world.moments - 2), (i, state.life, clock, world.moments)))))
+                *(row for row in world.uses if row[3] >= world.moments - 2),
+                (i, state.life, clock, world.moments)))))
         spare = min(state.part, state.usable(clock) - using)
         for message in sorted(world.air, key=repr):
             if isinstance(message, Want) and message.name != name and clock >= state.born + state.guard:
                 after, lend = state.asked_by(message, spare, clock)
                 if lend is not None:
-                    found.append((f"{name} lends {lend.units} to {message.name}", member(i, after, world.air | {lend})))
+                    found.append((f"{name} lends {lend.units} to {message.name}",
+                                  member(i, after, world.air | {lend})))
             elif isinstance(message, Lend) and message.taker == name:
                 after = state.lent_by(message, clock)
                 if after != state:
@@ -101,7 +106,8 @@
     return found
 
 
-def check(depth: int, parts: tuple[int, ...] = (2, 2, 2), wants: int = 1, lives: int = 1, uses: bool = False) -> int:
+def check(depth: int, parts: tuple[int, ...] = (2, 2, 2), wants: int = 1, lives: int = 1,
+          uses: bool = False) -> int:
     """How many worlds there are within `depth` steps; raises Exceeded where a bound fails in one."""
     first = start(parts, WINDOW if uses else 0)
     seen, edge = {first}, [(first, ())]
@@ -115,7 +121,8 @@
                 if after.usable() > after.budget:
                     raise Exceeded(f"{after.usable()} units of {after.budget}: " + ", ".join((*path, name)))
                 if after.used() > after.budget:
-                    raise Exceeded(f"{after.used()} uses of {after.budget} in a second: " + ", ".join((*path, name)))
+                    raise Exceeded(f"{after.used()} uses of {after.budget} in a second: "
+                                   + ", ".join((*path, name)))
                 following.append((after, (*path, name)))
         edge = following  # type: ignore[assignment]  # paths of any length
     return len(seen)
--- a/pathsaddle/fleet/state/check_carry.py
+++ b/pathsaddle/fleet/state/check_carry.py
@@ -1,9 +1,10 @@
 """Model checking of what carrying rests on: every order of events to a stated depth, with three members.
 
-One of them writes records of two topics and begins one new life. Each step: it writes, it begins anew, somebody hears from its
-membership of that life, somebody passes on what is new, somebody compares with another, a message is taken (and stays under way,
-to come again). Nothing has to arrive. Checked in each world: of a life whose end a member was told it shows nothing; what it
-shows was written; and of all up to `seen` it lacks only what its writer has replaced since. Ages are the ground's to check.
+One of them writes records of two topics and begins one new life. Each step: it writes, it begins anew,
+somebody hears from its membership of that life, somebody passes on what is new, somebody compares with
+another, a message is taken (and stays under way, to come again). Nothing has to arrive. Checked in each
+world: of a life whose end a member was told it shows nothing; what it shows was written; and of all up to
+`seen` it lacks only what its writer has replaced since. Ages are the ground's to check.
 """
 
 from __future__ import annotations
@@ -57,7 +58,8 @@
             return (tuple((name, o.life, o.seen, tuple(sorted((t, r.version) for t, r in o.records.items())))
                           for name, o in sorted(one.origins.items())), tuple(sorted(one.news.items())),
                     tuple(one.asked.values()))
-        return tuple(of(self.members[name]) for name in NAMES), frozenset(self.air), tuple(sorted(self.told.items()))
+        return (tuple(of(self.members[name]) for name in NAMES), frozenset(self.air),
+                tuple(sorted(self.told.items())))
 
     def collect(self) -> None:
         for one in self.members.values():
@@ -130,7 +132,8 @@
             after(f"{name} passes on", lambda made, name=name: made.members[name]._pass_on(0))
         for to in NAMES:
             if to != name and not world.members[name].asked:
-                after(f"{name} compares with {to}", lambda made, name=name, to=to: made.members[name]._compare(0, to, ""))
+                after(f"{name} compares with {to}",
+                      lambda made, name=name, to=to: made.members[name]._compare(0, to, ""))
     for to, data in world.air:
         after(f"{to} takes a message", lambda made, to=to, data=data: made.members[to].heard(data, 0))
     return found
--- a/pathsaddle/fleet/state/form.py
+++ b/pathsaddle/fleet/state/form.py
@@ -1,6 +1,8 @@
-"""The form of what the fleet's shared state says in a datagram: under the fleet's seal, told apart by its first byte.
+"""The form of what the fleet's shared state says in a datagram: under the fleet's seal,
+told apart by its first byte.
 
-A packet holds any number of sayings for one taker. What can't be used is refused with the reason by which it is counted.
+A packet holds any number of sayings for one taker. What can't be used is refused with the reason by which it
+is counted.
 """
 
 from __future__ import annotations
@@ -36,8 +38,8 @@
 
 
 class Row(Struct, array_like=True, frozen=True):
-    """All up to `seen` of a member's life are here; at some moment of the last `ago` ticks it had no later ones (-1: not
-    known)."""
+    """All up to `seen` of a member's life are here; at some moment of the last `ago` ticks it had no later
+    ones (-1: not known)."""
 
     name: str
     life: int
@@ -50,7 +52,8 @@
 
 
 class Compare(Struct, array_like=True, tag=1, frozen=True):
-    """The rows are all that its sender has of names after `first` up to `last`; an empty `last`: to the end."""
+    """The rows are all that its sender has of names after `first` up to `last`;
+    an empty `last`: to the end."""
 
     echo: int
     first: str
@@ -68,7 +71,8 @@
 
 
 class Ask(Struct, array_like=True, tag=3, frozen=True):
-    """For so many pieces of a document: of those whose bits stand in `lacks` (none: any), whichever are there."""
+    """For so many pieces of a document: of those whose bits stand in `lacks` (none: any),
+    whichever are there."""
 
     digest: bytes
     most: int
--- a/pathsaddle/fleet/state/limiter.py
+++ b/pathsaddle/fleet/state/limiter.py
@@ -1,19 +1,23 @@
-"""Rates that all members together must not exceed, as one member asks for them: just before each use, `takes`.
-
-Bound: in any second the units taken by all members together are no more than the budget, whatever is lost, doubled or late,
-whoever stops, restarts or is cut off, as long as no clock runs off by more than DRIFT and the parts add up to the budget.
-
-Why. A unit is one use a second. At each instant it is usable at one member at most (`shares.py`), and there it is used once in
-any WINDOW, a second by a clock taken to be fast: so much is counted back from each use, and what stands there is what is
-usable at that instant less it. Where a unit changes its place it was not used for a WINDOW: an owner lends only what it did
-not use within the last one; a lease's end is followed by a WINDOW (`guard`) before its owner has it again; a new life uses
-nothing for its first one. So no border of seconds lets a burst through: a second may begin anywhere.
-
-A process that stands still between `takes` and the use itself moves that one use: n members that stood still may bring n uses,
-one each, into a second that is not theirs. Nothing that asks beforehand can prevent that; `takes` asked after the stall is
-refused what has ended in it.
-
-Floor: who hears nothing has its part less what it lent, all of it a lease later. No I/O; all chance comes from one Random.
+"""Rates that all members together must not exceed, as one member asks for them: just before each use,
+`takes`.
+
+Bound: in any second the units taken by all members together are no more than the budget, whatever is lost,
+doubled or late, whoever stops, restarts or is cut off, as long as no clock runs off by more than DRIFT and
+the parts add up to the budget.
+
+Why. A unit is one use a second. At each instant it is usable at one member at most (`shares.py`), and there
+it is used once in any WINDOW, a second by a clock taken to be fast: so much is counted back from each use,
+and what stands there is what is usable at that instant less it. Where a unit changes its place it was not
+used for a WINDOW: an owner lends only what it did not use within the last one; a lease's end is followed by a
+WINDOW (`guard`) before its owner has it again; a new life uses nothing for its first one. So no border of
+seconds lets a burst through: a second may begin anywhere.
+
+A process that stands still between `takes` and the use itself moves that one use: n members that stood still
+may bring n uses, one each, into a second that is not theirs. Nothing that asks beforehand can prevent that;
+`takes` asked after the stall is refused what has ended in it.
+
+Floor: who hears nothing has its part less what it lent, all of it a lease later. No I/O;
+all chance comes from one Random.
 """
 
 from __future__ import annotations
@@ -80,20 +84,23 @@
                  window: int = WINDOW) -> None:
         self.name, self.life, self.chance, self.born, self.window = name, life, chance, now, window
         self.closed = self.leaving = False
-        self.stir: Callable[[], None] = lambda: None  # called when there is something to send before the next `wake`
+        # called when there is something to send before the next `wake`
+        self.stir: Callable[[], None] = lambda: None
         self.due = now  # when it wants to be woken
         self.budgets = {budget: Budget(budget, told, born(name, life, told.part, told.lease, now, window))
                         for budget, told in dealt.items()}
         self.out: list[tuple[str, str, Want | Lend | Back]] = []
         self.notes: list[Note] = []
-        self.spares: dict[str, dict[str, int]] = {budget: {} for budget in dealt}  # what others last told to have left
+        # what others last told to have left
+        self.spares: dict[str, dict[str, int]] = {budget: {} for budget in dealt}
         self.there: list[str] = []  # who may be asked
         self.heard_at = now
 
     # Using.
 
     def takes(self, budget: str, units: int, now: int) -> bool:
-        """Whether so many uses may be made now; asked just before them, it counts them as made. KeyError: no such budget."""
+        """Whether so many uses may be made now; asked just before them, it counts them as made.
+        KeyError: no such budget."""
         one = self.budgets[budget]
         if units <= self.free(budget, now):
             one.spent.append((now, units))
@@ -126,7 +133,8 @@
         self.there = []
 
     def leave(self, now: int) -> None:
-        """We end: what we hold goes back at once, and its owner lets it rest; our own part is used to the end."""
+        """We end: what we hold goes back at once, and its owner lets it rest;
+        our own part is used to the end."""
         self.leaving, self.there = True, []
         for one in self.budgets.values():
             for owner, _, number, _ in one.state.held:
@@ -198,7 +206,8 @@
         there = [name for name in self.there if name != self.name]
         if not there:
             return
-        rich = sorted((name for name in there if told.get(name, 0) > 0), key=lambda name: -told[name])[:3 * ASKED]
+        rich = sorted((name for name in there if told.get(name, 0) > 0),
+                      key=lambda name: -told[name])[:3 * ASKED]
         whom = self.chance.sample(rich, min(ASKED - 1, len(rich)))
         others = [name for name in there if name not in whom]
         whom += self.chance.sample(others, min(ASKED - len(whom), len(others)))
@@ -253,7 +262,8 @@
         return max(0, min(free, state.own(now), state.usable(now) - max(one.sum, self._needed(one, now))))
 
     def claimed(self, life: int) -> None:
-        """We have another life: askings of the old one are answered to nobody; what is lent and held stays as it is."""
+        """We have another life: askings of the old one are answered to nobody;
+        what is lent and held stays as it is."""
         self.life = life
         for one in self.budgets.values():
             one.state = replace(one.state, life=life, open=())
@@ -264,4 +274,5 @@
         if alone != one.alone:
             one.alone = alone
             self.notes.append(Note("alone" if alone else "back", one.name, one.state.usable(now),
-                                   f"nobody heard for {(now - self.heard_at) // 10} ms" if alone else "others are heard"))
+                                   f"nobody heard for {(now - self.heard_at) // 10} ms" if alone
+                                   else "others are heard"))
--- a/pathsaddle/fleet/state/shared.py
+++ b/pathsaddle/fleet/state/shared.py
@@ -1,4 +1,5 @@
-"""What one member shares with the others, put together for a driver: the carrying layer and the shares of budgets."""
+"""What one member shares with the others, put together for a driver: the carrying layer and the shares of
+budgets."""
 
 from __future__ import annotations
 
@@ -21,7 +22,8 @@
 class Shared:
     """Fed datagrams, moments and who is there; `out` is to be sent, `notes` of the limiter to be logged."""
 
-    def __init__(self, name: str, life: int, fleet: str, key: bytes, purse: Purse, beat: int, dealt: dict[str, Dealt],
+    def __init__(self, name: str, life: int, fleet: str, key: bytes, purse: Purse, beat: int,
+                 dealt: dict[str, Dealt],
                  chance: Random, now: int) -> None:
         self.carry = Carry(name, life, fleet, key, purse, beat, chance, now)
         self.limiter = Limiter(name, life, dealt, chance, now)
@@ -65,8 +67,9 @@
             elif isinstance(said, Returned):
                 limiter.returned(said.budget, Back(packet.name, packet.life, said.number), now)
             elif isinstance(said, Lent):
-                limiter.lent(said.budget, Lend(packet.name, packet.life, packet.to, said.taker_life, said.number,
-                                               said.units, said.lease), now)
+                limiter.lent(said.budget,
+                             Lend(packet.name, packet.life, packet.to, said.taker_life, said.number,
+                                  said.units, said.lease), now)
         self.say(now)
 
     def wake(self, now: int) -> int:
@@ -75,7 +78,8 @@
         if now >= self.told_due and limiter.budgets:
             # Rarer among many, so that what all tell together stays the same.
             self.told_due = now + self.beat * (1 + len(self.carry.peers) // 10)
-            self.carry.put(SPARE, _encode({name: limiter.spare(name, now) for name in list(limiter.budgets)[:16]}), now)
+            self.carry.put(SPARE, _encode({name: limiter.spare(name, now)
+                                           for name in list(limiter.budgets)[:16]}), now)
             for name in limiter.spares:
                 limiter.spares[name].clear()
             for shown in self.carry.records(SPARE, now):
@@ -108,24 +112,29 @@
             self.carry.send(name, sayings, now, SHARES)
 
     def view(self, now: int) -> dict[str, Any]:
-        """Each budget as we hold it, times in milliseconds; of others what they last told, with its age as an interval."""
+        """Each budget as we hold it, times in milliseconds; of others what they last told,
+        with its age as an interval."""
         budgets = []
         for name, one in self.limiter.budgets.items():
             state = one.state.at(now)
             budgets.append({
                 "budget": name, "rate": one.dealt.rate, "part": one.dealt.part, "usable": state.usable(now),
-                "free": self.limiter.free(name, now), "taken": one.taken, "refused": one.refused, "alone": one.alone,
+                "free": self.limiter.free(name, now), "taken": one.taken, "refused": one.refused,
+                "alone": one.alone,
                 "lent": [{"to": loan.key[0] or "-", "units": loan.units, "for": (loan.until - now) // 10}
                          for loan in state.lent],
-                "held": [{"of": row[0], "units": row[3].units, "for": (row[3].until - now) // 10} for row in state.held]})
+                "held": [{"of": row[0], "units": row[3].units, "for": (row[3].until - now) // 10}
+                         for row in state.held]})
         others = []
         for shown in self.carry.records(SPARE, now):
             try:
                 told = _decode(shown.body)
             except msgspec.MsgspecError:
                 continue
-            others.append({"member": shown.member, "life": shown.life, "spare": told, "least": shown.least // 10,
+            others.append({"member": shown.member, "life": shown.life, "spare": told,
+                           "least": shown.least // 10,
                            "most": None if shown.most is None else shown.most // 10,
                            "sure": None if shown.sure is None else shown.sure // 10})
-        return {"name": self.carry.name, "life": self.carry.mine.life, "counts": dict(sorted(self.carry.counts.items())),
+        return {"name": self.carry.name, "life": self.carry.mine.life,
+                "counts": dict(sorted(self.carry.counts.items())),
                 "budgets": budgets, "others": others}
--- a/pathsaddle/fleet/state/shares.py
+++ b/pathsaddle/fleet/state/shares.py
@@ -1,21 +1,25 @@
-"""A rate that all members together must not exceed, dealt out in shares, and what is not wanted lent for a time.
-
-Bound: at no instant do usable shares add up to more than the budget, whatever is lost, doubled or late, whoever stops,
-restarts or is cut off, for any number of members, as long as no clock runs off by more than DRIFT.
-
-Why. Each unit belongs to one member, by the charter's parts, which add up to the budget or less. Its owner uses it or
-lends it. Lent, it counts as spent at the owner until a lease has surely ended: from after the promise, by a clock taken
-to be fast. At the taker it is usable from its arrival until the lease may have ended: from before the asking, by a clock
-taken to be slow. So no unit is usable at two places at once, and nothing has to arrive for that. A new life of an owner
-does not know what the old one lent: what may be lent at all (half, a single unit whole) is out of its use until any such
-lease has ended.
-
-A loan is renewed while it runs: the same units stay out at the owner, and stand at the taker once, the new in place of the old.
-Returned, they are out of the taker's use before it says so, and of the owner's until what was done with them has rested.
-An asking is answered once and taken once: what comes twice or late finds its number used, its lease over or its life ended.
-
-Floor: who hears nothing has its own part less what it lent, all of it again one lease later. Idle at most: what is lent
-to one that stopped, for one lease. No I/O; times are ticks of a clock handed in, that goes on while a process stands.
+"""A rate that all members together must not exceed, dealt out in shares,
+and what is not wanted lent for a time.
+
+Bound: at no instant do usable shares add up to more than the budget, whatever is lost, doubled or late,
+whoever stops, restarts or is cut off, for any number of members,
+as long as no clock runs off by more than DRIFT.
+
+Why. Each unit belongs to one member, by the charter's parts, which add up to the budget or less. Its owner
+uses it or lends it. Lent, it counts as spent at the owner until a lease has surely ended: from after the
+promise, by a clock taken to be fast. At the taker it is usable from its arrival until the lease may have
+ended: from before the asking, by a clock taken to be slow. So no unit is usable at two places at once, and
+nothing has to arrive for that. A new life of an owner does not know what the old one lent: what may be lent
+at all (half, a single unit whole) is out of its use until any such lease has ended.
+
+A loan is renewed while it runs: the same units stay out at the owner, and stand at the taker once, the new in
+place of the old. Returned, they are out of the taker's use before it says so, and of the owner's until what
+was done with them has rested. An asking is answered once and taken once: what comes twice or late finds its
+number used, its lease over or its life ended.
+
+Floor: who hears nothing has its own part less what it lent, all of it again one lease later. Idle at most:
+what is lent to one that stopped, for one lease. No I/O; times are ticks of a clock handed in,
+that goes on while a process stands.
 """
 
 from __future__ import annotations
@@ -27,8 +31,8 @@
 
 @dataclass(frozen=True)
 class Want:
-    """Asks for so many units. number: grows with each asking of a life; an answer names it. renews: the number of a loan that is
-    to go on; 0: none."""
+    """Asks for so many units. number: grows with each asking of a life; an answer names it. renews: the
+    number of a loan that is to go on; 0: none."""
 
     name: str
     life: int
@@ -76,11 +80,13 @@
     lease: int
     born: int
     asked: int = 0  # the number of its last asking
-    open: tuple[tuple[int, int, int], ...] = ()  # (number, when asked, renews) of those that may still be answered
+    # (number, when asked, renews) of those that may still be answered
+    open: tuple[tuple[int, int, int], ...] = ()
     lent: tuple[Loan, ...] = ()
     held: tuple[tuple[str, int, int, Loan], ...] = ()  # (owner, its life, number, what)
 
-    guard: int = 0  # ticks that a unit rests at its owner after a lease: so long ago it was last used elsewhere
+    # ticks that a unit rests at its owner after a lease: so long ago it was last used elsewhere
+    guard: int = 0
 
     @property
     def lendable(self) -> int:
@@ -88,7 +94,8 @@
         return (self.part + 1) // 2
 
     def _surely(self) -> int:
-        """A lease's length by a clock that may be fast: over by then for certain, and what was done in it rested."""
+        """A lease's length by a clock that may be fast: over by then for certain,
+        and what was done in it rested."""
         return -int(-(self.lease + self.guard) * (1 + DRIFT) // 1) + 1
 
     def _maybe(self) -> int:
@@ -123,11 +130,12 @@
                 Want(state.name, state.life, number, units, renews))
 
     def asked_by(self, want: Want, spare: int, now: int) -> tuple[State, Lend | None]:
-        """Another asks; `spare`: how many of its units this one does not want itself; under 0, so many it lacks. One asking is
-        answered once: what comes twice, or again while its loan runs, gets nothing."""
+        """Another asks; `spare`: how many of its units this one does not want itself; under 0, so many it
+        lacks. One asking is answered once: what comes twice, or again while its loan runs, gets nothing."""
         state = self.at(now)
         key = (want.name, want.life, want.number)
-        if want.name == self.name or now < state.born + state._surely() or any(loan.key == key for loan in state.lent):
+        if (want.name == self.name or now < state.born + state._surely()
+                or any(loan.key == key for loan in state.lent)):
             return state, None
         if want.renews:
             return state._renewed(want, key, spare, now)
@@ -135,9 +143,11 @@
         units = min(want.units, spare, free)
         if units <= 0:
             return state, None
-        return replace(state, lent=(*state.lent, Loan(units, now + state._surely(), key))), state._lend(key, units)
+        return (replace(state, lent=(*state.lent, Loan(units, now + state._surely(), key))),
+                state._lend(key, units))
 
-    def _renewed(self, want: Want, key: tuple[str, int, int], spare: int, now: int) -> tuple[State, Lend | None]:
+    def _renewed(self, want: Want, key: tuple[str, int, int], spare: int, now: int) -> tuple[State,
+                                                                                             Lend | None]:
         old = next((loan for loan in self.lent if loan.key == (want.name, want.life, want.renews)), None)
         units = min(want.units, old.units, old.units + spare) if old is not None else 0
         if old is None or units <= 0:
@@ -154,7 +164,8 @@
         """An answer: taken once, by the life that asked, while its lease surely runs."""
         state = self.at(now)
         asked = next((row for row in state.open if row[0] == lend.number), None)
-        if asked is None or (lend.taker, lend.taker_life) != (state.name, state.life) or lend.lease != state.lease:
+        if (asked is None or (lend.taker, lend.taker_life) != (state.name, state.life)
+                or lend.lease != state.lease):
             return state
         # Whatever life its owner has by now: it still counts the loan once.
         held = tuple(row for row in state.held if not asked[2] or (row[0], row[2]) != (lend.owner, asked[2]))
@@ -166,14 +177,16 @@
         """What the taker gives back before its time; what would renew it is not taken any more."""
         state = self.at(now)
         return (replace(state, held=tuple(row for row in state.held if row[2] != number),
-                        open=tuple(row for row in state.open if row[2] != number)), Back(state.name, state.life, number))
+                        open=tuple(row for row in state.open if row[2] != number)),
+                Back(state.name, state.life, number))
 
     def returned(self, back: Back, now: int) -> State:
         """Its owner has it again when what was done with it has rested."""
         state = self.at(now)
         rested = now + int(self.guard * (1 + DRIFT)) + 1
         return replace(state, lent=tuple(
-            replace(loan, until=min(loan.until, rested)) if loan.key == (back.taker, back.life, back.number) else loan
+            replace(loan, until=min(loan.until, rested)) if loan.key == (back.taker, back.life, back.number)
+            else loan
             for loan in state.lent))
 
 
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -1,4 +1,5 @@
-"""Stories of what members share: records and their ages, documents, rights and uses, with what is between them broken."""
+"""Stories of what members share: records and their ages, documents, rights and uses,
+with what is between them broken."""
 
 import unittest
 from random import Random
@@ -22,7 +23,8 @@
 
     def __init__(self, *names, bytes_=24_000):
         self.now = 0
-        self.all = {name: Carry(name, 7, "f", KEY, Purse(bytes_, 60, 0), SECOND, Random(name), 0) for name in names}
+        self.all = {name: Carry(name, 7, "f", KEY, Purse(bytes_, 60, 0), SECOND, Random(name), 0)
+                    for name in names}
         for one in self.all.values():
             for name in names:
                 one.joined(name, 7, name)
@@ -145,7 +147,8 @@
 class EveryOrderStory(unittest.TestCase):
     """Three members, one that writes two topics and begins anew: compared, passed on, lost, doubled, late."""
 
-    def test_nothing_is_lacked_up_to_what_was_seen_and_no_old_life_shown_in_every_world_within_six_steps(self):
+    def test_nothing_is_lacked_up_to_what_was_seen_and_no_old_life_shown_in_every_world_within_six_steps(
+            self):
         count = check_carry.check(6)
         print(f"carry: {count} worlds to depth 6", flush=True)
         self.assertGreater(count, 20_000)
@@ -239,7 +242,8 @@
         b.lent("r", Lend("a", 1, "b", 1, want.number, 2, 10 * SECOND), now)
         b.out.clear()
         b.leave(now + 1)
-        self.assertEqual(([(to, back.number) for to, _, back in b.out], b.free("r", now + 2)), ([("a", want.number)], 5))
+        self.assertEqual(([(to, back.number) for to, _, back in b.out], b.free("r", now + 2)),
+                         ([("a", want.number)], 5))
 
     def test_who_hears_nobody_for_a_lease_says_so_once_and_when_it_is_over(self):
         one, now = self.limiter(4)
@@ -263,10 +267,12 @@
         from pathsaddle.charter.form import Fleet
         base = {"name": "f", "key": "sixteen bytes or more", "listen": "127.0.0.1:3"}
         check(Fleet, {**base, "budgets": {"repeats": 30}, "parts": {"repeats": 12}}, "x")
-        for wrong, word in (({"budgets": {"a b": 1}}, '"a b" stands there'), ({"budgets": {"a": 0}}, "at least 1"),
+        for wrong, word in (({"budgets": {"a b": 1}}, '"a b" stands there'),
+                            ({"budgets": {"a": 0}}, "at least 1"),
                             ({"budgets": {"a": 3}, "parts": {"a": 4}}, "at most budgets.a (3)"),
                             ({"budgets": {"a": 3}, "parts": {"b": 1}}, "a name of budgets may: a"),
-                            ({"lease": "1s"}, "from 2s"), ({"budgets": {f"b{n}": 1 for n in range(17)}}, "16 at most")):
+                            ({"lease": "1s"}, "from 2s"),
+                            ({"budgets": {f"b{n}": 1 for n in range(17)}}, "16 at most")):
             with self.assertRaises(Faulty) as caught:
                 check(Fleet, {**base, **wrong}, "x")
             self.assertIn(word, str(caught.exception))
@@ -309,7 +315,8 @@
         def whole(ground):
             del ground.cuts[1]
         ground, _ = self.play(self.calm(6, 1, seconds=90, hot=1.0), (10, cut), (70, whole))
-        apart = {e.more["who"] for e in ground.events.rows if e.what == "share.spend" and 30 * SECOND < e.at < 70 * SECOND}
+        apart = {e.more["who"] for e in ground.events.rows if e.what == "share.spend"
+                 and 30 * SECOND < e.at < 70 * SECOND}
         self.assertEqual(apart, {f"d{n}" for n in range(6)})
 
     def test_a_way_is_cut_one_way_while_units_are_lent(self):
@@ -326,10 +333,12 @@
             for place in ground.places[1:]:
                 ground.kill(place)
         ground, _ = self.play(self.calm(5, 4, lease=2.0), (10, die))
-        self.assertEqual(ground.places[0].shared.limiter.budgets[BUDGET].state.usable(ground.places[0].clock()), 20)
+        self.assertEqual(
+            ground.places[0].shared.limiter.budgets[BUDGET].state.usable(ground.places[0].clock()), 20)
 
     def test_two_hundred_members_for_a_budget_of_ten(self):
-        ground, _ = self.play(self.calm(200, 5, rate=10, hot=0.02, seconds=20, lease=4.0, want=3.0, quiet=True))
+        ground, _ = self.play(self.calm(200, 5, rate=10, hot=0.02, seconds=20, lease=4.0, want=3.0,
+                                        quiet=True))
         users = {e.more["who"] for e in ground.events.rows if e.what == "share.spend"}
         self.assertTrue(any(int(name[1:]) >= 10 for name in users), users)  # who has no part was lent one
 
@@ -354,12 +363,14 @@
         self.play(self.calm(6, 7, lease=2.0), (5, flap))
 
     def test_a_hundred_join_in_a_second(self):
-        ground, verdict = self.play(self.calm(5, 8, joiners=100, seconds=24, quiet=True, hot=0.05, bytes=12_000))
+        ground, verdict = self.play(self.calm(5, 8, joiners=100, seconds=24, quiet=True, hot=0.05,
+                                              bytes=12_000))
         self.assertLessEqual(verdict.most_bytes, 12_000)
         self.assertEqual(len(ground.places[0].shared.carry.peers), 104)
 
     def test_random_faults_of_all_kinds_break_no_bound(self):
-        """A few seeds; five hundred are an experiment (`python -m pathsaddle.emulator.state.smoke --seeds`)."""
+        """A few seeds; five hundred are an experiment (`python -m pathsaddle.emulator.state.smoke
+        --seeds`)."""
         for members, seeds in ((5, range(12)), (20, range(4)), (60, range(1))):
             for seed in seeds:
                 with self.subTest(members=members, seed=seed):
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -123,7 +123,8 @@
         self.assertGreater(count, 100_000)
 
     def test_no_second_holds_more_uses_than_the_budget_in_every_world_within_seven_steps(self):
-        """With loans that go on and loans given back. To depth 9, 2.9 million worlds of (2, 0) and 5.7 of (1, 1), by hand."""
+        """With loans that go on and loans given back. To depth 9,
+        2.9 million worlds of (2, 0) and 5.7 of (1, 1), by hand."""
         count = check.check(7, parts=(2, 0), uses=True)
         print(f"uses: {count} worlds to depth 7", flush=True)
         self.assertGreater(count, 100_000)
@@ -131,12 +132,14 @@
             check.check(4, parts=(1, 1), uses=True)
 
     def test_what_breaks_the_bound_is_found(self):
-        """A lease counted from its arrival, a loan credited twice, one that the owner's new life has forgotten."""
+        """A lease counted from its arrival, a loan credited twice,
+        one that the owner's new life has forgotten."""
         lent_by, surely = State.lent_by, State._surely
 
         def by_arrival(self, lend, now):
             after = lent_by(self, lend, now)
-            return replace(after, held=tuple((*row[:3], Loan(row[3].units, now + self.lease)) if row not in self.held else row
+            return replace(after, held=tuple((*row[:3], Loan(row[3].units, now + self.lease))
+                                             if row not in self.held else row
                                              for row in after.held))
 
         def twice(self, lend, now):
@@ -154,7 +157,8 @@
                             "by arrival": mock.patch.object(State, "lent_by", by_arrival),
                             "twice": mock.patch.object(State, "lent_by", twice),
                             "forgets": mock.patch.object(State, "own", forgets),
-                            "owner's short": mock.patch.object(State, "_surely", lambda self: surely(self) // 2)}.items():
+                            "owner's short": mock.patch.object(State, "_surely",
+                                                               lambda self: surely(self) // 2)}.items():
             with self.subTest(name), patch, self.assertRaises(check.Exceeded):
                 check.check(depths.get(name, 6), parts=(2, 0))
 
