--- a/pathsaddle/emulator/overload/ground.py
+++ b/pathsaddle/emulator/overload/ground.py
@@ -1,9 +1,9 @@
 """Members, workers and clients on a ground of their own, small enough for two hundred members in seconds.
 
-The decisions under test are the program's (`pathsaddle.fleet.overload`, `fleet.state.shares`); where a txn goes is plain
-here: the room that is believed, with looks, holding the dearest first, as `Choice` does in more words. Everything
-that peers see is an event; the judge reads nothing else. One seeded generator for each part, so that the same
-clients come whatever the policy.
+The decisions under test are the program's (`pathsaddle.fleet.overload`, `fleet.state.shares`); where a txn
+goes is plain here: the room that is believed, with looks, holding the dearest first, as `Choice` does in more
+words. Everything that peers see is an event; the judge reads nothing else. One seeded generator for each
+part, so that the same clients come whatever the policy.
 """
 
 from __future__ import annotations
@@ -127,7 +127,8 @@
             self.ground.after(POKE, self.pokes)
 
     def pokes(self) -> None:
-        """Held txns, the dearest first; what can't be in time is declined at once, unless late answers are all it has."""
+        """Held txns, the dearest first; what can't be in time is declined at once,
+        unless late answers are all it has."""
         self.poking = False
         if not self.alive:
             return
@@ -221,7 +222,8 @@
             self.holds(one)
 
     def sees(self) -> tuple[float, float, float]:
-        """Slots that may be kept busy; what part of those seen lately is idle, and jobs in line for each slot."""
+        """Slots that may be kept busy; what part of those seen lately is idle,
+        and jobs in line for each slot."""
         plan, now = self.ground.plan, self.ground.now
         could = plan.slots * sum(self.listed)
         fresh = [self.room[w] / plan.slots for w in range(plan.workers) if now - self.told[w] < SECOND]
@@ -278,7 +280,8 @@
                         allowance=min(ways_of(plan).allowances.values()))
         for member in self.members:
             self.events.add(0, "member.began", who=member.name)
-            self.after(self.chance.randrange(SECOND // 10), lambda m=member: self.ticks(m))  # type: ignore[misc]
+            self.after(self.chance.randrange(SECOND // 10),
+                       lambda m=member: self.ticks(m))  # type: ignore[misc]
         for trouble in plan.troubles:
             self.after(int(trouble.at * SECOND), lambda t=trouble: self.begins(t))  # type: ignore[misc]
         self.after(0, self.arrives)
@@ -330,7 +333,8 @@
         one = Try(job, member, self.now, f"{job.number}/{job.tries}", ask)
         job.current = one
         if job.tries == 1:
-            self.events.add(self.now, "client.first", who="c", job=job.number, customer=job.customer, value=job.value,
+            self.events.add(self.now, "client.first", who="c", job=job.number, customer=job.customer,
+                            value=job.value,
                             work=job.run, member=member.name)
         self.after(WAY, lambda: self.to(member, lambda: None if one.closed else member.offered(one)))
         self.after(PATIENCE, lambda: self.hangs_up(one))
@@ -343,7 +347,8 @@
     def again(self, one: Try, advised: int, period: int = 0) -> None:
         job, plan = one.job, self.plan
         backoff = SECOND // 2 << min(job.tries - 1, 4)
-        # Without advice it goes by its own, as clients do: doubling, and spread unless the plan says otherwise.
+        # Without advice it goes by its own, as clients do: doubling,
+        # and spread unless the plan says otherwise.
         wait = advised or (backoff if plan.bunched else int(backoff * (0.5 + self.coming.random())))
         at = self.coming.random()
         job.current = None
@@ -363,14 +368,18 @@
 
     def lets(self, member: Member, one: Try, decided: Decided) -> None:
         ask = one.ask
-        self.events.add(self.now, "shed.in", who=member.name, txn=one.name, customer=ask.customer, key=ask.key,
-                        scheme=ask.scheme, period=decided.period, standing=decided.stands, level=decided.level,
+        self.events.add(self.now, "shed.in", who=member.name, txn=one.name, customer=ask.customer,
+                        key=ask.key,
+                        scheme=ask.scheme, period=decided.period, standing=decided.stands,
+                        level=decided.level,
                         over=decided.over, left=ask.left, work=ask.work)
 
     def declined(self, member: Member, one: Try, decided: Decided) -> None:
         ask = one.ask
-        self.events.add(self.now, "shed.out", who=member.name, txn=one.name, customer=ask.customer, key=ask.key,
-                        scheme=ask.scheme, period=decided.period, standing=decided.stands, level=decided.level,
+        self.events.add(self.now, "shed.out", who=member.name, txn=one.name, customer=ask.customer,
+                        key=ask.key,
+                        scheme=ask.scheme, period=decided.period, standing=decided.stands,
+                        level=decided.level,
                         wait=decided.come_back, why=decided.why, over=decided.over, work=ask.work)
         self.after(WAY, lambda: None if one.job.over else self.again(
             one, decided.come_back, decided.period))
@@ -379,7 +388,8 @@
         return self.workers[worker].up and not (member in self.sick and worker % 3 == 0)
 
     def posts(self, member: Member, one: Try, w: int, kind: str) -> None:
-        self.events.add(self.now, "post.sent", who=member.name, post=f"{one.name}/{one.postings}", txn=one.name,
+        self.events.add(self.now, "post.sent", who=member.name, post=f"{one.name}/{one.postings}",
+                        txn=one.name,
                         worker=f"w{w}", kind=kind)
         self.after(WAY, lambda: self.gets(member, one, w, self.now))
 
@@ -404,7 +414,8 @@
             worker.running += 1
             spent = int(one.job.run * worker.slow)
             waited, life = self.now - sent, worker.life
-            self.after(spent, lambda o=one, s=waited, n=life: self.ends(worker, o, s, n))  # type: ignore[misc]
+            self.after(spent,
+                       lambda o=one, s=waited, n=life: self.ends(worker, o, s, n))  # type: ignore[misc]
 
     def ends(self, worker: Worker, one: Try, waited: int, life: int) -> None:
         if worker.life != life:
@@ -415,7 +426,8 @@
         good = not job.over and job.current is one and one.member.alive
         in_time = self.now + WAY <= job.first + SLA
         earned = job.value * (1.0 if in_time else LATE) if good else 0.0
-        self.events.add(self.now, "ran", who=worker.name, txn=one.name, job=job.number, work=job.run, good=good,
+        self.events.add(self.now, "ran", who=worker.name, txn=one.name, job=job.number, work=job.run,
+                        good=good,
                         earned=earned, customer=job.customer, standing=0.0)
         if good:
             job.over = True
@@ -505,7 +517,8 @@
     # Records among members.
 
     def tells(self, member: Member, send: Callable[[Member], None], size: int) -> None:
-        """A record to all the others, by way of others: late by some hundred ms, lost to some, none through a cut."""
+        """A record to all the others, by way of others: late by some hundred ms, lost to some,
+        none through a cut."""
         self.bytes += size * (len(self.members) - 1)
         if self.cut.get(member.number) is False:
             return
--- a/pathsaddle/emulator/overload/judge.py
+++ b/pathsaddle/emulator/overload/judge.py
@@ -2,17 +2,20 @@
 
 It knows no member's code. The names of the bounds are those under which a run that breaks one is found:
 
-- budgets: repeats, trials and looks, over all members and at each worker, in any second, within what the log says.
+- budgets: repeats, trials and looks, over all members and at each worker, in any second,
+  within what the log says.
 - returns: no second holds more advised returns than the log says.
 - same: one identity has one draw at every member for as long as its period lasts.
 - level: who was let in stood at its member's level or above it, who was declined by the level stood below.
-- inversion: among members that hear each other, none is declined by the level that stands over one that is let in at
-  the same time (SLOT) by more than VIEWS bands and what a level may rise between two moments; the first seconds after a trouble are let be (SETTLES).
+- inversion: among members that hear each other, none is declined by the level that stands over one that is
+  let in at the same time (SLOT) by more than VIEWS bands and what a level may rise between two moments; the
+  first seconds after a trouble are let be (SETTLES).
 - pace: no member's level moves faster than it may.
 - turns: no member's level turns by more than SWING bands more than TURNS times in any ten seconds.
 - share: nothing of a customer that offers less than its share is taken to be over it.
 - cut: members that hear nobody lose at most 1% against the same run with each alone.
-- back: so long after the last trouble what comes earns 0.95 of what it earned before the first, in any two seconds on.
+- back: so long after the last trouble what comes earns 0.95 of what it earned before the first,
+  in any two seconds on.
 """
 
 from __future__ import annotations
@@ -37,10 +40,10 @@
 
 @dataclass
 class Figures:
-    """offered: value of all first tries; earned, on_time: what of it clients got; wasted: part of the workers' work that
-    earned nothing; inverted: value that the same work would have earned more, dearest first; least: least served customer
-    against the mean; back: seconds from the last trouble's end to 0.95, -1: not in this run, -2: not to be
-    told from it."""
+    """offered: value of all first tries; earned, on_time: what of it clients got; wasted: part of the
+    workers' work that earned nothing; inverted: value that the same work would have earned more, dearest
+    first; least: least served customer against the mean; back: seconds from the last trouble's end to 0.95,
+    -1: not in this run, -2: not to be told from it."""
 
     offered: float = 0.0
     earned: float = 0.0
@@ -101,7 +104,8 @@
         self._inversion(shed, plan["members"])
         self._share(shed, plan)
 
-    def _troubles(self, by: dict[str, list[Event]], plan: dict[str, Any]) -> list[tuple[int, int, str, list[str]]]:
+    def _troubles(self, by: dict[str, list[Event]],
+                  plan: dict[str, Any]) -> list[tuple[int, int, str, list[str]]]:
         rows = [(event.at, event.at + event.more["long"], event.more["kind"], event.more["members"])
                 for event in by.get("fault", [])]
         if plan.get("surge"):
@@ -131,7 +135,8 @@
         figures.repeats, figures.trials = kinds.count("repeat"), kinds.count("trial")
         figures.declined = len(by.get("shed.out", []))
         figures.bytes = by["overload.end"][0].more["bytes"] / plan["members"] / (end / SECOND)
-        # By the second of the first try: what was served, against the dearest that the same work could have been.
+        # By the second of the first try: what was served,
+        # against the dearest that the same work could have been.
         slots: dict[int, list[Event]] = {}
         for event in jobs.values():
             slots.setdefault(event.at // SECOND, []).append(event)
@@ -141,7 +146,8 @@
             for event in sorted(rows, key=lambda row: -row.more["value"] / row.more["work"]):
                 best += event.more["value"] * min(1.0, left / event.more["work"])
                 left = max(0.0, left - event.more["work"])
-            figures.inverted += best - sum(event.more["value"] for event in rows if event.more["job"] in earned)
+            figures.inverted += (best
+                                 - sum(event.more["value"] for event in rows if event.more["job"] in earned))
         customers: dict[str, list[float]] = {}
         for event in jobs.values():
             row = customers.setdefault(event.more["customer"], [0.0, 0.0])
@@ -163,7 +169,8 @@
                     self.by_member[event.more["member"]] = (
                         offered + event.more["value"], got + earned.get(event.more["job"], 0.0))
 
-    def _back(self, jobs: dict[int, Event], by: dict[str, list[Event]], plan: dict[str, Any], end: int) -> None:
+    def _back(self, jobs: dict[int, Event], by: dict[str, list[Event]], plan: dict[str, Any],
+              end: int) -> None:
         if not self.troubles:
             return
         begins, ends = self.troubles[0][0], max(row[1] for row in self.troubles)
@@ -175,7 +182,8 @@
 
         def part(since: int, until: int) -> float:
             """Earned in that time, by whoever comes, against what came for the first time."""
-            offered = sum(float(event.more["value"]) for event in order[bisect_left(moments, since):bisect_left(moments, until)])
+            offered = sum(float(event.more["value"])
+                          for event in order[bisect_left(moments, since):bisect_left(moments, until)])
             got = sum(float(value) for _, value in ran[bisect_left(when, since):bisect_left(when, until)])
             return got / max(1.0, offered)
         before = min(1.0, part(SECOND, begins))
@@ -188,7 +196,8 @@
         self.figures.back = (back - ends) / SECOND if back is not None else -1.0
         within = plan["back_within"]
         if within and (back is None or back - ends > within * SECOND):
-            self.breaks("back", ends, f"{self.figures.back:.1f} s; {part(ends, last):.3f} of what came since, "
+            self.breaks("back", ends,
+                        f"{self.figures.back:.1f} s; {part(ends, last):.3f} of what came since, "
                         f"{before:.3f} before")
 
     # Bounds.
@@ -223,11 +232,14 @@
             place = more["standing"] % 1.0
             before = draws.setdefault((more["customer"], more["key"], more["scheme"], more["period"]), place)
             if abs(before - place) > 1e-6:
-                self.breaks("same", event.at, f"{more['txn']} at {more['who']}: {place:.3f}, elsewhere {before:.3f}")
+                self.breaks("same", event.at,
+                            f"{more['txn']} at {more['who']}: {place:.3f}, elsewhere {before:.3f}")
             if event.what == "shed.in" and more["standing"] < more["level"]:
-                self.breaks("level", event.at, f"{more['txn']} let in at {more['standing']:.2f} under {more['level']:.2f}")
+                self.breaks("level", event.at,
+                            f"{more['txn']} let in at {more['standing']:.2f} under {more['level']:.2f}")
             if event.what == "shed.out" and more["standing"] >= more["level"]:
-                self.breaks("level", event.at, f"{more['txn']} out at {more['standing']:.2f} over {more['level']:.2f}")
+                self.breaks("level", event.at,
+                            f"{more['txn']} out at {more['standing']:.2f} over {more['level']:.2f}")
 
     def _levels(self, by: dict[str, list[Event]]) -> None:
         levels: dict[str, list[tuple[int, float]]] = {}
@@ -274,7 +286,8 @@
         for slot, (high, low, who) in slots.items():
             self.figures.widest = max(self.figures.widest, high - low)
             if high - low > views:
-                self.breaks("inversion", slot * SLOT, f"{who}: {high:.2f} declined, {low:.2f} let in elsewhere")
+                self.breaks("inversion", slot * SLOT,
+                            f"{who}: {high:.2f} declined, {low:.2f} let in elsewhere")
 
     def _share(self, shed: list[Event], plan: dict[str, Any]) -> None:
         came: dict[str, list[tuple[int, float]]] = {}
@@ -289,16 +302,19 @@
             for _, work in rows:
                 sums.append(sums[-1] + work)
             for event in shed:
-                if event.more["customer"] != customer or not event.more["over"] or event.at < 5 * SECOND or any(
-                        since <= event.at < until and event.more["who"] in members for since, until, members in apart):
+                if (event.more["customer"] != customer or not event.more["over"] or event.at < 5 * SECOND
+                        or any(since <= event.at < until and event.more["who"] in members
+                               for since, until, members in apart)):
                     continue  # who hears nobody goes by its part
                 # Over any of the last spans that views may be made from it would have to have been within.
-                spans = [(sums[bisect_left(moments, event.at)] - sums[bisect_left(moments, event.at - span)]) / span
+                spans = [(sums[bisect_left(moments, event.at)]
+                          - sums[bisect_left(moments, event.at - span)]) / span
                          for span in (SECOND, 2 * SECOND, 5 * SECOND)]
                 # Whoever hears a part of the fleet, dead or cut off, goes by that part of a share.
                 lost = sum(count for since, count in killed if since <= event.at)
                 if max(spans) < 0.7 * plan["allowance"] * (1.0 - lost / plan["members"]):
-                    self.breaks("share", event.at, f"{event.more['txn']} of {customer} is taken for over its share")
+                    self.breaks("share", event.at,
+                                f"{event.more['txn']} of {customer} is taken for over its share")
 
 
 def cut_off(on: Judge, alone: Judge) -> float:
--- a/pathsaddle/emulator/overload/leases.py
+++ b/pathsaddle/emulator/overload/leases.py
@@ -1,4 +1,5 @@
-"""The program's limiter over the ground's lossy ways: who asks whom goes as datagrams do, and each use is an event."""
+"""The program's limiter over the ground's lossy ways: who asks whom goes as datagrams do,
+and each use is an event."""
 
 from __future__ import annotations
 
@@ -20,9 +21,10 @@
         self.member = member
         dealt, first = {}, 0
         for budget, whole in units.items():
-            # What doesn't come out even goes to the next members for each budget, the same by everyone's reckoning:
-            # where a worker's budget holds less than one for each, all hold some at some workers.
-            dealt[budget] = Dealt(whole, whole // members + ((member.number - first) % members < whole % members), LEASE)
+            # What doesn't come out even goes to the next members for each budget, the same by everyone's
+            # reckoning: where a worker's budget holds less than one for each, all hold some at some workers.
+            dealt[budget] = Dealt(whole, whole // members
+                                  + ((member.number - first) % members < whole % members), LEASE)
             first = (first + whole % members) % members
         # All have been there for long: what a life before may have lent is no longer out.
         self.core = Limiter(member.name, LIFE, dealt, chance, -4 * LEASE)
--- a/pathsaddle/emulator/overload/plan.py
+++ b/pathsaddle/emulator/overload/plan.py
@@ -14,11 +14,11 @@
 
 
 class Trouble(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """lose: workers die, and come back. slow: workers are strength times slower. flap: workers lost each second.
-    cut: members hear nobody and are heard by nobody; oneway: they hear nobody. kill: members end, their clients come
-    to the rest. stall: members stand still. lies, mute: members tell strength times their load, or nothing. sick: the
-    workers swallow what the first half of the members sends. lossy: so many records are lost. share: of members or
-    workers. most: the members with the most load."""
+    """lose: workers die, and come back. slow: workers are strength times slower. flap: workers lost each
+    second. cut: members hear nobody and are heard by nobody; oneway: they hear nobody. kill: members end,
+    their clients come to the rest. stall: members stand still. lies, mute: members tell strength times their
+    load, or nothing. sick: the workers swallow what the first half of the members sends. lossy: so many
+    records are lost. share: of members or workers. most: the members with the most load."""
 
     kind: Literal["lose", "slow", "flap", "cut", "kill", "stall", "lies", "mute", "sick", "lossy"]
     at: float
@@ -30,8 +30,9 @@
 
 
 class Plan(msgspec.Struct, forbid_unknown_fields=True, frozen=True, kw_only=True):
-    """load: of capacity, as first tries. surge: (from, to, load) instead. again: how often a client comes again;
-    -1: without end. skew: how uneven the members' loads are; flood: what part the first customer sends."""
+    """load: of capacity, as first tries. surge: (from, to, load) instead. again: how often a client comes
+    again; -1: without end. skew: how uneven the members' loads are;
+    flood: what part the first customer sends."""
 
     name: str
     seconds: float = 30.0
@@ -46,7 +47,8 @@
     flood: float = 0.0
     bunched: bool = False  # all that come again on their own wait the same time
     troubles: list[Trouble] = msgspec.field(default_factory=list)
-    back_within: float = 0.0  # seconds from the last trouble or surge to 0.95 of the value before; 0: not judged
+    # seconds from the last trouble or surge to 0.95 of the value before; 0: not judged
+    back_within: float = 0.0
     policy: str = "fleet"
     mutant: str = ""
 
@@ -56,7 +58,8 @@
     about: str = ""
     seeds: list[int]
     plans: list[Plan]
-    mutants: dict[str, tuple[str, str]] = msgspec.field(default_factory=dict)  # (bound that is to break, on which plan)
+    # (bound that is to break, on which plan)
+    mutants: dict[str, tuple[str, str]] = msgspec.field(default_factory=dict)
 
 
 def of(path: Path) -> Smoke:
--- a/pathsaddle/emulator/overload/policies.py
+++ b/pathsaddle/emulator/overload/policies.py
@@ -1,14 +1,16 @@
-"""Who decides at one member of an emulated run: the program's gate, its mutants, and what is published elsewhere.
+"""Who decides at one member of an emulated run: the program's gate, its mutants,
+and what is published elsewhere.
 
 Each baseline is as small as its source allows, with the constants printed there:
 - whole: one dispatcher that sees all at first hand, with the gate: what the aim is held against.
 - alone: each dispatcher as today; all come and go as they like, advice is the longest for all.
-- dagor: Zhou and others, SoCC 2018: each server its own level of compound priority (business, then user by hash),
-  from its mean queuing time over a second or 2,000 calls; down by 5%, up by 1%.
-- breakwater: Cho and others, OSDI 2020: servers' queue delay makes credits; here each member holds credits in flight,
-  grown by a hundredth of the pool, cut by a
+- dagor: Zhou and others, SoCC 2018: each server its own level of compound priority (business, then user by
+  hash), from its mean queuing time over a second or 2,000 calls; down by 5%, up by 1%.
+- breakwater: Cho and others, OSDI 2020: servers' queue delay makes credits; here each member holds credits in
+  flight, grown by a hundredth of the pool, cut by a
   fiftieth of the excess of delay over its aim.
-- throttle: client-side throttling, SRE book, chapter 21: refuse with chance (requests - 2 accepts) / (requests + 1).
+- throttle: client-side throttling, SRE book, chapter 21: refuse with chance (requests - 2 accepts) /
+  (requests + 1).
 - finagle: its retry budget: 20% of calls over 10 s, and 10 a second besides.
 - envoy: its retry budget: 20% of active calls, at least three at once.
 - doorman: YouTube's: leases of capacity from one master by proportional share; out of reach, an even part.
@@ -78,12 +80,14 @@
 def ways_of(plan: Plan) -> Ways:
     slots = plan.workers * plan.slots
     share = slots / plan.customers
-    return Ways(SECRET, plan.members, MEAN_VALUE / RUN, {f"c{c}": 1.25 * share for c in range(plan.customers)},
+    return Ways(SECRET, plan.members, MEAN_VALUE / RUN,
+                {f"c{c}": 1.25 * share for c in range(plan.customers)},
                 0.1 * slots / 0.2, SECOND // 2, 8 * SECOND)
 
 
 def units_of(plan: Plan) -> dict[str, int]:
-    """Each budget in units a second: repeats a fifth of what can be served, looks three a txn, trials a handful."""
+    """Each budget in units a second: repeats a fifth of what can be served, looks three a txn,
+    trials a handful."""
     rate = plan.workers * plan.slots * SECOND // RUN
     units = {budgets.REPEAT: rate // 5, budgets.LOOK: 3 * rate, budgets.TRIAL: max(4, rate // 20)}
     for w in range(plan.workers):
@@ -337,7 +341,8 @@
 
 
 KINDS: dict[str, type[Policy]] = {
-    "alone": Policy, "whole": Fleet, "fleet": Fleet, "dagor": Dagor, "breakwater": Breakwater, "throttle": Throttle,
+    "alone": Policy, "whole": Fleet, "fleet": Fleet, "dagor": Dagor, "breakwater": Breakwater,
+    "throttle": Throttle,
     "finagle": Finagle, "envoy": Envoy, "doorman": Doorman}
 
 
--- a/pathsaddle/emulator/overload/processes.py
+++ b/pathsaddle/emulator/overload/processes.py
@@ -1,7 +1,9 @@
-"""Members as real processes at twice capacity, with what is between them broken, and their logs judged together.
+"""Members as real processes at twice capacity, with what is between them broken,
+and their logs judged together.
 
-A third hears nothing for a while; the one with the most load is stopped for longer than a lease and wakes with an old
-level, and meanwhile one is heard by nobody though it hears all; half are killed, and what they were offered comes to the rest. Faults are the ground's: relays, SIGSTOP, SIGKILL.
+A third hears nothing for a while; the one with the most load is stopped for longer than a lease and wakes
+with an old level, and meanwhile one is heard by nobody though it hears all; half are killed, and what they
+were offered comes to the rest. Faults are the ground's: relays, SIGSTOP, SIGKILL.
 `python -m pathsaddle.emulator.overload.processes` prints what broke and ends with 0 only if nothing did.
 """
 
@@ -71,14 +73,17 @@
         assert stdin is not None
         stdin.write(f"rate {rate}\n".encode())
     marks.append(Event(0, "overload.plan", {
-        "who": "k", "policy": "fleet", "members": MEMBERS, "surge": None, "back_within": 0.0, "returns": RETURNS,
+        "who": "k", "policy": "fleet", "members": MEMBERS, "surge": None, "back_within": 0.0,
+        "returns": RETURNS,
         "allowance": COULD}))
     marks += [Event(0, "share.budget", {"who": "d0", "budget": budget, "units": units})
               for budget, units in BUDGETS.items()]
     try:
         for number, name in enumerate(names):
-            told = {"name": name, "number": number, "members": MEMBERS, "start": start, "seed": seed, "could": COULD,
-                    "rate": RATE * (3 if number == 0 else 1), "listen": ways[name][0], "address": ways[name][1],
+            told = {"name": name, "number": number, "members": MEMBERS, "start": start, "seed": seed,
+                    "could": COULD,
+                    "rate": RATE * (3 if number == 0 else 1), "listen": ways[name][0],
+                    "address": ways[name][1],
                     "seeds": [ways[one][1] for one in names[:3]], "budgets": BUDGETS, "returns": RETURNS,
                     "lease": LEASE}
             files.append((folder / name).open("wb"))
@@ -96,7 +101,8 @@
         mark("fault", kind="stall", long=int((times.stop[1] - times.stop[0]) * SECOND), members=names[:1])
         processes["d0"].send_signal(signal.SIGSTOP)
         oneway = Blight(frozenset(["d1"]), frozenset(names[2:]), oneway=True, lost=1.0)
-        mark("fault", kind="cut", long=int((times.stop[1] - times.stop[0]) * SECOND), members=["d1"], oneway=True)
+        mark("fault", kind="cut", long=int((times.stop[1] - times.stop[0]) * SECOND), members=["d1"],
+             oneway=True)
         air.blights[oneway] = None
         await until(times.stop[1])
         air.blights.pop(oneway)
@@ -138,7 +144,8 @@
     for bound, at, what in judge.found[:20]:
         print(f"BROKEN {bound} at {at / SECOND:.2f} s: {what}")
     figures = judge.figures
-    print(f"{MEMBERS} processes, {len(rows)} events, {figures.postings} postings, {figures.repeats} repeats, {figures.trials} trials, "
+    print(f"{MEMBERS} processes, {len(rows)} events, {figures.postings} postings, {figures.repeats} repeats, "
+          f"{figures.trials} trials, "
           f"{figures.looks} looks, {figures.declined} declined, widest inversion {figures.widest:.2f} bands, "
           f"{figures.turns} turns, {figures.most_returns} returns in a second, {figures.bytes:.0f} B/s each")
     return 1 if judge.found else 0
--- a/pathsaddle/emulator/overload/smoke.py
+++ b/pathsaddle/emulator/overload/smoke.py
@@ -1,7 +1,9 @@
-"""Plays a plan of overload on its virtual ground, judges each run from its log alone, and prints the figures last.
+"""Plays a plan of overload on its virtual ground, judges each run from its log alone,
+and prints the figures last.
 
-`python -m pathsaddle.emulator.overload.smoke experiments/overload-smoke.toml`; it ends with 0 only if every bound held in
-every run and each mutant was found under its name. `--policy NAME` plays a baseline instead; `--json` prints rows.
+`python -m pathsaddle.emulator.overload.smoke experiments/overload-smoke.toml`; it ends with 0 only if every
+bound held in every run and each mutant was found under its name.
+`--policy NAME` plays a baseline instead; `--json` prints rows.
 """
 
 from __future__ import annotations
@@ -36,7 +38,8 @@
     began = time.process_time()
     judge = judged(plan, seed)
     cpu = time.process_time() - began
-    row: dict[str, Any] = {"plan": plan.name, "seed": seed, "policy": plan.policy, "mutant": plan.mutant, "cpu": cpu}
+    row: dict[str, Any] = {"plan": plan.name, "seed": seed, "policy": plan.policy, "mutant": plan.mutant,
+                           "cpu": cpu}
     if judge.by_member and plan.policy == "fleet":
         row["cut"] = cut_off(judge, judged(msgspec.structs.replace(plan, policy="alone"), seed))
     row |= {"broken": judge.broken, "first": [f"{bound} at {at / 10_000:.2f} s: {what}"
@@ -69,12 +72,13 @@
             bound, _ = smoke.mutants[row["mutant"]]
             caught = bound in row["broken"]
             good = good and caught
-            print(f"mutant {row['mutant']}: {'found' if caught else 'NOT FOUND'} under {bound} ({row['broken']})")
+            print(f"mutant {row['mutant']}: {'found' if caught else 'NOT FOUND'} under {bound} "
+                  f"({row['broken']})")
         elif row["broken"] and policy in ("", "fleet"):
             good = False
             print(f"BROKEN {row['plan']} seed {row['seed']}: {'; '.join(row['first'])}")
-    print(f"{'plan':<14}{'earned':>8}{'spread':>15}{'on time':>9}{'inverted':>10}{'least':>7}{'wasted':>8}{'repeats':>9}"
-          f"{'trials':>8}{'looks':>8}{'back s':>8}{'cut':>7}{'B/s':>8}{'cpu s':>7}")
+    print(f"{'plan':<14}{'earned':>8}{'spread':>15}{'on time':>9}{'inverted':>10}{'least':>7}{'wasted':>8}"
+          f"{'repeats':>9}{'trials':>8}{'looks':>8}{'back s':>8}{'cut':>7}{'B/s':>8}{'cpu s':>7}")
     for plan in smoke.plans:
         mine = [row for row in rows if row["plan"] == plan.name and not row["mutant"]]
         parts = [row["earned"] / row["offered"] for row in mine]
@@ -85,11 +89,12 @@
         back = "-" if min(backs) < -1 else "never" if min(backs) < 0 else f"{max(backs):.2f}"
         cut = f"{min(row['cut'] for row in mine):.3f}" if "cut" in mine[0] else "-"
         print(f"{plan.name:<14}{sum(parts) / len(parts):>8.3f}{f'{min(parts):.3f}..{max(parts):.3f}':>15}"
-              f"{mean('on_time') / mean('offered'):>9.3f}{mean('inverted') / mean('offered'):>10.3f}{mean('least'):>7.2f}"
-              f"{mean('wasted'):>8.4f}{mean('repeats'):>9.0f}{mean('trials'):>8.0f}{mean('looks'):>8.0f}{back:>8}{cut:>7}"
-              f"{mean('bytes'):>8.0f}{mean('cpu'):>7.2f}")
+              f"{mean('on_time') / mean('offered'):>9.3f}{mean('inverted') / mean('offered'):>10.3f}"
+              f"{mean('least'):>7.2f}{mean('wasted'):>8.4f}{mean('repeats'):>9.0f}{mean('trials'):>8.0f}"
+              f"{mean('looks'):>8.0f}{back:>8}{cut:>7}{mean('bytes'):>8.0f}{mean('cpu'):>7.2f}")
+    held = "all bounds held" if good else "BROKEN"
     print(f"{len(rows)} runs in {time.monotonic() - began:.1f} s, emulated: "
-          f"{policy + ', not judged' if policy not in ('', 'fleet') else 'all bounds held' if good else 'BROKEN'}")
+          f"{policy + ', not judged' if policy not in ('', 'fleet') else held}")
     return 0 if good else 1
 
 
--- a/pathsaddle/fleet/overload/beside.py
+++ b/pathsaddle/fleet/overload/beside.py
@@ -1,8 +1,9 @@
 """The gate beside a real Choice: what it is asked in trade's words, put in the fleet's.
 
-It reads the mechanism's books, and writes but one thing: a suspect whose trial is refused is shut for a moment. What identifies a txn to all is its customer, its key (its hint and size
-where it has none) and its scheme, by the charter's numbers; workers share a few budgets by the lot drawn from
-their name. List calls ask none: rule 3 needs no other dispatcher.
+It reads the mechanism's books, and writes but one thing: a suspect whose trial is refused is shut for a
+moment. What identifies a txn to all is its customer, its key (its hint and size where it has none) and its
+scheme, by the charter's numbers; workers share a few budgets by the lot drawn from their name. List calls ask
+none: rule 3 needs no other dispatcher.
 """
 
 from __future__ import annotations
@@ -22,7 +23,8 @@
 
 
 def place(worker: Worker) -> str:
-    """Whose budget it is, alike at all members; workers that share one are together bound by what bounds each."""
+    """Whose budget it is, alike at all members; workers that share one are together bound by what bounds
+    each."""
     return f"w{worker.lot % PLACES}"
 
 
@@ -39,7 +41,8 @@
         key = txn.key if txn.key is not None else f"{txn.hint} {txn.slots} {txn.memory}"
         customer = str(txn.customer.index) if txn.customer is not None else ""
         spent = sum(run * txn.slots * 0.5 for posting in txn.postings if posting.may_have_run)
-        return Ask(customer, key, str(txn.scheme.index), choice.worth(txn), txn.scheme.late_value, run * txn.slots,
+        return Ask(customer, key, str(txn.scheme.index), choice.worth(txn), txn.scheme.late_value,
+                   run * txn.slots,
                    choice.in_time_until(txn) + int(run) - choice.now, int(run), spent, txn.repeat)
 
     def looks_at(self, choice: Choice) -> None:
@@ -87,8 +90,9 @@
         return self.core.goes_out(budgets.LOOK, place(worker), choice.now)
 
     def come_back(self, txn: Txn, choice: Choice) -> int:
-        """None where clients take none; what lies past the longest that the deployment allows is not said either, for
-        cut down to it all would be told the same."""
+        """None where clients take none; what lies past the longest that the deployment allows is not said
+        either, for cut down to it all would be told the same."""
         verdict = self.verdicts.pop(txn, None)
-        wait = verdict.come_back if verdict is not None else self.core.advises(self.ask_of(txn, choice), choice.now)
+        wait = (verdict.come_back if verdict is not None
+                else self.core.advises(self.ask_of(txn, choice), choice.now))
         return wait if wait <= choice.come_back else 0
--- a/pathsaddle/fleet/overload/budgets.py
+++ b/pathsaddle/fleet/overload/budgets.py
@@ -1,8 +1,9 @@
 """What all members together may do beside first postings, and what falls on one worker of it.
 
-Bound: in any second, over all members, no more of a kind than its budget for the fleet, and at any worker no more than
-its budget there: as far as the limiter's own bound goes (shares on lease: nothing has to arrive for it). Who hears
-nothing has its part; what a part holds none of does not happen, and the first posting of a txn never asks.
+Bound: in any second, over all members, no more of a kind than its budget for the fleet, and at any worker no
+more than its budget there: as far as the limiter's own bound goes (shares on lease: nothing has to arrive for
+it). Who hears nothing has its part; what a part holds none of does not happen,
+and the first posting of a txn never asks.
 """
 
 from __future__ import annotations
@@ -20,7 +21,8 @@
 
 
 class Budgets:
-    """The limiter raises KeyError for a name that the charter deals nothing for: such a budget binds nothing."""
+    """The limiter raises KeyError for a name that the charter deals nothing for: such a budget binds
+    nothing."""
 
     def __init__(self, limiter: Limiter) -> None:
         self.limiter = limiter
--- a/pathsaddle/fleet/overload/driver.py
+++ b/pathsaddle/fleet/overload/driver.py
@@ -16,10 +16,11 @@
 
 
 class Levels:
-    """One process's gate in its fleet. `before`: called before each of its moments, to tell it what was seen; `after` it,
-    with the level as it stands."""
+    """One process's gate in its fleet. `before`: called before each of its moments, to tell it what was seen;
+    `after` it, with the level as it stands."""
 
-    def __init__(self, fellows: Fellows, gate: Gate, before: Callable[[], None], after: Callable[[], None]) -> None:
+    def __init__(self, fellows: Fellows, gate: Gate, before: Callable[[], None],
+                 after: Callable[[], None]) -> None:
         assert fellows.shared is not None, "a charter with [fleet.budgets] has shared state"
         self.fellows, self.shared, self.gate = fellows, fellows.shared, gate
         self.before, self.after = before, after
@@ -39,7 +40,8 @@
         due = now + TELLS
         try:
             due = self._moment(now)
-        except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is: the gate goes by its own part meanwhile
+        except Exception as fault:  # noqa: BLE001
+            # a defect of ours, whatever it is: the gate goes by its own part meanwhile
             self.fellows.counters.add("fleet.fault")
             logbook.fault_level(fault, why=f"{type(fault).__name__} {fault}")
         self._alarm = self._events.call_later(max(0.0, seconds(due - now)), self._wake)
--- a/pathsaddle/fleet/overload/gate.py
+++ b/pathsaddle/fleet/overload/gate.py
@@ -1,12 +1,13 @@
 """One member's gate: whether a txn is let in, whether a posting may go out, what it tells the others.
 
-Free of I/O: it is fed moments, what this member saw and the others' records; `word` says what to tell. Where nothing is
-heard it goes by its own part of what can be served and by what its own postings meet, and every bound of the package
-holds all the same (docs/overload.md).
-
-Out of it again. Nothing waits for a fixed time: the level falls as the sums do, and past the sums a trim rises while
-slots are seen idle and falls while lines are seen. What a trigger leaves behind (returns, held txns, repeats) is offered
-work like any other: it stands in its bands, its repeats in a budget, and so can't keep up what it feeds on.
+Free of I/O: it is fed moments, what this member saw and the others' records; `word` says what to tell. Where
+nothing is heard it goes by its own part of what can be served and by what its own postings meet, and every
+bound of the package holds all the same (docs/overload.md).
+
+Out of it again. Nothing waits for a fixed time: the level falls as the sums do, and past the sums a trim
+rises while slots are seen idle and falls while lines are seen. What a trigger leaves behind (returns, held
+txns, repeats) is offered work like any other: it stands in its bands, its repeats in a budget,
+and so can't keep up what it feeds on.
 """
 
 from __future__ import annotations
@@ -24,14 +25,17 @@
 from pathsaddle.fleet.overload.word import TELLS, Word, packed, read, short
 from pathsaddle.trade import SECOND
 
-Row = tuple[str, int, int, bytes, tuple[int, int | None]]  # name, life, version, body, age at the least, at most
+# name, life, version, body, age at the least, at most
+Row = tuple[str, int, int, bytes, tuple[int, int | None]]
 REMEMBERS = SECOND  # over what time offered work is averaged, by band
 STEADY = 4 * SECOND  # and all of it, against bursts
 WAKES = SECOND // 10
-LEAST, MOST = 0.5, 1.5  # between which a trim stays; the mechanism may know workers to be smaller than they are
+# between which a trim stays; the mechanism may know workers to be smaller than they are
+LEAST, MOST = 0.5, 1.5
 LINE, IDLE = 0.25, 0.06  # waiting jobs a slot that are a line; free slots that are idle
-STEP = 0.01  # of a trim, a wake: as the line or the idle slots are long; four times that wound down to a half while a
+# of a trim, a wake: as the line or the idle slots are long; four times that wound down to a half while a
 # line of three seconds was worked off, and a fifth of all slots stood idle for ten
+STEP = 0.01
 HEARD = 0.9  # of all parts: less is a fleet cut in two, or half of it dead, which nobody can tell apart
 MORE = 1.25  # over its share by less than that is what chance brings in a second
 KNOWN = 2048  # declined txns that are remembered
@@ -83,7 +87,8 @@
 
 
 class Gate:
-    """name: its own, as the records' rows name it. number: its place among the members by the charter, from 0."""
+    """name: its own, as the records' rows name it. number: its place among the members by the charter,
+    from 0."""
 
     def __init__(self, ways: Ways, name: str, number: int, limiter: Limiter, now: int) -> None:
         self.ways, self.name, self.now = ways, name, now
@@ -97,20 +102,23 @@
         self.shorts_of = {who: short(who) for who in ways.allowances}
         self.could = 0.0
         self.trim = 1.0
-        self.idle, self.line = 0.0, 0.0  # of the slots seen lately: free, and jobs waiting for each of our part
+        # of the slots seen lately: free, and jobs waiting for each of our part
+        self.idle, self.line = 0.0, 0.0
         self.turned = 0.0  # of the last postings, how many were turned away
-        self.heard: dict[str, tuple[int, int, Word, int]] = {}  # (life, version, word, told at, the latest by our clock)
+        # (life, version, word, told at, the latest by our clock)
+        self.heard: dict[str, tuple[int, int, Word, int]] = {}
         self.sums = Sums([self.own(now)], self.part)
         self.overs: dict[str, float] = {}  # by customer: what part is beyond its share
         self.known: dict[tuple[str, str, str], int] = {}  # declined with advice: not before
-        # Two hundred records each tenth of a second would be a fortieth of a core; three times in a second is enough.
+        # Two hundred records each tenth of a second would be a fortieth of a core;
+        # three times in a second is enough.
         self.every = max(WAKES, WAKES * ways.members // 64)
 
     # What this member saw.
 
     def sees(self, could: float, idle: float, line: float) -> None:
-        """Of the workers as this member knows them now. could: slots that can be kept busy, pace included; idle: what
-        part is free; line: jobs that wait, there and with us, for each slot of our part."""
+        """Of the workers as this member knows them now. could: slots that can be kept busy, pace included;
+        idle: what part is free; line: jobs that wait, there and with us, for each slot of our part."""
         self.could, self.idle, self.line = could, idle, line
 
     def came_of(self, turned_away: bool) -> None:
@@ -119,9 +127,10 @@
     # What others told.
 
     def hears(self, rows: Iterable[Row], now: int) -> None:
-        """The others' records as the fleet's layer has them. A record counts for STALE from when it was written at the
-        earliest, or from when it came where nobody answers for that: who is not heard has its part, and nothing said of
-        it is taken for word. An age too low makes a level older, and breaks no bound."""
+        """The others' records as the fleet's layer has them. A record counts for STALE from when it was
+        written at the earliest, or from when it came where nobody answers for that: who is not heard has its
+        part, and nothing said of it is taken for word. An age too low makes a level older,
+        and breaks no bound."""
         for name, life, version, body, (youngest, oldest) in rows:
             held = self.heard.get(name)
             if name == self.name or held is not None and (life, version) <= held[:2]:
@@ -143,7 +152,8 @@
         rates = {who: rate for who, fading in self.customers.items() if (rate := fading.rate(now)) > 0.0}
         if len(rates) > TELLS:
             rates = {who: rates[who] for who in sorted(rates, key=lambda who: (-rates[who], who))[:TELLS]}
-        return Word(self.could, self.trim, self.idle, self.line, self.steady.rate(now), [fading.rate(now) for fading in self.offered],
+        return Word(self.could, self.trim, self.idle, self.line, self.steady.rate(now),
+                    [fading.rate(now) for fading in self.offered],
                     {short(who): rate for who, rate in rates.items()})
 
     def word(self, now: int) -> bytes:
@@ -162,9 +172,10 @@
         return now + self.every
 
     def shares(self, sums: Sums) -> None:
-        """What part of each customer's txns is beyond its share. Where the middle customer is over its own, all shares
-        grow by as much: a surge of everybody's is for the level to judge by value, and a flood of one does not move the
-        middle. Heard in part, a customer has that part of its share, and more as trims tell of room."""
+        """What part of each customer's txns is beyond its share. Where the middle customer is over its own,
+        all shares grow by as much: a surge of everybody's is for the level to judge by value, and a flood of
+        one does not move the middle. Heard in part, a customer has that part of its share,
+        and more as trims tell of room."""
         ratios = {}
         for who, allowance in self.ways.allowances.items():
             rate = sums.customers.get(self.shorts_of[who], 0.0)
@@ -191,8 +202,8 @@
     # The question, and its answer.
 
     def lets_in(self, ask: Ask, now: int) -> Verdict:
-        """Asked once for each try, before its first posting. Who stood still goes by what it knows now, not by what it
-        worked out before: words have aged meanwhile."""
+        """Asked once for each try, before its first posting. Who stood still goes by what it knows now, not
+        by what it worked out before: words have aged meanwhile."""
         if now - self.now > 5 * self.every:
             self.wake(now)
         place, period = drawn(self.ways.secret, ask, now)
@@ -209,10 +220,12 @@
             self.steady.add(ask.work, now)
             if ask.customer in self.ways.allowances:
                 self.customers.setdefault(ask.customer, Fading(now)).add(ask.work, now)
-        # While the fleet sheds, what can't be in time goes first, also where late answers earn something: at 2x it took
-        # the room of what could be (0.81 of the value for 0.84, one that sees all, emulated). Else the mechanism decides.
-        # Who comes before its time while a level stands waits out what it was told: advice that need not be kept bunches.
-        if stands >= level and (level == 0.0 and ask.late > 0.0 or ask.left >= ask.run) and not (early and level > 0.0):
+        # While the fleet sheds, what can't be in time goes first, also where late answers earn something: at
+        # 2x it took the room of what could be (0.81 of the value for 0.84, one that sees all, emulated). Else
+        # the mechanism decides. Who comes before its time while a level stands waits out what it was told:
+        # advice that need not be kept bunches.
+        if (stands >= level and (level == 0.0 and ask.late > 0.0 or ask.left >= ask.run)
+                and not (early and level > 0.0)):
             self.known.pop(mark, None)
             return Verdict(True, stands, level, over, period=period)
         why = "level" if stands < level else "early" if early else "late"
--- a/pathsaddle/fleet/overload/level.py
+++ b/pathsaddle/fleet/overload/level.py
@@ -1,17 +1,19 @@
-"""The level: what stands below it is declined at once, by every member that knows the same sums at the same place.
-
-Bound (differ): two members whose sums lead to levels t and u differ at most by |t - u| + 2 DEAD, once each has had
-|t - u| / FALLS seconds; sums that differ by a part e of what could be served, where marginal bands hold at least a part m
-of it, lead to levels that differ by e / m bands.
-Bound (part): one member's word, whatever it says, counts in offered work as at most TWICE times what the middle
-member offers, or its own part of what could be served where that is more, and in what could be served as one of n voices
-of a mean clipped to half and twice the middle one.
+"""The level: what stands below it is declined at once,
+by every member that knows the same sums at the same place.
+
+Bound (differ): two members whose sums lead to levels t and u differ at most by |t - u| + 2 DEAD, once each
+has had |t - u| / FALLS seconds; sums that differ by a part e of what could be served, where marginal bands
+hold at least a part m of it, lead to levels that differ by e / m bands.
+Bound (part): one member's word, whatever it says, counts in offered work as at most TWICE times what the
+middle member offers, or its own part of what could be served where that is more, and in what could be served
+as one of n voices of a mean clipped to half and twice the middle one.
 Bound (pace): in any second a level rises by at most RISES and falls by at most FALLS bands.
-Bound (turns): while the sums call for a level within DEAD of the one that stands, it stands; within DEAD over the root
-of the part heard, where that is not the whole: ten times as far where it is a hundredth. It moves slower by that root as
-well, to a quarter.
+Bound (turns): while the sums call for a level within DEAD of the one that stands, it stands; within DEAD over
+the root of the part heard, where that is not the whole: ten times as far where it is a hundredth. It moves
+slower by that root as well, to a quarter.
 
-Whoever is not heard keeps its part of what can be served: the rest share theirs, and what trims teach them above it.
+Whoever is not heard keeps its part of what can be served: the rest share theirs,
+and what trims teach them above it.
 """
 
 from __future__ import annotations
@@ -61,8 +63,9 @@
             rows = [[one * scale for one in word.offered] if scale < 1.0 else word.offered
                     for word, scale in zip(words, scales)]
         self.offered = [sum(column) for column in zip(*rows)] if rows else [0.0] * BANDS
-        # A burst of a second is not overload: lines take it up. A second that is quieter than those before it counts at
-        # once. The lesser of both is taken of the sum: of each member's own few txns it would be far under the truth.
+        # A burst of a second is not overload: lines take it up. A second that is quieter than those before it
+        # counts at once. The lesser of both is taken of the sum: of each member's own few txns it would be
+        # far under the truth.
         whole = sum(self.offered)
         steady = sum(word.steady * scale for word, scale in zip(words, scales))
         if 0.0 < steady < whole:
@@ -98,8 +101,9 @@
         self.at = now
 
     def moves(self, target: float, heard: float, now: int) -> float:
-        """Towards the target at its pace. A small step only where the target is the floor: there it must not hang.
-        heard: part of the fleet that the sums are from; few txns jump about more than many, by the root."""
+        """Towards the target at its pace. A small step only where the target is the floor: there it must not
+        hang. heard: part of the fleet that the sums are from; few txns jump about more than many,
+        by the root."""
         spent = min(SECOND, max(0, now - self.at)) / SECOND  # a stall of our own is no licence to leap
         self.at = max(self.at, now)
         off = target - self.stands
--- a/pathsaddle/fleet/overload/standing.py
+++ b/pathsaddle/fleet/overload/standing.py
@@ -1,10 +1,10 @@
 """Where a txn stands among all of the fleet, worked out alike by whoever has it.
 
-A standing is a number: a band (half an octave of value for each unit of work that is still to be done) and, within the
-band, a draw from what identifies the txn to all. So the order of any two txns is the same at every member, and a
-level cuts it at the same place wherever a client asks. The draw is keyed and changes each period, or the same
-customers' keys would be shed all day; it changes for each of them at a moment of its own, or a whole band would turn
-over at once.
+A standing is a number: a band (half an octave of value for each unit of work that is still to be done) and,
+within the band, a draw from what identifies the txn to all. So the order of any two txns is the same at every
+member, and a level cuts it at the same place wherever a client asks. The draw is keyed and changes each
+period, or the same customers' keys would be shed all day; it changes for each of them at a moment of its own,
+or a whole band would turn over at once.
 """
 
 from __future__ import annotations
@@ -38,8 +38,9 @@
 
 
 def drawn(secret: bytes, ask: Ask, now: int, what: bytes = b"") -> tuple[float, int]:
-    """A number from 0 to 1, and its period, that are the same at every member for as long as the period lasts. `now` by Unix time:
-    clocks that differ by d disagree for d of each period, which changes the choice but no bound."""
+    """A number from 0 to 1, and its period, that are the same at every member for as long as the period
+    lasts. `now` by Unix time: clocks that differ by d disagree for d of each period,
+    which changes the choice but no bound."""
     name = b"\0".join(part.encode() for part in (ask.customer, ask.key, ask.scheme))
     shift = int.from_bytes(blake2b(name, digest_size=4, key=secret).digest()) % PERIOD
     period = (now + shift) // PERIOD
--- a/pathsaddle/fleet/overload/word.py
+++ b/pathsaddle/fleet/overload/word.py
@@ -1,7 +1,8 @@
 """What a member tells of its load: one record of at most 200 bytes, whatever its size or trouble.
 
-Form: version, what it could serve, trim, what stood idle, what waited, all offered work over some seconds, offered work by band, then the customers that offer most, each by a short hash.
-Rates are slot-ticks a tick, that is, slots kept busy. A record that is none raises BadWord and is passed over.
+Form: version, what it could serve, trim, what stood idle, what waited, all offered work over some seconds,
+offered work by band, then the customers that offer most, each by a short hash. Rates are slot-ticks a tick,
+that is, slots kept busy. A record that is none raises BadWord and is passed over.
 """
 
 from __future__ import annotations
@@ -58,5 +59,6 @@
                       "bring all members to one release") from None
     figures = [could, trim, free, line, steady, *offered, *(rate for _, rate in rows)]
     if form != FORM or len(body) > MOST or not all(isfinite(part) and part >= 0.0 for part in figures):
-        raise BadWord(f"a record of form {form} with figures that are none", "bring all members to one release")
+        raise BadWord(f"a record of form {form} with figures that are none",
+                      "bring all members to one release")
     return Word(could, trim, free, line, steady, list(offered), dict(rows))
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -36,7 +36,8 @@
 
 
 def ways(members: int = 4, **more: float) -> Ways:
-    return Ways(b"secret", members, 0.001, {f"c{c}": 10.0 for c in range(4)}, more.get("returns", 20.0), SECOND // 2,
+    return Ways(b"secret", members, 0.001, {f"c{c}": 10.0 for c in range(4)}, more.get("returns", 20.0),
+                SECOND // 2,
                 8 * SECOND)
 
 
@@ -198,7 +199,8 @@
             self.stands(gate, 0, 2)
         self.assertGreater(one.level.stands, 7.0)
         for n in range(200):
-            first, second = one.lets_in(ask(2.0, key=f"k{n}"), 21_000), other.lets_in(ask(2.0, key=f"k{n}"), 21_000)
+            first, second = (one.lets_in(ask(2.0, key=f"k{n}"), 21_000),
+                             other.lets_in(ask(2.0, key=f"k{n}"), 21_000))
             self.assertEqual((first.let, first.stands), (second.let, second.stands))
 
     def test_a_next_try_within_its_advised_wait_is_told_the_rest_of_it_and_counted_once(self) -> None:
@@ -316,7 +318,8 @@
     def test_the_mechanism_loads_nothing_of_it(self) -> None:
         look = ("import sys, pathsaddle.loop, pathsaddle.cli.main, pathsaddle.net.service.start;"
                 "print([name for name in sys.modules if 'overload' in name])")
-        out = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, check=True, timeout=60)
+        out = subprocess.run([sys.executable, "-c", look], capture_output=True, text=True, check=True,
+                             timeout=60)
         self.assertEqual("[]", out.stdout.strip())
 
 
--- a/tests/test_overload_ground.py
+++ b/tests/test_overload_ground.py
@@ -1,4 +1,5 @@
-"""Hard cases of overload on its ground, judged from the log alone; and the judge, by histories that are bad."""
+"""Hard cases of overload on its ground, judged from the log alone; and the judge,
+by histories that are bad."""
 
 from __future__ import annotations
 
@@ -28,7 +29,8 @@
         return judge
 
     def test_the_same_seed_is_the_same_run(self) -> None:
-        one, other = (Ground(Plan(name="same", seconds=4.0, members=5, load=1.5), 3).run().digest() for _ in range(2))
+        one, other = (Ground(Plan(name="same", seconds=4.0, members=5, load=1.5), 3).run().digest()
+                      for _ in range(2))
         self.assertEqual(one, other)
 
     def test_a_third_hears_nothing_at_twice_capacity_and_loses_nothing_by_it(self) -> None:
@@ -43,7 +45,8 @@
         self.assertGreaterEqual(cut_off(on, alone), 0.99)
 
     def test_after_a_surge_with_clients_without_end_it_is_back_where_alone_it_stays_down(self) -> None:
-        more: dict[str, Any] = {"seconds": 24.0, "load": 0.9, "again": -1, "surge": (5.0, 11.0, 3.0), "back_within": 5.0}
+        more: dict[str, Any] = {"seconds": 24.0, "load": 0.9, "again": -1, "surge": (5.0, 11.0, 3.0),
+                                "back_within": 5.0}
         self.holds(**more)
         self.assertEqual(["back"], judged(policy="alone", **more).broken)
 
@@ -75,7 +78,8 @@
         self.assertGreater(back.figures.trials, 0)
 
     def test_level_reached_and_left_many_times(self) -> None:
-        self.holds(seconds=20.0, load=1.0, troubles=[Trouble("slow", 2.0 * n, 1.0, 0.5, 1.5) for n in range(2, 9)])
+        self.holds(seconds=20.0, load=1.0,
+                   troubles=[Trouble("slow", 2.0 * n, 1.0, 0.5, 1.5) for n in range(2, 9)])
 
     def test_200_members_at_a_txn_a_second_each(self) -> None:
         two = self.holds(seconds=6.0, members=200, load=0.83)
@@ -98,7 +102,8 @@
     return Event(int(at * SECOND), what, {"who": who} | more)
 
 
-def shed(at: float, let: bool, stands: float, level: float, who: str = "d0", key: str = "k", **more: Any) -> Event:
+def shed(at: float, let: bool, stands: float, level: float, who: str = "d0", key: str = "k",
+         **more: Any) -> Event:
     return line(at, "shed.in" if let else "shed.out", who, **({
         "txn": f"{key}{at}", "customer": "c0", "key": key, "scheme": "s", "period": 1, "standing": stands,
         "level": level, "over": False, "work": 10, "wait": 0, "why": "level"} | more))
@@ -110,7 +115,8 @@
 
     def found(self, *rows: Event) -> list[str]:
         judge = Judge()
-        judge.read([self.PLAN, line(0, "share.budget", budget="repeat", units=2), *rows, line(60, "overload.end", bytes=0)])
+        judge.read([self.PLAN, line(0, "share.budget", budget="repeat", units=2), *rows,
+                    line(60, "overload.end", bytes=0)])
         return judge.broken
 
     def test_a_plain_history_is_good(self) -> None:
@@ -122,14 +128,19 @@
     def test_bad_ones_are_found_under_their_names(self) -> None:
         rows = [line(20 + n / 10, "post.sent", kind="repeat", worker="w0") for n in range(3)]
         self.assertEqual(["budgets"], self.found(*rows))
-        self.assertEqual(["inversion"], self.found(shed(20, False, 9.5, 9.9), shed(20, True, 7.1, 7.0, "d1", "l")))
+        self.assertEqual(["inversion"],
+                         self.found(shed(20, False, 9.5, 9.9), shed(20, True, 7.1, 7.0, "d1", "l")))
         self.assertEqual(["same"], self.found(shed(20, False, 8.5, 8.6), shed(22, False, 8.2, 8.6, "d1")))
         self.assertEqual(["level"], self.found(shed(20, True, 8.5, 8.6)))
-        self.assertEqual(["returns"], self.found(*(shed(20 + n, False, 1.0, 2.0, key=f"k{n}", wait=(9 - n) * SECOND)
-                                                   for n in range(4))))
-        self.assertEqual(["pace"], self.found(line(20, "shed.level", level=0.0), line(20.1, "shed.level", level=4.0)))
-        self.assertEqual(["turns"], self.found(*(line(20 + n, "shed.level", level=3.0 * (n % 2)) for n in range(12))))
-        self.assertEqual(["share"], self.found(*(shed(20 + n, False, 1.0, 2.0, key=f"k{n}", over=True) for n in range(2))))
+        self.assertEqual(["returns"],
+                         self.found(*(shed(20 + n, False, 1.0, 2.0, key=f"k{n}", wait=(9 - n) * SECOND)
+                                      for n in range(4))))
+        self.assertEqual(["pace"],
+                         self.found(line(20, "shed.level", level=0.0), line(20.1, "shed.level", level=4.0)))
+        self.assertEqual(["turns"],
+                         self.found(*(line(20 + n, "shed.level", level=3.0 * (n % 2)) for n in range(12))))
+        self.assertEqual(["share"], self.found(*(shed(20 + n, False, 1.0, 2.0, key=f"k{n}", over=True)
+                                                 for n in range(2))))
 
     def test_good_ones_that_look_bad_are_let_be(self) -> None:
         # Another second, another period, a member that is cut off, a slow rise.
