--- a/pathsaddle/emulator/ownership/faults.py
+++ b/pathsaddle/emulator/ownership/faults.py
@@ -1,7 +1,9 @@
-"""Random trouble for owners, drawn from a seed: what may happen to hosts, links and disks, and never more than is allowed.
+"""Random trouble for owners, drawn from a seed: what may happen to hosts, links and disks,
+and never more than is allowed.
 
-Allowed is: anything to anybody, but the disk of one voter at a time lost, torn or exchanged for an older copy, and only
-while all others have theirs. A majority of lost disks is a matter for the operator (docs/ownership.md).
+Allowed is: anything to anybody, but the disk of one voter at a time lost, torn or exchanged for an older
+copy, and only while all others have theirs. A majority of lost disks is a matter for the operator
+(docs/ownership.md).
 """
 
 from __future__ import annotations
@@ -11,7 +13,8 @@
 from pathsaddle.emulator.ownership.ground import Disk, Ground, MemberHost, VoterHost
 from pathsaddle.trade import MILLISECOND, SECOND
 
-KINDS = ("cut", "cut-owner", "lag-owner", "oneway", "split", "stall", "stall-owner", "kill", "kill-owner", "kill-voters", "kill-syncing", "terminate",
+KINDS = ("cut", "cut-owner", "lag-owner", "oneway", "split", "stall", "stall-owner", "kill", "kill-owner",
+         "kill-voters", "kill-syncing", "terminate",
          "disk-lost", "disk-old", "disk-torn", "disk-slow", "disk-full", "spell", "spell")
 
 
@@ -107,7 +110,8 @@
             name = self.owner()
             back = [(voter, name) for voter in ground.voters]
             ground.lags.update(dict.fromkeys(back, chance.randrange(1000, 9000)))
-            ground.put(ground.at + 2 * SECOND, lambda: self.cut([(name, voter) for voter in ground.voters], 2 * SECOND))
+            ground.put(ground.at + 2 * SECOND,
+                       lambda: self.cut([(name, voter) for voter in ground.voters], 2 * SECOND))
             ground.put(ground.at + 4 * SECOND, ground.lags.clear)
         elif kind == "split":
             side = {name: chance.randrange(2 + (chance.random() < 0.3)) for name in names}
@@ -135,7 +139,8 @@
             ground.put(ground.at + chance.randrange(2 * SECOND, 5 * SECOND), lambda: self.up(name))
         elif kind == "spell":
             ground.slow = chance.choice((0, 0, 2000, 6000))
-            ground.lost, ground.doubled, ground.late = (chance.choice((0.0, 0.1, 0.4)), chance.choice((0.0, 0.2)),
+            ground.lost, ground.doubled, ground.late = (chance.choice((0.0, 0.1, 0.4)),
+                                                        chance.choice((0.0, 0.2)),
                                                         chance.choice((0.0, 0.02)))
         else:
             return self.disk(kind, ground.hosts[chance.choice(ground.voters)], span)
--- a/pathsaddle/emulator/ownership/ground.py
+++ b/pathsaddle/emulator/ownership/ground.py
@@ -1,8 +1,9 @@
-"""Voters, candidates and a place of effect in virtual time: the cores themselves run, everything under them is made here.
+"""Voters, candidates and a place of effect in virtual time: the cores themselves run,
+everything under them is made here.
 
-A host has a clock that may be off, may be stopped and go on, may be killed; a voter has a disk that keeps what was synced
-and any part of what was not. What is sent meets cuts by ordered pair, loss, doubling, and copies that come minutes late.
-One seed, one run.
+A host has a clock that may be off, may be stopped and go on, may be killed; a voter has a disk that keeps
+what was synced and any part of what was not. What is sent meets cuts by ordered pair, loss, doubling, and
+copies that come minutes late. One seed, one run.
 """
 
 from __future__ import annotations
@@ -91,7 +92,8 @@
         self.inbox, self.syncing = [], None
         disk = self.disk
         start = max(disk.start + 1, self.ground.at)
-        self.voter = Voter(self.name, self.ground.voters, disk.rows, disk.starts, start, disk.whole, self.now())
+        self.voter = Voter(self.name, self.ground.voters, disk.rows, disk.starts, start, disk.whole,
+                           self.now())
         self.tick()
 
     def tick(self) -> None:
@@ -161,7 +163,8 @@
 
 
 class MemberHost(Host):
-    """A candidate for all keys; while it owns one it acts: looks, and a while later its effect is on its way."""
+    """A candidate for all keys; while it owns one it acts: looks,
+    and a while later its effect is on its way."""
 
     def __init__(self, ground: Ground, name: str, rate: float, prefers: bool) -> None:
         super().__init__(ground, name, rate)
@@ -219,7 +222,8 @@
             elif ground.chance.random() < 0.02:
                 ask = self.owner.read(key, self.now())
                 if ask:
-                    ground.log("reg.call", self.name, op=f"{self.name}/{self.owner.life}/{ask}", key=key, kind="read")
+                    ground.log("reg.call", self.name, op=f"{self.name}/{self.owner.life}/{ask}", key=key,
+                               kind="read")
         self.flush()
         self.later(ground.pause, self.work)
 
@@ -250,8 +254,8 @@
 
 
 class Ground:
-    """lost, doubled, late: parts of what is sent; `late`: comes again up to two minutes later. hasty, talkative,
-    unfenced: what mutants break."""
+    """lost, doubled, late: parts of what is sent; `late`: comes again up to two minutes later. hasty,
+    talkative, unfenced: what mutants break."""
 
     def __init__(self, seed: int, members: int = 5, voters: int = 3, keys: int = 1, lease: int = SECOND,
                  off: float = 0.01, pause: int = 60 * MILLISECOND, unpreferred: int = 0) -> None:
@@ -365,7 +369,8 @@
                          "value": one.data.decode() or None}
             self.log("reg.end", host.name, **more)
         elif one.what == "read":
-            more = {"op": f"{host.name}/{life}/{one.ask}", "outcome": "unknown" if one.value is None else "ok"}
+            more = {"op": f"{host.name}/{life}/{one.ask}",
+                    "outcome": "unknown" if one.value is None else "ok"}
             if one.value is not None:
                 more |= {"number": one.value.number, "owner": one.value.owner, "revision": one.value.revision,
                          "value": one.value.data.decode() or None, "lapsed": False}
--- a/pathsaddle/emulator/ownership/judge.py
+++ b/pathsaddle/emulator/ownership/judge.py
@@ -1,6 +1,7 @@
 """Reads the log alone: whether in any instant two members were owner, or acted as owner with effect.
 
-A finding is a name and what shows it. Knows nothing of ballots, voters or the program; moments are the ground's.
+A finding is a name and what shows it. Knows nothing of ballots, voters or the program;
+moments are the ground's.
 """
 
 from __future__ import annotations
@@ -18,10 +19,12 @@
     effects: int = 0
     refused: int = 0  # effects that came too late and were refused, each of them counted
     owners: int = 0
-    gaps: dict[str, list[tuple[int, int]]] = field(default_factory=dict)  # by key: spans in which nobody might act
+    # by key: spans in which nobody might act
+    gaps: dict[str, list[tuple[int, int]]] = field(default_factory=dict)
 
     def longest(self, since: int = 0) -> int:
-        return max((end - begin for rows in self.gaps.values() for begin, end in rows if begin >= since), default=0)
+        return max((end - begin for rows in self.gaps.values() for begin, end in rows if begin >= since),
+                   default=0)
 
 
 def judge(events: Iterable[Event], skew: int = 0) -> Verdict:
--- a/pathsaddle/emulator/ownership/linear.py
+++ b/pathsaddle/emulator/ownership/linear.py
@@ -1,9 +1,11 @@
-"""Whether a register's calls can be put in one order that agrees with real time, as if each took place in one moment.
-
-Reads the log alone (`reg.call`, `reg.end`). The register, as its users know it: (number, owner, revision, value); `take` makes
-the number greater by one and the caller its owner; `set`, under the number and revision that it names, changes the value;
-`renew` and `read` change nothing. A call without an end, or ended `unknown`, may take place at any later moment or never;
-one `refused` never did. Search with memory of what was tried, sure calls before unknown ones.
+"""Whether a register's calls can be put in one order that agrees with real time,
+as if each took place in one moment.
+
+Reads the log alone (`reg.call`, `reg.end`). The register, as its users know it: (number, owner, revision,
+value); `take` makes the number greater by one and the caller its owner; `set`, under the number and revision
+that it names, changes the value; `renew` and `read` change nothing. A call without an end, or ended
+`unknown`, may take place at any later moment or never; one `refused` never did. Search with memory of what
+was tried, sure calls before unknown ones.
 """
 
 from __future__ import annotations
@@ -34,7 +36,8 @@
         if self.kind == "take":
             made: State = (number + 1, self.who, revision, value)
         elif self.kind == "set":
-            if self.told["number"] != number or (self.told["revision"] != revision and self.told["value"] != value):
+            if (self.told["number"] != number
+                    or (self.told["revision"] != revision and self.told["value"] != value)):
                 return None
             again = self.told["revision"] != revision  # it finds its own earlier try
             made = (number, owner, self.told["revision"] + 1, self.told["value"])
@@ -44,7 +47,8 @@
             if self.kind == "renew" and self.told["number"] != number:
                 return None
             made = state
-        if self.sure and made != (self.ended["number"], self.ended["owner"], self.ended["revision"], self.ended["value"]):
+        if self.sure and made != (self.ended["number"], self.ended["owner"], self.ended["revision"],
+                                  self.ended["value"]):
             return None
         return made
 
@@ -81,12 +85,13 @@
         while low < len(sure) and done >> sure[low] & 1:
             low += 1
         first = min((rows[i].end for i in sure[low:low + 200] if not done >> i & 1), default=ALWAYS)
-        maybe = [i for i in range(len(rows)) if not done >> i & 1 and rows[i].call <= first and not rows[i].sure]
+        maybe = [i for i in range(len(rows)) if not done >> i & 1 and rows[i].call <= first
+                 and not rows[i].sure]
         certain = [i for i in sure[low:low + 200] if not done >> i & 1 and rows[i].call <= first]
         return maybe[::-1] + certain[::-1], low  # the last is tried first
 
-    # Numbers and revisions never go back: a state above what a call that is still to come was told leads nowhere.
-    # A `set` may find its own earlier try, so that its revision stands there before it.
+    # Numbers and revisions never go back: a state above what a call that is still to come was told leads
+    # nowhere. A `set` may find its own earlier try, so that its revision stands there before it.
     needs = [(rows[i].ended["number"] - (rows[i].kind == "take"), rows[i].ended["revision"]) for i in sure]
 
     def leads_nowhere(after: State, low: int, done: int) -> bool:
--- a/pathsaddle/emulator/ownership/mutants.py
+++ b/pathsaddle/emulator/ownership/mutants.py
@@ -82,7 +82,8 @@
     elif name == "holds-forgotten":
         patches.append(mock.patch.object(Row, "begun", Forgets.begun))
     elif name == "lost-disk-trusted":
-        patches.append(mock.patch.object(Disk, "whole", property(lambda self: True, lambda self, value: None)))
+        patches.append(mock.patch.object(Disk, "whole",
+                                         property(lambda self: True, lambda self, value: None)))
     for patch in patches:
         patch.start()
     try:
--- a/pathsaddle/emulator/ownership/process.py
+++ b/pathsaddle/emulator/ownership/process.py
@@ -1,8 +1,10 @@
-"""python -m pathsaddle.emulator.ownership.process CHARTER EVENTS STORE...: a real process of the program with work to do.
+"""python -m pathsaddle.emulator.ownership.process CHARTER EVENTS STORE...: a real process of the program with
+work to do.
 
-It votes and stands as the charter says; while it owns a key it looks, and sends an effect to each store (UDP: key, number,
-name, id), and changes and reads the key's data. What happens goes to EVENTS as histories want it, each line before what it
-announces, moments by the one clock of this machine. A store is the test's: it asks a fence.
+It votes and stands as the charter says; while it owns a key it looks, and sends an effect to each store (UDP:
+key, number, name, id), and changes and reads the key's data. What happens goes to EVENTS as histories want
+it, each line before what it announces, moments by the one clock of this machine.
+A store is the test's: it asks a fence.
 """
 
 from __future__ import annotations
@@ -61,7 +63,8 @@
         elif one.what == "end":
             more = {"op": one.op, "outcome": one.why}
             if one.why == "ok":
-                more |= {"number": one.number, "owner": self.name, "revision": one.revision, "value": one.data.decode() or None}
+                more |= {"number": one.number, "owner": self.name, "revision": one.revision,
+                         "value": one.data.decode() or None}
             self.log("reg.end", **more)
 
     async def work(self) -> None:
--- a/pathsaddle/emulator/ownership/smoke.py
+++ b/pathsaddle/emulator/ownership/smoke.py
@@ -1,5 +1,5 @@
-"""python -m pathsaddle.emulator.ownership.smoke PLAN [--seeds N] [--first N] [--members N] [--voters N] [--only trouble]: what a plan
-says, in virtual time; figures last; exit 0 only if every bound holds."""
+"""python -m pathsaddle.emulator.ownership.smoke PLAN [--seeds N] [--first N] [--members N] [--voters N]
+[--only trouble]: what a plan says, in virtual time; figures last; exit 0 only if every bound holds."""
 
 from __future__ import annotations
 
@@ -20,8 +20,8 @@
 from pathsaddle.trade import MILLISECOND, SECOND
 
 FAULTS = ("kill", "stop", "cut", "sigterm")
-# Where ways are good, until another owns the key: a lease by a voter's fast clock, the spread of those that come after
-# it, a ballot outbid and another. From SIGTERM: a spread and two ballots.
+# Where ways are good, until another owns the key: a lease by a voter's fast clock, the spread of those that
+# come after it, a ballot outbid and another. From SIGTERM: a spread and two ballots.
 BOUND = {fault: (lambda lease: lease * 3 // 2 + SECOND // 2) for fault in FAULTS} | {
     "sigterm": lambda lease: lease // 4 + SECOND // 2}
 
@@ -32,12 +32,14 @@
         ground = troubled(seed, members, seconds, voters=voters, keys=1 + seed % 2)
         verdict = judge(ground.events.rows)
         wrong += [f"seed {seed}: {name}: {text}" for name, text in verdict.findings[:3]]
-        wrong += [f"seed {seed}: register-not-linearizable: {why}" for why in linear.check(ground.events.rows).values()]
+        wrong += [f"seed {seed}: register-not-linearizable: {why}"
+                  for why in linear.check(ground.events.rows).values()]
         for key in ground.keys:
             if not any(isinstance(host, MemberHost) and host.owner.may_act(key, host.now())
                        for host in ground.hosts.values()):
                 wrong.append(f"seed {seed}: {key} has no owner after the calm")
-        for name, more in (("effects", verdict.effects), ("refused", verdict.refused), ("owners", verdict.owners),
+        for name, more in (("effects", verdict.effects), ("refused", verdict.refused),
+                           ("owners", verdict.owners),
                            ("calls", sum(map(len, linear.calls(ground.events.rows).values())))):
             sums[name] += more
     return wrong, sums
@@ -80,7 +82,8 @@
     begun = time.process_time()
     ground.run(ground.at + 5 * lease)
     spent, span = time.process_time() - begun, 5 * lease / SECOND
-    return {"messages": (ground.sent - sent) / span, "bytes": ground.bytes / span, "syncs": (ground.syncs - syncs) / span,
+    return {"messages": (ground.sent - sent) / span, "bytes": ground.bytes / span,
+            "syncs": (ground.syncs - syncs) / span,
             "cpu_ms": spent * 1000 / span}
 
 
@@ -92,7 +95,8 @@
     parser.add_argument("--only", choices=("trouble",))
     said = parser.parse_args(words)
     plan: dict[str, Any] = tomllib.loads(said.plan.read_text())
-    plan |= {word: getattr(said, word) for word in ("seeds", "first", "members", "voters") if getattr(said, word) is not None}
+    plan |= {word: getattr(said, word) for word in ("seeds", "first", "members", "voters")
+             if getattr(said, word) is not None}
     wrong, figures, begun = [], [], time.monotonic()
 
     seeds = [*range(plan["first"], plan["first"] + plan["seeds"]), *([] if said.only else plan["kept"])]
@@ -100,7 +104,8 @@
         if some:
             faults, sums = trouble(some, members, plan["voters"], plan["seconds"])
             wrong += faults
-            figures.append(f"{len(some)} seeds of {plan['seconds']} s of trouble, {members} members, {plan['voters']} voters: "
+            figures.append(f"{len(some)} seeds of {plan['seconds']} s of trouble, {members} members, "
+                           f"{plan['voters']} voters: "
                            + ", ".join(f"{value} {name}" for name, value in sums.items()))
     if not said.only:
         for name, seed in plan["mutants"].items():
@@ -115,15 +120,19 @@
             for fault in FAULTS:
                 spans = sorted(without(fault, lease, seed) for seed in range(plan["plays"]))
                 if spans[-1] > BOUND[fault](lease):
-                    wrong.append(f"{spans[-1] / 10:.0f} ms without an owner after {fault} with a lease of {lease / 10:.0f} ms")
-                figures.append(f"lease {lease / 10:.0f} ms, {fault}: without an owner p50 {spans[len(spans) // 2] / 10:.0f}, "
+                    wrong.append(f"{spans[-1] / 10:.0f} ms without an owner after {fault} with a lease of "
+                                 f"{lease / 10:.0f} ms")
+                figures.append(f"lease {lease / 10:.0f} ms, {fault}: without an owner p50 "
+                               f"{spans[len(spans) // 2] / 10:.0f}, "
                                f"p99 {spans[len(spans) * 99 // 100] / 10:.0f}, most {spans[-1] / 10:.0f} ms")
         for keys in plan["keys"]:
             cost = renewals(keys)
             if cost["syncs"]:
                 wrong.append(f"{cost['syncs']} syncs a second for renewals alone")
-            figures.append(f"{keys} keys, lease 3 s: {cost['messages']:.0f} messages, {cost['bytes']:.0f} bytes, "
-                           f"{cost['syncs']:.0f} syncs, {cost['cpu_ms']:.2f} ms of CPU a second (owner and 3 voters, emulated)")
+            figures.append(f"{keys} keys, lease 3 s: {cost['messages']:.0f} messages, {cost['bytes']:.0f} "
+                           f"bytes, "
+                           f"{cost['syncs']:.0f} syncs, {cost['cpu_ms']:.2f} ms of CPU a second (owner and 3 "
+                           f"voters, emulated)")
     for text in wrong:
         print(f"BROKEN {text}")
     for text in figures:
--- a/pathsaddle/ownership/__main__.py
+++ b/pathsaddle/ownership/__main__.py
@@ -1,5 +1,6 @@
 """python -m pathsaddle.ownership found CHARTER: begins a voter's register, once in its life.
-python -m pathsaddle.ownership serve CHARTER: votes and stands for the charter's keys, and nothing else, until SIGTERM."""
+python -m pathsaddle.ownership serve CHARTER: votes and stands for the charter's keys, and nothing else,
+until SIGTERM."""
 
 from __future__ import annotations
 
@@ -44,7 +45,8 @@
         print("\n".join(map(str, fault.faults)), file=sys.stderr)
         return 2
     if charter.fleet is None or charter.fleet.owners is None:
-        print(f"{words[1]}: fleet.owners: no such table; write one, as docs/ownership.md shows", file=sys.stderr)
+        print(f"{words[1]}: fleet.owners: no such table; write one, as docs/ownership.md shows",
+              file=sys.stderr)
         return 2
     logbook.open_log(charter.log.level, charter.log.form)
     try:
--- a/pathsaddle/ownership/bid.py
+++ b/pathsaddle/ownership/bid.py
@@ -1,8 +1,8 @@
 """One key as one that stands for it sees it: ballots in two phases, a lease, and what it may act under.
 
-Bound: a number is owned from one moment to one other, by one life, and is never owned again; while it is owned a majority
-of voters holds for it. The lease is reckoned from before the asking, by a clock that may be slow. No I/O; never changed,
-only replaced.
+Bound: a number is owned from one moment to one other, by one life, and is never owned again; while it is
+owned a majority of voters holds for it. The lease is reckoned from before the asking, by a clock that may be
+slow. No I/O; never changed, only replaced.
 """
 
 from __future__ import annotations
@@ -33,9 +33,9 @@
 
 @dataclass(frozen=True, slots=True)
 class Bid:
-    """round: the highest seen. value: what is proposed under `ballot`, or chosen by it. votes: (voter, its start, when we
-    sent the newest asking that it answered). number: may be acted under before `until`; 0: none. left: where the last
-    ballot was refused, after how many ticks it may be worth another."""
+    """round: the highest seen. value: what is proposed under `ballot`, or chosen by it. votes: (voter, its
+    start, when we sent the newest asking that it answered). number: may be acted under before `until`; 0:
+    none. left: where the last ballot was refused, after how many ticks it may be worth another."""
 
     key: str
     name: str
@@ -65,7 +65,8 @@
         return self.number if now < self.until else 0
 
     def lapsed(self, now: int) -> Bid:
-        """A lease that ended has ended for good: no late answer brings it back, nor does a ballot begun under it end well."""
+        """A lease that ended has ended for good: no late answer brings it back,
+        nor does a ballot begun under it end well."""
         if self.number and now >= self.until:
             return replace(self, number=0, phase=IDLE, put=None, left=0)
         return self
@@ -74,7 +75,8 @@
         """A new ballot: to own the key, or, owning it, to go on or to change its data."""
         bid = self.lapsed(now)
         ballot = Ballot(bid.round + 1, bid.name, bid.life)
-        bid = replace(bid, round=ballot.round, phase=PREPARING, ballot=ballot, promises=(), refusals=(), votes=(), asks=(),
+        bid = replace(bid, round=ballot.round, phase=PREPARING, ballot=ballot, promises=(), refusals=(),
+                      votes=(), asks=(),
                       shaken=False, put=bid.put if put is None else (bid.value.revision + 1, put))
         return bid, [(voter, Prepare(bid.key, ballot)) for voter in bid.voters]
 
@@ -93,8 +95,8 @@
 
     def heard(self, voter: str, start: int, known: Mapping[str, int], message: Message, ask: int,
               now: int) -> tuple[Bid, Out]:
-        """`start`: of the voter, as its answer says; `known`: the highest of each that any voter told. `ask`: a number
-        for an asking that may come of it."""
+        """`start`: of the voter, as its answer says; `known`: the highest of each that any voter told. `ask`:
+        a number for an asking that may come of it."""
         bid = self.lapsed(now)
         if voter not in bid.voters or start < known.get(voter, 0):
             return bid, []
@@ -102,7 +104,8 @@
             rows = [row for row in bid.promises if row[0] != voter]
             bid = replace(bid, promises=(*rows, (voter, start, message.accepted, message.value)))
             return bid._promised(known, ask, now)
-        if isinstance(message, Accepted) and message.ballot == bid.ballot and bid.phase in (ACCEPTING, CHOSEN):
+        if (isinstance(message, Accepted) and message.ballot == bid.ballot
+                and bid.phase in (ACCEPTING, CHOSEN)):
             sent = dict(bid.asks).get(message.ask)
             if sent is None:
                 return bid, []
--- a/pathsaddle/ownership/check.py
+++ b/pathsaddle/ownership/check.py
@@ -1,13 +1,16 @@
 """Model checking of the register: every order of events to a stated depth, and the bounds in each world.
 
-Three voters, two candidates, one key, the very cores. A step is one of: a candidate begins a ballot, renews, gives back or
-begins anew with nothing; a message is taken and stays under way, to come again, later, or never; one is taken and its
-answer too; a moment passes; a voter is killed, and what it had not synced is gone; a voter's disk is lost, and another
-tells it what it has. A voter's clock runs fast and a candidate's slow, by what the stated drift allows.
+Three voters, two candidates, one key, the very cores. A step is one of: a candidate begins a ballot, renews,
+gives back or begins anew with nothing; a message is taken and stays under way, to come again, later, or
+never; one is taken and its answer too; a moment passes; a voter is killed, and what it had not synced is
+gone; a voter's disk is lost, and another tells it what it has. A voter's clock runs fast and a candidate's
+slow, by what the stated drift allows.
 
-Refusals are left out: they say which ballot is worth trying, and here each new one is above all that there are.
+Refusals are left out: they say which ballot is worth trying,
+and here each new one is above all that there are.
 
-Bounds: a number is told to one life once; numbers grow in the order in which they are told; in no world may two act.
+Bounds: a number is told to one life once; numbers grow in the order in which they are told;
+in no world may two act.
 """
 
 from __future__ import annotations
@@ -30,8 +33,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Seat:
-    """A voter: `disk`: what of its row is synced. starts: the highest start it knows of each. told: while it is being let
-    in, by whom it was told; None: it takes part."""
+    """A voter: `disk`: what of its row is synced. starts: the highest start it knows of each. told: while it
+    is being let in, by whom it was told; None: it takes part."""
 
     row: Row = EMPTY
     disk: Row = EMPTY
@@ -45,10 +48,12 @@
     seats: tuple[Seat, ...]
     bids: tuple[Bid, ...]
     known: tuple[tuple[int, ...], ...]  # by candidate
-    air: frozenset[tuple[str, str, int, tuple[int, ...], Message]]  # sender, taker, its start, the starts it knows
+    # sender, taker, its start, the starts it knows
+    air: frozenset[tuple[str, str, int, tuple[int, ...], Message]]
     moments: int = 0
     numbers: tuple[tuple[int, int, int], ...] = ()  # (number, candidate, life) as they were told
-    left: tuple[int, ...] = ()  # what may still happen: ballots, renewals, gives, candidates' ends, kills, losses, moments
+    # what may still happen: ballots, renewals, gives, candidates' ends, kills, losses, moments
+    left: tuple[int, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -85,8 +90,8 @@
     return replace(world, bids=bids, numbers=numbers, air=air, **more)  # type: ignore[arg-type]
 
 
-def _to_seat(world: World, v: int, message: Message, hasty: bool) -> tuple[World, tuple[str, str, int, tuple[int, ...],
-                                                                              Message] | None]:
+def _to_seat(world: World, v: int, message: Message, hasty: bool,
+             ) -> tuple[World, tuple[str, str, int, tuple[int, ...], Message] | None]:
     """A voter takes a message: the world after it, and its answer."""
     seat = world.seats[v]
     if seat.told is not None:
@@ -108,7 +113,8 @@
     known = tuple(max(a, b) for a, b in zip(world.known[i], starts, strict=True))
     world = replace(world, known=(*world.known[:i], known, *world.known[i + 1:]))
     before = world.bids[i]
-    bid, out = before.heard(voter, number, dict(zip(VOTERS, known, strict=True)), message, world.moments * 8 + 1,
+    bid, out = before.heard(voter, number, dict(zip(VOTERS, known, strict=True)), message,
+                            world.moments * 8 + 1,
                             world.moments * SLOW)
     return _bid(world, i, bid, out)
 
@@ -156,7 +162,8 @@
         if left[5] and seat.told is None and all(other.told is None for other in world.seats):
             number = max(other.starts[v] for other in world.seats) + 1
             starts = tuple(number if j == v else 0 for j in range(3))
-            found.append((f"{VOTERS[v]} loses its disk", with_seat(Seat(start=number, starts=starts, told=()), 5)))
+            found.append((f"{VOTERS[v]} loses its disk",
+                          with_seat(Seat(start=number, starts=starts, told=()), 5)))
         if seat.told is not None:
             for x, other in enumerate(world.seats):
                 if x != v and x not in seat.told and other.told is None:
@@ -176,8 +183,8 @@
 
 
 def _without_the_dead(world: World) -> World:
-    """Messages that can never again change anything: below what their voter has promised for good, or for a ballot that
-    is not its candidate's any more. Worlds that differ by these alone are one."""
+    """Messages that can never again change anything: below what their voter has promised for good, or for a
+    ballot that is not its candidate's any more. Worlds that differ by these alone are one."""
     def lives(said: tuple[str, str, int, tuple[int, ...], Message]) -> bool:
         _, to, _, _, message = said
         if to in VOTERS:
@@ -202,7 +209,8 @@
 
 
 def check(depth: int, ways: Ways, first: World | None = None, bid: type[Bid] = Bid) -> int:
-    """How many worlds there are within `depth` steps of the first; raises Broken where a bound fails in one."""
+    """How many worlds there are within `depth` steps of the first;
+    raises Broken where a bound fails in one."""
     first = first or start(ways, bid)
     seen = {first}
     edge: list[tuple[World, tuple[str, ...]]] = [(first, ())]
@@ -224,8 +232,8 @@
 
 
 def owned(ways: Ways, bid: type[Bid] = Bid, who: int = 0) -> World:
-    """A world to begin from: one candidate just became owner by two voters' word; all that was said is still under way,
-    to come again, and to the third for the first time."""
+    """A world to begin from: one candidate just became owner by two voters' word; all that was said is still
+    under way, to come again, and to the third for the first time."""
     world = start(ways, bid)
     after, out = world.bids[who].begin(0)
     world = _bid(world, who, after, out, left=_spent(world, 0))
--- a/pathsaddle/ownership/driver.py
+++ b/pathsaddle/ownership/driver.py
@@ -1,6 +1,8 @@
-"""The thin driver: one socket, one timer, a voter's disk in a thread of its own, log lines; voter and owner as told.
+"""The thin driver: one socket, one timer, a voter's disk in a thread of its own, log lines;
+voter and owner as told.
 
-A fault inside a core ends neither: it is logged under its name, and the voter is made anew from its disk, as after a crash.
+A fault inside a core ends neither: it is logged under its name, and the voter is made anew from its disk,
+as after a crash.
 """
 
 from __future__ import annotations
@@ -60,7 +62,8 @@
 
 @dataclass
 class Told:
-    """What a process is told. voters: addresses by name. keys: what it stands for, with whether it comes first there."""
+    """What a process is told. voters: addresses by name. keys: what it stands for,
+    with whether it comes first there."""
 
     name: str
     fleet: str
@@ -80,8 +83,8 @@
 
 
 class Register:
-    """A process's part: it votes where its name is among the voters, and stands for its keys. `hear` is called with each
-    thing that happened, after it was logged. Raises NoDisk, NoSocket, OtherVoters."""
+    """A process's part: it votes where its name is among the voters, and stands for its keys. `hear` is
+    called with each thing that happened, after it was logged. Raises NoDisk, NoSocket, OtherVoters."""
 
     def __init__(self, told: Told, ground: Ground, chance: Random, counters: Counters) -> None:
         self.told, self.chance, self.counters = told, chance, counters
@@ -93,7 +96,8 @@
             life = life_of(lives.last(), chance)
             lives.keep(life)
         except OSError as fault:
-            raise NoDisk(f"{told.folder}: {fault.strerror or fault}", "make fleet.owners.folder a folder that this user "
+            raise NoDisk(f"{told.folder}: {fault.strerror or fault}",
+                         "make fleet.owners.folder a folder that this user "
                          "may write") from None
         self.owner = Owner(told.name, life, told.voters, told.lease, chance)
         self.log: Log | None = None
@@ -106,7 +110,8 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
             self.sock.bind(peer)
         except OSError as fault:
-            raise NoSocket(f"fleet.owners.listen: {told.listen}: {fault.strerror or fault}", "write an address of this "
+            raise NoSocket(f"fleet.owners.listen: {told.listen}: {fault.strerror or fault}",
+                           "write an address of this "
                            "machine there that no other process has") from None
         self.peers: dict[str, Peer] = {name: peer_of(address) for name, address in told.voters.items()}
         self.inbox: list[tuple[str, dict[str, int], Message]] = []
@@ -138,7 +143,8 @@
         return await done
 
     async def put(self, key: str, data: bytes) -> bool:
-        """Changes the data of a key that we own. False: it was not taken, or nobody can say what came of it."""
+        """Changes the data of a key that we own. False: it was not taken,
+        or nobody can say what came of it."""
         revision = self.owner.put(key, data, steady())
         if not revision:
             return False
@@ -179,7 +185,8 @@
         told = self.told
         self.log = Log(told.folder, told.name, told.voters)
         held = self.log.held
-        self.voter = Voter(told.name, told.voters, held.rows, held.starts, life_of(held.start, self.chance), held.whole,
+        self.voter = Voter(told.name, told.voters, held.rows, held.starts, life_of(held.start, self.chance),
+                           held.whole,
                            steady())
         self._shown = False
         if not held.whole:
@@ -257,8 +264,8 @@
     # Datagrams and the timer.
 
     def _readable(self) -> None:
-        """By a reader, since a datagram's source is wanted, where those are answered that the charter doesn't name, and
-        uvloop has no `sock_recvfrom`."""
+        """By a reader, since a datagram's source is wanted, where those are answered that the charter doesn't
+        name, and uvloop has no `sock_recvfrom`."""
         told = self.told
         try:
             for _ in range(AT_ONCE):
@@ -307,7 +314,8 @@
         self._alarm = self._events.call_later(max(1, due - steady()) / SECOND, self._wake)
 
     def _flush(self) -> None:
-        """What happened is logged, then what is to be said is said; what we say to ourselves is heard at once."""
+        """What happened is logged, then what is to be said is said;
+        what we say to ourselves is heard at once."""
         if self._flushing:
             return
         self._flushing = True
@@ -345,7 +353,8 @@
             if peer is None:
                 continue
             said = Said(self.told.fleet, self.group, self.told.name, to, start, starts, [])
-            # A quarter of what a second may hold is kept from bids: they must not silence renewals and answers.
+            # A quarter of what a second may hold is kept from bids: they must not silence renewals and
+            # answers.
             bids = [m for m in messages if isinstance(m, Prepare | Read)]
             rest = [m for m in messages if not isinstance(m, Prepare | Read)]
             for part, spare in ((rest, 0.0), (bids, 0.25)):
@@ -383,7 +392,8 @@
         """What this process believes, for who asks it."""
         now, voter = steady(), self.voter
         return {"name": self.told.name, "life": self.owner.life,
-                "owns": {key: there.bid.number for key, there in self.owner.standing.items() if there.bid.may_act(now)},
+                "owns": {key: there.bid.number for key, there in self.owner.standing.items()
+                         if there.bid.may_act(now)},
                 "voter": None if voter is None else {
                     "part": voter.part, "start": voter.start, "keys": len(voter.rows),
                     "rows": {key: {"owner": row.value.owner, "number": row.value.number,
--- a/pathsaddle/ownership/faults.py
+++ b/pathsaddle/ownership/faults.py
@@ -1,10 +1,12 @@
-"""What goes wrong with ownership and reaches an operator: each has a stable name, what happened, what can be done."""
+"""What goes wrong with ownership and reaches an operator: each has a stable name, what happened,
+what can be done."""
 
 from __future__ import annotations
 
 
 class OwnershipFault(Exception):
-    """The base. name: stable. what: happened. do: what an operator can do, with the very key, file or voter."""
+    """The base. name: stable. what: happened. do: what an operator can do, with the very key,
+    file or voter."""
 
     name = "ownership"
 
--- a/pathsaddle/ownership/fellows.py
+++ b/pathsaddle/ownership/fellows.py
@@ -15,8 +15,10 @@
     fleet = charter.fleet
     assert fleet is not None and fleet.owners is not None
     owners, zone = fleet.owners, charter.zone or charter.zones[0]
-    return Told(charter.name, fleet.name, fleet.key.encode(), dict(owners.voters), owners.listen, Path(owners.folder),
-                int(owners.lease), {key: owners.zones.get(key, zone) == zone for key in owners.keys}, owners.bytes,
+    return Told(charter.name, fleet.name, fleet.key.encode(), dict(owners.voters), owners.listen,
+                Path(owners.folder),
+                int(owners.lease), {key: owners.zones.get(key, zone) == zone for key in owners.keys},
+                owners.bytes,
                 owners.datagrams)
 
 
--- a/pathsaddle/ownership/forms.py
+++ b/pathsaddle/ownership/forms.py
@@ -1,7 +1,9 @@
-"""What is kept and what is sent: ballots, values, messages, and datagrams of messages signed with the fleet's key.
+"""What is kept and what is sent: ballots, values, messages,
+and datagrams of messages signed with the fleet's key.
 
-A datagram is a byte that names the form, msgpack of one `Said`, and the first 16 bytes of HMAC-SHA256 over all before.
-Its first byte is none of `fleet/wire.py`'s forms: the two never read each other's. Knows no socket.
+A datagram is a byte that names the form, msgpack of one `Said`, and the first 16 bytes of HMAC-SHA256 over
+all before. Its first byte is none of `fleet/wire.py`'s forms: the two never read each other's.
+Knows no socket.
 """
 
 from __future__ import annotations
@@ -43,8 +45,8 @@
 class Value(Struct, array_like=True, frozen=True):
     """What a register holds.
 
-    number: grows with each owner and is never used twice. lease: its length in ticks. revision: grows with each
-    change of `data`, which belongs to whoever owns the key and outlives its owners.
+    number: grows with each owner and is never used twice. lease: its length in ticks. revision: grows with
+    each change of `data`, which belongs to whoever owns the key and outlives its owners.
     """
 
     owner: str
@@ -83,7 +85,8 @@
 
 
 class Hold(Struct, array_like=True, frozen=True, tag=4):
-    """Renews: whoever accepted this ballot and promised none higher holds for its owner a whole lease from now."""
+    """Renews: whoever accepted this ballot and promised none higher holds for its owner a whole lease from
+    now."""
 
     key: str
     ballot: Ballot
@@ -99,7 +102,8 @@
 
 
 class Refused(Struct, array_like=True, frozen=True, tag=6):
-    """promised: the highest promised here. left: ticks until a lease that stands in the way has ended here."""
+    """promised: the highest promised here. left: ticks until a lease that stands in the way has ended
+    here."""
 
     key: str
     ballot: Ballot
@@ -138,16 +142,17 @@
 
 
 class Ask(Struct, array_like=True, frozen=True, tag=11):
-    """A voter begins: from now on it is the one with this number of starts. All keys after `after` are asked for."""
+    """A voter begins: from now on it is the one with this number of starts.
+    All keys after `after` are asked for."""
 
     start: int
     after: str
 
 
 class Tell(Struct, array_like=True, frozen=True, tag=12):
-    """start: of whom asked, as it said. known: the highest of it known here; higher than `start`: it must take a
-    higher one. part: whether the teller takes part, or begins itself with a whole disk. last: the last key that this
-    covers; empty: all that there are."""
+    """start: of whom asked, as it said. known: the highest of it known here; higher than `start`: it must
+    take a higher one. part: whether the teller takes part, or begins itself with a whole disk. last: the last
+    key that this covers; empty: all that there are."""
 
     start: int
     known: int
--- a/pathsaddle/ownership/log.py
+++ b/pathsaddle/ownership/log.py
@@ -1,10 +1,12 @@
-"""A voter's disk: one file that only grows, each record's sum over itself and the sum before; synced before it is told.
-
-Bound: what `open` gives as whole is all that was ever synced by `append`, in this file and no other. A record that is cut,
-whose sum is wrong, or after which something else stands makes the log torn: what may have been told from it is unknown.
-The first record names the file's own inode and the moment of its birth: a copy that was put back from elsewhere, and is
-older than it was, is not this file. A snapshot of the whole disk put back below the file system is not seen here; the numbers of starts, which other
-voters know, show it where there was a start in between, and the others' word heals it where enough of them are heard.
+"""A voter's disk: one file that only grows, each record's sum over itself and the sum before;
+synced before it is told.
+
+Bound: what `open` gives as whole is all that was ever synced by `append`, in this file and no other. A record
+that is cut, whose sum is wrong, or after which something else stands makes the log torn: what may have been
+told from it is unknown. The first record names the file's own inode and the moment of its birth: a copy that
+was put back from elsewhere, and is older than it was, is not this file. A snapshot of the whole disk put back
+below the file system is not seen here; the numbers of starts, which other voters know, show it where there
+was a start in between, and the others' word heals it where enough of them are heard.
 """
 
 from __future__ import annotations
@@ -61,8 +63,8 @@
 
 
 def identity(path: Path) -> tuple[int, int]:
-    """Inode and birth of a file, in nanoseconds: an inode alone is given again to the next file made. Birth is 0 where the
-    system can't tell it; then the inode goes alone."""
+    """Inode and birth of a file, in nanoseconds: an inode alone is given again to the next file made. Birth
+    is 0 where the system can't tell it; then the inode goes alone."""
     inode = os.stat(path).st_ino
     try:
         # statx(AT_FDCWD, path, 0, STATX_BTIME, ...): stx_btime stands at byte 80 of what it fills in.
@@ -70,7 +72,8 @@
         if ctypes.CDLL(None).statx(-100, os.fsencode(path), 0, 0x800, found) == 0:
             mask = int.from_bytes(found.raw[:4], sys.byteorder)
             seconds = int.from_bytes(found.raw[80:88], sys.byteorder, signed=True)
-            return inode, seconds * 10 ** 9 + int.from_bytes(found.raw[88:92], sys.byteorder) if mask & 0x800 else 0
+            return (inode, seconds * 10 ** 9 + int.from_bytes(found.raw[88:92], sys.byteorder) if mask & 0x800
+                    else 0)
     except (AttributeError, OSError):
         pass
     return inode, 0
@@ -82,7 +85,8 @@
 
 
 def _lines(writes: Iterable[Write]) -> list[bytes]:
-    return [msgspec.msgpack.encode(Line(one.key, one.kept, one.voter, one.start, one.whole)) for one in writes]
+    return [msgspec.msgpack.encode(Line(one.key, one.kept, one.voter, one.start, one.whole))
+            for one in writes]
 
 
 class Log:
@@ -94,12 +98,14 @@
         try:
             self.held = self._read() if self.path.exists() else Held(why="there is none")
             if not self.held.whole and (self.held.why or self.held.start == 0):
-                # What is left of it was true once, and helps; a fresh file is begun that says that it is not whole.
+                # What is left of it was true once, and helps;
+                # a fresh file is begun that says that it is not whole.
                 self._anew(False)
             else:
                 self.file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
         except OSError as fault:
-            raise NoDisk(f"{self.path}: {fault.strerror or fault}", "make fleet.owners.folder a folder that this user may "
+            raise NoDisk(f"{self.path}: {fault.strerror or fault}",
+                         "make fleet.owners.folder a folder that this user may "
                          "write, on a disk with room") from None
 
     def _read(self) -> Held:
@@ -120,8 +126,10 @@
         head = msgspec.msgpack.decode(bodies[0], type=Head)
         if head.voters != self.voters or head.voter != self.name:
             raise OtherVoters(
-                f"{self.path} is of voter {head.voter} among {', '.join(head.voters)}, the charter says {self.name} among "
-                f"{', '.join(self.voters)}", "write the same names at fleet.owners.voters as the register was founded with "
+                f"{self.path} is of voter {head.voter} among {', '.join(head.voters)}, the charter says "
+                f"{self.name} among "
+                f"{', '.join(self.voters)}",
+                "write the same names at fleet.owners.voters as the register was founded with "
                 "(a voter's machine is replaced under its old name, with an empty folder)")
         for body in bodies[1:]:
             line = msgspec.msgpack.decode(body, type=Line)
@@ -169,7 +177,8 @@
         self.file, self.told, self.size, self.live = file, told, len(data), len(data)
 
     def append(self, writes: list[Write]) -> None:
-        """On disk when it returns. Raises OSError: then what of it stands is unknown, and the log is to be opened anew."""
+        """On disk when it returns. Raises OSError: then what of it stands is unknown,
+        and the log is to be opened anew."""
         data, told = b"", self.told
         for body in _lines(writes):
             record, told = _record(told, body)
@@ -206,8 +215,8 @@
 
 
 def found(folder: Path, name: str, voters: Iterable[str]) -> None:
-    """The register begins, empty: done once for each voter, before the first start, and never again. Raises Founded,
-    NoDisk."""
+    """The register begins, empty: done once for each voter, before the first start, and never again. Raises
+    Founded, NoDisk."""
     path = folder / NAME
     if path.exists():
         raise Founded(f"{path}: a register is there", "leave it; it is founded once in its life")
@@ -216,7 +225,8 @@
     try:
         log._anew(True)
     except OSError as fault:
-        raise NoDisk(f"{path}: {fault.strerror or fault}", "make fleet.owners.folder a folder that this user may write") \
+        raise NoDisk(f"{path}: {fault.strerror or fault}",
+                     "make fleet.owners.folder a folder that this user may write") \
             from None
     log.close()
 
--- a/pathsaddle/ownership/owner.py
+++ b/pathsaddle/ownership/owner.py
@@ -1,7 +1,9 @@
-"""All keys that one process stands for: when to bid, to renew, to back off, to give back; and reading a register.
+"""All keys that one process stands for: when to bid, to renew, to back off, to give back;
+and reading a register.
 
-Fed messages and moments; what is to be sent is in `out`, what happened in `happened`. Chance only from the one handed in.
-Whoever does a key's work asks `may_act` just before each effect and puts the number on it (`fence.py`).
+Fed messages and moments; what is to be sent is in `out`, what happened in `happened`. Chance only from the
+one handed in. Whoever does a key's work asks `may_act` just before each effect and puts the number on it
+(`fence.py`).
 """
 
 from __future__ import annotations
@@ -34,9 +36,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Happened:
-    """what: `owner` (number; `until`: the lease as it stands), `lost`, `given` (no longer owner, by itself), `put`
-    (revision), `unput` (its outcome is unknown), `read` (value, None: no majority answered). Where histories are told
-    also `call` and `end` of each ballot (`op`, `kind`: take, renew, set) and `held` (a lease renewed)."""
+    """what: `owner` (number; `until`: the lease as it stands), `lost`, `given` (no longer owner, by itself),
+    `put` (revision), `unput` (its outcome is unknown), `read` (value, None: no majority answered). Where
+    histories are told also `call` and `end` of each ballot (`op`, `kind`: take, renew, set) and `held` (a
+    lease renewed)."""
 
     what: str
     key: str
@@ -91,8 +94,8 @@
     # What its process wants.
 
     def stand(self, key: str, now: int, prefers: bool = True) -> None:
-        """To own `key` whenever nobody does. `prefers`: this one is where the key is wanted (its zone): it comes first
-        where a key is free. An owner that lives is never turned out: nothing flaps."""
+        """To own `key` whenever nobody does. `prefers`: this one is where the key is wanted (its zone): it
+        comes first where a key is free. An owner that lives is never turned out: nothing flaps."""
         bid = Bid(key, self.name, self.life, self.lease, self.voters)
         wake = now if prefers else now + self.lease // 8
         self.standing[key] = Standing(bid, prefers, wake + self.chance.randrange(self.pace))
@@ -107,8 +110,8 @@
         return [key for key, there in self.standing.items() if there.bid.may_act(now)]
 
     def put(self, key: str, data: bytes, now: int) -> int:
-        """Changes the key's data; the revision it will have, 0 where we don't own it, or another change is under way.
-        What came of it happens later: `put`, or `unput` where nobody can say."""
+        """Changes the key's data; the revision it will have, 0 where we don't own it, or another change is
+        under way. What came of it happens later: `put`, or `unput` where nobody can say."""
         there = self.standing[key]
         if not there.bid.may_act(now) or there.puts or there.putting or len(data) > MOST_DATA:
             return 0
@@ -117,7 +120,8 @@
         return there.puts[0]
 
     def read(self, key: str, now: int) -> int:
-        """Asks what the register holds; the number of the asking, by which the answer is known; 0: too many."""
+        """Asks what the register holds; the number of the asking, by which the answer is known;
+        0: too many."""
         if len(self.reads) >= READS:
             return 0
         self.asked += 1
@@ -218,8 +222,8 @@
         return bid.until - maybe(bid.value.lease) + self.lease // 3
 
     def _off(self, there: Standing, now: int, left: int) -> None:
-        """Backs off with full jitter; where a lease stands in the way, from its end on. Where the key is wanted comes
-        first, and who owns much comes late."""
+        """Backs off with full jitter; where a lease stands in the way, from its end on. Where the key is
+        wanted comes first, and who owns much comes late."""
         if there.bid.may_act(now):  # as owner it has no time to lose
             there.wake = now + 1 + self.chance.randrange(self.pace)
         elif left:
@@ -272,7 +276,8 @@
             there.tries = 0
             if before.phase == ACCEPTING:
                 self._ended(key, there, "ok")
-            if before.phase == ACCEPTING and there.putting is not None and after.value.revision >= there.putting[0]:
+            if (before.phase == ACCEPTING and there.putting is not None
+                    and after.value.revision >= there.putting[0]):
                 self.happened.append(Happened("put", key, after.number, there.putting[0]))
                 there.putting = None
             if after.number != before.number:
@@ -297,7 +302,8 @@
         before = there.bid
         there.bid = before.lapsed(now)
         if before.number and not there.bid.number:
-            self.happened.append(Happened("lost", key, before.number, until=before.until, why="no majority renewed it"))
+            self.happened.append(Happened("lost", key, before.number, until=before.until,
+                                          why="no majority renewed it"))
             self._ended(key, there, "unknown" if before.phase == ACCEPTING else "refused")
             self._unput(key, there)
             self._off(there, now, 0)
@@ -308,12 +314,14 @@
             kind = "take" if not bid.number else "set" if bid.put is not None else "renew"
             there.op = f"{self.name}/{self.life}/{key}/{bid.ballot.round}", kind
             revision, data = bid.put if bid.put is not None else (1, b"")
-            self.happened.append(Happened("call", key, bid.number, revision - 1, op=there.op[0], kind=kind, data=data))
+            self.happened.append(Happened("call", key, bid.number, revision - 1, op=there.op[0], kind=kind,
+                                          data=data))
 
     def _ended(self, key: str, there: Standing, outcome: str) -> None:
         if there.op[0]:
             value = there.bid.value
-            self.happened.append(Happened("end", key, value.number, value.revision, op=there.op[0], why=outcome,
+            self.happened.append(Happened("end", key, value.number, value.revision, op=there.op[0],
+                                          why=outcome,
                                           kind=there.op[1], data=value.data))
             there.op = "", ""
 
@@ -323,7 +331,8 @@
         there.putting = there.puts = None
 
     def _stands(self, voter: str, start: int, message: Stands) -> None:
-        """A value that a majority has accepted under one ballot was the register's when we asked, or came later."""
+        """A value that a majority has accepted under one ballot was the register's when we asked,
+        or came later."""
         reading = self.reads.get(message.ask)
         if reading is None or reading.key != message.key:
             return
--- a/pathsaddle/ownership/voter.py
+++ b/pathsaddle/ownership/voter.py
@@ -1,20 +1,22 @@
 """A voter: what it promised and accepted for each key, for whom it holds, and how it is let in again.
 
-Bound: of the voters that take part, none promises a ballot of another to anybody while it holds for an owner, and none
-answers before what it answers is on its disk. No I/O: `heard` takes one message at one moment; what `writes` holds is
-on disk before anything of `out` is sent. A voter whose sync failed is made anew from its disk.
-
-Why holding needs no disk. A renewal changes neither ballot nor value, so nothing is written. A voter that begins doesn't
-know what it held: it holds for the owner that it has on disk a whole lease from its start, which is later than any moment
-at which an earlier life of it held.
-
-How one is let in. Each start of a voter has a number, above all earlier ones, and each answer carries it. One that begins
-asks the others; each of them writes the number down, then tells all that it promised and accepted, and from then on says
-the number in all its answers. Whoever gathers a majority counts no answer of a voter from before a start that another in
-this majority knows of. So for any majority with an answer that was forgotten, one of its other voters is among those that
-told: it took part before it told, then what it told stands here, or after, then the forgotten answer does not count. That
-needs so many others that any majority's rest meets them: `enough`. A voter whose own disk is whole may begin with fewer,
-once it waited for them: it forgot nothing. One whose disk is lost, torn or a copy may not, ever.
+Bound: of the voters that take part, none promises a ballot of another to anybody while it holds for an owner,
+and none answers before what it answers is on its disk. No I/O: `heard` takes one message at one moment; what
+`writes` holds is on disk before anything of `out` is sent.
+A voter whose sync failed is made anew from its disk.
+
+Why holding needs no disk. A renewal changes neither ballot nor value, so nothing is written. A voter that
+begins doesn't know what it held: it holds for the owner that it has on disk a whole lease from its start,
+which is later than any moment at which an earlier life of it held.
+
+How one is let in. Each start of a voter has a number, above all earlier ones, and each answer carries it. One
+that begins asks the others; each of them writes the number down, then tells all that it promised and
+accepted, and from then on says the number in all its answers. Whoever gathers a majority counts no answer of
+a voter from before a start that another in this majority knows of. So for any majority with an answer that
+was forgotten, one of its other voters is among those that told: it took part before it told, then what it
+told stands here, or after, then the forgotten answer does not count. That needs so many others that any
+majority's rest meets them: `enough`. A voter whose own disk is whole may begin with fewer, once it waited for
+them: it forgot nothing. One whose disk is lost, torn or a copy may not, ever.
 """
 
 from __future__ import annotations
@@ -102,7 +104,8 @@
         return self, None
 
     def refuses(self, key: str, ballot: Ballot, now: int) -> Refused:
-        return Refused(key, ballot, self.promised, max(0, self.until - now), self.value.owner, self.value.number)
+        return Refused(key, ballot, self.promised, max(0, self.until - now), self.value.owner,
+                       self.value.number)
 
     def joined(self, promised: Ballot, accepted: Ballot, value: Value) -> Row:
         """With what another told."""
@@ -119,8 +122,8 @@
 
 @dataclass(frozen=True, slots=True)
 class Write:
-    """One line for the disk: a row (key and what is kept of it), or the highest start known of a voter, or that it
-    was let in."""
+    """One line for the disk: a row (key and what is kept of it), or the highest start known of a voter, or
+    that it was let in."""
 
     key: str = ""
     kept: tuple[Ballot, Ballot, Value] | None = None
@@ -132,8 +135,8 @@
 class Voter:
     def __init__(self, name: str, voters: Iterable[str], rows: dict[str, tuple[Ballot, Ballot, Value]],
                  starts: dict[str, int], start: int, whole: bool, now: int) -> None:
-        """`rows`, `starts`: what the disk holds. `start`: the number of this start, above the disk's own. `whole`:
-        nothing was lost of the disk, as far as it can tell by itself."""
+        """`rows`, `starts`: what the disk holds. `start`: the number of this start, above the disk's own.
+        `whole`: nothing was lost of the disk, as far as it can tell by itself."""
         self.name, self.voters = name, tuple(sorted(voters))
         self.rows = {key: Row(*kept).begun(now) for key, kept in rows.items()}
         self.starts = {voter: starts.get(voter, 0) for voter in self.voters}
@@ -143,7 +146,8 @@
         self.out: list[tuple[str, Message]] = []
         self.waiters: dict[str, dict[str, None]] = {}
         self.counts: dict[str, int] = {}
-        self.enough = len(self.voters) // 2 + 1  # of the others: it meets the rest of any majority that one is in
+        # of the others: it meets the rest of any majority that one is in
+        self.enough = len(self.voters) // 2 + 1
         self.told: dict[str, str | None] = {}  # whom all was heard from (None), or up to which key
         self.part = False  # whether it takes part
         self.born, self.next = now, now
@@ -164,7 +168,8 @@
                 self.out.append((voter, Ask(self.start, self.told.get(voter) or "")))
 
     def learn(self, starts: dict[str, int], now: int) -> None:
-        """The starts that another knows of. A later one of our own than ours: our disk is older than it was."""
+        """The starts that another knows of. A later one of our own than ours: our disk is older than it
+        was."""
         if starts.get(self.name, 0) <= self.start:
             return
         self.start = self.starts[self.name] = starts[self.name] + 1
@@ -210,7 +215,8 @@
     # Letting in.
 
     def _asked(self, sender: str, ask: Ask) -> None:
-        """Answered by those who take part, and by those who begin with a whole disk: that holds all they ever said."""
+        """Answered by those who take part, and by those who begin with a whole disk: that holds all they ever
+        said."""
         if sender not in self.starts or sender == self.name or not (self.part or self.whole):
             return
         if ask.start > self.starts[sender]:
@@ -235,7 +241,8 @@
         if tell.known > self.start:
             self.learn({self.name: tell.known}, now)
             return
-        if not (self.whole or tell.part):  # one that begins may have an old disk itself; it can't heal a lost one
+        # one that begins may have an old disk itself; it can't heal a lost one
+        if not (self.whole or tell.part):
             return
         if self.told.get(sender, "") != tell.after:  # a page that is here already, or one out of turn
             return
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,4 +1,5 @@
-"""One owner at a time: what the register, its leases and its voters go through, and who would be found doing it wrong."""
+"""One owner at a time: what the register, its leases and its voters go through,
+and who would be found doing it wrong."""
 
 import errno
 import shutil
@@ -60,7 +61,8 @@
 
     def test_under_random_trouble_no_instant_has_two_owners_and_calm_has_one(self):
         refused = 0
-        for seed, members, voters in (*((seed, 5, 3) for seed in range(16)), (16, 5, 5), (17, 5, 5), (18, 40, 3)):
+        for seed, members, voters in (*((seed, 5, 3) for seed in range(16)), (16, 5, 5), (17, 5, 5),
+                                      (18, 40, 3)):
             with self.subTest(seed=seed, members=members):
                 ground = troubled(seed, members, voters=voters, keys=1 + seed % 2)
                 refused += self.holds(ground).refused
@@ -229,16 +231,21 @@
             return Event(at, "reg.call", {"who": op[0], "op": op, "key": "k", "kind": kind, **more})
 
         def end(at, op, number, owner, revision=0, value=None, outcome="ok"):
-            return Event(at, "reg.end", {"who": op[0], "op": op, "outcome": outcome, "number": number, "owner": owner,
-                                         "revision": revision, "value": value})
-        lost = [call(1, "a1", "take"), end(2, "a1", 1, "a"), call(3, "a2", "set", number=1, revision=0, value="x"),
+            return Event(at, "reg.end",
+                         {"who": op[0], "op": op, "outcome": outcome, "number": number, "owner": owner,
+                          "revision": revision, "value": value})
+        lost = [call(1, "a1", "take"), end(2, "a1", 1, "a"),
+                call(3, "a2", "set", number=1, revision=0, value="x"),
                 end(4, "a2", 1, "a", 1, "x"), call(5, "b1", "read"), end(6, "b1", 1, "a")]
         self.assertIn("k", linear.check(lost))
         twice = [call(1, "a1", "take"), end(2, "a1", 1, "a"), call(3, "b1", "take"), end(4, "b1", 1, "b")]
         self.assertIn("k", linear.check(twice))
-        # The set's end was never heard; it took place all the same, after a later call had seen nothing of it.
-        late = [call(1, "a1", "take"), end(2, "a1", 1, "a"), call(3, "a2", "set", number=1, revision=0, value="x"),
-                call(4, "b1", "read"), end(5, "b1", 1, "a"), call(6, "b2", "read"), end(7, "b2", 1, "a", 1, "x")]
+        # The set's end was never heard; it took place all the same,
+        # after a later call had seen nothing of it.
+        late = [call(1, "a1", "take"), end(2, "a1", 1, "a"),
+                call(3, "a2", "set", number=1, revision=0, value="x"),
+                call(4, "b1", "read"), end(5, "b1", 1, "a"), call(6, "b2", "read"),
+                end(7, "b2", 1, "a", 1, "x")]
         self.assertEqual(linear.check(late), {})
 
 
@@ -253,7 +260,8 @@
         for name, depth, ways, first in (
                 ("from nothing", 6, Ways(), None),
                 ("from an owner", 6, Ways(), check.owned(Ways())),
-                ("given back, begun anew", 5, Ways(gives=1, ends=1, kills=0), check.owned(Ways(gives=1, ends=1, kills=0))),
+                ("given back, begun anew", 5, Ways(gives=1, ends=1, kills=0),
+                 check.owned(Ways(gives=1, ends=1, kills=0))),
                 ("a disk lost", 4, Ways(losses=1), check.owned(Ways(losses=1)))):
             with self.subTest(name):
                 worlds = check.check(depth, ways, first)
@@ -271,15 +279,19 @@
         self.slowly(late, check.Bid)
         ways = Ways(kills=0, renewals=0, ends=1)
         with self.assertRaisesRegex(Broken, "a number twice"):
-            check.check(5, ways, self.through(ways, Reuses, "c0 begins anew", "a moment", "a moment", "a moment"), Reuses)
+            check.check(5, ways, self.through(ways, Reuses, "c0 begins anew", "a moment", "a moment",
+                                              "a moment"), Reuses)
 
     def slowly(self, ways, bid):
-        """The answers to an accepted ballot come a moment later than they were said; from there on, all orders."""
+        """The answers to an accepted ballot come a moment later than they were said; from there on,
+        all orders."""
         world = check.start(ways, bid)
         after, out = world.bids[0].begin(0)
         world = check._bid(world, 0, after, out)
-        for word in ("c0>v0 Prepare", "c0>v1 Prepare", "v0>c0 Promise", "v1>c0 Promise", "c0>v0 Accept", "c0>v1 Accept",
-                     "a moment", "v0>c0 Accepted", "v1>c0 Accepted", "a moment", "c1 bids", "c1>v0 Prepare 2 and back",
+        for word in ("c0>v0 Prepare", "c0>v1 Prepare", "v0>c0 Promise", "v1>c0 Promise", "c0>v0 Accept",
+                     "c0>v1 Accept",
+                     "a moment", "v0>c0 Accepted", "v1>c0 Accepted", "a moment", "c1 bids",
+                     "c1>v0 Prepare 2 and back",
                      "c1>v1 Prepare 2 and back", "c1>v0 Accept 2 and back", "c1>v1 Accept 2 and back"):
             world = next((after for name, after in check.steps(world, ways) if name.startswith(word)), world)
             if check.broken(world):
@@ -314,7 +326,8 @@
         self.assertTrue(log.held.whole)
         log.append([Write("k", self.KEPT), Write(voter="b", start=9), Write(voter="a", start=5, whole=True)])
         held = self.opened().held
-        self.assertEqual((held.rows, held.starts, held.start, held.whole), ({"k": self.KEPT}, {"b": 9}, 5, True))
+        self.assertEqual((held.rows, held.starts, held.start, held.whole),
+                         ({"k": self.KEPT}, {"b": 9}, 5, True))
 
     def test_torn_anywhere_cut_empty_gone_or_a_copy_it_is_not_whole(self):
         log = self.opened()
@@ -346,7 +359,8 @@
     def test_a_write_that_failed_leaves_what_was_there(self):
         log = self.opened()
         log.append([Write(voter="a", start=5, whole=True)])
-        with mock.patch("os.fdatasync", side_effect=OSError(errno.ENOSPC, "full")), self.assertRaises(OSError):
+        with (mock.patch("os.fdatasync", side_effect=OSError(errno.ENOSPC, "full")),
+              self.assertRaises(OSError)):
             log.append([Write("k", self.KEPT)])
         held = self.opened().held
         self.assertEqual((held.rows, held.whole, held.start), ({}, True, 5))
--- a/tests/test_ownership_processes.py
+++ b/tests/test_ownership_processes.py
@@ -1,4 +1,5 @@
-"""Voters and candidates as real processes: kill -9, SIGSTOP, relays cut, disks lost and exchanged; the judge reads their logs."""
+"""Voters and candidates as real processes: kill -9, SIGSTOP, relays cut, disks lost and exchanged;
+the judge reads their logs."""
 
 import asyncio
 import os
@@ -69,7 +70,8 @@
         self.own = dict(zip(self.names, ports[::2], strict=True))
         self.ours = dict(zip(self.names, ports[1::2], strict=True))
         self.air = Air(Random(1), lambda one, other: 0.0)
-        self.relays = Relays(self.now, self.air, {name: (self.own[name], self.ours[name]) for name in self.names})
+        self.relays = Relays(self.now, self.air,
+                             {name: (self.own[name], self.ours[name]) for name in self.names})
         self.processes, self.files, self.events, self.heard = {}, [], [], {}
         self.fence, self.lives = Fence(), 0
         self.store = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
@@ -94,8 +96,9 @@
             while True:
                 key, number, by, one = self.store.recv(200).decode().split()
                 let_in = self.fence.look(key, int(number)).let_in
-                self.events.append(Event(steady(), "effect", {"who": "s", "key": key, "number": int(number), "by": by,
-                                                              "taken": let_in, "id": one}))
+                self.events.append(Event(steady(), "effect",
+                                         {"who": "s", "key": key, "number": int(number), "by": by,
+                                          "taken": let_in, "id": one}))
                 if let_in:
                     self.heard[by] = steady()
         except OSError:
@@ -103,7 +106,8 @@
 
     def run(self, *words):
         with (self.folder / "said").open("ab") as said:
-            process = subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, stdout=subprocess.DEVNULL, stderr=said,
+            process = subprocess.Popen([sys.executable, "-m", *words], cwd=ROOT, stdout=subprocess.DEVNULL,
+                                       stderr=said,
                                        start_new_session=True)
 
         def end():
@@ -114,7 +118,8 @@
         return process
 
     def found(self):
-        for process in [self.run("pathsaddle.ownership", "found", str(self.charter(name))) for name in self.names[:3]]:
+        for process in [self.run("pathsaddle.ownership", "found", str(self.charter(name)))
+                        for name in self.names[:3]]:
             self.case.assertEqual(process.wait(30), 0)
 
     def begin(self, name):
@@ -142,7 +147,8 @@
         """Whoever has effect from now on, and is none of `others`."""
         since = steady()
         return await self.until(lambda: next((by for by, at in sorted(self.heard.items()) if at > since
-                                              and by not in others), ""), f"an owner that is none of {others}")
+                                              and by not in others), ""),
+                                f"an owner that is none of {others}")
 
     def told(self, word):
         return (self.folder / "said").read_text().count(f'"event": "{word}"')
@@ -156,7 +162,8 @@
         """All are told to end; what their logs say when they have."""
         for process in self.processes.values():
             process.send_signal(signal.SIGTERM)
-        await self.until(lambda: all(process.poll() is not None for process in self.processes.values()), "all end")
+        await self.until(lambda: all(process.poll() is not None for process in self.processes.values()),
+                         "all end")
         self.relays.end()
         asyncio.get_running_loop().remove_reader(self.store.fileno())
         self.store.close()
@@ -164,7 +171,8 @@
         verdict = judge(history, skew=2)
         self.case.assertEqual(verdict.findings, [])
         self.case.assertEqual(linear.check(history), {})
-        self.case.assertGreater(sum(1 for event in history if event.what == "reg.end" and event.more["outcome"] == "ok"), 20)
+        self.case.assertGreater(sum(1 for event in history if event.what == "reg.end"
+                                    and event.more["outcome"] == "ok"), 20)
         self.case.assertGreater(verdict.effects, 100)
         self.case.assertNotIn("fault-ownership", (self.folder / "said").read_text())
         return history
@@ -273,7 +281,8 @@
                 await asyncio.sleep(span / 4)
                 fleet.begin(name)
             else:
-                others = chance.sample([other for other in fleet.names if other != name], chance.randrange(1, 7))
+                others = chance.sample([other for other in fleet.names if other != name],
+                                       chance.randrange(1, 7))
                 blight = fleet.cut([name], others, oneway=kind == "oneway")
                 await asyncio.sleep(span)
                 fleet.air.blights.pop(blight)
@@ -297,15 +306,19 @@
             for name in names:
                 (Path(folder) / name).mkdir()
                 path = Path(folder) / f"{name}.toml"
-                path.write_text(CHARTER.format(fleet=free(1)[0], name=name, own=own[name], folder=Path(folder) / name, voters=rows, keys='"k"'))
-                subprocess.run([sys.executable, "-m", "pathsaddle.ownership", "found", str(path)], cwd=ROOT, check=True)
+                path.write_text(CHARTER.format(fleet=free(1)[0], name=name, own=own[name],
+                                               folder=Path(folder) / name, voters=rows, keys='"k"'))
+                subprocess.run([sys.executable, "-m", "pathsaddle.ownership", "found", str(path)], cwd=ROOT,
+                               check=True)
                 with (Path(folder) / name / "said").open("wb") as said:
-                    processes[name] = subprocess.Popen([sys.executable, "-m", "pathsaddle", "serve", str(path)], cwd=ROOT,
+                    processes[name] = subprocess.Popen([sys.executable, "-m", "pathsaddle", "serve",
+                                                        str(path)], cwd=ROOT,
                                                        stdout=said, stderr=subprocess.STDOUT)
 
             def owners():
                 return [(name, line) for name in names
-                        for line in (Path(folder) / name / "said").read_text().splitlines() if '"event": "owner"' in line]
+                        for line in (Path(folder) / name / "said").read_text().splitlines()
+                        if '"event": "owner"' in line]
 
             async def until(count):
                 async with asyncio.timeout(30):
@@ -326,8 +339,10 @@
 
             def ends(word, **names):
                 rows = "\n".join(f'{name} = "{address}"' for name, address in names.items())
-                path.write_text(CHARTER.format(fleet=free(1)[0], name="a", own=voters["a"], folder=folder, voters=rows, keys=""))
-                done = subprocess.run([sys.executable, "-m", "pathsaddle.ownership", word, str(path)], cwd=ROOT,
+                path.write_text(CHARTER.format(fleet=free(1)[0], name="a", own=voters["a"], folder=folder,
+                                               voters=rows, keys=""))
+                done = subprocess.run([sys.executable, "-m", "pathsaddle.ownership", word, str(path)],
+                                      cwd=ROOT,
                                       capture_output=True, text=True, timeout=30, check=False)
                 return done.returncode, done.stderr
             self.assertEqual(ends("found", **voters), (0, ""))
