--- a/pathsaddle/emulator/placement/judge.py
+++ b/pathsaddle/emulator/placement/judge.py
@@ -51,7 +51,8 @@
             found.append((at, name, text))
         unit, bay = more.get("unit", ""), more.get("bay", "")
         if what == "island.limits":
-            seen.limits[more["island"]] = {key: more[key] for key in ("power", "ports", "carries") if key in more}
+            seen.limits[more["island"]] = {key: more[key] for key in ("power", "ports", "carries")
+                                           if key in more}
         elif what == "unit.needs":
             seen.needs[unit] = {key: more.get(key, 0) for key in ("power", "ports", "carries")}
             seen.slots[unit] = (more.get("kind", ""), more.get("slots", 1))
@@ -69,7 +70,8 @@
         elif what == "plan.step" and more["state"] == "begun":
             begun = event
             if more["number"] < seen.top:
-                bad("late-planner", f"step {more['step']} of {more['plan']} under {more['number']} after {seen.top}")
+                bad("late-planner",
+                    f"step {more['step']} of {more['plan']} under {more['number']} after {seen.top}")
             for does, one, where in more.get("before", ()):
                 if not (seen.serving.get(one) and seen.bay.get(one) == where if does == "place"
                         else seen.bay.get(one) != where):
--- a/pathsaddle/emulator/placement/mutants.py
+++ b/pathsaddle/emulator/placement/mutants.py
@@ -60,7 +60,8 @@
         return self._changed(replace(unit, state=State.COLD)) if unit.state is State.INSTALLING else self
 
 
-# What breaks, by whose choice it shows (the solver's moves what serves), and the name under which it is found.
+# What breaks, by whose choice it shows (the solver's moves what serves),
+# and the name under which it is found.
 MUTANTS: dict[str, tuple[type[Book], type[Walk], str, str]] = {
     "reservation without revision": (Unrevised, Walk, "greedy", "stale-revision"),
     "planner's number unchecked": (Unnumbered, Walk, "greedy", "late-planner"),
--- a/pathsaddle/emulator/placement/policies.py
+++ b/pathsaddle/emulator/placement/policies.py
@@ -57,5 +57,6 @@
     return answer.counts, answer.by, answer.gap
 
 
-POLICIES: dict[str, Choose] = {"round robin": round_robin, "fullest first": fullest, "emptiest first": emptiest,
+POLICIES: dict[str, Choose] = {"round robin": round_robin, "fullest first": fullest,
+                               "emptiest first": emptiest,
                                "greedy": thumb, "plan": solved}
--- a/pathsaddle/emulator/placement/smoke.py
+++ b/pathsaddle/emulator/placement/smoke.py
@@ -1,5 +1,5 @@
-"""python -m pathsaddle.emulator.placement.smoke PLAN: worlds of islands over seeds and policies, judged from their
-logs alone.
+"""python -m pathsaddle.emulator.placement.smoke PLAN: worlds of islands over seeds and policies, judged from
+their logs alone.
 
 Figures last; exits 0 only if every bound of the plan holds and each mutant is found under its name, 2 for a
 bad file.
@@ -34,7 +34,8 @@
         one.name for one in fields(Trouble))
     mutants = told.get("mutants", {})
     for name, table, keys in (("", told, KEYS), ("site.", told.get("site", {}), site),
-                              ("trouble.", told.get("trouble", {}), trouble), ("bounds.", told.get("bounds", {}), BOUNDS),
+                              ("trouble.", told.get("trouble", {}), trouble),
+                              ("bounds.", told.get("bounds", {}), BOUNDS),
                               ("mutants.", mutants, ("seeds", "site", "trouble")),
                               ("mutants.site.", mutants.get("site", {}), site),
                               ("mutants.trouble.", mutants.get("trouble", {}), trouble)):
@@ -66,15 +67,18 @@
             figures.setdefault(policy, []).append(measured)
             if policy == "plan":
                 least = min(least, measured["work"])
-                gap = max([gap, *(event.more["gap"] for event in world.events.rows if event.what == "plan.new")])
-    # On ground of their own: long walks and planners that stand still, with little else that would end a plan first.
+                gap = max([gap,
+                           *(event.more["gap"] for event in world.events.rows if event.what == "plan.new")])
+    # On ground of their own: long walks and planners that stand still,
+    # with little else that would end a plan first.
     mutants = told.get("mutants", {})
     theirs = Site(trouble=Trouble(**mutants.get("trouble", {})), **mutants.get("site", {}))
     for name, (book, walk, policy, want) in MUTANTS.items() if mutants else ():
         caught = next((seed for seed in range(1, mutants["seeds"] + 1) if want in {row[1] for row in judged(
             World(theirs, seed, POLICIES[policy], book=book, walk=walk).ran().events.rows)}), 0)
         holds = holds and caught > 0
-        lines.append(f"mutant {name}: " + (f"found as {want}, seed {caught}" if caught else f"NOT FOUND as {want}"))
+        lines.append(f"mutant {name}: "
+                     + (f"found as {want}, seed {caught}" if caught else f"NOT FOUND as {want}"))
     names = list(next(iter(figures.values()))[0])
     lines.append(f"{'emulated, mean over seeds':26}" + "".join(f"{name:>10}" for name in names))
     for policy, rows in figures.items():
--- a/pathsaddle/emulator/placement/world.py
+++ b/pathsaddle/emulator/placement/world.py
@@ -224,7 +224,8 @@
                     continue
                 if order.does == "plan":
                     yield Ask("while", ticks=int(world.random.uniform(0.1, 0.6) * SECOND))
-                    words: tuple[Any, ...] = ("replaced", plan_of(book.inventory, walk.number, book.plan, world.choose))
+                    words: tuple[Any, ...] = ("replaced",
+                                              plan_of(book.inventory, walk.number, book.plan, world.choose))
                 elif order.does in ("reserve", "withdraw"):
                     assert book.plan is not None
                     words = (order.does, walk.number, book.inventory.base, book.plan.name, order.step)
@@ -245,14 +246,17 @@
                         walk.held(order.unit, asked)
                     elif order.does == "renew":
                         walk.renewed(told.inventory, asked)
-                    for unit, until in sorted(walk.hold.items()) if order.does in ("reserve", "renew") else ():
-                        world.events.add(world.bench.now, "bay.hold", who=self.name, unit=unit, number=walk.number,
+                    for unit, until in (sorted(walk.hold.items())
+                                        if order.does in ("reserve", "renew") else ()):
+                        world.events.add(world.bench.now, "bay.hold", who=self.name, unit=unit,
+                                         number=walk.number,
                                          until=self.true(until))
             yield Ask("while", ticks=LOOK)
 
 
 class World:
-    def __init__(self, site: Site, seed: int, choose: Choose, *, book: type[Book] = Book, walk: type[Walk] = Walk,
+    def __init__(self, site: Site, seed: int, choose: Choose, *, book: type[Book] = Book,
+                 walk: type[Walk] = Walk,
                  start: Inventory | None = None) -> None:
         self.site, self.choose, self.walk = site, choose, walk
         self.random = Random(seed)  # of planners, hands and trouble
@@ -292,7 +296,8 @@
         self.bench.after(SECOND, self.sampled)
         trouble = site.trouble
         for rate, what in ((trouble.stop, self.stop), (trouble.kill, self.kill), (trouble.cut, self.cut),
-                           (trouble.island, self.lose), (trouble.unit, self.break_unit), (trouble.ghost, self.ghost)):
+                           (trouble.island, self.lose), (trouble.unit, self.break_unit),
+                           (trouble.ghost, self.ghost)):
             if rate:
                 self.recur(60 * SECOND / rate, what)
 
@@ -350,7 +355,8 @@
     def ordered(self, planner: Planner, number: int, does: str, unit: str, bay: str) -> None:
         if planner.cut == "islands":
             return
-        self.bench.after(self.random.uniform(10, 500), lambda: self.handled(planner.name, number, does, unit, bay))
+        self.bench.after(self.random.uniform(10, 500),
+                         lambda: self.handled(planner.name, number, does, unit, bay))
 
     def handled(self, by: str, number: int, does: str, unit: str, bay: str) -> None:
         island = self.keeper_island(bay)
@@ -358,13 +364,15 @@
         if self.down.get(island):
             return
         if not taken:
-            self.events.add(self.bench.now, "effect", who=island, key="placement", number=number, by=by, taken=False)
+            self.events.add(self.bench.now, "effect", who=island, key="placement", number=number, by=by,
+                            taken=False)
             return
         self.seen[island] = number
         if self.busy.get(unit):
             return
         if does == "install" and unit in self.store:
-            self.events.add(self.bench.now, "effect", who=island, key="placement", number=number, by=by, taken=True)
+            self.events.add(self.bench.now, "effect", who=island, key="placement", number=number, by=by,
+                            taken=True)
             del self.store[unit]
             self.busy[unit] = True
             if self.random.random() < self.site.trouble.wrong:
@@ -488,7 +496,8 @@
         widths = WIDTHS[kind.name]
         width = random.choices([one for one, _ in widths], [part for _, part in widths])[0]
         hold = int(random.uniform(10, 30) * SECOND)
-        job = Job(f"j{len(self.waits) + len(self.waiting) + len(self.running)}-{self.bench.now}", kind.name, width,
+        job = Job(f"j{len(self.waits) + len(self.waiting) + len(self.running)}-{self.bench.now}", kind.name,
+                  width,
                   hold, self.bench.now, random.randrange(4))
         self.offered += width * hold
         self.waiting.append(job)
@@ -529,17 +538,20 @@
             job.began = self.bench.now
             self.waiting.remove(job)
             self.running[job.name] = job
-            self.events.add(self.bench.now, "bay.job", who=island, job=job.name, island=island, width=job.width,
+            self.events.add(self.bench.now, "bay.job", who=island, job=job.name, island=island,
+                            width=job.width,
                             state="begun")
             began = job.began
-            self.bench.after(job.hold, lambda job=job, began=began: self.finished(job, began))  # type: ignore[misc]
+            self.bench.after(job.hold,
+                             lambda job=job, began=began: self.finished(job, began))  # type: ignore[misc]
 
     def left(self, job: Job) -> None:
         del self.running[job.name]
         for unit, slots in job.on:
             self.free[unit] += slots
         job.on = []
-        self.events.add(self.bench.now, "bay.job", who="jobs", job=job.name, island="", width=job.width, state="ended")
+        self.events.add(self.bench.now, "bay.job", who="jobs", job=job.name, island="", width=job.width,
+                        state="ended")
 
     def finished(self, job: Job, began: int) -> None:
         if self.running.get(job.name) is job and job.began == began:
@@ -581,9 +593,11 @@
         inventory = self.keeper.book.inventory
         problem = problem_of(inventory)
         found = figures(problem, [list(row) for row in problem.serving])
-        whole = sum((problem.pool[k] + sum(row[k] for row in problem.stay) - sum(row[k] for row in problem.serving))
+        whole = sum((problem.pool[k]
+                     + sum(row[k] for row in problem.stay) - sum(row[k] for row in problem.serving))
                     * kind.slots for k, kind in enumerate(problem.kinds))
-        fits = [min(1.0, wide / width) for wide, width in zip(found.widest, problem.width, strict=True) if width]
+        fits = [min(1.0, wide / width) for wide, width in zip(found.widest, problem.width, strict=True)
+                if width]
         self.samples.append((found.stranded - whole, found.headroom or 0, min(fits, default=1.0)))
         self.bench.after(SECOND, self.sampled)
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -60,7 +60,8 @@
 
     def __init__(self, start, choose=by_greedy, book=Book):
         self.log, self.at, self.choose = [], 0, choose
-        self.kept = Memory(book(start), lambda what, more: self.log.append(Event(self.at, what, {"who": "k"} | more)))
+        self.kept = Memory(book(start),
+                           lambda what, more: self.log.append(Event(self.at, what, {"who": "k"} | more)))
         self.number = 0
         self.begun()
 
@@ -145,10 +146,12 @@
 
     def test_the_solver_moves_what_serves_where_that_is_worth_it_and_else_not(self):
         # All eight stand on one island: the loss of it leaves nothing.
-        start = inventory((island("a", 8), island("b", 8)), serving(*(f"a/{n + 1}" for n in range(8))), width=24)
+        start = inventory((island("a", 8), island("b", 8)), serving(*(f"a/{n + 1}" for n in range(8))),
+                          width=24)
         counts, by, _ = by_solver(problem_of(start))
         self.assertEqual(("solver", (True,)), (by, figures(problem_of(start), counts).reached))
-        even = inventory((island("a", 8), island("b", 8)), serving("a/1", "a/2", "a/3", "b/1", "b/2"), width=16)
+        even = inventory((island("a", 8), island("b", 8)), serving("a/1", "a/2", "a/3", "b/1", "b/2"),
+                         width=16)
         found = figures(problem_of(even), by_solver(problem_of(even))[0])
         self.assertEqual(0, found.moves)
 
@@ -176,10 +179,12 @@
         self.assertEqual(greedy(problem_of(start)), answer.counts)
 
     def test_a_limit_lowered_below_what_stands_there_adds_nothing_and_is_said(self):
-        start = inventory((island("a", 4, power=1000), island("b", 4)), serving("a/1", "a/2") + here(3), width=8)
+        start = inventory((island("a", 4, power=1000), island("b", 4)), serving("a/1", "a/2") + here(3),
+                          width=8)
         for choose in (by_greedy, by_solver):
             plan = plan_of(start, 1, None, choose)
-            self.assertFalse([step for step in plan.steps if step.does == "place" and step.bay.startswith("a/")])
+            self.assertFalse([step for step in plan.steps if step.does == "place"
+                              and step.bay.startswith("a/")])
         self.assertTrue(any("its limits now allow" in note for note in plan.notes))
 
     def test_a_full_fleet_moves_one_at_a_time_and_never_below_what_was_said(self):
@@ -188,7 +193,8 @@
                           serving(*(f"a/{n + 1}" for n in range(6)), "b/1"), width=24, asked=((8, 2, 4),))
         ground = Ground(start, by_solver)
         book = ground.walked()
-        self.assertEqual((24,), figures(p := problem_of(book.inventory), [list(row) for row in p.serving]).widest)
+        self.assertEqual((24,),
+                         figures(p := problem_of(book.inventory), [list(row) for row in p.serving]).widest)
         self.assertTrue(any(step.does == WITHDRAW for step in book.plan.steps))
         self.assertEqual([], judged(ground.log))
 
@@ -229,8 +235,8 @@
             self.assertEqual(caught, {row[1] for row in judged(ground.log)})
 
     def test_a_look_at_a_newer_book_does_not_make_an_old_plan_new(self):
-        # Found on the virtual ground (60 s, seed 12): an island was lost between two steps, and the next was reserved
-        # on the base that the answer to another change had told.
+        # Found on the virtual ground (60 s, seed 12): an island was lost between two steps, and the next was
+        # reserved on the base that the answer to another change had told.
         ground, looked = self.started()
         newer = ground.kept.do("came", *here(1, start=9)).inventory.base
         with self.assertRaises(Refused) as why:
@@ -253,7 +259,8 @@
         held = ground.kept.do("reserve", 1, looked.inventory.base, looked.plan.name, 0)
         walk.held(looked.plan.steps[0].unit, asked)
         self.assertTrue(walk.unheard(held.inventory, asked + 958))
-        self.assertFalse(walk.unheard(held.inventory, asked + 959))  # cut off, it goes on so long and no longer
+        # cut off, it goes on so long and no longer
+        self.assertFalse(walk.unheard(held.inventory, asked + 959))
         ground.begun()
         book = ground.kept.read()
         ground.walk.due(book, 0)
@@ -261,14 +268,16 @@
         self.assertIn("lapse", [order.does for order in ground.walk.due(book, 1021)])
         # Renewed in time, it is seen anew.
         other = replace(book, inventory=replace(book.inventory, units=tuple(
-            replace(unit, renewed=unit.renewed + (unit.state is State.RESERVED)) for unit in book.inventory.units)))
+            replace(unit, renewed=unit.renewed + (unit.state is State.RESERVED))
+            for unit in book.inventory.units)))
         self.assertNotIn("lapse", [order.does for order in ground.walk.due(other, 1021)])
 
     def test_cut_off_it_reserves_nothing_new(self):
         ground, looked = self.started()
         ground.kept.do("reserve", 1, looked.inventory.base, looked.plan.name, 0)
         ground.walk.held(looked.plan.steps[0].unit, 10)
-        self.assertEqual({"install"}, {order.does for order in ground.walk.unheard(ground.kept.read().inventory, 20)})
+        self.assertEqual({"install"},
+                         {order.does for order in ground.walk.unheard(ground.kept.read().inventory, 20)})
 
 
 class Stories(unittest.TestCase):
@@ -284,7 +293,8 @@
     def test_dead_on_arrival(self):
         ground = Ground(inventory((island("a", 2), island("b", 2)), here(5)))
         book = self.ends(ground, 4, dead=("n1",))
-        self.assertEqual((State.WITHDRAWN, ""), (book.inventory.unit["n1"].state, book.inventory.unit["n1"].bay))
+        self.assertEqual((State.WITHDRAWN, ""),
+                         (book.inventory.unit["n1"].state, book.inventory.unit["n1"].bay))
 
     def test_in_the_wrong_bay_where_that_is_free(self):
         ground = Ground(inventory((island("a", 2), island("b", 3)), here(3)))
@@ -340,7 +350,8 @@
         self.assertEqual(coming, {name: book.inventory.unit[name].bay for name in coming})
 
     def test_taken_out_of_service_under_a_running_job_it_leaves_when_that_ends(self):
-        start = inventory((island("a", 8), island("b", 8)), serving(*(f"a/{n + 1}" for n in range(8))), width=24)
+        start = inventory((island("a", 8), island("b", 8)), serving(*(f"a/{n + 1}" for n in range(8))),
+                          width=24)
         ground = Ground(start, by_solver)
         ground.step(), ground.step()
         out = [unit for unit in ground.kept.read().inventory.units if unit.state is State.WITHDRAWN]
@@ -349,7 +360,8 @@
         self.ends(ground, 8)
 
     def test_killed_after_each_change_another_goes_on_from_what_is_there(self):
-        start = inventory((island("a", 4), island("b", 3)), serving("a/1", "a/2", "a/3", "a/4") + here(2), width=24)
+        start = inventory((island("a", 4), island("b", 3)), serving("a/1", "a/2", "a/3", "a/4") + here(2),
+                          width=24)
         for at in range(1, 40):
             ground = Ground(start, by_solver)
             for _ in range(at):
@@ -372,12 +384,14 @@
             self.assertEqual([], broken(world.keeper.read().inventory))
 
     def test_the_same_seed_is_the_same_story(self):
-        first, second = (World(Site(seconds=30, trouble=self.TROUBLE), 5, POLICIES["plan"]).ran().events.digest()
+        first, second = (World(Site(seconds=30, trouble=self.TROUBLE), 5,
+                               POLICIES["plan"]).ran().events.digest()
                          for _ in range(2))
         self.assertEqual(first, second)
 
     def test_the_smoke_plan_holds_and_finds_each_mutant(self):
-        out = subprocess.run([sys.executable, "-m", "pathsaddle.emulator.placement.smoke", "experiments/placement-smoke.toml"],
+        out = subprocess.run([sys.executable, "-m", "pathsaddle.emulator.placement.smoke",
+                              "experiments/placement-smoke.toml"],
                              cwd=ROOT, timeout=300, check=False, capture_output=True, text=True)
         self.assertEqual(0, out.returncode, out.stdout + out.stderr)
         self.assertEqual(len(MUTANTS), out.stdout.count("mutant"))
@@ -390,7 +404,8 @@
         with TemporaryDirectory() as folder:
             path = Path(folder, "i.toml")
             path.write_text(text)
-            out = subprocess.run([sys.executable, "-m", "pathsaddle.placement", str(path)], cwd=ROOT, timeout=60,
+            out = subprocess.run([sys.executable, "-m", "pathsaddle.placement", str(path)], cwd=ROOT,
+                                 timeout=60,
                                  check=False, capture_output=True, text=True)
             self.assertEqual(0, out.returncode, out.stderr)
             self.assertIn("1 place    n in a/1", out.stdout)
--- a/tests/test_placement_processes.py
+++ b/tests/test_placement_processes.py
@@ -43,7 +43,8 @@
 
     def __init__(self, ledger, name, lease, *words):
         self.process = subprocess.Popen(
-            [sys.executable, "-m", "pathsaddle.placement", "walk", str(ledger), "--name", name, "--lease", str(lease),
+            [sys.executable, "-m", "pathsaddle.placement", "walk", str(ledger), "--name", name, "--lease",
+             str(lease),
              *words], cwd=ROOT, stdout=subprocess.PIPE, stderr=subprocess.PIPE, start_new_session=True)
         self.lines = Queue()
         threading.Thread(target=self.read, daemon=True).start()
@@ -159,7 +160,8 @@
         self.assertTrue(refused)
 
     def test_kill_9_at_each_step_of_a_walk(self):
-        # Eight serve on one island: half of them must move, one at a time, so that the walk has steps of all kinds.
+        # Eight serve on one island: half of them must move, one at a time,
+        # so that the walk has steps of all kinds.
         kept = self.ledger(2, 9, 8, 1)
         hands = Hands(kept)
         for lines in range(1, 14):
