--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -300,7 +300,7 @@
         elif not 0 < self.patience < self.beat // 2:
             yield Amiss("patience", TooSlow, patience=shown(self.patience), beat=shown(self.beat))
         if len(self.budgets) > 16:
-            yield Amiss("budgets", TooLong, shown=f"{len(self.budgets)} budgets", count=len(self.budgets), unit="budgets", most=16)
+            yield Amiss("budgets", TooLong, shown="a table", count=len(self.budgets), unit="budgets", most=16)
         for name in self.budgets:
             if not re.fullmatch(r"[A-Za-z0-9_.-]{1,32}", name):
                 yield Amiss("budgets", NotAmong, shown=shown(name), may="names of 1 to 32 letters, digits and ._-")
--- a/pathsaddle/histories/smoke.py
+++ b/pathsaddle/histories/smoke.py
@@ -1,4 +1,5 @@
-"""A plan that proves the checkers: what is planted is found under its name, what is right passes, and how long it took.
+"""A plan that proves the checkers: what is planted is found under its name, what is right passes,
+and how long it took.
 
 A plan of its own form: the emulator's plans run the program, these checkers know nothing of it.
 """
@@ -24,9 +25,9 @@
 
 @dataclass
 class Plan:
-    """seeds: how many of each. events: of a history. skew: ticks that clocks are off, each seed without and with.
-    small: the most events that a history made small may have left. timed: events by which the seconds for a million
-    are measured. million, seconds: what that and the whole run may take."""
+    """seeds: how many of each. events: of a history. skew: ticks that clocks are off, each seed without and
+    with. small: the most events that a history made small may have left. timed: events by which the seconds
+    for a million are measured. million, seconds: what that and the whole run may take."""
 
     name: str = ""
     about: str = ""
