--- a/pathsaddle/ownership/__main__.py
+++ b/pathsaddle/ownership/__main__.py
@@ -10,14 +10,14 @@
 from pathlib import Path
 from random import SystemRandom
 
-from pathsaddle.charter.check import Faulty
 from pathsaddle.charter.form import Charter
 from pathsaddle.charter.told import read
+from pathsaddle.errors import Error
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.ownership.driver import Register
-from pathsaddle.ownership.faults import OwnershipFault
+from pathsaddle.ownership.faults import NoTable
 from pathsaddle.ownership.fellows import told
 from pathsaddle.ownership.log import found
 
@@ -41,22 +41,21 @@
         return 2
     try:
         charter: Charter = read(Path(words[1]))
-    except Faulty as fault:
-        print("\n".join(map(str, fault.faults)), file=sys.stderr)
-        return 2
+    except Error as fault:
+        print(fault, file=sys.stderr)
+        return fault.code
     if charter.fleet is None or charter.fleet.owners is None:
-        print(f"{words[1]}: fleet.owners: no such table; write one, as docs/ownership.md shows",
-              file=sys.stderr)
-        return 2
+        print(missing := NoTable(charter=words[1]), file=sys.stderr)
+        return missing.code
     logbook.open_log(charter.log.level, charter.log.form)
     try:
         if words[0] == "found":
             found(Path(charter.fleet.owners.folder), charter.name, charter.fleet.owners.voters)
         else:
-            asyncio.run(serve(Register(told(charter), Ground(), SystemRandom(), Counters())))
-    except OwnershipFault as fault:
-        print(f"{words[1]}: {fault.name}: {fault}", file=sys.stderr)
-        return 2
+            asyncio.run(serve(Register(told(charter, words[1]), Ground(), SystemRandom(), Counters())))
+    except Error as fault:
+        print(fault, file=sys.stderr)
+        return fault.code
     return 0
 
 
--- a/pathsaddle/ownership/driver.py
+++ b/pathsaddle/ownership/driver.py
@@ -17,12 +17,13 @@
 from random import Random
 from typing import Any, Protocol
 
+from pathsaddle.errors import access, why
 from pathsaddle.fleet.lives import Lives
 from pathsaddle.fleet.purse import Purse
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.wire.terms import Peer, peer_of
-from pathsaddle.ownership.faults import NoDisk, NoSocket, OwnershipFault
+from pathsaddle.ownership.faults import NoDisk, OwnershipFault
 from pathsaddle.ownership.forms import (
     MOST,
     Accept,
@@ -75,6 +76,7 @@
     keys: dict[str, bool] = field(default_factory=dict)
     most_bytes: int = 200_000
     most_datagrams: int = 600
+    file: str = "the charter"  # where it stands, for an operator
 
 
 def life_of(before: int, chance: Random) -> int:
@@ -84,7 +86,8 @@
 
 class Register:
     """A process's part: it votes where its name is among the voters, and stands for its keys. `hear` is
-    called with each thing that happened, after it was logged. Raises NoDisk, NoSocket, OtherVoters."""
+    called with each thing that happened, after it was logged. Raises NoDisk, OtherVoters and
+    what place.py says of an address."""
 
     def __init__(self, told: Told, ground: Ground, chance: Random, counters: Counters) -> None:
         self.told, self.chance, self.counters = told, chance, counters
@@ -96,9 +99,8 @@
             life = life_of(lives.last(), chance)
             lives.keep(life)
         except OSError as fault:
-            raise NoDisk(f"{told.folder}: {fault.strerror or fault}",
-                         "make fleet.owners.folder a folder that this user "
-                         "may write") from None
+            raise NoDisk(f"{told.folder}: {why(fault)}",
+                         access(fault, told.folder, told.folder) + f", at fleet.owners.folder in {told.file}") from None
         self.owner = Owner(told.name, life, told.voters, told.lease, chance)
         self.log: Log | None = None
         self.voter: Voter | None = None
@@ -109,10 +111,9 @@
             self.sock, peer = ground.datagrams(told.listen)
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
             self.sock.bind(peer)
-        except OSError as fault:
-            raise NoSocket(f"fleet.owners.listen: {told.listen}: {fault.strerror or fault}",
-                           "write an address of this "
-                           "machine there that no other process has") from None
+        except (OSError, ValueError) as fault:
+            from pathsaddle.net.service.place import unhad
+            raise unhad(fault, "fleet.owners.listen", told.listen, told.file) from None
         self.peers: dict[str, Peer] = {name: peer_of(address) for name, address in told.voters.items()}
         self.inbox: list[tuple[str, dict[str, int], Message]] = []
         self.own: list[tuple[str, int, Message]] = []  # what we say to ourselves
--- a/pathsaddle/ownership/faults.py
+++ b/pathsaddle/ownership/faults.py
@@ -1,18 +1,12 @@
-"""What goes wrong with ownership and reaches an operator: each has a stable name, what happened,
-what can be done."""
+"""What goes wrong with ownership and reaches an operator, all of the one family (docs/errors.md)."""
 
 from __future__ import annotations
 
+from pathsaddle.errors import Error
 
-class OwnershipFault(Exception):
-    """The base. name: stable. what: happened. do: what an operator can do, with the very key,
-    file or voter."""
 
-    name = "ownership"
-
-    def __init__(self, what: str, do: str) -> None:
-        super().__init__(f"{what}; {do}")
-        self.what, self.do = what, do
+class OwnershipFault(Error):
+    """Any of ownership's."""
 
 
 class Founded(OwnershipFault):
@@ -33,7 +27,7 @@
     name = "ownership.no-disk"
 
 
-class NoSocket(OwnershipFault):
-    """The address for datagrams can't be had."""
-
-    name = "ownership.no-socket"
+class NoTable(OwnershipFault):
+    name = "ownership.no-table"
+    what = "{charter}: fleet.owners: no such table"
+    do = "write [fleet.owners] in {charter}, as docs/ownership.md shows"
--- a/pathsaddle/ownership/fellows.py
+++ b/pathsaddle/ownership/fellows.py
@@ -11,7 +11,7 @@
 from pathsaddle.ownership.driver import Register, Told
 
 
-def told(charter: Charter) -> Told:
+def told(charter: Charter, file: str = "the charter") -> Told:
     fleet = charter.fleet
     assert fleet is not None and fleet.owners is not None
     owners, zone = fleet.owners, charter.zone or charter.zones[0]
@@ -19,7 +19,7 @@
                 Path(owners.folder),
                 int(owners.lease), {key: owners.zones.get(key, zone) == zone for key in owners.keys},
                 owners.bytes,
-                owners.datagrams)
+                owners.datagrams, file)
 
 
 class OwningFellows(Fellows):
@@ -27,7 +27,7 @@
 
     def __init__(self, charter: Charter, *more: Any) -> None:
         super().__init__(*more)
-        self.register = Register(told(charter), self.ground, SystemRandom(), self.counters)
+        self.register = Register(told(charter, self.told.file), self.ground, SystemRandom(), self.counters)
 
     def begin(self) -> None:
         super().begin()
--- a/pathsaddle/ownership/log.py
+++ b/pathsaddle/ownership/log.py
@@ -22,6 +22,7 @@
 
 import msgspec
 
+from pathsaddle.errors import access, why
 from pathsaddle.ownership.faults import Founded, NoDisk, OtherVoters
 from pathsaddle.ownership.forms import Ballot, Value
 from pathsaddle.ownership.voter import Write
@@ -104,9 +105,8 @@
             else:
                 self.file = os.open(self.path, os.O_WRONLY | os.O_APPEND)
         except OSError as fault:
-            raise NoDisk(f"{self.path}: {fault.strerror or fault}",
-                         "make fleet.owners.folder a folder that this user may "
-                         "write, on a disk with room") from None
+            raise NoDisk(f"{self.path}: {why(fault)}", access(fault, self.path, self.path.parent)
+                         + ", at fleet.owners.folder, on a disk with room") from None
 
     def _read(self) -> Held:
         data = self.path.read_bytes()
@@ -219,14 +219,13 @@
     Founded, NoDisk."""
     path = folder / NAME
     if path.exists():
-        raise Founded(f"{path}: a register is there", "leave it; it is founded once in its life")
+        raise Founded(f"{path}: a register is there already",
+                      f"go on with {path}: it is founded once in its life, also where it was lost since")
     log = Log.__new__(Log)
     log.path, log.name, log.voters, log.file, log.held = path, name, sorted(voters), -1, Held()
     try:
         log._anew(True)
     except OSError as fault:
-        raise NoDisk(f"{path}: {fault.strerror or fault}",
-                     "make fleet.owners.folder a folder that this user may write") \
-            from None
+        raise NoDisk(f"{path}: {why(fault)}", access(fault, path, path.parent) + ", at fleet.owners.folder") from None
     log.close()
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -589,6 +589,27 @@
         for told in (("tell", ledger, "dead", "n"), ("history", ledger)):
             self.tells("placement", told, 2, "placement.ledger", "is damaged", "a copy from before")
 
+    def test_ownership(self) -> None:
+        folder, taken = self.folder / "v", socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.addCleanup(taken.close)
+        taken.bind(("127.0.0.1", 0))
+        port = taken.getsockname()[1]
+        rows = "".join(f'{name} = "127.0.0.1:{port + n}"\n' for n, name in enumerate(("d", "e", "f")))
+        text = (GOOD + SCHEME + FLEET + f'[fleet.owners]\nlisten = "127.0.0.1:{port}"\nfolder = "{folder}"\n'
+                f"[fleet.owners.voters]\n{rows}")
+        good = self.file(text, "good")
+        self.tells("ownership", ("found", str(folder)), 2, "charter.unreadable", folder)
+        self.tells("ownership", ("found", self.file(GOOD + SCHEME + FLEET)), 2, "ownership.no-table", "[fleet.owners]")
+        self.tells("ownership", ("found", good), 2, "ownership.no-disk", f"make the folder {folder}", "fleet.owners.folder")
+        folder.mkdir()
+        done = subprocess.run([sys.executable, "-m", "pathsaddle.ownership", "found", good], cwd=ROOT, check=False,
+                              capture_output=True, text=True, timeout=60)
+        self.assertEqual((done.returncode, done.stderr), (0, ""))
+        self.tells("ownership", ("found", good), 2, "ownership.founded", "once in its life")
+        self.tells("ownership", ("serve", self.file(text.replace("f = ", "g = "), "other")), 2, "ownership.other-voters",
+                   "fleet.owners.voters")
+        self.tells("ownership", ("serve", good), 2, "address.taken", "fleet.owners.listen", good)
+
     def test_federation(self) -> None:
         none, spec = str(self.folder / "none"), self.file(self.SPEC, "spec")
         text = self.GROUND.format(self.folder)
@@ -683,7 +704,7 @@
 class TheWhole(unittest.TestCase):
     """Runs after this file's stories, by its name's place: what they met is held against the catalogue."""
 
-    OURS = ("charter", "cli", "experiment", "federation", "fleet", "histories", "jobs", "net", "placement")
+    OURS = ("charter", "cli", "experiment", "federation", "fleet", "histories", "jobs", "net", "ownership", "placement")
 
     def test_the_page_lists_every_error_with_its_words(self) -> None:
         load_all()
