Specs are committed through voters: number and digest under an owned key

Until now keepers and committers had to see one folder: one machine's loss ended all commits. Weighed: texts in the register (1 KiB a key: no), a chain of sums (needed only by keepers away for more than 32 versions: not yet), the folder behind voters (two truths: no). Built: the value under `spec` names the 32 latest versions by number, digest and size; a committer owns the key, proves by a reading under its own number that it is the next, and changes the value under that number, so that whoever stood still between is refused by the voters; a majority of keepers has the text synced before. Keepers answer a member only from a reading that began after its asking and that a majority proved. `[voters]` in the ground file; `register = FOLDER` stays. Mended by the way: members had no address of a committer, so that no offer's text was ever fetched from it and a tightening bound by offer only where a keeper had the text.

--- a/pathsaddle/federation/__main__.py
+++ b/pathsaddle/federation/__main__.py
@@ -42,10 +42,11 @@
 @click.argument("spec")
 @click.option("--listen", default="127.0.0.1:0", help="Where it serves the text while it offers it.")
 @click.option("--offer", default=1.0, help="Seconds for which it is offered before it is committed.")
-def commit_command(ground: str, spec: str, listen: str, offer: float) -> None:
+@click.option("--wait", default=30.0, help="Seconds that it may wait for voters, keepers and who commits before it.")
+def commit_command(ground: str, spec: str, listen: str, offer: float, wait: float) -> None:
     """Offers a spec and commits it as the next version."""
     from pathsaddle.federation.driver import Committer, ground_of
-    version = asyncio.run(Committer(ground_of(ground), listen, spec).run(offer))
+    version = asyncio.run(Committer(ground_of(ground), listen, spec).run(offer, wait))
     click.echo(f"committed: version {version.number}, digest {version.digest}")
 
 
--- a/pathsaddle/federation/disk.py
+++ b/pathsaddle/federation/disk.py
@@ -1,8 +1,7 @@
 """Files: what a member goes by, synced before it says so; and a register for one machine.
 
 `FolderRegister` is one voter: a file a number, made by a link that fails where the number is taken. Whoever
-wants the register to outlast a machine puts another in its place: `read` (a number and a digest, and the
-text) and `commit` (only if the number is free) are all that is asked of it.
+wants the register to outlast a machine names voters instead (`voted.py`).
 """
 
 from __future__ import annotations
@@ -35,10 +34,14 @@
         os.close(handle)
 
 
+def version_at(path: Path, number: int) -> Version:
+    """Raises OSError, ValueError, FederationFault."""
+    spec = parse(path.read_bytes().decode("utf-8"), str(path))
+    return Version(number, spec.digest, spec)
+
+
 def _version(path: Path) -> Version:
-    text = path.read_bytes().decode("utf-8")
-    spec = parse(text, str(path))
-    return Version(int(path.stem.split("-")[-1]), spec.digest, spec)
+    return version_at(path, int(path.stem.split("-")[-1]))
 
 
 class Disk:
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import tempfile
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -23,6 +24,7 @@
 from pathsaddle.federation.spec import load as load_spec
 from pathsaddle.federation.spec import parse
 from pathsaddle.federation.versions import Ask, Commit, Have, Keeper, Renewed, Version, holder
+from pathsaddle.federation.voted import Entry, Texts, Voted, VotersForm, checked
 from pathsaddle.federation.wire import (
     ASK,
     COMMIT,
@@ -45,6 +47,9 @@
 from pathsaddle.trade import SECOND
 
 BYTES = 200_000  # that one process sends in any second
+COMMITTER = "committer"
+SLOTS = 256  # names that committers have at the voters, which remember where each name is
+WAIT = 30.0  # seconds that a commit may wait for the voters and for who commits before it
 AT_ONCE = 12  # pieces of a text for one asking
 
 
@@ -64,18 +69,20 @@
 class KeeperForm(msgspec.Struct, kw_only=True):
     """One keeper.
 
-    address: where others send to it. listen: where it takes datagrams, if that differs.
+    address: where others send to it. listen: where it takes datagrams, if that differs. disk: a folder for texts, where
+    voters keep the register.
     """
 
     address: str
     listen: str = ""
+    disk: str = ""
 
 
 class GroundForm(msgspec.Struct, kw_only=True):
     """Who there is.
 
     key: the secret of all of them, at least 16 characters. lease: on the spec. register: a folder that all
-    keepers and committers see. spec: the first version. members, keepers: by name. log: a folder for
+    keepers and committers see; or voters: who keeps it, on machines of their own. spec: the first version. members, keepers: by name. log: a folder for
     histories. drill: jobs without work that each member sends a second, to prove the bound.
     jobs: txns without work that each member takes a second, to prove the choice; capacity: what a region's
     workers are taken to do a second.
@@ -84,7 +91,8 @@
 
     key: str
     lease: Duration = msgspec.field(default_factory=lambda: Duration(10 * SECOND))
-    register: str
+    register: str = ""
+    voters: VotersForm | None = None
     spec: str
     log: str
     drill: float = 0.0
@@ -105,6 +113,14 @@
         raise BadKey(
             f"{path}: key has {len(ground.key)} characters", "give it 16 or more, the same in all files"
         )
+    if bool(ground.register) == (ground.voters is not None):
+        raise NoWay(f"{path}: {'both register and [voters] stand there' if ground.register else 'no register'}",
+                    "write `register = FOLDER`, or the table [voters], and not both")
+    if ground.voters is not None:
+        checked(ground.voters, path)
+        for name, keeper in ground.keepers.items():
+            if not keeper.disk:
+                raise NoWay(f"{path}: keepers.{name}.disk is missing", "give it a folder: with [voters] keepers have the texts")
     for table, rows in (("members", ground.members), ("keepers", ground.keepers)):
         for name, row in rows.items():
             try:
@@ -165,6 +181,8 @@
                 self.log("datagram.refused", why=str(reason), count=self.refused)
                 self.refused, self.refused_at = 0, self.now()
             return
+        if said.name == COMMITTER:
+            self.peers[COMMITTER] = addr  # the ground file doesn't name where one is; several take turns here
         try:
             self.heard(said)
         except Exception as fault:  # noqa: BLE001  # whatever it is ends this datagram alone
@@ -291,6 +309,10 @@
                 self.goes_by(after)
             elif said.first % AT_ONCE == AT_ONCE - 1 and (said.number, said.digest) in self.wanted:
                 self.want(said.number, said.digest, said.size, said.name)
+        elif said.kind == WANT:
+            base = self.holder.base  # not an offer: whoever wants one asks its committer
+            self.texts = {(base.number, base.digest): base.spec.text.encode()}
+            self.serve(said)
         elif said.kind == JOB and self.ground.drill:
             self.asked(said, now)
         elif said.kind >= JOB:
@@ -373,29 +395,107 @@
                                                        f"{', '.join(sorted(ground.keepers))}")
         form = ground.keepers[name]
         super().__init__(ground, name, form.listen or form.address)
-        self.register = FolderRegister(Path(ground.register))
         self.core = Keeper(int(ground.lease), self.now(), gone=tuple(ground.gone))
+        self.waiting: dict[str, Ask] = {}  # the last of each member that no reading answers yet
+        self.wanted: dict[tuple[int, str], int] = {}
+        self.pieces = Pieces()
+        self.due = asyncio.Event()
+        self.register: FolderRegister | None = None
+        if ground.voters is None:
+            self.register = FolderRegister(Path(ground.register))
+            return
+        self.disk = Texts(Path(form.disk), name)
+        self.voted = Voted(ground.voters, f"spec.{name}", self.listen, Path(form.disk), self.chance, self.log)
+        for (number, digest), version in self.disk.have.items():
+            self.texts[number, digest] = version.spec.text.encode()
+        for version in list(self.disk.committed):
+            self.committed(version)
 
     async def run(self) -> None:
         await self.begin()
+        if self.register is None:
+            self.voted.begin()
+            await asyncio.gather(self.every(SECOND // 4, self.beat), self.readings())
         await self.every(SECOND // 4, self.beat)
 
+    def committed(self, version: Version) -> None:
+        known = [(one.number, one.digest) for one in self.core.history]
+        self.core = self.core.reads(version.number, version.digest, version, self.now())
+        if (version.number, version.digest) not in known:
+            self.texts[version.number, version.digest] = version.spec.text.encode()
+            spec = version.spec
+            self.log("spec.version", state="committed", version=version.number,
+                     may={scheme: sorted(spec.rule(scheme, "").may) for scheme in sorted(spec.schemes)},
+                     home={scheme: form.home for scheme, form in sorted(spec.schemes.items())},
+                     data={data: sorted(spec.readable(data)) for data in sorted(spec.data)})
+
     def read(self) -> None:
-        for version in self.register.read():
-            self.core = self.core.reads(version.number, version.digest, version, self.now())
-            if (version.number, version.digest) not in self.texts:
-                self.texts[version.number, version.digest] = version.spec.text.encode()
-                spec = version.spec
-                self.log("spec.version", state="committed", version=version.number,
-                         may={scheme: sorted(spec.rule(scheme, "").may) for scheme in sorted(spec.schemes)},
-                         home={scheme: form.home for scheme, form in sorted(spec.schemes.items())},
-                         data={data: sorted(spec.readable(data)) for data in sorted(spec.data)})
+        """Of the folder. What voters say comes by `readings`."""
+        if self.register is not None:
+            for version in self.register.read():
+                self.committed(version)
+
+    async def readings(self) -> None:
+        """One at a time, each for all that asked before it began."""
+        while True:
+            try:
+                async with asyncio.timeout(0.25):
+                    await self.due.wait()
+            except TimeoutError:
+                pass
+            self.due.clear()
+            waiting, self.waiting = self.waiting, {}
+            try:
+                found = await self.voted.read()
+                if found is not None and self.took(found[1]):
+                    for ask in waiting.values():
+                        self.answer(ask)
+                    continue
+            except Exception as fault:  # noqa: BLE001  # whatever it is ends this reading alone
+                self.log("driver.fault", why=f"{type(fault).__name__}: {fault}")
+            # Nothing is proven: silence. They are asked for again by the next reading, or ask again themselves.
+            self.waiting = waiting | self.waiting
+            await asyncio.sleep(0.02)
+
+    def took(self, line: tuple[Entry, ...]) -> bool:
+        """Whether the highest is known with its text: of one without it nothing is said, so that nobody goes by what
+        this keeper can't prove or serve."""
+        self.wanted = {}
+        for entry in line:
+            version = self.disk.have.get(entry.known)
+            if version is None:
+                self.wanted[entry.known] = entry.size
+                continue
+            self.disk.commit(version)
+            self.committed(version)
+        return bool(line) and line[-1].known == self.core.known
+
+    def want(self, number: int, digest: str, size: int, of: list[str]) -> None:
+        first = self.pieces.begin(number, digest, size)
+        for name in of:
+            if name != self.name:
+                self.say(name, WANT, number=number, digest=digest, first=first)
+
+    def answer(self, ask: Ask) -> None:
+        told = self.core.answers(ask)
+        self.say(
+            ask.name,
+            RENEWED,
+            to=ask.name,
+            first=ask.life,
+            echo=ask.echo,
+            number=told.number,
+            digest=told.digest,
+            size=self.size(),
+        )
 
     def size(self) -> int:
         return len(self.texts.get(self.core.known, b""))
 
     def beat(self) -> None:
         self.read()
+        for (number, digest), size in list(self.wanted.items())[:2]:
+            self.want(number, digest, size, sorted(self.peers))
         number, digest = self.core.known
         rows = dict(self.core.rows)
         if number > self.core.force:
@@ -407,24 +507,38 @@
         self.core = core
 
     def heard(self, said: Said) -> None:
-        if said.kind == ASK:
+        if said.kind == ASK and self.register is None:
+            if said.name in self.ground.members:
+                self.waiting[said.name] = Ask(said.name, said.life, said.echo)
+                self.due.set()
+        elif said.kind == ASK:
             self.read()  # after the asking came
             if self.core.known[0]:
-                told = self.core.answers(Ask(said.name, said.life, said.echo))
-                self.say(
-                    said.name,
-                    RENEWED,
-                    to=said.name,
-                    first=said.life,
-                    echo=said.echo,
-                    number=told.number,
-                    digest=told.digest,
-                    size=self.size(),
-                )
+                self.answer(Ask(said.name, said.life, said.echo))
         elif said.kind == HAVE:
             self.core = self.core.hears(Have(said.name, said.number, said.digest))
         elif said.kind == WANT:
             self.serve(said)
+        elif said.kind == OFFER and self.register is None:
+            if (said.number, said.digest) in self.disk.have:
+                self.say(said.name, HAVE, number=said.number, digest=said.digest)
+            elif said.number > self.core.known[0]:
+                self.want(said.number, said.digest, said.size, [said.name])
+        elif said.kind == TEXT and self.register is None:
+            self.piece(said)
+
+    def piece(self, said: Said) -> None:
+        text = self.pieces.took(said)
+        if text is None:
+            if said.first % AT_ONCE == AT_ONCE - 1 and (said.number, said.digest) not in self.disk.have:
+                self.want(said.number, said.digest, said.size, [said.name])
+            return
+        spec = parse(text.decode("utf-8"))
+        self.disk.keep(Version(said.number, spec.digest, spec))  # synced before the word
+        self.texts[said.number, spec.digest] = text
+        self.due.set()
+        if said.name == COMMITTER:
+            self.say(COMMITTER, HAVE, number=said.number, digest=spec.digest)
 
 
 class Committer(Process):
@@ -434,25 +548,59 @@
     def __init__(self, ground: GroundForm, listen: str, path: str) -> None:
         """Raises SpecFaulty, NoWay."""
         self.spec = load_spec(path)
-        super().__init__(ground, "committer", listen)
+        super().__init__(ground, COMMITTER, listen)
         self.peers[self.name] = peer_of(listen)
-        self.register = FolderRegister(Path(ground.register))
-        have = self.register.read()
-        self.version = Version((have[-1].number if have else 0) + 1, self.spec.digest, self.spec)
-        self.texts[self.version.number, self.spec.digest] = self.spec.text.encode()
-
-    async def run(self, offer: float) -> Version:
-        """Raises Outrun, NoWay."""
+        self.kept: dict[str, None] = {}  # keepers that have the text on disk
+        self.register: FolderRegister | None = None
+        self.version = Version(0, self.spec.digest, self.spec)
+        if ground.voters is None:
+            self.register = FolderRegister(Path(ground.register))
+            have = self.register.read()
+            self.numbered((have[-1].number if have else 0) + 1)
+
+    def numbered(self, number: int) -> None:
+        self.version = Version(number, self.spec.digest, self.spec)
+        self.texts = {(number, self.spec.digest): self.spec.text.encode()}
+
+    async def run(self, offer: float, wait: float = WAIT) -> Version:
+        """offer: seconds for which it is offered; wait: for the voters, after that. Raises Outrun, NoWay."""
         await self.begin()
-        until = time.monotonic() + offer
-        while time.monotonic() < until:
-            for name in sorted(self.ground.members):
-                self.say(name, OFFER, number=self.version.number, digest=self.version.digest,
-                         size=len(self.spec.text.encode()))
-            await asyncio.sleep(min(0.2, offer))
-        self.register.commit(self.version)
+        if self.register is not None:
+            await self.offers(time.monotonic() + offer)
+            self.register.commit(self.version)
+            return self.version
+        assert self.ground.voters is not None
+        with tempfile.TemporaryDirectory() as folder:
+            voted = Voted(self.ground.voters, f"{COMMITTER}.{self.chance.randrange(SLOTS)}", self.listen, Path(folder),
+                          self.chance, self.log, commits=True)
+            voted.begin()
+            try:
+                line = await voted.first(time.monotonic() + wait)
+                self.numbered((line[-1].number if line else 0) + 1)
+                until = time.monotonic() + offer
+                await self.offers(until, until + wait)
+                size = len(self.spec.text.encode())
+                await voted.commit(Entry(self.version.number, bytes.fromhex(self.version.digest), size),
+                                   time.monotonic() + wait)
+            finally:
+                await voted.end()
         return self.version
 
+    async def offers(self, until: float, last: float = 0.0) -> None:
+        """Until then, and with voters until a majority of keepers has the text: one that is committed must outlive us.
+        Raises NoWay."""
+        size, need = len(self.spec.text.encode()), len(self.ground.keepers) // 2 + 1
+        while time.monotonic() < until or (last and len(self.kept) < need):
+            if last and time.monotonic() >= last:
+                raise NoWay(f"{len(self.kept)} of {len(self.ground.keepers)} keepers took the text: nothing was committed",
+                            f"start {', '.join(sorted(set(self.ground.keepers) - set(self.kept)))} and commit again")
+            for name in sorted({**self.ground.members, **self.ground.keepers} if last else self.ground.members):
+                self.say(name, OFFER, number=self.version.number, digest=self.version.digest, size=size)
+            await asyncio.sleep(0.2 if last else min(0.2, max(0.0, until - time.monotonic()) + 0.001))
+
     def heard(self, said: Said) -> None:
         if said.kind == WANT:
             self.serve(said)
+        elif said.kind == HAVE and said.name in self.ground.keepers and (
+                said.number, said.digest) == (self.version.number, self.version.digest):
+            self.kept[said.name] = None
--- /dev/null
+++ b/pathsaddle/federation/voted.py
@@ -0,0 +1,237 @@
+"""The register of specs kept by voters (`pathsaddle.ownership`): a key whose value says what is committed, by number and digest.
+
+Texts are not in it: who has one serves it, and its digest proves it. A commit is a change of the value by who owns the key,
+under the number that it owns it with: between its look and its change nobody else's can have come, or its own is refused.
+
+Bound: a number is committed once, with one digest, and a majority of keepers had that text on disk before. A committer that
+stood still changes nothing when it wakes. A reading is one that a majority of voters proves, or none.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import time
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import msgspec
+
+from pathsaddle.charter.units import Duration
+from pathsaddle.federation.disk import synced, version_at
+from pathsaddle.federation.faults import BadKey, FederationFault, NoWay, Outrun
+from pathsaddle.federation.versions import Version
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service.ground import Ground
+from pathsaddle.net.wire.terms import peer_of
+from pathsaddle.ownership.driver import Register, Told, steady
+from pathsaddle.ownership.faults import OwnershipFault
+from pathsaddle.ownership.owner import Happened
+from pathsaddle.trade import SECOND
+
+KEY = "spec"
+LATEST = 32  # committed versions that the value names: 29 bytes each at most, of the 1,024 that it may have
+OFFERS = 8  # texts not committed that a keeper has on disk; the oldest goes
+
+
+class VotersForm(msgspec.Struct, kw_only=True):
+    """Who keeps the register.
+
+    names: 3 or 5, each with its address (UDP), as at the voters' `fleet.owners.voters`. fleet, key: as at their `fleet.name`
+    and `fleet.key`. lease: for which a committer that says nothing keeps others from committing.
+    """
+
+    names: dict[str, str]
+    fleet: str
+    key: str
+    lease: Duration = msgspec.field(default_factory=lambda: Duration(3 * SECOND))
+
+
+def checked(form: VotersForm, file: str) -> None:
+    """Raises BadKey, NoWay."""
+    if len(form.key) < 16:
+        raise BadKey(f"{file}: voters.key has {len(form.key)} characters", "write the voters' fleet.key there, 16 or more")
+    if len(form.names) not in (3, 5):
+        raise NoWay(f"{file}: voters.names has {len(form.names)}", "write the 3 or 5 of the voters' fleet.owners.voters there")
+    if form.lease < SECOND // 2:
+        raise NoWay(f"{file}: voters.lease is {form.lease / SECOND} s", "give it 500ms at least")
+    for name, address in form.names.items():
+        try:
+            peer_of(address)
+        except ValueError:
+            raise NoWay(f"{file}: voters.names.{name}: {address!r} is no address",
+                        'write one such as "10.0.0.7:7200"') from None
+
+
+class Entry(msgspec.Struct, array_like=True, frozen=True):
+    """One committed version. size: bytes of its text."""
+
+    number: int
+    digest: bytes
+    size: int
+
+    @property
+    def known(self) -> tuple[int, str]:
+        return self.number, self.digest.hex()
+
+
+_entries = msgspec.msgpack.Decoder(tuple[Entry, ...]).decode
+
+
+def entries(data: bytes) -> tuple[Entry, ...]:
+    """The latest committed, lowest first. Raises NoWay where somebody else writes under the key."""
+    try:
+        return _entries(data) if data else ()
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        raise NoWay(f"the voters' key {KEY!r} holds what is no list of versions",
+                    f"take {KEY!r} out of fleet.owners.keys wherever it stands: commits alone own it") from None
+
+
+class Voted:
+    """What keepers read and committers change. tell: each thing that happens, as histories name it."""
+
+    def __init__(self, form: VotersForm, name: str, listen: str, folder: Path, chance: Random,
+                 tell: Callable[..., None], commits: bool = False) -> None:
+        """name: nobody else's in this moment, among at most some thousands ever. Raises NoWay."""
+        told = Told(name, form.fleet, form.key.encode(), dict(form.names), f"{peer_of(listen)[0]}:0", folder,
+                    int(form.lease), {KEY: True} if commits else {})
+        self.tell, self.name, self.asked = tell, name, 0
+        try:
+            self.register = Register(told, Ground(), chance, Counters())
+        except OwnershipFault as fault:
+            raise NoWay(fault.what, fault.do) from None
+        self.register.owner.histories = True
+        self.register.hear.append(self._hear)
+
+    def begin(self) -> None:
+        self.register.begin()
+
+    async def end(self) -> None:
+        """The key is given back, and that may be lost once."""
+        self.register.stop()
+        await asyncio.sleep(2 * self.register.owner.pace / SECOND)
+        self.register.end()
+
+    async def read(self) -> tuple[int, tuple[Entry, ...]] | None:
+        """The number of the last owner, and what was committed after this was called or then; None: no majority proved it.
+        Raises NoWay."""
+        self.asked += 1
+        op = f"{self.name}/{self.register.owner.life}/read/{self.asked}"
+        self.tell("reg.call", who=self.name, op=op, key=KEY, kind="read")
+        value = await self.register.read(KEY)
+        if value is None:
+            self.tell("reg.end", who=self.name, op=op, outcome="unknown")
+            return None
+        self.tell("reg.end", who=self.name, op=op, outcome="ok", number=value.number, owner=value.owner,
+                  revision=value.revision, value=value.data.hex() or None)
+        return value.number, entries(value.data)
+
+    async def first(self, until: float) -> tuple[Entry, ...]:
+        """Raises NoWay where no majority proves anything before `until` (of `time.monotonic`)."""
+        while time.monotonic() < until:
+            found = await self.read()
+            if found is not None:
+                return found[1]
+            await asyncio.sleep(0.02)
+        raise NoWay("no majority of the voters answers: nothing was committed",
+                    "start those of voters.names that are down, or mend the ways to them, and commit again")
+
+    async def commit(self, entry: Entry, until: float) -> None:
+        """Raises Outrun where the number is taken, NoWay where nobody can be asked in time."""
+        tried = False
+        while time.monotonic() < until:
+            number = self.register.may_act(KEY)
+            found = await self.read() if number else None
+            if found is None or found[0] != number:
+                await asyncio.sleep(0.02)
+                continue
+            line = found[1]
+            if entry in line:
+                return  # a change of ours of which we heard nothing, carried on by the voters
+            if (line[-1].number if line else 0) != entry.number - 1:
+                raise Outrun(f"another spec was committed as {entry.number} ({line[-1].number if line else 0} is the highest)",
+                             "compare yours with what is committed now and commit again")
+            if self.register.may_act(KEY) != number:
+                continue  # owned anew since the reading: what was read may be no longer so
+            # From here on the number guards it: voters take the change only while this very owning is the last.
+            tried = True
+            if await self.register.put(KEY, msgspec.msgpack.encode((*line, entry)[-LATEST:])):
+                return
+        raise NoWay(
+            f"no majority of the voters answers: whether {entry.number} was committed can't be told" if tried else
+            "no majority of the voters lets us own the register: nothing was committed",
+            "start those of voters.names that are down, or mend the ways to them, then commit again: a spec that is committed "
+            "already is told as such")
+
+    def _hear(self, one: Happened) -> None:
+        more: dict[str, Any] = {"who": self.name, "key": one.key, "number": one.number}
+        life = self.register.owner.life
+        if one.what in ("owner", "held"):
+            # The log's clock and the register's are not the same one where a machine sleeps.
+            now = int(time.monotonic() * SECOND)
+            self.tell("lease", now, **more, life=life, until=one.until - steady() + now, **{"from": now})
+        elif one.what in ("lost", "given"):
+            self.tell("lease.end", **more, life=life, why=one.why)
+        elif one.what == "call":
+            more = {"who": self.name, "op": one.op, "key": one.key, "kind": one.kind}
+            if one.kind != "take":
+                more["number"] = one.number
+            if one.kind == "set":
+                more |= {"value": one.data.hex(), "revision": one.revision}
+            self.tell("reg.call", **more)
+        elif one.what == "end":
+            more = {"who": self.name, "op": one.op, "outcome": one.why}
+            if one.why == "ok":
+                more |= {"number": one.number, "owner": self.name, "revision": one.revision, "value": one.data.hex() or None}
+            self.tell("reg.end", **more)
+
+
+class Texts:
+    """A keeper's, on disk: `NUMBER.toml` committed, `NUMBER-DIGEST.toml` offered.
+
+    Bound: all that were committed, and at most OFFERS that were not.
+    """
+
+    def __init__(self, folder: Path, name: str) -> None:
+        """Raises NoWay."""
+        self.folder, self.have = folder, dict[tuple[int, str], Version]()
+        self.committed: list[Version] = []
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+        except OSError as fault:
+            raise NoWay(f"{folder} can't be made: {fault}", f"give keepers.{name}.disk a folder that may be written") from None
+        for path in sorted(folder.glob("[0-9]*.toml")):
+            # A cut file is not there: another keeper has it.
+            with contextlib.suppress(OSError, ValueError, FederationFault):
+                version = version_at(path, int(path.stem[:9]))
+                if path.stem not in (f"{version.number:09}", f"{version.number:09}-{version.digest}"):
+                    continue
+                self.have[version.number, version.digest] = version
+                if len(path.stem) == 9:
+                    self.committed.append(version)
+
+    def keep(self, version: Version) -> None:
+        """An offer, or one committed that was not there. Raises OSError."""
+        offers = sorted(self.folder.glob("[0-9]*-*.toml"), key=lambda path: path.stat().st_mtime_ns)
+        for path in offers[:max(0, len(offers) + 1 - OFFERS)]:
+            self.have.pop((int(path.stem[:9]), path.stem[10:]), None)
+            path.unlink()
+        synced(self.folder / f"{version.number:09}-{version.digest}.toml", version.spec.text.encode())
+        self.have[version.number, version.digest] = version
+
+    def commit(self, version: Version) -> None:
+        """It is so by a majority's word. Raises OSError."""
+        if version in self.committed:
+            return
+        synced(self.folder / f"{version.number:09}.toml", version.spec.text.encode())
+        self.committed.append(version)
+        # Nobody will ever commit another under a number that is taken.
+        for path in self.folder.glob("[0-9]*-*.toml"):
+            if int(path.stem[:9]) <= version.number:
+                with contextlib.suppress(FileNotFoundError):
+                    os.unlink(path)
+                if (int(path.stem[:9]), path.stem[10:]) != (version.number, version.digest):
+                    self.have.pop((int(path.stem[:9]), path.stem[10:]), None)
