A walk takes its number from the voters and stops reserving when it lost the key

Until now the number came from whoever started the walk: two started with numbers in the wrong order worked one against the other, and one cut off from everybody went on for ever. The register has a thread of its own, since planning holds the interpreter's main loop for seconds and a lease must be renewed meanwhile.

--- a/pathsaddle/placement/__main__.py
+++ b/pathsaddle/placement/__main__.py
@@ -12,6 +12,7 @@
 import time
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,7 @@
 
 LOOK = 0.1  # seconds between looks at the ledger
 AGAIN = 60
+Tell = Callable[..., None]
 
 
 def ticks() -> int:
@@ -98,16 +100,21 @@
 @main.command()
 @click.argument("ledger", type=click.Path(path_type=Path))
 @click.option("--number", type=int, help="This planner's, from whoever says who plans; else the next of the ledger.")
+@click.option("--charter", type=click.Path(path_type=Path),
+              help="With [fleet.owners]: its voters say who plans, and under which number.")
 @click.option("--name", default="planner", show_default=True)
 @click.option("--lease", default=60.0, show_default=True, help="Seconds for which it keeps a bay without renewing.")
 @click.option("--seconds", default=10.0, show_default=True, help="How long it may think.")
 @click.option("--once", is_flag=True, help="End when nothing is left to do.")
-def walk(ledger: Path, number: int | None, name: str, lease: float, seconds: float, once: bool) -> None:
+def walk(ledger: Path, number: int | None, charter: Path | None, name: str, lease: float, seconds: float,
+         once: bool) -> None:
     """Walks the plan of LEDGER: reserves, says what is to be installed, warmed and pulled, plans anew where
     it must.
 
     Each line is one event. Who does the work by hand answers with `tell`.
     """
+    if charter is not None and number is not None:
+        raise click.UsageError("--number or --charter: the voters say the number")
     ended = threading.Event()
     for one in (signal.SIGTERM, signal.SIGINT):
         signal.signal(one, lambda *_: ended.set())
@@ -116,17 +123,50 @@
         sys.stdout.buffer.write(msgspec.json.encode(Event(ticks(), what, {"who": name} | more)) + b"\n")
         sys.stdout.buffer.flush()
     kept = File(ledger, ticks)
+    if charter is None:
+        mine = number if number is not None else kept.read().number + 1
+        try:
+            walked(kept, mine, lambda: True, tell, ended, lease, seconds, once)
+        except Ended as why:
+            tell("planner.ended", why="number", more=str(why))
+            sys.exit(1)
+        return
+    from pathsaddle.placement.owning import Owning  # sockets and voters, where they are asked for alone
+    owning = Owning(charter)
+    owning.begin()
     try:
-        book = kept.do("take", number if number is not None else kept.read().number + 1)
+        while not ended.is_set():
+            mine = owning.number()
+            if not mine:
+                ended.wait(LOOK / 5)
+                continue
+            try:
+                walked(kept, mine, partial(owning.owns, mine), tell, ended, lease, seconds, once)
+                return
+            except Lost:
+                tell("planner.lost", number=mine)
+            except Ended as why:
+                if owning.owns(mine):  # the ledger has a number that no voter gave
+                    tell("planner.ended", why="number", more=str(why))
+                    sys.exit(1)
+                tell("planner.lost", number=mine)
+    finally:
+        owning.end()
+
+
+def walked(kept: File, number: int, may: Callable[[], bool], tell: Tell, ended: threading.Event, lease: float,
+           seconds: float, once: bool) -> None:
+    """Under one number, to the end. may: asked just before each change. Raises Ended, Lost."""
+    try:
+        book = kept.do("take", number)
     except Refused as why:
-        tell("planner.ended", why=why.why, more=str(why))
-        sys.exit(1)
-    walker = Walk(book.number, int(lease * SECOND))
-    tell("planner", number=book.number)
+        raise Ended(str(why)) from None
+    walker = Walk(number, int(lease * SECOND))
+    tell("planner", number=number)
     ordered: dict[tuple[str, str, str], int] = {}
     while not ended.is_set():
         try:
-            orders = round_(kept, walker, tell, ordered, seconds)
+            orders = round_(kept, walker, tell, ordered, seconds, may)
         except Unusable as fault:
             # Nothing is heard of the book: what is reserved goes on while its lease runs, and nothing new begins.
             tell("unheard", what=fault.what, do=fault.do)
@@ -134,9 +174,6 @@
             for order in walker.unheard(book.inventory, steady()):
                 said(order, walker, tell, ordered)
             continue
-        except Ended as why:
-            tell("planner.ended", why="number", more=str(why))
-            sys.exit(1)
         book = kept.cache or book
         if once and not orders and walker.over(book):
             return
@@ -147,7 +184,8 @@
     """A later planner has begun. Steers `walk` alone."""
 
 
-Tell = Callable[..., None]
+class Lost(Exception):
+    """The voters' lease on the key is over: nothing more under this number. Steers `walk` alone."""
 
 
 def said(order: Order, walker: Walk, tell: Tell, ordered: dict[tuple[str, str, str], int]) -> None:
@@ -159,14 +197,16 @@
 
 
 def round_(kept: File, walker: Walk, tell: Tell, ordered: dict[tuple[str, str, str], int],
-           seconds: float) -> list[Order]:
-    """One look, and all that is due by it."""
+           seconds: float, may: Callable[[], bool]) -> list[Order]:
+    """One look, and all that is due by it. Raises Ended, Lost, Unusable."""
     book = kept.read()
     orders = walker.due(book, steady())
     for order in orders:
         words: tuple[Any, ...]
         if order.does == "stop":
             raise Ended(f"{book.number} has begun")
+        if not may():
+            raise Lost
         if order.does in ("install", "warm", "pull"):
             said(order, walker, tell, ordered)
             continue
@@ -184,6 +224,8 @@
         else:
             words = (order.does, walker.number, order.unit)
         asked = steady()
+        if not may():  # planning took its time
+            raise Lost
         try:
             after = kept.do(*words)
         except Refused as why:
--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -1,6 +1,7 @@
 """Specs and plans through the voters' register, all real processes: two committers at once, one that was stopped, voters killed."""
 
 import signal
+import sqlite3
 import subprocess
 import sys
 import tempfile
@@ -9,11 +10,17 @@
 import unittest
 from pathlib import Path
 
-from pathsaddle.emulator.events import read
+from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.federation.judge import judged
 from pathsaddle.emulator.ownership import linear
 from pathsaddle.emulator.ownership.judge import judge
+from pathsaddle.emulator.placement.judge import judged as placed
+from pathsaddle.placement.__main__ import ticks
+from pathsaddle.placement.check import broken
+from pathsaddle.placement.inventory import State
+from pathsaddle.placement.ledger import made
 from tests.test_ownership_processes import CHARTER, free
+from tests.test_placement_processes import Hands, Planner, inventory
 
 ROOT = Path(__file__).resolve().parent.parent
 SPEC = """[regions.north]
@@ -183,3 +190,83 @@
         self.until(lambda: any(row.what == "region.ran" and row.more["region"] == "west" for row in self.rows()),
                    "it runs in west")
         self.good()
+
+
+class PlanStory(Joined):
+    def setUp(self):
+        super().setUp()
+        self.path = self.folder / "placement.db"
+        self.kept = made(self.path, inventory(20, 6, 4, 20), ticks)
+        self.addCleanup(self.kept.close)
+        self.hands = Hands(self.kept)
+
+    def planner(self, name, *words):
+        charter = self.charter(name, free(1)[0], '"plan"')
+        planner = Planner(self.path, name, 1.0, "--charter", str(charter), "--seconds", "1", *words)
+        self.addCleanup(planner.end)
+        return planner
+
+    def stopped(self, planner):
+        """Outside a commit: inside one it bars the ledger for all."""
+        other = sqlite3.connect(self.path, isolation_level=None, timeout=0.5)
+        self.addCleanup(other.close)
+        for _ in range(50):
+            planner.sent(signal.SIGSTOP)
+            try:
+                other.execute("BEGIN IMMEDIATE")
+                other.execute("ROLLBACK")
+                return
+            except sqlite3.OperationalError:
+                planner.sent(signal.SIGCONT)
+                planner.next()
+        self.fail("fifty times inside a commit")
+
+    def walked(self, planner):
+        while (event := planner.lines.get(timeout=60)) is not None:
+            self.hands.obey(event)
+        self.assertEqual(planner.process.wait(60), 0)
+
+    def good(self):
+        found = self.kept.read().inventory
+        self.assertEqual(sum(unit.state is State.SERVING for unit in found.units), 24)
+        self.assertEqual(broken(found), [])
+        story = [Event(at, what, more) for at, what, more in self.kept.story()]
+        self.assertEqual(placed(story), [])
+
+    def test_a_planner_that_stood_still_is_followed_and_reserves_nothing_when_it_wakes(self):
+        first = self.planner("p0")
+        self.assertEqual(first.until("planner").more["number"], 1)
+        first.until("did", "reserve")
+        self.stopped(first)
+        second = self.planner("p1", "--once")
+        self.assertEqual(second.until("planner").more["number"], 2)
+        second.until("did", "plan", self.hands)
+        first.sent(signal.SIGCONT)
+        # What it printed before it was stopped may still lie in the pipe; then its only word is that it lost the key.
+        while (event := first.next()).what not in ("planner.lost", "planner", "planner.ended"):
+            self.assertIn((event.what, event.more.get("number")), [("did", 1), ("order", 1), ("refused", 1)])
+        self.assertEqual((event.what, event.more["number"]), ("planner.lost", 1))
+        self.walked(second)
+        self.assertGreaterEqual(first.until("planner").more["number"], 3)  # given back, it was next
+        self.good()
+
+    def test_with_a_majority_of_voters_killed_a_planner_reserves_no_more_until_they_are_back(self):
+        planner = self.planner("p0", "--once")
+        planner.until("did", "reserve")
+        for name in VOTERS[1:]:
+            self.running[name].kill()
+            self.running[name].communicate(timeout=10)
+        planner.until("planner.lost", None, self.hands)
+        # Nobody else took the ledger: its number alone would let the planner go on.
+        self.assertEqual(self.kept.read().number, 1)
+        for unit in self.kept.read().inventory.units:  # there is room for the next
+            if unit.state is State.RESERVED:
+                self.kept.do("put", unit.name, unit.bay)
+                self.kept.do("warmed", unit.name)
+        self.assertTrue(planner.lines.empty())
+        for name in VOTERS[1:]:
+            self.voter(name)
+        event = planner.next()
+        self.assertEqual((event.what, event.more.get("number")), ("planner", 2))
+        self.walked(planner)
+        self.good()
