--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -468,6 +468,8 @@
                 continue
             self.disk.commit(version)
             self.committed(version)
+        if len(self.texts) > len(self.disk.have):  # offers whose number another took
+            self.texts = {known: text for known, text in self.texts.items() if known in self.disk.have}
         return bool(line) and line[-1].known == self.core.known
 
     def want(self, number: int, digest: str, size: int, of: list[str]) -> None:
--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -1,5 +1,6 @@
 """Specs and plans through the voters' register, all real processes: two committers at once, one that was stopped, voters killed."""
 
+import shutil
 import signal
 import sqlite3
 import subprocess
@@ -165,6 +166,14 @@
             path = self.folder / name / "000000003.toml"
             self.until(path.exists, f"{name} keeps version 3")
             self.assertIn("# 33", path.read_text())
+
+        # A keeper back on an empty disk has its texts from the others, by the digests that the voters hold.
+        self.running["k2"].kill()
+        self.running["k2"].communicate(timeout=10)
+        shutil.rmtree(self.folder / "k2")
+        self.running["k2"] = self.ran("pathsaddle.federation", "keeper", self.ground, "k2")
+        self.until(lambda: [path.name for path in sorted((self.folder / "k2").glob("0*.toml"))]
+                   == [f"{number:09}.toml" for number in (1, 2, 3)], "k2 has all three again")
         numbers = [row.more["number"] for row in self.good() if row.what == "lease"]
         self.assertGreaterEqual(len(set(numbers)), 5)
 
