--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -1,5 +1,6 @@
 """Specs and plans through the voters' register, all real processes: two committers at once, one that was stopped, voters killed."""
 
+import os
 import shutil
 import signal
 import sqlite3
@@ -10,6 +11,7 @@
 import time
 import unittest
 from pathlib import Path
+from random import Random
 
 from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.federation.judge import judged
@@ -35,6 +37,7 @@
 """
 SKEW = 100
 VOTERS = ("v0", "v1", "v2")
+SECONDS = float(os.environ.get("JOINED_SECONDS", "0"))  # of random trouble, by hand
 
 
 class Joined(unittest.TestCase):
@@ -200,6 +203,53 @@
                    "it runs in west")
         self.good()
 
+    @unittest.skipUnless(SECONDS, "JOINED_SECONDS=60: random trouble, by hand")
+    def test_committers_stopped_and_killed_and_voters_and_keepers_killed_at_random(self):
+        chance, committers, count = Random(33), {}, 1
+        end = time.monotonic() + SECONDS
+        while time.monotonic() < end:
+            for _ in range(chance.randrange(1, 4)):
+                count += 1
+                committers[count] = self.commit(count, *chance.choice(((), ("west",))), offer=0.2)
+            name = chance.choice((*VOTERS, "k0", "k1", "k2", "", ""))
+            if name:
+                self.running[name].kill()
+                self.running[name].communicate(timeout=10)
+            for process in (process for process in committers.values() if process.poll() is None):
+                kind = chance.choice(("stop", "stop", "kill", "", ""))
+                if kind:
+                    self.pause.wait(chance.uniform(0, 1.0))
+                    process.send_signal(signal.SIGSTOP if kind == "stop" else signal.SIGKILL)
+            self.pause.wait(chance.uniform(0, 2.0))
+            if name.startswith("v"):
+                self.voter(name)
+            elif name:
+                self.running[name] = self.ran("pathsaddle.federation", "keeper", self.ground, name)
+            for process in committers.values():
+                if process.poll() is None:
+                    process.send_signal(signal.SIGCONT)
+        ends = dict.fromkeys((0, 2, -9), 0)
+        told = {}
+        for mine, process in committers.items():
+            out, err = process.communicate(timeout=60)
+            ends[process.returncode] += 1
+            if process.returncode == 0:
+                number = int(out.split()[2].strip(b","))
+                self.assertNotIn(number, told)
+                told[number] = mine
+            else:
+                self.assertTrue(process.returncode == -9 or b"federation." in err, err)
+        last = max(told)
+        paths = [self.folder / name / f"{last:09}.toml" for name in ("k0", "k1", "k2")]
+        self.until(lambda: all(path.exists() for path in paths), "all keepers have the last that was told")
+        for number, mine in told.items():  # what was told to be committed is what is committed, everywhere
+            for name in ("k0", "k1", "k2"):
+                path = self.folder / name / f"{number:09}.toml"
+                self.until(path.exists, f"{name} has {number}")
+                self.assertTrue(path.read_text().endswith(f"# {mine}\n"))
+        self.good()
+        print(f"{len(committers)} committers: {ends[0]} committed, {ends[2]} refused, {ends[-9]} killed")
+
 
 class PlanStory(Joined):
     def setUp(self):
