Faults in a moment of the level and of the register each have a story that breaks without the catch

Seen on reading the whole change again: two catches at drivers, made while the parts were joined (fleet/overload/driver.py `_wake`, which would have gone on by a level that stood for good; ownership/driver.py `_wake`, whose flush stood outside its guard, so that nothing would have been renewed any more), had no story. Each now plays a core that fails once: the fault is logged under its name, the next moment is set, and that one works.

Looked at and let be: the three copies of a charter's head in stories of processes differ in what each part needs; classes of errors are of one shape because they are one family.

--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import asyncio
 import subprocess
 import sys
 import unittest
 from random import Random
+from types import SimpleNamespace
+from unittest import mock
 
-from pathsaddle.fleet.overload import budgets
+from pathsaddle.fleet.overload import budgets, driver
 from pathsaddle.fleet.overload.advice import Returns
 from pathsaddle.fleet.overload.beside import Beside
 from pathsaddle.fleet.overload.faults import BadWord
@@ -15,6 +18,8 @@
 from pathsaddle.fleet.overload.level import DEAD, FALLS, RISES, Level, Sums
 from pathsaddle.fleet.overload.standing import BANDS, PERIOD, Ask, band, drawn
 from pathsaddle.fleet.overload.word import MOST, TELLS, Word, packed, read, short
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service import logbook
 from pathsaddle.trade import SECOND, Outcome, Scheme
 from tests.fakehost import ONCE_ONLY, FakeHost, idle, scheme
 
@@ -322,5 +327,24 @@
         self.assertEqual("[]", out.stdout.strip())
 
 
+class DriverStory(unittest.IsolatedAsyncioTestCase):
+    async def test_a_fault_in_a_moment_is_logged_and_the_next_moment_is_set_all_the_same(self) -> None:
+        """It ended the level's timer unseen: the gate went on by the level that stood, for good."""
+        fellows = SimpleNamespace(counters=Counters(), clock=SimpleNamespace(now=lambda: 7 * SECOND), shared=SimpleNamespace(
+            carry=SimpleNamespace(records=lambda topic, now: [], put=mock.Mock())))
+        gate = mock.Mock(ways=SimpleNamespace(members=3))
+        gate.wake.side_effect = [ZeroDivisionError("of ours"), 8 * SECOND]
+        levels = driver.Levels(fellows, gate, mock.Mock(), mock.Mock())  # type: ignore[arg-type]
+        self.addCleanup(levels.end)
+        with mock.patch.object(logbook, "fault_level") as told:
+            levels.begin()
+        self.assertEqual(fellows.counters["fleet.fault"], 1)
+        self.assertIn("of ours", told.call_args.kwargs["why"])
+        assert levels._alarm is not None
+        self.assertGreater(levels._alarm.when(), asyncio.get_running_loop().time())
+        levels._wake()
+        fellows.shared.carry.put.assert_called_once()
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -1,6 +1,7 @@
 """One owner at a time: what the register, its leases and its voters go through,
 and who would be found doing it wrong."""
 
+import asyncio
 import errno
 import shutil
 import tempfile
@@ -15,8 +16,12 @@
 from pathsaddle.emulator.ownership.ground import Disk, Ground
 from pathsaddle.emulator.ownership.judge import judge
 from pathsaddle.emulator.ownership.mutants import ByArrival, Reuses, mutant
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service import logbook
+from pathsaddle.net.service.ground import Ground as Machine
 from pathsaddle.ownership import check
 from pathsaddle.ownership.check import Broken, Ways
+from pathsaddle.ownership.driver import Register, Told
 from pathsaddle.ownership.faults import OtherVoters
 from pathsaddle.ownership.fence import Fence
 from pathsaddle.ownership.forms import (
@@ -436,3 +441,19 @@
         owner = Owner("m", 1, "abc", 1000, Random(1))
         self.assertEqual((owner.may_act("k", 0), owner.due()), (0, 1 << 60))
         self.assertEqual((NOBODY.number, NEVER.round), (0, 0))
+
+class DriverStory(unittest.IsolatedAsyncioTestCase):
+    async def test_a_fault_in_a_moment_is_logged_and_the_next_moment_is_set_all_the_same(self):
+        """A fault behind the owner's part of a moment left the timer unset: nothing was renewed any more, unseen."""
+        with tempfile.TemporaryDirectory() as folder:
+            voters = {name: f"127.0.0.1:{port}" for port, name in enumerate("abc", 1)}
+            register = Register(Told("m", "f", b"sixteen bytes or more", voters, "127.0.0.1:0", Path(folder), SECOND,
+                                     {"k": True}), Machine(), Random(1), Counters())
+            with mock.patch.object(register, "_flush", side_effect=ZeroDivisionError("of ours")), mock.patch.object(
+                    logbook, "fault_ownership") as told:
+                register.begin()
+            self.addCleanup(register.end)
+            told.assert_called_once()
+            self.assertGreater(register._alarm.when(), asyncio.get_running_loop().time())
+            register._wake()
+            self.assertEqual(register.owner.out, [])  # it says what it has to say again
