Sockets count what the kernel has taken and given at the very system call

Need: what a posting, a close or a watch decides by must be what the kernel took, not where a coroutine stands; uvloop resumes the waiter of sock_sendall and sock_recv_into one turn of the loop after the call. pump.Tallied counts both ways in send and recv_into and tells whether something lies unread; the virtual ground's sockets count the same. Nothing decides by it yet. tests.test_sockets and tests.test_program green.

--- a/pathsaddle/emulator/ground/links.py
+++ b/pathsaddle/emulator/ground/links.py
@@ -22,6 +22,7 @@
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
+from pathsaddle.net.service.pump import Tallied
 from pathsaddle.net.wire.terms import Peer, peer_of
 
 if TYPE_CHECKING:
@@ -152,6 +153,7 @@
         self.knocking: deque[asyncio.Future[None]] = deque()
         self.open = True
         self.abrupt = False
+        self.given = self.taken = 0  # bytes that have gone out here, and that were read
         host.sockets[self] = None
 
     # As of socket.socket.
@@ -218,6 +220,10 @@
             side.stir()
             side.peer.stir()
 
+    def stirred(self) -> bool:
+        side = self.side
+        return side is None or bool(side.inbound) or side.fault is not None or side.closed or side.ended
+
     def vanish(self) -> None:
         """Its process has died."""
         self.abrupt = True
@@ -303,6 +309,7 @@
         count = min(len(buf), len(side.inbound))
         buf[:count] = side.inbound[:count]
         del side.inbound[:count]
+        self.taken += count
         if side.peer.writer is not None:
             side.peer.stir()
         return count
@@ -332,6 +339,7 @@
             self.net.digest.update(b"%d %d\n" % (self.net.loop._ns, side.number))
             self.net.digest.update(part)
             side.peer.inbound += part
+            self.given += len(part)
             rest = rest[len(part):]
             side.peer.stir()
 
@@ -356,9 +364,9 @@
     def fellows(self, counters: Counters) -> Fellows | None:
         return self._fellows(self, counters)
 
-    def stream(self, address: str) -> tuple[socket.socket, Peer]:
+    def stream(self, address: str) -> tuple[Tallied, Peer]:
         peer = peer_of(address)
-        return cast(socket.socket, self.host.net.stream(self.host)), peer
+        return cast(Tallied, self.host.net.stream(self.host)), peer
 
     def desk(self, *told: Any) -> Desk:
         return self._desk(*told)
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -12,7 +12,7 @@
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.desk import Desk
-from pathsaddle.net.service.pump import Opening, drain, stream
+from pathsaddle.net.service.pump import Opening, Tallied, drain, stream, tallied
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Called, Message
 from pathsaddle.net.wire.ring import Ring
@@ -38,7 +38,7 @@
 class Visit:
     """One accepted connection."""
 
-    def __init__(self, front: Front, sock: socket.socket, peer: str) -> None:
+    def __init__(self, front: Front, sock: Tallied, peer: str) -> None:
         self.front = front
         self.sock = sock
         self.peer = peer
@@ -294,7 +294,8 @@
                 except TimeoutError:
                     pass  # by now somebody's time for first bytes may be over
 
-    def welcome(self, sock: socket.socket, address: tuple[str, int]) -> None:
+    def welcome(self, given: socket.socket, address: tuple[str, int]) -> None:
+        sock = tallied(given)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.counters.add("accepted")
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -36,7 +36,7 @@
     def __init__(self, clock: Clock | None = None) -> None:
         self.clock = clock or Clock()
 
-    def stream(self, address: str) -> tuple[socket.socket, Peer]:
+    def stream(self, address: str) -> tuple[pump.Tallied, Peer]:
         """A new TCP socket that doesn't block, and the address as it wants it; ValueError where it is none."""
         return pump.stream(address)
 
