An answer belongs to its call: connections rest, unread bytes end them, sent is what the kernel took

A posting given up in the turn in which uvloop had handed its last byte to the kernel was MOOT ("never sent"): Errand.sent was set where the writing task resumed. An answer before the call was out whole counted. A connection that came up late was used though the worker had started anew, a referenced txn's window had closed or its expiry was over; `returned` counted for the second of two postings of a txn at one worker. Ruled out: an answer that names its call (no header of the protocol does); holding a connection's next call until it has rested (at a cap of two links eight calls took over the connect limit of 200 ms): at its cap a resting one is given up. Loop.may_begin asks again at the first byte. Interim answers are none, answers without end are bounded.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -326,12 +326,18 @@
         return not any(p.out and p.worker is worker
                        or p.may_have_run and not self.same_group(txn.scheme, p.worker, worker) for p in txn.postings)
 
-    def may_go_on_until(self, txn: Txn) -> int:
-        """Until when another posting, to some worker, could still do no harm."""
-        risky = [p for p in txn.postings if p.may_have_run]
+    def may_begin(self, posting: Posting) -> bool:
+        """The same again at its first byte: coming up, a connection took time."""
+        txn, worker = posting.txn, posting.worker
+        return (not txn.closed and worker.may_get(self.dropped_stay_open) and worker.started == posting.incarnation
+                and self.now < min(self.last(txn), self.may_go_on_until(txn, posting)))
+
+    def may_go_on_until(self, txn: Txn, but: Posting | None = None) -> int:
+        """Until when another posting, to some worker, could still do no harm; `but` is that one, if decided already."""
+        risky = [p for p in txn.postings if p.may_have_run and p is not but]
         if self.unusable(txn):
             return 0
-        if len(txn.postings) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
+        if len(txn.postings) - (but is not None) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
             return 0
         if risky and txn.scheme.semantics is Semantics.REFERENCED:
             return min(p.sent for p in risky) + txn.scheme.window - self.tick
@@ -845,7 +851,7 @@
     def sent(self, posting: Posting) -> None:
         book = self.books[posting.worker]
         book.believed_until = 0
-        posting.work = posting.txn.work
+        posting.work, posting.incarnation = posting.txn.work, book.worker.started
         if book.suspect:
             book.trial = posting
         kind = posting.txn.kind
--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/desk.py
@@ -24,7 +24,7 @@
 from pathsaddle.federation.lend import Free
 from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.ways import Job, Place
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand
+from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Sending
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
@@ -50,10 +50,14 @@
     region: str
     unknown: list[str]
     again: dict[str, int]
-    sent: bool = False
+    sending: Sending | None = None
     task: asyncio.Task[None] | None = None
     alarm: asyncio.TimerHandle | None = None
 
+    @property
+    def sent(self) -> bool:
+        return self.sending is not None and self.sending.whole
+
 
 class FederatedDesk(Desk):
     """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing
@@ -257,14 +261,12 @@
         left = crossing.txn.expires - self.clock.now() - 2 * LAST - way
         headers = [row for row in forms.posting_headers(call, left) if row[0].lower() != CROSSED]
 
-        def begins() -> None:
+        def begins(sending: Sending) -> None:
             # Connecting took time, and a process may stand still between its look and its sending.
             now = self.member.now()
             if place.region not in self.member.holder.rule(self.names[crossing.txn.scheme.index], now).may:
                 raise NeverSent("the spec was tightened")
-
-        def sent() -> None:
-            crossing.sent = True
+            crossing.sending = sending
 
         try:
             answer = await self.workers.call(
@@ -274,7 +276,6 @@
                 [*headers, (b"Crossed-From", self.member.region.encode())],
                 call.body,
                 begins,
-                sent,
             )
         except NeverSent:
             self._crossed(crossing, "declined", come_back)
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -21,7 +21,7 @@
 from pathsaddle.jobs.call import PATH, as_txn, digest, key_of, pack, unpack
 from pathsaddle.jobs.life import End, Job, Kind, Lease, Next, Record, Word
 from pathsaddle.jobs.store import Accepted, Fenced, Forget, Store, tell_done
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand
+from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Whole
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
@@ -213,7 +213,7 @@
             if worker is None:
                 continue  # its word may still come, as a late result
             posting = Posting(entry.txn, worker, i, lease.at, taken=lease.at)
-            errand = Errand(posting, entry, 1 << 60, begun=True, sent=True, accepted=True)
+            errand = Errand(posting, entry, 1 << 60, begun=True, sending=Whole(), accepted=True)
             entry.errands.append(errand)
             postings.append(posting)
             if lease.never_ran:
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -70,6 +70,10 @@
         elif not posting.txn.closed:
             self._resume(posting.txn, posting)
 
+    def may_begin(self, posting: Posting) -> bool:
+        """Asked right before its first byte: what it was decided on may have passed while a connection came up."""
+        return self.choice.may_begin(posting)
+
     def taken(self, posting: Posting) -> None:
         posting.taken = self.now
         self.choice.taken(posting)
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from pathsaddle.net.wire.http import Message
 from pathsaddle.trade import Posting, Txn
@@ -13,6 +14,21 @@
 Answer = Callable[[int, bytes, tuple[str, ...], bool], None]
 
 
+class Sending(Protocol):
+    """The bytes of one call on their way."""
+
+    @property
+    def whole(self) -> bool:
+        """Whether the kernel has taken the last of them: from then on the call may have run."""
+
+
+@dataclass(slots=True, eq=False)
+class Whole:
+    """What is known by other means than a socket of ours to be with its worker, or not."""
+
+    whole: bool = True
+
+
 @dataclass(slots=True, eq=False)
 class Errand:
     """A posting on its way: what a worker has been sent for it, and what came back."""
@@ -21,11 +37,16 @@
     entry: Entry
     within: int
     begun: bool = False  # its first byte is out
-    sent: bool = False  # its last byte is out: from now on it may have run
+    sending: Sending | None = None  # from its first byte on
     accepted: bool = False  # the worker has said 202: it is withdrawn by a call, no more by closing
     alarm: asyncio.TimerHandle | None = None
     task: asyncio.Task[None] | None = None
 
+    @property
+    def sent(self) -> bool:
+        """Its last byte is out, by what the kernel took and not by where a task of ours stands: it may have run."""
+        return self.sending is not None and self.sending.whole
+
 
 @dataclass(slots=True, eq=False)
 class Entry:
@@ -76,5 +97,10 @@
                     return errand
         return None
 
+    def ambiguous(self, errand: Errand) -> bool:
+        """Whether an earlier posting to the same worker was given up or lost: word from there may be about that one."""
+        return any(other.posting.worker is errand.posting.worker and other.posting.may_have_run
+                   for other in errand.entry.errands if other is not errand)
+
     def unanswered(self) -> list[Entry]:
         return [entry for entry in self._entries.values() if not entry.txn.closed]
--- a/pathsaddle/net/memory/links.py
+++ b/pathsaddle/net/memory/links.py
@@ -13,10 +13,13 @@
 
 
 class Kept(Protocol):
-    idle_since: int
+    idle_since: int  # when the answer to the last call on it was read
+    rests: bool  # a second answer to that call could pass for the next call's
+    ended: bool
 
     @property
-    def usable(self) -> bool: ...
+    def usable(self) -> bool:
+        """It stands, and nothing lies on it unread: an end, or bytes that would pass for the next call's answer."""
 
     def end(self, code: str) -> None: ...
 
@@ -38,9 +41,10 @@
 
 
 class Links(Generic[L]):
-    def __init__(self, most: int, keep_for: int) -> None:
+    def __init__(self, most: int, keep_for: int, rest: int = 0) -> None:
         self.most = most  # over all workers: the rest of our descriptors belongs to clients
         self.keep_for = keep_for
+        self.rest = rest  # after an answer: in which a second one to the same call may still come
         self.shelves: dict[str, Shelf[L]] = {}
 
     def shelf(self, worker: str) -> Shelf[L]:
@@ -55,15 +59,31 @@
         return max(2, self.most // max(1, len(self.shelves)))
 
     def take(self, shelf: Shelf[L], now: int) -> L | None:
-        """An idle link that the worker will not have closed by the time our bytes are there."""
-        while shelf.idle:
-            link = shelf.idle.pop()
+        """An idle link that the worker will not have closed by the time our bytes are there, and on which no more
+        can come that is not the next call's."""
+        at = len(shelf.idle)
+        while at:
+            at -= 1
+            link = shelf.idle[at]
+            if self.resting(link, now):
+                continue
+            del shelf.idle[at]
             if link.usable and now - link.idle_since < self.keep_for:
                 shelf.used += 1
                 return link
-            link.end("idle")
+            link.end("idle" if now - link.idle_since >= self.keep_for else "worker-stirred")
         return None
 
+    def resting(self, link: L, now: int) -> bool:
+        return link.rests and now - link.idle_since < self.rest and not link.ended
+
+    def gives_up_resting(self, shelf: Shelf[L]) -> bool:
+        """At the worker's cap: a new connection comes up sooner than one has rested. False where none rests."""
+        if shelf.idle:
+            shelf.idle.pop(0).end("resting")
+            return True
+        return False
+
     def may_open(self, shelf: Shelf[L]) -> bool:
         if shelf.count >= self.most_each():
             return False
@@ -76,6 +96,8 @@
         if link.usable:
             link.idle_since = now
             shelf.idle.append(link)
+        else:
+            link.end("worker-stirred")
         self.release(shelf)
 
     def release(self, shelf: Shelf[L]) -> None:
@@ -88,7 +110,7 @@
             for link in shelf.idle:
                 if now - link.idle_since >= self.keep_for:
                     link.end("idle")
-            shelf.idle = [link for link in shelf.idle if link.usable]
+            shelf.idle = [link for link in shelf.idle if not link.ended]
 
     def drop_idle(self, worker: str, code: str) -> None:
         shelf = self.shelves.get(worker)
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -14,7 +14,7 @@
 
 from pathsaddle.loop import Loop
 from pathsaddle.net.memory.counters import Counters
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Ledger
+from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Ledger, Sending
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.workers import Lost, NeverSent, Workers
@@ -71,7 +71,7 @@
         if errand.accepted:
             self._start(self._withdraw(errand))
         else:
-            self._give_up(errand)
+            self._give_up(errand)  # no byte goes out after this; what has gone, the socket has counted
             # The end of the connection takes its time, and the next copy may have a shorter way.
             self._events.call_later(seconds(ON_ITS_WAY if errand.sent and not self.two_at_once else 0),
                                     self._end, errand, Outcome.CANCELLED if errand.sent else Outcome.MOOT)
@@ -147,7 +147,10 @@
         if errand is None or not errand.begun:
             self.counters.add("callback.stray")
         elif told.outcome is not None:
-            self._end(errand, told.outcome, told.report, told.result)
+            outcome = told.outcome
+            if outcome.never_ran and self.ledger.ambiguous(errand):
+                outcome = Outcome.ERROR  # of which of its postings there it speaks nobody knows: no proof
+            self._end(errand, outcome, told.report, told.result)
         elif told.note:
             self._at()
             posting = errand.posting
@@ -190,21 +193,19 @@
     async def _carry(self, errand: Errand) -> None:
         posting, call = errand.posting, errand.entry.call
 
-        def begins() -> None:
-            # Connecting took time: the txn may have its answer, the worker may have been told to go.
-            if posting.txn.closed or not posting.worker.may_get(self.dropped_stay_open):
+        def begins(sending: Sending) -> None:
+            # Connecting took time: its client may have gone, the worker been told to go or started anew.
+            self._at()
+            if not self.loop.may_begin(posting):
+                self.counters.add("posting.withheld")
                 raise Withheld
-            errand.begun = True
-
-        def sent() -> None:
-            errand.sent = True
-            self.counters.add("posting.sent")
+            errand.begun, errand.sending = True, sending
 
         left = posting.sent + errand.within - self.clock.now()
         try:
             answer = await self.workers.call(
                 posting.worker.tag, "POST", call.target, forms.posting_headers(call, left), call.body,
-                begins, sent)
+                begins)
         except Withheld:
             self._end(errand, Outcome.MOOT)
         except NeverSent:
@@ -224,11 +225,11 @@
     def _late(self, errand: Errand) -> None:
         """The time it was given is up: no worker that got it in full can be said not to have run it."""
         if errand.posting.out:
-            self._end(errand, Outcome.TIMED_OUT if errand.sent else Outcome.MOOT)
             if errand.accepted:
                 self._start(self._delete(errand))
             else:
-                self._give_up(errand)
+                self._give_up(errand)  # first: whether its last byte is out is settled by that
+            self._end(errand, Outcome.TIMED_OUT if errand.sent else Outcome.MOOT)
 
     def _give_up(self, errand: Errand) -> None:
         if errand.task is not None:
@@ -241,20 +242,15 @@
 
     async def _delete(self, errand: Errand) -> bool:
         """Whether the worker has been told in full that the posting is given up."""
-        written = False
-
-        def sent() -> None:
-            nonlocal written
-            written = True
-
+        told: list[Sending] = []
         self.counters.add("withdrawal")
         try:
             async with asyncio.timeout(seconds(self.workers.connect_within)):
                 await self.workers.call(errand.posting.worker.tag, "DELETE",
-                                        forms.withdrawal_target(errand.posting.txn.tag), [], sent=sent)
+                                        forms.withdrawal_target(errand.posting.txn.tag), [], begins=told.append)
         except (NeverSent, Lost, TimeoutError):
             self.counters.add("withdrawal.unanswered")
-        return written
+        return any(sending.whole for sending in told)
 
     def _end(self, errand: Errand, outcome: Outcome, report: Report | None = None,
              result: bytes = b"") -> None:
@@ -266,6 +262,8 @@
         if errand.sent and not errand.accepted and errand.task is not None:
             # Its end overtook the 202, which may never come now.
             self._events.call_later(seconds(self.workers.connect_within), errand.task.cancel)
+        if errand.sent:
+            self.counters.add("posting.sent")
         self.counters.add(f"outcome.{outcome.name.lower()}")
         txn = posting.txn
         self._at()
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -222,10 +222,11 @@
         self.flow = bytearray()
         self.record, self.depth = bytearray(), 0  # of an object that is not yet whole: its lines, its open braces
         self.asked = False
+        self.more = False  # something came behind the last answer in one piece with it
 
     def ask(self, method: str, target: bytes, host: str, headers: list[tuple[bytes, bytes]],
             body: bytes = b"") -> bytes:
-        self.asked, self.status = True, 0
+        self.asked, self.status, self.more = True, 0, False
         lines = [method.encode() + b" " + target + b" HTTP/1.1", b"Host: " + host.encode()]
         lines += [name + b": " + value for name, value in headers]
         if body or method == "POST":
@@ -237,12 +238,25 @@
         if not self.asked:
             raise Broken(400, "an answer to nothing")
         self._parse(self._parser, data)
+        self.fed += len(data)
+        if self.part is not None and self.fed > (MOST_RAW if self.headed else MOST_HEAD) and not (
+                self.streams and self.headed):
+            self.object(400, "an answer without end")
         if self.fault is not None:
             raise self.fault
         if not self.messages:
             return None
         self.asked = False
-        return self.messages.popleft()
+        answer = self.messages.popleft()
+        # Kept, a second answer would have been the first thing that the next call got.
+        self.more = bool(self.messages) or self.part is not None
+        self.messages.clear()
+        return answer
+
+    def on_message_complete(self) -> None:
+        super().on_message_complete()
+        if 100 <= self.messages[-1].status < 200:
+            self.messages.pop()  # on the way to the answer
 
     def on_headers_complete(self) -> None:
         self.headed, self.status = True, self._parser.get_status_code()
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -188,6 +188,7 @@
     level: float = 0.0
     work: int = 0
     cancelled: bool = False
+    incarnation: int | None = None  # the worker's start, as listed when it was decided
 
     @property
     def out(self) -> bool:
