--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -20,31 +20,9 @@
 from random import Random
 from typing import Any
 
-from pathsaddle.trade import (
-    LIST_ANSWER,
-    LIST_SILENT,
-    LIST_TOLD,
-    MILLISECOND,
-    SECOND,
-    Cancel,
-    Decline,
-    Door,
-    Gate,
-    Group,
-    ListNews,
-    Order,
-    Outcome,
-    Post,
-    Posting,
-    Report,
-    Reverse,
-    Scheme,
-    Semantics,
-    Standing,
-    Terms,
-    Txn,
-    Wait,
-    Worker,
+from pathsaddle.trade import (  # isort: skip  # as many to a line as fit: these names are most of the trade
+    LIST_ANSWER, LIST_SILENT, LIST_TOLD, MILLISECOND, SECOND, Cancel, Decline, Door, Gate, Group, ListNews,
+    Order, Outcome, Post, Posting, Report, Reverse, Scheme, Semantics, Standing, Terms, Txn, Wait, Worker,
 )
 
 Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
