--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -32,11 +32,11 @@
     verify,
 )
 from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.memory.ledger import Whole
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
-from pathsaddle.net.memory.ledger import Whole
 from pathsaddle.net.wire.http import Broken, Message
 from pathsaddle.trade import MILLISECOND, SECOND, ListNews, Semantics, Worker
 from tests.fakehost import SETTINGS
