A connection whose bytes came in the moment of its close is served, not closed

Observed (probe on uvloop): recv_into has read a whole call, its reader resumes a turn later; a close in between (room, end of the shutdown, 2.5 s of silence) cancels the reader, and the call is gone with no answer, though it was taken. The same for a call that lies in the kernel when our loop stood still: `look` runs before the reader. At fault: front.py `idle`, `spare`, `quiet`, `look`: they asked the rings, that is where a coroutine stood, not the socket.

Now `Visit.crossing` compares Tallied.taken with what the reader has resumed with, and a close between calls also peeks at the socket (`unheard`); what is unheard is served. Only `look` may put its close off just once, by 10 ms, so that drops one by one gain nothing. With nothing unheard the plain close stays, not a lingering one: no answer is on its way, and a call that crosses it is reset unread, which tells its client that it was not taken (the docstring says so). Ruled out: reading out after the shutdown there, since what we read and threw away a client can't tell from what we took.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -24,6 +24,7 @@
 QUIET = SECOND  # of silence after which a peer whose call was no good is taken to have our answer
 LINGER = 5 * SECOND  # and for so long what it still sends is read and thrown away
 FIRST = SECOND // 5  # in which a stranger's first bytes come, if any do: not closed for room before
+HEARING = 10 * MILLISECOND  # in which our reader gets to what the kernel holds, after a stall of ours
 NO_ROOM = 50 * MILLISECOND  # between accepts that the kernel fails, and between looks for room
 
 
@@ -42,6 +43,7 @@
         self.front = front
         self.sock = sock
         self.peer = peer
+        self.taken = 0  # bytes that the reading task has resumed with, of those in `sock.taken`
         self.machine = Called()
         self.inward, self.outward = Ring(), Ring()
         self.entry: Entry | None = None  # the txn that waits for its answer here
@@ -59,9 +61,23 @@
         self._read_on = asyncio.Event()
         self._reader = self._events.create_task(self._read())
 
+    @property
+    def crossing(self) -> bool:
+        """The kernel has handed us bytes and the reading task has not resumed: a whole call, maybe."""
+        return self.sock.taken != self.taken
+
     @property
     def idle(self) -> bool:
-        return not self.machine.busy and not self.machine.midway and not self.inward and not self.outward
+        return not (self.machine.busy or self.machine.midway or self.inward or self.outward or self.crossing)
+
+    @property
+    def unheard(self) -> bool:
+        """The peer has said something that we have not looked at: a close now would throw it away.
+
+        Nothing unheard, the idle connection is closed at once and not shut and read out: no answer is on its way,
+        and a call that crosses the close is reset unread, by which its client knows that it was not taken.
+        """
+        return self.crossing or self.sock.stirred()
 
     @property
     def known(self) -> bool:
@@ -77,6 +93,7 @@
                 wasted = self.machine.over
                 count = await self._events.sock_recv_into(
                     self.sock, self.front.waste if wasted else self.inward.space())
+                self.taken += count
                 self.heard = self.front.clock.now()
                 if wasted and count:
                     continue
@@ -212,11 +229,20 @@
             if now - self.heard >= QUIET or now - self.lingers >= LINGER:
                 self.end("malformed")
         elif self.since is not None and now - self.since >= COMES and not self.machine.busy:
-            if self.machine.midway or self.calls:
-                self.machine.object(408, "the rest of the call did not come")
-                self.work()
-            elif not self.machine.over:
-                self.end("silent")
+            if self.unheard:
+                # We stood still, not the peer. Once only: drops that come one by one must not put it off for ever.
+                self._events.call_later(seconds(HEARING), self._overdue, self.since)
+            else:
+                self._overdue(self.since)
+
+    def _overdue(self, since: int) -> None:
+        if self.code is not None or self.since != since or self.machine.busy:
+            return
+        if self.machine.midway or self.calls:
+            self.machine.object(408, "the rest of the call did not come")
+            self.work()
+        elif not self.machine.over:
+            self.end("silent")
 
     def spare(self, now: int) -> int:
         """How readily it is closed for room: 0 not at all, then the higher the sooner."""
@@ -225,6 +251,8 @@
             return 0
         if machine.over:
             return 3 if now - self.heard >= FIRST else 0
+        if self.crossing:
+            return 0
         if self.calls and not machine.midway and not self.inward:
             return 1 if self.known else 4
         # One that has brought no call yet: its first may be on its way, and would be lost.
@@ -314,12 +342,14 @@
         be in a moment. By hundreds they had cut off all usual peers' idle connections; these go after them,
         the longest idle first."""
         now = self.clock.now()
-        best = max(self.strangers or self.visits, key=lambda visit: (visit.spare(now), -visit.idle_since),
-                   default=None)
-        if best is None or not best.spare(now):
-            return False
-        best.end("room")
-        return True
+        for visit in sorted(self.strangers or self.visits, reverse=True,
+                            key=lambda visit: (visit.spare(now), -visit.idle_since)):
+            if not visit.spare(now):
+                break
+            if visit.machine.over or not visit.unheard:
+                visit.end("room")
+                return True
+        return False
 
     def knows(self, visit: Visit) -> None:
         self.strangers.pop(visit, None)
@@ -352,7 +382,8 @@
     def quiet(self) -> bool:
         """Closes what is idle; whether nothing is left that a client waits on."""
         for visit in [visit for visit in self.visits if visit.idle and not visit.worker]:
-            visit.end("stopping")
+            if not visit.unheard:
+                visit.end("stopping")
         return all(visit.worker for visit in self.visits)
 
     def freed(self) -> None:
