Clients that go behind a full buffer are seen to go, and a last answer is followed by a lingering close

Observed on loopback, uvloop: (1) with 2 KB of calls behind a waiting one the reader stopped (front.py `_read`, `while inward.full`), so the end of a client that had left was not seen until its answer: its txn was held, posted and repeated for nobody. (2) An answer with `Connection: close` that we say (stopping, declined elsewhere) was followed by close() at once (`_write`, "last-answer"); with bytes unread the kernel resets, and the part of the answer that it still held was lost: the story's client read up to 0.3 MB, then ECONNRESET. Ruled out: with `Connection: close` said by the client the parser already objects to bytes behind, and that path lingered.

Now the reader always reads: where the ring is full behind a waiting call the rest is dropped, and the answer says `Connection: close` (Called.spill), so that its client knows those calls were not taken. Every last answer is followed by shutdown(SHUT_WR) and reading out until the peer closes (QUIET, LINGER); such connections are the first to go for room, and nothing read there is taken. A FIN is a hang-up, except under an answer on its way, which is written to its end (docstring of `_read`). Few calls behind one are served in order as before.

tests/test_clients.py GoneStory, LastAnswerStory: on the code before, leaves_behind_a_full_buffer, too_much_behind, bytes_behind, nothing_after_the_shutdown and never_closes fail; the others of them passed before and hold what was sound.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -53,7 +53,8 @@
         self.idle_since = self.since
         self.heard = self.since  # when the last bytes came
         self.held = 0  # bytes of its bodies that count for us all
-        self.lingers: int | None = None  # since when all that comes is thrown away
+        self.lingers: int | None = None  # since when our side is shut and what still comes is thrown away
+        self.said_last = False  # the peer has closed its side, and an answer was on its way
         self.code: str | None = None
         self._at_work = False  # the next call is looked at anyway, once this one is served
         self._events = asyncio.get_running_loop()
@@ -85,20 +86,28 @@
         return self not in self.front.strangers
 
     async def _read(self) -> None:
+        """Reads as long as the connection is open, whatever waits for an answer: only a reader sees that its peer has
+        gone. A FIN is a hang-up, as the protocol has it, also from one that may still read: what it waits for is
+        given up, what it sent behind that is dropped. Only an answer already on its way is written to its end."""
+        machine = self.machine
         try:
             while True:
-                while self.inward.full:
+                while self.inward.full and not machine.busy:
                     self._read_on.clear()
                     await self._read_on.wait()
-                wasted = self.machine.over
+                if self.inward.full:
+                    # No room behind a call that waits: the rest is read and dropped, and the answer says so by its
+                    # `Connection: close`. Left unread, the end of the peer had not been seen before the answer.
+                    machine.spill()
+                wasted = machine.over or machine.spilt
                 count = await self._events.sock_recv_into(
                     self.sock, self.front.waste if wasted else self.inward.space())
                 self.taken += count
                 self.heard = self.front.clock.now()
                 if wasted and count:
                     continue
-                if not count and self.outward and not self.machine.busy:
-                    self.machine.over = True  # it has said its last and may still read: the writer ends it
+                if not count and self.outward and not machine.busy:
+                    machine.over = self.said_last = True  # it may still read: the writer ends it
                     return
                 if not count:
                     code = self._left()
@@ -108,7 +117,7 @@
                 if self.code is not None:
                     return  # a read begun now would outlive the descriptor
         except ConnectionError:
-            code = "hung-up" if self.machine.busy else "reset"
+            code = "hung-up" if machine.busy else "reset" if self.lingers is None else self._left()
         except OSError:
             code = "error"
         except asyncio.CancelledError:
@@ -116,10 +125,10 @@
         self.end(code)
 
     def _left(self) -> str:
-        """What it means that the peer has closed."""
+        """What it means that the peer has closed, or that we wait no longer for it to do so."""
         machine = self.machine
-        if machine.over and machine.fault:
-            return "malformed"
+        if machine.over:
+            return "malformed" if machine.fault else "last-answer"
         return "hung-up" if machine.busy else "cut-off" if machine.midway else "closed"
 
     def work(self) -> None:
@@ -208,10 +217,11 @@
         try:
             await drain(self.sock, self.outward, UNREAD)
             self._writer = None
-            if self.machine.over and self.machine.fault is None:
-                self.end("last-answer")
+            if self.said_last:
+                self.end(self._left())
             elif self.machine.over:
-                # Closed with bytes unread, the kernel would reset the connection and our answer with it.
+                # A lingering close: with bytes unread, the kernel would reset the connection and our answer with it.
+                # What is read from now on is thrown away; for room it is closed first of all.
                 self.sock.shutdown(socket.SHUT_WR)
                 self.lingers = self.heard = self.front.clock.now()
             elif self.idle:
@@ -227,7 +237,7 @@
         """Against peers that say nothing, never end a call, or never end to send."""
         if self.lingers is not None:
             if now - self.heard >= QUIET or now - self.lingers >= LINGER:
-                self.end("malformed")
+                self.end(self._left())
         elif self.since is not None and now - self.since >= COMES and not self.machine.busy:
             if self.unheard:
                 # We stood still, not the peer. Once only: drops that come one by one must not put it off for ever.
@@ -338,11 +348,12 @@
         return min(self.room.visits, self.free - max(links.most, links.count))
 
     def make_room(self) -> bool:
-        """One is closed: as long as there are strangers, that one of them whose leaving costs least, if need
-        be in a moment. By hundreds they had cut off all usual peers' idle connections; these go after them,
-        the longest idle first."""
+        """One is closed: first one that has had its last answer, then, as long as there are strangers, that one of
+        them whose leaving costs least, if need be in a moment. By hundreds they had cut off all usual peers' idle
+        connections; these go after them, the longest idle first."""
         now = self.clock.now()
-        for visit in sorted(self.strangers or self.visits, reverse=True,
+        leaving = [visit for visit in self.visits if visit.lingers is not None and visit.spare(now)]
+        for visit in sorted(leaving or self.strangers or self.visits, reverse=True,
                             key=lambda visit: (visit.spare(now), -visit.idle_since)):
             if not visit.spare(now):
                 break
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -123,6 +123,7 @@
         self.held = 0  # bytes of bodies: of the part under way, of whole calls, of the one not answered yet
         self.busy = False  # a call is out of here and not answered yet
         self.over = False  # nothing more will be read or answered
+        self.spilt = False  # bytes behind the call under way were thrown away: calls that were never taken
         self._keep = True
         self._weight = 0
         self._hold_back = b""  # what the caller must see before it goes on sending
@@ -188,6 +189,11 @@
         self._keep, self._weight = call.keep, len(call.body)
         return call
 
+    def spill(self) -> None:
+        """What comes behind the call under way is not kept: its answer will be the last."""
+        assert self.busy
+        self.spilt, self._keep = True, False
+
     def objection(self) -> bytes:
         """The answer to bytes that are no call, after all whole calls before them have theirs."""
         if self.fault is None or self.busy or self.over or self.messages:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -17,9 +17,9 @@
 from pathsaddle.net.service.pump import Tallied
 from pathsaddle.net.service.workers import Workers
 from pathsaddle.net.wire import terms
-from pathsaddle.net.wire.forms import Row, Words
+from pathsaddle.net.wire.forms import Callback, Row, Words
 from pathsaddle.net.wire.terms import Reach
-from pathsaddle.trade import ListNews, Worker
+from pathsaddle.trade import ListNews, Outcome, Worker
 from tests import test_sockets
 from tests.fakehost import SETTINGS
 
@@ -67,20 +67,26 @@
         known = terms.terms(SETTINGS)
         self.workers = Workers(Reach(2000, 60_000), 8, clock, self.counters)
         self.desk = Desk(known, Words(SETTINGS, known), 7, clock, self.workers, self.counters, lambda: None)
-        self.desk.listed(ListNews.WHOLE, [Row(Worker("w"), await self.peer(self.silent))])
+        self.address = await self.peer(self.silent)
+        self.listed()
         self.front = Front("127.0.0.1:0", 20, Room(20, 100_000), self.desk, clock, self.counters)
         self.addCleanup(self.front.sock.close)
         self.events = asyncio.get_running_loop()
 
     async def silent(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
-        while line := await reader.readline():
-            if line.startswith(b"Req-Id"):
-                self.posted.append(line)
+        try:
+            while line := await reader.readline():
+                if line.startswith(b"Req-Id"):
+                    self.posted.append(line)
+        except asyncio.CancelledError:
+            pass  # the story has ended
 
-    async def client(self, data: bytes = b"") -> tuple[socket.socket, Visit]:
-        """A client's bare socket, and the visit that it pays us."""
+    async def client(self, data: bytes = b"", room: int | None = None) -> tuple[socket.socket, Visit]:
+        """A client's bare socket, with room for so many bytes that it has not read, and the visit that it pays us."""
         sock = socket.socket()
         self.addCleanup(sock.close)
+        if room is not None:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
         sock.setblocking(False)
         before = set(self.front.visits)
         await self.events.sock_connect(sock, self.front.sock.getsockname())
@@ -90,6 +96,13 @@
             await self.events.sock_sendall(sock, data)
         return sock, visit
 
+    def listed(self) -> None:
+        self.desk.listed(ListNews.WHOLE, [Row(Worker("w"), self.address)])
+
+    def done(self, tag: str, result: bytes = b"!") -> None:
+        """As the worker's callback tells it."""
+        self.desk.called_back(Callback(tag, "w", "done", Outcome.SETTLED, False, False, 0.0, result, None))
+
     async def until(self, holds: Callable[[], bool]) -> None:
         async with asyncio.timeout(3.0):
             while not holds():
@@ -108,11 +121,11 @@
 
     async def rest(self, sock: socket.socket) -> bytes:
         """All that still comes, up to a clean end."""
-        came = b""
+        came = bytearray()
         async with asyncio.timeout(3.0):
-            while part := await self.events.sock_recv(sock, 1 << 16):
+            while part := await self.events.sock_recv(sock, 1 << 20):
                 came += part
-        return came
+        return bytes(came)
 
 
 class CrossingStory(Clients):
@@ -174,5 +187,141 @@
                 self.assertEqual(visit.code, why)
 
 
+class GoneStory(Clients):
+    """Clients that leave, or say their last, while something of theirs waits."""
+
+    async def test_one_that_leaves_behind_a_full_buffer_is_seen_to_go_and_nothing_more_of_it_is_taken(self) -> None:
+        sock, visit = await self.client(job("a") + b"".join(job(f"b{i}") for i in range(50)))
+        await self.until(lambda: self.counters["posting.sent"] == 1 and visit.inward.full)
+        sock.close()
+        await self.until(lambda: self.counters["txn.hung_up"] == 1)
+        self.assertEqual((visit.code, self.counters["txn.taken"], self.counters["posting"]), ("hung-up", 1, 1))
+
+    async def test_what_is_too_much_behind_a_waiting_call_is_dropped_and_the_answer_says_so(self) -> None:
+        sock, visit = await self.client()
+        behind = b"".join(job(f"b{i}") for i in range(10_000))
+        async with asyncio.TaskGroup() as both:
+            both.create_task(self.events.sock_sendall(sock, job("a") + behind))
+            await self.until(lambda: self.counters["posting.sent"] == 1)
+            await self.until(lambda: visit.taken > 1_000_000)
+            self.assertLess(len(visit.inward._room), 5000, "it took no memory")
+            self.done("a")
+            answer = await self.answer(sock)
+        self.assertIn(b" 200 ", answer)
+        self.assertIn(b"\r\nConnection: close\r\n", answer)
+        self.assertEqual(await self.rest(sock), b"")
+        sock.close()
+        await self.until(lambda: visit.code == "last-answer")
+        self.assertEqual(self.counters["txn.taken"], 1)
+
+    async def test_a_few_calls_behind_a_waiting_one_are_served_in_their_order(self) -> None:
+        sock, _ = await self.client(job("a") + job("b") + READY)
+        for tag in ("a", "b"):
+            await self.until(lambda tag=tag: tag in self.desk.ledger)  # type: ignore[misc]
+            await self.until(lambda: self.counters["posting.sent"] == self.counters["txn.taken"])
+            self.done(tag, tag.encode())
+        came = b""
+        while came.count(b" 200 ") < 3:
+            came += await self.answer(sock)
+        self.assertLess(came.index(b"\r\n\r\na"), came.index(b"\r\n\r\nb"))
+
+    async def test_nothing_of_one_that_left_while_it_was_held_is_posted_once_there_is_a_worker(self) -> None:
+        self.desk.listed(ListNews.WHOLE, [])
+        sock, _ = await self.client(job("a") + job("b"))
+        await self.until(lambda: self.counters["txn.taken"] == 1)
+        sock.close()
+        await self.until(lambda: self.counters["txn.hung_up"] == 1)
+        self.listed()
+        await self.client(job("c"))
+        await self.until(lambda: self.counters["posting.sent"] == 1)
+        self.assertEqual((self.counters["txn.taken"], self.counters["posting"]), (2, 1))
+        await self.until(lambda: self.posted == [b"Req-Id: c\r\n"])
+
+    async def test_one_that_sends_its_call_and_leaves_at_once_is_not_sent_on(self) -> None:
+        sock, _ = await self.client()
+        sock.sendall(job("a"))
+        sock.close()
+        await self.until(lambda: self.counters["txn.hung_up"] == 1)
+        self.assertEqual(self.counters["posting.sent"], 0)
+
+    async def test_a_fin_while_it_waits_is_a_hang_up_and_under_an_answer_it_is_not(self) -> None:
+        sock, visit = await self.client(job("a"), room=100_000)
+        await self.until(lambda: self.counters["posting.sent"] == 1)
+        self.done("a", b"x" * 8_000_000)
+        self.assertGreater(len(visit.outward), 0)
+        sock.shutdown(socket.SHUT_WR)
+        await self.until(lambda: visit.said_last)
+        self.assertEqual((await self.rest(sock)).count(b"x"), 8_000_000)
+        self.assertEqual(visit.code, "last-answer")
+        sock, visit = await self.client(job("b"))
+        await self.until(lambda: self.counters["posting.sent"] == 2)
+        sock.shutdown(socket.SHUT_WR)
+        self.assertEqual(await self.rest(sock), b"")
+        self.assertEqual((visit.code, self.counters["txn.hung_up"]), ("hung-up", 1))
+
+    async def test_of_two_answers_due_in_one_moment_one_goes_out(self) -> None:
+        sock, _ = await self.client(job("a"))
+        await self.until(lambda: self.counters["posting.sent"] == 1)
+        entry = self.desk.ledger["a"]
+        self.done("a", b"first")
+        self.done("a", b"second")
+        self.desk._late(entry.errands[0])
+        self.desk.hang_up(entry)
+        await self.events.sock_sendall(sock, READY)
+        came = await self.answer(sock)
+        while came.count(b"HTTP/1.1") < 2:
+            came += await self.answer(sock)
+        self.assertEqual([part.split(b"\r\n")[0] for part in came.split(b"HTTP/1.1 ")], [b"", b"200 OK", b"200 OK"])
+        self.assertNotIn(b"second", came)
+
+
+class LastAnswerStory(Clients):
+    """Where the answer says `Connection: close` it arrives, whatever the client has sent behind its call."""
+
+    LAST = b"Connection: close\r\n"
+
+    async def answered(self, tag: str = "a") -> tuple[socket.socket, Visit]:
+        """A client that has read its last answer, and does not close."""
+        before = self.counters["posting.sent"]
+        sock, visit = await self.client(job(tag, more=self.LAST))
+        await self.until(lambda: self.counters["posting.sent"] > before)
+        self.done(tag)
+        self.assertIn(b" 200 ", await self.answer(sock))
+        self.assertEqual(await self.rest(sock), b"")
+        return sock, visit
+
+    async def test_bytes_behind_the_last_call_do_not_cost_its_answer(self) -> None:
+        self.front.stopping = True  # it is us who says that this answer is the last
+        sock, visit = await self.client(room=10_000)
+        sending = asyncio.create_task(self.events.sock_sendall(sock, job("a") + READY * 100_000))
+        await self.until(lambda: self.counters["posting.sent"] == 1)
+        self.done("a", b"y" * 300_000)
+        await self.until(lambda: not visit.outward)  # the most of it is with our kernel, and would go with a reset
+        self.assertEqual((await self.rest(sock)).count(b"y"), 300_000)
+        await sending
+
+    async def test_nothing_that_comes_after_the_shutdown_is_taken(self) -> None:
+        sock, visit = await self.answered()
+        self.assertIsNone(visit.code)
+        before = visit.taken
+        await self.events.sock_sendall(sock, job("late"))
+        await self.until(lambda: visit.taken > before)
+        sock.close()
+        await self.until(lambda: visit.code == "last-answer")
+        self.assertEqual(self.counters["txn.taken"], 1)
+
+    async def test_one_that_never_closes_is_let_go_in_time_and_first_of_all_for_room(self) -> None:
+        _, visit = await self.answered()
+        with mock.patch.object(front_module, "QUIET", 0):
+            self.front.sweep()
+        self.assertEqual(visit.code, "last-answer")
+        idle, resting = await self.client(READY)
+        self.assertIn(b" 200 ", await self.answer(idle))
+        _, visit = await self.answered("b")
+        with mock.patch.object(front_module, "FIRST", 0):
+            self.assertTrue(self.front.make_room())
+        self.assertEqual((visit.code, resting.code), ("room", None))
+
+
 if __name__ == "__main__":
     unittest.main()
