A fault at one accept or in setting up one connection ends that connection alone

Observed: an OSError from setsockopt on a socket that its peer has reset by then, or any other fault, left front.py `_accept` and ended its task: nobody was accepted any more. And an accept that fails with ECONNABORTED closed an innocent idle connection for room and stopped accepting for 50 ms. At fault: front.py `welcome`, unguarded; `_accept`, which caught OSError alone and took each for want of room.

Now `welcome` closes that one (code `unwelcome`), `_accept` goes on after whatever it was, makes room only for EMFILE, ENFILE, ENOBUFS and ENOMEM, and waits after all but ECONNABORTED and EPROTO.

tests/test_clients.py AcceptStory: both of its stories fail on the code before.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -25,6 +25,8 @@
 LINGER = 5 * SECOND  # and for so long what it still sends is read and thrown away
 FIRST = SECOND // 5  # in which a stranger's first bytes come, if any do: not closed for room before
 HEARING = 10 * MILLISECOND  # in which our reader gets to what the kernel holds, after a stall of ours
+FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # an accept fails for want of room, here or beyond
+ITS_OWN = (errno.ECONNABORTED, errno.EPROTO)  # or for what has become of that one connection: the next may be had
 NO_ROOM = 50 * MILLISECOND  # between accepts that the kernel fails, and between looks for room
 
 
@@ -315,12 +317,15 @@
         while True:
             try:
                 sock, address = await events.sock_accept(self.sock)
-            except OSError as fault:
-                self.counters.add(f"accept.{errno.errorcode.get(fault.errno or 0, 'error').lower()}")
+            except Exception as fault:  # noqa: BLE001  # whatever it is, the next ones are accepted
+                code = fault.errno or 0 if isinstance(fault, OSError) else 0
+                self.counters.add(f"accept.{errno.errorcode.get(code, 'error').lower()}")
                 logbook.accept_failed(why=fault)
-                if not self.make_room():
+                # Nobody pays with his connection for a peer that went before it was accepted.
+                if code in FULL and not self.make_room():
                     self.desk.workers.links.let_go_oldest()
-                await asyncio.sleep(seconds(NO_ROOM))
+                if code not in ITS_OWN:
+                    await asyncio.sleep(seconds(NO_ROOM))
                 continue
             self.welcome(sock, address)
             while len(self.visits) > self.most and not self.make_room():
@@ -333,10 +338,19 @@
                     pass  # by now somebody's time for first bytes may be over
 
     def welcome(self, given: socket.socket, address: tuple[str, int]) -> None:
-        sock = tallied(given)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.counters.add("accepted")
+        sock: socket.socket = given
+        try:
+            sock = tallied(given)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except Exception as fault:  # noqa: BLE001  # a fault in one connection ends it alone, here too
+            self.counters.add("visit_end.unwelcome")
+            logbook.client_end(code="unwelcome", peer=f"{address[0]}:{address[1]}", calls=0)
+            if not isinstance(fault, OSError):
+                logbook.fault_client(fault, peer=f"{address[0]}:{address[1]}")
+            sock.close()
+            return
         visit = Visit(self, sock, f"{address[0]}:{address[1]}")
         self.visits[visit] = self.strangers[visit] = None
         self.counters.most("visits_most", len(self.visits))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -1,6 +1,7 @@
 """Stories of clients whose bytes, ends and answers cross: each order is forced, on the loopback."""
 
 import asyncio
+import errno
 import socket
 import unittest
 from collections.abc import Callable
@@ -323,5 +324,37 @@
         self.assertEqual((visit.code, resting.code), ("room", None))
 
 
+class AcceptStory(Clients):
+    """What happens at one accept is that connection's alone."""
+
+    async def served(self) -> None:
+        sock, _ = await self.client(READY)
+        self.assertIn(b" 200 ", await self.answer(sock))
+
+    async def test_one_that_cannot_be_set_up_ends_alone_and_the_next_is_accepted(self) -> None:
+        for fault in (OSError(errno.EINVAL, "gone"), ZeroDivisionError()):
+            with mock.patch.object(front_module, "tallied", side_effect=fault):
+                sock = socket.create_connection(self.front.sock.getsockname())
+                self.addCleanup(sock.close)
+                sock.setblocking(False)
+                self.assertEqual(await self.rest(sock), b"")
+            await self.served()
+        self.assertEqual(self.counters["visit_end.unwelcome"], 2)
+
+    async def test_an_accept_that_fails_is_not_the_last_and_costs_nobody_his_connection(self) -> None:
+        resting, visit = await self.client(READY)
+        self.assertIn(b" 200 ", await self.answer(resting))
+        for fault in (ConnectionAbortedError(errno.ECONNABORTED, "gone"), ZeroDivisionError()):
+            with mock.patch.object(socket.socket, "accept", side_effect=fault):
+                sock = socket.create_connection(self.front.sock.getsockname())
+                self.addCleanup(sock.close)
+                code = "econnaborted" if isinstance(fault, OSError) else "error"
+                await self.until(lambda code=code: self.counters[f"accept.{code}"] > 0)  # type: ignore[misc]
+            before = self.counters["accepted"]
+            await self.until(lambda before=before: self.counters["accepted"] > before)  # type: ignore[misc]
+            await self.served()
+        self.assertIsNone(visit.code)
+
+
 if __name__ == "__main__":
     unittest.main()
