At the end of a shutdown the listener's queue is taken and answered, and the listener is closed before the exit

Observed (story that connects and writes in the last moment, by the kernels alone): start.py `_finish` left the listener open to the end of the process, so whoever stood in the kernel's queue was reset with no answer (ConnectionResetError in the story); `quiet` closed a connection accepted a millisecond ago, whose first call was on its way; and a last answer still to arrive did not hold the exit.

Now: accepting goes on until everything is answered or due (workers' callbacks may want a new connection); then Front.shut stops the reader of the listener, lets one that was accepted in this very turn be welcomed (cancelled, uvloop's sock_accept would have lost it), takes the rest of the queue with plain accepts, and closes the listener: later ones are refused and go elsewhere. Their txns are cut to that moment: 503 and `Connection: close` at once, nothing is posted. `quiet` gives a fresh connection FIRST for its first call, a lingering one LAST, and waits for what is half written, also to a worker.

tests/test_clients.py LastMomentStory: the four stories fail on the code before (one of them for want of `shut`).

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -23,6 +23,7 @@
 COMES = 5 * SECOND // 2  # in which a call must be here whole, from the accept or from its first byte
 QUIET = SECOND  # of silence after which a peer whose call was no good is taken to have our answer
 LINGER = 5 * SECOND  # and for so long what it still sends is read and thrown away
+LAST = 100 * MILLISECOND  # and no longer than this when we are about to end
 FIRST = SECOND // 5  # in which a stranger's first bytes come, if any do: not closed for room before
 HEARING = 10 * MILLISECOND  # in which our reader gets to what the kernel holds, after a stall of ours
 FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # an accept fails for want of room, here or beyond
@@ -82,6 +83,10 @@
         """
         return self.crossing or self.sock.stirred()
 
+    def fresh(self, now: int) -> bool:
+        """Just accepted: its first call may be on its way, and a new connection closed unanswered costs as much."""
+        return not self.calls and self.lingers is None and now - self.heard < FIRST
+
     @property
     def known(self) -> bool:
         """It has brought a txn or a callback, as usual peers do first of all."""
@@ -112,21 +117,21 @@
                     machine.over = self.said_last = True  # it may still read: the writer ends it
                     return
                 if not count:
-                    code = self._left()
+                    code = self.left()
                     break
                 self.inward.fill(count)
                 self.work()
                 if self.code is not None:
                     return  # a read begun now would outlive the descriptor
         except ConnectionError:
-            code = "hung-up" if machine.busy else "reset" if self.lingers is None else self._left()
+            code = "hung-up" if machine.busy else "reset" if self.lingers is None else self.left()
         except OSError:
             code = "error"
         except asyncio.CancelledError:
             return
         self.end(code)
 
-    def _left(self) -> str:
+    def left(self) -> str:
         """What it means that the peer has closed, or that we wait no longer for it to do so."""
         machine = self.machine
         if machine.over:
@@ -220,7 +225,7 @@
             await drain(self.sock, self.outward, UNREAD)
             self._writer = None
             if self.said_last:
-                self.end(self._left())
+                self.end(self.left())
             elif self.machine.over:
                 # A lingering close: with bytes unread, the kernel would reset the connection and our answer with it.
                 # What is read from now on is thrown away; for room it is closed first of all.
@@ -239,7 +244,7 @@
         """Against peers that say nothing, never end a call, or never end to send."""
         if self.lingers is not None:
             if now - self.heard >= QUIET or now - self.lingers >= LINGER:
-                self.end(self._left())
+                self.end(self.left())
         elif self.since is not None and now - self.since >= COMES and not self.machine.busy:
             if self.unheard:
                 # We stood still, not the peer. Once only: drops that come one by one must not put it off for ever.
@@ -306,6 +311,7 @@
         self.waste = memoryview(bytearray(64 * 1024))  # where what nobody will read goes, from all of them
         self.stopping = False
         self._room = asyncio.Event()
+        self._shut = False  # nobody new any more
         self.sock, address = opening(listen)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
@@ -314,7 +320,7 @@
 
     async def _accept(self) -> None:
         events = asyncio.get_running_loop()
-        while True:
+        while not self._shut:
             try:
                 sock, address = await events.sock_accept(self.sock)
             except Exception as fault:  # noqa: BLE001  # whatever it is, the next ones are accepted
@@ -400,16 +406,39 @@
         logbook.client_end(code=visit.code, peer=visit.peer, calls=visit.calls)
         self.freed()
 
+    async def shut(self) -> None:
+        """Nobody new any more. Whoever the kernel has let in by now is taken, since the end of the listener would reset
+        him; those who come later are refused at once, and their clients go elsewhere."""
+        self._shut = True
+        kernels = isinstance(self.sock, socket.socket)
+        if kernels:
+            asyncio.get_running_loop().remove_reader(self.sock)
+        for _ in range(2):  # one that was accepted in this very turn is welcomed first
+            await asyncio.sleep(0)
+        self._accepting.cancel()
+        try:
+            while kernels:
+                self.welcome(*self.sock.accept())
+        except OSError:
+            pass  # no more of them, or no descriptor for one
+        self.sock.close()
+
     def in_use(self) -> bool:
-        """Whether a connection is open on which a client's next txn may come."""
-        return any(visit.machine.busy or visit.known and not visit.worker for visit in self.visits)
+        """Whether a connection is open on which a client's next txn may come, or a first one is about to."""
+        now = self.clock.now()
+        return any(visit.machine.busy or visit.outward or visit.fresh(now)
+                   or visit.known and not visit.worker and not visit.machine.over for visit in self.visits)
 
     def quiet(self) -> bool:
-        """Closes what is idle; whether nothing is left that a client waits on."""
-        for visit in [visit for visit in self.visits if visit.idle and not visit.worker]:
-            if not visit.unheard:
+        """Closes what is idle; whether nothing is left that a client, or a worker for its callback, waits on."""
+        now = self.clock.now()
+        for visit in list(self.visits):
+            if visit.lingers is not None:
+                if now - visit.lingers >= LAST:
+                    visit.end(visit.left())
+            elif visit.idle and not visit.worker and not visit.fresh(now) and not visit.unheard:
                 visit.end("stopping")
-        return all(visit.worker for visit in self.visits)
+        return all(visit.worker and not visit.outward and not visit.unheard for visit in self.visits)
 
     def freed(self) -> None:
         self._room.set()
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -93,6 +93,12 @@
                 self.clock.now() < begun + COMING or self.front.in_use()):
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         self.front.stopping = True
+        # Workers' callbacks may still want a new connection; clients' are closed as they come to rest.
+        while not self.front.quiet() and self.clock.now() < by:
+            await asyncio.sleep(seconds(LAST_BYTES) / 5)
+        await self.front.shut()
+        # Whoever waited in the kernel's queue is answered, and no more than that: nothing is begun any more.
+        self.desk.stop(min(by, self.clock.now()))
         while not self.front.quiet() and self.clock.now() < by + LAST_BYTES:
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         logbook.stopped(unanswered=len(self.desk.ledger.unanswered()))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -12,15 +12,17 @@
 
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import front as front_module
+from pathsaddle.net.service import start as start_module
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.front import Front, Room, Visit
 from pathsaddle.net.service.pump import Tallied
+from pathsaddle.net.service.start import Dispatcher
 from pathsaddle.net.service.workers import Workers
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Callback, Row, Words
 from pathsaddle.net.wire.terms import Reach
-from pathsaddle.trade import ListNews, Outcome, Worker
+from pathsaddle.trade import SECOND, ListNews, Outcome, Worker
 from tests import test_sockets
 from tests.fakehost import SETTINGS
 
@@ -356,5 +358,80 @@
         self.assertIsNone(visit.code)
 
 
+class LastMomentStory(Clients):
+    """Who comes while we are about to end."""
+
+    def caller(self, data: bytes) -> socket.socket:
+        """Connected and written by the kernels alone: nobody has accepted it."""
+        sock = socket.create_connection(self.front.sock.getsockname())
+        self.addCleanup(sock.close)
+        sock.sendall(data)
+        sock.setblocking(False)
+        return sock
+
+    async def finish(self, then: Callable[[], Any]) -> None:
+        """The end of a dispatcher that was told so; in its last moment this happens."""
+        dispatcher = Dispatcher.__new__(Dispatcher)
+        dispatcher.clock, dispatcher.desk, dispatcher.front = self.desk.clock, self.desk, self.front
+        dispatcher.workers, dispatcher.roster, dispatcher.fellows = self.workers, mock.Mock(), None
+        dispatcher.longest = SECOND
+        quiet, moments = self.front.quiet, iter((then,))
+
+        def last() -> bool:
+            is_quiet = quiet()
+            if is_quiet:
+                next(moments, lambda: None)()
+            return is_quiet
+
+        with mock.patch.object(self.front, "quiet", last), mock.patch.object(start_module, "COMING", 0):
+            await dispatcher._finish()
+        self.front.sock.close()  # as the end of the process does
+
+    async def test_one_that_waits_in_the_kernels_queue_in_the_last_moment_is_answered(self) -> None:
+        callers: list[socket.socket] = []
+        await self.finish(lambda: callers.extend(self.caller(job(tag)) for tag in ("a", "b")))
+        for sock in callers:
+            answer = await self.rest(sock)
+            self.assertIn(b" 503 ", answer)
+            self.assertIn(b"\r\nConnection: close\r\n", answer)
+        self.assertEqual(self.counters["posting"], 0, "nothing is begun for what comes now")
+
+    async def test_one_accepted_in_the_moment_of_the_end_is_answered_and_the_next_is_refused(self) -> None:
+        accept, shutting, address = socket.socket.accept, [], self.front.sock.getsockname()
+
+        def accepts(listener: socket.socket) -> tuple[socket.socket, Any]:
+            pair = accept(listener)
+            shutting.append(self.events.create_task(self.front.shut()))
+            return pair
+
+        with mock.patch.object(socket.socket, "accept", accepts):
+            sock = self.caller(READY)
+            await self.until(lambda: bool(shutting))
+        self.assertIn(b" 200 ", await self.answer(sock))
+        await shutting[0]
+        with self.assertRaises(ConnectionRefusedError):
+            socket.create_connection(address)
+
+    async def test_one_just_accepted_is_given_time_for_its_first_call_before_the_end(self) -> None:
+        sock, visit = await self.client()
+        self.assertFalse(self.front.quiet())
+        self.assertTrue(self.front.in_use())
+        await self.events.sock_sendall(sock, READY)
+        self.assertIn(b" 200 ", await self.answer(sock))
+        _, silent = await self.client()
+        with mock.patch.object(front_module, "FIRST", 0):
+            self.assertTrue(self.front.quiet())
+        self.assertEqual((visit.code, silent.code), ("stopping", "stopping"))
+
+    async def test_the_end_waits_for_a_last_answer_to_arrive_but_not_for_ever(self) -> None:
+        self.front.stopping = True
+        _, visit = await self.client(READY)
+        await self.until(lambda: visit.lingers is not None)
+        self.assertFalse(self.front.quiet())
+        with mock.patch.object(front_module, "LAST", 0):
+            self.assertTrue(self.front.quiet())
+        self.assertEqual(visit.code, "last-answer")
+
+
 if __name__ == "__main__":
     unittest.main()
