--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -23,7 +23,11 @@
 COMES = 5 * SECOND // 2  # in which a call must be here whole, from the accept or from its first byte
 QUIET = SECOND  # of silence after which a peer whose call was no good is taken to have our answer
 LINGER = 5 * SECOND  # and for so long what it still sends is read and thrown away
+LAST = 100 * MILLISECOND  # and no longer than this when we are about to end
 FIRST = SECOND // 5  # in which a stranger's first bytes come, if any do: not closed for room before
+HEARING = 10 * MILLISECOND  # in which our reader gets to what the kernel holds, after a stall of ours
+FULL = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)  # an accept fails for want of room, here or beyond
+ITS_OWN = (errno.ECONNABORTED, errno.EPROTO)  # or for what has become of that one connection: the next may be had
 NO_ROOM = 50 * MILLISECOND  # between accepts that the kernel fails, and between looks for room
 
 
@@ -42,6 +46,7 @@
         self.front = front
         self.sock = sock
         self.peer = peer
+        self.taken = 0  # bytes that the reading task has resumed with, of those in `sock.taken`
         self.machine = Called()
         self.inward, self.outward = Ring(), Ring()
         self.entry: Entry | None = None  # the txn that waits for its answer here
@@ -51,7 +56,8 @@
         self.idle_since = self.since
         self.heard = self.since  # when the last bytes came
         self.held = 0  # bytes of its bodies that count for us all
-        self.lingers: int | None = None  # since when all that comes is thrown away
+        self.lingers: int | None = None  # since when our side is shut and what still comes is thrown away
+        self.said_last = False  # the peer has closed its side, and an answer was on its way
         self.code: str | None = None
         self._at_work = False  # the next call is looked at anyway, once this one is served
         self._events = asyncio.get_running_loop()
@@ -59,9 +65,27 @@
         self._read_on = asyncio.Event()
         self._reader = self._events.create_task(self._read())
 
+    @property
+    def crossing(self) -> bool:
+        """The kernel has handed us bytes and the reading task has not resumed: a whole call, maybe."""
+        return self.sock.taken != self.taken
+
     @property
     def idle(self) -> bool:
-        return not self.machine.busy and not self.machine.midway and not self.inward and not self.outward
+        return not (self.machine.busy or self.machine.midway or self.inward or self.outward or self.crossing)
+
+    @property
+    def unheard(self) -> bool:
+        """The peer has said something that we have not looked at: a close now would throw it away.
+
+        Nothing unheard, the idle connection is closed at once and not shut and read out: no answer is on its way,
+        and a call that crosses the close is reset unread, by which its client knows that it was not taken.
+        """
+        return self.crossing or self.sock.stirred()
+
+    def fresh(self, now: int) -> bool:
+        """Just accepted: its first call may be on its way, and a new connection closed unanswered costs as much."""
+        return not self.calls and self.lingers is None and now - self.heard < FIRST
 
     @property
     def known(self) -> bool:
@@ -69,40 +93,49 @@
         return self not in self.front.strangers
 
     async def _read(self) -> None:
+        """Reads as long as the connection is open, whatever waits for an answer: only a reader sees that its peer has
+        gone. A FIN is a hang-up, as the protocol has it, also from one that may still read: what it waits for is
+        given up, what it sent behind that is dropped. Only an answer already on its way is written to its end."""
+        machine = self.machine
         try:
             while True:
-                while self.inward.full:
+                while self.inward.full and not machine.busy:
                     self._read_on.clear()
                     await self._read_on.wait()
-                wasted = self.machine.over
+                if self.inward.full:
+                    # No room behind a call that waits: the rest is read and dropped, and the answer says so by its
+                    # `Connection: close`. Left unread, the end of the peer had not been seen before the answer.
+                    machine.spill()
+                wasted = machine.over or machine.spilt
                 count = await self._events.sock_recv_into(
                     self.sock, self.front.waste if wasted else self.inward.space())
+                self.taken += count
                 self.heard = self.front.clock.now()
                 if wasted and count:
                     continue
-                if not count and self.outward and not self.machine.busy:
-                    self.machine.over = True  # it has said its last and may still read: the writer ends it
+                if not count and self.outward and not machine.busy:
+                    machine.over = self.said_last = True  # it may still read: the writer ends it
                     return
                 if not count:
-                    code = self._left()
+                    code = self.left()
                     break
                 self.inward.fill(count)
                 self.work()
                 if self.code is not None:
                     return  # a read begun now would outlive the descriptor
         except ConnectionError:
-            code = "hung-up" if self.machine.busy else "reset"
+            code = "hung-up" if machine.busy else "reset" if self.lingers is None else self.left()
         except OSError:
             code = "error"
         except asyncio.CancelledError:
             return
         self.end(code)
 
-    def _left(self) -> str:
-        """What it means that the peer has closed."""
+    def left(self) -> str:
+        """What it means that the peer has closed, or that we wait no longer for it to do so."""
         machine = self.machine
-        if machine.over and machine.fault:
-            return "malformed"
+        if machine.over:
+            return "malformed" if machine.fault else "last-answer"
         return "hung-up" if machine.busy else "cut-off" if machine.midway else "closed"
 
     def work(self) -> None:
@@ -191,10 +224,11 @@
         try:
             await drain(self.sock, self.outward, UNREAD)
             self._writer = None
-            if self.machine.over and self.machine.fault is None:
-                self.end("last-answer")
+            if self.said_last:
+                self.end(self.left())
             elif self.machine.over:
-                # Closed with bytes unread, the kernel would reset the connection and our answer with it.
+                # A lingering close: with bytes unread, the kernel would reset the connection and our answer with it.
+                # What is read from now on is thrown away; for room it is closed first of all.
                 self.sock.shutdown(socket.SHUT_WR)
                 self.lingers = self.heard = self.front.clock.now()
             elif self.idle:
@@ -210,13 +244,22 @@
         """Against peers that say nothing, never end a call, or never end to send."""
         if self.lingers is not None:
             if now - self.heard >= QUIET or now - self.lingers >= LINGER:
-                self.end("malformed")
+                self.end(self.left())
         elif self.since is not None and now - self.since >= COMES and not self.machine.busy:
-            if self.machine.midway or self.calls:
-                self.machine.object(408, "the rest of the call did not come")
-                self.work()
-            elif not self.machine.over:
-                self.end("silent")
+            if self.unheard:
+                # We stood still, not the peer. Once only: drops that come one by one must not put it off for ever.
+                self._events.call_later(seconds(HEARING), self._overdue, self.since)
+            else:
+                self._overdue(self.since)
+
+    def _overdue(self, since: int) -> None:
+        if self.code is not None or self.since != since or self.machine.busy:
+            return
+        if self.machine.midway or self.calls:
+            self.machine.object(408, "the rest of the call did not come")
+            self.work()
+        elif not self.machine.over:
+            self.end("silent")
 
     def spare(self, now: int) -> int:
         """How readily it is closed for room: 0 not at all, then the higher the sooner."""
@@ -225,6 +268,8 @@
             return 0
         if machine.over:
             return 3 if now - self.heard >= FIRST else 0
+        if self.crossing:
+            return 0
         if self.calls and not machine.midway and not self.inward:
             return 1 if self.known else 4
         # One that has brought no call yet: its first may be on its way, and would be lost.
@@ -266,6 +311,7 @@
         self.waste = memoryview(bytearray(64 * 1024))  # where what nobody will read goes, from all of them
         self.stopping = False
         self._room = asyncio.Event()
+        self._shut = False  # nobody new any more
         self.sock, address = opening(listen)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
@@ -274,15 +320,18 @@
 
     async def _accept(self) -> None:
         events = asyncio.get_running_loop()
-        while True:
+        while not self._shut:
             try:
                 sock, address = await events.sock_accept(self.sock)
-            except OSError as fault:
-                self.counters.add(f"accept.{errno.errorcode.get(fault.errno or 0, 'error').lower()}")
+            except Exception as fault:  # noqa: BLE001  # whatever it is, the next ones are accepted
+                code = fault.errno or 0 if isinstance(fault, OSError) else 0
+                self.counters.add(f"accept.{errno.errorcode.get(code, 'error').lower()}")
                 logbook.accept_failed(why=fault)
-                if not self.make_room():
+                # Nobody pays with his connection for a peer that went before it was accepted.
+                if code in FULL and not self.make_room():
                     self.desk.workers.links.let_go_oldest()
-                await asyncio.sleep(seconds(NO_ROOM))
+                if code not in ITS_OWN:
+                    await asyncio.sleep(seconds(NO_ROOM))
                 continue
             self.welcome(sock, address)
             while len(self.visits) > self.most and not self.make_room():
@@ -295,10 +344,19 @@
                     pass  # by now somebody's time for first bytes may be over
 
     def welcome(self, given: socket.socket, address: tuple[str, int]) -> None:
-        sock = tallied(given)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.counters.add("accepted")
+        sock: socket.socket = given
+        try:
+            sock = tallied(given)
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except Exception as fault:  # noqa: BLE001  # a fault in one connection ends it alone, here too
+            self.counters.add("visit_end.unwelcome")
+            logbook.client_end(code="unwelcome", peer=f"{address[0]}:{address[1]}", calls=0)
+            if not isinstance(fault, OSError):
+                logbook.fault_client(fault, peer=f"{address[0]}:{address[1]}")
+            sock.close()
+            return
         visit = Visit(self, sock, f"{address[0]}:{address[1]}")
         self.visits[visit] = self.strangers[visit] = None
         self.counters.most("visits_most", len(self.visits))
@@ -310,16 +368,19 @@
         return min(self.room.visits, self.free - max(links.most, links.count))
 
     def make_room(self) -> bool:
-        """One is closed: as long as there are strangers, that one of them whose leaving costs least, if need
-        be in a moment. By hundreds they had cut off all usual peers' idle connections; these go after them,
-        the longest idle first."""
+        """One is closed: first one that has had its last answer, then, as long as there are strangers, that one of
+        them whose leaving costs least, if need be in a moment. By hundreds they had cut off all usual peers' idle
+        connections; these go after them, the longest idle first."""
         now = self.clock.now()
-        best = max(self.strangers or self.visits, key=lambda visit: (visit.spare(now), -visit.idle_since),
-                   default=None)
-        if best is None or not best.spare(now):
-            return False
-        best.end("room")
-        return True
+        leaving = [visit for visit in self.visits if visit.lingers is not None and visit.spare(now)]
+        for visit in sorted(leaving or self.strangers or self.visits, reverse=True,
+                            key=lambda visit: (visit.spare(now), -visit.idle_since)):
+            if not visit.spare(now):
+                break
+            if visit.machine.over or not visit.unheard:
+                visit.end("room")
+                return True
+        return False
 
     def knows(self, visit: Visit) -> None:
         self.strangers.pop(visit, None)
@@ -345,15 +406,39 @@
         logbook.client_end(code=visit.code, peer=visit.peer, calls=visit.calls)
         self.freed()
 
+    async def shut(self) -> None:
+        """Nobody new any more. Whoever the kernel has let in by now is taken, since the end of the listener would reset
+        him; those who come later are refused at once, and their clients go elsewhere."""
+        self._shut = True
+        kernels = isinstance(self.sock, socket.socket)
+        if kernels:
+            asyncio.get_running_loop().remove_reader(self.sock)
+        for _ in range(2):  # one that was accepted in this very turn is welcomed first
+            await asyncio.sleep(0)
+        self._accepting.cancel()
+        try:
+            while kernels:
+                self.welcome(*self.sock.accept())
+        except OSError:
+            pass  # no more of them, or no descriptor for one
+        self.sock.close()
+
     def in_use(self) -> bool:
-        """Whether a connection is open on which a client's next txn may come."""
-        return any(visit.machine.busy or visit.known and not visit.worker for visit in self.visits)
+        """Whether a connection is open on which a client's next txn may come, or a first one is about to."""
+        now = self.clock.now()
+        return any(visit.machine.busy or visit.outward or visit.fresh(now)
+                   or visit.known and not visit.worker and not visit.machine.over for visit in self.visits)
 
     def quiet(self) -> bool:
-        """Closes what is idle; whether nothing is left that a client waits on."""
-        for visit in [visit for visit in self.visits if visit.idle and not visit.worker]:
-            visit.end("stopping")
-        return all(visit.worker for visit in self.visits)
+        """Closes what is idle; whether nothing is left that a client, or a worker for its callback, waits on."""
+        now = self.clock.now()
+        for visit in list(self.visits):
+            if visit.lingers is not None:
+                if now - visit.lingers >= LAST:
+                    visit.end(visit.left())
+            elif visit.idle and not visit.worker and not visit.fresh(now) and not visit.unheard:
+                visit.end("stopping")
+        return all(visit.worker and not visit.outward and not visit.unheard for visit in self.visits)
 
     def freed(self) -> None:
         self._room.set()
