Settings that can't be meant end the start under their very key; docs/settings.md has all defaults

Much passed in silence: nan and negative figures, "false" for a flag (true), a scheme without an expiry (every txn over at once), two schemes of one name (the first never reached), a customer without a name (who sent no Req-Owner was it), a zone beyond Azs (it became that of the first zone not named), a Me beyond Balancers (two dispatchers in one turn at a cold worker), 63 and fewer descriptors. A connect or idle limit under 0.1 ms came out as "not set", so as 1 s or 60 s; `weight: null` in one row ended the whole list.

Ruled out: refusing what the platform may send. Missing, null and (where 0 is "not set") 0 keep the meaning they had; keys that we don't know are passed over, and unknown words on which no rule rests (Source, QueueOrder, ValueBasis) count as missing.

At fault: terms.terms and terms.scheme (`row.get(...) or 0` at each key), forms.Words.__init__, birth.born (`int(...) or 1024`, `str(None)` as an address) and birth.birth (any fault as its bare text).

Change: terms.Told reads each key by its kind and names its path; birth makes that a start.unfit, code 2. Which row of the known list is bad is looked for only where one is. docs/settings.md: each key's default, what 0 means, what is refused; and each constant that could stand in for a setting, with what it does at a tenth and at ten times.

No rule of the decisions is touched.

--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -9,10 +9,12 @@
 from pathsaddle.errors import Error, why
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
-from pathsaddle.net.wire.terms import Reach, peer_of
+from pathsaddle.net.wire.terms import Amiss, Reach, Told, peer_of
 from pathsaddle.trade import SECOND, Terms
 
 WHERE = "GW_CONFIG"  # the variable that says where the rest stands
+USUAL_SOCKETS = 1024  # where no limit is told: what a process gets by itself on most machines
+LEAST_SOCKETS, LEAST_MB = 64, 21.0  # with fewer, or less, there is no room for one client: measured, as for a charter
 
 
 class Unreadable(Error):
@@ -35,8 +37,8 @@
 
 class Unfit(Error):
     name = "start.unfit"
-    what = "what GW_CONFIG names can't be used: {why}"
-    do = "mend {key} in the file that $GW_CONFIG names, by README.md"
+    what = "what GW_CONFIG names can't be used: {key}: {why}"
+    do = "mend {key} in the file that $GW_CONFIG names, by docs/settings.md"
 
 
 @dataclass(slots=True)
@@ -58,7 +60,11 @@
 
     Everything else in it holds from the start to the end: open txns stand on it.
     """
-    where = _table(text).get("discovery")
+    return _discovery(_table(text))
+
+
+def _discovery(told: dict[str, Any]) -> str:
+    where = told.get("discovery")
     if not isinstance(where, str):
         raise Lacks(key="discovery")
     try:
@@ -81,25 +87,58 @@
 def birth(text: str) -> Birth:
     """Raises NoForm, Lacks, Unfit."""
     told = _table(text)
-    for key in ("listen", "discovery"):
-        if key not in told:
-            raise Lacks(key=key)
+    if not isinstance(told.get("listen"), str):
+        raise Lacks(key="listen")
+    _discovery(told)
     try:
         return born(told)
-    except (LookupError, TypeError, ValueError, AttributeError) as fault:
-        # Which of its many figures it was, only the fault itself says.
-        raise Unfit(key="that", why=f"{type(fault).__name__} {fault}") from None
+    except Amiss as fault:
+        raise Unfit(key=fault.key, why=fault.why) from None
 
 
 def born(told: dict[str, Any]) -> Birth:
-    """From what is told, in the platform's form, whichever file said it."""
-    given, limits = told.get("settings") or {}, told.get("limits") or {}
+    """From what is told, in the platform's form, whichever file said it; raises Amiss."""
+    given = {} if told.get("settings") is None else told["settings"]
+    seed, limits = _seed(told), Told(told.get("limits"), "limits")
+    sockets, memory_mb = limits.whole("sockets") or USUAL_SOCKETS, limits.number("memory_mb") or float("inf")
+    if sockets < LEAST_SOCKETS:
+        raise limits.amiss("sockets", f"a number of {LEAST_SOCKETS} at least, or none,")
+    if memory_mb < LEAST_MB:
+        raise limits.amiss("memory_mb", f"a number of {LEAST_MB:g} at least, or none,")
     known = terms.terms(given)
+    if given and not known.schemes:
+        raise Told(given, "settings").amiss("Schemes", "one scheme at least")
     # A list that comes unasked on the bench's wire comes over a watch here, and that has to be asked for.
     known.must_ask = True
     known.ask_within = known.ask_within or 10 * SECOND
     words = Words(given, known)
-    index, _, rows = words.list(told.get("known") or {"index": 0})
-    return Birth(str(told["listen"]), str(told["discovery"]), int(str(told.get("seed") or "0"), 16),
-                 int(limits.get("sockets") or 1024), float(limits.get("memory_mb") or "inf"),
-                 known, words, terms.reach(given), index, rows)
+    index, rows = _known(words, Told(told.get("known"), "known"))
+    return Birth(told["listen"], told["discovery"], seed, sockets, memory_mb, known, words, terms.reach(given),
+                 index, rows)
+
+
+def _seed(told: dict[str, Any]) -> int:
+    seed = told.get("seed")
+    if seed is None or seed == "":
+        return 0
+    try:
+        if type(seed) not in (str, int):
+            raise ValueError
+        return int(str(seed), 16)
+    except ValueError:
+        raise Told(told, "").amiss("seed", "a hexadecimal number") from None
+
+
+def _known(words: Words, told: Told) -> tuple[int, list[Row]]:
+    """The list as last had. Which of its rows can't be read is looked for only once one can't: there are hundreds."""
+    index, rows = told.whole("index"), told.entries("endpoints")
+    try:
+        return index, words.list({"index": index, "endpoints": rows})[2]
+    except (LookupError, TypeError, ValueError, AttributeError, OverflowError):
+        for i, row in enumerate(rows):
+            try:
+                words.list({"index": index, "endpoints": [row]})
+            except (LookupError, TypeError, ValueError, AttributeError, OverflowError):
+                raise told.amiss("endpoints", "a worker with its name, and with numbers for group, weight and since_ms,",
+                                 i) from None
+        raise
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -35,7 +35,6 @@
 ID = re.compile(r"[!-~]{1,128}")
 FIGURE = re.compile(r"[0-9]{1,12}([.][0-9]{1,9})?")
 LONGEST_KEY = 256  # bytes of a key that tell it from others
-LONGEST = 24 * 3600 * SECOND  # no client means to wait for longer
 STARTED, RUNNING = "started", "running"
 
 
@@ -84,13 +83,23 @@
 class Words:
     """The names that the wire uses for what the trade knows as objects and numbers."""
 
-    def __init__(self, told: dict[str, Any], known: Terms) -> None:
-        self.schemes: dict[str, Scheme] = {
-            row.get("Name"): known.schemes[i] for i, row in enumerate(told.get("Schemes") or [])}
-        self.customers: dict[str, Customer] = {
-            row.get("Name"): known.customers[i] for i, row in enumerate(told.get("Customers") or [])}
-        self.zones: dict[str, int] = {name: i for i, name in enumerate(told.get("Azs") or [])}
-        self.machines: dict[str, int] = {name: i for i, name in enumerate(told.get("Kinds") or [])}
+    def __init__(self, given: dict[str, Any], known: Terms) -> None:
+        """Raises terms.Amiss: a call goes by these names, and one without or with another's is never reached."""
+        told = terms.Told(given, "settings")
+        self.schemes: dict[str, Scheme] = dict(zip(self._names(told, "Schemes"), known.schemes))
+        self.customers: dict[str, Customer] = dict(zip(self._names(told, "Customers"), known.customers))
+        self.zones: dict[str, int] = {name: i for i, name in enumerate(told.names("Azs"))}
+        self.machines: dict[str, int] = {name: i for i, name in enumerate(told.names("Kinds"))}
+
+    @staticmethod
+    def _names(told: terms.Told, key: str) -> list[str]:
+        found: list[str] = []
+        for row in told.rows(key):
+            name = row.text("Name")
+            if not name or name in found:
+                raise row.amiss("Name", "a name that no other has")
+            found.append(name)
+        return found
 
     # From clients.
 
@@ -113,7 +122,7 @@
             cost = figure(call.text(b"req-cost") or "0")
             extra = pairs(call.text(b"req-extra") or "")
             slots, memory = figure(extra.get("slots", "1")), extra.get("memory")
-            if lasts > LONGEST or slots <= 0:
+            if lasts > terms.LONGEST or slots <= 0:
                 raise ValueError("out of all bounds")
             return Txn(tag, scheme, customer, now, now + min(lasts, scheme.expiry or lasts),
                        hint=max(1, -(-int(cost) // 100)) if cost > 0 else None,
@@ -184,7 +193,7 @@
                 name, self.zones.setdefault(str(entry.get("zone")), len(self.zones)),
                 int(entry.get("group") or 0),
                 self.machines.setdefault(str(entry.get("type")), len(self.machines)),
-                float(entry.get("weight", 1.0)), since * MILLISECOND if since > 0 else None,
+                1.0 if (weight := entry.get("weight")) is None else float(weight), since * MILLISECOND if since > 0 else None,
                 standing, crc32(name.encode())), str(entry.get("address") or "")))
         return int(told["index"]), ListNews.WHOLE if told.get("snapshot") else ListNews.CHANGES, rows
 
