--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -262,8 +262,6 @@
         if errand.sent and not errand.accepted and errand.task is not None:
             # Its end overtook the 202, which may never come now.
             self._events.call_later(seconds(self.workers.connect_within), errand.task.cancel)
-        if errand.sent:
-            self.counters.add("posting.sent")
         self.counters.add(f"outcome.{outcome.name.lower()}")
         txn = posting.txn
         self._at()
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -191,6 +191,8 @@
                 if sending.whole:
                     raise Lost(str(fault)) from None
                 raise NeverSent(str(fault)) from None
+            if method == "POST":
+                self.counters.add("posting.sent")
             return await link.answer()
         finally:
             # Given up midway: the answer may still come, so nothing else may be asked here.
