Told to end before it is ready or behind its end, the program exits 0; tests/test_shutdown.py

Observed, with stubs that hold the program where it stands: SIGTERM while it loads its libraries, or reads its configuration, killed it (-15; SIGUSR1 -10); so did any of them in the last moment of the process, although SIGHUP was blocked. Ruled out: blocking all of them as SIGHUP was; the event loop has threads by then (5 in /proc/PID/status), and those take what the main thread blocks. The default comes back with the interpreter's end, which restores it for each signal that has a handler of its own.

Now __main__ first of all sets SIGTERM and SIGINT to exit 0 at once (nothing has been taken yet) and ignores SIGUSR1 and SIGHUP, before the imports, for the platform's program alone; start.run ignores all four once the event loop has ended.

tests/test_shutdown.py SignalStory: its three stories fail on the code before. LifeStory starts the program as `run` does and sends SIGTERM with a txn before its body, held, dialling, written in part, written, accepted, its callback half here, its answer half written, and with 60 clients that call around the moment of the end: one whole answer each, each posted once, exit 0. Those stories passed before.

--- a/pathsaddle/__main__.py
+++ b/pathsaddle/__main__.py
@@ -8,6 +8,14 @@
 if len(sys.argv) > 1:
     from pathsaddle.cli.main import main
 else:
+    import os
+    import signal
+
+    # First of all: what is imported below takes its time, and nothing has been taken yet that would need an answer.
+    for told in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(told, lambda *_: os._exit(0))
+    for untimely in (signal.SIGHUP, signal.SIGUSR1):
+        signal.signal(untimely, signal.SIG_IGN)
     from pathsaddle.net.service.start import main
 
 sys.exit(main())
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -29,6 +29,7 @@
 LONGEST = 3 * SECOND  # what is left to a txn after SIGTERM at the most; SIGKILL comes 0.7 s later
 LATER = 350 * MILLISECOND  # of those 0.7 s: what we use for txns that came after SIGTERM
 LAST_BYTES = 100 * MILLISECOND  # and for bringing out the last answers
+HEARD = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 
 
 class Dispatcher:
@@ -61,6 +62,7 @@
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
+        # From here on a second SIGTERM changes nothing, and a SIGHUP is heard as long as txns are open.
         events = asyncio.get_running_loop()
         events.add_signal_handler(signal.SIGTERM, self._stop.set)
         events.add_signal_handler(signal.SIGINT, self._stop.set)
@@ -145,18 +147,20 @@
     dispatcher = Dispatcher(birth(ground.told()), ground)
     gc.collect()
     gc.freeze()  # what is made at start stays: no later collection walks it
-    try:
-        await dispatcher.run()
-    finally:
-        # The event loop puts back the default as it closes, and that would end us with the signal's code.
-        signal.pthread_sigmask(signal.SIG_BLOCK, [signal.SIGHUP])
+    await dispatcher.run()
 
 
 def run(ground: Ground) -> None:
     """One dispatcher in the foreground, until it is told to end."""
     # Until there is a file in use there is none to read again.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    uvloop.run(serve(ground))
+    try:
+        uvloop.run(serve(ground))
+    finally:
+        # Nobody hears them any more, and the interpreter's end puts back the default of each that has a handler: that
+        # would end us with the signal's code. Not blocked: the event loop's threads would take them.
+        for told in HEARD:
+            signal.signal(told, signal.SIG_IGN)
 
 
 def main() -> int:
