A hook for connections to workers: a descriptor is had for each, if need be an idle client's

The first connection to each worker may always come up, beyond `links.most` (links.py `may_open`), so with as many workers as that and idle clients up to `Front.most`, both together could pass what the process has; accepting looks at the sum, opening a link did not. Front.spare_descriptor closes the idle client whose leaving costs least when the sum has reached `free`, and says whether there is one now; Workers._open is to ask it before it opens (not part of this change).

tests/test_clients.py DescriptorStory: with eight idle clients of ten descriptors and `links.most` of two, six workers get their first connection and a callback is accepted, the sum never over ten; without the hook's close the sum is 14 (there was none before).

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -382,6 +382,14 @@
                 return True
         return False
 
+    def spare_descriptor(self) -> bool:
+        """Whether there is one for a connection to a worker that is not counted yet; if need be, an idle client's is
+        closed for it. The first connection to each worker may always come up, beyond `links.most`: without this they
+        and clients' together could pass what we have. The kernel gets it back a turn later, out of SPARE till then."""
+        if self.desk.workers.links.count + len(self.visits) >= self.free:
+            self.make_room()
+        return self.desk.workers.links.count + len(self.visits) < self.free
+
     def knows(self, visit: Visit) -> None:
         self.strangers.pop(visit, None)
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -93,7 +93,7 @@
         sock.setblocking(False)
         before = set(self.front.visits)
         await self.events.sock_connect(sock, self.front.sock.getsockname())
-        await self.until(lambda: len(self.front.visits) > len(before))
+        await self.until(lambda: bool(set(self.front.visits) - before))
         visit, = set(self.front.visits) - before
         if data:
             await self.events.sock_sendall(sock, data)
@@ -358,6 +358,42 @@
         self.assertIsNone(visit.code)
 
 
+class DescriptorStory(Clients):
+    """Idle clients hold all that there is, while discovery is down."""
+
+    async def test_the_first_connection_to_each_worker_and_a_callback_are_had_all_the_same(self) -> None:
+        self.front.free, self.workers.links.most = 10, 2
+        resting = []
+        for _ in range(8):
+            sock, visit = await self.client(READY)
+            self.assertIn(b" 200 ", await self.answer(sock))
+            resting.append(visit)
+        taken = []
+        for worker in range(6):  # three times as many as `links.most`: each its first one
+            self.assertTrue(self.front.spare_descriptor())
+            shelf = self.workers.links.shelf(f"w{worker}")
+            self.assertTrue(self.workers.links.may_open(shelf))
+            shelf.used += 1
+            taken.append(shelf)
+            self.assertLessEqual(self.workers.links.count + len(self.front.visits), self.front.free)
+        self.assertEqual([visit.code for visit in resting], ["room"] * 4 + [None] * 4, "the longest idle ones went")
+        told = b'{"id":"a","from":"w","state":"started"}'
+        sock, visit = await self.client(b"POST /callback HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(told), told))
+        self.assertIn(b" 204 ", await self.answer(sock))
+        self.assertTrue(visit.worker)
+        self.assertLessEqual(self.workers.links.count + len(self.front.visits), self.front.free)
+
+    async def test_none_is_had_where_every_client_waits_for_its_answer(self) -> None:
+        self.front.free = 1
+        sock, _ = await self.client(job("a"))
+        await self.until(lambda: self.counters["txn.taken"] == 1)
+        self.assertFalse(self.front.spare_descriptor())
+        self.front.free = 3
+        self.assertTrue(self.front.spare_descriptor())
+        self.assertEqual(self.counters["visit_end.room"], 0)
+        sock.close()
+
+
 class LastMomentStory(Clients):
     """Who comes while we are about to end."""
 
