Who sends call upon call and reads no answer is served as it reads

Observed: 120,000 `GET /ready` in one write from a client that reads nothing: its answers grew without bound in Visit.outward (over 0.1 MB at the first look, then as fast as the network brings calls, for 10 s up to `unread`). At fault: front.py `_work` answers each whole call at once, whatever still waits to be read. Now no further call is taken while 16 KiB of answers wait (AHEAD); the writer comes back to it, in order. Unread calls stay in the 2 KiB ring and with the kernels. A client that sends one call at a time never meets it.

tests/test_clients.py FloodStory fails on the code before (109,972 bytes), and then sees all 120,000 answers, another served meanwhile.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -20,6 +20,7 @@
 
 BACKLOG = 1024
 UNREAD = 10 * SECOND  # time in which a peer must take what is written to it
+AHEAD = 16 * 1024  # bytes of answers that wait for their reader: no further call of his is taken before they went
 COMES = 5 * SECOND // 2  # in which a call must be here whole, from the accept or from its first byte
 QUIET = SECOND  # of silence after which a peer whose call was no good is taken to have our answer
 LINGER = 5 * SECOND  # and for so long what it still sends is read and thrown away
@@ -151,6 +152,8 @@
         """Bytes to calls, calls to answers; bytes behind a call that waits for its answer stay here."""
         machine = self.machine
         while not machine.over and self.code is None:
+            if len(self.outward) >= AHEAD:
+                break  # answers to one who sends call upon call and reads none of them: the writer comes back here
             call = machine.next()
             if call is not None:
                 self.calls += 1
@@ -233,6 +236,8 @@
                 self.lingers = self.heard = self.front.clock.now()
             elif self.idle:
                 self.front.freed()
+            elif not self.machine.busy:
+                self.work()
         except TimeoutError:
             self.end("unread")
         except OSError:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -358,6 +358,25 @@
         self.assertIsNone(visit.code)
 
 
+class FloodStory(Clients):
+    async def test_one_that_calls_and_calls_and_reads_nothing_costs_no_memory_and_is_served_as_it_reads(self) -> None:
+        many = 120_000
+        sock, visit = await self.client(room=10_000)
+        sending = asyncio.create_task(self.events.sock_sendall(sock, READY * many))
+        await self.until(lambda: len(visit.outward) > 100_000 or visit.inward.full)
+        self.assertLess(len(visit.outward), 100_000)
+        other, _ = await self.client(READY)
+        self.assertIn(b" 200 ", await self.answer(other))
+        count, came = 0, b""
+        async with asyncio.timeout(20.0):
+            while count < many:
+                came = came[-11:] + await self.events.sock_recv(sock, 1 << 16)
+                count += came.count(b"HTTP/1.1 200")
+                came = came.rpartition(b"HTTP/1.1 200")[2]
+        self.assertLess(len(visit.outward._room), 100_000)
+        await sending
+
+
 class DescriptorStory(Clients):
     """Idle clients hold all that there is, while discovery is down."""
 
