--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -57,6 +57,7 @@
         except (OSError, ValueError) as fault:
             from pathsaddle.net.service.place import unhad
             raise unhad(fault, "listen", told.listen, ground.file()) from None
+        self.workers.make_room = self.front.spare_descriptor
         self.fellows = ground.fellows(self.counters)
         self.longest = min(LONGEST, max((scheme.expiry for scheme in told.terms.schemes), default=LONGEST))
         self._stop = asyncio.Event()
