--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -14,7 +14,7 @@
 
 WHERE = "GW_CONFIG"  # the variable that says where the rest stands
 USUAL_SOCKETS = 1024  # where no limit is told: what a process gets by itself on most machines
-LEAST_SOCKETS, LEAST_MB = 64, 21.0  # with fewer, or less, there is no room for one client: measured, as for a charter
+LEAST_SOCKETS, LEAST_MB = 64, 21.0  # a charter's bound, and what the program itself takes, measured
 
 
 class Unreadable(Error):
@@ -113,8 +113,8 @@
     known.ask_within = known.ask_within or 10 * SECOND
     words = Words(given, known)
     index, rows = _known(words, Told(told.get("known"), "known"))
-    return Birth(told["listen"], told["discovery"], seed, sockets, memory_mb, known, words, terms.reach(given),
-                 index, rows)
+    return Birth(told["listen"], told["discovery"], seed, sockets, memory_mb, known, words,
+                 terms.reach(given), index, rows)
 
 
 def _seed(told: dict[str, Any]) -> int:
@@ -130,7 +130,7 @@
 
 
 def _known(words: Words, told: Told) -> tuple[int, list[Row]]:
-    """The list as last had. Which of its rows can't be read is looked for only once one can't: there are hundreds."""
+    """The list as last had. Which of its hundreds of rows can't be read is looked for only once one can't."""
     index, rows = told.whole("index"), told.entries("endpoints")
     try:
         return index, words.list({"index": index, "endpoints": rows})[2]
@@ -139,6 +139,6 @@
             try:
                 words.list({"index": index, "endpoints": [row]})
             except (LookupError, TypeError, ValueError, AttributeError, OverflowError):
-                raise told.amiss("endpoints", "a worker with its name, and with numbers for group, weight and since_ms,",
-                                 i) from None
+                may = "a worker with its name, and with numbers for group, weight and since_ms,"
+                raise told.amiss("endpoints", may, i) from None
         raise
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -193,7 +193,8 @@
                 name, self.zones.setdefault(str(entry.get("zone")), len(self.zones)),
                 int(entry.get("group") or 0),
                 self.machines.setdefault(str(entry.get("type")), len(self.machines)),
-                1.0 if (weight := entry.get("weight")) is None else float(weight), since * MILLISECOND if since > 0 else None,
+                1.0 if (weight := entry.get("weight")) is None else float(weight),
+                since * MILLISECOND if since > 0 else None,
                 standing, crc32(name.encode())), str(entry.get("address") or "")))
         return int(told["index"]), ListNews.WHOLE if told.get("snapshot") else ListNews.CHANGES, rows
 
--- a/pathsaddle/net/wire/terms.py
+++ b/pathsaddle/net/wire/terms.py
@@ -18,7 +18,7 @@
 REPORT_FIELDS = {"x0": "free", "waiting": "waiting", "queue": "waiting", "active": "held", "inflight": "held",
                  "err_rps": "errors", "eps": "errors", "rps": "rate", "qps": "rate"}
 GROUPS = tuple(group.value for group in Group)
-# What is meant for ever may come as the longest span that the platform's language knows. Beyond it nothing is meant.
+# What is meant for ever may come as the longest span that the platform's language has. Nothing is meant beyond.
 MOST = 1 << 63
 LONGEST = 24 * 3600 * SECOND  # no client means to wait for longer
 
@@ -39,7 +39,7 @@
 
 
 def bound(ns: int) -> int:
-    """A limit of which 0 stands for "not set": a span shorter than our clock's step must not come out as that."""
+    """A limit of which 0 stands for "not set": a span below our clock's step must not come out as that."""
     return max(1, limit(ns)) if ns else 0
 
 
@@ -71,11 +71,11 @@
 
 
 class Told:
-    """One object of what is told. Each key is read by its kind, so that what can't be meant is refused by its name:
-    taken as it came, a text failed far from its cause, nan passed every comparison, and "false" counted as true.
+    """One object of what is told. Each key is read by its kind, so that what can't be meant is refused by its
+    name: taken as it came, a text failed far from its cause, nan passed every comparison, "false" was true.
 
-    A key that is missing or null stands for its default, since the platform leaves out what it does not set; keys
-    that we don't know are passed over.
+    A key that is missing or null stands for its default, since the platform leaves out what it does not set;
+    keys that we don't know are passed over.
     """
 
     __slots__ = ("_given", "path")
@@ -197,7 +197,7 @@
         schemes=[scheme(i, row, job, machines) for i, row in enumerate(told.rows("Schemes"))],
         customers=[Customer(i, row.number("AllowancePerS"), row.number("Portion"))
                    for i, row in enumerate(told.rows("Customers"))],
-        # Told of fewer than our own number tells of, we would take another's part of what a cold worker bears.
+        # Told of fewer than our own number says, we would take another's part of what a cold worker bears.
         dispatchers=max(1, told.whole("Balancers"), number + 1),
         number=number,
         zone=zone,
@@ -256,4 +256,5 @@
 
 def reach(given: dict[str, Any]) -> Reach:
     allowed = Told(given, "settings").part("Limits")
-    return Reach(bound(allowed.whole("ConnectTimeout")) or SECOND, bound(allowed.whole("IdleClose")) or 60 * SECOND)
+    return Reach(bound(allowed.whole("ConnectTimeout")) or SECOND,
+                 bound(allowed.whole("IdleClose")) or 60 * SECOND)
