Emulator: each cell has a number of its own in the whole fleet, as real lists have it

Ruled out: the program, which goes by the number as told. Change: stage.Stage.build numbers cells through the fleet.

--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -99,13 +99,14 @@
         memories = Memories()
         names = iter(worker_names(plan))
         number = 0
-        for kind in plan.fleet.workers:
+        cells: dict[tuple[int, str, int], int] = {}  # a cell's number is its own in the whole fleet, as in real lists
+        for k, kind in enumerate(plan.fleet.workers):
             zones = kind.zones or charter.zones
             for i in range(kind.count):
                 addresses = [self.sites.address("worker", d, number) for d in self.numbers]
-                name = next(names)
-                self.workers[name] = Worker(self.world, self.sites, memories, name, kind, zones[i % len(zones)],
-                                            i // len(zones) // kind.cell, addresses)
+                name, zone = next(names), zones[i % len(zones)]
+                cell = cells.setdefault((k, zone, i // len(zones) // kind.cell), len(cells))
+                self.workers[name] = Worker(self.world, self.sites, memories, name, kind, zone, cell, addresses)
                 number += 1
         self.roster = Roster(self.world, self.sites, self.workers)
         self.roster.wall = self.wall()
