The list's clock: through any failures its word is here by 6 s, or nothing new goes out

Lines at fault, Choice.listed: the wait doubled to list_rarest (10 s among 200) after any FAILED; list_by bounded the first call after SILENT alone. After SIGHUP, whose list counts in 4 s, a first failure was followed after up to 5 s of spread. Ruled out: a shorter list_rarest for all (forty births at five calls a second: 20 of 40 have the list after 25 s, so births that fail again keep a wider window and withhold); a call that may hang for 4 s (two and the wait: 9 s).

Change: what we hold stands (`list_sure`) until 5.9 s after the last line of a watch that broke or the begin of the last call that failed, 3.9 s after a move, ask_within after a start; the next call is made so that 1.5 s, or what the failed one took, are left for it. From then on `grant` gives nothing (`list_unsure`, for the desk's first byte too) and looks again each 10 ms, so that nothing spins; a list or a failed call ends it. A call given up at ask_again has failed, and none is given up in under 3.1 s (it was half of ask_within, however short).

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -22,8 +22,10 @@
 
 from pathsaddle.trade import (
     LIST_ANSWER,
+    LIST_MOVED,
     LIST_SILENT,
-    LIST_TOLD,
+    LIST_SLACK,
+    LIST_SURE,
     MILLISECOND,
     SECOND,
     Cancel,
@@ -240,6 +242,7 @@
         self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
         self.must_ask, self.list_due = terms.must_ask, FAR
         self.list_failures, self.list_lost, self.list_by = 0, now, -FAR
+        self.list_asked, self.list_sure, self.list_had = now, now + terms.ask_within - LIST_SLACK, False
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
@@ -247,13 +250,13 @@
         self.mean_worth = 1.0
         self.worths: deque[float] = deque(maxlen=96)
         self.arrivals: deque[int] = deque(maxlen=32)  # when the last txns came
-        # A call that is never answered must not leave us without word until we are deemed told.
-        self.ask_again = max(1, terms.ask_within // 2)
+        # A call never answered must not leave us without word until we are deemed told, nor end before it can fail.
+        self.ask_again = max(LIST_SILENT + LIST_SLACK, terms.ask_within // 2)
         # The list service works through all dispatchers' calls in turn, also through those that no longer
         # wait: asked by 28 in one moment it answered nobody for the rest of a day. So births, breaks and
-        # failures are spread by how many we are, and no call is rarer than makes us deemed told.
-        self.list_spread = min((terms.dispatchers - 1) * SECOND // 10, self.ask_again)
-        self.list_rarest = max(2 * SECOND, min(terms.ask_within, 3 * self.list_spread))
+        # failures are spread by how many we are, and no call is rarer than makes us deemed told (`listed`).
+        self.list_spread = min((terms.dispatchers - 1) * SECOND // 10, terms.ask_within // 2)
+        self.list_rarest = max(2 * SECOND, 3 * self.list_spread)
         if self.must_ask:
             self.list_due = now + int(self.list_spread * self.random())
 
@@ -567,8 +570,15 @@
         taken = (1 + sum(self.landed)) / (1 + len(self.landed))
         return self.worth(txn) / self.mean_worth * (self.chance(far, txn) * taken - stay) > self.cross_price
 
+    def list_unsure(self, now: int) -> bool:
+        """A change may count as told that we have not heard: nothing new that a drain would forbid goes out."""
+        return self.must_ask and now >= self.list_sure
+
     def grant(self) -> tuple[Txn, Worker] | None:
         """The next held txn that gets a worker: the most valuable first, then the most urgent."""
+        if self.list_unsure(self.now):
+            self.look_due = self.now + LOOK
+            return None
         if not self.waiting or not self.stirred and not self.granted and self.now < self.look_due:
             return None
         if self.stirred or self.now >= self.look_due:
@@ -1039,21 +1049,23 @@
         if news is ListNews.FAILED or news is ListNews.SILENT:
             self.list_lost = self.list_lost if self.list_failures else self.now
             self.list_failures += 1
-            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8), self.list_rarest)
-            if news is ListNews.SILENT:
-                # What it missed counts as told, come or not: 5 s of spread on top of the silence broke drains.
-                since = self.now - LIST_SILENT if self.list_due == FAR else self.list_due - self.ask_again
-                self.list_by = since + LIST_TOLD - LIST_ANSWER
-            if self.now < self.list_by:
-                wait = min(wait, max(SECOND // 2, self.list_by - self.now))
-            self.list_due = self.now + int(wait * (0.1 + 0.9 * self.random()))
+            # What a watch missed counts as told from its last line on, a failed call proves that nothing was to be had
+            # at its begin, and the next is over in time: doubled past that, drains broke. Births leave others room.
+            took = max(1, self.now - self.list_asked) if self.list_due < FAR else 0
+            self.list_sure = self.now - (took or LIST_SILENT) + LIST_SURE
+            self.list_sure = min(self.list_sure, self.list_by if self.now < self.list_by else FAR)
+            by = self.list_sure - max(LIST_ANSWER, took) - self.now
+            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8), self.list_rarest,
+                       by if self.list_had or self.list_failures < 2 else LIST_SURE)
+            self.list_due, self.stirred = self.now + int(max(SECOND // 2, wait) * (0.1 + 0.9 * self.random())), True
             return
         if news is ListNews.MOVED:
             # At once: what the new place tells counts as told soon; failures of the old say nothing of it.
             self.list_failures, self.list_due = 0, self.now
+            self.list_by = self.list_sure = min(self.list_sure, self.now + LIST_MOVED)
             return
         if news is not ListNews.REMEMBERED:
-            self.list_failures, self.list_due = 0, FAR
+            self.list_failures, self.list_due, self.list_sure, self.list_had = 0, FAR, FAR, True
         self.stirred, told = True, dict.fromkeys(workers)
         self.order.cache_clear()
         if news is not ListNews.CHANGES:
@@ -1087,7 +1099,9 @@
         due = FAR
         if self.must_ask:
             if self.now >= self.list_due:
-                self.list_due = self.now + self.ask_again
+                if self.list_due == self.list_asked + self.ask_again:  # the call before is given up: it has failed
+                    self.list_sure = max(self.list_sure, self.list_asked + LIST_SURE)
+                self.list_asked, self.list_due = self.now, self.now + self.ask_again
                 self.door.subscribe()
             due = self.list_due
         if self.now >= self.judged + SECOND // 4:
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -14,10 +14,13 @@
 MILLISECOND = 10
 SECOND = 10_000
 # The list's clock, as the operators' protocol has it: a watch says something every 2 s; what one that has fallen silent
-# misses counts as told LIST_TOLD later, whether or not it ever comes.
-LIST_SILENT = 3 * SECOND  # without a byte, after which a watch is taken for dead
+# misses counts as told LIST_TOLD later, whether or not it ever comes. docs/fleet.md reckons the sum.
+LIST_SILENT = 3 * SECOND  # without a line, after which a watch, and a call for one, is taken for dead
 LIST_TOLD = 6 * SECOND
 LIST_ANSWER = 3 * SECOND // 2  # of that, what the call that asks again may take until it is answered
+LIST_SLACK = SECOND // 10  # and what timers, turns of the event loop and the way of a first byte may take
+LIST_SURE = LIST_TOLD - LIST_SLACK
+LIST_MOVED = 4 * SECOND - LIST_SLACK  # after which what the place that we were moved to tells counts as told
 
 
 class Semantics(Enum):
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -2,22 +2,26 @@
 nothing new goes out."""
 
 import asyncio
+import heapq
 import socket
 import time
 import unittest
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import pairwise
+from random import Random
 from typing import Any
 from unittest import mock
 
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import roster as roster_module
 from pathsaddle.net.service.pump import Tallied, stream
-from pathsaddle.net.service.roster import Roster
+from pathsaddle.net.service.roster import COMES_UP, FIRST, Roster
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
 from pathsaddle.net.wire.terms import Peer
-from pathsaddle.trade import SECOND, ListNews, Standing
-from tests.fakehost import SETTINGS
+from pathsaddle.trade import LIST_MOVED, LIST_SILENT, LIST_SURE, MILLISECOND, SECOND, ListNews, Standing
+from tests.fakehost import SETTINGS, FakeHost
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 WHOLE, CHANGES, FAILED, SILENT, MOVED = (
@@ -300,5 +304,302 @@
         self.assertEqual(self.told[1:], [(MOVED, []), (FAILED, [])])
 
 
+# The clock itself, on a virtual one, through the decisions.
+
+ILLS = ("refused", "busy", "waits", "absent", "mute", "half", "reset")
+TOLD_BY = 6 * SECOND
+
+
+@dataclass
+class Said:
+    at: int
+    what: str
+
+
+@dataclass(order=True)
+class Due:
+    at: int
+    number: int
+    act: Callable[[], None] = field(compare=False)
+
+
+class Discovery:
+    """One dispatcher's discovery through drawn troubles: spells of them, each with well ones between. What the driver
+    tells of a call is played with the driver's limits; all that the judge reads stands in the log."""
+
+    def __init__(self, seed: int, many: int, slow: float = 0.0, news: ListNews = WHOLE, seconds: int = 30) -> None:
+        self.chance = Random(seed)
+        self.slow = slow  # how often a call to a discovery that is well takes longer than reckoned with
+        self.host = FakeHost(must_ask=True, dispatchers=many, number=seed % many, seed=seed, news=news)
+        self.begun = self.host.now
+        self.log: list[Said] = []
+        self.dues: list[Due] = []
+        self.number = self.current = 0
+        self.asked = self.posted = self.came = 0
+        self.live = news is WHOLE
+        self.last = self.host.now  # line of the watch
+        self.troubles: list[tuple[int, int, str]] = []  # from, to, which
+        at = self.begun
+        while at < self.begun + seconds * SECOND:
+            at += int(SECOND * 10 * self.chance.random())
+            for _ in range(self.chance.choice((1, 1, 2, 5))):
+                end = at + int(SECOND * 5 * self.chance.random() ** 4) + 1
+                self.troubles.append((at, end, self.chance.choice(ILLS)))
+                at = end
+            at += 1
+        self.until = self.begun + seconds * SECOND
+        self.falls()
+
+    def troubled(self, troubles: list[tuple[int, int, str]]) -> None:
+        """By these instead: after how long, how long, which."""
+        self.troubles = [(self.begun + at, self.begun + at + lasts, kind) for at, lasts, kind in troubles]
+        self.dues.clear()
+        self.falls()
+
+    def ill(self, at: int) -> str:
+        return next((kind for begin, end, kind in self.troubles if begin <= at < end), "")
+
+    def later(self, at: int, act: Callable[[], None]) -> None:
+        self.number += 1
+        heapq.heappush(self.dues, Due(at, self.number, act))
+
+    def note(self, what: str) -> None:
+        self.log.append(Said(self.host.now, what))
+
+    def falls(self) -> None:
+        """The next trouble ends a live watch: by its end, or by silence from its last line on."""
+        for begin, _, kind in self.troubles:
+            self.later(begin, lambda kind=kind: self.strikes(kind))  # type: ignore[misc]
+
+    def strikes(self, kind: str) -> None:
+        if not self.live:
+            return
+        self.live, self.current = False, self.current + 1
+        mine = self.current
+        last = self.host.now - int(self.chance.random() * 2 * SECOND)
+        if kind in ("absent", "mute", "half") or self.chance.random() < 0.2:
+            # Silent from its last line on; sometimes reset before that is known.
+            ends = last + LIST_SILENT
+            if self.chance.random() < 0.3:
+                ends = self.host.now + int((ends - self.host.now) * self.chance.random())
+                self.later(ends, lambda: self.tells(mine, FAILED))
+            else:
+                self.later(ends, lambda: self.tells(mine, SILENT))
+            self.log.append(Said(self.host.now, f"missed {last}"))
+        else:
+            self.log.append(Said(self.host.now, f"missed {self.host.now}"))
+            self.tells(mine, FAILED)
+
+    def tells(self, mine: int, news: ListNews) -> None:
+        if mine != self.current:
+            return
+        if news is WHOLE:
+            self.live = True
+            self.note("had")
+            self.host.list(WHOLE, *self.host.workers)
+        else:
+            self.note("failed")
+            self.host.list(news)
+
+    def calls(self) -> None:
+        self.current += 1
+        mine, now, kind = self.current, self.host.now, self.ill(self.host.now)
+        self.live = False
+        self.note(f"asked {kind}")
+        if not kind:
+            late = self.slow and self.chance.random() < self.slow
+            takes = int(SECOND * (1.5 + 1.0 * self.chance.random() if late else 1.4 * self.chance.random()))
+            self.later(now + takes, lambda: self.answers(mine, now))
+            return
+        takes, news = {
+            "refused": (10, FAILED), "busy": (50, FAILED), "reset": (int(FIRST * self.chance.random()), FAILED),
+            "waits": (2 * SECOND, FAILED), "absent": (COMES_UP, FAILED), "mute": (FIRST, SILENT),
+            "half": (FIRST, SILENT)}[kind]
+        self.later(now + takes, lambda: self.tells(mine, news))
+
+    def answers(self, mine: int, begun: int) -> None:
+        if any(begun < begin <= self.host.now for begin, _, _ in self.troubles):  # struck in the middle of it
+            self.tells(mine, FAILED)
+        else:
+            self.tells(mine, WHOLE)
+
+    def plays(self) -> list[Said]:
+        self.asked = self.host.subscribed
+        if self.asked:
+            self.calls()
+        arrives = self.begun
+        while self.host.now < self.until:
+            alarm = self.host.alarm if self.host.alarm is not None else self.until
+            at = max(self.host.now, min(self.until, alarm, arrives, self.dues[0].at if self.dues else self.until))
+            self.host.passes(at - self.host.now)
+            self.looks()
+            while self.dues and self.dues[0].at <= self.host.now:
+                heapq.heappop(self.dues).act()
+                self.looks()
+            if arrives <= self.host.now:
+                arrives += SECOND // 4
+                self.came += 1
+                self.host.ask(f"t{self.came}", lasts=SECOND)
+                self.looks()
+        return self.log
+
+    def looks(self) -> None:
+        """What the dispatcher has done in this moment."""
+        if self.host.subscribed > self.asked:
+            self.asked = self.host.subscribed
+            self.calls()
+        while self.posted < len(self.host.posted):
+            posting = self.host.posted[self.posted]
+            self.posted += 1
+            self.note("posted")
+            if posting.out:
+                self.host.end(posting)
+
+    # The judge's side: all that it knows.
+
+    def reachable(self) -> list[tuple[int, int]]:
+        """Spells in which discovery could be reached, and calls to it are answered."""
+        ends = [self.begun, *[end for _, end, _ in self.troubles]]
+        begins = [*[min(self.until, begin) for begin, _, _ in self.troubles], self.until]
+        return [(end, begin) for end, begin in zip(ends, begins) if begin > end]
+
+
+def broken(log: list[Said], reachable: list[tuple[int, int]]) -> list[str]:
+    """Postings while a change may count as told that was not had. A change counts as told 6 s after discovery had it
+    and could be reached: it may be made at any moment of a spell, also just after the last list or line."""
+    found, missed = [], None  # since when changes are missed; None while a watch is live
+    for row in log:
+        if row.what.startswith("missed"):
+            missed = int(row.what.split()[1]) if missed is None else missed
+        elif row.what == "had":
+            missed = None
+        elif row.what == "posted" and missed is not None:
+            for begin, end in reachable:
+                since = max(begin, missed)
+                # Reached for the whole time: a spell that breaks off before begins anew when it is back.
+                if since + TOLD_BY < row.at and end >= since + TOLD_BY:
+                    found.append(f"posted at {row.at}, {row.at - since} after discovery could be reached")
+    return found
+
+
+def unheard(log: list[Said], reachable: list[tuple[int, int]]) -> list[str]:
+    """Spells of reach in which no list was had in 6 s."""
+    found = []
+    for begin, end in reachable:
+        if end - begin > TOLD_BY:
+            state = [row.what for row in log if row.at <= begin + TOLD_BY and row.what.split()[0] in ("had", "missed")]
+            if state and state[-1] != "had":
+                found.append(f"no list from {begin} to {begin + TOLD_BY}")
+    return found
+
+
+class SixSeconds(unittest.TestCase):
+    def test_through_any_sequence_of_failures_the_list_is_had_in_time(self) -> None:
+        for many in (1, 40, 200):
+            heard = 0
+            for seed in range(100):
+                played = Discovery(seed, many)
+                log = played.plays()
+                self.assertEqual(broken(log, played.reachable()), [], (many, seed))
+                self.assertEqual(unheard(log, played.reachable()), [], (many, seed))
+                heard += sum(row.what == "had" for row in log)
+            self.assertGreater(heard, 100)
+
+    def test_where_answers_take_longer_than_reckoned_nothing_new_goes_out_meanwhile(self) -> None:
+        late = 0
+        for many in (1, 40, 200):
+            for seed in range(60):
+                played = Discovery(seed, many, slow=0.9)
+                played.troubled([(at * SECOND, int((1.5 + 2.5 * played.chance.random()) * SECOND),
+                                  played.chance.choice(("refused", "busy", "absent"))) for at in (1, 15)])
+                log = played.plays()
+                self.assertEqual(broken(log, played.reachable()), [], (many, seed))
+                late += len(unheard(log, played.reachable()))
+        self.assertGreater(late, 0, "nothing was put to the proof")
+
+    def test_births_that_meet_an_overfull_discovery_withhold_too(self) -> None:
+        for seed in range(100):
+            played = Discovery(seed, 200, news=ListNews.REMEMBERED)
+            self.assertEqual(broken(played.plays(), played.reachable()), [], seed)
+
+    def test_an_outage_in_which_every_call_fails_stops_nobody(self) -> None:
+        """Each failed call proves that there was nothing to be had. Only what was quick or silent and then a call that
+        hangs for its whole time have no room together: 1.1 s each time, in an outage of one kind once."""
+        for many in (1, 40, 200):
+            for seed in range(6):
+                for kind in ILLS:
+                    played = Discovery(seed, many)
+                    played.troubled([(SECOND, 30 * SECOND, kind)])
+                    log = played.plays()
+                    posted = [row.at for row in log if row.what == "posted"]
+                    self.assertGreater(sum(row.what == "failed" for row in log), 5)
+                    gaps = sorted(b - a for a, b in pairwise(posted))
+                    self.assertLessEqual(gaps[-1], 3 * SECOND // 2, (many, seed, kind))
+                    self.assertLess(gaps[-2], 3 * SECOND // 2 if kind == "reset" else SECOND // 2, (many, seed, kind))
+
+    def test_a_held_txn_goes_on_once_the_list_is_had(self) -> None:
+        host = FakeHost(must_ask=True, dispatchers=1)
+        host.list(SILENT)
+        host.passes(LIST_SURE - LIST_SILENT)
+        txn = host.ask("a", lasts=5 * SECOND)
+        host.passes(SECOND)
+        self.assertEqual((host.posted, txn.closed), ([], False))
+        self.assertTrue(host.loop.choice.list_unsure(host.now))
+        host.list(WHOLE, *host.workers)
+        self.assertEqual([p.txn for p in host.posted], [txn])
+
+    def test_where_the_list_need_not_be_asked_for_nothing_waits_for_it(self) -> None:
+        host = FakeHost(must_ask=False)
+        host.list(SILENT)
+        host.passes(20 * SECOND)
+        host.ask("a")
+        self.assertEqual(len(host.posted), 1)
+
+    def test_a_remembered_list_stands_until_the_first_call_is_due(self) -> None:
+        for seed in range(40):
+            host = FakeHost(must_ask=True, dispatchers=200, seed=seed, news=ListNews.REMEMBERED)
+            while not host.subscribed:
+                self.assertFalse(host.loop.choice.list_unsure(host.now))
+                host.passes(100 * MILLISECOND)
+
+
+class Moved(unittest.TestCase):
+    def test_in_a_backed_off_wait_the_new_place_is_asked_at_once(self) -> None:
+        host = FakeHost(must_ask=True, dispatchers=200)
+        host.list(FAILED)
+        host.list(MOVED)
+        self.assertEqual(host.subscribed, 1)
+
+    def test_where_the_new_place_fails_at_first_its_list_is_had_before_it_counts_as_told(self) -> None:
+        """4 s after SIGHUP; the wait after a failure is spread over 5 s among many, and had taken all of it."""
+        for seed in range(200):
+            host = FakeHost(must_ask=True, dispatchers=200, seed=seed)
+            host.list(MOVED)
+            host.list(FAILED)
+            host.passes(LIST_MOVED - SECOND)
+            self.assertEqual(host.subscribed, 2, seed)
+
+    def test_a_new_place_that_never_answers_binds_from_then_on_as_any_call(self) -> None:
+        """What its agent has counts 4 s after SIGHUP, whatever became of the calls by then; later ones prove again."""
+        host = FakeHost(must_ask=True, dispatchers=40)
+        host.list(MOVED)
+        host.passes(FIRST)
+        host.list(SILENT)
+        self.assertFalse(host.loop.choice.list_unsure(host.now + LIST_MOVED - FIRST - 1))
+        self.assertTrue(host.loop.choice.list_unsure(host.now + LIST_MOVED - FIRST))
+        host.passes(SECOND // 2 + FIRST)
+        self.assertEqual(host.subscribed, 2)
+        self.assertTrue(host.loop.choice.list_unsure(host.now))
+        host.list(SILENT)
+        self.assertFalse(host.loop.choice.list_unsure(host.now + SECOND))
+
+    def test_moved_again_and_again_nothing_is_put_off(self) -> None:
+        host = FakeHost(must_ask=True, dispatchers=40)
+        for _ in range(8):
+            host.list(MOVED)
+            host.passes(SECOND)
+        self.assertTrue(host.loop.choice.list_unsure(host.now))
+
+
 if __name__ == "__main__":
     unittest.main()
