--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -20,32 +20,9 @@
 from random import Random
 from typing import Any
 
-from pathsaddle.trade import (
-    LIST_ANSWER,
-    LIST_MOVED,
-    LIST_SILENT,
-    LIST_SLACK,
-    LIST_SURE,
-    MILLISECOND,
-    SECOND,
-    Cancel,
-    Decline,
-    Door,
-    Gate,
-    Group,
-    ListNews,
-    Order,
-    Outcome,
-    Post,
-    Posting,
-    Report,
-    Reverse,
-    Scheme,
-    Semantics,
-    Standing,
-    Terms,
-    Txn,
-    Wait,
+from pathsaddle.trade import (  # isort: skip  # as many to a line as fit: these names are most of the trade
+    LIST_ANSWER, LIST_MOVED, LIST_SILENT, LIST_SLACK, LIST_SURE, MILLISECOND, SECOND, Cancel, Decline, Door, Gate,
+    Group, ListNews, Order, Outcome, Post, Posting, Report, Reverse, Scheme, Semantics, Standing, Terms, Txn, Wait,
     Worker,
 )
 
@@ -215,6 +192,7 @@
         self.probe_due = now
         self.probe_times: deque[int] = deque([self.tick], maxlen=16)
         self.tells_start = terms.tells_start
+        self.hears = terms.reports_in_answers or terms.may_probe and terms.reports_in_probes
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.takes: deque[int] = deque(maxlen=32)  # from posting to the worker's word that it has it
         self.turned_away: deque[int] = deque(maxlen=8)  # when the last postings were turned away
@@ -329,12 +307,18 @@
         return not any(p.out and p.worker is worker
                        or p.may_have_run and not self.same_group(txn.scheme, p.worker, worker) for p in txn.postings)
 
-    def may_go_on_until(self, txn: Txn) -> int:
-        """Until when another posting, to some worker, could still do no harm."""
-        risky = [p for p in txn.postings if p.may_have_run]
+    def may_begin(self, posting: Posting) -> bool:
+        """The same again at its first byte: coming up, a connection took time."""
+        txn, worker = posting.txn, posting.worker
+        return (not txn.closed and worker.may_get(self.dropped_stay_open) and worker.started == posting.incarnation
+                and self.now < min(self.last(txn), self.may_go_on_until(txn, posting)))
+
+    def may_go_on_until(self, txn: Txn, but: Posting | None = None) -> int:
+        """Until when another posting, to some worker, could still do no harm; `but` is that one, if decided already."""
+        risky = [p for p in txn.postings if p.may_have_run and p is not but]
         if self.unusable(txn):
             return 0
-        if len(txn.postings) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
+        if len(txn.postings) - (but is not None) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
             return 0
         if risky and txn.scheme.semantics is Semantics.REFERENCED:
             return min(p.sent for p in risky) + txn.scheme.window - self.tick
@@ -683,6 +667,8 @@
         if txn.hint is not None:
             self.hints.append(txn.hint * txn.slots)
         txn.first = self.first_asked(txn)
+        if not self.hears:
+            txn.key = None  # a few keepers each fill up unseen: without word of load luck spreads better than keys
         if txn.key is not None:
             txn.fair = len(self.books) * self.asked_of.count(txn.key) / max(1, len(self.asked_of))
             self.asked_of.append(txn.key)
@@ -855,7 +841,7 @@
     def sent(self, posting: Posting) -> None:
         book = self.books[posting.worker]
         book.believed_until = 0
-        posting.work = posting.txn.work
+        posting.work, posting.incarnation = posting.txn.work, book.worker.started
         if book.suspect:
             book.trial = posting
         kind = posting.txn.kind
