--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -247,6 +247,19 @@
         await self.until(lambda: self.counters["txn.hung_up"] == 1)
         self.assertEqual(self.counters["posting.sent"], 0)
 
+    async def test_a_call_behind_an_answered_one_is_not_sent_on_where_the_client_has_gone_by_then(self) -> None:
+        sock, visit = await self.client(job("a") + job("b"))
+        await self.until(lambda: self.counters["posting.sent"] == 1)
+        sock.close()
+        self.done("a")  # in the same turn: the second is taken before its client's end is read
+        await self.until(lambda: visit.code is not None)
+        self.listed()
+        await self.client(job("c"))
+        await self.until(lambda: self.counters["posting.sent"] == 2)
+        self.assertEqual((self.counters["txn.taken"], self.counters["txn.hung_up"]), (3, 1))
+        await self.until(lambda: len(self.posted) == 2)
+        self.assertEqual(self.posted, [b"Req-Id: a\r\n", b"Req-Id: c\r\n"])
+
     async def test_a_fin_while_it_waits_is_a_hang_up_and_under_an_answer_it_is_not(self) -> None:
         sock, visit = await self.client(job("a"), room=100_000)
         await self.until(lambda: self.counters["posting.sent"] == 1)
