Two mutants post again past the question at the first byte as well

test_judge missed repeats-after-the-window and repeats-once-only: Choice.may_begin asks may_go_on_until once more with the posting that is decided, and the mutants' own took no such argument.

--- a/pathsaddle/emulator/judges/mutants.py
+++ b/pathsaddle/emulator/judges/mutants.py
@@ -59,8 +59,8 @@
 
 def _repeats_after_the_window() -> Patches:
     """A referenced txn is posted again after the workers have forgotten its mark, and outside its group."""
-    def until(self: Choice, txn: Txn) -> int:
-        return FAR if len(txn.postings) < self.max_postings else 0
+    def until(self: Choice, txn: Txn, but: Posting | None = None) -> int:
+        return FAR if len(txn.postings) - (but is not None) < self.max_postings else 0
 
     def silent(self: Choice, txn: Txn, posting: Posting) -> bool:
         return self.now - posting.sent > txn.scheme.window + SECOND // 10
@@ -77,10 +77,10 @@
     """A once-only txn whose posting ended in doubt is posted again."""
     whole = Choice.may_go_on_until
 
-    def until(self: Choice, txn: Txn) -> int:
-        if txn.scheme.semantics is Semantics.ONCE_ONLY and len(txn.postings) < self.max_postings:
+    def until(self: Choice, txn: Txn, but: Posting | None = None) -> int:
+        if txn.scheme.semantics is Semantics.ONCE_ONLY and len(txn.postings) - (but is not None) < self.max_postings:
             return FAR
-        return whole(self, txn)
+        return whole(self, txn, but)
     return [mock.patch.object(Choice, "may_go_on_until", until)]
 
 
