Where lists are pushed, a start and a broken watch bind a grace later until the list is had

Need: "where lists are pushed, what the agent has counts as told, watch or not, and from the first moment of a new process"; the list as last had, and what a watch that broke had told, were good for as long as where lists are asked for. Lines at fault: Choice.listed, Choice.__init__ (list_sure), birth.born, which forgot that the list is pushed. Change: Terms.pushed; list_sure is the drain's grace, less 0.1 s, after a start, after a watch broke, and after the begin of a call that failed (discovery was down then: its agent is silent and learns nothing). Calls are as rare as before: the wait is reckoned as where lists are asked for, so 200 dispatchers ask no more often.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -118,8 +118,7 @@
         return max(HANDFUL, 4 * self.allowance * part * SECOND)
 
     def pays(self, now: int, part: float) -> bool:
-        self.purse = min(self.size(part), self.purse + (now - self.filled) * self.allowance * part)
-        self.filled = now
+        self.purse, self.filled = min(self.size(part), self.purse + (now - self.filled) * self.allowance * part), now
         if self.purse < 1.0:
             return False
         self.purse -= 1.0
@@ -220,7 +219,10 @@
         self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
         self.must_ask, self.list_due = terms.must_ask, FAR
         self.list_failures, self.list_lost, self.list_by = 0, now, -FAR
-        self.list_asked, self.list_sure, self.list_had = now, now + terms.ask_within - LIST_SLACK, False
+        # Pushed, a change counts as told once our agent has it, be there a watch or not, and binds a grace later.
+        self.list_grace = max(0, terms.drain_grace - LIST_SLACK) if terms.pushed else FAR
+        self.list_asked, self.list_had = now, False
+        self.list_sure = now + min(self.list_grace, terms.ask_within - LIST_SLACK)
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
@@ -497,8 +499,8 @@
                 and (not book.wary or self.cold_allows(book, txn)))
 
     def need(self, txn: Txn) -> float:
-        need = txn.slots - 1.0 + ENOUGH + (0.25 + self.doubt() / 2) * len(txn.postings)
-        return need + self.reserve if txn.over else need
+        return (self.reserve if txn.over else 0.0) + txn.slots - 1.0 + ENOUGH + (
+            0.25 + self.doubt() / 2) * len(txn.postings)
 
     def blind(self, rooms: dict[Book, float]) -> bool:
         """Word is late and most jobs are others': a try tells more than the expected room that holding
@@ -619,9 +621,6 @@
         """Listed as gone without having drained, where that does not bind: its own sign of life decides."""
         return max(book.alive, book.reported) > book.dropped and book.worker.may_get(self.dropped_stay_open)
 
-    def fresh(self, book: Book) -> bool:
-        return self.now - book.reported < self.probe_every
-
     def look(self, txn: Txn, chosen: Book | None, rooms: dict[Book, float]) -> bool:
         """Buys fresh word of the few that the scan ranks first, where it would go by stale word or by none.
 
@@ -630,7 +629,7 @@
         """
         if not self.probe_every or self.probe_always or self.age > self.probe_every or self.probe_purse < 1.0:
             return False
-        if chosen is not None and (self.fresh(chosen) or txn.looked >= LOOKS):
+        if chosen is not None and (self.now - chosen.reported < self.probe_every or txn.looked >= LOOKS):
             return False
         if chosen is None and (self.now < txn.looks_until + self.keep_for or self.probe_purse < 2 * FEW):
             return False  # all full: what a wait may spend must not be missing when there is a choice
@@ -638,7 +637,7 @@
         loads = self.ranked if chosen is not None else [
             (self.load(book, room, txn), book) for book, room in rooms.items() if self.eligible(book, txn)]
         ranked = [(load, self.random(), book) for load, book in loads
-                  if not self.fresh(book) and not book.probing
+                  if self.now - book.reported >= self.probe_every and not book.probing
                   and (self.cross_price <= 0 or (book.worker.zone == self.home) == home)]
         ranked.sort(key=lambda entry: entry[:2])
         may = (book for _, _, book in ranked if not self.gate or self.gate.may_look(book.worker, self))
@@ -936,8 +935,7 @@
         book.shut_until = self.now + min(4 * SECOND, 20 * MILLISECOND << min(book.failed, 10))
 
     def broke(self, worker: Worker) -> None:
-        book = self.books[worker]
-        book.broke, book.wary = self.now, True
+        self.books[worker].broke, self.books[worker].wary = self.now, True
 
     def read(self, book: Book, report: Report) -> None:
         self.lights(book.worker)
@@ -1043,6 +1041,8 @@
             by = self.list_sure - max(LIST_ANSWER, took) - self.now
             wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8), self.list_rarest,
                        by if self.list_had or self.list_failures < 2 else LIST_SURE)
+            if news is ListNews.FAILED and self.now >= self.list_by:
+                self.list_sure = min(self.list_sure, self.now - took + self.list_grace)
             self.list_due, self.stirred = self.now + int(max(SECOND // 2, wait) * (0.1 + 0.9 * self.random())), True
             return
         if news is ListNews.MOVED:
@@ -1086,7 +1086,7 @@
         if self.must_ask:
             if self.now >= self.list_due:
                 if self.list_due == self.list_asked + self.ask_again:  # the call before is given up: it has failed
-                    self.list_sure = max(self.list_sure, self.list_asked + LIST_SURE)
+                    self.list_sure = max(self.list_sure, self.list_asked + min(LIST_SURE, self.list_grace))
                 self.list_asked, self.list_due = self.now, self.now + self.ask_again
                 self.door.subscribe()
             due = self.list_due
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -285,7 +285,7 @@
     number: int  # ours among them, from 0
     zone: int
     tick: int
-    must_ask: bool  # the list speaks only when asked
+    must_ask: bool  # the list speaks only when asked for
     ask_within: int
     answer_slack: int
     drain_grace: int
@@ -312,3 +312,4 @@
     overtakes: bool = False  # a worker starts whatever fits first, so that a wide job waits until it is empty
     dropped_stay_open: bool = False  # a worker listed as gone, or left out, without draining may be posted to
     most_open: int = 1 << 60  # txns that we can hold open at once
+    pushed: bool = False  # the list comes to an agent of ours by itself: what that has counts as told
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -563,6 +563,39 @@
                 host.passes(100 * MILLISECOND)
 
 
+class Pushed(unittest.TestCase):
+    """What the agent has counts as told, watch or not and from the first moment; a drain binds a grace later."""
+
+    GRACE = SECOND // 2
+
+    def host(self, pushed: bool = True) -> FakeHost:
+        return FakeHost(must_ask=True, pushed=pushed, drain_grace=self.GRACE, dispatchers=5, news=ListNews.REMEMBERED)
+
+    def test_from_a_start_on_the_list_as_last_had_is_good_for_a_grace_and_no_longer(self) -> None:
+        for pushed in (True, False):
+            host = self.host(pushed)
+            self.assertFalse(host.loop.choice.list_unsure(host.now))
+            self.assertEqual(host.loop.choice.list_unsure(host.now + self.GRACE), pushed)
+            host.list(ListNews.WHOLE, *host.workers)
+            self.assertFalse(host.loop.choice.list_unsure(host.now + 60 * SECOND))
+
+    def test_a_broken_watch_binds_a_grace_later_and_each_failed_call_from_its_begin(self) -> None:
+        host = self.host()
+        host.list(ListNews.WHOLE, *host.workers)
+        host.passes(SECOND)
+        host.list(FAILED)
+        self.assertFalse(host.loop.choice.list_unsure(host.now))
+        self.assertTrue(host.loop.choice.list_unsure(host.now + self.GRACE))
+        host.passes(SECOND)  # the call that follows is out by now, and has no answer
+        self.assertEqual(host.subscribed, 1)
+        host.ask("a")
+        self.assertEqual(host.posted, [])
+        host.list(FAILED)  # discovery was down when it was called: its agent is silent and learns nothing
+        self.assertTrue(host.loop.choice.list_unsure(host.now + self.GRACE))
+        host.list(ListNews.WHOLE, *host.workers)
+        self.assertEqual([posting.txn.tag for posting in host.posted], ["a"])
+
+
 class Moved(unittest.TestCase):
     def test_in_a_backed_off_wait_the_new_place_is_asked_at_once(self) -> None:
         host = FakeHost(must_ask=True, dispatchers=200)
