--- a/pathsaddle/emulator/faults/faults.py
+++ b/pathsaddle/emulator/faults/faults.py
@@ -17,6 +17,7 @@
 
 DRAIN_END = 0.05  # seconds between looks whether a drained worker has finished
 BACK_AFTER = 2.0  # seconds until a drained worker's process starts anew
+SECOND_WITHIN = 200  # ticks in which a second answer comes, where the plan does not say
 
 
 class Dispatchers(Protocol):
@@ -407,6 +408,13 @@
         await self._lasts(trouble)
         worker.twice = False
 
+    async def _second_answer(self, trouble: Trouble, name: str) -> None:
+        """The part `strength` of its postings is answered twice, the second 1 to 20 ms later, or up to `extra`."""
+        worker = self.workers[name]
+        worker.again = (trouble.strength, trouble.how or "same", (trouble.extra or SECOND_WITHIN) / TICKS)
+        await self._lasts(trouble)
+        worker.again = (0.0, "", 0.0)
+
     # The roster.
 
     async def _outage(self, trouble: Trouble, name: str) -> None:
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -126,6 +126,8 @@
     wait: before it does, where it is told no other time, drawn between.
     marks: whether tries are marked as such.
     hang_up: part of the clients that go away at some moment before their answer.
+    stays: part of the jobs that come on connections to dispatchers which the front layer has taken out, as long as some
+      of these stay open.
     durable: part of the jobs that are handed in by `POST /jobs/...` and asked for; needs `charter.jobs`.
     cancels: part of those that are cancelled at some moment.
     bad: bad clients a second: half calls, noise, two lengths, silence, giant bodies, calls never read.
@@ -140,6 +142,7 @@
     wait: Times = field(default_factory=lambda: [Duration(200 * MS), Duration(800 * MS)])
     marks: bool = True
     hang_up: Part = 0.0
+    stays: Part = 0.0
     durable: Part = 0.0
     cancels: Part = 0.0
     bad: Annotated[float, Meta(ge=0)] = 0.0
@@ -150,6 +153,7 @@
     "freeze": "worker", "crash": "worker", "drain": "worker", "slow": "worker", "errors": "worker",
     "untaken": "worker", "lie": "worker", "late-reports": "worker", "full-accept": "worker",
     "callbacks-twice": "worker", "silent": "worker", "flap": "worker", "one-sided": "worker", "reap": "worker",
+    "second-answer": "worker",
     "slow-link": "zone",
     "disk-ill": "dispatcher", "disk-slow": "dispatcher", "kill": "dispatcher", "term": "dispatcher", "hup": "dispatcher",
     "stall": "dispatcher", "clock-step": "dispatcher", "clock-rate": "dispatcher",
@@ -165,6 +169,7 @@
     "flap": ("crash", "silence", "hang", "errors"),
     "one-sided": ("loss", "hole", "refuse", "slow"),
     "reap": ("reset", "silence"),
+    "second-answer": ("same", "decline", "taken"),
     "kill": ("synced", "empty", "old"),
     "clock-rate": ("fast", "slow"),
     "clock-step": ("forward", "back"),
--- a/pathsaddle/emulator/served/clients.py
+++ b/pathsaddle/emulator/served/clients.py
@@ -116,6 +116,7 @@
         self.kept: dict[tuple[str, int], list[tuple[Wire, Hearing]]] = {}
         self.number = 0
         self.durably = world.chance("durable")
+        self.stays = world.chance("stays")
         self.heavy: dict[str, float] = {}  # schemes whose jobs cost so many times the usual for a while
         self.surge: dict[str, float] = {}  # customers that send so many times the usual
         self.zones = [sites.zone_of(d) for d in range(world.plan.fleet.dispatchers)]
@@ -221,7 +222,9 @@
     async def _try(self, wish: Wish, number: int, chance: Random) -> tuple[str, float]:
         """How it ended, and what wait was advised."""
         for again in (False, True):
-            dispatcher = self.front.pick(wish.zone)
+            dispatcher = None if again else self._staying(wish.zone)
+            if dispatcher is None:
+                dispatcher = self.front.pick(wish.zone)
             if dispatcher is None:
                 return "unreached", 0.0
             try:
@@ -233,6 +236,14 @@
                 return how, come_back
         return "unreached", 0.0
 
+    def _staying(self, zone: str) -> int | None:
+        """A dispatcher that was taken out and still holds a connection open: clients go on using it."""
+        if not self.load.stays or self.stays.random() >= self.load.stays:
+            return None
+        held = [d for (where, d), kept in self.kept.items() if where == zone and not self.front.up[d]
+                and any(wire.gone_at is None for wire, _ in kept)]
+        return self.stays.choice(held) if held else None
+
     async def _connection(self, zone: str, dispatcher: int) -> tuple[Wire, Hearing, bool]:
         kept = self.kept.setdefault((zone, dispatcher), [])
         while kept:
@@ -265,7 +276,7 @@
             wire.close()
             return ("crossed", 0.0) if used else ("unreached", 0.0)
         add(sent, "asked", id=tag, job=wish.number, dispatcher=dispatcher, scheme=scheme.name,
-            expires=sent + scheme.expiry, number=number)
+            expires=sent + scheme.expiry, number=number, kept=used)
         patience = (scheme.expiry + LATE) / TICKS
         leaves = self.load.hang_up and chance.random() < self.load.hang_up
         if leaves:
--- a/pathsaddle/emulator/served/workers.py
+++ b/pathsaddle/emulator/served/workers.py
@@ -103,6 +103,7 @@
         self.reaped: tuple[int, str] = (0, "")  # idle connections die unseen after so long, and how that shows
         self.late = 0  # by how much reports are older than usual
         self.twice = False
+        self.again: tuple[float, str, float] = (0.0, "", 0.0)  # part of its postings answered twice, how, how late
         self.frozen = 0
         self._thaw: list[asyncio.Future[None]] = []
         self.fell = False
@@ -266,6 +267,8 @@
                         continue
                     if wire.gone_at is None:
                         await wire.send(told)
+                        if said.method == "POST" and self.again[0] and self.chance.random() < self.again[0]:
+                            self.place.start(self._says_again(wire, said.headers.get("req-id", ""), told))
                     for job in held:
                         if wire.gone_at is None:
                             job.taken = True
@@ -276,6 +279,18 @@
             if self.place.alive:
                 wire.close()
 
+    async def _says_again(self, wire: Wire, tag: str, told: bytes) -> None:
+        """A second answer on the same connection some milliseconds on, when another call may be out there."""
+        _, how, latest = self.again
+        await asyncio.sleep(0.001 + max(0.0, latest - 0.001) * self.chance.random())
+        told = {"decline": speech.answer(503, {"Srv-Declined": "1"}), "taken": speech.answer(202)}.get(how, told)
+        if wire.gone_at is None:
+            try:
+                await wire.send(told)
+            except OSError:
+                return
+            self.world.add("said_again", id=tag, worker=self.name, how=how)
+
     def _unheard(self, said: Said, dispatcher: int, reset: bool = False) -> None:
         """What its sender wrote whole and it never got: for all that the sender can know it may have run. `reset`:
         the sender learns at once that it is out no more."""
