Emulator: a dropped repeat whose 202 breaks off with its connection is out no more

In the log shaky-3's part is came 45752, dropped_repeat 45754, then nothing until its job's end, though d1's connection there was reset at 45754, before the 202 (d1: 'end side=worker code=worker-reset peer=shaky-3'). To its dispatcher that is an end as any reset is. Ruled out: a second answer, a lost DELETE (probes). At fault: Worker._posting did not keep a dropped repeat among those that the connection's end withdraws.

--- a/pathsaddle/emulator/served/workers.py
+++ b/pathsaddle/emulator/served/workers.py
@@ -381,7 +381,7 @@
             if scheme.semantics == "referenced" and self.world.plan.fleet.repeats else None
         if first is not None:
             self.world.add("dropped_repeat", id=tag, worker=self.name)
-            job.taken = True
+            held.append(job)  # until its 202 is out: a connection that breaks before ends this posting, too
             first.also.append((self, job))
             self.jobs[tag, dispatcher] = job
             if first.over:
--- a/tests/test_crossings_virtual.py
+++ b/tests/test_crossings_virtual.py
@@ -84,6 +84,18 @@
             plan.of({**BASE, "faults": [{"kind": "second-answer", "how": "hang", "at": "1s"}]}, "story")
 
 
+class DroppedRepeats(unittest.TestCase):
+    def test_a_repeat_whose_202_breaks_off_is_out_no_more(self) -> None:
+        """The dispatcher was told by a reset, and the log had that posting out to the end: `together`."""
+        told = plan.of({**BASE, "charter": {"zones": ["east"], "allowed": {"two_at_once": False}, "schemes": [
+            {"name": "look", "semantics": "referenced", "sla": "2s", "expiry": "4s", "window": "3s"}]},
+            "load": {**BASE["load"], "rate": 30},
+            "faults": [{"kind": "reset", "at": "0ms", "for": "9s", "strength": 0.3}]}, "story")
+        rows = stage.virtual(told, 1).events.rows
+        self.assertGreater(sum(row.what == "dropped_repeat" for row in rows), 5)
+        self.assertEqual([f.text for f in judge(plan.charter_of(told), rows).findings], [])
+
+
 class CellsStory(unittest.TestCase):
     def test_two_cells_of_the_fleet_have_two_numbers(self) -> None:
         """They had one number in each zone and kind: whoever goes by the number took them for one group."""
