Cold workers: the sum of all stays within N + 2 root N + 2 mean jobs in any span

Ruled out: the formula alone (2/3 of N + 3 root N + 3 is under N + 2 root N + 2 at every N), restarts (nothing for a span after birth), failures and second postings (each passes cold_allows). At fault: cold_turn gave every (D / at_once)th a turn, and at_once is each one's own and moves from moment to moment: whoever passed through several combs had several chances; run_of reckons by a mean of few runs that is low as often as not; cold_sent forgot what went there after its start and before we were told. Change: the first at_once of one order, so that the few of one reckoning are among the many of another; half of N + 2 root N + 2 a turn (2N/3 for N without hints); k own runs make a job 1 + 3/k as dear; what was sent since the start counts, told or not. The few (even parts and a turn) are as they were: 3N/4 at the worst.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -16,7 +16,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 from itertools import chain, islice
-from math import exp, log, sqrt
+from math import exp, gcd, log, sqrt
 from random import Random
 from typing import Any
 
@@ -79,7 +79,7 @@
         self.doubted = 0  # since when
         self.trial: Posting | None = None  # the last posting there since
         self.trials = 0  # postings in a row that a suspect has swallowed
-        self.cold_sent: deque[tuple[int, int]] = deque()  # (when, work) of the last sends while cold
+        self.cold_sent: deque[tuple[int, int, bool]] = deque()  # (when, work, if cold then) of the last sends
         self.started: int | None = worker.started
         self.broke = -FAR  # when a connection to it last broke or was refused
         self.wary = worker.started is not None  # it may be cold: one look for both, in each scan
@@ -170,6 +170,9 @@
         self.number, self.dispatchers = terms.number, terms.dispatchers
         # Among many an even part of what a slot bears at its coldest holds no job: all of it goes to the turns.
         self.cold_by_turns = self.cold_whole * terms.cold_share / terms.dispatchers < SECOND // 10
+        # Who has the next place in a turn is a sixth of us further on: neighbours may all be of one zone.
+        apart = next(n for n in range(1 + self.dispatchers // 6, FAR) if gcd(n, self.dispatchers) == 1)
+        self.cold_step = pow(apart, -1, self.dispatchers)
         # Prices, in units of the mean txn's worth.
         self.by_work = terms.value_by_work
         self.cross_price = terms.price_cross
@@ -787,36 +790,42 @@
             return True
         if self.now < self.born + self.fall_time or txn.hint is None and not self.runs[txn.scheme]:
             return False  # what we sent before our own restart may still weigh on it; of what size it is nobody knows
-        able = self.able(left)
-        while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
-            book.cold_sent.popleft()
-        spent = sum(work for _, work in book.cold_sent) + self.run_of(txn) * txn.slots
+        since = FAR if book.worker.started is None else book.worker.started  # sent since, told later
+        spent = self.weighs(txn) + sum(w for at, w, cold in self.sent_lately(book) if cold or at >= since)
         size = self.least_slots if self.hints else book.size or self.least_slots
-        whole = self.cold_whole * able * size
+        whole = self.cold_whole * self.able(left) * size
         if self.cold_by_turns:
-            # It falls at N + 3 root N + 3 mean jobs in a span, N being what it is allowed: a third of that a turn, for a
-            # span touches two, dealt out by one mean job, of uneven (hinted) ones by two. By a share of N sixty of a
-            # hundred workers stood all but idle for seconds, while a quarter of the value was lost (join).
-            jobs = 2.0 * whole / self.mean_job
-            turn = (jobs + 3.0 * sqrt(jobs) + 3.0) * self.mean_job / 3.0
-            at_once = max(2, int(turn / self.mean_job / (2 if self.hints else 1)))
+            # Beyond N mean jobs in a span, what it is allowed, 2 root N + 2 are chance: half of it a turn: a
+            # span touches two; a third of N is kept for what each gets wrong of runs (docs/fleet.md).
+            mean = self.mean_job * (1.0 if self.hints else self.unsure(sum(map(len, self.runs.values()))))
+            jobs = 2.0 * whole / mean
+            turn = (jobs * (1.0 if self.hints else 2 / 3) + 2.0 * sqrt(jobs) + 2.0) * mean / 2.0
+            at_once = max(2, int(turn / mean / (2 if self.hints else 1)))  # uneven (hinted) ones by two
             if at_once >= self.dispatchers:
                 return spent <= 2.0 * turn / self.dispatchers  # everyone's, in any span
             return spent <= turn / at_once and self.cold_turn(book, at_once)
         return spent <= whole / self.dispatchers or self.cold_turn(book) and spent <= whole / 4
 
+    def weighs(self, txn: Txn) -> float:
+        """What it is reckoned at: without hints dearer, for the mean of a few runs is low as often as not."""
+        work = self.run_of(txn) * txn.slots
+        return work if txn.hint is not None else work * self.unsure(len(self.runs[txn.scheme]))
+
+    def unsure(self, runs: int) -> float:
+        return 1.0 + 3.0 / max(1, runs)
+
+    def sent_lately(self, book: Book) -> deque[tuple[int, int, bool]]:
+        while book.cold_sent and book.cold_sent[0][0] <= self.now - self.fall_time - self.tick:
+            book.cold_sent.popleft()
+        return book.cold_sent
+
     def cold_turn(self, book: Book, at_once: int = 1) -> bool:
-        """With hundreds of dispatchers an even share holds no whole job. By the clock, the worker's start and
-        its lot, alike for all, one at a time (or two) has a turn as long as the span in which a worker falls
-        over: a span touches two turns, so half of what the even shares may sum to can come on top of them."""
+        """By clock, the worker's start and its lot, alike for all, the first at_once of an order have one of
+        a span. Each reckons at_once anew each moment: the few of one have to be among the many of another."""
         if book.worker.started is None or book.risen > book.worker.started:
             return False  # the others guess another start, or none
         turn = (self.now - book.worker.started) // max(1, self.fall_time)
-        # Several at once, of two neighbours in no order: one alone was of another zone three times in four.
-        ours = (self.number - book.worker.lot - turn) % self.dispatchers
-        if at_once <= 2:
-            return ours == 0 or at_once > 1 and ours == self.dispatchers // 2 + 1
-        return ours % -(-self.dispatchers // at_once) == 0
+        return (self.number - book.worker.lot - turn) * self.cold_step % self.dispatchers < at_once
 
     # What is seen.
 
@@ -832,8 +841,7 @@
         book.owed[kind] = book.owed.get(kind, 0) + posting.work
         if self.may_have_risen(book):
             book.risen = self.now
-        if self.cold_for(book):
-            book.cold_sent.append((self.now, int(self.run_of(posting.txn) * posting.txn.slots)))
+        self.sent_lately(book).append((self.now, int(self.weighs(posting.txn)), self.cold_for(book) > 0))
 
     def ended(self, posting: Posting, spent: int, report: Report | None) -> None:
         book = self.books[posting.worker]
