--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -156,9 +156,8 @@
         self.granted = False  # somebody has just got a worker: the next may get one too
         self.ranked: list[tuple[float, Book]] = []  # the last scan: who competed, with what load
         self.barred: dict[tuple[Any, ...], None] = {}  # what found no worker
-        self.look_due = now
+        self.look_due = self.probe_due = self.judged = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
-        # Rules.
         self.for_trials = ([s for s in terms.schemes if self.runs_again_anywhere(s)]
                            or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED] or terms.schemes)
         self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
@@ -183,7 +182,6 @@
         self.even_part = 1.0 / terms.dispatchers
         self.part = self.even_part  # what part of the tier's traffic seems to come through us
         self.reserve = 1.5  # slots kept free of what is over its customer's share
-        # Looking.
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
         # Probes may cost one point in a hundred of what is asked for, and no more.
@@ -191,7 +189,6 @@
         self.probe_income = min(100.0, 0.01 / max(0.0001, terms.price_probe))
         self.probe_purse = 10 * self.probe_income
         self.probe_always = not terms.reports_in_answers
-        self.probe_due = now
         self.probe_times: deque[int] = deque([self.tick], maxlen=16)
         self.tells_start = terms.tells_start
         self.hears = terms.reports_in_answers or terms.may_probe and terms.reports_in_probes
@@ -217,7 +214,6 @@
         self.dark_until: dict[int, int] = {}
         self.claims: deque[bool] = deque(maxlen=CLAIMS)  # whether the last that turned us away claimed room
         self.belied_until = -FAR  # a worker turned us away and claimed room: until when that speaks of all
-        self.judged = now
         self.silence = terms.progress_every + terms.progress_every // 2
         self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
         self.must_ask, self.list_due = terms.must_ask, FAR
@@ -777,19 +773,16 @@
         return posting.sent + min(SECOND, max(150 * MILLISECOND, 3 * max(self.takes)))
 
     def judge_silence(self, book: Book) -> None:
-        if self.silence and book.out and self.now - max(book.alive, book.out[0].sent) >= self.silence:
-            if not book.suspect:
-                book.doubted, book.trial = self.now, None
-            book.suspect = True
+        silent = self.silence and book.out and self.now - max(book.alive, book.out[0].sent) >= self.silence
+        if silent and not book.suspect:
+            book.doubted, book.trial, book.suspect = self.now, None, True
 
     # Cold workers.
 
     def cold_for(self, book: Book) -> int:
         if self.may_have_risen(book):
             return self.cold_time
-        started = book.worker.started
-        since = book.risen if started is None else max(started, book.risen)
-        return max(0, since + self.cold_time - self.now)
+        return max(0, max(book.worker.started or -FAR, book.risen) + self.cold_time - self.now)
 
     def able(self, left: int) -> float:
         """What part of its work a worker can do that is cold for so long yet, at the least."""
@@ -809,8 +802,7 @@
             return False  # what we sent before our own restart may still weigh on it; of what size it is nobody knows
         since = FAR if book.worker.started is None else book.worker.started  # sent since, told later
         spent = self.weighs(txn) + sum(w for at, w, cold in self.sent_lately(book) if cold or at >= since)
-        size = self.least_slots if self.hints else book.size or self.least_slots
-        whole = self.cold_whole * self.able(left) * size
+        whole = self.cold_whole * self.able(left) * (self.least_slots if self.hints else book.size or self.least_slots)
         if self.cold_by_turns:
             # Beyond N mean jobs in a span, what it is allowed, 2 root N + 2 are chance: half of it a turn: a
             # span touches two; a third of N is kept for what each gets wrong of runs (docs/fleet.md).
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -195,7 +195,7 @@
 
         def begins(sending: Sending) -> None:
             # Connecting took time: its client may have gone, the worker been told to go or started anew.
-            self._at()
+            self.loop.at(self.clock.now())
             if not self.loop.may_begin(posting):
                 self.counters.add("posting.withheld")
                 raise Withheld
@@ -248,8 +248,10 @@
             async with asyncio.timeout(seconds(self.workers.connect_within)):
                 await self.workers.call(errand.posting.worker.tag, "DELETE",
                                         forms.withdrawal_target(errand.posting.txn.tag), [], begins=told.append)
-        except (NeverSent, Lost, TimeoutError):
+        except (NeverSent, Lost, TimeoutError) as fault:
             self.counters.add("withdrawal.unanswered")
+            if isinstance(fault, Lost):
+                return False  # a reset may have overtaken it on its way
         return any(sending.whole for sending in told)
 
     def _end(self, errand: Errand, outcome: Outcome, report: Report | None = None,
--- a/tests/test_crossings_virtual.py
+++ b/tests/test_crossings_virtual.py
@@ -109,7 +109,7 @@
         """The dispatcher was told by a reset, and the log had that posting out to the end: `together`."""
         told = plan.of({**BASE, "charter": {"zones": ["east"], "allowed": {"two_at_once": False}, "schemes": [
             {"name": "look", "semantics": "referenced", "sla": "2s", "expiry": "4s", "window": "3s"}]},
-            "load": {**BASE["load"], "rate": 30},
+            "load": {**BASE["load"], "rate": 60},
             "faults": [{"kind": "reset", "at": "0ms", "for": "9s", "strength": 0.3}]}, "story")
         rows = stage.virtual(told, 1).events.rows
         self.assertGreater(sum(row.what == "dropped_repeat" for row in rows), 5)
