Births and stopped processes hold back until the list is had; so does /ready

A process is held from its first moment to what discovery had 6 s before, whatever its `known` says. At fault: Choice.__init__ took the known list for good for AskEvery (10 s; a grace where lists are pushed), and Choice.listed renewed it with each failed call, which proves nothing of the time before the start.

Ruled out: that a call of theirs had failed or hung (no watch or call of theirs ended in between).

(1) From a birth on nothing is sure until the list is had, in every mode; a failed call renews only what we had. (2) First calls are spread over what a silent watch leaves (1.4 s) instead of 5 s: 200 births ask no more of discovery than 200 watches that fall silent. (3) /ready says 200 once the list is had or a first call has failed: the front sends nobody before. (4) The same for a process that was stopped and goes on: word of an open watch stands for 5.9 s after its last line, beats count; a call that fails after that renews nothing; and before each posting's first byte what lies in the watch's socket is read and told.

--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -147,7 +147,7 @@
     def __init__(self, terms: Terms, seed: int, now: int, door: Door, gate: Gate | None = None) -> None:
         chance = Random(seed)
         self.random, self.choose = chance.random, chance.choice
-        self.door, self.gate = door, gate
+        self.door, self.gate, self.tick = door, gate, max(1, terms.tick)
         self.now = self.born = now
         self.books: dict[Worker, Book] = {}
         self.home, self.held = terms.zone, 0
@@ -163,7 +163,6 @@
         self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
         self.max_postings, self.two_at_once = terms.max_postings, terms.two_at_once
         self.may_cancel, self.dropped_stay_open = terms.may_cancel, terms.dropped_stay_open
-        self.tick = max(1, terms.tick)
         self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
         self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
         self.number, self.dispatchers = terms.number, terms.dispatchers
@@ -173,10 +172,8 @@
         apart = next(n for n in range(1 + self.dispatchers // 6, FAR) if gcd(n, self.dispatchers) == 1)
         self.cold_step = pow(apart, -1, self.dispatchers)
         # Prices, in units of the mean txn's worth.
-        self.by_work = terms.value_by_work
-        self.cross_price = terms.price_cross
-        self.over_share = terms.over_share
-        self.come_back = terms.come_back_most
+        self.by_work, self.over_share = terms.value_by_work, terms.over_share
+        self.cross_price, self.come_back = terms.price_cross, terms.come_back_most
         # Customers' parts of their allowance.
         self.accounts = {c: Account(c.allowance / SECOND, now) for c in terms.customers if c.allowance > 0}
         self.even_part = 1.0 / terms.dispatchers
@@ -190,7 +187,7 @@
         self.probe_purse = 10 * self.probe_income
         self.probe_always = not terms.reports_in_answers
         self.probe_times: deque[int] = deque([self.tick], maxlen=16)
-        self.tells_start = terms.tells_start
+        self.tells_start, self.overtakes = terms.tells_start, terms.overtakes
         self.hears = terms.reports_in_answers or terms.may_probe and terms.reports_in_probes
         self.starts: deque[int] = deque(maxlen=32)  # from posting to start, over the last ones
         self.takes: deque[int] = deque(maxlen=32)  # from posting to the worker's word that it has it
@@ -206,7 +203,6 @@
         self.usual: dict[int, Usual] = {}  # by zone
         self.asked_of: deque[str] = deque(maxlen=KEYS)  # the keys of the last txns
         self.order = lru_cache(KEYS)(self.in_order)
-        self.overtakes = terms.overtakes
         self.works: deque[tuple[float, float]] = deque(maxlen=KEYS)  # (slots, slots times running time) of the last
         self.wide_from = 0.0  # slots from which on a job takes a whole worker
         self.wide: dict[Book, None] = {}  # who serves jobs that take a whole worker, and no others
@@ -220,8 +216,9 @@
         self.list_failures, self.list_lost, self.list_by = 0, now, -FAR
         # Pushed, a change counts as told once our agent has it, be there a watch or not, and binds a grace later.
         self.list_grace = max(0, terms.drain_grace - LIST_SLACK) if terms.pushed else FAR
-        self.list_asked, self.list_had = now, False
-        self.list_sure = now + min(self.list_grace, terms.ask_within - LIST_SLACK)
+        # What discovery had 6 s before a birth counts as told from then on, whatever `known` says: nothing is sure.
+        self.list_asked, self.list_sure, self.list_had = now, now, False
+        self.list_word = LIST_SURE if terms.beats else FAR  # how long word stands while a watch is open
         self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
@@ -237,7 +234,7 @@
         self.list_spread = min((terms.dispatchers - 1) * SECOND // 10, terms.ask_within // 2)
         self.list_rarest = max(2 * SECOND, 3 * self.list_spread)
         if self.must_ask:
-            self.list_due = now + int(self.list_spread * self.random())
+            self.list_due = now + int(min(self.list_spread, LIST_SURE - LIST_SILENT - LIST_ANSWER) * self.random())
 
     # The life of a txn.
 
@@ -295,8 +292,7 @@
                 self.sent(posting)
 
     def last(self, txn: Txn) -> int:
-        """The last moment for its final answer; a dispatcher that is to end brings the expiry forward."""
-        return txn.expires - self.tick
+        return txn.expires - self.tick  # for its final answer; a dispatcher that is to end brings the expiry forward
 
     def may_post_again(self, txn: Txn) -> bool:
         """Rule 2, the first half: whether another posting, to some worker, can do no harm now."""
@@ -479,7 +475,7 @@
         return 1.0 / min(100.0, 1.0 + (book.pace / txn.ease) ** STEEP)
 
     def ease(self, txn: Txn) -> float:
-        """Time left over time needed."""
+        # Time left over time needed.
         return max(0.001, (self.wanted_by(txn) - self.now) / self.run_of(txn))
 
     def eligible(self, book: Book, txn: Txn) -> bool:
@@ -926,8 +922,7 @@
         if self.dark.pop(worker.zone, None) is not None:
             self.dark_until.pop(worker.zone, None)
 
-    def turn_comes(self) -> int:
-        """How long it takes until we have sent each worker a txn."""
+    def turn_comes(self) -> int:  # how long it takes until we have sent each worker a txn
         return len(self.books) * (self.now - self.arrivals[0]) // len(self.arrivals) if self.arrivals else 0
 
     def fails(self, book: Book) -> None:
@@ -1036,13 +1031,15 @@
             # What a watch missed counts as told from its last line on, a failed call proves that nothing was to be had
             # at its begin, and the next is over in time: doubled past that, drains broke. Births leave others room.
             took = max(1, self.now - self.list_asked) if self.list_due < FAR else 0
-            self.list_sure = self.now - (took or LIST_SILENT) + LIST_SURE
-            self.list_sure = min(self.list_sure, self.list_by if self.now < self.list_by else FAR)
-            by = self.list_sure - max(LIST_ANSWER, took) - self.now
+            self.list_had = self.list_had and (took > 0 or self.now < self.list_sure)  # else we have stood still
+            sure = min(self.now - (took or LIST_SILENT) + LIST_SURE, self.list_by if self.now < self.list_by else FAR)
+            by = sure - max(LIST_ANSWER, took) - self.now
             wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8), self.list_rarest,
                        by if self.list_had or self.list_failures < 2 else LIST_SURE)
             if news is ListNews.FAILED and self.now >= self.list_by:
-                self.list_sure = min(self.list_sure, self.now - took + self.list_grace)
+                sure = min(sure, self.now - took + self.list_grace)
+            # What had been missed before, by a birth or while we stood still, no failed call takes back.
+            self.list_sure = sure if self.list_had else self.list_sure
             self.list_due, self.stirred = self.now + int(max(SECOND // 2, wait) * (0.1 + 0.9 * self.random())), True
             return
         if news is ListNews.MOVED:
@@ -1051,8 +1048,10 @@
             self.list_by = self.list_sure = min(self.list_sure, self.now + LIST_MOVED)
             return
         if news is not ListNews.REMEMBERED:
-            self.list_failures, self.list_due, self.list_sure, self.list_had = 0, FAR, FAR, True
+            self.list_failures, self.list_due, self.list_sure, self.list_had = 0, FAR, self.now + self.list_word, True
         self.stirred, told = True, dict.fromkeys(workers)
+        if news is ListNews.CHANGES and not told:
+            return  # a beat: we have heard
         self.order.cache_clear()
         if news is not ListNews.CHANGES:
             for worker in self.books:
@@ -1085,7 +1084,8 @@
         due = FAR
         if self.must_ask:
             if self.now >= self.list_due:
-                if self.list_due == self.list_asked + self.ask_again:  # the call before is given up: it has failed
+                # The call before is given up: it has failed.
+                if self.list_due == self.list_asked + self.ask_again and self.list_had:
                     self.list_sure = max(self.list_sure, self.list_asked + min(LIST_SURE, self.list_grace))
                 self.list_asked, self.list_due = self.now, self.now + self.ask_again
                 self.door.subscribe()
--- a/pathsaddle/loop.py
+++ b/pathsaddle/loop.py
@@ -95,6 +95,10 @@
     def listed(self, news: ListNews, workers: Iterable[Worker]) -> None:
         self.choice.listed(news, workers)
 
+    def list_told(self, now: int) -> bool:
+        """Whether the list is sure, or has been called for in vain."""
+        return not self.choice.list_unsure(now) or self.choice.list_failures > 0
+
     def woken(self) -> None:
         if self._wake is not None and self._wake <= self.now:
             self._wake = None
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -42,6 +42,7 @@
         self.workers = workers
         self.counters = counters
         self.watch = watch
+        self.catch_up: Callable[[], None] = lambda: None  # reads what the list's watch has brought by now
         self.ledger = Ledger()
         self.known: dict[str, Worker] = {}
         self.stopping: int | None = None  # by when everything must be answered, once we are to end
@@ -186,7 +187,10 @@
 
     @property
     def ready(self) -> bool:
-        return self.stopping is None and any(w.standing is Standing.READY for w in self.known.values())
+        """Whether a worker is known that can be posted to: the front sends nobody before, and who is held meanwhile
+        could be served elsewhere. Once a call has failed it's said all the same: others may have no list either."""
+        return (self.stopping is None and self.loop.list_told(self.clock.now())
+                and any(w.standing is Standing.READY for w in self.known.values()))
 
     # One posting, from its order to its one outcome.
 
@@ -195,6 +199,7 @@
 
         def begins(sending: Sending) -> None:
             # Connecting took time: its client may have gone, the worker been told to go or started anew.
+            self.catch_up()
             self.loop.at(self.clock.now())
             if not self.loop.may_begin(posting):
                 self.counters.add("posting.withheld")
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -34,6 +34,7 @@
         self.known = roster.index  # the version that was asked for
         self.counted = 0  # bytes of it that have been fed
         self.lines = 0  # that have come, beats among them
+        self.heard = asyncio.get_running_loop().time()  # when the last of them was read; before any: when it was called
         self.ended = ""  # how, where the answer itself says so
 
     def comes(self, count: int) -> None:
@@ -58,12 +59,13 @@
 
     def _tell(self) -> None:
         for record in self.machine.records():
-            self.lines += bool(self.lines or self.known or record.strip())  # no beat stands for a whole list
+            if self.lines or self.known or record.strip():  # no beat stands for a whole list
+                self.lines, self.heard = self.lines + 1, asyncio.get_running_loop().time()
             if record.strip():
                 self.roster.index, news, rows = self.roster.desk.words.list_line(record)
                 self.roster.desk.listed(news, rows)
-            elif self.lines == 1:
-                self.roster.desk.listed(ListNews.CHANGES, [])  # nothing has changed since our version
+            elif self.lines:
+                self.roster.desk.listed(ListNews.CHANGES, [])  # nothing has changed since our version, or the line before
 
     def read_out(self) -> bool:
         """What has reached us by now is what was told, also what the kernel has handed over while its reader has not
@@ -101,6 +103,17 @@
         self.stop("replaced")
         self._task = asyncio.get_running_loop().create_task(self._follow())
 
+    def catch_up(self) -> None:
+        """Before something new goes out: what discovery has written to us by now counts as told, and after a stall of
+        our own it lies in the socket while a posting decided before it resumes first."""
+        watch = self._watch
+        if watch is not None and (watch.sock.taken > watch.counted or watch.sock.stirred()):
+            try:
+                watch.read_out()
+            except Broken as fault:
+                logbook.no_list(why=fault)  # its reader meets the same parser, and ends the watch
+                watch.ended = "malformed"
+
     def move(self, address: str) -> None:
         """Another address, maybe with versions of its own: asked for whole, and when the module says so. What the old
         place had told comes first."""
@@ -147,25 +160,25 @@
 
     async def _listen(self, sock: Tallied, peer: tuple[str, int], begun: float) -> str:
         """Until the watch ends; says how."""
-        events, heard = asyncio.get_running_loop(), begun
+        events = asyncio.get_running_loop()
         async with asyncio.timeout(seconds(COMES_UP)):
             await events.sock_connect(sock, peer)
         watch = self._watch = Watch(self, sock)
+        watch.heard = begun
         await events.sock_sendall(sock, watch.machine.ask("GET", forms.watch_target(self.index), self.address, []))
         while not watch.ended:
             # Bytes that never make a line are no word.
             within, lines = LIST_SILENT if watch.lines else FIRST, watch.lines
             try:
-                async with asyncio.timeout_at(heard + seconds(within)):
+                async with asyncio.timeout_at(watch.heard + seconds(within)):
                     count = await events.sock_recv_into(sock, watch.inward.space())
                 if not count:
                     return "closed"
-                watch.comes(count)
+                if sock.taken > watch.counted:  # else it was read before its reader resumed
+                    watch.comes(sock.taken - watch.counted)
             except TimeoutError:
                 # After a stall of our own the time is up before what has come is read. A machine that is cut off says
                 # nothing, and what it would have told counts as told all the same.
-                if not watch.read_out():
+                if not watch.read_out() and watch.lines == lines:
                     return watch.ended or ("silent" if watch.machine.status else "unanswered")
-            if watch.lines > lines:
-                heard = events.time()
         return watch.ended
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -50,6 +50,7 @@
         self.desk = ground.desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
                          lambda: self.roster.ask())
         self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
+        self.desk.catch_up = self.roster.catch_up
         self.desk.listed(ListNews.REMEMBERED, told.rows)
         try:
             self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
--- a/pathsaddle/net/wire/birth.py
+++ b/pathsaddle/net/wire/birth.py
@@ -109,7 +109,7 @@
     if given and not known.schemes:
         raise Told(given, "settings").amiss("Schemes", "one scheme at least")
     # A list that comes unasked on the bench's wire comes over a watch here, and that has to be asked for.
-    known.must_ask, known.pushed = True, given.get("Discovery") == "automatic"
+    known.must_ask, known.beats, known.pushed = True, True, given.get("Discovery") == "automatic"
     known.ask_within = known.ask_within or 10 * SECOND
     words = Words(given, known)
     index, rows = _known(words, Told(told.get("known"), "known"))
--- a/pathsaddle/trade.py
+++ b/pathsaddle/trade.py
@@ -313,3 +313,4 @@
     dropped_stay_open: bool = False  # a worker listed as gone, or left out, without draining may be posted to
     most_open: int = 1 << 60  # txns that we can hold open at once
     pushed: bool = False  # the list comes to an agent of ours by itself: what that has counts as told
+    beats: bool = False  # an open watch says at least every 2 s that nothing has changed: word stands no longer
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -20,8 +20,17 @@
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
 from pathsaddle.net.wire.terms import Peer
-from pathsaddle.trade import LIST_MOVED, LIST_SILENT, LIST_SURE, MILLISECOND, SECOND, ListNews, Standing
-from tests.fakehost import SETTINGS, FakeHost
+from pathsaddle.trade import (
+    LIST_ANSWER,
+    LIST_MOVED,
+    LIST_SILENT,
+    LIST_SURE,
+    MILLISECOND,
+    SECOND,
+    ListNews,
+    Standing,
+)
+from tests.fakehost import SETTINGS, FakeHost, scheme
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 WHOLE, CHANGES, FAILED, SILENT, MOVED = (
@@ -133,13 +142,13 @@
         side = await self.watches()
         side.send(chunk(line(6, "leaving")) + chunk(b"\n"))
         self.roster.move(self.other.address)
-        self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), (MOVED, [])])
+        self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), (CHANGES, []), (MOVED, [])])
         self.roster.ask()
         side = await self.other.asked()
         self.assertIn(b"index=0 ", self.other.calls[0], "the new place's versions are its own")
         side.send(HEAD + chunk(line(2, "active", whole=True)))
-        await self.until(lambda: len(self.told) == 4)
-        self.assertEqual((self.told[3], self.roster.index), (says(WHOLE, Standing.READY), 2))
+        await self.until(lambda: len(self.told) == 5)
+        self.assertEqual((self.told[4], self.roster.index), (says(WHOLE, Standing.READY), 2))
 
     async def test_what_lies_there_when_a_call_is_given_up_for_another_is_told(self) -> None:
         self.roster.ask()
@@ -207,6 +216,56 @@
                 self.assertEqual(self.counters[f"watch_end.{code}"], 1)
 
 
+    async def test_before_a_posting_goes_out_what_lies_in_the_socket_is_told_and_only_once(self) -> None:
+        """A process that was stopped for 3 s resumed a posting that it had decided on before, to a worker whose drain
+        lay in its socket."""
+        side = await self.watches()
+        side.send(chunk(line(6, "leaving")))
+        await self.until(self.socks[0].stirred)
+        self.roster.catch_up()
+        self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING)])
+        side.send(chunk(line(7, "left")))
+        await self.until(lambda: len(self.told) > 2)
+        self.roster.catch_up()
+        self.assertEqual(self.told[2:], [says(CHANGES, Standing.GONE)])
+
+    async def test_the_same_where_the_kernel_has_handed_it_over_and_its_reader_has_not_resumed(self) -> None:
+        side = await self.watches()
+
+        def catches(count: int) -> None:
+            self.after = None
+            asyncio.get_running_loop().call_soon(self.roster.catch_up)
+
+        self.after = catches
+        side.send(chunk(line(6, "leaving")))
+        await self.until(lambda: len(self.told) > 1)
+        side.send(chunk(line(7, "left")))
+        await self.until(lambda: len(self.told) > 2)
+        self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), says(CHANGES, Standing.GONE)])
+
+    async def test_what_was_read_so_counts_against_silence_from_then_on(self) -> None:
+        with mock.patch.multiple(roster_module, LIST_SILENT=SECOND // 2):
+            side = await self.watches()
+            begun = asyncio.get_running_loop().time()
+            side.send(chunk(b"\n"))
+            await self.until(self.socks[0].stirred)
+            self.roster.catch_up()
+            heard = asyncio.get_running_loop().time()
+            await asyncio.wait_for(self.ends.wait(), 5.0)
+            self.assertEqual(self.told[1:], [(CHANGES, []), (SILENT, [])])
+            self.assertGreaterEqual(asyncio.get_running_loop().time() - begun, 0.5)
+            self.assertGreaterEqual(asyncio.get_running_loop().time() - heard, 0.49)
+
+    async def test_nonsense_that_is_met_so_ends_the_watch_as_its_reader_would(self) -> None:
+        side = await self.watches()
+        side.send(b"zz\r\nnonsense")
+        await self.until(self.socks[0].stirred)
+        self.roster.catch_up()
+        side.close()
+        await asyncio.wait_for(self.ends.wait(), 5.0)
+        self.assertEqual(self.told[1:], [(FAILED, [])])
+
+
 class Lines(Watched):
     async def test_an_indented_list_may_be_split_at_each_byte(self) -> None:
         text = line(5, "leaving", whole=True).replace(b"{", b"{\n  ").replace(b",", b",\n\n  ").replace(b"}", b"\n}")
@@ -555,12 +614,91 @@
         host.ask("a")
         self.assertEqual(len(host.posted), 1)
 
-    def test_a_remembered_list_stands_until_the_first_call_is_due(self) -> None:
+    def test_a_birth_posts_nothing_until_it_has_the_list_whatever_became_of_its_calls(self) -> None:
+        """zone+mass: 57 were stopped for 18 s, had an old `known`, and posted 105 times to workers that had left: what
+        discovery had 6 s before a process begins counts as told from its first moment, AskEvery or not."""
         for seed in range(40):
-            host = FakeHost(must_ask=True, dispatchers=200, seed=seed, news=ListNews.REMEMBERED)
-            while not host.subscribed:
-                self.assertFalse(host.loop.choice.list_unsure(host.now))
-                host.passes(100 * MILLISECOND)
+            for pushed in (False, True):
+                for fails in range(4):
+                    host = FakeHost(scheme(sla_time=60 * SECOND, expiry=60 * SECOND), must_ask=True, beats=True,
+                                    pushed=pushed, dispatchers=200, seed=seed, news=ListNews.REMEMBERED)
+                    txn = host.ask("a")
+                    for _ in range(fails):
+                        self.calls(host)
+                        host.list(FAILED)
+                        self.assertTrue(host.loop.choice.list_unsure(host.now))
+                    self.calls(host)
+                    self.assertEqual((host.posted, txn.closed), ([], False), (seed, fails))
+                    host.list(WHOLE, *host.workers)
+                    self.assertEqual([p.txn for p in host.posted], [txn])
+
+    def calls(self, host: FakeHost) -> None:
+        before = host.subscribed
+        while host.subscribed == before:
+            self.assertTrue(host.loop.choice.list_unsure(host.now))
+            host.passes(100 * MILLISECOND)
+
+    def test_births_ask_as_soon_as_watches_that_fell_silent_do(self) -> None:
+        """Spread over 5 s, each of them held or declined for that long what it got: 200 in one moment ask no more of
+        discovery than 200 watches that fall silent in one."""
+        for many in (1, 2, 57, 200):
+            asked = []
+            for seed in range(200):
+                host = FakeHost(must_ask=True, dispatchers=many, seed=seed, news=ListNews.REMEMBERED)
+                while not host.subscribed:
+                    host.passes(10 * MILLISECOND)
+                asked.append(host.now - 100 * SECOND)
+            self.assertLessEqual(max(asked), LIST_SURE - LIST_SILENT - LIST_ANSWER + 10 * MILLISECOND, many)
+            if many == 200:
+                a_second = max(sum(at <= one < at + SECOND for one in asked) for at in asked)
+                self.assertLessEqual(a_second, 160)
+
+
+class StoodStill(unittest.TestCase):
+    """A process that was stopped and goes on: what discovery wrote or had meanwhile counts as told."""
+
+    def host(self) -> FakeHost:
+        return FakeHost(must_ask=True, beats=True, dispatchers=5)
+
+    def test_word_stands_for_as_long_as_a_silent_watch_would(self) -> None:
+        host = self.host()
+        for _ in range(10):
+            host.list(CHANGES)
+            host.passes(2 * SECOND)
+        host.passes(LIST_SURE - 2 * SECOND - 1)
+        host.ask("a")
+        self.assertEqual(len(host.posted), 1)
+        host.now += 1  # nothing was read since
+        host.ask("b")
+        self.assertEqual(len(host.posted), 1)
+        host.list(CHANGES)
+        self.assertEqual(len(host.posted), 2)
+
+    def test_after_a_long_stop_only_the_list_itself_is_word(self) -> None:
+        """A failed call proves that discovery could not be reached when it began, and nothing of the time before."""
+        for news in (FAILED, SILENT):
+            host = self.host()
+            host.list(CHANGES)
+            host.now += 20 * SECOND
+            host.ask("a")
+            host.list(news)
+            for _ in range(3):
+                before = host.subscribed
+                while host.subscribed == before:
+                    host.passes(100 * MILLISECOND)
+                host.list(FAILED)
+            self.assertEqual(host.posted, [])
+            host.ask("b")
+            host.list(WHOLE, *host.workers)
+            self.assertEqual(host.posted[-1].txn.tag, "b")
+
+    def test_a_short_trouble_on_a_live_watch_stops_nobody(self) -> None:
+        host = self.host()
+        host.list(CHANGES)
+        host.passes(LIST_SILENT)
+        host.list(SILENT)
+        host.ask("a")
+        self.assertEqual(len(host.posted), 1)
 
 
 class Pushed(unittest.TestCase):
@@ -571,11 +709,12 @@
     def host(self, pushed: bool = True) -> FakeHost:
         return FakeHost(must_ask=True, pushed=pushed, drain_grace=self.GRACE, dispatchers=5, news=ListNews.REMEMBERED)
 
-    def test_from_a_start_on_the_list_as_last_had_is_good_for_a_grace_and_no_longer(self) -> None:
+    def test_from_a_start_on_the_list_as_last_had_is_good_for_nothing_new(self) -> None:
+        """It was good for a grace where lists are pushed, and for AskEvery elsewhere: too long for what was told to
+        our agent, or counted as told, before we began."""
         for pushed in (True, False):
             host = self.host(pushed)
-            self.assertFalse(host.loop.choice.list_unsure(host.now))
-            self.assertEqual(host.loop.choice.list_unsure(host.now + self.GRACE), pushed)
+            self.assertTrue(host.loop.choice.list_unsure(host.now))
             host.list(ListNews.WHOLE, *host.workers)
             self.assertFalse(host.loop.choice.list_unsure(host.now + 60 * SECOND))
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -476,7 +476,8 @@
                 writer.write(self.chunk(piece))
             await reader.read()
 
-        self.assertEqual(await self.watch(beats), [(ListNews.WHOLE, 1), (ListNews.SILENT, 0)])
+        beat = (ListNews.CHANGES, 0)  # each is told: word stands for so long after it, and no longer
+        self.assertEqual(await self.watch(beats), [(ListNews.WHOLE, 1), beat, beat, beat, (ListNews.SILENT, 0)])
         self.assertIn(b"index=4 ", self.call)
         self.assertEqual((self.roster.index, self.came, self.counters["watch_end.silent"]), (5, 1, 1))
 
