--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -196,6 +196,7 @@
 
     async def _carry(self, errand: Errand) -> None:
         posting, call = errand.posting, errand.entry.call
+        headers: list[tuple[bytes, bytes]] = []
 
         def begins(sending: Sending) -> None:
             # Connecting took time: its client may have gone, the worker been told to go or started anew.
@@ -205,12 +206,12 @@
                 self.counters.add("posting.withheld")
                 raise Withheld
             errand.begun, errand.sending = True, sending
+            # What is left now: told as of the order, a worker hoped for as much longer as the dial had taken.
+            headers.extend(forms.posting_headers(call, posting.sent + errand.within - self.clock.now()))
 
-        left = posting.sent + errand.within - self.clock.now()
         try:
             answer = await self.workers.call(
-                posting.worker.tag, "POST", call.target, forms.posting_headers(call, left), call.body,
-                begins)
+                posting.worker.tag, "POST", call.target, headers, call.body, begins)
         except Withheld:
             self._end(errand, Outcome.MOOT)
         except NeverSent:
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -28,6 +28,7 @@
         self.sending = Whole(False)
         self.reply: asyncio.Future[Message] = asyncio.get_running_loop().create_future()
         self.withheld = False
+        self.headers: list[tuple[bytes, bytes]] = []
 
     def write(self) -> None:
         try:
@@ -55,6 +56,7 @@
     async def call(self, worker: str, method: str, target: bytes, headers: Any, body: bytes = b"",
                    begins: Callable[[Sending], None] = lambda sending: None) -> Message:
         self.calls.append(Exchange(worker, method, begins))
+        self.calls[-1].headers = headers
         return await self.calls[-1].reply
 
 
@@ -126,6 +128,14 @@
             if late != "in time":
                 self.assertIs(posting.outcome, Outcome.MOOT, late)
 
+    async def test_a_worker_is_told_what_is_left_at_the_first_byte_not_when_its_connection_was_asked_for(self) -> None:
+        """A dial of a second, and the worker hoped for a second longer than the client would wait."""
+        self.open()
+        entry = await self.ask(within="5000")
+        entry.txn.postings[0].sent -= SECOND  # the dial took so long
+        self.played.calls[0].write()
+        self.assertLessEqual(int(dict(self.played.calls[0].headers)[b"Req-Deadline-Ms"]), 4000)
+
     async def test_given_up_after_its_last_byte_it_may_have_run_whatever_our_task_has_seen(self) -> None:
         """The kernel had taken all of it, and who wrote it had not resumed: its client was told to come again."""
         self.open()
