A call on a kept connection: one look into the kernel, no timer, no walk

No rule is touched: a link rests as long, and is looked at in the moment it is taken. tests/test_links.py: three of its stories fail without this, the others hold what the pool did before.

--- a/pathsaddle/net/memory/links.py
+++ b/pathsaddle/net/memory/links.py
@@ -1,7 +1,7 @@
-"""Which connections to workers there are: idle, in use, coming up; and who waits for one.
+"""Which connections to workers there are: idle, resting, in use, coming up; and who waits for one.
 
-It knows no socket: a link is whatever the driver puts here. The last one put back is the first one taken, so
-that what traffic does not need grows old and is let go before the worker's idle limit.
+It knows no socket: a link is whatever the driver puts here. Of those that have rested the last one put back is
+the first one taken, so that what traffic does not need grows old and is let go before the worker's idle limit.
 """
 
 from __future__ import annotations
@@ -17,9 +17,13 @@
     rests: bool  # a second answer to that call could pass for the next call's
     ended: bool
 
+    @property
+    def sound(self) -> bool:
+        """It stands, and nothing has been read from it that was no answer to its call."""
+
     @property
     def usable(self) -> bool:
-        """It stands, and nothing lies on it unread: an end, or bytes that would pass for the next call's answer."""
+        """It is sound, and nothing lies on it unread: an end, or bytes that would pass for the next call's answer."""
 
     def end(self, code: str) -> None: ...
 
@@ -31,13 +35,27 @@
 class Shelf(Generic[L]):
     """One worker's connections."""
 
-    idle: list[L] = field(default_factory=list)
+    # Apart, and each in the order of `idle_since`: a fast worker's resting ones are most of its connections,
+    # and who wants one that has rested must not go through them all.
+    rested: list[L] = field(default_factory=list)
+    resting: deque[L] = field(default_factory=deque)
     used: int = 0  # in use or coming up
     waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
 
+    @property
+    def idle(self) -> list[L]:
+        """All that no call is out on, about the longest idle first."""
+        return [*self.rested, *self.resting]
+
     @property
     def count(self) -> int:
-        return self.used + len(self.idle)
+        return self.used + len(self.rested) + len(self.resting)
+
+    def oldest(self) -> L | None:
+        """The one that has been idle for about the longest, no more among them."""
+        if self.rested:
+            return self.rested.pop(0)
+        return self.resting.popleft() if self.resting else None
 
 
 class Links(Generic[L]):
@@ -48,7 +66,10 @@
         self.shelves: dict[str, Shelf[L]] = {}
 
     def shelf(self, worker: str) -> Shelf[L]:
-        return self.shelves.setdefault(worker, Shelf())
+        shelf = self.shelves.get(worker)
+        if shelf is None:
+            shelf = self.shelves[worker] = Shelf()
+        return shelf
 
     @property
     def count(self) -> int:
@@ -61,28 +82,24 @@
     def take(self, shelf: Shelf[L], now: int) -> L | None:
         """An idle link that the worker will not have closed by the time our bytes are there, and on which no more
         can come that is not the next call's."""
-        at = len(shelf.idle)
-        while at:
-            at -= 1
-            link = shelf.idle[at]
-            if self.resting(link, now):
-                continue
-            del shelf.idle[at]
+        resting, rested = shelf.resting, shelf.rested
+        while resting and (now - resting[0].idle_since >= self.rest or resting[0].ended):
+            rested.append(resting.popleft())
+        while rested:
+            link = rested.pop()
             if link.usable and now - link.idle_since < self.keep_for:
                 shelf.used += 1
                 return link
             link.end("idle" if now - link.idle_since >= self.keep_for else "worker-stirred")
         return None
 
-    def resting(self, link: L, now: int) -> bool:
-        return link.rests and now - link.idle_since < self.rest and not link.ended
-
     def gives_up_resting(self, shelf: Shelf[L]) -> bool:
         """At the worker's cap: a new connection comes up sooner than one has rested. False where none rests."""
-        if shelf.idle:
-            shelf.idle.pop(0).end("resting")
-            return True
-        return False
+        link = shelf.oldest()
+        if link is None:
+            return False
+        link.end("resting")
+        return True
 
     def may_open(self, shelf: Shelf[L]) -> bool:
         if shelf.count >= self.most_each():
@@ -93,9 +110,13 @@
         return self.count < self.most or not shelf.count
 
     def put_back(self, shelf: Shelf[L], link: L, now: int) -> None:
-        if link.usable:
+        """What lies unread on it by now is its reader's; it is looked for when the link is taken, and not twice."""
+        if link.sound:
             link.idle_since = now
-            shelf.idle.append(link)
+            if link.rests:
+                shelf.resting.append(link)
+            else:
+                shelf.rested.append(link)
         else:
             link.end("worker-stirred")
         self.release(shelf)
@@ -110,12 +131,13 @@
             for link in shelf.idle:
                 if now - link.idle_since >= self.keep_for:
                     link.end("idle")
-            shelf.idle = [link for link in shelf.idle if not link.ended]
+            shelf.rested = [link for link in shelf.rested if not link.ended]
+            shelf.resting = deque(link for link in shelf.resting if not link.ended)
 
     def drop_idle(self, worker: str, code: str) -> None:
         shelf = self.shelves.get(worker)
-        while shelf is not None and shelf.idle:
-            shelf.idle.pop().end(code)
+        while shelf is not None and (link := shelf.oldest()) is not None:
+            link.end(code)
 
     def forget(self, worker: str) -> None:
         """Nothing new goes there: the worker no longer counts among those that connections are shared by."""
@@ -143,7 +165,8 @@
                 return
 
     def let_go_oldest(self) -> None:
-        oldest = min((shelf for shelf in self.shelves.values() if shelf.idle),
-                     key=lambda shelf: shelf.idle[0].idle_since, default=None)
-        if oldest is not None:
-            oldest.idle.pop(0).end("room")
+        shelf = min((shelf for shelf in self.shelves.values() if shelf.rested or shelf.resting),
+                    key=lambda shelf: (shelf.rested or shelf.resting)[0].idle_since, default=None)
+        link = shelf.oldest() if shelf is not None else None
+        if link is not None:
+            link.end("room")
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -74,9 +74,13 @@
 
 async def drain(sock: socket.socket, ring: Ring, within: int | None = None) -> None:
     """Writes all that the ring holds; what it took for a long message is given back."""
+    loop = asyncio.get_running_loop()
     while ring:
         part = ring.data()
-        async with asyncio.timeout(None if within is None else seconds(within)):
-            await asyncio.get_running_loop().sock_sendall(sock, part)
+        if within is None:
+            await loop.sock_sendall(sock, part)
+        else:
+            async with asyncio.timeout(seconds(within)):
+                await loop.sock_sendall(sock, part)
         ring.drop(len(part))
     ring.rest()
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -69,9 +69,13 @@
         self._loop = asyncio.get_running_loop()
         self._reader = self._loop.create_task(self._read())
 
+    @property
+    def sound(self) -> bool:
+        return not (self.ended or self._strayed) and self.sock.taken == self._read_in
+
     @property
     def usable(self) -> bool:
-        return not (self.ended or self._strayed) and self.sock.taken == self._read_in and not self.sock.stirred()
+        return self.sound and not self.sock.stirred()
 
     async def write(self, method: str, data: bytes, sending: Bytes) -> None:
         """Raises OSError where the last byte did not go out."""
@@ -202,6 +206,9 @@
 
     async def _take(self, worker: str) -> Link:
         shelf = self.links.shelf(worker)
+        link = self.links.take(shelf, self.clock.now())
+        if link is not None:
+            return link  # as nearly always: a timer that nobody waits for would cost more than all of this
         try:
             async with asyncio.timeout(seconds(self.connect_within)):
                 while True:
