The scale rig: plays a measure at growing sizes, keeps each play, fits laws

A plan of ground "scale" names a measure of emulator/hollow/; `python -m pathsaddle experiment run PLAN` plays each (point, seed) in a process and session of its own, one at a time, keeps each as a line in `kept/` beside the plan, plays again only what is not kept with the same measure, setting, point and source, and prints the slopes last. `--short` plays the short points once and keeps nothing.

Refused before anything starts: more than 300 processes or 12 GiB, a measure that needs more than plan or rig allow, bounds on figures that depend on the machine's speed, unknown keys, measures that are none; each with file and key. Ended, with all it started, also what has a session of its own (by a mark in its environment): a play that hangs, takes more than it said, breaks, leaves something behind, or is interrupted (SIGINT, SIGTERM). After SIGKILL of the rig the play ends itself and its group; what it started in other sessions is not reached then.

Laws (experiment/slope.py, free of I/O): least squares, chosen by the error at left-out points, the slowest within a tenth of the best; others with their margin, "ruled out" from twice the error on. Ruled out as judges: R2 (never falls with a faster law), AICc (at 4 to 6 points its correction is as large as what it corrects).

--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -145,34 +145,88 @@
     """Run plans over seeds and variants, compare and report what is kept of them."""
 
 
-def _store(folder: str, name: str) -> Any:
+def _store(folder: str | None, name: str) -> Any:
     from pathsaddle.experiment.keep import Store
-    return Store(Path(folder) / f"{name}.jsonl")
+    return Store(Path(folder or "runs") / f"{name}.jsonl")
 
 
-FOLDER = click.option("--folder", default="runs", show_default=True, help="Where results are kept.")
+FOLDER = click.option("--folder", help="Where results are kept: by default `runs`, for the ground scale `kept` beside "
+                                       "the plan.")
 
 
 @experiment.command("run")
 @click.argument("plan", type=click.Path(dir_okay=False))
 @FOLDER
-@click.option("--ground", type=click.Choice(["sockets", "virtual"]), help="Instead of what the plan says.")
-@click.option("--jobs", type=click.IntRange(min=1), help="Runs side by side; by default one a core, on sockets one.")
+@click.option("--ground", type=click.Choice(["sockets", "virtual"]), help="Instead of what a plan of these two says.")
+@click.option("--jobs", type=click.IntRange(min=1),
+              help="Runs side by side; by default one a core, on sockets and the ground scale one.")
 @click.option("--seeds", help="Instead of the plan's: such as 1..20 or 3,5.")
 @click.option("--fresh", is_flag=True, help="Run again what is kept already.")
-def run(plan: str, folder: str, ground: str | None, jobs: int | None, seeds: str | None, fresh: bool) -> None:
-    """Run all seeds and variants of a PLAN; exit 1 unless every rule is kept and the plan's bounds hold."""
+@click.option("--short", is_flag=True, help="On the ground scale: its short points, once each, for its bounds.")
+def run(plan: str, **said: Any) -> None:
+    """Run a PLAN, whatever its ground; exit 1 unless every rule is kept and the plan's bounds hold."""
+    from pathsaddle.experiment import grounds
+    table, ground = grounds.told(plan)
+    unfit = [f"--{name}" for name, value in said.items() if value and name not in grounds.OPTIONS[ground]]
+    if unfit:
+        raise click.UsageError(f"{', '.join(unfit)}: a plan of the ground {ground} takes no such option")
+    if ground == "scale":
+        sys.exit(_scale(plan, table, said["folder"], said["jobs"], said["fresh"], said["short"]))
+    if ground in grounds.PROGRAMS:
+        sys.exit(grounds.PROGRAMS[ground].play(grounds.PROGRAMS[ground].read(plan)))
+    sys.exit(_emulated(plan, said["folder"] or "runs", said["ground"], said["jobs"], said["seeds"], said["fresh"]))
+
+
+def _scale(path: str, table: dict[str, Any], folder: str | None, jobs: int | None, fresh: bool, short: bool) -> int:
+    """A plan of the scale rig; slopes last."""
+    from pathsaddle.experiment import scale
+    told = scale.of(table, path)
+    name = told.plan.name
+    if short and not told.plan.short:
+        raise scale.NoShort(file=path)
+    store = None
+    if not short or folder:
+        where = writable("--folder", folder or str(Path(path).parent / "kept"), folder=True)
+        store = scale.Store(Path(where or "") / f"{name}.jsonl")
+    rig = scale.Rig(told, store, short=short, fresh=fresh or short, jobs=jobs or 1)
+    kept, begun = len(rig.results), time.perf_counter()
+    if kept:
+        click.echo(f"{kept} of {len(rig.tasks)} plays are kept from before")
+
+    def tell(one: scale.Kept) -> None:
+        click.echo(f"{len(rig.results)}/{len(rig.tasks)} {one.point} {told.plan.against}, seed {one.seed}: "
+                   f"{one.took:.1f} s{', ' + one.fault.splitlines()[0] if one.fault else ''}")
+    try:
+        results = rig.go(tell)
+    except KeyboardInterrupt:
+        raise Interrupted(at=f"{len(rig.results)} of {len(rig.tasks)} plays have ended"
+                          f"{' and are kept' if store is not None else ''}, nothing of the others goes on",
+                          rest="the same command plays the rest") from None
+    found = scale.failings(told, results)
+    bounds = [grows.bound.point for grows in told.plan.slopes if grows.bound is not None]
+    checked = sum(point in [one.point for one in results] for point in bounds)
+    for text in found:
+        click.echo(text)
+    for line in scale.slope_lines(told, results):
+        click.echo(line)
+    click.echo(f"{name}{', short form' if short else ''}: {len(results)} plays in {time.perf_counter() - begun:.1f} s, "
+               f"{checked} of {len(bounds)} bounds checked: {f'{len(found)} findings' if found else 'every one held'}")
+    return 1 if found else 0
+
+
+def _emulated(path: str, folder: str, ground: str | None, jobs: int | None, seeds: str | None, fresh: bool) -> int:
+    """A plan of the emulator, over its seeds and variants."""
     from rich.console import Console
     from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
 
     from pathsaddle.emulator import plan as plans
     from pathsaddle.experiment.report import groups, quantiles, spread
     from pathsaddle.experiment.run import Run, failings, whole_digest
-    told = plans.read(plan)
+    told = plans.read(path)
     writable("--folder", folder, folder=True)
     if told.throughput is not None:
         from pathsaddle.experiment import throughput
-        sys.exit(throughput.run(told, _store(folder, told.name).path))
+        return throughput.run(told, _store(folder, told.name).path)
     begun = time.perf_counter()
     console = Console(width=None if sys.stdout.isatty() else 110)
     whole = Run(told, _store(folder, told.name), ground, fresh, jobs, _seeds(seeds))
@@ -213,7 +267,7 @@
         click.echo(f"... and {len(found) - 20} more")
     click.echo(f"{told.name}: {len(results)} runs in {took:.1f} s, digest {whole_digest(results)}: "
                + ("every rule kept, every bound held" if not found else f"{len(found)} findings"))
-    sys.exit(1 if found else 0)
+    return 1 if found else 0
 
 
 def _seeds(told: str | None) -> list[int] | None:
--- /dev/null
+++ b/tests/measures/partial.py
@@ -0,0 +1,3 @@
+"""No measure: its parts are missing."""
+
+FIGURES: dict[str, tuple[str, str]] = {}
--- /dev/null
+++ b/tests/measures/unloadable.py
@@ -0,0 +1,3 @@
+"""No measure: it can't be loaded."""
+
+raise OSError("the disk is gone")
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -29,7 +29,7 @@
 from pathsaddle.charter.told import read
 from pathsaddle.cli.main import main
 from pathsaddle.emulator import stage
-from pathsaddle.experiment import throughput
+from pathsaddle.experiment import scale, slope, throughput
 from pathsaddle.experiment.keep import Result, Store
 from pathsaddle.experiment.run import tree
 from pathsaddle.federation.disk import FolderRegister
@@ -323,6 +323,26 @@
         self.assertIn("Traceback", said)
         self.reads(said, "cli.defect", "pathsaddle emulate", "report it")
 
+    def test_the_scale_rig(self) -> None:
+        tally = (ROOT / "experiments/scale/tally.toml").read_text()
+        for old, new, name, *words in (
+                ("processes = 2", "processes = 301", "charter.out-of-bounds", "processes", "at most 300"),
+                ("memory_mib = 300", "memory_mib = 50", "experiment.needs-more", "points[0]", "10 members", "50 are allowed"),
+                ('"tally"\nag', '"none"\nag', "experiment.no-measure", "measure", "emulator/hollow/"),
+                ('"scale"', '"moon"', "charter.not-among", "ground", '"moon"', "virtual", "scale"),
+                ('"scale"', "3", "charter.wrong-kind", "ground", "a text")):
+            self.says(("experiment", "run", self.file(tally.replace(old, new), "tally.toml")), 2, name, "tally.toml", *words)
+        short = self.file(tally.replace("short =", "# short ="), "tally.toml")
+        self.says(("experiment", "run", short, "--short"), 2, "experiment.no-short", short)
+        text = ('ground = "scale"\nname = "c"\nmeasure = "trouble"\nagainst = "m"\npoints = [1]\nprocesses = 1\n'
+                'memory_mib = 50\n[[slopes]]\nfigure = "speed"\nbound = {point = 1, most = 1.0}\n')
+        with self.assertRaises(Faulty) as caught:
+            scale.read(self.file(text), "tests.measures")
+        self.reads(str(caught.exception), "experiment.not-counted", "slopes[0].bound", "speed", "size")
+        with self.assertRaises(errors.Error) as few:
+            slope.fit("p.f", {10: [1.0], 20: [2.0]})
+        self.reads(str(few.exception), "experiment.few-points", "p.f", "2 points from 10 to 20")
+
     def test_experiments(self) -> None:
         for name, seed in (("a", 1), ("b", 2)):
             Store(self.folder / name).add(Result(
