--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -286,6 +286,27 @@
     return seeds
 
 
+@experiment.command()
+@click.argument("target", type=click.Path(dir_okay=False))
+@click.option("--kept", type=click.Path(file_okay=False), help="Where results are kept; by default `kept` beside TARGET.")
+@click.option("--partial", is_flag=True, help="List rows without results as not measured, instead of ending.")
+@click.option("--page", type=click.Path(dir_okay=False), help="Write the tables into this page, between its two marks.")
+def capacity(target: str, kept: str | None, partial: bool, page: str | None) -> None:
+    """What each role costs at the size that TARGET tells, from kept results: tables, worst fit first."""
+    from pathsaddle.experiment import capacity as rows
+    made, notes = rows.tables(target, kept, partial)
+    for note in notes:
+        click.echo(note, err=True)
+    if page is None:
+        click.echo(made)
+        return
+    whole = rows.paged(rows.read_page(Path(page)), made, page)
+    path = writable("--page", page)
+    if path is not None:
+        path.write_text(whole, encoding="utf-8")
+        click.echo(page)
+
+
 @experiment.command()
 @click.argument("a")
 @click.argument("b")
