--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -55,11 +55,18 @@
     from pathsaddle.emulator import plan as plans
     if explain:
         click.echo(explained(rows(plans.Plan if plan else Charter)))
+        if plan:
+            from pathsaddle.experiment import scale
+            click.echo(f"\nOf the ground scale:\n\n{explained(rows(scale.Plan))}")
     if file is None:
         if not explain:
             raise click.UsageError("neither a FILE nor --explain is said")
         return
-    (plans.read if plan else read)(file)
+    if plan:
+        from pathsaddle.experiment import grounds
+        grounds.read(file)
+    else:
+        read(file)
     click.echo(f"{file}: nothing is wrong")
 
 
@@ -145,34 +152,89 @@
     """Run plans over seeds and variants, compare and report what is kept of them."""
 
 
-def _store(folder: str, name: str) -> Any:
+def _store(folder: str | None, name: str) -> Any:
     from pathsaddle.experiment.keep import Store
-    return Store(Path(folder) / f"{name}.jsonl")
+    return Store(Path(folder or "runs") / f"{name}.jsonl")
 
 
-FOLDER = click.option("--folder", default="runs", show_default=True, help="Where results are kept.")
+FOLDER = click.option("--folder", help="Where results are kept: by default `runs`, for the ground scale `kept` beside "
+                                       "the plan.")
 
 
 @experiment.command("run")
 @click.argument("plan", type=click.Path(dir_okay=False))
 @FOLDER
-@click.option("--ground", type=click.Choice(["sockets", "virtual"]), help="Instead of what the plan says.")
-@click.option("--jobs", type=click.IntRange(min=1), help="Runs side by side; by default one a core, on sockets one.")
+@click.option("--ground", type=click.Choice(["sockets", "virtual"]), help="Instead of what a plan of these two says.")
+@click.option("--jobs", type=click.IntRange(min=1),
+              help="Runs side by side; by default one a core, on sockets and the ground scale one.")
 @click.option("--seeds", help="Instead of the plan's: such as 1..20 or 3,5.")
 @click.option("--fresh", is_flag=True, help="Run again what is kept already.")
-def run(plan: str, folder: str, ground: str | None, jobs: int | None, seeds: str | None, fresh: bool) -> None:
-    """Run all seeds and variants of a PLAN; exit 1 unless every rule is kept and the plan's bounds hold."""
+@click.option("--short", is_flag=True, help="On the ground scale: its short points, once each, for its bounds.")
+def run(plan: str, **said: Any) -> None:
+    """Run a PLAN, whatever its ground; exit 1 unless every rule is kept and the plan's bounds hold."""
+    from pathsaddle.experiment import grounds
+    table, ground = grounds.told(plan)
+    unfit = [f"--{name}" for name, value in said.items() if value and name not in grounds.OPTIONS[ground]]
+    if unfit:
+        raise click.UsageError(f"{', '.join(unfit)}: a plan of the ground {ground} takes no such option")
+    if ground == "scale":
+        sys.exit(_scale(plan, table, said["folder"], said["jobs"], said["fresh"], said["short"]))
+    if ground in grounds.PROGRAMS:
+        program = grounds.PROGRAMS[ground]()
+        sys.exit(program.play(program.read(plan)))
+    sys.exit(_emulated(plan, said["folder"] or "runs", said["ground"], said["jobs"], said["seeds"], said["fresh"]))
+
+
+def _scale(path: str, table: dict[str, Any], folder: str | None, jobs: int | None, fresh: bool, short: bool) -> int:
+    """A plan of the scale rig; slopes last."""
+    from pathsaddle.experiment import scale
+    told = scale.of(table, path)
+    name = told.plan.name
+    if short and not told.plan.short:
+        raise scale.NoShort(file=path)
+    store = None
+    if not short or folder:
+        where = writable("--folder", folder or str(Path(path).parent / "kept"), folder=True)
+        store = scale.Store(Path(where or "") / f"{name}.jsonl")
+    rig = scale.Rig(told, store, short=short, fresh=fresh or short, jobs=jobs or 1)
+    kept, begun = len(rig.results), time.perf_counter()
+    if kept:
+        click.echo(f"{kept} of {len(rig.tasks)} plays are kept from before")
+
+    def tell(one: scale.Kept) -> None:
+        click.echo(f"{len(rig.results)}/{len(rig.tasks)} {one.point} {told.plan.against}, seed {one.seed}: "
+                   f"{one.took:.1f} s{', ' + one.fault.splitlines()[0] if one.fault else ''}")
+    try:
+        results = rig.go(tell)
+    except KeyboardInterrupt:
+        raise Interrupted(at=f"{len(rig.results)} of {len(rig.tasks)} plays have ended"
+                          f"{' and are kept' if store is not None else ''}, nothing of the others goes on",
+                          rest="the same command plays the rest") from None
+    found = scale.failings(told, results)
+    bounds = [grows.bound.point for grows in told.plan.slopes if grows.bound is not None]
+    checked = sum(point in [one.point for one in results] for point in bounds)
+    for text in found:
+        click.echo(text)
+    for line in scale.slope_lines(told, results):
+        click.echo(line)
+    click.echo(f"{name}{', short form' if short else ''}: {len(results)} plays in {time.perf_counter() - begun:.1f} s, "
+               f"{checked} of {len(bounds)} bounds checked: {f'{len(found)} findings' if found else 'every one held'}")
+    return 1 if found else 0
+
+
+def _emulated(path: str, folder: str, ground: str | None, jobs: int | None, seeds: str | None, fresh: bool) -> int:
+    """A plan of the emulator, over its seeds and variants."""
     from rich.console import Console
     from rich.progress import BarColumn, MofNCompleteColumn, Progress, TextColumn, TimeElapsedColumn
 
     from pathsaddle.emulator import plan as plans
     from pathsaddle.experiment.report import groups, quantiles, spread
     from pathsaddle.experiment.run import Run, failings, whole_digest
-    told = plans.read(plan)
+    told = plans.read(path)
     writable("--folder", folder, folder=True)
     if told.throughput is not None:
         from pathsaddle.experiment import throughput
-        sys.exit(throughput.run(told, _store(folder, told.name).path))
+        return throughput.run(told, _store(folder, told.name).path)
     begun = time.perf_counter()
     console = Console(width=None if sys.stdout.isatty() else 110)
     whole = Run(told, _store(folder, told.name), ground, fresh, jobs, _seeds(seeds))
@@ -213,7 +275,7 @@
         click.echo(f"... and {len(found) - 20} more")
     click.echo(f"{told.name}: {len(results)} runs in {took:.1f} s, digest {whole_digest(results)}: "
                + ("every rule kept, every bound held" if not found else f"{len(found)} findings"))
-    sys.exit(1 if found else 0)
+    return 1 if found else 0
 
 
 def _seeds(told: str | None) -> list[int] | None:
@@ -232,6 +294,27 @@
     return seeds
 
 
+@experiment.command()
+@click.argument("target", type=click.Path(dir_okay=False))
+@click.option("--kept", type=click.Path(file_okay=False), help="Where results are kept; by default `kept` beside TARGET.")
+@click.option("--partial", is_flag=True, help="List rows without results as not measured, instead of ending.")
+@click.option("--page", type=click.Path(dir_okay=False), help="Write the tables into this page, between its two marks.")
+def capacity(target: str, kept: str | None, partial: bool, page: str | None) -> None:
+    """What each role costs at the size that TARGET tells, from kept results: tables, worst fit first."""
+    from pathsaddle.experiment import capacity as rows
+    made, notes = rows.tables(target, kept, partial)
+    for note in notes:
+        click.echo(note, err=True)
+    if page is None:
+        click.echo(made)
+        return
+    whole = rows.paged(rows.read_page(Path(page)), made, page)
+    path = writable("--page", page)
+    if path is not None:
+        path.write_text(whole, encoding="utf-8")
+        click.echo(page)
+
+
 @experiment.command()
 @click.argument("a")
 @click.argument("b")
@@ -277,20 +360,26 @@
 @click.option("--plans", default="experiments", show_default=True)
 def list_(folder: str, plans: str) -> None:
     """The plans that are here, and what is kept of each."""
-    from pathsaddle.charter.check import Faulty
-    from pathsaddle.emulator import plan as forms
-    found = sorted(Path(plans).glob("*.toml"))
+    from pathsaddle.experiment import grounds, scale
+    found = [*sorted(Path(plans).glob("*.toml")), *sorted(Path(plans).glob("scale/*.toml"))]
     if not found:
         raise NoPlans(folder=plans)
     for path in found:
         try:
-            told = forms.read(path)
-        except Faulty as fault:
-            click.echo(f"{path}: {fault.faults[0]}")
+            ground, told = grounds.read(path)
+        except Error as fault:
+            click.echo(f"{path}: {next(iter(getattr(fault, 'faults', [])), fault)}")
             continue
-        kept = _store(folder, told.name).read()
-        click.echo(f"{path}: {told.about or told.name} ({len(told.all_seeds)} seeds, {len(told.variants) + 1} "
-                   f"variants; {len(kept)} results kept)")
+        name, about = grounds.named(ground, told)
+        if ground in grounds.EMULATED:
+            kept = _store(folder, name).read()
+            what = f"{len(told.all_seeds)} seeds, {len(told.variants) + 1} variants; {len(kept)} results kept"
+        elif ground == "scale":
+            kept = scale.Store(Path(folder or path.parent / "kept") / f"{name}.jsonl").read()
+            what = f"scale, {len(told.points)} points, {told.plays} plays; {len(kept)} plays kept"
+        else:
+            what = f"a target of {len(told.rows)} rows" if ground == "target" else ground
+        click.echo(f"{path}: {about} ({what})")
 
 
 def main() -> int:
