--- a/pathsaddle/emulator/hollow/__init__.py
+++ b/pathsaddle/emulator/hollow/__init__.py
@@ -1,1 +1,1 @@
-"""Hollow processes for the scale rig: they say what the protocol wants by script and do no work."""
+"""Measures of the scale rig: the program's own cores and drivers at a size that real processes would not fit."""
