--- a/pathsaddle/emulator/hollow/workers.py
+++ b/pathsaddle/emulator/hollow/workers.py
@@ -38,7 +38,7 @@
 SETTLES = 0.5  # seconds after which what was begun has had its effect
 SAMPLE = 0.1  # seconds between looks at descriptors
 WHOLE = 3  # whole lists again
-CALLS = 400  # workers a second that call back for the first time in the last part
+CALLS = 600  # workers a second that call back for the first time in the last part
 MARK = 0.02  # seconds between tries whether it is ready
 
 
