--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -29,6 +29,7 @@
 from pathsaddle.charter.told import read
 from pathsaddle.cli.main import main
 from pathsaddle.emulator import stage
+from pathsaddle.emulator.hollow import workers as hollow
 from pathsaddle.experiment import scale, slope, throughput
 from pathsaddle.experiment.keep import Result, Store
 from pathsaddle.experiment.run import tree
@@ -360,6 +361,9 @@
         with mock.patch.object(throughput.time, "sleep"), self.assertRaises(throughput.NeverReady) as caught:
             throughput._ready("127.0.0.1:9")
         self.reads(str(caught.exception), "experiment.never-ready", "127.0.0.1:9", "quieter machine")
+        with mock.patch.object(hollow, "READY_IN", 0.0), self.assertRaises(hollow.NeverReady) as hollowed:
+            hollow.measure(2, 1, hollow.Setting())
+        self.reads(str(hollowed.exception), "hollow.never-ready", "0 s", "quieter machine")
 
     @unittest.skipUnless((ROOT / ".git").exists(), "no repository")
     def test_commits_that_cant_run(self) -> None:
