--- /dev/null
+++ b/pathsaddle/emulator/hollow/fleet_ground.py
@@ -0,0 +1,355 @@
+"""A fleet of hollow members on the virtual ground: one process, no sockets, virtual time.
+
+Each member is the program's own driver (`fleet/driver.py`) with its cores for membership, carrying and shares, and
+no txns. Ways are those of `places.py`. Bytes and datagrams are counted where they leave and arrive; processor time
+around the cores' calls alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+import msgspec
+
+from pathsaddle.emulator.ground.air import BINS, Air, Blight
+from pathsaddle.emulator.ground.datagrams import Datagrams
+from pathsaddle.emulator.ground.links import Host, Net, VirtualGround
+from pathsaddle.emulator.ground.moments import Moments
+from pathsaddle.emulator.hollow.places import Place, places
+from pathsaddle.emulator.served.members import Disk
+from pathsaddle.fleet.driver import Fellows, Told
+from pathsaddle.fleet.members import Change, Ways
+from pathsaddle.fleet.purse import SECOND
+from pathsaddle.fleet.state.limiter import Dealt
+from pathsaddle.fleet.state.shared import SPARE
+from pathsaddle.fleet.wire import CARRIED, DEAD, Row
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.wire.terms import Peer
+
+KEY = b"the hollow fleet's own secret"
+GUARD = 2.0  # seconds behind a first lease after which a new life lends (shares.py), and some more
+LOOK = 0.05  # seconds between looks at what all know: by so much a span may be told too long
+
+
+class FleetSetting(msgspec.Struct, forbid_unknown_fields=True):
+    """Spans in seconds. loss: of all datagrams. budgets: that all share. lease: of units lent; none are, but a new
+    life tells what it would lend only after one. most_bytes: fleet.bytes. patience: for spans that end when all know
+    something."""
+
+    loss: float = 0.0
+    beat: float = 1.0
+    wait_for_answer: float = 0.3
+    most_bytes: int = 24_000
+    budgets: int = 1
+    lease: float = 1.0
+    settle: float = 2.0
+    patience: float = 90.0
+
+
+class Tally:
+    """What one member sent and took, by tenths of a second since the last `clear` of the fleet."""
+
+    def __init__(self) -> None:
+        self.out: dict[int, int] = {}
+        self.into: dict[int, int] = {}
+        self.carried = self.datagrams = 0
+
+    def clear(self) -> None:
+        self.out.clear()
+        self.into.clear()
+        self.carried = self.datagrams = 0
+
+
+def most(bins: dict[int, int]) -> int:
+    """Over any second that begins with a tenth."""
+    return max((sum(bins.get(first + i, 0) for i in range(BINS)) for first in bins), default=0)
+
+
+class Metered(Datagrams):
+    """Counts for each host what it sends and what reaches it."""
+
+    def __init__(self, loop: Moments, air: Air) -> None:
+        super().__init__(loop, air)
+        self.tallies: dict[str, Tally] = {}
+
+    def tally(self, name: str) -> Tally:
+        return self.tallies.setdefault(name, Tally())
+
+    def carry(self, sender: Host, data: bytes, address: Peer) -> None:
+        tally, at = self.tally(sender.name), int(self.loop.true_time() * BINS)
+        tally.out[at] = tally.out.get(at, 0) + len(data)
+        tally.datagrams += 1
+        if data[0] == CARRIED:
+            tally.carried += len(data)
+        there = self.bound.get(address)
+        if there is not None:
+            for delay in self.air.copies(sender.name, there.host.name):
+                self.loop.call_later(delay, self._arrive, address, data, context=self.context)
+
+    def _arrive(self, address: Peer, data: bytes) -> None:
+        there = self.bound.get(address)
+        if there is not None:
+            tally, at = self.tally(there.host.name), int(self.loop.true_time() * BINS)
+            tally.into[at] = tally.into.get(at, 0) + len(data)
+            there.arrives(data)
+
+
+class Spent:
+    """Processor time inside the cores' calls, the outermost alone: what one core calls of itself counts once."""
+
+    def __init__(self, *whose: str) -> None:
+        self.ns = dict.fromkeys(whose, 0)
+        self.inside = False
+
+    def around(self, whose: str, core: object, *calls: str) -> None:
+        for name in calls:
+            setattr(core, name, self._timed(whose, getattr(core, name)))
+
+    def _timed(self, whose: str, call: Callable[..., Any]) -> Callable[..., Any]:
+        def timed(*told: Any) -> Any:
+            if self.inside:
+                return call(*told)
+            self.inside, begun = True, time.thread_time_ns()
+            try:
+                return call(*told)
+            finally:
+                self.ns[whose] += time.thread_time_ns() - begun
+                self.inside = False
+        return timed
+
+    def clear(self) -> None:
+        self.ns = dict.fromkeys(self.ns, 0)
+
+
+class Member:
+    """A hollow member's place: its disk, and the process that runs there now, if one does."""
+
+    def __init__(self, place: Place) -> None:
+        self.place, self.disk, self.lives = place, Disk(), 0
+        self.host: Host | None = None
+        self.fellows: Fellows | None = None
+
+
+def introduced(some: list[Fellows], rows: list[Row], lease: float) -> None:
+    """They know all of these, as if they had met long ago; nothing of that is news. What each would lend is told
+    once, when the first lease has ended."""
+    for fellows in some:
+        core, now = fellows.core, fellows.clock.now()
+        for row in rows:
+            if row.name != core.me.name:
+                core.learn(row, now, "the play")
+        core.gossip.clear()
+        if fellows.shared is not None:
+            fellows.shared.told_due = now + int((1.1 * lease + GUARD) * SECOND)
+
+
+class HollowFleet:
+    def __init__(self, count: int, seed: int, setting: FleetSetting, loop: Moments) -> None:
+        self.setting, self.seed, self.loop = setting, seed, loop
+        self.chance = Random(f"{seed}/hollow")
+        self.members = [Member(place) for place in places(count)]
+        self.by_name = {member.place.name: member for member in self.members}
+        self.net = Net(loop)
+        self.air = Air(Random(f"{seed}/air"),
+                       lambda one, other: self.by_name[one].place.way(self.by_name[other].place))
+        self.datagrams = Metered(loop, self.air)
+        self.net.datagram = self.datagrams.socket
+        everybody = frozenset(self.by_name)
+        if setting.loss:
+            self.air.blights[Blight(everybody, everybody, lost=setting.loss)] = None
+        self.spent = Spent("members", "shared")
+        self.wrong = 0  # judgements of members that run
+        self.blame = True
+        self.held = 0  # what the purses of those that ended had refused
+
+    # Processes.
+
+    def begin(self, member: Member) -> None:
+        setting, place = self.setting, member.place
+        member.lives += 1
+        host = member.host = Host(self.net, place.name, place.zone)
+        ways = Ways("hollow", KEY, int(setting.beat * SECOND), int(setting.wait_for_answer * SECOND),
+                    setting.most_bytes)
+        count = len(self.members)
+        dealt = {f"budget-{n:03}": Dealt(10 * count, 10, int(setting.lease * SECOND)) for n in range(setting.budgets)}
+        seeds = [one.place.address for one in self.members[:3]]
+        told = Told(place.name, place.zone, place.address, place.address, seeds, "", ways, budgets=dealt)
+
+        def begun() -> Fellows:
+            fellows = Fellows(told, VirtualGround(host), member.disk,
+                              Random(f"{self.seed}/{place.name}/{member.lives}"), Counters())
+            fellows.quiet = True
+            fellows.on_change.append(self._changed)
+            self.spent.around("members", fellows.core, "heard", "wake", "due", "leave")
+            if fellows.shared is not None:
+                self.spent.around("shared", fellows.shared, "heard", "wake", "due", "say", "joined", "ended",
+                                  "claimed", "leave")
+            fellows.begin()
+            return fellows
+        member.fellows = host.context.run(begun)
+
+    def introduce(self) -> None:
+        """All begin and know all, as if they had met long ago; nothing of that is news."""
+        for member in self.members:
+            self.begin(member)
+        introduced(self.running(), [fellows.core.me for fellows in self.running()], self.setting.lease)
+
+    def _changed(self, change: Change) -> None:
+        about = self.by_name.get(change.name)
+        if (self.blame and change.state == DEAD and about is not None and about.fellows is not None
+                and about.fellows.life == change.life):
+            self.wrong += 1
+
+    def end(self, member: Member, leaves: bool) -> None:
+        """As by SIGKILL, or with the word that it leaves."""
+        host, fellows = member.host, member.fellows
+        if host is None or fellows is None:
+            return
+        if leaves:
+            host.context.run(fellows.leave)
+            host.context.run(fellows.end)
+        self.held += self._held(fellows)
+        host.kill()
+        member.host = member.fellows = None
+
+    @staticmethod
+    def _held(fellows: Fellows) -> int:
+        shared = fellows.shared.carry.counts.get("held back", 0) if fellows.shared is not None else 0
+        return fellows.core.counts.get("held back", 0) + shared
+
+    def held_back(self) -> int:
+        return self.held + sum(map(self._held, self.running()))
+
+    def running(self) -> list[Fellows]:
+        return [member.fellows for member in self.members if member.fellows is not None]
+
+    # What all know.
+
+    def whole(self) -> bool:
+        """Whether each knows each that runs, in its life, nobody else as there, and whom it may carry for."""
+        running = self.running()
+        if any(fellows.core.size() != len(running) for fellows in running):
+            return False
+        lives = {fellows.core.me.name: fellows.core.me.life for fellows in running}
+        for fellows in running:
+            for name, life in lives.items():
+                member = fellows.core.members.get(name)
+                if name != fellows.core.me.name and (member is None or not member.here or member.row.life != life):
+                    return False
+            if fellows.shared is not None and len(fellows.shared.carry.peers) != len(running) - 1:
+                return False
+        return True
+
+    def knows_dead(self, name: str, life: int) -> bool:
+        for fellows in self.running():
+            member = fellows.core.members.get(name)
+            if member is not None and member.here and member.row.life <= life:
+                return False
+        return True
+
+    def has_record(self, name: str, topic: str, body: bytes) -> bool:
+        for fellows in self.running():
+            assert fellows.shared is not None
+            origin = fellows.shared.carry.origins.get(name)
+            record = origin.records.get(topic) if origin is not None else None
+            if record is None or record.body != body:
+                return False
+        return True
+
+    def carried(self) -> bool:
+        """Whether each has of each other what it would lend, and nothing is passed on any more."""
+        count = len(self.running())
+        for fellows in self.running():
+            carry = fellows.shared.carry if fellows.shared is not None else None
+            if fellows.core.gossip or carry is None or carry.news:
+                return False
+            if sum(SPARE in origin.records for origin in carry.origins.values()) != count:
+                return False
+        return True
+
+    async def rested(self) -> None:
+        """Nothing is new any more, and some seconds behind that."""
+        await self.until(self.carried)
+        await asyncio.sleep(self.setting.settle)
+
+    async def until(self, known: Callable[[], bool]) -> float:
+        """Seconds until it is so; the setting's patience where it never is."""
+        begun = self.loop.true_time()
+        while not known() and self.loop.true_time() - begun < self.setting.patience:
+            await asyncio.sleep(LOOK)
+        return self.loop.true_time() - begun
+
+    # What is measured.
+
+    def mark(self) -> float:
+        """A span begins."""
+        for tally in self.datagrams.tallies.values():
+            tally.clear()
+        self.spent.clear()
+        return self.loop.true_time()
+
+    def costs(self, begun: float) -> dict[str, float]:
+        span, count = self.loop.true_time() - begun, len(self.members)
+        tallies = self.datagrams.tallies.values()
+        out, into = (sum(sum(bins.values()) for bins in every)
+                     for every in ([t.out for t in tallies], [t.into for t in tallies]))
+        return {"out_s": out / span / count, "in_s": into / span / count,
+                "carried_s": sum(tally.carried for tally in tallies) / span / count,
+                "datagrams_s": sum(tally.datagrams for tally in tallies) / span / count,
+                "most_out": float(max(most(tally.out) for tally in tallies)),
+                "most_in": float(max(most(tally.into) for tally in tallies)),
+                "members_us": self.spent.ns["members"] / 1000 / span / count,
+                "shared_us": self.spent.ns["shared"] / 1000 / span / count}
+
+    def puts(self, member: Member, topic: str, body: bytes) -> None:
+        """As a user of carrying does: the driver passes it on at its next moment."""
+        host, fellows = member.host, member.fellows
+        if host is not None and fellows is not None and fellows.shared is not None:
+            carry = fellows.shared.carry
+            host.context.run(lambda: carry.put(topic, body, fellows.clock.now()))
+
+    def close(self) -> None:
+        for member in self.members:
+            if member.host is not None:
+                member.host.kill()
+
+
+
+def played(fleet: HollowFleet, play: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """Runs it in virtual time, and ends the fleet whatever happens. RuntimeError: a fault that nobody caught."""
+    try:
+        fleet.loop.run_until_complete(play())
+    finally:
+        fleet.close()
+        fleet.loop.close()
+    if fleet.loop.faults:
+        raise RuntimeError(f"a fault that nobody caught: {fleet.loop.faults[0]}")
+
+
+def fleet_of(point: int, seed: int, setting: FleetSetting) -> HollowFleet:
+    return HollowFleet(point, seed, setting, Moments())  # type: ignore[abstract]  # what is left out, nobody calls
+
+
+def peaked(costs: dict[str, float], name: str) -> dict[str, float]:
+    return {f"{name}_out_s": costs["out_s"], f"{name}_most_out": costs["most_out"],
+            f"{name}_most_in": costs["most_in"], f"{name}_us_s": costs["members_us"] + costs["shared_us"]}
+
+
+def peak_figures(peaks: dict[str, str]) -> dict[str, tuple[str, str]]:
+    """`peaks`: what happens in each, by its name."""
+    return {f"{peak}_{figure}": (unit, f"{text}: {what} (hollow, emulated)")
+            for peak, text in peaks.items()
+            for figure, unit, what in (
+                ("out_s", "bytes/s", "sent by a member, on the mean"),
+                ("most_out", "bytes", "the most that any sends in any second"),
+                ("most_in", "bytes", "the most that any takes in any second"),
+                ("us_s", "us/s", "processor time of the cores per member"))}
+
+
+def needed(point: int) -> tuple[int, float]:
+    """One process; measured 31 MiB at 10 members, 149 MiB at 200."""
+    return 1, 40 + point * 0.3 + point * point * 0.002
