--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -55,11 +55,18 @@
     from pathsaddle.emulator import plan as plans
     if explain:
         click.echo(explained(rows(plans.Plan if plan else Charter)))
+        if plan:
+            from pathsaddle.experiment import scale
+            click.echo(f"\nOf the ground scale:\n\n{explained(rows(scale.Plan))}")
     if file is None:
         if not explain:
             raise click.UsageError("neither a FILE nor --explain is said")
         return
-    (plans.read if plan else read)(file)
+    if plan:
+        from pathsaddle.experiment import grounds
+        grounds.read(file)
+    else:
+        read(file)
     click.echo(f"{file}: nothing is wrong")
 
 
@@ -173,7 +180,8 @@
     if ground == "scale":
         sys.exit(_scale(plan, table, said["folder"], said["jobs"], said["fresh"], said["short"]))
     if ground in grounds.PROGRAMS:
-        sys.exit(grounds.PROGRAMS[ground].play(grounds.PROGRAMS[ground].read(plan)))
+        program = grounds.PROGRAMS[ground]()
+        sys.exit(program.play(program.read(plan)))
     sys.exit(_emulated(plan, said["folder"] or "runs", said["ground"], said["jobs"], said["seeds"], said["fresh"]))
 
 
@@ -352,20 +360,26 @@
 @click.option("--plans", default="experiments", show_default=True)
 def list_(folder: str, plans: str) -> None:
     """The plans that are here, and what is kept of each."""
-    from pathsaddle.charter.check import Faulty
-    from pathsaddle.emulator import plan as forms
-    found = sorted(Path(plans).glob("*.toml"))
+    from pathsaddle.experiment import grounds, scale
+    found = [*sorted(Path(plans).glob("*.toml")), *sorted(Path(plans).glob("scale/*.toml"))]
     if not found:
         raise NoPlans(folder=plans)
     for path in found:
         try:
-            told = forms.read(path)
-        except Faulty as fault:
-            click.echo(f"{path}: {fault.faults[0]}")
+            ground, told = grounds.read(path)
+        except Error as fault:
+            click.echo(f"{path}: {next(iter(getattr(fault, 'faults', [])), fault)}")
             continue
-        kept = _store(folder, told.name).read()
-        click.echo(f"{path}: {told.about or told.name} ({len(told.all_seeds)} seeds, {len(told.variants) + 1} "
-                   f"variants; {len(kept)} results kept)")
+        name, about = grounds.named(ground, told)
+        if ground in grounds.EMULATED:
+            kept = _store(folder, name).read()
+            what = f"{len(told.all_seeds)} seeds, {len(told.variants) + 1} variants; {len(kept)} results kept"
+        elif ground == "scale":
+            kept = scale.Store(Path(folder or path.parent / "kept") / f"{name}.jsonl").read()
+            what = f"scale, {len(told.points)} points, {told.plays} plays; {len(kept)} plays kept"
+        else:
+            what = f"a target of {len(told.rows)} rows" if ground == "target" else ground
+        click.echo(f"{path}: {about} ({what})")
 
 
 def main() -> int:
--- a/pathsaddle/emulator/federation/smoke.py
+++ b/pathsaddle/emulator/federation/smoke.py
@@ -1,4 +1,4 @@
-"""Runs a plan of federated regions on the virtual ground: `python -m pathsaddle.emulator.federation.smoke PLAN`.
+"""Runs a plan of federated regions on the virtual ground: `python -m pathsaddle experiment run PLAN`.
 
 Each course of trouble, load and seed is played off, plain and on with the same clients; each log is judged
 alone. Figures come last; exit 0 only if every bound holds, 1 for one that doesn't, 2 for a plan that can't be
@@ -12,7 +12,7 @@
 import sys
 import time
 from collections import Counter
-from typing import Any
+from typing import Any, Literal
 
 import msgspec
 
@@ -77,10 +77,11 @@
     seeds that each
     mutant may need until it is found; 0: none are run. depth: of the model of versions, with three
     members.
-    bounds: beside the judge's.
+    bounds: beside the judge's. ground: federation.
     """
 
     name: str
+    ground: Literal["federation"] = "federation"
     about: str = ""
     members: int = 5
     seconds: int = 60
@@ -220,17 +221,25 @@
         print("usage: python -m pathsaddle.emulator.federation.smoke PLAN", file=sys.stderr)
         return 2
     try:
-        plan = check(SmokeForm, load(sys.argv[1]), sys.argv[1])
+        plan = read(sys.argv[1])
     except Faulty as fault:
-        for one in fault.faults:
-            print(one, file=sys.stderr)
-        return 2
-    unknown = [NotAmong(sys.argv[1], key, shown=repr(name), may=f"some of {', '.join(known)}")
-               for key, told, known in (("courses", plan.courses, COURSES), ("hows", plan.hows, HOWS))
-               for name in told if name not in known]
-    if unknown:
-        print(*unknown, sep="\n", file=sys.stderr)
+        print(fault, file=sys.stderr)
         return 2
+    return play(plan)
+
+
+def read(path: str) -> SmokeForm:
+    """A plan, checked whole. Raises Faulty."""
+    plan = check(SmokeForm, load(path), path)
+    if unknown := [NotAmong(path, key, shown=repr(name), may=f"some of {', '.join(known)}")
+                   for key, told, known in (("courses", plan.courses, COURSES), ("hows", plan.hows, HOWS))
+                   for name in told if name not in known]:
+        raise Faulty([*unknown])
+    return plan
+
+
+def play(plan: SmokeForm) -> int:
+    """The end code: 0 only if every bound held; figures printed last."""
     before, began = ruler(), time.process_time()
     wrong = run(plan)
     took = (time.process_time() - began) * 2 * RULER / (before + ruler())
--- a/pathsaddle/emulator/overload/plan.py
+++ b/pathsaddle/emulator/overload/plan.py
@@ -55,6 +55,7 @@
 
 
 class Smoke(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    ground: Literal["overload"] = "overload"
     name: str
     about: str = ""
     seeds: list[int]
--- a/pathsaddle/emulator/overload/smoke.py
+++ b/pathsaddle/emulator/overload/smoke.py
@@ -1,9 +1,9 @@
 """Plays a plan of overload on its virtual ground, judges each run from its log alone,
 and prints the figures last.
 
-`python -m pathsaddle.emulator.overload.smoke experiments/overload-smoke.toml`; it ends with 0 only if every
+`python -m pathsaddle experiment run experiments/overload-smoke.toml`; it ends with 0 only if every
 bound held in every run and each mutant was found under its name.
-`--policy NAME` plays a baseline instead; `--json` prints rows.
+`python -m pathsaddle.emulator.overload.smoke PLAN --policy NAME` plays a baseline instead; `--json` prints rows.
 """
 
 from __future__ import annotations
@@ -21,7 +21,7 @@
 
 from pathsaddle.emulator.overload.ground import Ground
 from pathsaddle.emulator.overload.judge import Judge, cut_off
-from pathsaddle.emulator.overload.plan import POLICIES, Plan, of
+from pathsaddle.emulator.overload.plan import POLICIES, Plan, Smoke, of
 from pathsaddle.fleet.overload.faults import BadPlan
 
 AT_ONCE = min(8, os.cpu_count() or 4)
@@ -56,6 +56,11 @@
     policy = names[1] if "--policy" in options and len(names) > 1 else ""
     if policy and policy not in POLICIES:
         raise BadPlan(f"--policy: no policy is called {policy!r}", f"write after --policy one of {', '.join(POLICIES)}")
+    return run(smoke, policy, "--json" in options)
+
+
+def run(smoke: Smoke, policy: str = "", as_json: bool = False) -> int:
+    """The end code: 0 only if every bound held and each mutant was found; figures printed last."""
     began = time.monotonic()
     runs = [(msgspec.structs.replace(plan, policy=policy) if policy else plan, seed)
             for plan in smoke.plans for seed in smoke.seeds]
@@ -66,7 +71,7 @@
         rows = list(pool.map(play, *zip(*runs + mutants, strict=True)))
     good = True
     for row in rows:
-        if "--json" in options:
+        if as_json:
             print(json.dumps(row))
         if row["mutant"]:
             bound, _ = smoke.mutants[row["mutant"]]
--- a/pathsaddle/emulator/ownership/smoke.py
+++ b/pathsaddle/emulator/ownership/smoke.py
@@ -1,17 +1,23 @@
-"""python -m pathsaddle.emulator.ownership.smoke PLAN [--seeds N] [--first N] [--members N] [--voters N]
-[--only trouble]: what a plan says, in virtual time; figures last; exit 0 only if every bound holds."""
+"""What a plan of owners says, in virtual time; figures last; exit 0 only if every bound holds.
+
+    python -m pathsaddle experiment run experiments/owner-smoke.toml
+    python -m pathsaddle.emulator.ownership.smoke PLAN [--seeds N] [--first N] [--members N] [--voters N] [--only trouble]
+"""
 
 from __future__ import annotations
 
 import argparse
 import sys
 import time
-import tomllib
-from pathlib import Path
 from random import Random
-from typing import Any
+from typing import Annotated, Literal
+
+import msgspec
+from msgspec import Meta
 
-from pathsaddle.charter.units import duration
+from pathsaddle.charter.check import Faulty, NotAmong, check, load
+from pathsaddle.charter.form import Count, Form
+from pathsaddle.charter.units import Duration
 from pathsaddle.emulator.ownership import linear
 from pathsaddle.emulator.ownership.faults import troubled
 from pathsaddle.emulator.ownership.ground import Ground, MemberHost
@@ -87,28 +93,81 @@
             "cpu_ms": spent * 1000 / span}
 
 
+class Plan(Form):
+    """A plan of owners.
+
+    ground: owners.
+    name: how it is called.
+    about: what it is to show.
+    first: seed of trouble.
+    seeds: how many from there.
+    members: of a fleet.
+    voters: among them.
+    seconds: of trouble; then calm.
+    large: seeds with 40 members.
+    kept: further seeds that found something once.
+    plays: of each fault at each length of lease.
+    leases: how long a key is held without renewal.
+    keys: of one owner, whose renewals are counted.
+    mutants: planted faults, each with a seed that finds it.
+    """
+
+    name: str
+    ground: Literal["owners"] = "owners"
+    about: str = ""
+    first: int = 0
+    seeds: Annotated[int, Meta(ge=0)] = 0
+    members: Count = 5
+    voters: Count = 3
+    seconds: Count = 40
+    large: Annotated[int, Meta(ge=0)] = 0
+    kept: list[int] = msgspec.field(default_factory=list)
+    plays: Count = 20
+    leases: list[Duration] = msgspec.field(default_factory=list)
+    keys: list[Count] = msgspec.field(default_factory=list)
+    mutants: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+def read(path: str) -> Plan:
+    """A plan, checked whole. Raises Faulty."""
+    plan = check(Plan, load(path), path)
+    if unknown := [NotAmong(path, f"mutants.{name}", shown=repr(name), may=f"one of {', '.join(FOUND)}")
+                   for name in plan.mutants if name not in FOUND]:
+        raise Faulty([*unknown])
+    return plan
+
+
 def main(words: list[str]) -> int:
-    parser = argparse.ArgumentParser(prog="pathsaddle.emulator.ownership.smoke", description=__doc__)
-    parser.add_argument("plan", type=Path)
+    parser = argparse.ArgumentParser(prog="pathsaddle.emulator.ownership.smoke", description=__doc__,
+                                     formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("plan")
     for word in ("seeds", "first", "members", "voters"):
         parser.add_argument(f"--{word}", type=int)
     parser.add_argument("--only", choices=("trouble",))
     said = parser.parse_args(words)
-    plan: dict[str, Any] = tomllib.loads(said.plan.read_text())
-    plan |= {word: getattr(said, word) for word in ("seeds", "first", "members", "voters")
-             if getattr(said, word) is not None}
+    try:
+        plan = read(said.plan)
+    except Faulty as fault:
+        print(fault, file=sys.stderr)
+        return 2
+    return play(msgspec.structs.replace(plan, **{word: getattr(said, word) for word in (
+        "seeds", "first", "members", "voters") if getattr(said, word) is not None}), said.only is not None)
+
+
+def play(plan: Plan, trouble_alone: bool = False) -> int:
+    """The end code: 0 only if every bound holds; figures printed last."""
     wrong, figures, begun = [], [], time.monotonic()
 
-    seeds = [*range(plan["first"], plan["first"] + plan["seeds"]), *([] if said.only else plan["kept"])]
-    for members, some in ((plan["members"], seeds), (40, [] if said.only else list(range(plan["large"])))):
+    seeds = [*range(plan.first, plan.first + plan.seeds), *([] if trouble_alone else plan.kept)]
+    for members, some in ((plan.members, seeds), (40, [] if trouble_alone else list(range(plan.large)))):
         if some:
-            faults, sums = trouble(some, members, plan["voters"], plan["seconds"])
+            faults, sums = trouble(some, members, plan.voters, plan.seconds)
             wrong += faults
-            figures.append(f"{len(some)} seeds of {plan['seconds']} s of trouble, {members} members, "
-                           f"{plan['voters']} voters: "
+            figures.append(f"{len(some)} seeds of {plan.seconds} s of trouble, {members} members, "
+                           f"{plan.voters} voters: "
                            + ", ".join(f"{value} {name}" for name, value in sums.items()))
-    if not said.only:
-        for name, seed in plan["mutants"].items():
+    if not trouble_alone:
+        for name, seed in plan.mutants.items():
             with mutant(name):
                 ground = troubled(seed)
             found = [one for one, _ in judge(ground.events.rows).findings if one in FOUND[name]]
@@ -116,16 +175,16 @@
                 figures.append(f"mutant {name}: {found[0]}")
             else:
                 wrong.append(f"mutant {name} was not found at seed {seed}")
-        for lease in map(duration, plan["leases"]):
+        for lease in plan.leases:
             for fault in FAULTS:
-                spans = sorted(without(fault, lease, seed) for seed in range(plan["plays"]))
+                spans = sorted(without(fault, lease, seed) for seed in range(plan.plays))
                 if spans[-1] > BOUND[fault](lease):
                     wrong.append(f"{spans[-1] / 10:.0f} ms without an owner after {fault} with a lease of "
                                  f"{lease / 10:.0f} ms")
                 figures.append(f"lease {lease / 10:.0f} ms, {fault}: without an owner p50 "
                                f"{spans[len(spans) // 2] / 10:.0f}, "
                                f"p99 {spans[len(spans) * 99 // 100] / 10:.0f}, most {spans[-1] / 10:.0f} ms")
-        for keys in plan["keys"]:
+        for keys in plan.keys:
             cost = renewals(keys)
             if cost["syncs"]:
                 wrong.append(f"{cost['syncs']} syncs a second for renewals alone")
@@ -137,7 +196,7 @@
         print(f"BROKEN {text}")
     for text in figures:
         print(text)
-    print(f"{plan['name']}: {'broken' if wrong else 'every bound holds'}, {time.monotonic() - begun:.1f} s")
+    print(f"{plan.name}: {'broken' if wrong else 'every bound holds'}, {time.monotonic() - begun:.1f} s")
     return 1 if wrong else 0
 
 
--- a/pathsaddle/emulator/placement/smoke.py
+++ b/pathsaddle/emulator/placement/smoke.py
@@ -1,4 +1,4 @@
-"""python -m pathsaddle.emulator.placement.smoke PLAN: worlds of islands over seeds and policies, judged from
+"""python -m pathsaddle experiment run PLAN (ground = "placement"): worlds of islands over seeds and policies, judged from
 their logs alone.
 
 Figures last; exits 0 only if every bound of the plan holds and each mutant is found under its name, 2 for a
@@ -11,7 +11,7 @@
 from dataclasses import fields
 from pathlib import Path
 from statistics import mean
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import msgspec
 
@@ -23,7 +23,7 @@
 from pathsaddle.placement.faults import Key, PlacementFault
 from pathsaddle.placement.files import table
 
-KEYS = ("name", "about", "seeds", "policies", "mutants", "site", "trouble", "bounds")
+KEYS = ("ground", "name", "about", "seeds", "policies", "mutants", "site", "trouble", "bounds")
 BOUNDS = ("broken", "work", "gap")
 
 
@@ -35,6 +35,7 @@
 
 AtLeastOne = msgspec.Meta(min_length=1)
 SHAPES: tuple[tuple[str, Any, str], ...] = (  # key, what stands there, in words
+    ("ground", Literal["placement"], '"placement"'),
     ("seeds", Annotated[list[int], AtLeastOne], "a list of one whole number or more"),
     ("policies", Annotated[list[str], AtLeastOne], "a list of one policy or more"),
     ("site", Site, "a table of numbers as docs/placement.md has them"),
@@ -127,6 +128,11 @@
     except PlacementFault as fault:
         print(fault, file=sys.stderr)
         return fault.code
+    return play(told)
+
+
+def play(told: dict[str, Any]) -> int:
+    """The end code: 0 only if all bounds hold; figures printed last."""
     lines, holds = run(told)
     print("\n".join(lines))
     return 0 if holds else 1
--- a/pathsaddle/emulator/state/smoke.py
+++ b/pathsaddle/emulator/state/smoke.py
@@ -1,6 +1,6 @@
 """Plays a plan of the shared state's ground and prints its figures last; exit 0 only if every bound held.
 
-    python -m pathsaddle.emulator.state.smoke experiments/shared-smoke.toml
+    python -m pathsaddle experiment run experiments/shared-smoke.toml
     python -m pathsaddle.emulator.state.smoke experiments/shared-smoke.toml --seeds 500 --members 20 --first 0
 
 With --seeds only those seeds of random faults are played, and judged. Entirely virtual: the same figures
@@ -12,6 +12,7 @@
 import argparse
 import sys
 from dataclasses import dataclass, field
+from typing import Literal
 
 import msgspec
 
@@ -42,13 +43,14 @@
 
 
 class Smoke(Form):
-    """name, about: of the plan. mutants: by name, each of which must be found."""
+    """ground: shared. name, about: of the plan. mutants: by name, each of which must be found."""
 
     name: str
     about: str
     seeds: list[Seeds]
     measured: list[Measured]
     mutants: list[str] = msgspec.field(default_factory=list)
+    ground: Literal["shared"] = "shared"
 
 
 @dataclass
@@ -171,16 +173,26 @@
     words.add_argument("--members", type=int, default=5)
     told = words.parse_args()
     try:
-        plan = check(Smoke, load(told.plan), told.plan)
-        unknown = [name for name in plan.mutants if name not in mutants.MUTANTS]
-        if unknown:
-            raise Faulty([NotAmong(told.plan, "mutants", shown=repr(name), may=f"some of {', '.join(mutants.MUTANTS)}")
-                          for name in unknown])
+        plan = read(told.plan)
     except Faulty as faulty:
         print(faulty, file=sys.stderr)
         return 2
     if told.seeds:
         return int(play_seeds(told.members, told.first, told.seeds)[0] > 0)
+    return play(plan)
+
+
+def read(path: str) -> Smoke:
+    """A plan, checked whole. Raises Faulty."""
+    plan = check(Smoke, load(path), path)
+    if unknown := [name for name in plan.mutants if name not in mutants.MUTANTS]:
+        raise Faulty([NotAmong(path, "mutants", shown=repr(name), may=f"some of {', '.join(mutants.MUTANTS)}")
+                      for name in unknown])
+    return plan
+
+
+def play(plan: Smoke) -> int:
+    """The end code: 0 only if every bound held; figures printed last."""
     broken = sum(play_seeds(one.members, one.first, one.count)[0] for one in plan.seeds)
     for name in plan.mutants:
         try:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -343,6 +343,20 @@
             slope.fit("p.f", {10: [1.0], 20: [2.0]})
         self.reads(str(few.exception), "experiment.few-points", "p.f", "2 points from 10 to 20")
 
+    def test_capacity(self) -> None:
+        ours = (ROOT / "experiments/scale/target.toml").read_text()
+        numbers = ours[:ours.index("[[assumptions]]")]
+        row = ('[[rows]]\nrole = "worker"\nwhat = "w"\nfigure = "tally.bytes"\nat = "workers"\nlimit = 3\n'
+               'mechanism = "choice.py"\n')
+        target = self.file(numbers + row, "target.toml")
+        self.says(("experiment", "capacity", target), 2, "experiment.no-slope", "target.toml: rows[0].figure",
+                  "tally.bytes", "tally.toml")
+        self.says(("experiment", "capacity", self.file(numbers + row + "limits = 3\n", "target.toml")), 2,
+                  "charter.unknown-key", "rows[0].limits", "limit")
+        target, none = self.file(numbers + row, "target.toml"), str(self.folder / "none.md")
+        for page, name in ((none, "experiment.no-page"), (self.file("no marks\n", "page.md"), "experiment.no-marks")):
+            self.says(("experiment", "capacity", target, "--partial", "--page", page), 2, name, page)
+
     def test_experiments(self) -> None:
         for name, seed in (("a", 1), ("b", 2)):
             Store(self.folder / name).add(Result(
