--- a/pathsaddle/emulator/hollow/tally.py
+++ b/pathsaddle/emulator/hollow/tally.py
@@ -1,7 +1,8 @@
-"""The rig's own check, hollow: counts the bytes of one round in which each member tells each other of a few peers.
+"""The rig's own check, hollow: counts the bytes of one round in which each member tells each other of a few
+peers.
 
-Nothing is started or sent. Its figures are known beforehand by arithmetic, so a run of it shows that the rig plays,
-keeps and fits what it is told.
+Nothing is started or sent. Its figures are known beforehand by arithmetic, so a run of it shows that the rig
+plays, keeps and fits what it is told.
 """
 
 from __future__ import annotations
@@ -38,5 +39,8 @@
     chance = Random(seed)
     messages = [HEAD + len(chance.randbytes(setting.entry)) for _ in range(min(setting.peers, point - 1))]
     each = sum(messages)
-    return {"bytes": float(point * each), "whole_bytes": float(point * (point - 1) * (HEAD + setting.entry)),
-            "longest": float(max(messages, default=0))}
+    return {
+        "bytes": float(point * each),
+        "whole_bytes": float(point * (point - 1) * (HEAD + setting.entry)),
+        "longest": float(max(messages, default=0)),
+    }
--- a/pathsaddle/experiment/capacity.py
+++ b/pathsaddle/experiment/capacity.py
@@ -1,8 +1,8 @@
 """What each role costs at a target's size, from the slopes of kept plays: Markdown tables, worst fit first.
 
-A target file says how large (`[numbers]`), what is assumed beside it (`[[assumptions]]`) and which figure of which plan
-is held against which limit (`[[rows]]`). Nothing is measured here: plans are read for units and candidates, results
-from their folder.
+A target file says how large (`[numbers]`), what is assumed beside it (`[[assumptions]]`) and which figure of
+which plan is held against which limit (`[[rows]]`). Nothing is measured here: plans are read for units and
+candidates, results from their folder.
 """
 
 from __future__ import annotations
@@ -170,10 +170,13 @@
     def amiss(self) -> Iterator[Amiss]:
         def missing(key: str, may: str) -> Amiss:
             return Amiss(key, Missing, may=may)
+
         if self.figure and self.value is not None:
             yield Amiss("value", Fault, "a value stands there beside a figure", "take one of them out")
         if self.figure and (len(self.figure.split(".")) != 2 or "/" in self.figure):
-            yield Amiss("figure", WrongKind, shown=shown(self.figure), may="PLAN.FIGURE, such as tally.bytes,")
+            yield Amiss(
+                "figure", WrongKind, shown=shown(self.figure), may="PLAN.FIGURE, such as tally.bytes,"
+            )
         if self.figure and self.at == "":
             yield missing("at", "a key of numbers, or a number")
         if self.value is not None and not self.source:
@@ -225,10 +228,19 @@
         elif one.key:
             known.append(one.key)
     for i, row in enumerate(target.rows):
-        keys = [("at", row.at), ("limit", row.limit), *((f"times[{j}]", key) for j, key in enumerate(row.times)),
-                *((f"per[{j}]", key) for j, key in enumerate(row.per))]
-        faults += [NotAmong(file, f"rows[{i}].{key}", shown=shown(value), may=f"one of {', '.join(known)}, or a number")
-                   for key, value in keys if isinstance(value, str) and value and value not in known]
+        keys = [
+            ("at", row.at),
+            ("limit", row.limit),
+            *((f"times[{j}]", key) for j, key in enumerate(row.times)),
+            *((f"per[{j}]", key) for j, key in enumerate(row.per)),
+        ]
+        faults += [
+            NotAmong(
+                file, f"rows[{i}].{key}", shown=shown(value), may=f"one of {', '.join(known)}, or a number"
+            )
+            for key, value in keys
+            if isinstance(value, str) and value and value not in known
+        ]
     if faults:
         raise Faulty(faults)
     return target
@@ -236,13 +248,15 @@
 
 def sizes(target: Target) -> dict[str, float]:
     """By key: the numbers, and what is assumed under a key."""
-    return msgspec.structs.asdict(target.numbers) | {one.key: float(one.value) for one in target.assumptions if one.key}
+    return msgspec.structs.asdict(target.numbers) | {
+        one.key: float(one.value) for one in target.assumptions if one.key
+    }
 
 
 @dataclass
 class Plays:
-    """A plan's kept plays, the last whole one of each point and seed. old: of another text of the measure or setting.
-    faulted: points and seeds that never came to their end."""
+    """A plan's kept plays, the last whole one of each point and seed. old: of another text of the measure or
+    setting. faulted: points and seeds that never came to their end."""
 
     plan: scale.Scale
     results: list[scale.Kept]
@@ -272,8 +286,12 @@
                 elif one.point in plan.plan.points:
                     last[one.point, one.seed] = one
             results = [last[key] for key in sorted(last)]
-            self.seen[name] = Plays(plan, results, sum(one.digest != plan.digest(one.point) for one in results),
-                                    sum(key not in last for key in faulted))
+            self.seen[name] = Plays(
+                plan,
+                results,
+                sum(one.digest != plan.digest(one.point) for one in results),
+                sum(key not in last for key in faulted),
+            )
         return self.seen[name]
 
     def slope(self, path: str, figure: str) -> Slope:
@@ -285,16 +303,21 @@
 
         def none(why: str, mend: str) -> NoSlope:
             return NoSlope(file=self.file, path=path, figure=figure, why=why, mend=mend)
+
         if not (self.plans / f"{name}.toml").exists():
             raise none(f"there is no plan {name}.toml", f"write {self.plans / name}.toml")
         try:
             plays = self.plays(name)
         except Faulty as fault:
-            raise none(f"its plan can't be used: {fault.faults[0].text}",
-                       f"mend what `pathsaddle check --plan {self.plans / name}.toml` says") from None
+            raise none(
+                f"its plan can't be used: {fault.faults[0].text}",
+                f"mend what `pathsaddle check --plan {self.plans / name}.toml` says",
+            ) from None
         if short not in plays.plan.module.FIGURES:
-            raise none(f"measure {plays.plan.plan.measure} has no such figure",
-                       f"write one of {scale.listed(plays.plan.module.FIGURES)} there")
+            raise none(
+                f"measure {plays.plan.plan.measure} has no such figure",
+                f"write one of {scale.listed(plays.plan.module.FIGURES)} there",
+            )
         if not plays.results:
             raise none(f"no play of it is kept in {self.kept / name}.jsonl", run)
         law = next((one.law for one in plays.plan.plan.slopes if one.figure == short), None)
@@ -332,8 +355,10 @@
 
 def held(row: Row, path: str, folder: Folder, known: dict[str, float]) -> Held:
     """Raises NoSlope."""
+
     def of(value: float | str) -> float:
         return known[value] if isinstance(value, str) else float(value)
+
     limit = None if row.limit == "" else of(row.limit)
     n, slope, prediction = 0.0, None, None
     if row.figure:
@@ -343,14 +368,17 @@
         value = prediction.value
     else:
         value = row.value or 0.0
-    value *= row.factor * math.prod(known[key] for key in row.times) / math.prod(known[key] for key in row.per)
+    value *= (
+        row.factor * math.prod(known[key] for key in row.times) / math.prod(known[key] for key in row.per)
+    )
     above, below = (value, limit) if row.least else (limit, value)
     fits = math.inf if above is None or below is None or below <= 0 else above / below
     return Held(row, value, limit, fits, n, slope, prediction)
 
 
 def how(one: Held, folder: Folder) -> str:
-    """How the figure is known: measured, between points, or from which points, by which law, how far beyond."""
+    """How the figure is known: measured, between points, or from which points, by which law, how far
+    beyond."""
     row, slope, prediction = one.row, one.slope, one.prediction
     if slope is None or prediction is None:
         return f"reckoned: {row.source}"
@@ -358,18 +386,24 @@
     words = [folder.kind(row.figure)] if folder.kind(row.figure) else []
     at = f"{one.n:,.10g} {plan.against}"
     if prediction.measured:
-        words.append(f"measured at {at}, {slope.plays} plays or more that differ by {slope.spread:.1%} at most")
+        words.append(
+            f"measured at {at}, {slope.plays} plays or more that differ by {slope.spread:.1%} at most"
+        )
     elif prediction.beyond <= 1:
         words.append(f"at {at}, between measured points, by {told(slope)}")
     else:
         points = ", ".join(f"{point:,g}" for point in slope.points)
-        words.append(f"extrapolated to {at} from {points} by {told(slope)}, {prediction.beyond:.2g} times beyond the last"
-                     f"{f' {MARK}' if prediction.beyond > FAR else ''}")
+        words.append(
+            f"extrapolated to {at} from {points} by {told(slope)}, {prediction.beyond:.2g} times beyond the "
+            f"last{f' {MARK}' if prediction.beyond > FAR else ''}"
+        )
         others = []
         for law in slope.rivals:
             plays = scale.by_point(folder.seen[plan.name].results, row.figure.partition(".")[2])
             other = fit(row.figure, plays, [law]).at(one.n)
-            others.append(f"{number(other * (one.value / prediction.value if prediction.value else 1))} by {WORDS[law]}")
+            others.append(
+                f"{number(other * (one.value / prediction.value if prediction.value else 1))} by {WORDS[law]}"
+            )
         if others:
             words.append(f"not ruled out: {', '.join(others)}")
     if row.at_factor != 1:
@@ -386,6 +420,7 @@
 def table(head: tuple[str, ...], rows: Sequence[tuple[str, ...]]) -> list[str]:
     def line(cells: tuple[str, ...]) -> str:
         return "| " + " | ".join(cell.replace("|", "/").replace("\n", " ") for cell in cells) + " |"
+
     return [line(head), line(("---",) * len(head)), *map(line, rows), ""]
 
 
@@ -404,8 +439,8 @@
 
 
 def tables(path: str | Path, kept: str | Path | None = None, partial: bool = False) -> tuple[str, list[str]]:
-    """(the tables as Markdown, what is to be said of the results beside them). Without `partial` a row without a slope
-    raises NoSlope; with it such rows are listed as not measured."""
+    """(the tables as Markdown, what is to be said of the results beside them). Without `partial` a row
+    without a slope raises NoSlope; with it such rows are listed as not measured."""
     target = read(path)
     folder = Folder(str(path), Path(path).parent, Path(kept) if kept else Path(path).parent / "kept")
     known = sizes(target)
@@ -430,22 +465,66 @@
     carried.sort(key=lambda one: one.fits)
     text: list[str] = []
     if without:
-        text += ["### What nothing carries", "", *table(
-            ("role", "what", "what happens instead", "begins to hurt at", "at the target", "note"),
-            [(row.role, row.what, row.instead, row.hurts_at,
-              f"{number(one.value)}; {how(one, folder)}" if one else "-", row.note or "-") for row, one in without])]
+        text += [
+            "### What nothing carries",
+            "",
+            *table(
+                ("role", "what", "what happens instead", "begins to hurt at", "at the target", "note"),
+                [
+                    (
+                        row.role,
+                        row.what,
+                        row.instead,
+                        row.hurts_at,
+                        f"{number(one.value)}; {how(one, folder)}" if one else "-",
+                        row.note or "-",
+                    )
+                    for row, one in without
+                ],
+            ),
+        ]
     if carried:
-        text += ["### What is carried, worst fit first", "", *table(
-            ("fits", "role", "what", "at the target", "limit", "how it is known", "mechanism", "plan", "note"),
-            [(times(one.fits), one.row.role, one.row.what, number(one.value), limit(one), how(one, folder),
-              f"`{one.row.mechanism}`", f"`{one.row.figure}`" if one.row.figure else "-", one.row.note or "-")
-             for one in carried])]
+        text += [
+            "### What is carried, worst fit first",
+            "",
+            *table(
+                (
+                    "fits",
+                    "role",
+                    "what",
+                    "at the target",
+                    "limit",
+                    "how it is known",
+                    "mechanism",
+                    "plan",
+                    "note",
+                ),
+                [
+                    (
+                        times(one.fits),
+                        one.row.role,
+                        one.row.what,
+                        number(one.value),
+                        limit(one),
+                        how(one, folder),
+                        f"`{one.row.mechanism}`",
+                        f"`{one.row.figure}`" if one.row.figure else "-",
+                        one.row.note or "-",
+                    )
+                    for one in carried
+                ],
+            ),
+        ]
     if not_measured:
         text += ["### Not measured yet", "", *table(("role", "what", "figure", "why"), not_measured)]
     text += assumed(target, folder, known, carried)
     text += sources(folder)
-    notes = [f"{name}: {plays.old} of {len(plays.results)} kept plays are of another text of the measure or its setting"
-             for name, plays in folder.seen.items() if plays.old]
+    notes = [
+        f"{name}: {plays.old} of {len(plays.results)} kept plays are of another text of the measure or its "
+        "setting"
+        for name, plays in folder.seen.items()
+        if plays.old
+    ]
     return "\n".join(text).rstrip() + "\n", notes
 
 
@@ -456,14 +535,28 @@
         worst = "-"
         if one.key:
             twice = known | {one.key: 2 * known[one.key]}
-            again = [held(row.row, "", folder, twice) for row in carried
-                     if one.key in (row.row.at, row.row.limit, *row.row.times, *row.row.per)]
+            again = [
+                held(row.row, "", folder, twice)
+                for row in carried
+                if one.key in (row.row.at, row.row.limit, *row.row.times, *row.row.per)
+            ]
             again.sort(key=lambda held: held.fits)
-            worst = f"{again[0].row.role}, {again[0].row.what}: fits {times(again[0].fits)}" if again else "no row names it"
+            worst = (
+                f"{again[0].row.role}, {again[0].row.what}: fits {times(again[0].fits)}"
+                if again
+                else "no row names it"
+            )
         value = number(one.value) if isinstance(one.value, float | int) else one.value
         rows.append((one.what, value, one.reason, one.if_twice, worst))
-    return ["### Assumptions", "", *table(("what", "value", "reason", "if it is twice as much", "worst of its rows then"),
-                                          rows)] if rows else []
+    return (
+        [
+            "### Assumptions",
+            "",
+            *table(("what", "value", "reason", "if it is twice as much", "worst of its rows then"), rows),
+        ]
+        if rows
+        else []
+    )
 
 
 def sources(folder: Folder) -> list[str]:
@@ -471,19 +564,59 @@
     laws = []
     for figure, slope in sorted(folder.slopes.items()):
         plan = folder.seen[figure.partition(".")[0]].plan.plan
-        laws.append((f"`{figure}`", f"{folder.unit(figure)}{f', {folder.kind(figure)}' if folder.kind(figure) else ''}",
-                     f"{', '.join(f'{point:,g}' for point in slope.points)} {plan.against}", str(slope.plays), told(slope),
-                     judged(slope) or "-", f"{slope.unexplained:.2%}", f"{slope.worst:.1%} at {slope.worst_at:,g}",
-                     f"{slope.spread:.1%}"))
-    text = ["### Slopes", "", *table(("figure", "unit", "points", "plays", "law", "other laws", "unexplained",
-                                      "worst point", "plays differ by"), laws)] if laws else []
-    plays = [(f"`{name}`", str(len(one.results)), str(one.faulted),
-              "; ".join(sorted({kept.machine for kept in one.results})),
-              ", ".join(sorted({kept.commit for kept in one.results})),
-              ", ".join(sorted({kept.when[:10] for kept in one.results})))
-             for name, one in sorted(folder.seen.items()) if one.results]
+        laws.append(
+            (
+                f"`{figure}`",
+                f"{folder.unit(figure)}{f', {folder.kind(figure)}' if folder.kind(figure) else ''}",
+                f"{', '.join(f'{point:,g}' for point in slope.points)} {plan.against}",
+                str(slope.plays),
+                told(slope),
+                judged(slope) or "-",
+                f"{slope.unexplained:.2%}",
+                f"{slope.worst:.1%} at {slope.worst_at:,g}",
+                f"{slope.spread:.1%}",
+            )
+        )
+    text = (
+        [
+            "### Slopes",
+            "",
+            *table(
+                (
+                    "figure",
+                    "unit",
+                    "points",
+                    "plays",
+                    "law",
+                    "other laws",
+                    "unexplained",
+                    "worst point",
+                    "plays differ by",
+                ),
+                laws,
+            ),
+        ]
+        if laws
+        else []
+    )
+    plays = [
+        (
+            f"`{name}`",
+            str(len(one.results)),
+            str(one.faulted),
+            "; ".join(sorted({kept.machine for kept in one.results})),
+            ", ".join(sorted({kept.commit for kept in one.results})),
+            ", ".join(sorted({kept.when[:10] for kept in one.results})),
+        )
+        for name, one in sorted(folder.seen.items())
+        if one.results
+    ]
     if plays:
-        text += ["### Plays", "", *table(("plan", "plays", "never ended", "machine", "commits", "days"), plays)]
+        text += [
+            "### Plays",
+            "",
+            *table(("plan", "plays", "never ended", "machine", "commits", "days"), plays),
+        ]
     return text
 
 
--- a/pathsaddle/experiment/grounds.py
+++ b/pathsaddle/experiment/grounds.py
@@ -2,8 +2,9 @@
 
     python -m pathsaddle experiment run PLAN
 
-virtual and sockets play the whole program among emulated peers (emulator/plan.py), scale measures at growing sizes
-(experiment/scale.py); the others have programs of their own, which are loaded when one of their plans is.
+virtual and sockets play the whole program among emulated peers (emulator/plan.py), scale measures at growing
+sizes (experiment/scale.py); the others have programs of their own, which are loaded when one of their plans
+is.
 """
 
 from __future__ import annotations
@@ -18,7 +19,8 @@
 
 @dataclass(frozen=True)
 class Program:
-    """read: a plan's file, checked whole; raises Error. play: what was read; its end code, figures printed last."""
+    """read: a plan's file, checked whole; raises Error. play: what was read; its end code, figures printed
+    last."""
 
     read: Callable[[str], Any]
     play: Callable[[Any], int]
@@ -26,41 +28,54 @@
 
 def shared() -> Program:
     from pathsaddle.emulator.state import smoke
+
     return Program(smoke.read, smoke.play)
 
 
 def owners() -> Program:
     from pathsaddle.emulator.ownership import smoke
+
     return Program(smoke.read, smoke.play)
 
 
 def overload() -> Program:
     from pathsaddle.emulator.overload import plan, smoke
+
     return Program(lambda path: plan.of(Path(path)), smoke.run)
 
 
 def placement() -> Program:
     from pathsaddle.emulator.placement import smoke
+
     return Program(lambda path: smoke.read(Path(path)), smoke.play)
 
 
 def federation() -> Program:
     from pathsaddle.emulator.federation import smoke
+
     return Program(smoke.read, smoke.play)
 
 
 def histories() -> Program:
     from pathsaddle.histories import smoke
+
     return Program(lambda path: smoke.read_plan(Path(path)), lambda plan: int(not smoke.run(plan, print)))
 
 
 PROGRAMS: dict[str, Callable[[], Program]] = {
-    "shared": shared, "owners": owners, "overload": overload, "placement": placement, "federation": federation,
-    "histories": histories}
+    "shared": shared,
+    "owners": owners,
+    "overload": overload,
+    "placement": placement,
+    "federation": federation,
+    "histories": histories,
+}
 EMULATED = ("virtual", "sockets")
 OPTIONS: dict[str, tuple[str, ...]] = {  # that the command takes for a plan of each
     **{ground: ("folder", "ground", "jobs", "seeds", "fresh") for ground in EMULATED},
-    "scale": ("folder", "jobs", "fresh", "short"), **{ground: () for ground in PROGRAMS}}
+    "scale": ("folder", "jobs", "fresh", "short"),
+    **{ground: () for ground in PROGRAMS},
+}
 
 
 def told(path: str | Path) -> tuple[dict[str, Any], str]:
@@ -75,9 +90,11 @@
 
 
 def read(path: str | Path) -> tuple[str, Any]:
-    """(ground, the plan) of whatever ground, checked whole; a target of capacity counts as one. Raises Error."""
+    """(ground, the plan) of whatever ground, checked whole; a target of capacity counts as one. Raises
+    Error."""
     from pathsaddle.emulator import plan as emulated
     from pathsaddle.experiment import capacity, scale
+
     if is_target(path):
         return "target", capacity.read(path)
     table, ground = told(path)
@@ -96,7 +113,9 @@
 
 def named(ground: str, plan: Any) -> tuple[str, str]:
     """(name, what it is to show) of a plan that `read` gave."""
+
     def of(key: str) -> str:
         value = plan.get(key, "") if isinstance(plan, dict) else getattr(plan, key, "")
         return str(value)
+
     return of("name"), of("about") or of("name")
--- a/pathsaddle/experiment/scale.py
+++ b/pathsaddle/experiment/scale.py
@@ -1,8 +1,10 @@
-"""The scale rig: plays a measure at growing sizes, each play in a process of its own, and fits laws to its figures.
+"""The scale rig: plays a measure at growing sizes, each play in a process of its own, and fits laws to its
+figures.
 
-A plan (`ground = "scale"`) names a measure, a module of emulator/hollow/ with Setting, FIGURES, COUNTED, needs() and
-measure(). A play gets a session of its own; whatever is left of it when it ends, faults, takes too long or too much,
-or when the rig is interrupted, is ended. What is kept with the same digest is not played again.
+A plan (`ground = "scale"`) names a measure, a module of emulator/hollow/ with Setting, FIGURES, COUNTED,
+needs() and measure(). A play gets a session of its own; whatever is left of it when it ends, faults, takes
+too long or too much, or when the rig is interrupted, is ended. What is kept with the same digest is not
+played again.
 """
 
 from __future__ import annotations
@@ -37,10 +39,13 @@
 from pathsaddle.charter.form import Count, Form
 from pathsaddle.errors import Error, access, why
 from pathsaddle.experiment.keep import ROOT, Unkept, commit_of, machine
-from pathsaddle.experiment.slope import LAWS, Slope, fit, judged, number, told
+from pathsaddle.experiment.slope import Slope, fit, judged, number, told
 
 PACKAGE = "pathsaddle.emulator.hollow"
-PROCESSES, MEMORY_MIB = 300, 12 * 1024  # the rig's own limits: half of a machine's memory, a few hundred processes
+PROCESSES, MEMORY_MIB = (
+    300,
+    12 * 1024,
+)  # the rig's own limits: half of a machine's memory, a few hundred processes
 PATIENCE = 75.0  # seconds for one play: sixty by the rig's interface, and its start
 LOOKS = 1.0  # seconds between two looks at what a play takes
 MARK = "PATHSADDLE_PLAY"  # in the environment of all that a play starts, also in sessions of their own
@@ -71,6 +76,9 @@
     do = "write some of its points at short in {file}, or run it without --short"
 
 
+Law = Literal["constant", "n", "nlogn", "n2"]  # LAWS of slope.py
+
+
 class Bound(Form):
     """What a figure must show at one point, in every play.
 
@@ -93,7 +101,7 @@
     """
 
     figure: str
-    law: list[Literal["constant", "n", "nlogn", "n2"]] = msgspec.field(default_factory=lambda: list(LAWS))  # type: ignore[arg-type]
+    law: list[Law] = msgspec.field(default_factory=lambda: ["constant", "n", "nlogn", "n2"])
     bound: Bound | None = None
 
 
@@ -157,13 +165,15 @@
     package: str = PACKAGE
 
     def digest(self, point: int) -> str:
-        """Of all that a play's figures hang on beside its seed, as far as the plan and its measure tell it."""
+        """Of all that a play's figures hang on beside its seed, as far as the plan and its measure tell
+        it."""
         text = [self.plan.measure, point, msgspec.to_builtins(self.setting), self.source]
         return hashlib.blake2b(msgspec.json.encode(text, order="sorted"), digest_size=8).hexdigest()
 
 
 def read(path: str | Path, package: str = PACKAGE) -> Scale:
-    """The plan in a file and its measure; raises Faulty with all that is wrong, also with what its plays need."""
+    """The plan in a file and its measure; raises Faulty with all that is wrong, also with what its plays
+    need."""
     return of(load(path), str(path), package)
 
 
@@ -171,11 +181,19 @@
     plan = check(Plan, table, file)
     faults: list[Fault] = []
     if plan.name != Path(file).stem:
-        faults.append(Fault(file, "name", f"{shown(plan.name)} stands there, and the file is called {Path(file).name}",
-                            f'write name = "{Path(file).stem}", or rename the file'))
+        faults.append(
+            Fault(
+                file,
+                "name",
+                f"{shown(plan.name)} stands there, and the file is called {Path(file).name}",
+                f'write name = "{Path(file).stem}", or rename the file',
+            )
+        )
     for i, point in enumerate(plan.short):
         if point not in plan.points:
-            faults.append(NotAmong(file, f"short[{i}]", shown=str(point), may=f"some of {listed(plan.points)}"))
+            faults.append(
+                NotAmong(file, f"short[{i}]", shown=str(point), may=f"some of {listed(plan.points)}")
+            )
     try:
         module = measure_of(plan.measure, file, package)
     except Faulty as fault:
@@ -184,11 +202,21 @@
     try:
         setting = check(module.Setting, plan.setting, file)
     except Faulty as fault:
-        faults += [type(one)(file, f"setting.{one.path}" if one.path != "-" else "setting", one.what, one.do)
-                   for one in fault.faults]
-    faults += [fault for i, grows in enumerate(plan.slopes) for fault in unfit(plan, grows, f"slopes[{i}]", module, file)]
+        faults += [
+            type(one)(file, f"setting.{one.path}" if one.path != "-" else "setting", one.what, one.do)
+            for one in fault.faults
+        ]
+    faults += [
+        fault
+        for i, grows in enumerate(plan.slopes)
+        for fault in unfit(plan, grows, f"slopes[{i}]", module, file)
+    ]
     if setting is not None:
-        faults += [fault for i, point in enumerate(plan.points) for fault in too_much(plan, point, i, module, setting, file)]
+        faults += [
+            fault
+            for i, point in enumerate(plan.points)
+            for fault in too_much(plan, point, i, module, setting, file)
+        ]
     if faults:
         raise Faulty(faults)
     spec = importlib.util.find_spec(module.__name__)
@@ -214,31 +242,67 @@
     """What is wrong with a slope of the plan."""
     faults: list[Fault] = []
     if grows.figure not in module.FIGURES:
-        faults.append(NotAmong(file, f"{path}.figure", shown=shown(grows.figure), may=f"one of {listed(module.FIGURES)}"))
+        faults.append(
+            NotAmong(
+                file, f"{path}.figure", shown=shown(grows.figure), may=f"one of {listed(module.FIGURES)}"
+            )
+        )
     if grows.bound is not None:
         if grows.bound.point not in plan.points:
-            faults.append(NotAmong(file, f"{path}.bound.point", shown=str(grows.bound.point),
-                                   may=f"one of {listed(plan.points)}"))
+            faults.append(
+                NotAmong(
+                    file,
+                    f"{path}.bound.point",
+                    shown=str(grows.bound.point),
+                    may=f"one of {listed(plan.points)}",
+                )
+            )
         if grows.bound.most is None and grows.bound.least is None:
-            faults.append(Fault(file, f"{path}.bound", "neither most nor least stands there",
-                                f"write one of them at {path}.bound"))
+            faults.append(
+                Fault(
+                    file,
+                    f"{path}.bound",
+                    "neither most nor least stands there",
+                    f"write one of them at {path}.bound",
+                )
+            )
         if grows.figure in module.FIGURES and grows.figure not in module.COUNTED:
-            faults.append(NotCounted(file, f"{path}.bound", figure=grows.figure, counted=listed(sorted(module.COUNTED))))
+            faults.append(
+                NotCounted(file, f"{path}.bound", figure=grows.figure, counted=listed(sorted(module.COUNTED)))
+            )
     return faults
 
 
 def too_much(plan: Plan, point: int, i: int, module: Any, setting: Any, file: str) -> list[Fault]:
     """What a play needs beyond what the plan, or the rig, allows."""
     faults: list[Fault] = []
-    for amount, unit, key, allowed, most in zip(module.needs(point, setting), ("processes", "MiB"),
-                                                ("processes", "memory_mib"), (plan.processes, plan.memory_mib),
-                                                (PROCESSES, MEMORY_MIB), strict=True):
+    for amount, unit, key, allowed, most in zip(
+        module.needs(point, setting),
+        ("processes", "MiB"),
+        ("processes", "memory_mib"),
+        (plan.processes, plan.memory_mib),
+        (PROCESSES, MEMORY_MIB),
+        strict=True,
+    ):
         if amount > allowed:
-            by, raised = (f"{key} of the plan", f"write {math.ceil(amount)} at {key}") if amount <= most else (
-                "the rig on any machine", "have its measure need less a point")
-            faults.append(NeedsMore(file, f"points[{i}]", point=f"{point} {plan.against}", amount=amount, unit=unit,
-                                    measure=plan.measure, allowed=allowed if amount <= most else most, by=by,
-                                    raised=raised))
+            by, raised = (
+                (f"{key} of the plan", f"write {math.ceil(amount)} at {key}")
+                if amount <= most
+                else ("the rig on any machine", "have its measure need less a point")
+            )
+            faults.append(
+                NeedsMore(
+                    file,
+                    f"points[{i}]",
+                    point=f"{point} {plan.against}",
+                    amount=amount,
+                    unit=unit,
+                    measure=plan.measure,
+                    allowed=allowed if amount <= most else most,
+                    by=by,
+                    raised=raised,
+                )
+            )
     return faults
 
 
@@ -276,7 +340,8 @@
 
 
 def processes(session: int, mark: str) -> list[tuple[int, float]]:
-    """(id, MiB of its own) of each process in a session or with a mark in its environment; nothing without /proc."""
+    """(id, MiB of its own) of each process in a session or with a mark in its environment; nothing without
+    /proc."""
     found: list[tuple[int, float]] = []
     page = os.sysconf("SC_PAGE_SIZE") / (1 << 20)
     for name in os.listdir("/proc") if os.path.isdir("/proc") else ():
@@ -312,12 +377,22 @@
         mark = secrets.token_hex(8)
         # No pipes: they would stay open in what is left behind. Closed by `close`.
         out, said = tempfile.TemporaryFile(), tempfile.TemporaryFile()  # noqa: SIM115
-        task = {"package": scale.package, "measure": scale.plan.measure, "point": point, "seed": seed,
-                "setting": msgspec.to_builtins(scale.setting)}
+        task = {
+            "package": scale.package,
+            "measure": scale.plan.measure,
+            "point": point,
+            "seed": seed,
+            "setting": msgspec.to_builtins(scale.setting),
+        }
         path = os.pathsep.join(filter(None, (str(ROOT), os.environ.get("PYTHONPATH", ""))))
-        process = subprocess.Popen([sys.executable, "-m", "pathsaddle.experiment.scale"], stdin=subprocess.PIPE,
-                                   stdout=out, stderr=said, start_new_session=True,
-                                   env={**os.environ, "PYTHONPATH": path, MARK: mark})
+        process = subprocess.Popen(
+            [sys.executable, "-m", "pathsaddle.experiment.scale"],
+            stdin=subprocess.PIPE,
+            stdout=out,
+            stderr=said,
+            start_new_session=True,
+            env={**os.environ, "PYTHONPATH": path, MARK: mark},
+        )
         play = cls(point, seed, process, mark, out, said, time.monotonic(), os.pidfd_open(process.pid))
         assert process.stdin is not None
         with suppress(BrokenPipeError):  # it ended at once: its standard error says why
@@ -372,10 +447,22 @@
         if not fault and left:
             fault = f"left {left} processes behind, which the rig ended"
         if fault:
-            figures, fault = {}, "\n".join(filter(None, (fault, self.said.read().decode(errors="replace")[-1500:])))
-        return Kept(plan=scale.plan.name, digest=scale.digest(self.point), point=self.point, seed=self.seed,
-                    figures=figures, took=round(took, 3), commit=commit, machine=machine(),
-                    when=datetime.now(UTC).isoformat(timespec="seconds"), fault=fault)
+            figures, fault = (
+                {},
+                "\n".join(filter(None, (fault, self.said.read().decode(errors="replace")[-1500:]))),
+            )
+        return Kept(
+            plan=scale.plan.name,
+            digest=scale.digest(self.point),
+            point=self.point,
+            seed=self.seed,
+            figures=figures,
+            took=round(took, 3),
+            commit=commit,
+            machine=machine(),
+            when=datetime.now(UTC).isoformat(timespec="seconds"),
+            fault=fault,
+        )
 
 
 class Stopped(KeyboardInterrupt):
@@ -400,12 +487,21 @@
         self.tasks = [(point, seed) for point in points for seed in range(1, seeds + 1)]
         if self.store is not None and not self.fresh:
             for kept in self.store.read():
-                if (kept.point, kept.seed) in self.tasks and not kept.fault and kept.digest == self.scale.digest(kept.point):
+                if (
+                    (kept.point, kept.seed) in self.tasks
+                    and not kept.fault
+                    and kept.digest == self.scale.digest(kept.point)
+                ):
                     self.results[kept.point, kept.seed] = kept
         # As many at once as the plan allows together: its limits are the machine's, not one play's.
         need = [self.scale.module.needs(point, self.scale.setting) for point in points]
-        most = min((int(min(plan.processes / max(1, count), plan.memory_mib / max(1e-9, mib))) for count, mib in need),
-                   default=1)
+        most = min(
+            (
+                int(min(plan.processes / max(1, count), plan.memory_mib / max(1e-9, mib)))
+                for count, mib in need
+            ),
+            default=1,
+        )
         self.jobs = max(1, min(self.jobs, most))
 
     @property
@@ -413,13 +509,19 @@
         return [task for task in self.tasks if task not in self.results]
 
     def go(self, tell: Callable[[Kept], None] = lambda kept: None) -> list[Kept]:
-        """All results, in the plan's order. Interrupted or faulted, nothing of a play goes on, and what ended is kept."""
+        """All results, in the plan's order. Interrupted or faulted, nothing of a play goes on, and what ended
+        is kept."""
         waiting, commit = self.left, commit_of()
         running: dict[int, Play] = {}
 
         def stopped(number: int, frame: FrameType | None) -> None:
             raise Stopped
-        before = signal.signal(signal.SIGTERM, stopped) if threading.current_thread() is threading.main_thread() else None
+
+        before = (
+            signal.signal(signal.SIGTERM, stopped)
+            if threading.current_thread() is threading.main_thread()
+            else None
+        )
         selector = selectors.DefaultSelector()
         try:
             while waiting or running:
@@ -465,8 +567,11 @@
 
 def failings(scale: Scale, results: list[Kept]) -> list[str]:
     """Plays that faulted, and bounds that do not hold."""
-    found = [f"{kept.point} {scale.plan.against}, seed {kept.seed}: {kept.fault.splitlines()[0]}" for kept in results
-             if kept.fault]
+    found = [
+        f"{kept.point} {scale.plan.against}, seed {kept.seed}: {kept.fault.splitlines()[0]}"
+        for kept in results
+        if kept.fault
+    ]
     for grows in scale.plan.slopes:
         bound = grows.bound
         for kept in results if bound is not None else ():
@@ -489,7 +594,9 @@
     for grows in scale.plan.slopes:
         unit = scale.module.FIGURES[grows.figure][0]
         plays = by_point(results, grows.figure)
-        means = ", ".join(f"{point:g}: {number(sum(values) / len(values))}" for point, values in plays.items())
+        means = ", ".join(
+            f"{point:g}: {number(sum(values) / len(values))}" for point, values in plays.items()
+        )
         try:
             slope: Slope = fit(f"{scale.plan.name}.{grows.figure}", plays, grows.law)
         except Error as fault:
@@ -497,8 +604,10 @@
             continue
         rest = "; ".join(filter(None, (judged(slope), f"unexplained {slope.unexplained:.2%}")))
         lines.append(f"{grows.figure} ({unit}): {told(slope)}; {means}")
-        lines.append(f"    {rest}, worst {slope.worst:.1%} at {slope.worst_at:g}; plays differ by {slope.spread:.1%} "
-                     "at most")
+        lines.append(
+            f"    {rest}, worst {slope.worst:.1%} at {slope.worst_at:g}; plays differ by {slope.spread:.1%} "
+            "at most"
+        )
     return lines
 
 
@@ -507,13 +616,17 @@
     try:
         module = importlib.import_module(f"{task['package']}.{task['measure']}")
         setting = msgspec.convert(task["setting"], module.Setting)
-        figures = {name: float(value) for name, value in module.measure(task["point"], task["seed"], setting).items()}
+        figures = {
+            name: float(value) for name, value in module.measure(task["point"], task["seed"], setting).items()
+        }
     except BaseException as fault:  # noqa: BLE001  # told in the result, whatever it is
         return {"figures": {}, "fault": f"{fault!r}\n{traceback.format_exc()[-2000:]}"}
     wrong = [name for name in figures if name not in module.FIGURES]
     wrong += [f"{name} = {value}" for name, value in figures.items() if not math.isfinite(value)]
-    return {"figures": figures, "fault": f"figures that FIGURES does not name, or no numbers: {', '.join(wrong)}" if wrong
-            else ""}
+    return {
+        "figures": figures,
+        "fault": f"figures that FIGURES does not name, or no numbers: {', '.join(wrong)}" if wrong else "",
+    }
 
 
 def main() -> None:
@@ -526,10 +639,11 @@
         while os.read(0, 4096):
             pass
         os.killpg(0, signal.SIGKILL)
+
     threading.Thread(target=gone, daemon=True).start()
     told = json.dumps(perform(json.loads(line))).encode()
     while told:
-        told = told[os.write(answer, told):]
+        told = told[os.write(answer, told) :]
     os._exit(0)  # no thread of a measure's keeps it
 
 
--- a/pathsaddle/experiment/slope.py
+++ b/pathsaddle/experiment/slope.py
@@ -1,12 +1,14 @@
-"""The law by which a figure grows with a size, from kept plays: fitted, chosen, and what it leaves unexplained.
+"""The law by which a figure grows with a size, from kept plays: fitted, chosen, and what it leaves
+unexplained.
 
-Each candidate y = a + b f(n) is fitted by least squares to all plays. A law is judged by leaving one point out with all
-its plays and predicting it from the others: the root of the mean square of these errors, as a part of the figure's
-mean. Chosen is the slowest law whose error is at most a tenth above the least: a faster one has to earn its place. A
-law is ruled out where its error is twice the chosen one's or more; one that is not stays named with the result.
+Each candidate y = a + b f(n) is fitted by least squares to all plays. A law is judged by leaving one point
+out with all its plays and predicting it from the others: the root of the mean square of these errors, as a
+part of the figure's mean. Chosen is the slowest law whose error is at most a tenth above the least: a faster
+one has to earn its place. A law is ruled out where its error is twice the chosen one's or more; one that is
+not stays named with the result.
 
-Weighed: R² (never falls with a faster law), AICc (with four to six points its correction is as large as what it
-corrects), the error at the points that were fitted (says nothing of those between or beyond). Free of I/O.
+Weighed: R² (never falls with a faster law), AICc (with four to six points its correction is as large as what
+it corrects), the error at the points that were fitted (says nothing of those between or beyond). Free of I/O.
 """
 
 from __future__ import annotations
@@ -39,9 +41,9 @@
 @dataclass(frozen=True)
 class Slope:
     """A figure's law. a, b: of y = a + b f(n). error: of left-out points, a part of the mean. errors: of all
-    candidates. spread: between plays of a point, most over the points, a part of the point's mean. unexplained: root
-    mean square of the points' residuals, a part of the mean; worst: the largest residual, a part of its point's mean,
-    at worst_at."""
+    candidates. spread: between plays of a point, most over the points, a part of the point's mean.
+    unexplained: root mean square of the points' residuals, a part of the mean; worst: the largest residual, a
+    part of its point's mean, at worst_at."""
 
     law: str
     a: float
@@ -67,7 +69,9 @@
     @property
     def rivals(self) -> list[str]:
         """Laws that these points don't rule out. Where all fit exactly they are the same law, with b = 0."""
-        return [law for law, margin in self.margins.items() if margin < RULED_OUT and self.errors[law] > EXACT]
+        return [
+            law for law, margin in self.margins.items() if margin < RULED_OUT and self.errors[law] > EXACT
+        ]
 
     def predicts(self, n: float) -> Prediction:
         """At a measured point the mean of its plays, elsewhere by the law."""
@@ -107,12 +111,16 @@
     return math.sqrt(sum(squares) / len(squares))
 
 
-def fit(figure: str, plays: Mapping[float, Sequence[float]], candidates: Sequence[str] = tuple(LAWS)) -> Slope:
+def fit(
+    figure: str, plays: Mapping[float, Sequence[float]], candidates: Sequence[str] = tuple(LAWS)
+) -> Slope:
     """plays: by point, the figure of each play. Raises FewPoints."""
     plays = {point: plays[point] for point in sorted(plays) if plays[point]}
     points = tuple(plays)
     if len(points) < POINTS or points[-1] < FACTOR * points[0]:
-        raise FewPoints(figure=figure, count=len(points), first=min(points, default=0), last=max(points, default=0))
+        raise FewPoints(
+            figure=figure, count=len(points), first=min(points, default=0), last=max(points, default=0)
+        )
     means = tuple(sum(values) / len(values) for values in plays.values())
     size = abs(sum(means) / len(means)) or 1.0
     errors = {law: left_out(law, plays) / size for law in LAWS if law in candidates}
@@ -121,10 +129,19 @@
     a, b = least_squares(law, [(n, y) for n, ys in plays.items() for y in ys])
     residuals = [y - a - b * LAWS[law](n) for n, y in zip(points, means, strict=True)]
     parts = [abs(gap) / (abs(y) or size) for gap, y in zip(residuals, means, strict=True)]
-    return Slope(law=law, a=a, b=b, points=points, means=means, plays=min(map(len, plays.values())), errors=errors,
-                 spread=max((max(ys) - min(ys)) / (abs(sum(ys) / len(ys)) or size) for ys in plays.values()),
-                 unexplained=math.sqrt(sum(gap * gap for gap in residuals) / len(residuals)) / size,
-                 worst=max(parts), worst_at=points[parts.index(max(parts))])
+    return Slope(
+        law=law,
+        a=a,
+        b=b,
+        points=points,
+        means=means,
+        plays=min(map(len, plays.values())),
+        errors=errors,
+        spread=max((max(ys) - min(ys)) / (abs(sum(ys) / len(ys)) or size) for ys in plays.values()),
+        unexplained=math.sqrt(sum(gap * gap for gap in residuals) / len(residuals)) / size,
+        worst=max(parts),
+        worst_at=points[parts.index(max(parts))],
+    )
 
 
 def number(value: float) -> str:
@@ -145,8 +162,17 @@
 
 def judged(slope: Slope) -> str:
     """Why this law: the others with their margins."""
-    out = [f"{WORDS[law]} ({margin:.1f} times the error)" if margin < 1000 else f"{WORDS[law]} (over 1000 times the error)"
-           for law, margin in slope.margins.items() if margin >= RULED_OUT]
+    out = [
+        f"{WORDS[law]} ({margin:.1f} times the error)"
+        if margin < 1000
+        else f"{WORDS[law]} (over 1000 times the error)"
+        for law, margin in slope.margins.items()
+        if margin >= RULED_OUT
+    ]
     left = [f"{WORDS[law]} ({slope.margins[law]:.2f} times)" for law in slope.rivals]
-    return "; ".join([*([f"ruled out {', '.join(out)}"] if out else []),
-                      *([f"not ruled out {', '.join(left)}"] if left else [])])
+    return "; ".join(
+        [
+            *([f"ruled out {', '.join(out)}"] if out else []),
+            *([f"not ruled out {', '.join(left)}"] if left else []),
+        ]
+    )
--- a/tests/measures/trouble.py
+++ b/tests/measures/trouble.py
@@ -15,7 +15,8 @@
 
 
 class Setting(msgspec.Struct, forbid_unknown_fields=True):
-    """how: what goes wrong. folder: where ids of processes are written. each: processes that a point needs."""
+    """how: what goes wrong. folder: where ids of processes are written. each: processes that a point
+    needs."""
 
     how: str = ""
     folder: str = ""
@@ -31,6 +32,7 @@
         part = Path(setting.folder) / f"{name}.part"
         part.write_text(str(pid))
         part.rename(Path(setting.folder) / name)
+
     if setting.how:
         for name, apart in (("child", False), ("apart", True)):  # apart: in a session of its own
             told(name, subprocess.Popen(SLEEPS, start_new_session=apart).pid)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,4 +1,5 @@
-"""Stories of the capacity tables: worst fit first, each figure says how it is known, and the page is what is kept."""
+"""Stories of the capacity tables: worst fit first, each figure says how it is known, and the page is what is
+kept."""
 
 import json
 import re
@@ -79,10 +80,23 @@
         self.keep((10, 20, 50, 100, 200))
 
     def keep(self, points, **more) -> None:
-        rows = [{"plan": "tally", "digest": "", "point": n, "seed": seed, "took": 0.1, "commit": "c0ffee", "machine": "m",
-                 "when": "2026-12-02T00:00:00+00:00", "fault": "",
-                 "figures": {"bytes": 84.0 * n, "whole_bytes": 28.0 * n * (n - 1), "longest": 28.0}} | more
-                for n in points for seed in (1, 2)]
+        rows = [
+            {
+                "plan": "tally",
+                "digest": "",
+                "point": n,
+                "seed": seed,
+                "took": 0.1,
+                "commit": "c0ffee",
+                "machine": "m",
+                "when": "2026-12-02T00:00:00+00:00",
+                "fault": "",
+                "figures": {"bytes": 84.0 * n, "whole_bytes": 28.0 * n * (n - 1), "longest": 28.0},
+            }
+            | more
+            for n in points
+            for seed in (1, 2)
+        ]
         with (self.folder / "kept/tally.jsonl").open("a") as file:
             file.writelines(json.dumps(row) + "\n" for row in rows)
 
@@ -93,27 +107,44 @@
 
     def row(self, made: str, *words: str) -> list[str]:
         """The cells of the one line that has all words."""
-        lines = [line for line in made.splitlines() if line.startswith("|") and all(word in line for word in words)]
+        lines = [
+            line for line in made.splitlines() if line.startswith("|") and all(word in line for word in words)
+        ]
         self.assertEqual(len(lines), 1, (words, made))
         return [cell.strip() for cell in lines[0].strip("|").split("|")]
 
     def test_worst_first_and_what_nothing_carries_before_all(self):
-        made, notes = tables(self.target(
-            BYTES, BYTES.replace("bytes", "longest", 2).replace("tally.bytes", "tally.longest").replace(
-                'limit = "bytes_per_second"', "limit = 14"),
-            '[[rows]]\nrole = "operator"\nwhat = "gangs"\ncarrier = false\ninstead = "they wait"\nhurts_at = "8 slots"\n',
-            '[[rows]]\nrole = "store"\nwhat = "jobs"\nvalue = 100.0\nsource = "docs/jobs.md"\nlimit = 150\n'
-            'mechanism = "jobs/store.py"\n'))
+        made, notes = tables(
+            self.target(
+                BYTES,
+                BYTES.replace("bytes", "longest", 2)
+                .replace("tally.bytes", "tally.longest")
+                .replace('limit = "bytes_per_second"', "limit = 14"),
+                '[[rows]]\nrole = "operator"\nwhat = "gangs"\ncarrier = false\ninstead = "they wait"\nhurts_at = "8 slots"\n',
+                '[[rows]]\nrole = "store"\nwhat = "jobs"\nvalue = 100.0\nsource = "docs/jobs.md"\nlimit = 150\n'
+                'mechanism = "jobs/store.py"\n',
+            )
+        )
         heads = [line for line in made.splitlines() if line.startswith("###")]
-        self.assertEqual(heads, ["### What nothing carries", "### What is carried, worst fit first", "### Assumptions",
-                                 "### Slopes", "### Plays"])
-        carried = made[made.index(heads[1]):made.index(heads[2])]
+        self.assertEqual(
+            heads,
+            [
+                "### What nothing carries",
+                "### What is carried, worst fit first",
+                "### Assumptions",
+                "### Slopes",
+                "### Plays",
+            ],
+        )
+        carried = made[made.index(heads[1]) : made.index(heads[2])]
         fits = re.findall(r"^\| \**([0-9.]+)\** \|", carried, re.MULTILINE)
         self.assertEqual(fits, ["0.500", "1.50", "2.98"])
         self.assertIn("| **0.500** |", carried)
         self.assertEqual(self.row(made, "gangs")[:4], ["operator", "gangs", "they wait", "8 slots"])
         self.assertIn("reckoned: docs/jobs.md", self.row(made, "jobs/store.py"))
-        self.assertEqual(notes, ["tally: 10 of 10 kept plays are of another text of the measure or its setting"])
+        self.assertEqual(
+            notes, ["tally: 10 of 10 kept plays are of another text of the measure or its setting"]
+        )
         self.assertIn("c0ffee", self.row(made, "`tally`"))
 
     def test_how_a_figure_is_known(self):
@@ -121,11 +152,20 @@
             made, _ = tables(self.target(BYTES.replace('"dispatchers"', at).replace("tally.bytes", figure)))
             cells = self.row(made, "fleet/members.py")
             return cells[3], cells[5]
-        self.assertEqual(known("50"), ("4,200", "hollow; measured at 50 members, 2 plays or more that differ by 0.0% at most"))
-        self.assertEqual(known('"dispatchers"'), ("3,360", "hollow; at 40 members, between measured points, by 0 + 84.0 n"))
+
+        self.assertEqual(
+            known("50"),
+            ("4,200", "hollow; measured at 50 members, 2 plays or more that differ by 0.0% at most"),
+        )
+        self.assertEqual(
+            known('"dispatchers"'), ("3,360", "hollow; at 40 members, between measured points, by 0 + 84.0 n")
+        )
         value, how = known("500")
         self.assertEqual(value, "42,000")
-        self.assertIn("extrapolated to 500 members from 10, 20, 50, 100, 200 by 0 + 84.0 n, 2.5 times beyond the last", how)
+        self.assertIn(
+            "extrapolated to 500 members from 10, 20, 50, 100, 200 by 0 + 84.0 n, 2.5 times beyond the last",
+            how,
+        )
         self.assertNotIn(MARK, how)
         self.assertNotIn(MARK, known("600")[1])
         self.assertIn(f"3 times beyond the last {MARK}", known("601")[1])
@@ -136,23 +176,43 @@
         for n, value in ((10, 101.0), (20, 99.0), (50, 102.0), (100, 99.0), (200, 101.0)):
             self.keep((n,), figures={"bytes": value})
         made, _ = tables(self.target(BYTES.replace('"dispatchers"', "400")))
-        self.assertRegex(self.row(made, "fleet/members.py")[5], "by constant, 100, 2 times beyond the last; not ruled out: 1")
-        self.assertIn("not ruled out n (", self.row(made, "`tally.bytes`", "constant, 100", "bytes, hollow")[5])
+        self.assertRegex(
+            self.row(made, "fleet/members.py")[5],
+            "by constant, 100, 2 times beyond the last; not ruled out: 1",
+        )
+        self.assertIn(
+            "not ruled out n (", self.row(made, "`tally.bytes`", "constant, 100", "bytes, hollow")[5]
+        )
 
     def test_factors(self):
-        made, _ = tables(self.target(BYTES.replace(
-            'limit = "bytes_per_second"', 'at_factor = 2.5\nat_reason = "a peak"\ntimes = ["changes_per_day"]\nper = ["machines"]\n'
-            'factor = 1.1574074074074073e-05\nfactor_reason = "a day\'s seconds"\nlimit = "bytes_per_second"\nleast = true')))
+        made, _ = tables(
+            self.target(
+                BYTES.replace(
+                    'limit = "bytes_per_second"',
+                    'at_factor = 2.5\nat_reason = "a peak"\ntimes = ["changes_per_day"]\nper = ["machines"]\n'
+                    'factor = 1.1574074074074073e-05\nfactor_reason = "a day\'s seconds"\nlimit = "bytes_per_second"\nleast = true',
+                )
+            )
+        )
         cells = self.row(made, "fleet/members.py")
-        self.assertEqual((cells[0], cells[3], cells[4]), ("**0.00210**", "21.0", "at least 10,000 (bytes_per_second)"))
+        self.assertEqual(
+            (cells[0], cells[3], cells[4]), ("**0.00210**", "21.0", "at least 10,000 (bytes_per_second)")
+        )
         self.assertIn("measured at 100 members", cells[5])
-        for words in ("2.5 times dispatchers: a peak", "times changes_per_day", "divided by machines", "a day's seconds"):
+        for words in (
+            "2.5 times dispatchers: a peak",
+            "times changes_per_day",
+            "divided by machines",
+            "a day's seconds",
+        ):
             self.assertIn(words, cells[5])
 
     def test_assumptions_and_what_twice_as_much_does(self):
         made, _ = tables(self.target(BYTES))
-        self.assertEqual(self.row(made, "as today"), ["dispatchers", "40.0", "as today", "twice the messages",
-                                                      "dispatcher, bytes: fits 1.49"])
+        self.assertEqual(
+            self.row(made, "as today"),
+            ["dispatchers", "40.0", "as today", "twice the messages", "dispatcher, bytes: fits 1.49"],
+        )
         self.assertEqual(self.row(made, "few send most")[-1], "-")
 
     def test_the_last_whole_play_counts_and_those_that_never_ended_are_told(self):
@@ -168,8 +228,10 @@
         self.assertEqual(self.row(made, "`tally`")[1:3], ["10", "2"])
 
     def test_missing_slopes(self):
-        for figure, *words in (("nonesuch.bytes", "there is no plan nonesuch.toml"),
-                               ("tally.nonesuch", "has no such figure", "bytes, whole_bytes, longest")):
+        for figure, *words in (
+            ("nonesuch.bytes", "there is no plan nonesuch.toml"),
+            ("tally.nonesuch", "has no such figure", "bytes, whole_bytes, longest"),
+        ):
             path = self.target(BYTES.replace("tally.bytes", figure))
             with self.subTest(figure), self.assertRaises(NoSlope) as caught:
                 tables(path)
@@ -179,7 +241,10 @@
             self.assertIn(words[0], self.row(made, f"`{figure}`")[3])
         (self.folder / "kept/tally.jsonl").unlink()
         path = self.target(BYTES)
-        for points, word in (((), "no play of it is kept"), ((10, 200), "2 points from 10 to 200 give no law")):
+        for points, word in (
+            ((), "no play of it is kept"),
+            ((10, 200), "2 points from 10 to 200 give no law"),
+        ):
             self.keep(points)
             with self.subTest(points), self.assertRaises(NoSlope) as caught:
                 tables(path)
@@ -193,26 +258,63 @@
     def test_a_target_that_is_wrong(self):
         carrier = BYTES + "carrier = false\n"
         for text, name, *words in (
-                (NUMBERS.replace("gang = 8", "gangs = 8") + BYTES, "charter.unknown-key", "numbers.gangs", "gang"),
-                (NUMBERS.replace("gang = 8", "") + BYTES, "charter.missing", "numbers.gang"),
-                (NUMBERS.replace("workers = 100", "workers = 0") + BYTES, "charter.out-of-bounds", "numbers.workers"),
-                (NUMBERS, "charter.missing", "rows"),
-                (NUMBERS + BYTES.replace('"dispatchers"', '"gans"'), "charter.not-among", "rows[0].at", '"gans"', "dispatchers"),
-                (NUMBERS + BYTES.replace('"bytes_per_second"', '"b"'), "charter.not-among", "rows[0].limit"),
-                (NUMBERS + BYTES + 'times = ["x"]\n', "charter.not-among", "rows[0].times[0]"),
-                (NUMBERS + BYTES + 'per = ["x"]\n', "charter.not-among", "rows[0].per[0]"),
-                (NUMBERS + BYTES + "factor = 2\n", "charter.missing", "rows[0].factor_reason"),
-                (NUMBERS + BYTES + "at_factor = 2\n", "charter.missing", "rows[0].at_reason"),
-                (NUMBERS + BYTES + "value = 2\nsource = 's'\n", "charter.wrong", "rows[0].value"),
-                (NUMBERS + BYTES.replace('figure = "tally.bytes"', "value = 2"), "charter.missing", "rows[0].source"),
-                (NUMBERS + BYTES.replace('figure = "tally.bytes"', ""), "charter.missing", "rows[0].figure"),
-                (NUMBERS + BYTES.replace('"tally.bytes"', '"tally"'), "charter.wrong-kind", "rows[0].figure", "PLAN.FIGURE"),
-                (NUMBERS + BYTES.replace('at = "dispatchers"', ""), "charter.missing", "rows[0].at"),
-                (NUMBERS + BYTES.replace('limit = "bytes_per_second"', ""), "charter.missing", "rows[0].limit"),
-                (NUMBERS + BYTES.replace('mechanism = "fleet/members.py"', ""), "charter.missing", "rows[0].mechanism"),
-                (NUMBERS + carrier, "charter.missing", "rows[0].instead", "rows[0].hurts_at"),
-                (NUMBERS.replace('key = "dispatchers"', 'key = "gang"') + BYTES, "charter.twice", "assumptions[0].key"),
-                (NUMBERS.replace("value = 40", 'value = "x"') + BYTES, "charter.wrong-kind", "assumptions[0].value")):
+            (
+                NUMBERS.replace("gang = 8", "gangs = 8") + BYTES,
+                "charter.unknown-key",
+                "numbers.gangs",
+                "gang",
+            ),
+            (NUMBERS.replace("gang = 8", "") + BYTES, "charter.missing", "numbers.gang"),
+            (
+                NUMBERS.replace("workers = 100", "workers = 0") + BYTES,
+                "charter.out-of-bounds",
+                "numbers.workers",
+            ),
+            (NUMBERS, "charter.missing", "rows"),
+            (
+                NUMBERS + BYTES.replace('"dispatchers"', '"gans"'),
+                "charter.not-among",
+                "rows[0].at",
+                '"gans"',
+                "dispatchers",
+            ),
+            (NUMBERS + BYTES.replace('"bytes_per_second"', '"b"'), "charter.not-among", "rows[0].limit"),
+            (NUMBERS + BYTES + 'times = ["x"]\n', "charter.not-among", "rows[0].times[0]"),
+            (NUMBERS + BYTES + 'per = ["x"]\n', "charter.not-among", "rows[0].per[0]"),
+            (NUMBERS + BYTES + "factor = 2\n", "charter.missing", "rows[0].factor_reason"),
+            (NUMBERS + BYTES + "at_factor = 2\n", "charter.missing", "rows[0].at_reason"),
+            (NUMBERS + BYTES + "value = 2\nsource = 's'\n", "charter.wrong", "rows[0].value"),
+            (
+                NUMBERS + BYTES.replace('figure = "tally.bytes"', "value = 2"),
+                "charter.missing",
+                "rows[0].source",
+            ),
+            (NUMBERS + BYTES.replace('figure = "tally.bytes"', ""), "charter.missing", "rows[0].figure"),
+            (
+                NUMBERS + BYTES.replace('"tally.bytes"', '"tally"'),
+                "charter.wrong-kind",
+                "rows[0].figure",
+                "PLAN.FIGURE",
+            ),
+            (NUMBERS + BYTES.replace('at = "dispatchers"', ""), "charter.missing", "rows[0].at"),
+            (NUMBERS + BYTES.replace('limit = "bytes_per_second"', ""), "charter.missing", "rows[0].limit"),
+            (
+                NUMBERS + BYTES.replace('mechanism = "fleet/members.py"', ""),
+                "charter.missing",
+                "rows[0].mechanism",
+            ),
+            (NUMBERS + carrier, "charter.missing", "rows[0].instead", "rows[0].hurts_at"),
+            (
+                NUMBERS.replace('key = "dispatchers"', 'key = "gang"') + BYTES,
+                "charter.twice",
+                "assumptions[0].key",
+            ),
+            (
+                NUMBERS.replace("value = 40", 'value = "x"') + BYTES,
+                "charter.wrong-kind",
+                "assumptions[0].value",
+            ),
+        ):
             with self.subTest(words), self.assertRaises(Faulty) as caught:
                 read(self.target(numbers=text))
             for word in ("target.toml", f"[{name}]", *words):
@@ -231,8 +333,15 @@
 
     def test_the_command(self):
         def command(*told: str) -> subprocess.CompletedProcess[str]:
-            return subprocess.run([sys.executable, "-m", "pathsaddle", "experiment", "capacity", *told], cwd=ROOT,
-                                  check=False, capture_output=True, text=True, timeout=60)
+            return subprocess.run(
+                [sys.executable, "-m", "pathsaddle", "experiment", "capacity", *told],
+                cwd=ROOT,
+                check=False,
+                capture_output=True,
+                text=True,
+                timeout=60,
+            )
+
         target = str(self.target(BYTES))
         done = command(target)
         self.assertEqual(done.returncode, 0, done.stderr)
@@ -244,7 +353,9 @@
         done = command(target, "--kept", str(self.folder / "none"))
         self.assertEqual((done.returncode, done.stdout), (2, ""))
         self.assertIn("[experiment.no-slope]", done.stderr)
-        self.assertIn("Not measured yet", command(target, "--kept", str(self.folder / "none"), "--partial").stdout)
+        self.assertIn(
+            "Not measured yet", command(target, "--kept", str(self.folder / "none"), "--partial").stdout
+        )
 
 
 class OurPage(unittest.TestCase):
@@ -253,17 +364,38 @@
     def test_the_page_is_made_of_the_kept_results(self):
         page = (ROOT / "docs/CAPACITY.md").read_text()
         made, _ = tables(ROOT / "experiments/scale/target.toml", partial=True)
-        self.assertEqual(paged(page, made, "docs/CAPACITY.md"), page, "docs/CAPACITY.md is old: `pathsaddle experiment "
-                         "capacity experiments/scale/target.toml --partial --page docs/CAPACITY.md`")
+        self.assertEqual(
+            paged(page, made, "docs/CAPACITY.md"),
+            page,
+            "docs/CAPACITY.md is old: `pathsaddle experiment "
+            "capacity experiments/scale/target.toml --partial --page docs/CAPACITY.md`",
+        )
 
     def test_the_numbers_are_the_operators(self):
         numbers = read(ROOT / "experiments/scale/target.toml").numbers
-        self.assertEqual((numbers.workers, numbers.accelerators, numbers.jobs_per_day, numbers.starts_per_second,
-                          numbers.open_tasks, numbers.gang, numbers.teams, numbers.urgent_seconds, numbers.regions,
-                          numbers.zones, numbers.changes_per_day, numbers.in_force_seconds, numbers.control_core,
-                          numbers.memory_mb, numbers.bytes_per_second, numbers.machines, numbers.failures_per_day,
-                          numbers.replaced_per_day),
-                         (1900, 3700, 30_000, 270, 11_000, 64, 750, 8.6, 8, 25, 3700, 18, 0.036, 64, 13_000, 16, 29, 770))
+        self.assertEqual(
+            (
+                numbers.workers,
+                numbers.accelerators,
+                numbers.jobs_per_day,
+                numbers.starts_per_second,
+                numbers.open_tasks,
+                numbers.gang,
+                numbers.teams,
+                numbers.urgent_seconds,
+                numbers.regions,
+                numbers.zones,
+                numbers.changes_per_day,
+                numbers.in_force_seconds,
+                numbers.control_core,
+                numbers.memory_mb,
+                numbers.bytes_per_second,
+                numbers.machines,
+                numbers.failures_per_day,
+                numbers.replaced_per_day,
+            ),
+            (1900, 3700, 30_000, 270, 11_000, 64, 750, 8.6, 8, 25, 3700, 18, 0.036, 64, 13_000, 16, 29, 770),
+        )
 
     def test_each_mechanism_is_there(self):
         for row in read(ROOT / "experiments/scale/target.toml").rows:
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -1,4 +1,5 @@
-"""Stories of the scale rig: what it refuses at once, what it keeps, and that nothing of a play is left behind."""
+"""Stories of the scale rig: what it refuses at once, what it keeps, and that nothing of a play is left
+behind."""
 
 import os
 import signal
@@ -8,9 +9,11 @@
 import time
 import unittest
 from pathlib import Path
+from typing import get_args
 
 from pathsaddle.charter.check import Faulty
 from pathsaddle.experiment import scale
+from pathsaddle.experiment.slope import LAWS
 
 ROOT = Path(__file__).parent.parent
 PACKAGE = "tests.measures"
@@ -72,36 +75,70 @@
         self.assertEqual(self.plan(processes="300", memory_mib="12288").plan.processes, 300)
 
     def test_a_measure_that_needs_more_than_the_plan_says(self):
-        self.refused("experiment.needs-more", "points[3]", "8 members", "8 processes", "5 are allowed", "write 8 at processes",
-                     processes="5")
-        self.refused("experiment.needs-more", "points[3]", "400 MiB", "399 are allowed", "write 400 at memory_mib",
-                     memory_mib="399")
+        self.refused(
+            "experiment.needs-more",
+            "points[3]",
+            "8 members",
+            "8 processes",
+            "5 are allowed",
+            "write 8 at processes",
+            processes="5",
+        )
+        self.refused(
+            "experiment.needs-more",
+            "points[3]",
+            "400 MiB",
+            "399 are allowed",
+            "write 400 at memory_mib",
+            memory_mib="399",
+        )
 
     def test_a_measure_that_needs_more_than_the_rig_allows(self):
-        self.refused("experiment.needs-more", "points[1]", "301 members", "300 are allowed by the rig", points="[8, 301]",
-                     processes="300", memory_mib="12288", short="[]")
+        self.refused(
+            "experiment.needs-more",
+            "points[1]",
+            "301 members",
+            "300 are allowed by the rig",
+            points="[8, 301]",
+            processes="300",
+            memory_mib="12288",
+            short="[]",
+        )
 
     def test_keys_and_names(self):
         self.refused("charter.unknown-key", "point", "points", against='"m"\npoint = 3')
         self.refused("charter.unknown-key", "setting.hwo", folder='""\nhwo = 1')
         self.refused("charter.wrong-kind", "setting.folder", "a text", folder="3")
-        self.refused("charter.not-among", "slopes[1].figure", "size, speed", figure='"x"\n[[slopes]]\nfigure = "y"')
+        self.refused(
+            "charter.not-among", "slopes[1].figure", "size, speed", figure='"x"\n[[slopes]]\nfigure = "y"'
+        )
         self.refused("charter.not-among", "short[0]", "1, 2, 4, 8", short="[3]")
         self.refused("charter.wrong", "name", "trouble.toml", name='"other"')
         self.refused("charter.too-short", "points", points="[]", short="[]")
 
+    def test_a_plan_may_name_each_law(self):
+        self.assertEqual(get_args(scale.Law), tuple(LAWS))
+
     def test_measures_that_are_none(self):
-        self.refused("experiment.no-measure", "nonesuch", "no such module", "tests/measures/", measure='"nonesuch"')
+        self.refused(
+            "experiment.no-measure", "nonesuch", "no such module", "tests/measures/", measure='"nonesuch"'
+        )
         self.refused("experiment.no-measure", "no such module", measure='"a.b"')
         self.refused("experiment.no-measure", "has no Setting, COUNTED, needs, measure", measure='"partial"')
         self.refused("experiment.no-measure", "can't be loaded", "the disk is gone", measure='"unloadable"')
 
     def test_bounds(self):
         for bound, name, *words in (
-                ("bound = {point = 8, most = 1.0}\n[[slopes]]\nfigure = 'speed'\nbound = {point = 8, most = 1.0}",
-                 "experiment.not-counted", "slopes[1].bound", "speed depends on the machine's speed", "bound one of size"),
-                ("bound = {point = 3, most = 1.0}", "charter.not-among", "slopes[0].bound.point", "1, 2, 4, 8"),
-                ("bound = {point = 8}", "charter.wrong", "neither most nor least")):
+            (
+                "bound = {point = 8, most = 1.0}\n[[slopes]]\nfigure = 'speed'\nbound = {point = 8, most = 1.0}",
+                "experiment.not-counted",
+                "slopes[1].bound",
+                "speed depends on the machine's speed",
+                "bound one of size",
+            ),
+            ("bound = {point = 3, most = 1.0}", "charter.not-among", "slopes[0].bound.point", "1, 2, 4, 8"),
+            ("bound = {point = 8}", "charter.wrong", "neither most nor least"),
+        ):
             with self.subTest(bound), self.assertRaises(Faulty) as caught:
                 self.plan(bound=bound)
             self.assertIn(f"[{name}]", str(caught.exception))
@@ -123,7 +160,9 @@
         told: list[scale.Kept] = []
         rig = scale.Rig(plan, store)
         results = rig.go(told.append)
-        self.assertEqual([(one.point, one.seed) for one in results], [(n, s) for n in (1, 2, 4, 8) for s in (1, 2)])
+        self.assertEqual(
+            [(one.point, one.seed) for one in results], [(n, s) for n in (1, 2, 4, 8) for s in (1, 2)]
+        )
         self.assertEqual(told, results)
         self.assertEqual([one.fault for one in results], [""] * 8)
         self.assertEqual(store.read(), results)
@@ -146,21 +185,32 @@
         rig = scale.Rig(plan, None, short=True)
         results = rig.go()
         self.assertEqual([(one.point, one.seed) for one in results], [(1, 1), (8, 1)])
-        self.assertEqual(scale.failings(plan, results), ["8 members, seed 1: size 8.00, at most 7.00 is stated"])
-        self.assertIn("no law: trouble.size: 2 points from 1 to 8 give no law", "\n".join(scale.slope_lines(plan, results)))
+        self.assertEqual(
+            scale.failings(plan, results), ["8 members, seed 1: size 8.00, at most 7.00 is stated"]
+        )
+        self.assertIn(
+            "no law: trouble.size: 2 points from 1 to 8 give no law",
+            "\n".join(scale.slope_lines(plan, results)),
+        )
         plan = self.plan(bound="bound = {point = 8, least = 9.0}")
-        self.assertEqual(scale.failings(plan, results), ["8 members, seed 1: size 8.00, at least 9.00 is stated"])
+        self.assertEqual(
+            scale.failings(plan, results), ["8 members, seed 1: size 8.00, at least 9.00 is stated"]
+        )
         self.assertEqual(scale.failings(self.plan(bound="bound = {point = 8, most = 8.0}"), results), [])
         whole = scale.Rig(plan, None).go()
         lines = scale.slope_lines(plan, whole)
         self.assertTrue(lines[0].startswith("size (bytes): 0 + 1.00 n; 1: 1.00, 2: 2.00"), lines)
 
     def test_a_play_that_breaks_is_told_with_its_trace_and_the_others_go_on(self):
-        for how, words in (("breaks", "no such size"), ("dies", "code 7"), ("no number", "size = nan"),
-                           ("leaves", "left 2 processes behind")):
+        for how, words in (
+            ("breaks", "no such size"),
+            ("dies", "code 7"),
+            ("no number", "size = nan"),
+            ("leaves", "left 2 processes behind"),
+        ):
             with self.subTest(how):
                 plan, store = self.one(how), scale.Store(self.folder / f"{how}.jsonl")
-                kept, = scale.Rig(plan, store).go()
+                (kept,) = scale.Rig(plan, store).go()
                 self.assertIn(words, kept.fault)
                 self.assertEqual(kept.figures, {})
                 self.ended("play", "child", "apart")
@@ -168,15 +218,15 @@
                 self.assertEqual(len(scale.Rig(plan, store).left), 1)  # a faulted one is played again
 
     def test_a_play_that_hangs_is_ended_with_all_it_started(self):
-        kept, = scale.Rig(self.one("hangs"), None, patience=2.0).go()
+        (kept,) = scale.Rig(self.one("hangs"), None, patience=2.0).go()
         self.assertIn("took more than 2 s", kept.fault)
         self.ended("play", "child", "apart")
 
     def test_a_play_that_takes_more_than_the_plan_says_is_ended(self):
-        kept, = scale.Rig(self.one("hangs", processes="2"), None).go()
+        (kept,) = scale.Rig(self.one("hangs", processes="2"), None).go()
         self.assertIn("3 processes at once, and processes = 2", kept.fault)
         self.ended("play", "child", "apart")
-        kept, = scale.Rig(self.one("takes", memory_mib="60"), None).go()
+        (kept,) = scale.Rig(self.one("takes", memory_mib="60"), None).go()
         self.assertIn("MiB at once, and memory_mib = 60", kept.fault)
         self.ended("play", "child", "apart")
 
@@ -191,7 +241,10 @@
                 for name in ("play", "child", "apart"):
                     (self.folder / name).unlink(missing_ok=True)
                 path = self.file(PLAN.format(folder=self.folder, how="hangs", bound=""))
-                code = f"from pathsaddle.experiment import scale\nscale.Rig(scale.read({path!r}, {PACKAGE!r}), None).go()"
+                code = (
+                    "from pathsaddle.experiment import scale\n"
+                    f"scale.Rig(scale.read({path!r}, {PACKAGE!r}), None).go()"
+                )
                 rig = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stderr=subprocess.DEVNULL)
                 try:
                     self.until(lambda: (self.folder / "play").exists())
@@ -224,8 +277,14 @@
 
 class Command(Rigging):
     def run_it(self, *told: str) -> subprocess.CompletedProcess[str]:
-        return subprocess.run([sys.executable, "-m", "pathsaddle", "experiment", "run", *told], cwd=ROOT, check=False,
-                              capture_output=True, text=True, timeout=120)
+        return subprocess.run(
+            [sys.executable, "-m", "pathsaddle", "experiment", "run", *told],
+            cwd=ROOT,
+            check=False,
+            capture_output=True,
+            text=True,
+            timeout=120,
+        )
 
     def test_the_rigs_own_check_short_and_whole(self):
         done = self.run_it("experiments/scale/tally.toml", "--short")
--- a/tests/test_slope.py
+++ b/tests/test_slope.py
@@ -11,7 +11,10 @@
 
 def made(law: str, a: float, b: float, noise: float = 0.0, plays: int = 3, seed: int = 1):
     chance = Random(seed)
-    return {n: [(a + b * LAWS[law](n)) * (1 + chance.uniform(-noise, noise)) for _ in range(plays)] for n in POINTS}
+    return {
+        n: [(a + b * LAWS[law](n)) * (1 + chance.uniform(-noise, noise)) for _ in range(plays)]
+        for n in POINTS
+    }
 
 
 class Fitting(unittest.TestCase):
@@ -64,23 +67,32 @@
         self.assertEqual(fit("f", plays).predicts(20).value, 52.0)
 
     def test_too_few_points_or_too_near(self):
-        for plays in ({}, {10: [1.0]}, {10: [1.0], 20: [1.0], 80: [1.0]}, {n: [1.0] for n in (10, 20, 40, 79)},
-                      {10: [1.0], 20: [1.0], 40: [1.0], 80: []}):
+        for plays in (
+            {},
+            {10: [1.0]},
+            {10: [1.0], 20: [1.0], 80: [1.0]},
+            {n: [1.0] for n in (10, 20, 40, 79)},
+            {10: [1.0], 20: [1.0], 40: [1.0], 80: []},
+        ):
             with self.subTest(plays), self.assertRaises(FewPoints) as caught:
                 fit("p.f", plays)
             self.assertIn("p.f", str(caught.exception))
 
     def test_a_figure_that_is_nought_everywhere(self):
         slope = fit("f", {n: [0.0, 0.0] for n in POINTS})
-        self.assertEqual((slope.law, slope.a, slope.unexplained, slope.worst, slope.spread),
-                         ("constant", 0.0, 0.0, 0.0, 0.0))
+        self.assertEqual(
+            (slope.law, slope.a, slope.unexplained, slope.worst, slope.spread),
+            ("constant", 0.0, 0.0, 0.0, 0.0),
+        )
 
     def test_words(self):
         slope = fit("f", made("n2", -3.0, 0.25))
         self.assertEqual(told(slope), "-3.00 + 0.250 n²")
         self.assertIn("ruled out constant", judged(slope))
-        self.assertEqual([number(x) for x in (0, 0.0123456, 3.14159, 45678.9, -1.5, math.inf)],
-                         ["0", "0.0123", "3.14", "45,700", "-1.50", "inf"])
+        self.assertEqual(
+            [number(x) for x in (0, 0.0123456, 3.14159, 45678.9, -1.5, math.inf)],
+            ["0", "0.0123", "3.14", "45,700", "-1.50", "inf"],
+        )
 
 
 if __name__ == "__main__":
