--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -217,6 +217,10 @@
                 self.assertEqual(len(scale.failings(plan, [kept])), 1)
                 self.assertEqual(len(scale.Rig(plan, store).left), 1)  # a faulted one is played again
 
+    def test_what_ends_by_itself_right_behind_its_play_was_not_left_behind(self):
+        (kept,) = scale.Rig(self.one("a moment"), None).go()
+        self.assertEqual((kept.fault, kept.figures), ("", {"size": 1.0, "speed": 2.0}))
+
     def test_a_play_that_hangs_is_ended_with_all_it_started(self):
         (kept,) = scale.Rig(self.one("hangs"), None, patience=2.0).go()
         self.assertIn("took more than 2 s", kept.fault)
