A member with sixteen long-named budgets tells what fits and fails no timer

Cause: Shared.wake puts the spare units of all 16 names into one record, and Carry.put refuses more than 400 bytes; up to 22 characters a name fit (387 bytes), 32 make 563.

Ruled out: shorter names by the checker (charters that stand would be refused), a hash for a name (older members read names). Change: what has no room is left out, the most units told first, counted as 'spare untold'.

--- a/pathsaddle/fleet/state/shared.py
+++ b/pathsaddle/fleet/state/shared.py
@@ -10,7 +10,7 @@
 
 from pathsaddle.fleet.purse import Purse
 from pathsaddle.fleet.state.carry import SHARES, Carry
-from pathsaddle.fleet.state.form import Lent, Returned, Saying, Wanted
+from pathsaddle.fleet.state.form import BODY, Lent, Returned, Saying, Wanted
 from pathsaddle.fleet.state.limiter import Dealt, Limiter
 from pathsaddle.fleet.state.shares import Back, Lend, Want
 
@@ -78,8 +78,7 @@
         if now >= self.told_due and limiter.budgets:
             # Rarer among many, so that what all tell together stays the same.
             self.told_due = now + self.beat * (1 + len(self.carry.peers) // 10)
-            self.carry.put(SPARE, _encode({name: limiter.spare(name, now)
-                                           for name in list(limiter.budgets)[:16]}), now)
+            self.carry.put(SPARE, self._spare(now), now)
             for name in limiter.spares:
                 limiter.spares[name].clear()
             for shown in self.carry.records(SPARE, now):
@@ -95,6 +94,21 @@
         self.carry.wake(now)
         return self.due(now)
 
+    def _spare(self, now: int) -> bytes:
+        """What it would lend, as far as a record has room: 16 budgets with names of over 22 characters have more to say
+        than that, and a `put` that refused it ended the timer's turn each beat. What is left out is found by chance
+        like what is long past: whoever asks also asks one who told of nothing."""
+        spares = {name: self.limiter.spare(name, now) for name in list(self.limiter.budgets)[:16]}
+        body = _encode(spares)
+        if len(body) <= BODY:
+            return body
+        told: dict[str, int] = {}
+        for name in sorted(spares, key=lambda name: -spares[name]):
+            if len(_encode({**told, name: spares[name]})) <= BODY:
+                told[name] = spares[name]
+        self.carry.counts["spare untold"] = self.carry.counts.get("spare untold", 0) + len(spares) - len(told)
+        return _encode(told)
+
     def due(self, now: int) -> int:
         due = min(self.limiter.due, self.carry.due(now))
         return max(now + 1, min(due, self.told_due) if self.limiter.budgets else due)
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -5,6 +5,8 @@
 from random import Random
 from unittest import mock
 
+import msgspec
+
 from pathsaddle.emulator.state import mutants
 from pathsaddle.emulator.state.ground import BUDGET, Ground, Plan, varied
 from pathsaddle.emulator.state.judge import judge
@@ -12,7 +14,9 @@
 from pathsaddle.fleet.state import check_carry
 from pathsaddle.fleet.state.carry import Carry
 from pathsaddle.fleet.state.check import Exceeded
+from pathsaddle.fleet.state.form import BODY
 from pathsaddle.fleet.state.limiter import WINDOW, Dealt, Limiter
+from pathsaddle.fleet.state.shared import SPARE, Shared
 from pathsaddle.fleet.state.shares import Lend, Want
 
 KEY = b"sixteen bytes or more"
@@ -278,6 +282,31 @@
         self.assertEqual([equal_part(10, 4, number) for number in range(4)], [3, 3, 2, 2])
 
 
+class SpareStory(unittest.TestCase):
+    """What a member tells that it would lend goes into one record."""
+
+    def told(self, length):
+        names = [f"{n:02d}".ljust(length, "x") for n in range(16)]
+        one = Shared("a", 1, "f", KEY, Purse(24_000, 60, 0), SECOND,
+                     {name: Dealt(200, 20 + n, 10 * SECOND) for n, name in enumerate(names)}, Random(1), 0)
+        one.wake(60 * SECOND)  # long after its start, when all that may be lent is free
+        body = one.carry.mine.records[SPARE].body
+        self.assertLessEqual(len(body), BODY)
+        return names, msgspec.msgpack.decode(body), one.carry.counts.get("spare untold", 0)
+
+    def test_sixteen_budgets_with_the_longest_names_are_told_as_far_as_a_record_has_room_the_most_first(self):
+        names, told, untold = self.told(32)
+        self.assertEqual(len(told) + untold, 16)
+        self.assertGreaterEqual(len(told), 10)
+        self.assertEqual(set(told), set(names[-len(told):]))
+        self.assertEqual(told[names[-1]], 18)  # half of 35
+
+    def test_names_that_have_room_are_all_told(self):
+        for length in (2, 21):
+            names, told, untold = self.told(length)
+            self.assertEqual((list(told), untold), (names, 0))
+
+
 class HardStory(unittest.TestCase):
     """On the ground, by the judge: rights at each instant, uses in each second, ages, lives."""
 
