--- /dev/null
+++ b/pathsaddle/emulator/hollow/jobs_store.py
@@ -0,0 +1,235 @@
+"""Slope 5, the store of durable jobs: its file, its memory and its recovery, against the jobs that it keeps.
+
+Real: the program's own store (`jobs.store`) on a file, and a dispatcher's process that takes it over. All but
+a few jobs have ended and are within their retention, each as a client hands it in: a head, a body, one lease,
+a final answer. What they stand for: 30,000 a day with a month kept are 900,000.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from random import Random
+from typing import Annotated, Any
+
+import msgspec
+
+from pathsaddle.jobs.life import End, Kind, Record
+from pathsaddle.jobs.store import Accepted, DiskWriter, Forget, Store, Write
+from pathsaddle.trade import SECOND, Semantics
+
+DAY = 24 * 3600 * SECOND
+READY_WITHIN = 50.0  # seconds
+
+
+class Setting(msgspec.Struct, forbid_unknown_fields=True):
+    """body: bytes of a call's body.
+    result: bytes of a final answer.
+    open: how many of the jobs have not ended.
+    group: how many writes go into one commit.
+    forgets: what part of the ended ones is past its retention, at the end of a play.
+    serves: whether a dispatcher's process takes the store over, too.
+    memory_mb: what that process is told that it may take.
+    """
+
+    body: Annotated[int, msgspec.Meta(ge=0)] = 200
+    result: Annotated[int, msgspec.Meta(ge=0)] = 200
+    open: Annotated[int, msgspec.Meta(ge=0)] = 100
+    group: Annotated[int, msgspec.Meta(ge=1)] = 64
+    forgets: Annotated[float, msgspec.Meta(ge=0, le=1)] = 1 / 30
+    serves: bool = True
+    memory_mb: Annotated[int, msgspec.Meta(ge=32)] = 192
+
+
+FIGURES = {
+    "file_bytes": ("bytes", "the store's file once all is in it, real"),
+    "bytes_a_job": ("bytes", "of that, for each job kept, real"),
+    "held_bytes_a_job": (
+        "bytes",
+        "what opening the store leaves in memory for each job kept, by the allocator, real",
+    ),
+    "write_us": ("us", "processor time to write an ended job (accepted, lease, final), real, without syncs"),
+    "open_s": ("s", "processor time of opening the store: all its jobs are read, real"),
+    "forget_s": ("s", "time of the one commit that lets go of `forgets` of the jobs, real, without syncs"),
+    "forgotten": ("1", "jobs let go"),
+    "left": ("1", "jobs left after that, read again"),
+    "ready_s": ("s", "from the start of a dispatcher's process to its word that it has recovered, real"),
+    "rss_mib": ("MiB", "that process's resident memory then, real"),
+    "most_rss_mib": ("MiB", "the most that it had until then, real"),
+}
+COUNTED = frozenset({"file_bytes", "bytes_a_job", "held_bytes_a_job", "forgotten", "left"})
+
+
+def needs(point: int, setting: Setting) -> tuple[int, float]:
+    return 2, 150.0 + 0.012 * point
+
+
+def writes(count: int, seed: int, setting: Setting, now: int) -> list[list[Write]]:
+    """Each job's records; ended ones ended evenly over the last 30 days, the open ones came last."""
+    chance = Random(f"{seed} jobs")
+    found: list[list[Write]] = []
+    head = (
+        json.dumps(
+            [
+                "/usual",
+                [
+                    ["Req-Kind", "usual"],
+                    ["Req-Owner", "team-000"],
+                    ["Req-Cost", "1000"],
+                    ["Content-Type", "application/json"],
+                ],
+            ]
+        ).encode()
+        + b"\n"
+    )
+    for i in range(count):
+        at = now - 30 * DAY + int(29.9 * DAY * i / count)
+        tag = f"{chance.getrandbits(128):032x}"
+        ended = i < count - setting.open
+        rows: list[Write] = [
+            Accepted(
+                tag,
+                f"team-{i % 750:03}",
+                f"key-{seed}-{i}",
+                chance.randbytes(16),
+                Semantics.REPEATABLE,
+                at,
+                (at if ended else now) + 3600 * SECOND,
+                head + chance.randbytes(setting.body),
+            )
+        ]
+        if ended:
+            rows.append(Record(Kind.INTENT, tag, at + 100, 1, f"worker-{i % 1900:04}"))
+            rows.append(
+                Record(
+                    Kind.FINAL,
+                    tag,
+                    at + 41 * SECOND,
+                    end=End.SETTLED,
+                    status=200,
+                    result=chance.randbytes(setting.result),
+                )
+            )
+        found.append(rows)
+    return found
+
+
+def store_at(path: Path) -> Store:
+    """Without syncs: what they cost is the disk's, not a matter of how much is kept."""
+    return Store(path, DiskWriter(asyncio.new_event_loop(), Random(1), 0.0), lock=False, sync="OFF")
+
+
+def measure(point: int, seed: int, setting: Setting) -> dict[str, float]:
+    import tracemalloc
+
+    with tempfile.TemporaryDirectory() as space:
+        path = Path(space) / "jobs.db"
+        now = int(time.time() * SECOND)
+        rows = writes(point, seed, setting, now)
+        store = store_at(path)
+        store.open()
+        begun = time.process_time()
+        for i in range(0, len(rows), setting.group):
+            store._commit([write for job in rows[i : i + setting.group] for write in job])
+        written = time.process_time() - begun
+        close(store)
+        size = path.stat().st_size
+        del rows
+        store = store_at(path)
+        begun = time.process_time()
+        found = store.open()
+        opened = time.process_time() - begun
+        close(store)
+        del found
+        store = store_at(path)
+        tracemalloc.start()
+        try:
+            found = store.open()
+            held = tracemalloc.get_traced_memory()[0]
+        finally:
+            tracemalloc.stop()
+        del found
+        close(store)
+        served = (
+            serve(path, setting) if setting.serves else {"ready_s": 0.0, "rss_mib": 0.0, "most_rss_mib": 0.0}
+        )
+        store = store_at(path)
+        store.open()
+        begun = time.perf_counter()
+        store._commit([Forget(now - 30 * DAY + int(29.9 * DAY * setting.forgets))])
+        forgot = time.perf_counter() - begun
+        close(store)
+        store = store_at(path)
+        left = len(store.open())
+        close(store)
+    return {
+        "file_bytes": size,
+        "bytes_a_job": size / point,
+        "held_bytes_a_job": held / point,
+        "write_us": written / point * 1e6,
+        "open_s": opened,
+        "forget_s": forgot,
+        "forgotten": point - left,
+        "left": left,
+        **served,
+    }
+
+
+def close(store: Store) -> None:
+    store.close()
+    store.writer.loop.close()  # type: ignore[attr-defined]
+
+
+def serve(path: Path, setting: Setting) -> dict[str, float]:
+    """A dispatcher's process that takes the store over; there is no worker and no list for it."""
+    table: dict[str, Any] = {
+        "listen": "127.0.0.1:0",
+        "discovery": "127.0.0.1:9",
+        "log": {"form": "json"},
+        "limits": {"memory": f"{setting.memory_mb}MiB"},
+        "schemes": [{"name": "usual", "semantics": "repeatable", "expiry": "2h"}],
+        "jobs": {"path": str(path), "retention": "720h"},
+    }
+    config = path.with_name("d.json")
+    config.write_text(json.dumps(table), encoding="utf-8")
+    begun = time.perf_counter()
+    process = subprocess.Popen(
+        [sys.executable, "-m", "pathsaddle", "serve", str(config)],
+        stderr=subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(sys.path)},
+    )
+    try:
+        assert process.stderr is not None
+        told, last = False, b""
+        for line in process.stderr:
+            last = line
+            with contextlib.suppress(ValueError):
+                told = json.loads(line).get("event") == "recovered"
+            if told or time.perf_counter() - begun > READY_WITHIN:
+                break
+        if not told:
+            raise RuntimeError(
+                f"the dispatcher did not recover within {READY_WITHIN:g} s; it said {last!r} last"
+            )
+        took = time.perf_counter() - begun
+        status = Path(f"/proc/{process.pid}/status").read_text(encoding="ascii")
+        sizes = {
+            line.partition(":")[0]: line.split()[1] for line in status.splitlines() if line.startswith("Vm")
+        }
+        return {
+            "ready_s": took,
+            "rss_mib": int(sizes["VmRSS"]) / 1024,
+            "most_rss_mib": int(sizes["VmHWM"]) / 1024,
+        }
+    finally:
+        process.kill()
+        process.wait()
+        if process.stderr is not None:
+            process.stderr.close()
--- /dev/null
+++ b/pathsaddle/emulator/overload/gated.py
@@ -0,0 +1,116 @@
+"""The gates of all dispatchers of one play on the virtual ground, each beside its Choice, with their mail among them.
+
+Records and loans go among them in this process, late by LATE and never lost: what is played here is the gate beside
+the real mechanism; troubles between members are `ground`'s and `processes`'.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+from unittest import mock
+
+from pathsaddle.choice import Choice
+from pathsaddle.fleet.overload import budgets
+from pathsaddle.fleet.overload.beside import PLACES, Beside
+from pathsaddle.fleet.overload.gate import Gate, Ways
+from pathsaddle.fleet.overload.word import read
+from pathsaddle.fleet.state.limiter import Dealt, Limiter
+from pathsaddle.fleet.state.shares import Back, Lend, Want
+from pathsaddle.trade import SECOND, Txn
+
+LATE = 3 * SECOND // 10
+TELLS = SECOND // 2
+
+
+@dataclass
+class Mail:
+    """Who is there, and what is on its way to each."""
+
+    members: dict[str, Told] = field(default_factory=dict)
+
+
+class Told(Beside):
+    """Beside a Choice, with its mail."""
+
+    def __init__(self, core: Gate, limiter: Limiter, mail: Mail) -> None:
+        super().__init__(core)
+        self.limiter, self.mail = limiter, mail
+        self.inbox: deque[tuple[int, str, int, int, bytes]] = deque()
+        self.tell_at, self.version = 0, 0
+
+    def turn(self, choice: Choice) -> None:
+        now = choice.now
+        while self.inbox and self.inbox[0][0] + LATE <= now:
+            at, name, life, version, body = self.inbox.popleft()
+            self.core.hears_read(name, life, version, read(body), at)
+        super().turn(choice)
+        if now >= self.tell_at:
+            self.tell_at, self.version = now + TELLS, self.version + 1
+            body = self.core.word(now)
+            for name, other in self.mail.members.items():
+                if name != self.core.name:
+                    other.inbox.append((now, self.core.name, self.limiter.life, self.version, body))
+        if now >= self.limiter.due:
+            self.limiter.there, self.limiter.heard_at = list(self.mail.members), now
+            self.limiter.wake(now)
+        self.says(now)
+
+    def goes_out(self, txn: Txn, worker: Any, choice: Choice) -> bool:
+        goes = super().goes_out(txn, worker, choice)
+        self.says(choice.now)
+        return goes
+
+    def says(self, now: int) -> None:
+        out, self.limiter.out = self.limiter.out, []
+        for name, budget, said in out:
+            other = self.mail.members.get(name)
+            if other is None:
+                continue
+            if isinstance(said, Want):
+                other.limiter.asked(budget, said, now)
+                other.says(now)
+            elif isinstance(said, Lend):
+                other.limiter.lent(budget, said, now)
+            elif isinstance(said, Back):
+                other.limiter.returned(budget, said, now)
+
+
+@contextlib.contextmanager
+def gated(rate: float) -> Iterator[None]:
+    """While it holds, each Choice that is made has a gate. rate: txns a second that can be served, which budgets are
+    parts of: repeats a fifth, trials a twentieth, looks as many as six a txn, since they come by threes."""
+    mail, begin = Mail(), Choice.__init__
+
+    def made(self: Choice, terms: Any, seed: int, now: int, door: Any, gate: Any = None) -> None:
+        begin(self, terms, seed, now, door, gate)
+        name = f"d{terms.number}"
+        wholes = {budgets.REPEAT: rate / 5, budgets.TRIAL: rate / 20, budgets.LOOK: 6 * rate}
+        wholes |= {f"{kind}.w{place}": 2 * whole / PLACES for kind, whole in wholes.items() for place in range(PLACES)}
+        dealt = {}
+        for budget, whole in wholes.items():
+            units = max(2, int(whole))
+            dealt[budget] = Dealt(units, units // terms.dispatchers + (terms.number < units % terms.dispatchers), 4 * SECOND)
+        # A process that starts anew is another life: its earlier one's loans may still be out.
+        life = now
+        limiter = Limiter(name, life, dealt, Random(f"{seed} limiter"), now)
+        sla = sum(scheme.sla_time for scheme in terms.schemes) / len(terms.schemes)
+        value = sum(scheme.value for scheme in terms.schemes) / len(terms.schemes)
+        ways = Ways(b"one plan's key", terms.dispatchers, value / sla, {
+            str(customer.index): customer.allowance * sla / SECOND for customer in terms.customers if customer.allowance},
+            rate / 10, SECOND // 2, max(SECOND, terms.come_back_most))
+        core = Gate(ways, name, terms.number, limiter, now)
+        self.gate = mail.members[name] = Told(core, limiter, mail)
+
+    keeps = Choice.housekeeping
+
+    def kept(self: Choice) -> int:
+        if isinstance(self.gate, Told):
+            self.gate.turn(self)
+        return keeps(self)
+    with mock.patch.object(Choice, "__init__", made), mock.patch.object(Choice, "housekeeping", kept):
+        yield
--- a/pathsaddle/emulator/served/clients.py
+++ b/pathsaddle/emulator/served/clients.py
@@ -255,6 +255,10 @@
             return (await dial(self.world, self.sites, self.places[zone], dispatcher), Hearing(calls=False),
                     False)
 
+    def target_of(self, wish: Wish) -> str:
+        """Each job is about something of its own: it has its own keepers among the workers (`Choice.keepers`)."""
+        return f"/{wish.scheme.name}?k={wish.number}"
+
     async def _call(self, wish: Wish, number: int, chance: Random, dispatcher: int, wire: Wire,
                     hearing: Hearing, used: bool) -> tuple[str, float]:
         scheme, add = wish.scheme, self.world.events.add
@@ -271,7 +275,7 @@
         body = msgspec.json.encode({"work": wish.work, "slots": wish.kind.slots, "memory": wish.kind.memory,
                                     "pad": "x" * wish.kind.body})
         try:
-            sent = await wire.send(speech.call("POST", f"/{scheme.name}?k={wish.number}", headers, body))
+            sent = await wire.send(speech.call("POST", self.target_of(wish), headers, body))
         except OSError:
             wire.close()
             return ("crossed", 0.0) if used else ("unreached", 0.0)
