--- a/pathsaddle/emulator/hollow/__init__.py
+++ b/pathsaddle/emulator/hollow/__init__.py
@@ -1,1 +1,1 @@
-"""The scale rig: hollow processes and what is measured of real ones among them (experiments/scale/)."""
+"""Measures of the scale rig: the program's own cores and drivers at a size that real processes would not fit."""
