settings: the sync machines; versions.py over any text, its history cut

Needed: one proof of leases, offers and in force for the federation's spec and for settings' rows. Version, Holder and Keeper are generic over a text that says members, has_member and withdrawn; Spec says them; the federation calls neither caught_up nor cut. Keeper.begins() tells when a reading begins (was: an attribute).

--- a/pathsaddle/federation/spec.py
+++ b/pathsaddle/federation/spec.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from dataclasses import field as kept
+from functools import lru_cache
 from pathlib import Path
 from typing import Annotated, Literal
 
@@ -182,6 +183,14 @@
         """Member -> its region."""
         return {name: region for region in sorted(self.regions) for name in self.regions[region].members}
 
+    def has_member(self, name: str, here: str) -> bool:
+        region = self.regions.get(here)
+        return region is not None and name in region.members
+
+    def withdrawn(self, new: Spec, here: str) -> bool:
+        """Whether somebody in `here` that hears nothing would, by this, post to what `new` forbids."""
+        return _withdrawn(self, new, here)
+
     def line(self, scheme: str, key: str) -> int:
         """On which line of the text a scheme's key stands, or its head; 0: neither does."""
         if not self._lines:
@@ -199,6 +208,12 @@
         return self._lines.get(f"{scheme}.{key}", self._lines.get(f"{scheme}.", 0))
 
 
+@lru_cache(1024)
+def _withdrawn(old: Spec, new: Spec, here: str) -> bool:
+    return any(not old.rule(name, here).alone().may <= new.rule(name, here).may
+               for name in {**old.schemes, **new.schemes})
+
+
 def load(path: str | Path) -> Spec:
     """Raises SpecFaulty, also where the file can't be read."""
     try:
--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -16,16 +16,19 @@
 be granted the older number once more, before the commit. After it every reading gives the new one.
 
 Home alone holds without a lease. So a version that forbids what an older one has as home can't be in force
-by the end of
-leases: each member of that region has to say so, and keeps what it said on disk, synced before. No I/O;
-  ticks of a
-monotonic clock of each.
+by the end of leases: each member of that region has to say so, and keeps what it said on disk, synced before.
+
+A spec is whatever says what `Text` does: the federation's (`federation/spec.py`), where alone means home alone,
+and the rows of `settings/terms.py`, where it means all that they allow. No I/O; ticks of a monotonic clock of
+each.
 """
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from functools import lru_cache
+from typing import TYPE_CHECKING, Any, Generic, Protocol, Self
 
 from pathsaddle.federation.spec import Rule, Spec
 from pathsaddle.fleet.state.shares import DRIFT
@@ -45,18 +48,47 @@
     return int(lease * (1 - 2 * DRIFT)) - 1
 
 
+class Text(Protocol):
+    """What a version says, as far as it is judged here."""
+
+    def members(self) -> dict[str, str]:
+        """Member -> its region: who must have a version before it is in force."""
+
+    def has_member(self, name: str, here: str) -> bool:
+        """Whether that member may hold a lease in that region."""
+
+    def withdrawn(self, new: Any, here: str) -> bool:
+        """Whether somebody in `here` that hears nothing would, by this text, do what `new` forbids."""
+
+
+class Narrows(Protocol):
+    def narrowed(self, other: Self, /) -> Self:
+        """What both allow."""
+
+
+if TYPE_CHECKING:
+    from typing_extensions import TypeVar  # mypy's own; nothing of it is imported when this runs
+
+    T = TypeVar("T", bound=Text, default=Spec)
+    N = TypeVar("N", bound=Narrows)
+else:
+    from typing import TypeVar
+
+    T, N = TypeVar("T"), TypeVar("N")
+
+
 @dataclass(frozen=True)
-class Version:
+class Version(Generic[T]):
     number: int
     digest: str
-    spec: Spec = field(compare=False, repr=False)
+    spec: T = field(compare=False, repr=False)
 
 
 @dataclass(frozen=True)
-class Offer:
+class Offer(Generic[T]):
     """A text that may become the version of that number."""
 
-    version: Version
+    version: Version[T]
 
 
 @dataclass(frozen=True)
@@ -97,7 +129,7 @@
 
 
 @dataclass(frozen=True)
-class Holder:
+class Holder(Generic[T]):
     """What one member knows; never changed, only replaced.
 
     base: the highest committed version whose text it has. known: (number, digest) of the highest committed.
@@ -108,20 +140,20 @@
     here: str
     life: int
     lease: int
-    base: Version
+    base: Version[T]
     known: tuple[int, str]
-    offers: tuple[Version, ...] = ()
+    offers: tuple[Version[T], ...] = ()
     until: int = NEVER
     echo: int = 0
     open: tuple[tuple[int, int], ...] = ()
 
-    def asks(self, now: int) -> tuple[Holder, Ask]:
+    def asks(self, now: int) -> tuple[Holder[T], Ask]:
         echo = self.echo + 1
         return replace(self, echo=echo, open=(*self.open, (echo, now))[-MOST_OPEN:]), Ask(
             self.name, self.life, echo
         )
 
-    def offered(self, version: Version) -> Holder:
+    def offered(self, version: Version[T]) -> Holder[T]:
         """Binds at once as far as it narrows; is kept until a commit settles its number."""
         if (version.number, version.digest) == self.known:  # settled already: it is the one committed
             return self if version == self.base else replace(self, base=version)
@@ -129,7 +161,7 @@
             return self
         return replace(self, offers=(*self.offers, version))
 
-    def committed(self, number: int, digest: str) -> Holder:
+    def committed(self, number: int, digest: str) -> Holder[T]:
         # The same number with another digest: what this member was started with is not what was committed.
         if number < self.known[0] or (number, digest) == self.known:
             return self
@@ -137,7 +169,16 @@
         return replace(self, known=(number, digest), base=base,
                        offers=tuple(one for one in self.offers if one.number > number))
 
-    def told(self, commit: Commit) -> tuple[Holder, Have | None]:
+    def caught_up(self, version: Version[T]) -> Holder[T]:
+        """A version that is surely committed, perhaps below the highest known: on the way to that one. Keep it on disk,
+        synced, before any word of it."""
+        if version.number <= self.base.number:
+            return self
+        if version.number >= self.known[0]:
+            return self.offered(version).committed(version.number, version.digest)
+        return replace(self, base=version)
+
+    def told(self, commit: Commit) -> tuple[Holder[T], Have | None]:
         """Keep what it returns on disk, synced, before the word is sent."""
         after = self.committed(commit.number, commit.digest)
         return after, after.has()
@@ -147,7 +188,7 @@
             return None
         return Have(self.name, *self.known)
 
-    def renewed(self, told: Renewed, now: int) -> Holder:
+    def renewed(self, told: Renewed, now: int) -> Holder[T]:
         asked = dict(self.open).get(told.echo)
         if asked is None or (told.name, told.life) != (self.name, self.life) or told.number < self.known[0]:
             return self
@@ -161,12 +202,7 @@
     def ends(self) -> int:
         """Until when it goes by `base` and more than home alone: not at all, where a higher one is known without its
         text, or where the spec doesn't name this member."""
-        region = self.base.spec.regions.get(self.here)
-        if (
-            (self.base.number, self.base.digest) != self.known
-            or region is None
-            or self.name not in region.members
-        ):
+        if (self.base.number, self.base.digest) != self.known or not self.base.spec.has_member(self.name, self.here):
             return NEVER
         return self.until
 
@@ -174,38 +210,47 @@
         """Whether it may go by more than home alone now; asked before each use."""
         return now < self.ends()
 
-    def rule(self, scheme: str, now: int) -> Rule:
-        """The narrowest of what is known; home alone without a lease."""
-        rule = self.base.spec.rule(scheme, self.here)
+    def narrowest(self, right: Callable[[T], N]) -> N:
+        """Of what is known; `right`: what is asked for, of one text."""
+        found = right(self.base.spec)
         for offer in self.offers:
-            rule = rule.narrowed(offer.spec.rule(scheme, self.here))
+            found = found.narrowed(right(offer.spec))
+        return found
+
+    def rule(self: Holder[Spec], scheme: str, now: int) -> Rule:
+        """The narrowest of what is known; home alone without a lease."""
+        rule = self.narrowest(lambda spec: spec.rule(scheme, self.here))
         return rule if self.leased(now) else rule.alone()
 
 
-def holder(name: str, here: str, life: int, lease: int, version: Version) -> Holder:
+def holder(name: str, here: str, life: int, lease: int, version: Version[T]) -> Holder[T]:
     """A life begins with the version that its disk has: any committed one."""
     return Holder(name, here, life, lease, version, (version.number, version.digest))
 
 
 @dataclass(frozen=True)
-class Keeper:
+class Keeper(Generic[T]):
     """Reads the register for others and tells what is in force; holds no right that another keeper lacks.
 
     history: the texts of committed versions that it knows. since: when it learnt of the highest. rows:
     (member, highest number that it said to have). force: the highest number told to be in force.
     gone: members that, by the operator's word, never start again with the disk that they had.
+    begins: the lowest number that `history` is to hold. cleared: a number that was in force by this keeper's own
+    proof, and of which it still has the text; 0: none.
     """
 
     lease: int
     born: int
     known: tuple[int, str] = (0, "")
-    history: tuple[Version, ...] = ()
+    history: tuple[Version[T], ...] = ()
     since: int = 0
     rows: tuple[tuple[str, int], ...] = ()
     force: int = 0
     gone: tuple[str, ...] = ()
+    begins: int = 1
+    cleared: int = 0
 
-    def reads(self, number: int, digest: str, version: Version | None, now: int) -> Keeper:
+    def reads(self, number: int, digest: str, version: Version[T] | None, now: int) -> Keeper[T]:
         """What the register has now, with the text where it is at hand."""
         history = self.history
         if (
@@ -222,7 +267,7 @@
         """After a reading of the register that began after the asking came."""
         return Renewed(ask.name, ask.life, ask.echo, *self.known)
 
-    def hears(self, have: Have) -> Keeper:
+    def hears(self, have: Have) -> Keeper[T]:
         if (have.number, have.digest) != self.known and not any(
                 (one.number, one.digest) == (have.number, have.digest) for one in self.history):
             return self
@@ -238,11 +283,10 @@
         number = self.known[0]
         if not self.history or (self.history[-1].number, self.history[-1].digest) != self.known:
             return ("?",)
-        whole = [one.number for one in self.history] == list(range(1, number + 1))
+        whole = [one.number for one in self.history] == list(range(self.begins, number + 1))
         over = now >= self.since + surely(self.lease)
         if not whole:
             return ("?",)
-        new = self.history[-1].spec
         told = dict(self.rows)
         names: dict[str, str] = {}
         for one in self.history:
@@ -252,17 +296,43 @@
             has = told.get(name, 0)
             if has >= number or name in self.gone:
                 continue
-            if not over or any(
-                withdrawn(one.spec, new, here) for one in self.history[:-1] if one.number >= has
-            ):
+            has = max(has, self.cleared)
+            # Below where the history begins nobody can tell any more what it goes by.
+            if not over or (has < self.begins > 1) or has <= _last_withdrawn(self.history, here):
                 late.append(name)
         return tuple(late)
 
-    def judged(self, now: int) -> Keeper:
+    def judged(self, now: int) -> Keeper[T]:
         if self.force < self.known[0] and not self.waits_for(now):
             return replace(self, force=self.known[0])
         return self
 
+    def cut(self, most: int) -> Keeper[T]:
+        """Without what is below the version in force, and of the rest the latest `most`.
+
+        Sound only where `withdrawn` is the complement of an order, so transitive (the federation's is not: home alone
+        by an older version may be allowed by the next and forbidden by one after it, though that forbids nothing
+        of the next), and where a text leaves out nobody who may still go by an older one. Why: let f be in force by
+        this keeper's proof and n later. Whoever had not said f then had no lease on less, never again has one, and
+        f forbids nothing of any version x that it may go by. If n forbids something of x, then, since x is within f,
+        n forbids it of f: f in place of x finds it. So such a member counts as if it had said f (`cleared`).
+        What goes by `most` is not proven so: whoever has said nothing from there on is waited for.
+        """
+        cleared = max(self.cleared, self.force)
+        begins = max(self.begins, cleared, self.history[-1].number - most + 1 if self.history else 0)
+        if begins == self.begins and cleared == self.cleared:
+            return self
+        return replace(self, begins=begins, cleared=cleared,
+                       history=tuple(one for one in self.history if one.number >= begins))
+
+
+@lru_cache(64)
+def _last_withdrawn(history: tuple[Version[Any], ...], here: str) -> int:
+    """The highest number of a version by which somebody in `here` that hears nothing would do what the last forbids;
+    0: none."""
+    new = history[-1].spec
+    return next((one.number for one in history[-2::-1] if one.spec.withdrawn(new, here)), -1)
+
 
 @dataclass(frozen=True)
 class Change:
@@ -303,10 +373,3 @@
         found += [Change(f"data.{name}", region, "may", region in old.readable(name))
                   for region in sorted(old.readable(name) ^ new.readable(name))]
     return found
-
-
-@lru_cache(1024)
-def withdrawn(old: Spec, new: Spec, here: str) -> bool:
-    """Whether somebody in `here` that hears nothing would, by `old`, post to what `new` forbids."""
-    return any(not old.rule(name, here).alone().may <= new.rule(name, here).may
-               for name in {**old.schemes, **new.schemes})
--- a/pathsaddle/settings/sync.py
+++ b/pathsaddle/settings/sync.py
@@ -17,28 +17,63 @@
   clock in milliseconds will do, but for a clock set back: keep the last on disk). `chance`: one seeded Random.
 - `purse`: a fleet.purse.Purse, this process's own for all that it sends of settings; `size(said)` tells the bytes that a
   message takes with its envelope. What isn't paid waits in a queue (catch-up, repeats) or is dropped (answers: asked again).
-- A keeper: a reading of the register is *wanted* while `Keeper.reading` is not None: begin one, read by a majority of
-  voters, and report it with `read(reading, ..)`, the number that `reading` had when it BEGAN; nothing proven: `unread`.
+- A keeper: whenever `wants_reading` and no reading of the register runs, call `begins(now)` and only after that begin one
+  by a majority of voters; report it by `read(number, ..)` with the number that `begins` gave, or, nothing proven,
+  `unread(number, now)`. Who asked before `begins` is answered by it, nobody else. After an own change of the register's
+  value has been acknowledged: a reading at once.
+- A member at revision 0 has no disk, or never heard of any group: nothing of shared settings allows it anything yet, and
+  a driver serves nothing by them before revision 1.
+- A keeper's offers on disk: those of revisions that were committed meanwhile may go; the latest OFFERS others stay.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass, field, replace
 from random import Random
-from typing import TYPE_CHECKING, Any
+from typing import Any, Protocol
 
+import msgspec
 from msgspec import Struct
 
-from pathsaddle.settings.forms import Group, Snapshot
-
-if TYPE_CHECKING:
-    from pathsaddle.fleet.purse import Purse
-    from pathsaddle.settings.store import Store
+from pathsaddle.federation import versions
+from pathsaddle.federation.versions import Holder, Version
+from pathsaddle.settings.forms import (
+    SNAPSHOT as MOST_SNAPSHOT,
+)
+from pathsaddle.settings.forms import (
+    START,
+    Group,
+    Snapshot,
+    Wrong,
+    checked,
+    digest_of,
+    encoded,
+    group_at,
+    hashed,
+    snapshot_at,
+)
+from pathsaddle.settings.store import Store
+from pathsaddle.settings.terms import Terms
 
 SECOND = 10_000  # ticks
 LEASE = 10 * SECOND
+DATAGRAM = 1200  # bytes, with its envelope
+ENVELOPE = 17  # bytes: a form and a sum, as in fleet/wire.py
 PIECE = 1024  # bytes of a group or snapshot in one datagram
 GROUP, SNAPSHOT = 0, 1  # what pieces are of
+WINDOW = 8  # pieces asked for at once
+ANSWER = SECOND  # within which a keeper answers, or the next is asked
+RETRY = SECOND  # the first wait before something is asked for again; doubles
+FAR = 1 << 60
+
+# Bounded; reached, it is told as `full`.
+OFFERS = 8  # a keeper's, not committed
+HELD = 4  # a member's offers, not committed
+PENDING = 64  # committed groups that wait for one before them
+CLIENTS = 1024  # members that a keeper serves
+HISTORY = 256  # revisions not in force of which a keeper knows what they withdrew
+TEXTS = 2  # groups or snapshots on their way to one machine in pieces
 
 
 class Asking(Struct, array_like=True, frozen=True, tag=1):
@@ -96,10 +131,10 @@
 
 
 class Haves(Struct, array_like=True, frozen=True, tag=7):
-    """Keeper to keeper: what members said to have, with the highest revision of each."""
+    """Keeper to keeper: what members said to have. rows: (revision, digest, names)."""
 
     name: str
-    rows: tuple[Have, ...]
+    rows: tuple[tuple[int, str, tuple[str, ...]], ...]
 
 
 class Announce(Struct, array_like=True, frozen=True, tag=8):
@@ -135,6 +170,9 @@
 Said = Asking | Renewal | Offer | Kept | Commit | Have | Haves | Announce | Want | Piece
 
 
+_encode = msgspec.msgpack.Encoder().encode
+
+
 class Write(Struct, frozen=True):
     """To be put on disk, synced, before `out` is sent. group: is appended to the committed log (committed) or kept beside it
     as an offer (a keeper's). snapshot: takes the place of rows and log; later groups follow it."""
@@ -192,12 +230,42 @@
     keeper: str
 
 
+def size_of(said: Said) -> int:
+    return len(_encode(said)) + ENVELOPE
+
+
+class Paying(Protocol):
+    """As fleet.purse.Purse."""
+
+    def pays(self, size: int, now: int, spare: float = 0.0) -> bool: ...
+
+
+@dataclass(frozen=True)
+class Parts:
+    """A text on its way in pieces. have: by number. until: the first piece not yet asked for. due: when it is asked again."""
+
+    announce: Announce
+    have: Mapping[int, bytes] = field(default_factory=dict)
+    until: int = 0
+    due: int = 0
+    tries: int = 0
+
+    @property
+    def count(self) -> int:
+        return -(-self.announce.size // PIECE)
+
+
 class Machine:
-    """What members and keepers have in common."""
+    """What members and keepers have in common: what goes out, and texts that come in pieces."""
 
-    writes: list[Write]
-    out: list[tuple[str, Said]]
-    told: list[Happened]
+    def __init__(self, name: str, region: str, life: int, store: Store, chance: Random, purse: Paying,
+                 size: Callable[[Said], int] | None) -> None:
+        self.name, self.region, self.life, self.store = name, region, life, store
+        self.chance, self.purse, self.size = chance, purse, size or size_of
+        self.writes: list[Write] = []
+        self.out: list[tuple[str, Said]] = []
+        self.told: list[Happened] = []
+        self.parts: dict[tuple[int, str], Parts] = {}
 
     def ready(self) -> Ready:
         """What came together since it was last called; empties it."""
@@ -205,75 +273,815 @@
         self.writes, self.out, self.told = [], [], []
         return made
 
+    def tell(self, what: str, **more: Any) -> None:
+        self.told.append(Happened(what, **more))
+
+    def say(self, to: str, said: Said, now: int, spare: float = 0.0) -> bool:
+        """Whether it was paid for. spare: what part of the purse is left to others."""
+        if not self.purse.pays(self.size(said), now, spare):
+            return False
+        self.out.append((to, said))
+        return True
+
+    def backoff(self, tries: int, most: int) -> int:
+        return int(min(most, RETRY << min(tries, 16)) * self.chance.uniform(0.5, 1.0))
+
+    # Pieces
+
+    def announced(self, said: Announce, now: int) -> None:
+        """It is wanted; repeats ask for nothing that is on its way."""
+        key = (said.what, said.digest)
+        if not 0 < said.size <= MOST_SNAPSHOT:
+            return
+        if key in self.parts:
+            if self.parts[key].announce.size == said.size:  # whoever spoke last is asked next
+                self.parts[key] = replace(self.parts[key], announce=said)
+            return
+        if len(self.parts) >= TEXTS:
+            oldest = next(iter(self.parts))
+            del self.parts[oldest]
+            self.tell("full", digest=oldest[1], why="texts in pieces: the oldest was given up")
+        self.parts[key] = Parts(said)
+        self.wants(key, now)
+
+    def wants(self, key: tuple[int, str], now: int, again: bool = False) -> None:
+        part = self.parts[key]
+        first = next(i for i in range(part.count + 1) if i not in part.have)
+        tries = part.tries + 1 if again else 0
+        self.parts[key] = replace(part, until=min(first + WINDOW, part.count), tries=tries,
+                                  due=now + RETRY + self.backoff(tries, 16 * SECOND))
+        self.say(part.announce.name, Want(self.name, *key, first, WINDOW), now)
+
+    def took(self, said: Piece, now: int) -> tuple[Announce, bytes] | None:
+        """The whole text and how it was announced, once it is there and is what its digest says."""
+        key = (said.what, said.digest)
+        part = self.parts.get(key)
+        if part is None or not 0 <= said.first < part.count or said.first in part.have:
+            return None
+        part = self.parts[key] = replace(part, have={**part.have, said.first: said.data})
+        if len(part.have) < part.count:
+            if all(i in part.have for i in range(part.until)):
+                self.wants(key, now)
+            return None
+        del self.parts[key]
+        data = b"".join(part.have[i] for i in range(part.count))
+        if len(data) != part.announce.size or hashed(data) != said.digest:
+            self.tell("refused", digest=said.digest, why="pieces that are not what their digest says")
+            return None
+        return part.announce, data
+
+    def text(self, announce: Announce, data: bytes) -> Group | Snapshot | None:
+        """None, and told: it is not what was announced."""
+        try:
+            found = group_at(data) if announce.what == GROUP else snapshot_at(data)
+        except Wrong as fault:
+            self.tell("refused", digest=announce.digest, why=str(fault))
+            return None
+        if (found.revision, digest_of(found) if isinstance(found, Group) else found.digest) != announce.known:
+            self.tell("refused", digest=announce.digest, why="a text of another revision than was announced")
+            return None
+        return found
+
+    def pieces_due(self, now: int) -> int:
+        """Asks again for what is late; when that is due next."""
+        for key in [key for key, part in self.parts.items() if part.due <= now]:
+            if self.parts[key].tries >= 8:
+                del self.parts[key]  # whoever announced it is gone; it is announced anew by whoever is asked next
+            else:
+                self.wants(key, now, again=True)
+        return min((part.due for part in self.parts.values()), default=FAR)
+
 
 class Member(Machine):
     """A dispatcher's part: applies groups in order and whole, asks for its lease, says what it has."""
 
-    def __init__(self, name: str, region: str, life: int, store: Store, keepers: Sequence[str], chance: Random, purse: Purse,
+    def __init__(self, name: str, region: str, life: int, store: Store, keepers: Sequence[str], chance: Random, purse: Paying,
                  now: int, lease: int = LEASE, size: Callable[[Said], int] | None = None) -> None:
         """store: what its disk has (committed alone), or an empty one. keepers: names, nearest first; one at least."""
-        raise NotImplementedError
-
-    def heard(self, said: Said, now: int) -> int:
-        """When `wake` is due."""
-        raise NotImplementedError
-
-    def wake(self, now: int) -> int:
-        """When it is due next."""
-        raise NotImplementedError
+        super().__init__(name, region, life, store, chance, purse, size)
+        self.keepers, self.lease = tuple(keepers), lease
+        self.holder: Holder[Terms] = versions.holder(
+            name, region, life, lease, Version(store.revision, store.digest, store.terms))
+        self.pending: dict[int, Group] = {}
+        self.held: dict[str, Group] = {}  # offers, by digest
+        self.at = 0  # which keeper is asked
+        self.tries = 0  # keepers in a row that said nothing
+        self.asked: int | None = None  # when, and no answer yet
+        self.ask_due = now + int(chance.uniform(0, SECOND // 4))  # all may start in this moment
+        self.lag_due, self.lag_tries = FAR, 0
+        self.home_due = FAR  # when the nearest keeper is tried again
+        self.proved: int | None = None
+        self.was_leased = False
+        self._rows: tuple[Version[Terms], tuple[Version[Terms], ...], Mapping[str, bytes]] | None = None
+
+    # What it acts by
 
     def rows(self, now: int) -> Mapping[str, bytes]:
         """What it acts by: the committed rows that it has, narrowed by offers. Not to be changed; another object after
         any change."""
-        raise NotImplementedError
+        holder = self.holder
+        if self._rows is None or self._rows[0] is not holder.base or self._rows[1] is not holder.offers:
+            self._rows = (holder.base, holder.offers, holder.narrowest(lambda terms: terms).rows())
+        return self._rows[2]
 
     def leased(self, now: int) -> bool:
-        raise NotImplementedError
+        return self.holder.leased(now)
 
     def status(self, now: int) -> Status:
-        raise NotImplementedError
+        base = self.holder.base
+        return Status(base.number, base.digest, self.holder.known[0], self.leased(now), self.holder.until,
+                      None if self.proved is None else now - self.proved,
+                      tuple(sorted(one.number for one in self.holder.offers)), self.keepers[self.at])
 
+    # Events
 
-class Keeper(Machine):
-    """Has the texts, serves its region's members, tells what is in force. Several at once do no harm."""
+    def heard(self, said: Said, now: int) -> int:
+        """When `wake` is due."""
+        if isinstance(said, Renewal):
+            self._renewed(said, now)
+        elif isinstance(said, Commit):
+            self._committed(said.known, said.groups, said.name, now)
+        elif isinstance(said, Offer):
+            self._offered(said.group, said.name, now)
+        elif isinstance(said, Announce):
+            self._announced(said, now)
+        elif isinstance(said, Piece):
+            found = self.took(said, now)
+            if found is not None:
+                self._whole(*found, now)
+        return self._due(now)
 
-    reading: int | None  # number of the reading that is wanted; None: none is
+    def wake(self, now: int) -> int:
+        """When it is due next."""
+        if self.asked is not None and now >= self.asked + ANSWER:
+            before, self.asked = self.keepers[self.at], None
+            self.at, self.tries = (self.at + 1) % len(self.keepers), self.tries + 1
+            self.home_due = now + int(6 * self.lease * self.chance.uniform(0.5, 1.5)) if self.at else FAR
+            self.tell("silent", name=before, why=f"{self.keepers[self.at]} is asked next")
+            self.ask_due = now + self.backoff(self.tries - 2, self.lease // 2) if self.tries > 1 else now
+        if now >= self.home_due and self.asked is None:
+            self.at, self.home_due = 0, FAR
+        if now >= self.ask_due:
+            self.asks(now)
+        if self._behind() and now >= self.lag_due:
+            self._lags(now)
+        self.pieces_due(now)
+        return self._due(now)
+
+    def asks(self, now: int) -> None:
+        """For a lease and for what it lacks."""
+        self.holder, ask = self.holder.asks(now)
+        base = self.holder.base
+        self.say(self.keepers[self.at], Asking(self.name, self.life, ask.echo, base.number, base.digest), now)
+        self.asked = now if self.asked is None else self.asked
+        self.ask_due = now + int(self.lease / 3 * self.chance.uniform(0.8, 1.0))
+
+    def _renewed(self, said: Renewal, now: int) -> None:
+        if (said.to, said.life) != (self.name, self.life):
+            return
+        before, asked = self.store.revision, dict(self.holder.open).get(said.echo)
+        self._knows((said.revision, said.digest))
+        self.holder = self.holder.renewed(
+            versions.Renewed(said.to, said.life, said.echo, said.revision, said.digest), now)
+        if asked is None:
+            self._lagging(now)
+            return
+        self.proved = asked if self.proved is None else max(self.proved, asked)
+        self.asked, self.tries = None, 0
+        self.ask_due = now + int(self.lease / 3 * self.chance.uniform(0.8, 1.0))
+        self._lagging(now)
+        if self.store.revision > before:
+            self._answers(said.name, before, now)
+
+    def _committed(self, known: tuple[int, str], groups: Iterable[Group], sender: str, now: int) -> None:
+        before = self.store.revision
+        for group in groups:
+            self._waits(group)
+        self._drain()
+        self._knows(known)
+        self._answers(sender, before, now)
+
+    def _knows(self, known: tuple[int, str]) -> None:
+        """The highest committed, or a lower. A group that was offered and is the one committed is applied here, on disk as any
+        other: `holder.told` alone would act by it unkept."""
+        if known[1] in self.held:
+            self._waits(self.held[known[1]])
+            self._drain()
+        self.holder = self.holder.told(versions.Commit(*known))[0]
+
+    def _answers(self, sender: str, before: int, now: int) -> None:
+        """The word of what it has; where it lacks something, no oftener than it gets on or a wait is over: else a text that
+        doesn't fit would go to and fro for ever."""
+        self._lagging(now)
+        base = self.holder.base
+        if not self._behind() or self.store.revision > before:
+            self.say(sender, Have(self.name, base.number, base.digest), now)
+            if self._behind():
+                self.lag_due, self.lag_tries = now + RETRY, 0
+        elif now >= self.lag_due - RETRY and not self.lag_tries:
+            self._lags(now, sender)
+
+    def _behind(self) -> bool:
+        return (self.holder.base.number, self.holder.base.digest) != self.holder.known
+
+    def _lagging(self, now: int) -> None:
+        if not self._behind():
+            self.lag_due, self.lag_tries = FAR, 0
+        elif self.lag_due == FAR:
+            self.lag_due, self.lag_tries = now + RETRY, 0
+
+    def _lags(self, now: int, to: str = "") -> None:
+        """Says what it has, so that what comes after it is sent."""
+        base = self.holder.base
+        self.say(to or self.keepers[self.at], Have(self.name, base.number, base.digest), now)
+        self.lag_tries += 1
+        self.lag_due = now + RETRY + self.backoff(self.lag_tries, 16 * SECOND)
+
+    def _waits(self, group: Group) -> None:
+        """A committed group, until those before it are there."""
+        if group.revision <= self.store.revision or group.revision in self.pending:
+            return
+        if len(self.pending) >= PENDING:
+            self.tell("full", revision=group.revision, why=f"groups that wait for {self.store.revision + 1}: it is dropped")
+            return
+        self.pending[group.revision] = group
+
+    def _drain(self) -> None:
+        while (group := self.pending.pop(self.store.revision + 1, None)) is not None:
+            try:
+                self._applies(group)
+            except Wrong as fault:
+                self.tell("diverged" if group.before != self.store.digest else "refused", revision=group.revision,
+                          digest=digest_of(group), why=str(fault))
+                self.pending.clear()
+        for revision in [one for one in self.pending if one <= self.store.revision]:
+            del self.pending[revision]
+
+    def _applies(self, group: Group) -> None:
+        """Whole; on disk before any word of it. Raises Wrong."""
+        digest, old = digest_of(group), self.holder
+        offer = next((one for one in old.offers if (one.number, one.digest) == (group.revision, digest)), None)
+        terms = self.store.append(group, offer.spec if offer is not None else None)
+        self.writes.append(Write(group))
+        self._goes_by(offer or Version(group.revision, digest, terms), tuple(put.key for put in group.puts))
+
+    def _goes_by(self, version: Version[Terms], keys: Iterable[str]) -> None:
+        old = self.holder
+        self.holder = old.caught_up(version)
+        # Offers no longer hold where their number is settled, or what they narrowed was of the older rows.
+        offers = tuple(one for one in self.holder.offers if one.number > version.number)
+        self.held = {digest: group for digest, group in self.held.items() if group.revision > version.number}
+        if offers != self.holder.offers:
+            self.holder = replace(self.holder, offers=offers)
+        over = {key for one in old.offers for key in old.base.spec.differing(one.spec)}
+        self.tell("applied", revision=version.number, digest=version.digest, keys=tuple(sorted(over.union(keys))))
+
+    def _offered(self, group: Group, sender: str, now: int) -> None:
+        digest = digest_of(group)
+        known = (group.revision, digest)
+        if known == self.holder.known and group.revision > self.store.revision:
+            self._committed(known, (group,), sender, now)
+            return
+        if (group.revision, group.before) != (self.store.revision + 1, self.store.digest) or any(
+                (one.number, one.digest) == known for one in self.holder.offers) or group.revision <= self.holder.known[0]:
+            return
+        if len(self.holder.offers) >= HELD:
+            self.tell("full", revision=group.revision, digest=digest, why=f"{HELD} offers are held: it is left")
+            return
+        try:
+            self.store.fits(group)
+        except Wrong as fault:
+            self.tell("refused", revision=group.revision, digest=digest, why=str(fault))
+            return
+        self.holder = self.holder.offered(Version(group.revision, digest, self.store.terms.after(group)))
+        self.held[digest] = group
+        self.tell("offered", revision=group.revision, digest=digest, keys=tuple(put.key for put in group.puts))
+
+    def _announced(self, said: Announce, now: int) -> None:
+        if said.known[0] <= self.store.revision or (
+                said.offer and (said.known[0] != self.store.revision + 1 or len(self.holder.offers) >= HELD)):
+            return
+        if not said.offer:
+            before = self.store.revision
+            self._knows(said.known)
+            self._answers(said.name, before, now)
+            if said.known[0] <= self.store.revision:
+                return
+            if said.what == GROUP and said.known[0] > self.store.revision + PENDING:
+                return
+        self.announced(said, now)
+
+    def _whole(self, announce: Announce, data: bytes, now: int) -> None:
+        found, before = self.text(announce, data), self.store.revision
+        if isinstance(found, Group):
+            if announce.offer:
+                self._offered(found, announce.name, now)
+                return
+            self._waits(found)
+            self._drain()
+        elif found is not None and found.revision > self.store.revision:
+            old = self.store.terms
+            terms = self.store.replaced(found)
+            self.writes.append(Write(snapshot=found))
+            self._goes_by(Version(found.revision, found.digest, terms),
+                          [key for key in old.differing(terms) if old.get(key) != terms.get(key)])
+            self._drain()
+        self._answers(announce.name, before, now)
+
+    def _due(self, now: int) -> int:
+        leased = self.leased(now)
+        if leased != self.was_leased:
+            self.was_leased = leased
+            self.tell("leased" if leased else "alone", revision=self.holder.base.number, digest=self.holder.base.digest,
+                      until=self.holder.until)
+        return min(self.ask_due, FAR if self.asked is None else self.asked + ANSWER, self.lag_due,
+                   self.home_due if self.asked is None else FAR,
+                   self.holder.ends() if leased else FAR, min((part.due for part in self.parts.values()), default=FAR))
+
+
+@dataclass(frozen=True)
+class Client:
+    """A member that asks this keeper. at: when it last did. has: (revision, digest). offer: the digest of the last offer
+    that was sent to it."""
+
+    at: int
+    has: tuple[int, str]
+    offer: str = ""
+
+
+@dataclass(frozen=True)
+class Proposal:
+    """kept: keepers that have it on disk."""
 
-    def __init__(self, name: str, region: str, life: int, store: Store, peers: Sequence[str], chance: Random, purse: Purse,
+    group: Group
+    digest: str
+    kept: tuple[str, ...]
+    due: int
+    told: bool = False
+
+
+class Keeper(Machine):
+    """Has the texts, serves who asks it, tells what is in force. Several at once do no harm."""
+
+    def __init__(self, name: str, region: str, life: int, store: Store, peers: Sequence[str], chance: Random, purse: Paying,
                  now: int, lease: int = LEASE, offers: Sequence[Group] = (),
                  size: Callable[[Said], int] | None = None) -> None:
         """store, offers: what its disk has. peers: the other keepers' names. lease: the members', the longest of them."""
-        raise NotImplementedError
+        super().__init__(name, region, life, store, chance, purse, size)
+        self.peers, self.lease = tuple(peers), lease
+        version = Version(store.revision, store.digest, store.terms)
+        self.core: versions.Keeper[Terms] = versions.Keeper(
+            lease, now, (store.revision, store.digest), (version,), now, begins=store.revision)
+        self.offers = {digest_of(group): group for group in offers if group.revision > store.revision}
+        self.clients: dict[str, Client] = {}
+        self.wants_reading = True
+        self.readings, self.read_at = 0, now - SECOND
+        self.waiting: dict[str, Asking] = {}
+        self.answering: dict[int, dict[str, Asking]] = {}
+        self.target: tuple[int, str] = START  # committed, and a text is missing
+        self.target_due, self.target_tries = FAR, 0
+        self.feeds: dict[str, tuple[int, str]] = {}  # who lacks what comes after this
+        self.serving: dict[str, Want] = {}
+        self.snapshots: dict[str, tuple[tuple[int, str], bytes]] = {}
+        self.proposal: Proposal | None = None
+        self.fresh: dict[str, None] = {}  # of our clients' words, those not yet told to peers
+        self.gossip_due, self.refresh_due = FAR, now + lease // 2
+        self.pump_due, self.push_due = FAR, now + RETRY
+        self._gone()
+
+    # Events
 
     def heard(self, said: Said, now: int) -> int:
         """When `wake` is due."""
-        raise NotImplementedError
+        if isinstance(said, Asking):
+            self._asked(said, now)
+        elif isinstance(said, Have):
+            self._has(said.name, (said.revision, said.digest), now)
+        elif isinstance(said, Haves):
+            for revision, digest, names in said.rows:
+                self._hears(names, revision, digest, now)
+        elif isinstance(said, Want):
+            self.serving[said.name] = said
+            self._pump(now)
+        elif said.name in self.peers:
+            self._peer(said, now)
+        return self._due(now)
+
+    def _peer(self, said: Said, now: int) -> None:
+        if isinstance(said, Offer):
+            self._offered(said.group, said.name, now)
+        elif isinstance(said, Kept):
+            proposal = self.proposal
+            if proposal is not None and said.digest == proposal.digest and said.name not in proposal.kept:
+                self.proposal = replace(proposal, kept=(*proposal.kept, said.name))
+                self._kept()
+        elif isinstance(said, Commit):
+            before = self.store.revision
+            for group in said.groups:
+                self._takes(group, now)
+            self._learns(*said.known, now)
+            if before < self.store.revision < self.core.known[0]:
+                self.say(said.name, Have(self.name, self.store.revision, self.store.digest), now)
+        elif isinstance(said, Announce):
+            if said.known[0] > self.store.revision:
+                if not said.offer:
+                    self._learns(*said.known, now)
+                self.announced(said, now)
+        elif isinstance(said, Piece):
+            whole = self.took(said, now)
+            if whole is not None:
+                self._whole(*whole, now)
 
     def wake(self, now: int) -> int:
         """When it is due next."""
-        raise NotImplementedError
-
-    def read(self, reading: int, revision: int, digest: str, now: int) -> None:
-        """A majority of voters proved this; `reading` as it was when the reading began."""
-        raise NotImplementedError
-
-    def unread(self, reading: int, now: int) -> None:
-        """Nothing was proven by it."""
-        raise NotImplementedError
-
-    def propose(self, group: Group, now: int) -> None:
+        if now >= self.read_at + SECOND:
+            self.wants_reading = True
+        if self.waiting and now >= self.read_at + SECOND // 4:
+            self.wants_reading = True
+        if self.core.known != (self.store.revision, self.store.digest) and now >= self.target_due:
+            self._asks_peer(now)
+        proposal = self.proposal
+        if proposal is not None and now >= proposal.due:
+            self.proposal = replace(proposal, due=now + RETRY // 2)
+            for name in self.peers:
+                if name not in proposal.kept:
+                    self._offers(name, proposal.group, now)
+        if now >= self.gossip_due:
+            self._gossips(list(self.fresh), now)
+            self.fresh, self.gossip_due = {}, FAR
+        if now >= self.refresh_due:
+            self.refresh_due = now + int(self.lease / 2 * self.chance.uniform(0.8, 1.2))
+            self.clients = {name: client for name, client in self.clients.items() if now < client.at + 2 * self.lease}
+            self._gossips(list(self.clients), now)
+        if now >= self.push_due:
+            self.push_due = now + RETRY
+            known = (self.store.revision, self.store.digest)
+            for name, client in self.clients.items():
+                if client.has != known and client.has[0] <= known[0] and now < client.at + self.lease:
+                    self.feeds.setdefault(name, client.has)
+        self.pieces_due(now)
+        self._judges(now)
+        self._pump(now)
+        return self._due(now)
+
+    def begins(self, now: int) -> int:
+        """A reading of the register begins after this call; its number."""
+        self.readings += 1
+        self.read_at, self.wants_reading = now, False
+        self.answering[self.readings], self.waiting = self.waiting, {}
+        for number in list(self.answering)[:-4]:  # readings of which nothing was ever heard
+            del self.answering[number]
+        return self.readings
+
+    def read(self, reading: int, revision: int, digest: str, now: int) -> int:
+        """A majority of voters proved this, asked after `begins` gave that number. When `wake` is due."""
+        asked = self.answering.pop(reading, {})
+        if not self._learns(revision, digest, now):
+            return self._due(now)
+        if self.core.known != (self.store.revision, self.store.digest):
+            # Of what it can't serve it says nothing; who asked is answered once the text is there, or asks another.
+            self.waiting = {**asked, **self.waiting}
+            return self._due(now)
+        for ask in asked.values():
+            told = self.core.answers(versions.Ask(ask.name, ask.life, ask.echo))
+            if not self.say(ask.name, Renewal(self.name, told.name, told.life, told.echo, told.number, told.digest), now):
+                self.tell("full", name=ask.name, why="the purse: a renewal was dropped")
+        return self._due(now)
+
+    def unread(self, reading: int, now: int) -> int:
+        """Nothing was proven by it. When `wake` is due."""
+        self.waiting = {**self.answering.pop(reading, {}), **self.waiting}
+        return self._due(now)
+
+    # Proposing
+
+    def propose(self, group: Group, now: int) -> int:
         """Offers it to keepers and members; `kept` is told once a majority of keepers has it on disk. The caller owns the
-        register's key and has looked that (revision - 1, before) is the latest. Raises forms.Wrong."""
-        raise NotImplementedError
+        register's key and has looked that (revision - 1, before) is the latest. Raises forms.Wrong. When `wake` is due."""
+        self.store.fits(group)
+        digest = digest_of(group)
+        self._keeps(group, digest, now)
+        self.proposal = Proposal(group, digest, (self.name,), now + RETRY // 2)
+        for name in self.peers:
+            self._offers(name, group, now)
+        self._kept()
+        return self._due(now)
 
     def withdraw(self, now: int) -> None:
         """Proposes no more: the register refused, or time is over. Members keep what they heard until a commit."""
-        raise NotImplementedError
+        self.proposal = None
+
+    def _kept(self) -> None:
+        proposal = self.proposal
+        if proposal is not None and not proposal.told and len(proposal.kept) >= (len(self.peers) + 1) // 2 + 1:
+            self.proposal = replace(proposal, told=True)
+            self.tell("kept", revision=proposal.group.revision, digest=proposal.digest)
+
+    def _offers(self, to: str, group: Group, now: int) -> bool:
+        said: Said = Offer(self.name, group)
+        if self.size(said) > DATAGRAM:
+            said = self._announces(group, True)
+        return self.say(to, said, now)
+
+    def _announces(self, group: Group, offer: bool) -> Announce:
+        digest = digest_of(group)
+        return Announce(self.name, GROUP, digest, (group.revision, digest), len(encoded(group)), offer)
+
+    def _offered(self, group: Group, sender: str, now: int) -> None:
+        digest = digest_of(group)
+        if group.revision <= self.store.revision:
+            if self.store.digest_at(group.revision) == digest:
+                self.say(sender, Kept(self.name, group.revision, digest), now)
+            return
+        if digest not in self.offers:
+            try:
+                checked(group)
+            except Wrong as fault:
+                self.tell("refused", revision=group.revision, digest=digest, name=sender, why=str(fault))
+                return
+            self._keeps(group, digest, now)
+            if (group.revision, digest) == self.core.known:
+                self._learns(group.revision, digest, now)
+        self.say(sender, Kept(self.name, group.revision, digest), now)
+
+    def _keeps(self, group: Group, digest: str, now: int) -> None:
+        if digest in self.offers:
+            return
+        while len(self.offers) >= OFFERS:
+            oldest = next(iter(self.offers))
+            self.tell("full", revision=self.offers.pop(oldest).revision, digest=oldest, why=f"{OFFERS} offers: the oldest goes")
+        self.offers[digest] = group
+        self.writes.append(Write(group, committed=False))
+        self.tell("offered", revision=group.revision, digest=digest, keys=tuple(put.key for put in group.puts))
+        if (group.revision, group.before) == (self.store.revision + 1, self.store.digest):
+            for name, client in list(self.clients.items()):
+                # Unpaid it is left: an offer is a favour, the commit comes by itself.
+                if client.has == (self.store.revision, self.store.digest) and self._offers(name, group, now):
+                    self.clients[name] = replace(client, offer=digest)
+
+    # What is committed
+
+    def _learns(self, revision: int, digest: str, now: int) -> bool:
+        """The register has, or had, this. False, and told: here is something else."""
+        here = self.store.digest_at(revision) if revision <= self.store.revision else None
+        if here is not None and here != digest:
+            self.tell("diverged", revision=revision, digest=digest, why=f"{here} is on disk")
+            return False
+        if revision > self.core.known[0]:
+            self.core = self.core.reads(revision, digest, None, now)
+        way: list[Group] = []
+        at = self.offers.get(self.core.known[1])
+        while at is not None:
+            way.append(at)
+            at = self.offers.get(at.before) if at.before != self.store.digest else None
+        if way and (way[-1].before, way[-1].revision) == (self.store.digest, self.store.revision + 1):
+            for group in reversed(way):
+                if not self._takes(group, now):
+                    break
+        if self.core.known == (self.store.revision, self.store.digest):
+            self.target_due, self.target_tries = FAR, 0
+            if self.waiting:
+                self.wants_reading = True
+        elif self.target_due == FAR:
+            self._asks_peer(now)
+        return True
+
+    def _asks_peer(self, now: int) -> None:
+        self.target_tries += 1
+        self.target_due = now + RETRY + self.backoff(self.target_tries, 16 * SECOND)
+        if self.peers:
+            self.say(self.chance.choice(self.peers), Have(self.name, self.store.revision, self.store.digest), now)
+
+    def _takes(self, group: Group, now: int) -> bool:
+        """One that is surely committed."""
+        if group.revision != self.store.revision + 1:
+            return False
+        try:
+            terms = self.store.append(group)
+        except Wrong as fault:
+            self.tell("diverged" if group.before != self.store.digest else "refused", revision=group.revision,
+                      digest=digest_of(group), why=str(fault))
+            return False
+        self.writes.append(Write(group))
+        digest = self.store.digest
+        self._goes_by(Version(group.revision, digest, terms), tuple(put.key for put in group.puts), now)
+        mine = self.proposal is not None and self.proposal.digest == digest
+        if self.proposal is not None and self.proposal.group.revision <= group.revision:
+            self.proposal = None
+        known = (group.revision, digest)
+        for name, client in list(self.clients.items()):
+            if client.has != (group.revision - 1, group.before) and name not in self.feeds:
+                self.feeds[name] = client.has
+            elif name not in self.feeds:
+                if client.offer == digest:
+                    said: Said = Commit(self.name, known)
+                else:
+                    said = Commit(self.name, known, (group,))
+                    if self.size(said) > DATAGRAM:
+                        said = self._announces(group, False)
+                if not self.say(name, said, now):
+                    self.feeds[name] = client.has
+        if mine:
+            for name in self.peers:
+                self.say(name, Commit(self.name, known), now)
+        self._judges(now)
+        self._pump(now)
+        return True
+
+    def _goes_by(self, version: Version[Terms], keys: tuple[str, ...], now: int) -> None:
+        self.core = self.core.reads(version.number, version.digest, version, now)
+        self.offers = {one: group for one, group in self.offers.items() if group.revision > version.number}
+        self._gone()
+        self.tell("committed", revision=version.number, digest=version.digest, keys=keys)
+
+    def _whole(self, announce: Announce, data: bytes, now: int) -> None:
+        found, before = self.text(announce, data), self.store.revision
+        if isinstance(found, Group):
+            if announce.offer:
+                self._offered(found, announce.name, now)
+                return
+            self._takes(found, now)
+        elif found is not None and found.revision > self.store.revision:
+            terms = self.store.replaced(found)
+            self.writes.append(Write(snapshot=found))
+            version = Version(found.revision, found.digest, terms)
+            # What was before it is not known here: whoever has said nothing from it on is waited for.
+            self.core = replace(self.core, history=(), begins=found.revision)
+            self._goes_by(version, (), now)
+            for name, client in self.clients.items():
+                self.feeds[name] = client.has
+            self._judges(now)
+        self._learns(*self.core.known, now)
+        if before < self.store.revision < self.core.known[0]:
+            self.say(announce.name, Have(self.name, self.store.revision, self.store.digest), now)
+
+    def _gone(self) -> None:
+        """Whose newest row in what is kept of the past says so."""
+        found: dict[str, bool] = {}
+        last: Any = None
+        for one in reversed(self.core.history):
+            if one.spec.members() is last:
+                continue
+            last = one.spec.members()
+            found = {**dict.fromkeys(one.spec.gone(), True), **dict.fromkeys(last, False), **found}
+        gone = tuple(sorted(name for name, away in found.items() if away))
+        if gone != self.core.gone:
+            self.core = replace(self.core, gone=gone)
+
+    # Members
+
+    def _asked(self, said: Asking, now: int) -> None:
+        if len(self.clients) >= CLIENTS and said.name not in self.clients:
+            self.tell("full", name=said.name, why=f"{CLIENTS} members are served: it is not answered")
+            return
+        self.waiting[said.name] = said
+        if now >= self.read_at + SECOND // 4:
+            self.wants_reading = True
+        client = self.clients.get(said.name)
+        self.clients[said.name] = (replace(client, at=now) if client is not None
+                                   else Client(now, (said.revision, said.digest)))
+        self._has(said.name, (said.revision, said.digest), now)
+
+    def _has(self, name: str, has: tuple[int, str], now: int) -> None:
+        client = self.clients.get(name)
+        if client is not None and client.has != has:
+            self.clients[name] = replace(client, has=has)
+        if client is not None and name not in self.peers:
+            self._hears((name,), *has, now, own=True)
+        if has[0] < self.store.revision or (has[0] == self.store.revision and has[1] != self.store.digest):
+            if len(self.feeds) < CLIENTS or name in self.feeds:
+                self.feeds[name] = has
+            else:
+                self.tell("full", name=name, why=f"{CLIENTS} wait for what they lack: it asks again")
+            self._pump(now)
+
+    def _hears(self, names: Iterable[str], revision: int, digest: str, now: int, own: bool = False) -> None:
+        if revision > self.core.known[0]:
+            self._learns(revision, digest, now)  # whoever says to have it knows that it is committed
+        before = self.core
+        members = self.store.terms.members()
+        for name in names:
+            if name in members:
+                old = self.core
+                self.core = old.hears(versions.Have(name, revision, digest))
+                if own and self.core is not old:
+                    self.fresh[name] = None
+                    if self.gossip_due == FAR:
+                        self.gossip_due = now + SECOND // 4
+        if self.core is not before:
+            self._judges(now)
+
+    def _judges(self, now: int) -> None:
+        before = self.core.force
+        self.core = self.core.judged(now)
+        if self.core.force > before:
+            self.tell("force", revision=self.core.force, digest=self.core.known[1])
+        if self.core.force > before or len(self.core.history) > HISTORY:
+            self.core = self.core.cut(HISTORY)
+            members = self.store.terms.members()
+            if len(self.core.rows) > len(members):
+                self.core = replace(self.core, rows=tuple(row for row in self.core.rows if row[0] in members))
+
+    def _gossips(self, names: Iterable[str], now: int) -> None:
+        """Our clients' words, to the other keepers: by revision, so that the usual case is a list of names."""
+        rows = dict(self.core.rows)
+        told: dict[int, list[str]] = {}
+        for name in names:
+            if name in rows:
+                told.setdefault(rows[name], []).append(name)
+        known = {one.number: one.digest for one in self.core.history}
+        said = []
+        for revision, group in sorted(told.items()):
+            digest = known.get(revision) or self.store.digest_at(revision)
+            if digest is not None:
+                said += [(revision, digest, tuple(group[i:i + 8])) for i in range(0, len(group), 8)]
+        while said:
+            count = len(said)
+            while count > 1 and self.size(Haves(self.name, tuple(said[:count]))) > DATAGRAM:
+                count -= 1
+            for peer in self.peers:
+                self.say(peer, Haves(self.name, tuple(said[:count])), now)
+            said = said[count:]
+
+    # What is sent as far as the purse allows
+
+    def _pump(self, now: int) -> None:
+        """Each in turn: who is behind gets the next groups, who asked for pieces gets the next one."""
+        self.pump_due = FAR
+        for name, has in list(self.feeds.items()):
+            said = self._next(has)
+            if said is not None and not self.say(name, said, now, 0.25):
+                self.pump_due = now + SECOND // 20
+                break
+            del self.feeds[name]
+        while self.serving and self.pump_due == FAR:
+            name, want = next(iter(self.serving.items()))
+            data = self._data(want)
+            part = data[want.first * PIECE:(want.first + 1) * PIECE] if data is not None else b""
+            if part and not self.say(name, Piece(self.name, want.what, want.digest, want.first, part), now, 0.5):
+                self.pump_due = now + SECOND // 20
+                break
+            del self.serving[name]
+            if part and want.count > 1:
+                self.serving[name] = Want(want.name, want.what, want.digest, want.first + 1, min(want.count, WINDOW) - 1)
+
+    def _next(self, has: tuple[int, str]) -> Said | None:
+        groups = self.store.since(has[0]) if self.store.digest_at(has[0]) == has[1] else None
+        known = (self.store.revision, self.store.digest)
+        if groups is None:
+            if has[0] >= known[0]:
+                return None
+            digest, of, data = self._snapshot()
+            return Announce(self.name, SNAPSHOT, digest, of, len(data))
+        if not groups:
+            return None
+        count, size = 0, self.size(Commit(self.name, known))
+        for group in groups:
+            size += len(encoded(group))
+            if size > DATAGRAM - 8:
+                break
+            count += 1
+        return Commit(self.name, known, groups[:count]) if count else self._announces(groups[0], False)
+
+    def _snapshot(self) -> tuple[str, tuple[int, str], bytes]:
+        known = (self.store.revision, self.store.digest)
+        for digest, (of, data) in self.snapshots.items():
+            # One that the log leads on from is as good: who is on its way with it must not begin anew at each commit.
+            if self.store.since(of[0]) is not None and self.store.digest_at(of[0]) == of[1]:
+                return digest, of, data
+        data = encoded(self.store.snapshot())
+        digest = hashed(data)
+        self.snapshots[digest] = (known, data)
+        while len(self.snapshots) > 2:
+            del self.snapshots[next(iter(self.snapshots))]
+        return digest, known, data
+
+    def _data(self, want: Want) -> bytes | None:
+        if want.what == SNAPSHOT:
+            return self.snapshots[want.digest][1] if want.digest in self.snapshots else None
+        group = self.offers.get(want.digest)
+        if group is None:
+            group = next((one for digest, one in reversed(self.store.log) if digest == want.digest), None)
+        return None if group is None else encoded(group)
+
+    # What an operator asks
 
     def waits_for(self, now: int) -> tuple[str, ...]:
         """Who keeps the highest committed revision from being in force, by name; "?": this keeper lacks a text."""
-        raise NotImplementedError
+        return () if self.core.force >= self.core.known[0] else self.core.waits_for(now)
 
     def status(self, now: int) -> dict[str, Any]:
-        """revision, digest, force, waits_for, rows (name -> revision that it said to have), size (of the queue)."""
-        raise NotImplementedError
+        """revision, digest: committed, with its text here. known: committed. force; waits_for: of `known`. rows: name ->
+        revision that it said to have. queue: members that wait for what they lack. offers: revisions not committed."""
+        return {"revision": self.store.revision, "digest": self.store.digest, "known": self.core.known[0],
+                "force": self.core.force, "waits_for": list(self.waits_for(now)), "rows": dict(self.core.rows),
+                "queue": len(self.feeds) + len(self.serving),
+                "offers": sorted(group.revision for group in self.offers.values())}
+
+    def _due(self, now: int) -> int:
+        over = self.core.since + versions.surely(self.lease)
+        return min(FAR if self.wants_reading else self.read_at + (SECOND // 4 if self.waiting else SECOND),
+                   self.gossip_due, self.refresh_due, self.push_due, self.pump_due, self.target_due,
+                   FAR if self.proposal is None else self.proposal.due,
+                   over if self.core.force < self.core.known[0] and over > now else FAR,
+                   min((part.due for part in self.parts.values()), default=FAR))
