settings: model checking of every order of events, and the core's stories

check.py follows the program's own machines through every order of commits, proposals, readings, messages (lost, doubled, reordered), restarts with the synced disk and slow clocks, one tightening and one loosening group in either order, and a start where a loosening was in force without m0's word and the history is cut. Bounds unborn, back, in-force, whole in each world. Six planted faults are each found by name (among them an in-force told too early and a group applied by halves).

--- a/pathsaddle/settings/sync.py
+++ b/pathsaddle/settings/sync.py
@@ -720,7 +720,7 @@
                 if client.has != known and client.has[0] <= known[0] and now < client.at + self.lease:
                     self.feeds.setdefault(name, client.has)
         self.pieces_due(now)
-        self._judges(now)
+        self.judges(now)
         self._pump(now)
         return self._due(now)
 
@@ -884,7 +884,7 @@
         if mine:
             for name in self.peers:
                 self.say(name, Commit(self.name, known), now)
-        self._judges(now)
+        self.judges(now)
         self._pump(now)
         return True
 
@@ -910,7 +910,7 @@
             self._goes_by(version, (), now)
             for name, client in self.clients.items():
                 self.feeds[name] = client.has
-            self._judges(now)
+            self.judges(now)
         self._learns(*self.core.known, now)
         if before < self.store.revision < self.core.known[0]:
             self.say(announce.name, Have(self.name, self.store.revision, self.store.digest), now)
@@ -969,9 +969,10 @@
                     if self.gossip_due == FAR:
                         self.gossip_due = now + SECOND // 4
         if self.core is not before:
-            self._judges(now)
+            self.judges(now)
 
-    def _judges(self, now: int) -> None:
+    def judges(self, now: int) -> None:
+        """Tells what is in force by now."""
         before = self.core.force
         self.core = self.core.judged(now)
         if self.core.force > before:
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -21,6 +21,7 @@
     "placement": ("emulator.ground", "emulator.served", "emulator.faults", "experiment", *RUNS),  # it writes events
     "federation": ABOVE,
     "ownership": ABOVE,
+    "settings": ABOVE,
     "charter": ABOVE,
     "emulator": ("experiment",),
     "emulator.ground": ("emulator.served", "emulator.faults", "emulator.plan", *RUNS),
--- /dev/null
+++ b/tests/test_settings_core.py
@@ -0,0 +1,761 @@
+"""Shared settings' core: rows, groups, terms, the store, and the two machines with a lossy network between them."""
+
+import contextlib
+import heapq
+import random
+import unittest
+from dataclasses import replace
+from unittest import mock
+
+import msgspec
+
+from pathsaddle.federation import versions
+from pathsaddle.federation.versions import Holder, Version, surely
+from pathsaddle.fleet.purse import Purse
+from pathsaddle.settings import forms
+from pathsaddle.settings.check import LOOSER, TIGHTER, Forbidden, check, left_behind, walk
+from pathsaddle.settings.forms import (
+    START,
+    Group,
+    Put,
+    Snapshot,
+    Wrong,
+    canonical,
+    digest_of,
+    encoded,
+    group_at,
+    snapshot_at,
+)
+from pathsaddle.settings.store import Store
+from pathsaddle.settings.sync import (
+    LEASE,
+    OFFERS,
+    SECOND,
+    SNAPSHOT,
+    Announce,
+    Asking,
+    Commit,
+    Have,
+    Keeper,
+    Member,
+    Offer,
+    Renewal,
+    Said,
+    size_of,
+)
+from pathsaddle.settings.terms import LIMITS, Terms, allows, narrower
+
+decode = msgspec.msgpack.Decoder(Said).decode
+encode = msgspec.msgpack.Encoder().encode
+
+
+def group_of(store, puts, reason="a test"):
+    return Group(store.revision + 1, store.digest, "ann", reason, 0,
+                 tuple(Put(key, None if value is None else canonical(value)) for key, value in puts.items()))
+
+
+def line_of(*changes):
+    """A store with a group for each."""
+    store = Store()
+    for puts in changes:
+        store.append(group_of(store, puts))
+    return store
+
+
+def quota(allowance):
+    return {"allowance": allowance}
+
+
+class Ample:
+    def pays(self, size, now, spare=0.0):
+        return True
+
+
+class Register:
+    """The voters' value, as a keeper reads it: any majority, at once."""
+
+    def __init__(self, known=START):
+        self.known = known
+
+
+class Net:
+    """Members, keepers and a register on one virtual clock; datagrams are lost, doubled and late by chance."""
+
+    def __init__(self, seed, keepers=("k0", "k1", "k2"), lost=0.0, purse=None, latency=(100, 1500)):
+        self.chance, self.lost, self.latency = random.Random(seed), lost, latency
+        self.purse = purse or (lambda now: Ample())
+        self.now, self.queue, self.count = 0, [], 0
+        self.register, self.machines, self.disks, self.cut = Register(), {}, {}, set()
+        self.told, self.sent, self.largest, self.due = [], [], 0, {}
+        self.names = tuple(keepers)
+        for name in keepers:
+            self.starts_keeper(name)
+
+    # Machines and their disks
+
+    def starts_keeper(self, name):
+        store, offers = self.disk(name)
+        self.machines[name] = Keeper(name, "north", self.now, store, [one for one in self.names if one != name],
+                                     self.chance, self.purse(self.now), self.now, LEASE, offers)
+        self.wakes(name)
+
+    def starts_member(self, name, keepers=None):
+        store, _ = self.disk(name)
+        self.machines[name] = Member(name, "north", self.now + 1, store, keepers or self.names, self.chance,
+                                     self.purse(self.now), self.now)
+        self.wakes(name)
+
+    def disk(self, name):
+        snapshot, log, offers = self.disks.setdefault(name, (None, [], []))
+        return Store(snapshot, log), offers
+
+    def kill(self, name):
+        del self.machines[name]
+
+    def takes(self, name):
+        """What a driver does after each call: writes, then sends, then acts."""
+        machine = self.machines[name]
+        ready = machine.ready()
+        for write in ready.writes:
+            snapshot, log, offers = self.disks[name]
+            if write.snapshot is not None:
+                snapshot, log = write.snapshot, []
+            elif write.committed:
+                log = [*log, write.group]
+            else:
+                offers = [*offers, write.group]
+            self.disks[name] = snapshot, log, offers
+        for to, said in ready.out:
+            data = encode(said)
+            self.largest = max(self.largest, machine.size(said))
+            self.sent.append((self.now, name, to, machine.size(said), type(said).__name__))
+            for _ in range(1 + (self.lost > 0 and self.chance.random() < 0.05)):
+                if self.chance.random() >= self.lost:
+                    self.later(self.now + self.chance.randint(*self.latency), "heard", to, name, data)
+        for one in ready.told:
+            self.told.append((self.now, name, one))
+        if isinstance(machine, Keeper) and machine.wants_reading and not machine.answering:
+            number = machine.begins(self.now)
+            self.later(self.now + self.chance.randint(50, 400), "read", name, machine, number)
+
+    def later(self, at, *what):
+        self.count += 1
+        heapq.heappush(self.queue, (at, self.count, *what))
+
+    def wakes(self, name):
+        at = self.machines[name].wake(self.now)
+        self.takes(name)
+        self.again(name, at)
+
+    def again(self, name, at):
+        self.due[name] = at
+        self.later(max(at, self.now + 1), "wake", name, self.machines[name], at)
+
+    def run(self, until):
+        while self.queue and self.queue[0][0] <= until:
+            self.now, _, what, name, *more = heapq.heappop(self.queue)
+            machine = self.machines.get(name)
+            if what == "heard":
+                if machine is not None and (more[0], name) not in self.cut:
+                    at = machine.heard(decode(more[1]), self.now)
+                    self.takes(name)
+                    self.again(name, at)
+            elif machine is not more[0]:
+                pass  # of a life that has ended
+            elif what == "wake":
+                if self.due[name] == more[1]:
+                    self.wakes(name)
+            else:
+                at = machine.read(more[1], *self.register.known, self.now)
+                self.takes(name)
+                self.again(name, at)
+        self.now = until
+
+    def commit(self, puts, by="k0", within=20 * SECOND):
+        """As the owner of the register's key would. Its group."""
+        keeper, until = self.machines[by], self.now + within
+        while keeper.store.revision < self.register.known[0] and self.now < until:
+            self.run(self.now + SECOND // 10)
+        group = group_of(keeper.store, puts)
+        at = keeper.propose(group, self.now)
+        self.takes(by)
+        self.again(by, at)
+        while not any(one.what == "kept" and one.digest == digest_of(group) for _, _, one in self.told):
+            if self.now >= until:
+                raise AssertionError("no majority of keepers took it")
+            self.run(self.now + 50)
+        self.register.known = (group.revision, digest_of(group))
+        return group
+
+    def force(self, revision):
+        """When it was first told in force, or None."""
+        return next((at for at, _, one in self.told if one.what == "force" and one.revision >= revision), None)
+
+
+def members_of(count, **more):
+    return {f"members.m{i}": {"region": "north", "zone": "a"} for i in range(count)} | more
+
+
+class FormsStory(unittest.TestCase):
+    def test_a_group_comes_back_from_its_bytes_with_the_same_digest(self):
+        group = group_of(Store(), {"customers.a": quota(5), "zones": ["a", "b"]})
+        self.assertEqual(group_at(encoded(group)), group)
+        self.assertEqual(len(digest_of(group)), 32)
+        self.assertNotEqual(digest_of(group), digest_of(msgspec.structs.replace(group, reason="another")))
+
+    def test_what_is_no_group_is_refused_by_what_is_wrong(self):
+        good = group_of(Store(), {"customers.a": quota(5)})
+        put = good.puts[0]
+        for told, change in (
+            ("no key", {"puts": (Put("fleet.listen", b"1"),)}), ("no key", {"puts": (Put("customers.", b"1"),)}),
+            ("no key", {"puts": (Put("customers." + "x" * 128, b"1"),)}), ("no JSON", {"puts": (Put("zones", b"{"),)}),
+            ("not canonical", {"puts": (Put("zones", b'[ "a"]'),)}), ("twice", {"puts": (put, put)}),
+            ("4096 at most", {"puts": (Put("zones", canonical("x" * 4097)),)}), ("1 to 64", {"puts": ()}),
+            ("1 to 64", {"puts": tuple(Put(f"budgets.b{i}", b"1") for i in range(65))}),
+            ("32768 at most", {"puts": tuple(Put(f"customers.b{i}", canonical("x" * 4000)) for i in range(9))}),
+            ("after the digest", {"revision": 2}), ("revision 0", {"revision": 0}), ("200 at most", {"reason": "x" * 201}),
+        ):
+            with self.subTest(told, **change), self.assertRaisesRegex(Wrong, told):
+                group_at(encoded(msgspec.structs.replace(good, **change)))
+        with self.assertRaisesRegex(Wrong, "no group"):
+            group_at(b"\x01")
+
+    def test_a_snapshot_out_of_order_or_without_its_groups_digest_is_refused(self):
+        good = line_of({"customers.a": quota(5)}, {"budgets.b": 4}).snapshot()
+        self.assertEqual(snapshot_at(encoded(good)), good)
+        for bad in (Snapshot(2, good.digest, good.rows[::-1]), Snapshot(2, "", good.rows), Snapshot(0, good.digest, ())):
+            with self.assertRaises(Wrong):
+                snapshot_at(encoded(bad))
+
+
+class StoreStory(unittest.TestCase):
+    def test_groups_follow_one_another_or_are_refused_and_then_nothing_of_them_stays(self):
+        store = line_of({"customers.a": quota(5)})
+        before = store.snapshot()
+        for puts, more in (({"budgets.b": 1}, {"revision": 3}), ({"budgets.b": 1}, {"before": "0" * 32}),
+                           ({"budgets.b": 1, "customers.x": None}, {}), ({"budgets.b": 1, "members.x": None}, {})):
+            with self.subTest(puts, **more), self.assertRaises(Wrong):
+                store.append(msgspec.structs.replace(group_of(store, puts), **more))
+            self.assertEqual(store.snapshot(), before)
+
+    def test_the_log_is_bounded_and_what_left_it_is_in_the_snapshot(self):
+        store = Store(keep=4)
+        for i in range(10):
+            store.append(group_of(store, {f"budgets.b{i}": i}))
+        self.assertEqual([group.revision for group in store.since(6)], [7, 8, 9, 10])
+        self.assertIsNone(store.since(5))
+        self.assertEqual(store.since(10), ())
+        self.assertEqual(store.digest_at(6), store.log[0][1].before)
+        self.assertIsNone(store.digest_at(5))
+        again = Store(store.snapshot())
+        self.assertEqual((again.revision, again.digest, again.terms.rows()),
+                         (10, store.digest, {f"budgets.b{i}": canonical(i) for i in range(10)}))
+
+    def test_a_member_is_removed_only_once_it_is_said_to_be_gone(self):
+        store = line_of(members_of(1))
+        with self.assertRaisesRegex(Wrong, "gone"):
+            store.append(group_of(store, {"members.m0": None}))
+        store.append(group_of(store, {"members.m0": {"region": "north", "gone": True}}))
+        self.assertEqual((store.terms.members(), store.terms.gone()), ({}, ("m0",)))
+        store.append(group_of(store, {"members.m0": None}))
+
+    def test_rows_are_bounded(self):
+        store = Store(Snapshot(1, "0" * 32, tuple((f"budgets.b{i:05}", b"1") for i in range(forms.ROWS))))
+        with self.assertRaisesRegex(Wrong, "20000 at most"):
+            store.append(group_of(store, {"budgets.more": 1}))
+        store.append(group_of(store, {"budgets.b00000": None, "budgets.more": 1}))
+
+
+class TermsStory(unittest.TestCase):
+    def test_what_tightens_by_key_and_field(self):
+        for key, wide, narrow in (
+            ("customers.a", {"allowance": 9}, {"allowance": 8}), ("customers.a", {}, {"allowance": 8}),
+            ("customers.a", {"allowance": 0}, {"allowance": 8}), ("budgets.b", 10, 9), ("rules", {}, {"cold_share": 0.1}),
+            ("schemes.s", {}, {"semantics": "once-only"}), ("schemes.s", {"window": "2s"}, {"window": "1s"}),
+            ("rules", {"cold_time": "8s"}, {}), ("rules", {"dropped_stay_open": True}, {}),
+        ):
+            with self.subTest(key, wide=wide, narrow=narrow):
+                one, two = canonical(wide), canonical(narrow)
+                self.assertEqual((allows(key, one, two), allows(key, two, one)), (False, True))
+                self.assertEqual(narrower(key, two, one), two)
+                self.assertTrue(allows(key, narrower(key, one, two), two))
+        for key in ("customers.a", "schemes.s", "budgets.b"):
+            self.assertFalse(allows(key, b"1", None))
+            self.assertTrue(allows(key, None, b"1"))
+            self.assertIsNone(narrower(key, b"1", None))
+            self.assertIsNone(narrower(key, None, b"1"))
+        self.assertTrue(allows("customers.a", canonical({"portion": 0.5}), canonical({"portion": 0.1})))
+
+    def test_the_defaults_are_the_charters(self):
+        from pathsaddle.charter import form
+        for table, kind in (("customers", form.Customer), ("schemes", form.Scheme), ("rules", form.Rules)):
+            defaults = dict(zip(kind.__struct_fields__[len(kind.__struct_fields__) - len(kind.__struct_defaults__):],
+                                kind.__struct_defaults__, strict=True))
+            self.assertEqual({limit.field for limit in LIMITS[table]} - set(defaults),
+                             {"semantics"} if table == "schemes" else set())  # that one has to be written
+            for limit in LIMITS[table]:
+                if limit.field in defaults:
+                    self.assertEqual(limit.wide(limit.missing), limit.wide(defaults[limit.field]), limit.field)
+
+    def test_each_version_of_a_line_stays_what_it_was_whichever_is_looked_at(self):
+        chance = random.Random(5)
+        store, kept = Store(), []
+        plain = {}
+        for _ in range(60):
+            keys = chance.sample([f"budgets.b{i}" for i in range(12)], 3)
+            puts = {key: None if key in plain and chance.random() < 0.3 else chance.randrange(9) for key in keys}
+            for key, value in puts.items():
+                plain.pop(key, None) if value is None else plain.update({key: canonical(value)})
+            store.append(group_of(store, puts))
+            kept.append((store.terms, dict(plain)))
+            if chance.random() < 0.3:  # a branch off an older one, as an offer is
+                old, rows = chance.choice(kept)
+                made = old.after(Group(1, "", "", "", 0, (Put("zones", b"[1]"),)))
+                self.assertEqual(made.rows(), rows | {"zones": b"[1]"})
+            terms, rows = chance.choice(kept)
+            self.assertEqual((terms.rows(), len(terms)), (rows, len(rows)))
+            other, others = chance.choice(kept)
+            differ = {key for key in {**rows, **others} if rows.get(key) != others.get(key)}
+            self.assertLessEqual(differ, set(terms.differing(other)))
+            self.assertEqual(terms.withdrawn(other, ""), any(
+                not allows(key, rows.get(key), others.get(key)) for key in rows))
+
+    def test_no_customer_means_anybody_so_the_first_tightens_and_none_is_ever_left_by_narrowing(self):
+        none, a, b = Terms({}), Terms({"customers.a": b"{}"}), Terms({"customers.b": b"{}"})
+        self.assertTrue(none.withdrawn(a, ""))
+        self.assertFalse(a.withdrawn(none, ""))
+        self.assertEqual(none.narrowed(a).rows(), a.rows())
+        self.assertEqual(a.narrowed(none).rows(), a.rows())
+        self.assertEqual(a.narrowed(b).rows(), a.rows())
+
+    def test_withdrawn_is_the_complement_of_an_order(self):
+        chance = random.Random(3)
+
+        def some():
+            rows = {f"customers.{name}": canonical(quota(chance.randrange(4))) for name in "ab" if chance.random() < 0.6}
+            rows |= {"budgets.x": canonical(chance.randrange(3))} if chance.random() < 0.7 else {}
+            return Terms(rows | ({"rules": canonical({"cold_share": chance.choice((0.1, 0.3, 0.5))})}
+                                 if chance.random() < 0.5 else {}))
+        found = 0
+        for _ in range(20_000):
+            one, two, three = some(), some(), some()
+            self.assertFalse(one.withdrawn(one, ""))
+            if not one.withdrawn(two, "") and not two.withdrawn(three, ""):
+                found += 1
+                self.assertFalse(one.withdrawn(three, ""))
+            both = one.narrowed(two)
+            self.assertFalse(both.withdrawn(one, ""), (one.rows(), two.rows(), both.rows()))
+        self.assertGreater(found, 100)
+
+
+class HistoryStory(unittest.TestCase):
+    """versions.Keeper over rows, its history cut."""
+
+    def keeper(self, *changes):
+        store, core = Store(), versions.Keeper(LEASE, 0)
+        for puts in changes:
+            store.append(group_of(store, puts))
+            core = core.reads(store.revision, store.digest, Version(store.revision, store.digest, store.terms), 0)
+        return store, core
+
+    def more(self, store, core, puts, now):
+        store.append(group_of(store, puts))
+        return core.reads(store.revision, store.digest, Version(store.revision, store.digest, store.terms), now)
+
+    def test_what_is_in_force_is_where_history_begins_and_a_member_cleared_by_a_lease_is_found_by_it(self):
+        store, core = self.keeper(members_of(2, **{"customers.a": quota(5)}))
+        core = core.hears(versions.Have("m0", 1, store.digest)).hears(versions.Have("m1", 1, store.digest)).judged(0)
+        core = self.more(store, core, {"customers.a": quota(9)}, 10)
+        core = core.hears(versions.Have("m0", 2, store.digest))
+        self.assertEqual(core.waits_for(20), ("m1",))
+        later = 10 + surely(LEASE)
+        core = core.judged(later).cut(8)
+        self.assertEqual((core.force, [one.number for one in core.history]), (2, [2]))
+        # m1, which has 1 on disk (5), is within 2 (9); 3 (7) forbids nothing of 1, but what is kept can't tell: waited for.
+        core = self.more(store, core, {"customers.a": quota(7)}, later)
+        self.assertEqual(core.waits_for(10 * later), ("m0", "m1"))
+        core = core.hears(versions.Have("m0", 3, store.digest)).hears(versions.Have("m1", 3, store.digest))
+        self.assertEqual(core.judged(later).force, 3)
+
+    def test_what_is_cut_by_length_alone_is_waited_for(self):
+        store, core = self.keeper(members_of(1, **{"customers.a": quota(5)}))
+        for i in range(6, 20):
+            core = self.more(store, core, {"customers.a": quota(i)}, i).cut(4)
+        self.assertEqual(len(core.history), 4)
+        self.assertEqual(core.waits_for(10 * LEASE), ("m0",))
+
+    def test_a_history_of_3700_revisions_keeps_one(self):
+        store, core = self.keeper(members_of(1, **{"customers.a": quota(5)}))
+        for i in range(300):
+            core = self.more(store, core, {"customers.a": quota(6 + i)}, i)
+            core = core.hears(versions.Have("m0", store.revision, store.digest)).judged(i).cut(256)
+            self.assertEqual(len(core.history), 1)
+
+
+class NetStory(unittest.TestCase):
+    def fleet(self, seed, count=6, lost=0.0, **more):
+        net = Net(seed, lost=lost, **more)
+        net.run(SECOND)
+        net.commit(members_of(count, **{"customers.a": quota(5)}))
+        for i in range(count):
+            net.starts_member(f"m{i}", net.names[i % len(net.names):] + net.names[:i % len(net.names)])
+        net.run(net.now + 20 * SECOND)
+        return net
+
+    def acting(self, net):
+        return {name: machine.status(net.now) for name, machine in net.machines.items() if isinstance(machine, Member)}
+
+    def test_a_change_reaches_all_and_is_told_in_force_with_their_words(self):
+        net = self.fleet(1)
+        self.assertEqual({(one.revision, one.leased) for one in self.acting(net).values()}, {(1, True)})
+        began = net.now
+        net.commit({"customers.a": quota(3)})
+        net.run(net.now + 3 * SECOND)
+        self.assertEqual({one.revision for one in self.acting(net).values()}, {2})
+        self.assertEqual(net.machines["m0"].rows(net.now)["customers.a"], canonical(quota(3)))
+        self.assertLess(net.force(2) - began, 3 * SECOND)
+
+    def test_the_same_with_a_fifth_lost_and_some_doubled_on_many_seeds(self):
+        for seed in range(12):
+            with self.subTest(seed):
+                net = self.fleet(seed, lost=0.2)
+                for value in (3, 8, 2):
+                    net.commit({"customers.a": quota(value)})
+                    net.run(net.now + SECOND // 2)
+                net.run(net.now + 40 * SECOND)
+                self.assertEqual({one.revision for one in self.acting(net).values()}, {4})
+                self.assertIsNotNone(net.force(4))
+                self.assertEqual([one.what for _, _, one in net.told if one.what in ("refused", "diverged", "full")], [])
+
+    def test_an_offer_binds_as_far_as_it_narrows_and_allows_nothing(self):
+        net = self.fleet(2)
+        keeper = net.machines["k0"]
+        at = keeper.propose(group_of(keeper.store, {"customers.a": quota(2), "budgets.b": 7}), net.now)
+        net.takes("k0")
+        net.again("k0", at)
+        net.run(net.now + SECOND)
+        rows = net.machines["m0"].rows(net.now)
+        self.assertEqual((rows["customers.a"], "budgets.b" in rows), (canonical(quota(2)), False))
+        self.assertEqual(net.machines["m0"].status(net.now).offers, (2,))
+        keeper.withdraw(net.now)
+        net.commit({"customers.a": quota(4)}, by="k1")  # another takes the revision: what was offered is over
+        net.run(net.now + 3 * SECOND)
+        self.assertEqual(net.machines["m0"].rows(net.now)["customers.a"], canonical(quota(4)))
+
+    def test_who_hears_nothing_serves_on_alone_and_is_named_until_it_has_a_tightening(self):
+        net = self.fleet(3)
+        net.cut = {(one, "m0") for one in net.names} | {("m0", one) for one in net.names}
+        net.commit({"customers.a": quota(3)})
+        net.run(net.now + 60 * SECOND)
+        self.assertEqual((self.acting(net)["m0"].revision, self.acting(net)["m0"].leased), (1, False))
+        self.assertIsNone(net.force(2))
+        for name in net.names:
+            self.assertEqual(net.machines[name].waits_for(net.now), ("m0",))
+        net.cut = set()
+        net.run(net.now + 20 * SECOND)
+        self.assertEqual(self.acting(net)["m0"].revision, 2)
+        self.assertIsNotNone(net.force(2))
+
+    def test_a_loosening_doesnt_wait_for_who_hears_nothing_beyond_its_lease(self):
+        net = self.fleet(4)
+        net.cut = {(one, "m0") for one in net.names} | {("m0", one) for one in net.names}
+        began = net.now
+        net.commit({"customers.a": quota(9)})
+        net.run(net.now + 15 * SECOND)
+        self.assertGreaterEqual(net.force(2), began + LEASE)
+        self.assertFalse(self.acting(net)["m0"].leased)
+
+    def test_who_is_gone_by_the_operators_word_is_not_waited_for(self):
+        net = self.fleet(5)
+        net.kill("m0")
+        net.commit({"customers.a": quota(3)})
+        net.run(net.now + 30 * SECOND)
+        self.assertIsNone(net.force(2))
+        net.commit({"members.m0": {"region": "north", "zone": "a", "gone": True}})
+        net.run(net.now + 5 * SECOND)
+        self.assertIsNotNone(net.force(3))
+        net.commit({"members.m0": None})
+        net.run(net.now + 5 * SECOND)
+        self.assertIsNotNone(net.force(4))
+
+    def test_a_killed_member_goes_on_with_its_disk_and_is_caught_up_by_groups(self):
+        net = self.fleet(6)
+        net.kill("m0")
+        for value in range(20, 50):
+            net.commit({"customers.a": quota(value)})
+        net.starts_member("m0")
+        self.assertEqual(self.acting(net)["m0"].revision, 1)
+        began = len(net.sent)
+        net.run(net.now + 5 * SECOND)
+        self.assertEqual((self.acting(net)["m0"].revision, self.acting(net)["m0"].leased), (31, True))
+        self.assertNotIn("Piece", [row[4] for row in net.sent[began:] if row[2] == "m0"])
+
+    def test_who_is_behind_the_log_gets_the_snapshot_in_pieces(self):
+        net = self.fleet(7)
+        net.kill("m0")
+        for name in net.names:
+            net.machines[name].store.keep = 3
+        for i in range(8):
+            net.commit({f"customers.c{i}.{j}": {"allowance": 1, "portion": 0.001 * j} for j in range(40)})
+        net.run(net.now + SECOND)
+        net.lost = 0.1
+        net.starts_member("m0")
+        net.run(net.now + 30 * SECOND)
+        self.assertEqual((self.acting(net)["m0"].revision, self.acting(net)["m0"].leased), (9, True))
+        self.assertIn("Piece", [row[4] for row in net.sent])
+        snapshot, log, _ = net.disks["m0"]
+        self.assertEqual(Store(snapshot, log).terms.rows(), net.machines["k0"].store.terms.rows())
+
+    def test_a_group_of_32_kib_goes_in_pieces_and_no_datagram_is_longer_than_1200(self):
+        net = self.fleet(8, lost=0.1)
+        net.commit({f"customers.big{i}": {"allowance": 1, "note": "x" * 1900} for i in range(16)})
+        net.run(net.now + 30 * SECOND)
+        self.assertEqual({one.revision for one in self.acting(net).values()}, {2})
+        self.assertLessEqual(net.largest, 1200)
+
+    def test_a_silent_keeper_is_left_for_the_next_and_the_nearest_is_tried_again(self):
+        net = self.fleet(9)
+        net.kill("k0")
+        net.run(net.now + 12 * SECOND)
+        status = self.acting(net)["m0"]
+        self.assertEqual((status.keeper, status.leased), ("k1", True))
+        net.starts_keeper("k0")
+        net.run(net.now + 120 * SECOND)
+        self.assertEqual(self.acting(net)["m0"].keeper, "k0")
+
+    def test_with_every_keeper_gone_members_serve_on_with_a_growing_wait(self):
+        net = self.fleet(10)
+        for name in net.names:
+            net.kill(name)
+        began, count = net.now, len(net.sent)
+        net.run(net.now + 100 * SECOND)
+        self.assertEqual({(one.revision, one.leased) for one in self.acting(net).values()}, {(1, False)})
+        self.assertTrue(all(one.age > 90 * SECOND for one in self.acting(net).values()))
+        self.assertLess(len(net.sent) - count, 6 * 100)
+        self.assertEqual(net.now - began, 100 * SECOND)
+
+    def test_a_keeper_that_was_away_is_caught_up_by_the_others_and_answers_nobody_before(self):
+        net = self.fleet(11)
+        net.kill("k2")
+        for value in range(20, 30):
+            net.commit({"customers.a": quota(value)})
+        net.starts_keeper("k2")
+        net.run(net.now + 6 * SECOND)
+        self.assertEqual(net.machines["k2"].status(net.now)["revision"], 11)
+        self.assertEqual({one.revision for one in self.acting(net).values()}, {11})
+
+    def test_a_keeper_with_an_empty_disk_gets_the_snapshot_and_waits_for_each_ones_word(self):
+        net = self.fleet(12)
+        net.kill("k2")
+        for name in net.names[:2]:
+            net.machines[name].store.keep = 2
+        for value in range(20, 30):
+            net.commit({"customers.a": quota(value)})
+        net.disks["k2"] = (None, [], [])
+        net.starts_keeper("k2")
+        net.run(net.now + 20 * SECOND)
+        status = net.machines["k2"].status(net.now)
+        self.assertEqual((status["revision"], status["force"]), (11, 11))
+
+    def test_no_majority_of_keepers_no_kept(self):
+        net = self.fleet(13)
+        net.kill("k1")
+        net.kill("k2")
+        with self.assertRaisesRegex(AssertionError, "no majority"):
+            net.commit({"customers.a": quota(3)}, within=5 * SECOND)
+
+    def test_all_members_back_at_once_are_paid_from_the_purse(self):
+        net = self.fleet(14, count=30, purse=lambda now: Purse(13_000, 100, now))
+        for i in range(30):
+            net.kill(f"m{i}")
+        for value in range(20, 60):
+            net.commit({"customers.a": quota(value)})
+        net.run(net.now + 20 * SECOND)
+        began = net.now
+        for i in range(30):
+            net.starts_member(f"m{i}", ("k0",))
+        net.run(net.now + 60 * SECOND)
+        self.assertEqual({one.revision for one in self.acting(net).values()}, {41})
+        rows = [row for row in net.sent if row[0] >= began and row[1] == "k0"]
+        for i, first in enumerate(rows):
+            self.assertLessEqual(sum(row[3] for row in rows[i:] if row[0] < first[0] + SECOND), 13_000)
+
+
+class MachineStory(unittest.TestCase):
+    """One machine, its events handed in by hand."""
+
+    def member(self, store, life=1):
+        made = Member("m0", "north", life, store, ("k0", "k1"), random.Random(1), Ample(), 0)
+        made.asks(0)
+        made.ready()
+        return made
+
+    def start(self):
+        store = line_of(members_of(2, **{"customers.a": quota(5), "customers.b": quota(5)}))
+        return store, self.member(store.copy())
+
+    def test_groups_apply_in_order_whole_and_are_written_before_the_word(self):
+        store, member = self.start()
+        first = group_of(store, {"customers.a": quota(3), "customers.b": quota(3)})
+        store.append(first)
+        second = group_of(store, {"customers.a": quota(4), "customers.b": quota(4)})
+        store.append(second)
+        member.heard(Commit("k0", (3, store.digest), (second,)), 10)
+        self.assertEqual(member.ready().writes, ())
+        self.assertEqual((member.status(10).revision, member.status(10).known, member.leased(10)), (1, 3, False))
+        member.heard(Commit("k0", (2, digest_of(first)), (first,)), 20)
+        ready = member.ready()
+        self.assertEqual([write.group for write in ready.writes], [first, second])
+        self.assertEqual(ready.out, (("k0", Have("m0", 3, store.digest)),))
+        self.assertEqual({member.rows(20)[key] for key in ("customers.a", "customers.b")}, {canonical(quota(4))})
+
+    def test_a_faulty_group_leaves_nothing_and_is_told(self):
+        store, member = self.start()
+        bad = group_of(store, {"customers.a": quota(3), "customers.nobody": None})
+        member.heard(Commit("k0", (2, digest_of(bad)), (bad,)), 10)
+        ready = member.ready()
+        self.assertEqual(([one.what for one in ready.told], ready.writes), (["refused"], ()))
+        self.assertEqual(member.rows(10)["customers.a"], canonical(quota(5)))
+
+    def test_a_group_after_another_digest_is_told_as_diverged(self):
+        store, member = self.start()
+        bad = msgspec.structs.replace(group_of(store, {"customers.a": quota(3)}), before="0" * 32)
+        member.heard(Commit("k0", (2, digest_of(bad)), (bad,)), 10)
+        self.assertIn("diverged", [one.what for one in member.ready().told])
+
+    def test_a_commit_of_what_was_offered_is_written_before_it_is_acted_by(self):
+        for how in ("commit", "renewal"):
+            with self.subTest(how):
+                store, member = self.start()
+                group = group_of(store, {"customers.a": quota(9)})
+                member.heard(Offer("k0", group), 5)
+                self.assertEqual(member.rows(5)["customers.a"], canonical(quota(5)))
+                known = (2, digest_of(group))
+                member.heard(Commit("k0", known) if how == "commit" else Renewal("k0", "m0", 1, 1, *known), 10)
+                ready = member.ready()
+                self.assertEqual([write.group for write in ready.writes], [group])
+                self.assertIn(("k0", Have("m0", *known)), ready.out)
+                self.assertEqual(member.rows(10)["customers.a"], canonical(quota(9)))
+
+    def test_a_lease_counts_from_the_asking_and_not_for_an_older_life(self):
+        store, member = self.start()
+        member.heard(Renewal("k0", "m0", 0, 1, 1, store.digest), 10)
+        self.assertFalse(member.leased(10))
+        member.heard(Renewal("k0", "m0", 1, 1, 1, store.digest), 5000)
+        self.assertTrue(member.leased(5000))
+        self.assertFalse(member.leased(LEASE))
+        self.assertEqual(member.status(6000).age, 6000)
+        self.assertEqual([one.what for one in member.ready().told], ["leased"])
+        member.wake(LEASE)
+        self.assertIn("alone", [one.what for one in member.ready().told])
+
+    def test_a_text_that_never_fits_does_not_go_to_and_fro(self):
+        _, member = self.start()
+        for i in range(50):
+            member.heard(Commit("k0", (5, "5" * 32)), 100 + i)
+        self.assertEqual(len(member.ready().out), 1)
+
+    def test_bounds_that_are_reached_are_told(self):
+        store, member = self.start()
+        for i in range(6):
+            member.heard(Offer("k0", group_of(store, {"customers.a": quota(3)}, f"try {i}")), 10)
+        self.assertIn("full", [one.what for one in member.ready().told])
+        ahead = [Group(i, "0" * 32, "", "", 0, (Put("zones", b"[]"),)) for i in range(10, 80)]
+        member.heard(Commit("k0", (90, "9" * 32), tuple(ahead)), 20)
+        self.assertIn("full", [one.what for one in member.ready().told])
+        for i in range(3):
+            member.heard(Announce("k0", SNAPSHOT, f"{i}" * 32, (90, "9" * 32), 5000), 30)
+        self.assertIn("full", [one.what for one in member.ready().told])
+        keeper = Keeper("k0", "north", 1, store.copy(), ("k1", "k2"), random.Random(1), Ample(), 0)
+        for i in range(OFFERS + 1):
+            keeper.heard(Offer("k1", group_of(store, {"customers.a": quota(3)}, f"try {i}")), 10)
+        self.assertEqual([one.what for one in keeper.ready().told].count("full"), 1)
+
+    def test_an_asking_is_answered_only_by_a_reading_that_began_after_it(self):
+        store, _ = self.start()
+        keeper = Keeper("k0", "north", 1, store.copy(), (), random.Random(1), Ample(), 0)
+        number = keeper.begins(0)
+        keeper.heard(Asking("m0", 1, 1, 1, store.digest), 5)
+        keeper.read(number, 1, store.digest, 10)
+        self.assertEqual([said for _, said in keeper.ready().out if isinstance(said, Renewal)], [])
+        number = keeper.begins(20)
+        keeper.unread(number, 30)
+        self.assertTrue(keeper.waiting)
+        number = keeper.begins(40)
+        keeper.read(number, 1, store.digest, 50)
+        self.assertEqual([said.echo for _, said in keeper.ready().out if isinstance(said, Renewal)], [1])
+
+    def test_every_message_fits_its_form(self):
+        for said in (Asking("m0", 1, 2, 3, "0" * 32), Commit("k0", (1, "1" * 32), (group_of(Store(), {"zones": []}),))):
+            self.assertEqual(decode(encode(said)), said)
+            self.assertLess(size_of(said), 1200)
+
+
+class EveryOrderStory(unittest.TestCase):
+    """Loss, doubling, reordering, restarts with the disk as it was synced, slow clocks."""
+
+    def test_every_bound_holds_in_every_order(self):
+        for allowances in (TIGHTER, LOOSER):
+            self.assertGreater(check(5, 2, allowances=allowances), 15_000)
+            self.assertGreater(check(7, 1, allowances=allowances), 10_000)
+
+    def test_nor_is_who_was_left_behind_by_a_loosening_forgotten_by_a_tightening(self):
+        self.assertGreater(check(5, first=left_behind(), lives=2), 20_000)
+
+    def test_nor_in_orders_far_longer_drawn_by_chance(self):
+        ended = [walk(seed, 100, allowances=allowances) for seed in range(40) for allowances in (TIGHTER, LOOSER)]
+        self.assertGreater(sum(world.register == 3 for world in ended), 20)
+        self.assertGreater(sum(world.force >= 2 for world in ended), 20)
+
+    def found(self, bound, *patches, depth=6, members=1, walks=0, **more):
+        with contextlib.ExitStack() as stack:
+            for patch in patches:
+                stack.enter_context(patch)
+            with self.assertRaisesRegex(Forbidden, f"^{bound}: "):
+                for seed in range(walks):
+                    walk(seed, 120)
+                check(depth, members, **more)
+
+    def test_an_in_force_that_is_told_too_early_is_found(self):
+        self.found("in-force", mock.patch.object(versions.Keeper, "waits_for", lambda core, now: ()))
+
+    def test_a_group_applied_by_halves_is_found(self):
+        whole = Store.append
+
+        def append(store, group, terms=None):
+            made = whole(store, group, terms)
+            if group.revision > 1:
+                made = store.terms = Terms({**made.rows(), group.puts[1].key: canonical(quota(10))})
+            return made
+        self.found("whole", mock.patch.object(Store, "append", append))
+
+    def test_a_word_before_the_disk_is_found(self):
+        def ready(member):
+            made = whole(member)
+            return msgspec.structs.replace(made, writes=()) if isinstance(member, Member) else made
+        whole = Member.ready
+        self.found("back", mock.patch.object(Member, "ready", ready))
+
+    def test_a_commit_of_an_offer_that_is_acted_by_unkept_is_found(self):
+        def knows(member, known):
+            member.holder = member.holder.told(versions.Commit(*known))[0]
+        self.found("back", mock.patch.object(Member, "_knows", knows))
+
+    def test_an_offer_that_allows_is_found(self):
+        self.found("unborn", mock.patch.object(Holder, "narrowest", lambda holder, right: right(
+            holder.offers[-1].spec if holder.offers else holder.base.spec)), allowances=LOOSER)
+
+    def test_a_history_cut_at_what_is_only_committed_is_found(self):
+        def cut(core, most):
+            return replace(whole(core, most), cleared=core.known[0], begins=core.known[0], history=core.history[-1:])
+
+        def judges(keeper, now):
+            keeper.core = keeper.core.cut(8)
+            judged(keeper, now)
+        whole, judged = versions.Keeper.cut, Keeper.judges
+        self.found("in-force", mock.patch.object(versions.Keeper, "cut", cut), mock.patch.object(Keeper, "judges", judges),
+                   depth=7)
+
+
+if __name__ == "__main__":
+    unittest.main()
