--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -236,7 +236,7 @@
     (member, highest number that it said to have). force: the highest number told to be in force.
     gone: members that, by the operator's word, never start again with the disk that they had.
     begins: the lowest number that `history` is to hold. cleared: a number that was in force by this keeper's own
-    proof, and of which it still has the text; 0: none.
+    proof, and of which it still has the text; 0: none. learnt: (number, when it first knew of that or a higher one).
     """
 
     lease: int
@@ -249,6 +249,7 @@
     gone: tuple[str, ...] = ()
     begins: int = 1
     cleared: int = 0
+    learnt: tuple[tuple[int, int], ...] = ()
 
     def reads(self, number: int, digest: str, version: Version[T] | None, now: int) -> Keeper[T]:
         """What the register has now, with the text where it is at hand."""
@@ -260,7 +261,8 @@
         ):
             history = tuple(sorted((*history, version), key=lambda one: one.number))
         if number > self.known[0]:
-            return replace(self, known=(number, digest), since=now, history=history)
+            return replace(self, known=(number, digest), since=now, history=history,
+                           learnt=(*self.learnt, (number, now)))
         return replace(self, history=history) if history is not self.history else self
 
     def answers(self, ask: Ask) -> Renewed:
@@ -307,6 +309,46 @@
             return replace(self, force=self.known[0])
         return self
 
+    def judged_each(self, now: int, memo: dict[tuple[int, str], int]) -> Keeper[T]:
+        """As `judged`, but of every version: where commits follow one another closely the highest is never had by all.
+        What makes the highest in force makes any: its number was committed before `learnt`, and who has a higher one goes
+        by what was committed later. memo: kept by the caller for one line of versions, where a number's text and all
+        below it never differ."""
+        if not self.history or self.history[-1].number - self.begins + 1 != len(self.history):
+            return self
+        top, told = self.history[-1].number, dict(self.rows)
+        over = max((number for number, at in self.learnt if now >= at + surely(self.lease)), default=0)
+        first: dict[str, tuple[int, str]] = {}
+        last: object = None
+        for one in self.history:
+            members = one.spec.members()
+            if members is not last:
+                last = members
+                for name, here in members.items():
+                    first[name] = (first.get(name, (one.number, ""))[0], here)
+        behind = []
+        for name, (since, here) in sorted(first.items()):
+            has = max(told.get(name, 0), self.cleared)
+            if has < top and name not in self.gone:
+                behind.append((since, here, has))
+
+        def late(i: int, since: int, here: str, has: int) -> bool:
+            number = self.history[i].number
+            if number < since or has >= number:
+                return False
+            if number > over or has < self.begins > 1:
+                return True
+            if (number, here) not in memo:
+                memo[number, here] = _last_withdrawn(self.history[:i + 1], here)
+            return has <= memo[number, here]
+
+        for i in range(len(self.history) - 1, -1, -1):
+            if self.history[i].number <= self.force:
+                break
+            if not any(late(i, *row) for row in behind):
+                return replace(self, force=self.history[i].number)
+        return self
+
     def cut(self, most: int) -> Keeper[T]:
         """Without what is below the version in force, and of the rest the latest `most`.
 
@@ -323,7 +365,8 @@
         if begins == self.begins and cleared == self.cleared:
             return self
         return replace(self, begins=begins, cleared=cleared,
-                       history=tuple(one for one in self.history if one.number >= begins))
+                       history=tuple(one for one in self.history if one.number >= begins),
+                       learnt=tuple(row for row in self.learnt if row[0] >= begins))
 
 
 @lru_cache(64)
--- a/pathsaddle/settings/check.py
+++ b/pathsaddle/settings/check.py
@@ -1,8 +1,8 @@
 """Model checking of settings: every order of events to a stated depth, and the bounds in each world.
 
 Members act by revision 1 under a lease; two groups follow, each of which changes two rows alike: one tightens, one loosens,
-in either order. A step is one of: the register takes the next group, the keeper proposes it, begins or ends a reading, looks
-whether a lease is over, is killed and begins again with its disk; a member asks, or is killed and begins again with its
+in either order. A step is one of: the register takes the next group, the keeper proposes it, begins or ends a reading, judges
+what is in force, is killed and begins again with its disk; a member asks, or is killed and begins again with its
 disk; a message is taken (and stays under way: it may come again, later, in any order, or never); a moment passes for all,
 or for all but one whose clock is slow.
 
@@ -198,7 +198,7 @@
         state = cloned(world.keeper)
         state.judges(now)
         if state.core.force > world.keeper.core.force:
-            keeper("a lease is over", state)
+            keeper("the keeper judges", state)
     if world.lives < lives:
         keeper("the keeper begins again", _keeper(world.keeper.life + 1, *world.disk, now), reading=None,
                lives=world.lives + 1)
@@ -288,7 +288,7 @@
     2 is cut from the keeper's history; 3, which forbids what both allow, is proposed."""
     words = [word for i in range(1, members) for word in (f"m{i} hears Commit", f"the keeper hears Have of m{i}")]
     return led(start(Line(members, LOOSER), members), "the register takes 2", "a reading begins", "it read 2", *words,
-               "a moment", "a moment", "a lease is over", "the keeper proposes 3")
+               "a moment", "a moment", "the keeper judges", "the keeper proposes 3")
 
 
 def walk(seed: int, length: int = 60, members: int = 3, asks: int = 8, lives: int = 4,
--- a/pathsaddle/settings/sync.py
+++ b/pathsaddle/settings/sync.py
@@ -76,6 +76,7 @@
 PENDING = 64  # committed groups that wait for one before them
 CLIENTS = 1024  # members that a keeper serves
 HISTORY = 256  # revisions not in force of which a keeper knows what they withdrew
+SAID = 3  # times that a word is told to the other keepers at once; all are told again every half lease
 TEXTS = 2  # groups or snapshots on their way to one machine in pieces
 
 
@@ -634,7 +635,8 @@
         self.peers, self.lease = tuple(peers), lease
         version = Version(store.revision, store.digest, store.terms)
         self.core: versions.Keeper[Terms] = versions.Keeper(
-            lease, now, (store.revision, store.digest), (version,), now, begins=store.revision)
+            lease, now, (store.revision, store.digest), (version,), now, begins=store.revision,
+            learnt=((store.revision, now),))
         self.offers = {digest_of(group): group for group in offers if group.revision > store.revision}
         self.offers = dict(list(self.offers.items())[-OFFERS:])
         self.clients: dict[str, Client] = {}
@@ -648,9 +650,10 @@
         self.serving: dict[str, Want] = {}
         self.snapshots: dict[str, tuple[tuple[int, str], bytes]] = {}
         self.proposal: Proposal | None = None
-        self.fresh: dict[str, None] = {}  # of our clients' words, those not yet told to peers
+        self.fresh: dict[str, int] = {}  # of our clients' words: how often each is still told to peers
         self.gossip_due, self.refresh_due = FAR, now + lease // 2
-        self.pump_due, self.push_due = FAR, now + RETRY
+        self.pump_due, self.push_due, self.judge_due, self.judged_at = FAR, now + RETRY, FAR, now
+        self.memo: dict[tuple[int, str], int] = {}  # of this line, for `judged_each`
         self._gone()
 
     # Events
@@ -712,7 +715,8 @@
                     self._offers(name, proposal.group, now)
         if now >= self.gossip_due:
             self._gossips(list(self.fresh), now)
-            self.fresh, self.gossip_due = {}, FAR
+            self.fresh = {name: left - 1 for name, left in self.fresh.items() if left > 1}
+            self.gossip_due = now + SECOND // 2 if self.fresh else FAR
         if now >= self.refresh_due:
             self.refresh_due = now + int(self.lease / 2 * self.chance.uniform(0.8, 1.2))
             self.clients = {name: client for name, client in self.clients.items() if now < client.at + 2 * self.lease}
@@ -724,7 +728,9 @@
                 if client.has != known and client.has[0] <= known[0] and now < client.at + self.lease:
                     self.feeds.setdefault(name, client.has)
         self.pieces_due(now)
-        self.judges(now)
+        over = self.over_due()
+        if now >= min(self.judge_due, over):
+            self.judges(now)
         self._pump(now)
         return self._due(now)
 
@@ -903,7 +909,7 @@
         if mine:
             for name in self.peers:
                 self.say(name, Commit(self.name, known), now)
-        self.judges(now)
+        self.judge_due = min(self.judge_due, now + SECOND // 20)
         self._pump(now)
         return True
 
@@ -929,7 +935,7 @@
             self._goes_by(version, (), now)
             for name, client in self.clients.items():
                 self.feeds[name] = client.has
-            self.judges(now)
+            self.judge_due = min(self.judge_due, now + SECOND // 20)
         self._learns(*self.core.known, now)
         if before < self.store.revision < self.core.known[0]:
             self.say(announce.name, Have(self.name, self.store.revision, self.store.digest), now)
@@ -984,24 +990,31 @@
                 old = self.core
                 self.core = old.hears(versions.Have(name, revision, digest))
                 if own and self.core is not old:
-                    self.fresh[name] = None
+                    self.fresh[name] = SAID
                     if self.gossip_due == FAR:
                         self.gossip_due = now + SECOND // 4
         if self.core is not before:
-            self.judges(now)
+            self.judge_due = min(self.judge_due, now + SECOND // 20)
 
     def judges(self, now: int) -> None:
         """Tells what is in force by now."""
-        before = self.core.force
-        self.core = self.core.judged(now)
+        before, self.judge_due, self.judged_at = self.core.force, FAR, now
+        self.core = self.core.judged_each(now, self.memo)
         if self.core.force > before:
-            self.tell("force", revision=self.core.force, digest=self.core.known[1])
+            digest = next(one.digest for one in self.core.history if one.number == self.core.force)
+            self.tell("force", revision=self.core.force, digest=digest)
         if self.core.force > before or len(self.core.history) > HISTORY:
             self.core = self.core.cut(HISTORY)
+            self.memo = {key: last for key, last in self.memo.items() if key[0] >= self.core.begins}
             members = self.store.terms.members()
             if len(self.core.rows) > len(members):
                 self.core = replace(self.core, rows=tuple(row for row in self.core.rows if row[0] in members))
 
+    def over_due(self) -> int:
+        """When the leases on what is below some revision not in force are surely over, of those that nobody looked at since."""
+        return next((at for at in (at + versions.surely(self.lease) for number, at in self.core.learnt
+                                   if number > self.core.force) if at > self.judged_at), FAR)
+
     def _gossips(self, names: Iterable[str], now: int) -> None:
         """Our clients' words, to the other keepers: by revision, so that the usual case is a list of names."""
         rows = dict(self.core.rows)
@@ -1099,9 +1112,8 @@
                 "offers": sorted(group.revision for group in self.offers.values())}
 
     def _due(self, now: int) -> int:
-        over = self.core.since + versions.surely(self.lease)
         return min(FAR if self.wants_reading else self.read_at + (SECOND // 4 if self.waiting else SECOND),
                    self.gossip_due, self.refresh_due, self.push_due, self.pump_due, self.target_due,
                    FAR if self.proposal is None else self.proposal.due,
-                   over if self.core.force < self.core.known[0] and over > now else FAR,
+                   self.judge_due, self.over_due(),
                    min((part.due for part in self.parts.values()), default=FAR))
--- a/tests/test_settings_core.py
+++ b/tests/test_settings_core.py
@@ -377,6 +377,29 @@
         core = core.hears(versions.Have("m0", 3, store.digest)).hears(versions.Have("m1", 3, store.digest))
         self.assertEqual(core.judged(later).force, 3)
 
+    def test_of_every_version_the_highest_is_judged_alike_by_both_ways_and_none_above_one_that_waits(self):
+        chance, agreed = random.Random(9), 0
+        for _ in range(400):
+            store, core = self.keeper(members_of(3, **{"customers.a": quota(5)}))
+            for i in range(chance.randrange(1, 6)):
+                core = self.more(store, core, {"customers.a": quota(chance.randrange(1, 9))}, 1000 * (i + 1))
+                for name in chance.sample(["m0", "m1", "m2"], chance.randrange(4)):
+                    revision = chance.randrange(1, store.revision + 1)
+                    core = core.hears(versions.Have(name, revision, store.digest_at(revision)))
+            now = chance.randrange(0, 2 * LEASE)
+            each = core.judged_each(now, {})
+            self.assertEqual(each.force == core.known[0], not core.waits_for(now))
+            agreed += each.force == core.known[0]
+            # A revision below the highest, judged as if it were the highest, learnt when it was.
+            for below in range(1, store.revision):
+                kept = replace(core, known=(below, store.digest_at(below)), history=core.history[:below],
+                               since=dict(core.learnt)[below], learnt=core.learnt[:below])
+                if not kept.waits_for(now):
+                    self.assertGreaterEqual(each.force, below)
+                elif each.force == below:
+                    self.fail(f"{below} is told and waits for {kept.waits_for(now)}")
+        self.assertTrue(20 < agreed < 380, agreed)
+
     def test_what_is_cut_by_length_alone_is_waited_for(self):
         store, core = self.keeper(members_of(1, **{"customers.a": quota(5)}))
         for i in range(6, 20):
@@ -427,6 +450,17 @@
                 self.assertIsNotNone(net.force(4))
                 self.assertEqual([one.what for _, _, one in net.told if one.what in ("refused", "diverged", "full")], [])
 
+    def test_in_a_stream_of_changes_each_is_in_force_soon_and_not_only_when_it_ends(self):
+        net = self.fleet(15, count=12)
+        began = {}
+        for i in range(60):
+            began[net.commit({"customers.a": quota(5 + i % 7)}).revision] = net.now
+        ended = net.now
+        net.run(net.now + 10 * SECOND)
+        late = max(net.force(revision) - at for revision, at in began.items())
+        self.assertLess(late, 5 * SECOND)
+        self.assertLess(net.force(30), ended)
+
     def test_an_offer_binds_as_far_as_it_narrows_and_allows_nothing(self):
         net = self.fleet(2)
         keeper = net.machines["k0"]
@@ -734,7 +768,8 @@
                 check(depth, members, **more)
 
     def test_an_in_force_that_is_told_too_early_is_found(self):
-        self.found("in-force", mock.patch.object(versions.Keeper, "waits_for", lambda core, now: ()))
+        self.found("in-force", mock.patch.object(versions.Keeper, "judged_each", lambda core, now, memo: replace(
+            core, force=core.known[0])))
 
     def test_a_group_applied_by_halves_is_found(self):
         whole = Store.append
