--- a/pathsaddle/federation/versions.py
+++ b/pathsaddle/federation/versions.py
@@ -249,7 +249,7 @@
     gone: tuple[str, ...] = ()
     begins: int = 1
     cleared: int = 0
-    learnt: tuple[tuple[int, int], ...] = ()
+    learnt: tuple[tuple[int, int], ...] = field(default=(), compare=False)  # `judged_each` alone goes by it
 
     def reads(self, number: int, digest: str, version: Version[T] | None, now: int) -> Keeper[T]:
         """What the register has now, with the text where it is at hand."""
--- a/pathsaddle/settings/check.py
+++ b/pathsaddle/settings/check.py
@@ -94,7 +94,7 @@
         members = tuple((one.life, one.holder, one.store.revision, tuple(one.pending), tuple(one.held), one.lag_tries > 0)
                         for one in self.members)
         one = self.keeper
-        keeper = (one.life, one.core, one.store.revision, tuple(one.offers), tuple(sorted(one.clients.items(), key=_first)),
+        keeper = (one.life, one.core, one.core.learnt, one.store.revision, tuple(one.offers), tuple(sorted(one.clients.items(), key=_first)),
                   tuple(one.waiting.items()), tuple((number, tuple(asked.items())) for number, asked in one.answering.items()),
                   one.proposal is not None)
         return (members, tuple(disk.revision for disk in self.disks), keeper, self.disk[0].revision, len(self.disk[1]),
