--- a/pathsaddle/settings/sync.py
+++ b/pathsaddle/settings/sync.py
@@ -376,13 +376,18 @@
         self.home_due = FAR  # when the nearest keeper is tried again
         self.proved: int | None = None
         self.was_leased = False
+        # A disk that is empty may have been lost, after the word of what was on it: what it gets on the way to the latest
+        # revision may long be forbidden. It acts on nothing, and keeps nothing, until it has had a lease.
+        self.proven = store.revision > 0
         self._rows: tuple[Version[Terms], tuple[Version[Terms], ...], Mapping[str, bytes]] | None = None
 
     # What it acts by
 
     def rows(self, now: int) -> Mapping[str, bytes]:
-        """What it acts by: the committed rows that it has, narrowed by offers. Not to be changed; another object after
-        any change."""
+        """What it acts by: the committed rows that it has, narrowed by offers; none before it is `proven`. Not to be
+        changed; another object after any change."""
+        if not self.proven:
+            return {}
         holder = self.holder
         if self._rows is None or self._rows[0] is not holder.base or self._rows[1] is not holder.offers:
             self._rows = (holder.base, holder.offers, holder.narrowest(lambda terms: terms).rows())
@@ -526,7 +531,8 @@
         digest, old = digest_of(group), self.holder
         offer = next((one for one in old.offers if (one.number, one.digest) == (group.revision, digest)), None)
         terms = self.store.append(group, offer.spec if offer is not None else None)
-        self.writes.append(Write(group))
+        if self.proven:
+            self.writes.append(Write(group))
         self._goes_by(offer or Version(group.revision, digest, terms), tuple(put.key for put in group.puts))
 
     def _goes_by(self, version: Version[Terms], keys: Iterable[str]) -> None:
@@ -586,7 +592,8 @@
         elif found is not None and found.revision > self.store.revision:
             old = self.store.terms
             terms = self.store.replaced(found)
-            self.writes.append(Write(snapshot=found))
+            if self.proven:
+                self.writes.append(Write(snapshot=found))
             self._goes_by(Version(found.revision, found.digest, terms),
                           [key for key in old.differing(terms) if old.get(key) != terms.get(key)])
             self._drain()
@@ -594,6 +601,11 @@
 
     def _due(self, now: int) -> int:
         leased = self.leased(now)
+        if leased and not self.proven:
+            self.proven, self._rows = True, None
+            self.writes.append(Write(snapshot=self.store.snapshot()))
+            self.tell("applied", revision=self.holder.base.number, digest=self.holder.base.digest,
+                      keys=tuple(sorted(self.holder.base.spec.rows())))
         if leased != self.was_leased:
             self.was_leased = leased
             self.tell("leased" if leased else "alone", revision=self.holder.base.number, digest=self.holder.base.digest,
