--- a/pathsaddle/emulator/settings/judge.py
+++ b/pathsaddle/emulator/settings/judge.py
@@ -30,7 +30,6 @@
     values: dict[str, list[tuple[int, int, bytes | None]]] = {}  # key -> (revision, when, value)
     force, force_at = 0, 0
     highest: dict[str, int] = {}
-    lives: dict[str, int] = {}
 
     def finds(bound: str, at: int, text: str) -> None:
         found.append(Finding(bound, at, text))
@@ -64,7 +63,7 @@
                 continue
             if revision < highest.get(name, 0):
                 finds("back", event.at, f"{who}: it was at {highest[name]}")
-            highest[name], lives[name] = max(highest.get(name, 0), revision), more["life"]
+            highest[name] = max(highest.get(name, 0), revision)
             key = more["key"]
             used = None if more["value"] is None else more["value"].encode()
             if not allows(key, used, value_at(key, revision)):
@@ -84,7 +83,6 @@
             if more["revision"] != max(committed) or not more["leased"]:
                 finds("stuck", event.at, f"{more['name']} is at {more['revision']} of {max(committed)}, "
                       f"leased: {more['leased']}")
-        elif event.what == "over" and last:
-            if more["force"] != max(committed):
-                finds("stuck", event.at, f"{max(committed)} is committed, {more['force']} in force")
+        elif event.what == "over" and last and more["force"] != max(committed):
+            finds("stuck", event.at, f"{max(committed)} is committed, {more['force']} in force")
     return found
--- a/pathsaddle/emulator/settings/world.py
+++ b/pathsaddle/emulator/settings/world.py
@@ -30,7 +30,7 @@
 ACT = SECOND // 4  # between two acts of a member
 
 
-class Plan(msgspec.Struct, kw_only=True, forbid_unknown_fields=True):
+class Plan(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """regions, members (in all), keepers (one a region, of the first). seconds: of changes and faults. quiet: afterwards,
     in which nothing fails. changes: a minute. customers: at the start. loss, doubled: of each message. way: milliseconds
     one way between two regions. faults: mean seconds between two; 0: none. bytes, keeper_bytes, datagrams: each process's
--- a/pathsaddle/experiment/grounds.py
+++ b/pathsaddle/experiment/grounds.py
@@ -62,6 +62,12 @@
     return Program(lambda path: smoke.read_plan(Path(path)), lambda plan: int(not smoke.run(plan, print)))
 
 
+def settings() -> Program:
+    from pathsaddle.emulator.settings import smoke
+
+    return Program(smoke.read, smoke.play)
+
+
 PROGRAMS: dict[str, Callable[[], Program]] = {
     "shared": shared,
     "owners": owners,
@@ -69,6 +75,7 @@
     "placement": placement,
     "federation": federation,
     "histories": histories,
+    "settings": settings,
 }
 EMULATED = ("virtual", "sockets")
 OPTIONS: dict[str, tuple[str, ...]] = {  # that the command takes for a plan of each
