--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -234,7 +234,7 @@
         self.list_spread = min((terms.dispatchers - 1) * SECOND // 10, terms.ask_within // 2)
         self.list_rarest = max(2 * SECOND, 3 * self.list_spread)
         if self.must_ask:
-            self.list_due = now + int(min(self.list_spread, LIST_SURE - LIST_SILENT - LIST_ANSWER) * self.random())
+            self.list_due = now + int(min(self.list_spread, LIST_SILENT) * self.random())
 
     # The life of a txn.
 
@@ -1034,8 +1034,9 @@
             self.list_had = self.list_had and (took > 0 or self.now < self.list_sure)  # else we have stood still
             sure = min(self.now - (took or LIST_SILENT) + LIST_SURE, self.list_by if self.now < self.list_by else FAR)
             by = sure - max(LIST_ANSWER, took) - self.now
-            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - 1, 8), self.list_rarest,
-                       by if self.list_had or self.list_failures < 2 else LIST_SURE)
+            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - self.list_had, 8),
+                       min(self.list_rarest, by) if self.list_had or news is ListNews.SILENT and self.list_failures < 2
+                       else LIST_SURE)
             if news is ListNews.FAILED and self.now >= self.list_by:
                 sure = min(sure, self.now - took + self.list_grace)
             # What had been missed before, by a birth or while we stood still, no failed call takes back.
