--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -731,8 +731,7 @@
 
     def hold(self, txn: Txn) -> None:
         self.stirred = True
-        self.held += 1
-        txn.place = (self.rank(txn), self.held, txn)
+        txn.place, self.held = (self.rank(txn), self.held + 1, txn), self.held + 1
         insort(self.waiting, txn.place)
 
     def release(self, txn: Txn) -> None:
@@ -1034,9 +1033,9 @@
             self.list_had = self.list_had and (took > 0 or self.now < self.list_sure)  # else we have stood still
             sure = min(self.now - (took or LIST_SILENT) + LIST_SURE, self.list_by if self.now < self.list_by else FAR)
             by = sure - max(LIST_ANSWER, took) - self.now
+            soon = self.list_had or news is ListNews.SILENT and self.list_failures < 2
             wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - self.list_had, 8),
-                       min(self.list_rarest, by) if self.list_had or news is ListNews.SILENT and self.list_failures < 2
-                       else LIST_SURE)
+                       min(self.list_rarest, by) if soon else LIST_SURE)
             if news is ListNews.FAILED and self.now >= self.list_by:
                 sure = min(sure, self.now - took + self.list_grace)
             # What had been missed before, by a birth or while we stood still, no failed call takes back.
