--- a/pathsaddle/charter/check.py
+++ b/pathsaddle/charter/check.py
@@ -168,10 +168,10 @@
         raise Faulty([NoForm(file, "-", form="JSON", why=why(fault))]) from None
 
 
-def check(kind: type[T], told: Any, file: str) -> T:
-    """The object that a table stands for; raises Faulty with all faults."""
+def check(kind: type[T], told: Any, file: str, path: str = "") -> T:
+    """The object that a table stands for; raises Faulty with all faults. `path`: of the table, where it is a part."""
     faults: list[Fault] = []
-    made = _value(kind, told, "", file, faults)
+    made = _value(kind, told, path, file, faults)
     if faults:
         raise Faulty(faults)
     return typing.cast(T, made)
--- a/pathsaddle/charter/fellows.py
+++ b/pathsaddle/charter/fellows.py
@@ -13,14 +13,19 @@
     assert fleet is not None
     ways = Ways(fleet.name, fleet.key.encode(), int(fleet.beat), int(fleet.patience), fleet.bytes, fleet.datagrams,
                 lifeguard=fleet.lifeguard)
-    budgets = None
-    if fleet.budgets:
-        budgets = {name: Dealt(rate, fleet.parts.get(name, equal_part(rate, charter.dispatchers, charter.number)),
-                               int(fleet.lease)) for name, rate in fleet.budgets.items()}
+    budgets = dealt(charter) or None
     return Told(charter.name, charter.zone or charter.zones[0], fleet.listen, fleet.address or fleet.listen,
                 list(fleet.seeds), fleet.control, ways, file, budgets)
 
 
+def dealt(charter: Charter) -> dict[str, Dealt]:
+    """The budgets with this member's parts, by name."""
+    fleet = charter.fleet
+    assert fleet is not None
+    return {name: Dealt(rate, fleet.parts.get(name, equal_part(rate, charter.dispatchers, charter.number)),
+                        int(fleet.lease)) for name, rate in fleet.budgets.items()}
+
+
 def equal_part(rate: int, members: int, number: int) -> int:
     """Of a budget dealt equally: the first ones have what does not divide."""
     return rate // members + (number < rate % members)
--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections import Counter
 from collections.abc import Iterator
 from typing import Annotated, Literal
 
@@ -332,7 +333,7 @@
 class Log(Form):
     """What is logged, to standard error.
 
-    level: the least that is logged; may change in service.
+    level: the least that is logged.
     form: text for people, or one JSON object a line.
     """
 
@@ -345,7 +346,7 @@
 
     name: its name, in its log.
     listen: where clients and workers' callbacks connect, host:port.
-    discovery: where the list of workers is watched, host:port; may change in service.
+    discovery: where the list of workers is watched, host:port.
     seed: hexadecimal; all chance comes from it.
     number: which of the dispatchers this is, from 0.
     dispatchers: how many there are.
@@ -403,8 +404,8 @@
             yield Amiss("schemes", Missing, may="at least one table, [[schemes]],")
         for key, names in (("schemes", [s.name for s in self.schemes]), ("zones", self.zones),
                            ("customers", [c.name for c in self.customers]), ("machines", self.machines)):
-            for name in dict.fromkeys(names):
-                if names.count(name) > 1:
+            for name, times in Counter(names).items():  # of hundreds: not a count of all for each
+                if times > 1:
                     yield Amiss(key, Twice, shown=shown(name))
         if not self.zones:
             yield Amiss("zones", Missing, may="at least one zone's name")
@@ -428,7 +429,11 @@
                             may=f"one of machines ({', '.join(self.machines) or 'none is named there'})")
 
 
-IN_SERVICE = ("discovery", "log.level")  # what a reread file may change
+# What may change in service; `charter/service.py` has the few cases in which one of these may not.
+IN_SERVICE = frozenset((
+    "discovery", "log.level", "zones", "schemes", "customers", "rules.answer_slack", "rules.drain_grace",
+    "rules.dropped_stay_open", "rules.cold_share", "rules.cold_time", "rules.fall_multiple", "rules.fall_time",
+    "allowed.postings", "allowed.cancel", "allowed.come_back", "prices.cross", "prices.over_share", "fleet.budgets"))
 
 
 def changes(before: Charter, after: Charter) -> list[str]:
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -7,7 +7,8 @@
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
-from pathsaddle.charter.form import IN_SERVICE, changes
+from pathsaddle.charter.form import Charter
+from pathsaddle.charter.service import in_service, retune
 from pathsaddle.charter.told import read, told
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
@@ -23,7 +24,9 @@
         super().__init__()
         self.path = path
         self.form = form  # of the log, where the command line says it
-        self.charter = read(path)
+        self.charter = read(path)  # by which we serve
+        self._desk: Desk | None = None
+        self._fellows: Fellows | None = None
 
     def file(self) -> str:
         return str(self.path)
@@ -32,6 +35,10 @@
         return json.dumps(told(self.charter))
 
     def desk(self, *told: Any) -> Desk:
+        self._desk = self._made(*told)
+        return self._desk
+
+    def _made(self, *told: Any) -> Desk:
         if self.charter.federation is not None:
             from pathsaddle.federation.desk import FederatedDesk
             from pathsaddle.federation.driver import MemberProcess, ground_of
@@ -39,7 +46,7 @@
             member = MemberProcess(ground_of(regions.ground), regions.member, serving=True)
             return FederatedDesk(*told, member=member, doors=regions.doors, room=regions.room)
         if self.charter.jobs is None:
-            return super().desk(*told)
+            return Desk(*told)
         from pathsaddle.jobs.desk import DurableDesk, Ways
         from pathsaddle.jobs.store import Store, ThreadWriter, Unusable
         jobs = self.charter.jobs
@@ -51,6 +58,10 @@
             raise type(fault)(f"{self.path}: jobs.path: {fault.what}", fault.do) from None
 
     def fellows(self, counters: Counters) -> Fellows | None:
+        self._fellows = self._joined(counters)
+        return self._fellows
+
+    def _joined(self, counters: Counters) -> Fellows | None:
         if self.charter.fleet is None:
             return None
         from pathsaddle.charter.fellows import told as fellow
@@ -69,15 +80,19 @@
 
     def moved(self) -> str:
         """The file again: what may change in service does, what may not is named and stays."""
-        other = read(self.path)
-        differs = changes(self.charter, other)
-        for key in differs:
-            if key not in IN_SERVICE:
-                logbook.stays(key=key)
-        self.charter.discovery = other.discovery
-        if "log.level" in differs:
-            self.charter.log.level = other.log.level
-            self.open_log()
+        for key in self.retune(read(self.path)):
+            logbook.stays(key=key)
         return self.charter.discovery
 
-
+    def retune(self, wanted: Charter) -> dict[str, str]:
+        """Takes a checked charter into service as far as that can be, between two events; the keys that stay, each with
+        the reason."""
+        before, (self.charter, stays) = self.charter, in_service(self.charter, wanted)
+        if self._desk is not None:
+            retune(self._desk, before, self.charter)
+        if self._fellows is not None:
+            from pathsaddle.charter.fellows import dealt
+            self._fellows.retune(dealt(self.charter))
+        if before.log.level != self.charter.log.level:
+            self.open_log()
+        return stays
--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -55,8 +55,7 @@
         self.report: Report | None = None
         self.reported = 0  # when the report came
         self.word: tuple[float | None, ...] = ()  # its last report's figures
-        self.seen = -FAR  # the moment that it describes
-        self.own_then = 0  # own postings out at that moment
+        self.seen, self.own_then = -FAR, 0  # the moment that it describes, and own postings out at that moment
         self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
         self.readings: deque[float] = deque(maxlen=8)  # others' jobs there less the slots, as reported
         self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
@@ -64,20 +63,16 @@
         self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
         self.pace = 1.0
         self.size = 0.0  # slots: the most that the last reports add up to
-        self.believed = 0.0  # free slots as last worked out, and until when that holds if nothing happens
-        self.believed_until = 0
+        self.believed, self.believed_until = 0.0, 0  # free slots as last worked out, until when if nothing happens
         self.delays: deque[int] = deque(maxlen=8)  # from posting to start, of the last postings here
-        self.probing = False
-        self.asked = 0  # when it was last probed
+        self.probing, self.asked = False, 0  # being probed, and when it last was
         self.failed = 0  # failures in a row
-        self.full_at = -FAR  # when it last turned us away
-        self.proven = -FAR  # when an own txn last settled there
+        self.full_at = self.proven = -FAR  # when it last turned us away, and when an own txn last settled there
         self.erred_until = 0  # after an own posting failed there: until when no txn goes that it would be lost by
         self.shut_until = 0  # after failures: nothing before this moment
-        self.suspect = False  # silent for too long: one posting at a time until it speaks
+        self.suspect, self.doubted = False, 0  # silent for too long, since when: one posting at a time until it speaks
         self.mute: dict[Scheme, tuple[int, int]] = {}  # left untaken here: (until when none go, how often)
         self.reached = 0  # when the last posting was sent that has started
-        self.doubted = 0  # since when
         self.trial: Posting | None = None  # the last posting there since
         self.trials = 0  # postings in a row that a suspect has swallowed
         self.cold_sent: deque[tuple[int, int, bool]] = deque()  # (when, work, if cold then) of the last sends
@@ -106,8 +101,7 @@
     def __init__(self, allowance: float, now: int) -> None:
         self.allowance = allowance  # txns in a tenth of a millisecond, over all dispatchers
         self.purse = float("inf")  # full at the start, whatever its size turns out to be
-        self.filled = now
-        self.asked: deque[int] = deque(maxlen=64)
+        self.filled, self.asked = now, deque[int](maxlen=64)
 
     def rate(self, now: int) -> float:
         return len(self.asked) / max(1, now - self.asked[0]) if len(self.asked) > 7 else 0.0
@@ -148,44 +142,24 @@
         chance = Random(seed)
         self.random, self.choose = chance.random, chance.choice
         self.door, self.gate, self.tick = door, gate, max(1, terms.tick)
-        self.now = self.born = now
+        self.now = self.born = self.look_due = self.probe_due = self.judged = now
         self.books: dict[Worker, Book] = {}
-        self.home, self.held = terms.zone, 0
-        self.open, self.most_open = 0, terms.most_open
-        self.stirred = True  # something has happened since the last look at held txns
+        self.home, self.held, self.open, self.most_open = terms.zone, 0, 0, terms.most_open
         self.granted = False  # somebody has just got a worker: the next may get one too
         self.ranked: list[tuple[float, Book]] = []  # the last scan: who competed, with what load
         self.barred: dict[tuple[Any, ...], None] = {}  # what found no worker
-        self.look_due = self.probe_due = self.judged = now
         self.waiting: list[tuple[tuple[float, int], int, Txn]] = []  # held txns, the next to go first
-        self.for_trials = ([s for s in terms.schemes if self.runs_again_anywhere(s)]
-                           or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED] or terms.schemes)
-        self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
-        self.max_postings, self.two_at_once = terms.max_postings, terms.two_at_once
-        self.may_cancel, self.dropped_stay_open = terms.may_cancel, terms.dropped_stay_open
-        self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
-        self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
         self.number, self.dispatchers = terms.number, terms.dispatchers
-        # Among many an even part of what a slot bears at its coldest holds no job: all of it goes to the turns.
-        self.cold_by_turns = self.cold_whole * terms.cold_share / terms.dispatchers < SECOND // 10
         # Who has the next place in a turn is a sixth of us further on: neighbours may all be of one zone.
         apart = next(n for n in range(1 + self.dispatchers // 6, FAR) if gcd(n, self.dispatchers) == 1)
         self.cold_step = pow(apart, -1, self.dispatchers)
-        # Prices, in units of the mean txn's worth.
-        self.by_work, self.over_share = terms.value_by_work, terms.over_share
-        self.cross_price, self.come_back = terms.price_cross, terms.come_back_most
-        # Customers' parts of their allowance.
-        self.accounts = {c: Account(c.allowance / SECOND, now) for c in terms.customers if c.allowance > 0}
-        self.even_part = 1.0 / terms.dispatchers
-        self.part = self.even_part  # what part of the tier's traffic seems to come through us
+        self.part = self.even_part = 1.0 / terms.dispatchers  # what part of the tier's traffic seems to come through us
         self.reserve = 1.5  # slots kept free of what is over its customer's share
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
         # Probes may cost one point in a hundred of what is asked for, and no more.
-        self.probe_price = terms.price_probe
-        self.probe_income = min(100.0, 0.01 / max(0.0001, terms.price_probe))
-        self.probe_purse = 10 * self.probe_income
-        self.probe_always = not terms.reports_in_answers
+        self.probe_price, self.probe_income = terms.price_probe, min(100.0, 0.01 / max(0.0001, terms.price_probe))
+        self.probe_purse, self.probe_always = 10 * self.probe_income, not terms.reports_in_answers
         self.probe_times: deque[int] = deque([self.tick], maxlen=16)
         self.tells_start, self.overtakes = terms.tells_start, terms.overtakes
         self.hears = terms.reports_in_answers or terms.may_probe and terms.reports_in_probes
@@ -197,8 +171,7 @@
         self.keep_for = LOOK  # how long a worked out room holds, against ranking a fleet anew each event
         self.best_pace = 1.0  # the fastest worker's: the nearest we see to the yardstick of hints
         self.least_slots = 1.0  # what the smallest worker we know holds: the guide to a cold one's size
-        self.late_start = 40 * MILLISECOND + 2 * self.tick
-        self.age = AGES[0]
+        self.late_start, self.age = 40 * MILLISECOND + 2 * self.tick, AGES[0]
         self.misses: deque[tuple[int, list[float]]] = deque(maxlen=48)  # (when, by how much each age is off)
         self.usual: dict[int, Usual] = {}  # by zone
         self.asked_of: deque[str] = deque(maxlen=KEYS)  # the keys of the last txns
@@ -211,20 +184,16 @@
         self.claims: deque[bool] = deque(maxlen=CLAIMS)  # whether the last that turned us away claimed room
         self.belied_until = -FAR  # a worker turned us away and claimed room: until when that speaks of all
         self.silence = terms.progress_every + terms.progress_every // 2
-        self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
-        self.must_ask, self.list_due = terms.must_ask, FAR
-        self.list_failures, self.list_lost, self.list_by = 0, now, -FAR
+        self.must_ask, self.list_failures, self.list_lost, self.list_due, self.list_by = terms.must_ask, 0, now, FAR, -FAR
         # Pushed, a change counts as told once our agent has it, be there a watch or not, and binds a grace later.
         self.list_grace = max(0, terms.drain_grace - LIST_SLACK) if terms.pushed else FAR
         # What discovery had 6 s before a birth counts as told from then on, whatever `known` says: nothing is sure.
         self.list_asked, self.list_sure, self.list_had = now, now, False
         self.list_word = LIST_SURE if terms.beats else FAR  # how long word stands while a watch is open
-        self.runs: dict[Scheme, deque[int]] = {s: deque(maxlen=48) for s in terms.schemes}
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
         self.known: dict[Any, int] = {}  # what was declined lately, and when it was first asked for
-        self.mean_worth = 1.0
-        self.worths: deque[float] = deque(maxlen=96)
+        self.mean_worth, self.worths = 1.0, deque[float](maxlen=96)
         self.arrivals: deque[int] = deque(maxlen=32)  # when the last txns came
         # A call never answered must not leave us without word until we are deemed told, nor end before it can fail.
         self.ask_again = max(LIST_SILENT + LIST_SLACK, terms.ask_within // 2)
@@ -235,6 +204,36 @@
         self.list_rarest = max(2 * SECOND, 3 * self.list_spread)
         if self.must_ask:
             self.list_due = now + int(min(self.list_spread, LIST_SURE - LIST_SILENT - LIST_ANSWER) * self.random())
+        self.runs, self.accounts, self.fall_time = dict[Scheme, deque[int]](), dict[Any, Account](), FAR
+        self.retune(terms)
+
+    def retune(self, terms: Terms, still: Iterable[Scheme] = ()) -> None:
+        """Terms that may change in service, from this moment on. A scheme whose index was there keeps what was learnt
+        of it; `still` are those that open txns were taken by and that are no more."""
+        if terms.fall_time > self.fall_time:
+            self.born = self.now  # what went to the cold before the old span is forgotten: as after a start of ours
+        self.schemes, now_by = terms.schemes, {s.index: s for s in terms.schemes}
+        learnt = {s.index: runs for s, runs in self.runs.items()}
+        self.runs = {s: learnt.get(s.index, deque(maxlen=48)) for s in (*terms.schemes, *still)}
+        for book in self.books.values():
+            book.mute = {now_by[s.index]: mute for s, mute in book.mute.items() if s.index in now_by}
+        self.accounts = {c: self.accounts.get(c) or Account(0.0, self.now) for c in terms.customers if c.allowance > 0}
+        for customer, account in self.accounts.items():
+            account.allowance = customer.allowance / SECOND  # of which ours is a part
+        self.for_trials = ([s for s in terms.schemes if self.runs_again_anywhere(s)]
+                           or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED] or terms.schemes)
+        self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
+        self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
+        self.max_postings, self.two_at_once = terms.max_postings, terms.two_at_once
+        self.may_cancel, self.dropped_stay_open = terms.may_cancel, terms.dropped_stay_open
+        self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
+        self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
+        # Among many an even part of what a slot bears at its coldest holds no job: all of it goes to the turns.
+        self.cold_by_turns = self.cold_whole * terms.cold_share / terms.dispatchers < SECOND // 10
+        # Prices, in units of the mean txn's worth.
+        self.by_work, self.over_share = terms.value_by_work, terms.over_share
+        self.cross_price, self.come_back = terms.price_cross, terms.come_back_most
+        self.stirred = True  # something has happened since the last look at held txns
 
     # The life of a txn.
 
@@ -405,7 +404,7 @@
         self.late_start = 2 * max(typical, self.tick) + 2 * self.tick
 
     def mean_run(self) -> float:
-        runs = [run for runs in self.runs.values() for run in runs]
+        runs = [run for scheme in self.schemes for run in self.runs[scheme]]
         return sum(runs) / len(runs) if runs else float(SECOND)
 
     def load(self, book: Book, room: float, txn: Txn) -> float:
@@ -657,6 +656,7 @@
 
     def appraise(self, txn: Txn) -> None:
         txn.kind, txn.work = self.type_of(txn), self.work_of(txn)
+        self.runs.setdefault(txn.scheme, deque(maxlen=48))  # terms may have changed twice since it was accepted
         txn.mark = (txn.scheme, txn.customer, txn.hint, txn.slots, txn.memory)
         if txn.hint is not None:
             self.hints.append(txn.hint * txn.slots)
@@ -802,7 +802,7 @@
         if self.cold_by_turns:
             # Beyond N mean jobs in a span, what it is allowed, 2 root N + 2 are chance: half of it a turn: a
             # span touches two; a third of N is kept for what each gets wrong of runs (docs/fleet.md).
-            mean = self.mean_job * (1.0 if self.hints else self.unsure(sum(map(len, self.runs.values()))))
+            mean = self.mean_job * (1.0 if self.hints else self.unsure(sum(len(self.runs[s]) for s in self.schemes)))
             jobs = 2.0 * whole / mean
             turn = (jobs * (1.0 if self.hints else 2 / 3) + 2.0 * sqrt(jobs) + 2.0) * mean / 2.0
             at_once = max(2, int(turn / mean / (2 if self.hints else 1)))  # uneven (hinted) ones by two
--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -49,12 +49,12 @@
 def check(file: str | None, explain: bool, plan: bool) -> None:
     """Check a charter, or a plan, and say all that is wrong in it, one line a fault."""
     from pathsaddle.charter.check import explain as rows
-    from pathsaddle.charter.form import Charter
+    from pathsaddle.charter.form import IN_SERVICE, Charter
     from pathsaddle.charter.told import read
     from pathsaddle.cli.show import explained
     from pathsaddle.emulator import plan as plans
     if explain:
-        click.echo(explained(rows(plans.Plan if plan else Charter)))
+        click.echo(explained(rows(plans.Plan)) if plan else explained(rows(Charter), IN_SERVICE))
     if file is None:
         if not explain:
             raise click.UsageError("neither a FILE nor --explain is said")
--- a/pathsaddle/cli/show.py
+++ b/pathsaddle/cli/show.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Any
 
 from rich.console import Console
@@ -11,6 +11,7 @@
 from pathsaddle.emulator.events import Event
 from pathsaddle.emulator.judges.judge import RULES, Row, Verdict
 
+TABLES = ("a table", "a table each")  # of which each key is said by itself
 MEANS = {
     "lost": "1 each txn taken has an answer", "late": "1 before its expiry", "twice": "1 one answer alone",
     "after": "1 nothing is sent after it", "repeat": "2 no effect twice", "decline": "2 declined only if harmless",
@@ -89,12 +90,16 @@
         console.print(f"  ... and {len(verdict.findings) - most} more")
 
 
-def explained(rows: Iterable[tuple[str, str, str, str]]) -> str:
-    """The keys of a file as a page in Markdown."""
+def explained(rows: Iterable[tuple[str, str, str, str]], in_service: Collection[str] = ()) -> str:
+    """The keys of a file as a page in Markdown. in_service: those that may change there, in a column of their own."""
     lines = ["| key | what may stand there | default | meaning |", "| --- | --- | --- | --- |"]
+    if in_service:
+        lines = ["| key | what may stand there | default | in service | meaning |", "| --- | --- | --- | --- | --- |"]
     for key, kind, default, meaning in rows:
-        lines.append(f"| `{key}` | {kind} | {f'`{default}`' if default and default != 'must be given' else default} "
-                     f"| {meaning} |")
+        line = f"| `{key}` | {kind} | {f'`{default}`' if default and default != 'must be given' else default} | "
+        if in_service:
+            line += "| " if kind in TABLES else "yes | " if key.partition("[]")[0] in in_service else "no | "
+        lines.append(f"{line}{meaning} |")
     return "\n".join(line.replace("  ", " ") for line in lines)
 
 
--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -132,6 +132,12 @@
             self._tasks.append(self._events.create_task(self._listen(self._control)))
         self._wake()
 
+    def retune(self, budgets: dict[str, Dealt]) -> None:
+        """Other budgets from now on (`Limiter.retune`); where none was told at the start nothing is shared."""
+        if self.shared is not None and not self.ended:
+            self.shared.limiter.retune(budgets, self.clock.now())
+            self._stir()
+
     def leave(self) -> None:
         """We end: told at once."""
         if self.ended:
--- a/pathsaddle/fleet/state/limiter.py
+++ b/pathsaddle/fleet/state/limiter.py
@@ -16,6 +16,13 @@
 may bring n uses, one each, into a second that is not theirs. Nothing that asks beforehand can prevent that;
 `takes` asked after the stall is refused what has ended in it.
 
+Changed in service (`retune`) the bound is the greatest rate by which any member goes, and for one that was lowered or taken
+out the old rate until the last loan made under it is surely over: no more than a lease and two WINDOWs after the last
+member has heard. Raised or new it is used at once: who raises it has said that all may. Why. Equal parts of a lower rate
+are each no greater, and what a lower part has lent beyond itself is what the old one had; so at each instant owners' parts
+and loans are no more than the old parts. A loan that the new part doesn't cover is not renewed. A budget taken out leaves
+its loans to run out; put in again it begins as in a new life (`shares.born`), with numbers beyond the old ones.
+
 Floor: who hears nothing has its part less what it lent, all of it a lease later. No I/O;
 all chance comes from one Random.
 """
@@ -89,6 +96,7 @@
         self.due = now  # when it wants to be woken
         self.budgets = {budget: Budget(budget, told, born(name, life, told.part, told.lease, now, window))
                         for budget, told in dealt.items()}
+        self.numbered = 0  # the highest number of an asking for a budget that was taken out
         self.out: list[tuple[str, str, Want | Lend | Back]] = []
         self.notes: list[Note] = []
         # what others last told to have left
@@ -132,14 +140,35 @@
         self.closed = self.leaving = True
         self.there = []
 
+    def retune(self, dealt: dict[str, Dealt], now: int) -> None:
+        """These budgets from now on, with these rates and parts; see the module's head for the bound meanwhile."""
+        for name in [name for name in self.budgets if name not in dealt]:
+            gone = self.budgets.pop(name)
+            self._returns_all(gone, now)
+            self.numbered = max(self.numbered, gone.state.asked)
+            del self.spares[name]
+        for name, told in dealt.items():
+            one = self.budgets.get(name)
+            if one is None:
+                state = born(self.name, self.life, told.part, told.lease, now, self.window)
+                self.budgets[name] = Budget(name, told, replace(state, asked=self.numbered))
+                self.spares[name] = {}
+            elif one.dealt != told:
+                one.dealt, one.state = told, replace(one.state, part=told.part)
+                one.need = min(one.need, told.rate)
+        self.due = now
+
+    def _returns_all(self, one: Budget, now: int) -> None:
+        for owner, _, number, _ in one.state.held:
+            one.state, back = one.state.returns(number, now)
+            self.out.append((owner, one.name, back))
+
     def leave(self, now: int) -> None:
         """We end: what we hold goes back at once, and its owner lets it rest;
         our own part is used to the end."""
         self.leaving, self.there = True, []
         for one in self.budgets.values():
-            for owner, _, number, _ in one.state.held:
-                one.state, back = one.state.returns(number, now)
-                self.out.append((owner, one.name, back))
+            self._returns_all(one, now)
 
     def _clear(self, one: Budget, now: int) -> None:
         while one.spent and one.spent[0][0] <= now - self.window:
@@ -227,8 +256,8 @@
         self._clear(one, now)
         state = one.state.at(now)
         spare = state.usable(now) - max(one.sum, self._needed(one, now))
-        if not want.renews:
-            spare = min(spare, state.own(now))
+        # What a lowered part doesn't cover any more is lacking, whatever else we hold.
+        spare = min(spare, state.own(now))
         one.state, lend = state.asked_by(want, spare, now)
         if lend is not None:
             if len(one.answered) >= LIVES:
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -26,7 +26,7 @@
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.workers import Lost, NeverSent
-from pathsaddle.net.wire.forms import Callback
+from pathsaddle.net.wire.forms import Callback, Words
 from pathsaddle.net.wire.http import Broken, Message
 from pathsaddle.trade import MILLISECOND, SECOND, Outcome, Posting, Report, Semantics, Txn
 
@@ -57,6 +57,7 @@
 
     job: Job
     told: Accepted
+    words: Words | None = None  # by which it was accepted, until it stands before the decisions
     entry: Entry | None = None
     polls: list[tuple[Answer, asyncio.TimerHandle]] = field(default_factory=list)
     running: bool = False
@@ -306,9 +307,10 @@
         """The txn of a job; raises Broken where the store's call is none any more."""
         job = kept.job
         call = unpack(kept.told.call)
-        txn = self.words.txn(call, self.clock.now())
+        txn = (kept.words or self.words).txn(call, self.clock.now())
         txn.expires = job.expires - self.ways.margin
-        entry = kept.entry = Entry(txn, call, None)
+        entry, kept.words = Entry(txn, call, None), None
+        kept.entry = entry
         self.ledger.open(entry)
         return entry
 
@@ -390,7 +392,7 @@
         inner = as_txn(call, tag)
         txn = self.words.txn(inner, self.clock.now())
         told = Accepted(tag, owner, key, what, txn.scheme.semantics, txn.arrived, txn.expires, pack(inner))
-        kept = Kept(Job(tag, txn.scheme.semantics, txn.arrived, txn.expires), told)
+        kept = Kept(Job(tag, txn.scheme.semantics, txn.arrived, txn.expires), told, self.words)
         self.by_key[owner, key] = self.jobs[tag] = kept
         self.counters.add("jobs.submitted")
         # From here, not from the task: the same submission may come again before that has had its first turn.
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from pathsaddle.net.wire.http import Message
-from pathsaddle.trade import Posting, Txn
+from pathsaddle.trade import Posting, Scheme, Txn
 
 SPENT = 4096  # ids of txns that are over: as many as come in the longest expiry, and no memory to speak of
 Answer = Callable[[int, bytes, tuple[str, ...], bool], None]
@@ -102,5 +102,9 @@
         return any(other.posting.worker is errand.posting.worker and other.posting.may_have_run
                    for other in errand.entry.errands if other is not errand)
 
+    def schemes(self) -> list[Scheme]:
+        """By which something here was taken that is not over yet."""
+        return list(dict.fromkeys(entry.txn.scheme for entry in self._entries.values()))
+
     def unanswered(self) -> list[Entry]:
         return [entry for entry in self._entries.values() if not entry.txn.closed]
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -185,6 +185,13 @@
         for entry in self.ledger.unanswered():
             self._guard(entry.txn, partial(self.loop.hasten, entry.txn, by))
 
+    def retune(self, terms: Terms, words: Words) -> None:
+        """Other terms from the next call on, between two events; no txn that is open is touched. Raises nothing: what
+        could be amiss was found before (`charter/service.py`)."""
+        self._at()
+        self.words, self.dropped_stay_open = words, terms.dropped_stay_open
+        self.loop.choice.retune(terms, [scheme for scheme in self.ledger.schemes() if scheme not in terms.schemes])
+
     @property
     def ready(self) -> bool:
         """Whether a worker is known that can be posted to: the front sends nobody before, and who is held meanwhile
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -60,7 +60,6 @@
             raise unhad(fault, "listen", told.listen, ground.file()) from None
         self.workers.make_room = self.front.spare_descriptor
         self.fellows = ground.fellows(self.counters)
-        self.longest = min(LONGEST, max((scheme.expiry for scheme in told.terms.schemes), default=LONGEST))
         self._stop = asyncio.Event()
 
     async def run(self) -> None:
@@ -88,12 +87,14 @@
         logbook.stopping(unanswered=len(self.desk.ledger.unanswered()))
         if self.fellows is not None:
             self.fellows.leave()
+        schemes = (*self.desk.words.schemes.values(), *self.desk.ledger.schemes())
+        longest = min(LONGEST, max((scheme.expiry for scheme in schemes), default=LONGEST))
         begun = self.clock.now()
-        by = begun + self.longest + LATER
+        by = begun + longest + LATER
         self.desk.stop(by)
         # Clients go on with the connections they have, and nobody else may be there for them: closed at once,
         # four in ten txns of a zone with one dispatcher failed until the next was ready.
-        while self.clock.now() < begun + self.longest and (
+        while self.clock.now() < begun + longest and (
                 self.clock.now() < begun + COMING or self.front.in_use()):
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         self.front.stopping = True
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -4,7 +4,10 @@
 
 import json
 import re
+from collections.abc import Iterable, Mapping
+from copy import copy
 from dataclasses import dataclass
+from itertools import count
 from typing import Any
 from urllib.parse import quote
 from zlib import crc32
@@ -81,7 +84,8 @@
 
 
 class Words:
-    """The names that the wire uses for what the trade knows as objects and numbers."""
+    """The names that the wire uses for what the trade knows as objects and numbers. Other terms make other words
+    (`retuned`): whoever holds on to these reads an older call as it was read then."""
 
     def __init__(self, given: dict[str, Any], known: Terms) -> None:
         """Raises terms.Amiss: a call goes by these names, and one without or with another's is never reached."""
@@ -90,16 +94,47 @@
         self.customers: dict[str, Customer] = dict(zip(self._names(told, "Customers"), known.customers))
         self.zones: dict[str, int] = {name: i for i, name in enumerate(told.names("Azs"))}
         self.machines: dict[str, int] = {name: i for i, name in enumerate(told.names("Kinds"))}
+        self._fresh = count(max(len(self.schemes), len(self.customers)))  # of an index no other ever has
 
     @staticmethod
     def _names(told: terms.Told, key: str) -> list[str]:
-        found: list[str] = []
+        found: dict[str, None] = {}
         for row in told.rows(key):
             name = row.text("Name")
             if not name or name in found:
                 raise row.amiss("Name", "a name that no other has")
-            found.append(name)
-        return found
+            found[name] = None
+        return list(found)
+
+    def retuned(self, schemes: Mapping[str, Scheme | None], customers: Mapping[str, Customer | None],
+                zones: Iterable[str] = ()) -> Words:
+        """Words with these by name, new or changed, or gone (None). An index stays with its name until that is gone.
+
+        A changed scheme is another object, so that a txn goes to its end by the one under which it was taken. A
+        customer stays the same one, with another quota: of a txn that was taken it says nothing any more."""
+        made = copy(self)
+        made.schemes = dict(self.schemes)
+        if any(customer is None or name not in self.customers for name, customer in customers.items()):
+            made.customers = dict(self.customers)  # of hundreds: not for each quota that changes
+        for name, scheme in schemes.items():
+            old = made.schemes.get(name)
+            if scheme is None:
+                made.schemes.pop(name, None)
+            else:
+                scheme.index = old.index if old is not None else next(self._fresh)
+                made.schemes[name] = scheme
+        for name, customer in customers.items():
+            known = made.customers.get(name)
+            if customer is None:
+                made.customers.pop(name, None)
+            elif known is not None:
+                known.allowance, known.portion = customer.allowance, customer.portion
+            else:
+                customer.index = next(self._fresh)
+                made.customers[name] = customer
+        for name in zones:
+            self.zones.setdefault(name, len(self.zones))
+        return made
 
     # From clients.
 
--- a/tests/test_charter.py
+++ b/tests/test_charter.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from pathsaddle.charter.check import Faulty, explain, load
-from pathsaddle.charter.form import Charter
+from pathsaddle.charter.form import IN_SERVICE, Charter
 from pathsaddle.charter.ground import CharterGround
 from pathsaddle.charter.told import read, told
 from pathsaddle.charter.units import duration, size, written
@@ -102,15 +102,17 @@
                 ground.moved()
             self.assertEqual(ground.charter.discovery, "127.0.0.1:9090", "a broken file changes nothing")
             self.path.write_text(GOOD.replace("9090", "9091").replace("8080", "8081").replace("400ms", "401ms")
-                                 + '[log]\nlevel = "WARNING"\n')
+                                 + '[log]\nlevel = "WARNING"\n[limits]\nsockets = 128\n')
             self.assertEqual(ground.moved(), "127.0.0.1:9091")
-            self.assertEqual([call.kwargs["key"] for call in stays.call_args_list], ["listen", "schemes"])
+            self.assertEqual([call.kwargs["key"] for call in stays.call_args_list], ["listen", "limits.sockets"])
+            self.assertEqual((ground.charter.schemes[0].sla, ground.charter.limits.sockets), (4010, 1024))
             opened.assert_called_once_with("WARNING", "text")
         self.assertIn('"127.0.0.1:8080"', ground.told())
 
     def test_the_pages_are_what_explain_prints(self) -> None:
-        for form, page in ((Charter, "charter.md"), (plan.Plan, "plan.md")):
-            self.assertIn(explained(explain(form)), (ROOT / "docs" / page).read_text(), f"docs/{page} is old")
+        for page, said in (("charter.md", explained(explain(Charter), IN_SERVICE)),
+                           ("plan.md", explained(explain(plan.Plan)))):
+            self.assertIn(said, (ROOT / "docs" / page).read_text(), f"docs/{page} is old")
 
     def test_the_example_is_good(self) -> None:
         read(ROOT / "deploy/charter.example.toml")
