Histories: a checker of shared settings that reads logs alone

Nothing judged settings but the ground's judge, which has the ground's word of what was committed and asks the program which value allows more. settings.py reads calls of the register (unknown ones stay open), readings, what members act on, what is told in force. Ten planted kinds, nine right ones by hand, kept small; the emulated world's log is written as such a history. Tried first and left: 'applied' of a member as an act. It is not written as an act any more.

--- a/pathsaddle/emulator/settings/world.py
+++ b/pathsaddle/emulator/settings/world.py
@@ -180,8 +180,11 @@
                 key = self.world.chance.choice(self.world.keys)
                 told = rows.get(key)
                 whole = "" if member.holder.offers else hashed(repr(sorted(rows.items())).encode())
+                last = self.world.groups.get(base.digest)
+                seen = {put.key: None if (row := rows.get(put.key)) is None else row.decode()
+                        for put in (last.puts if last is not None and whole else ())}
                 self.world.log("acts", name=self.name, life=self.life, revision=base.number, digest=base.digest,
-                               leased=leased, key=key, value=None if told is None else told.decode(), whole=whole)
+                               leased=leased, key=key, value=None if told is None else told.decode(), whole=whole, seen=seen)
         self.world.at(self.world.now + ACT, self.acts)
 
 
--- a/pathsaddle/histories/checkers.py
+++ b/pathsaddle/histories/checkers.py
@@ -9,13 +9,14 @@
 from pathsaddle.histories.logs import Checker, Event, Finding, check, in_order
 from pathsaddle.histories.placement import Placement
 from pathsaddle.histories.register import Register
+from pathsaddle.histories.settings import Settings
 from pathsaddle.histories.shares import Counts, Shares
 from pathsaddle.histories.shedding import Shedding
 from pathsaddle.histories.txns import Txns
 
 CHECKERS: dict[str, Callable[..., Checker]] = {
     "register": Register, "shares": Shares, "counts": Counts, "shedding": Shedding, "placement": Placement,
-    "federation": Federation, "txns": Txns,
+    "federation": Federation, "txns": Txns, "settings": Settings,
 }
 
 
--- a/pathsaddle/histories/planted.py
+++ b/pathsaddle/histories/planted.py
@@ -17,6 +17,7 @@
     FederationWorld,
     PlacementWorld,
     RegisterWorld,
+    SettingsWorld,
     SharesWorld,
     SheddingWorld,
     TxnsWorld,
@@ -533,6 +534,109 @@
             super().send(name, again)
 
 
+# Settings.
+
+class TwoAtOneRevision(SettingsWorld):
+    """Two keepers are both told that theirs is the group of a revision."""
+
+    def end(self, keeper: str, group: dict[str, Any], outcome: str) -> None:
+        super().end(keeper, group, "ok" if outcome == "refused" and self.chance.random() < 0.3 else outcome)
+
+
+class OfferTaken(SettingsWorld):
+    """A member goes by what a keeper only offered, and which was refused."""
+
+    def end(self, keeper: str, group: dict[str, Any], outcome: str) -> None:
+        super().end(keeper, group, outcome)
+        name = self.chance.choice(self.members)
+        revision, until = self.held.get(name, (group["revision"], self.now))
+        if outcome == "refused" and revision <= group["revision"]:
+            self.held[name] = group["revision"], until
+            self.say("settings.rows", who=name, revision=group["revision"], digest=group["digest"], rows=group["puts"])
+
+
+class OutOfNothing(SettingsWorld):
+    """A keeper tells in force what nobody began: its disk had another line."""
+
+    def judge(self) -> None:
+        before = self.force
+        super().judge()
+        if self.force > before and self.chance.random() < 0.1:
+            self.say("settings.force", who="k2", revision=self.force, digest="other")
+
+
+class BeforeUnchecked(SettingsWorld):
+    """The register compares the revision and not what the group comes after."""
+
+    def call(self, keeper: str, puts: dict[str, Any], fate: str) -> None:
+        wrong = len(self.line) > 2 and fate == "ok" and self.chance.random() < 0.1
+        if not wrong:
+            super().call(keeper, puts, fate)
+            return
+        before = self.line[-1]["digest"]
+        self.line[-1]["digest"] = self.line[-2]["digest"]  # as one that is a group behind takes it to be
+        super().call(keeper, puts, fate)
+        self.line[-1]["digest"] = before
+
+
+class GoesBeforeCommit(SettingsWorld):
+    """A member goes by a group that its keeper has prepared, and has not yet called the register for."""
+
+    def call(self, keeper: str, puts: dict[str, Any], fate: str) -> None:
+        name = self.chance.choice(self.members)
+        if fate != "ok" or name not in self.held or self.chance.random() < 0.7:
+            super().call(keeper, puts, fate)
+            return
+        told = {"revision": len(self.line) + 1, "digest": f"d{self.ops + 1}"}
+        self.say("settings.rows", who=name, rows=puts, **told)
+        self.then(SECOND // 10, super().call, keeper, puts, fate)
+
+
+class DiskForgets(SettingsWorld):
+    """Its disk is synced later than its word goes out."""
+
+    def restart(self, name: str, lost: bool) -> None:
+        super().restart(name, lost)
+        if name in self.held and self.held[name][0] > 2:
+            self.held[name] = self.held[name][0] - 1, self.now
+
+
+class ToldByCount(SettingsWorld):
+    """In force once most have it."""
+
+    def judge(self) -> None:
+        super().judge()
+        newest = len(self.line)
+        if newest > self.force and sum(revision >= newest for revision, _ in self.held.values()) >= 3:
+            self.force = newest
+            self.say("settings.force", who="k1", revision=newest, digest=self.line[-1]["digest"])
+
+
+class WithdrawnUnheard(SettingsWorld):
+    """In force once all leases on older ones are over, though who hears nothing goes on by what was withdrawn."""
+
+    def stands(self, revision: int, number: int) -> bool:
+        return True
+
+
+class OfferWidens(SettingsWorld):
+    """What was offered, and not yet committed, binds where it is wider too."""
+
+    def value(self, name: str, row: dict[str, Any] | None) -> dict[str, Any] | None:
+        return {"allowance": 50} if row is not None and self.chance.random() < 0.05 else super().value(name, row)
+
+
+class ByHalves(SettingsWorld):
+    """Of a group with several rows the last are missing for a moment."""
+
+    def say(self, what: str, **more: Any) -> None:
+        if what == "settings.rows" and len(more["rows"]) > 1 and self.chance.random() < 0.3:
+            before = self.line[more["revision"] - 2]["rows"]
+            last = list(more["rows"])[-1]
+            more["rows"] = {**more["rows"], last: before.get(last)}
+        super().say(what, **more)
+
+
 # Txns.
 
 class AnswersTwice(TxnsWorld):
@@ -677,6 +781,18 @@
         "two-regions": ("two-regions", TwoRegions),
         "stale-copies": ("stale-copy", StaleCopies),
     },
+    "settings": {
+        "two-at-one-revision": ("two-digests", TwoAtOneRevision),
+        "offer-taken": ("never-committed", OfferTaken),
+        "out-of-nothing": ("never-committed", OutOfNothing),
+        "before-unchecked": ("chain-broken", BeforeUnchecked),
+        "goes-before-commit": ("before-commit", GoesBeforeCommit),
+        "disk-forgets": ("went-back", DiskForgets),
+        "told-by-count": ("leased-behind", ToldByCount),
+        "withdrawn-unheard": ("forbidden-in-force", WithdrawnUnheard),
+        "offer-widens": ("more-than-allowed", OfferWidens),
+        "by-halves": ("group-in-part", ByHalves),
+    },
     "txns": {
         "answers-twice": ("answered-twice", AnswersTwice),
         "never-answers": ("unanswered", NeverAnswers),
--- a/pathsaddle/histories/seeming.py
+++ b/pathsaddle/histories/seeming.py
@@ -28,6 +28,19 @@
 _ID = {"customer": "north", "key": 7, "scheme": "render", "period": 1}
 _MAY = {"may": {"render": ["north", "west"], "sign": ["north", "west"]},
         "data": {"textures": ["north", "west"]}}
+def _group(at: int, revision: int, allowance: int | None, op: str = "", who: str = "k", **more: Any) -> tuple[int, str, dict[str, Any]]:
+    """A call by which customer a gets that allowance; its digest is d and its op's name."""
+    op = op or str(revision)
+    row = None if allowance is None else {"allowance": allowance}
+    return at, "settings.call", {"who": who, "op": op, "revision": revision, "digest": f"d{op}", "before": f"d{revision - 1}",
+                                 "puts": {"customers.a": row}, **more}
+
+
+def _goes_by(at: int, who: str, op: str, allowance: int, leased: bool = False) -> tuple[int, str, dict[str, Any]]:
+    return at, "settings.act", {"who": who, "revision": int(op[0]), "digest": f"d{op}", "key": "customers.a",
+                                "value": {"allowance": allowance}, "leased": leased}
+
+
 _HOME = {"may": {"render": ["north"], "sign": ["north"]}, "data": {"textures": ["north"]}}
 
 LOOKS_WRONG: dict[str, dict[str, list[tuple[int, str, dict[str, Any]]]]] = {
@@ -175,6 +188,35 @@
                  version=2,
                  **{"from": "north"})],
     },
+    "settings": {
+        "a call that nobody answered, and a member goes by it": [
+            _group(0, 1, 5), _say(1, "settings.end", "k", op="1", outcome="ok"),
+            _group(10, 2, 9), _goes_by(50, "a", "2", 9), _say(90, "settings.end", "k", op="2", outcome="unknown")],
+        "two calls for one revision that nobody answered, of which the next group names one": [
+            _group(0, 1, 5), _group(10, 2, 9, "2"), _group(11, 2, 3, "2x", "l"), _goes_by(30, "a", "2x", 3),
+            _group(40, 3, 4, before="d2x"), _say(60, "settings.end", "k", op="3", outcome="ok"), _goes_by(70, "a", "3", 4)],
+        "the same group again once the first call was refused by a register that could not be reached": [
+            _group(0, 1, 5), _say(9, "settings.end", "k", op="1", outcome="refused"),
+            _group(10, 1, 5, "1b", digest="d1"), _goes_by(30, "a", "1", 5)],
+        "alone, on an older one that the one in force allows": [
+            _group(0, 1, 5), _goes_by(5, "a", "1", 5, True), _group(10, 2, 9),
+            _say(20, "settings.force", "k", revision=2, digest="d2"), _goes_by(90, "a", "1", 5)],
+        "alone, by what was forbidden and is allowed again by one not yet answered": [
+            _group(0, 1, 5), _group(10, 2, 3), _say(20, "settings.force", "k", revision=2, digest="d2"),
+            _group(30, 3, 7), _goes_by(40, "a", "1", 5)],
+        "no limit at all, by an allowance of 0": [
+            _group(0, 1, 5), _group(10, 2, 0), _say(20, "settings.force", "k", revision=2, digest="d2"),
+            _goes_by(40, "a", "1", 5)],
+        "anybody may, where there is no customer left": [
+            _group(0, 1, 5), _group(10, 2, None), _say(20, "settings.force", "k", revision=2, digest="d2"),
+            _goes_by(40, "a", "1", 5)],
+        "back to an older one with an empty disk": [
+            _group(0, 1, 5), _group(10, 2, 9), _goes_by(20, "a", "2", 9, True), _say(30, "disk.lost", "a"),
+            _goes_by(40, "a", "1", 5, True), _goes_by(50, "a", "2", 9, True)],
+        "leased on the older in the moment in which the newer is told in force": [
+            _group(0, 1, 5), _group(10, 2, 3), _goes_by(20, "a", "1", 5, True),
+            _say(20, "settings.force", "k", revision=2, digest="d2")],
+    },
     "txns": {
         "once-only again after a decline, and it ran once": [
             _say(0, "txn.taken", "a", txn="1", scheme="pay", kind="once-only", expiry=900),
--- a/pathsaddle/histories/worlds.py
+++ b/pathsaddle/histories/worlds.py
@@ -627,9 +627,130 @@
         self.say("client.got", who="c1", txn=txn, outcome=outcome)
 
 
+class SettingsWorld(World):
+    """Keepers that commit groups one after the other, some of them at once; answers that are lost; members that have
+    what reached them, on leases, and go by it without one as well; disks that are lost."""
+
+    LEASE = 3 * SECOND
+
+    def __init__(self, chance: Random, size: int) -> None:
+        super().__init__(chance, size)
+        self.members = [f"m{i}" for i in range(5)]
+        self.keepers = [f"k{i}" for i in range(3)]
+        self.keys = [f"customers.c{i}" for i in range(6)]
+        self.line: list[dict[str, Any]] = []  # digest, puts, rows of each committed group
+        self.held: dict[str, tuple[int, int]] = {}  # revision, until
+        self.cut: dict[str, int] = {}
+        self.force, self.ops = 0, 0
+        self.call("k0", self.drawn(self.keys), "ok")
+        for name in self.members:
+            self.then(SECOND + self.some(100), self.renew, name)
+            self.then(SECOND + self.some(SECOND), self.act, name)
+        self.then(SECOND, self.commit)
+        self.then(2 * SECOND, self.lose)
+
+    def drawn(self, keys: list[str]) -> dict[str, Any]:
+        # 0 sets no limit.
+        return {key: {"allowance": self.chance.choice((0, *range(1, 20)))} for key in keys}
+
+    def commit(self) -> None:
+        self.then(self.some(2 * SECOND), self.commit)
+        for keeper in self.chance.sample(self.keepers, self.chance.choice((1, 1, 1, 2))):
+            puts = self.drawn(self.chance.sample(self.keys, self.chance.choice((1, 1, 2, 3))))
+            if self.chance.random() < 0.2:
+                puts[next(iter(puts))] = None
+            self.call(keeper, puts, self.chance.choice(("ok", "ok", "ok", "ok", "unheard", "lost")))
+
+    def call(self, keeper: str, puts: dict[str, Any], fate: str) -> None:
+        self.ops += 1
+        group = {"op": f"{keeper}/{self.ops}", "revision": len(self.line) + 1, "digest": f"d{self.ops}",
+                 "before": self.line[-1]["digest"] if self.line else "", "puts": puts}
+        self.say("settings.call", who=keeper, **group)
+        if fate != "lost":
+            self.then(self.some(50 * MS), self.arrive, keeper, group, fate)
+
+    def arrive(self, keeper: str, group: dict[str, Any], fate: str) -> None:
+        """At the register, which takes it if it comes after the last."""
+        taken = len(self.line) + 1 == group["revision"]
+        if taken:
+            self.append(group)
+            if self.chance.random() < 0.5:
+                self.then(self.some(50 * MS), self.read, self.chance.choice(self.keepers), group)
+        if fate == "ok":
+            self.then(self.some(50 * MS), self.end, keeper, group, "ok" if taken else "refused")
+        elif self.chance.random() < 0.5:
+            self.then(SECOND, self.end, keeper, group, "unknown")
+
+    def append(self, group: dict[str, Any]) -> None:
+        rows = {**(self.line[-1]["rows"] if self.line else {}), **group["puts"]}
+        self.line.append({"digest": group["digest"], "puts": group["puts"], "rows": rows})
+
+    def end(self, keeper: str, group: dict[str, Any], outcome: str) -> None:
+        self.say("settings.end", who=keeper, op=group["op"], outcome=outcome)
+
+    def read(self, keeper: str, group: dict[str, Any]) -> None:
+        self.say("settings.read", who=keeper, revision=group["revision"], digest=group["digest"])
+
+    def newest(self, name: str) -> int:
+        return max(self.held.get(name, (0, 0))[0], self.force, len(self.line) - self.chance.choice((0, 0, 0, 1)))
+
+    def renew(self, name: str) -> None:
+        self.then(SECOND // 2 + self.some(SECOND // 2), self.renew, name)
+        if self.cut.get(name, -1) <= self.now:
+            self.held[name] = self.newest(name), self.now + self.LEASE
+            self.judge()
+
+    def judge(self) -> None:
+        """In force: who is behind has no lease, and nothing that it may do was withdrawn."""
+        for number in range(self.force + 1, len(self.line) + 1):
+            if all(revision >= number or until < self.now and self.stands(revision, number)
+                   for revision, until in self.held.values()):
+                self.force = number
+                self.say("settings.force", who="k1", revision=number, digest=self.line[number - 1]["digest"])
+
+    def stands(self, revision: int, number: int) -> bool:
+        old, new = (self.line[one - 1]["rows"] for one in (revision, number))
+
+        def most(row: dict[str, Any] | None) -> int:
+            return 0 if row is None else row["allowance"] or 1000
+        return all(most(old[key]) <= most(new[key]) for key in self.keys)
+
+    def act(self, name: str) -> None:
+        self.then(self.some(200 * MS), self.act, name)
+        if name not in self.held:
+            return
+        revision, until = self.held[name]
+        group = self.line[revision - 1]
+        key = self.chance.choice(self.keys)
+        told = {"revision": revision, "digest": group["digest"]}
+        self.say("settings.act", who=name, key=key, value=self.value(name, group["rows"][key]), leased=until > self.now, **told)
+        if self.chance.random() < 0.3:
+            self.say("settings.rows", who=name, rows={key: group["rows"][key] for key in group["puts"]}, **told)
+
+    def value(self, name: str, row: dict[str, Any] | None) -> dict[str, Any] | None:
+        """Less, where an offer that is not committed says so."""
+        return {"allowance": 1} if row is not None and self.chance.random() < 0.1 else row
+
+    def lose(self) -> None:
+        self.then(self.some(2 * SECOND), self.lose)
+        name = self.chance.choice(self.members)
+        self.cut[name] = self.now + self.some(8 * SECOND)
+        if name in self.held and self.chance.random() < 0.5:
+            self.say("member.ended", who=name, why="killed")
+            self.restart(name, self.chance.random() < 0.3)
+
+    def restart(self, name: str, lost: bool) -> None:
+        self.held[name] = self.held[name][0], self.now
+        if lost:
+            self.say("disk.lost", who=name)
+            del self.held[name]
+        self.say("member.began", who=name)
+
+
 WORLDS: dict[str, type[World]] = {
     "register": RegisterWorld, "shares": SharesWorld, "counts": CountsWorld, "shedding": SheddingWorld,
     "placement": PlacementWorld, "federation": FederationWorld, "txns": TxnsWorld,
+    "settings": SettingsWorld,
 }
 
 
