--- a/pathsaddle/histories/planted.py
+++ b/pathsaddle/histories/planted.py
@@ -540,7 +540,7 @@
     """Two keepers are both told that theirs is the group of a revision."""
 
     def end(self, keeper: str, group: dict[str, Any], outcome: str) -> None:
-        super().end(keeper, group, "ok" if outcome == "refused" and self.chance.random() < 0.3 else outcome)
+        super().end(keeper, group, "ok" if outcome == "refused" else outcome)
 
 
 class OfferTaken(SettingsWorld):
@@ -561,7 +561,7 @@
     def judge(self) -> None:
         before = self.force
         super().judge()
-        if self.force > before and self.chance.random() < 0.1:
+        if self.force > before and self.chance.random() < 0.6:
             self.say("settings.force", who="k2", revision=self.force, digest="other")
 
 
--- a/pathsaddle/histories/settings.py
+++ b/pathsaddle/histories/settings.py
@@ -47,6 +47,7 @@
         super().__init__(skew)
         self.texts: dict[Key, Text] = {}
         self.at_revision: dict[int, list[Text]] = {}
+        self.lowest = 0  # where the log begins
         self.puts: dict[str, list[Text]] = {}  # by key, by revision
         self.ops: dict[Any, Text] = {}
         self.sure: dict[Key, Event] = {}  # the first that proves it committed
@@ -217,6 +218,7 @@
 
     def done(self) -> None:
         super().done()
+        self.lowest = min(self.at_revision, default=0)
         for key, event in [*self.sure.items(), *self.claims.items()]:
             text = self.texts.get(key)
             if text is None:
@@ -260,7 +262,7 @@
                     self.find("two-digests", f"{text.revision} is {there[0].digest}, and {self._says(event)} {text.digest}",
                               there[1], event)
                 return
-            if at.revision <= min(self.at_revision):
+            if at.revision <= self.lowest:
                 return
             before = self.texts.get((at.revision - 1, at.before))
             if before is None or before.never():
--- a/pathsaddle/histories/worlds.py
+++ b/pathsaddle/histories/worlds.py
@@ -654,8 +654,8 @@
         return {key: {"allowance": self.chance.choice((0, *range(1, 20)))} for key in keys}
 
     def commit(self) -> None:
-        self.then(self.some(2 * SECOND), self.commit)
-        for keeper in self.chance.sample(self.keepers, self.chance.choice((1, 1, 1, 2))):
+        self.then(self.some(SECOND), self.commit)
+        for keeper in self.chance.sample(self.keepers, self.chance.choice((1, 1, 2))):
             puts = self.drawn(self.chance.sample(self.keys, self.chance.choice((1, 1, 2, 3))))
             if self.chance.random() < 0.2:
                 puts[next(iter(puts))] = None
@@ -692,7 +692,7 @@
         self.say("settings.read", who=keeper, revision=group["revision"], digest=group["digest"])
 
     def newest(self, name: str) -> int:
-        return max(self.held.get(name, (0, 0))[0], self.force, len(self.line) - self.chance.choice((0, 0, 0, 1)))
+        return max(1, self.held.get(name, (0, 0))[0], self.force, len(self.line) - self.chance.choice((0, 0, 0, 1)))
 
     def renew(self, name: str) -> None:
         self.then(SECOND // 2 + self.some(SECOND // 2), self.renew, name)
--- a/tests/test_histories_settings.py
+++ b/tests/test_histories_settings.py
@@ -5,6 +5,7 @@
 
 import random
 import unittest
+from itertools import product
 
 from pathsaddle.emulator.settings.history import history
 from pathsaddle.emulator.settings.judge import judge
@@ -86,6 +87,68 @@
         self.assertEqual(found([*rows, act(30, 3, 9)]), ["more-than-allowed"])
 
 
+def plainly(rows: list[Event]) -> bool:
+    """Whether any line of groups, one a revision from the lowest on, is what all of these tell: all tried."""
+    refused = {row.more["op"] for row in rows if row.what == "settings.end" and row.more["outcome"] == "refused"}
+    calls = [row for row in rows if row.what == "settings.call"]
+    by_op = {row.more["op"]: row for row in calls}
+    told = []
+    for row in rows:
+        if row.what in ("settings.act", "settings.read", "settings.force"):
+            told.append((row.at, row.more["revision"], row.more["digest"]))
+        elif row.what == "settings.end" and row.more["outcome"] == "ok":
+            one = by_op[row.more["op"]].more
+            told.append((row.at, one["revision"], one["digest"]))
+    revisions = sorted({row.more["revision"] for row in calls})
+    texts = [[None, *dict.fromkeys(row.more["digest"] for row in calls if row.more["revision"] == one)] for one in revisions]
+    for line in product(*texts):
+        chosen = dict(zip(revisions, line, strict=True))
+        committed, before, now, right = {}, None, 0, True
+        for number in range(revisions[0], revisions[-1] + 1):
+            digest = chosen.get(number)
+            if digest is None:
+                break
+            able = [row for row in calls if (row.more["revision"], row.more["digest"]) == (number, digest)]
+            begun = [row.at for row in able if row.more["op"] not in refused]
+            if not begun or before is not None and able[0].more["before"] != before:
+                right = False
+                break
+            now = max(now, min(begun))
+            committed[number, digest], before = now, digest
+        if right and all(committed.get((number, digest), at + 1) <= at for at, number, digest in told):
+            return True
+    return False
+
+
+class AnyLine(unittest.TestCase):
+    def drawn(self, chance: random.Random) -> list[Event]:
+        rows: list[Event] = []
+        texts = [(1, "a", ""), (2, "b", "a"), (2, "c", "a"), (3, "d", "b"), (3, "e", "c"), (3, "f", "b")]
+        for op, (number, digest, before) in enumerate(chance.choices(texts, k=chance.randint(2, 6))):
+            at = chance.randrange(10) if chance.random() < 0.3 else 2 * number
+            rows.append(Event(at, "settings.call", {"who": "k", "op": op, "revision": number, "digest": digest, "before": before,
+                                                    "puts": {}}))
+            outcome = chance.choice(("ok", "refused", "unknown", "unknown", "", ""))
+            if outcome:
+                rows.append(Event(at + chance.randint(1, 6), "settings.end", {"who": "k", "op": op, "outcome": outcome}))
+        for number, digest, _ in chance.choices(texts, k=chance.randint(0, 2)):
+            at, what = chance.randint(4, 16), chance.choice(("settings.act", "settings.read", "settings.force"))
+            more = {"who": f"m{len(rows)}", "revision": number, "digest": digest}
+            if what == "settings.act":
+                more.update(key="zones.z", value={}, leased=False)
+            rows.append(Event(at, what, more))
+        return sorted(rows, key=lambda row: row.at)
+
+    def test_what_was_committed_is_judged_as_by_trying_every_line(self) -> None:
+        chance, answers = random.Random(5), {True: 0, False: 0}
+        for _ in range(3000):
+            rows = self.drawn(chance)
+            truth = plainly(rows)
+            self.assertEqual(not found(rows), truth, "\n".join(map(str, rows)))
+            answers[truth] += 1
+        self.assertGreater(min(answers.values()), 300)
+
+
 class Orders(unittest.TestCase):
     def test_only_what_is_surely_later_accuses(self) -> None:
         rows = [call(0, 1, 5), call(10, 2, 3), force(1000, 2)]
