settings: datagrams and the folder of a process

Needed: sync.py's machines have no I/O. A frame a batch, so that a torn tail is one frame and anything else amiss an error; the head's own sum tells a torn length from one that rotted within the log (ruled out: a length alone, by which a flipped bit in the middle would cut off all that follows). 11 stories, 60 flipped bytes, each cut of the last frame.

--- /dev/null
+++ b/pathsaddle/settings/faults.py
@@ -0,0 +1,89 @@
+"""What an operator reads of shared settings, all of the one family (docs/errors.md)."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from pathsaddle.errors import FINDING, Error
+
+
+class SettingsFault(Error):
+    """Any of shared settings'."""
+
+
+class Outrun(SettingsFault):
+    name = "settings.outrun"
+    what = "revision {revision} was committed meanwhile by {author!r} ({reason!r}), and {expected} was expected"
+    do = "read what holds now by `pathsaddle settings get`, and apply again with --expect {revision}"
+    code = FINDING
+
+
+class NoMajority(SettingsFault):
+    """No majority of voters, or of keepers, answered in time: nothing was committed, or nobody can say whether it was."""
+
+    name = "settings.no-majority"
+    code = FINDING
+
+
+class Refused(SettingsFault):
+    """A change that nobody may make; holds all that is wrong with it, and prints as one line each."""
+
+    name = "settings.refused"
+    code = FINDING
+
+    def __init__(self, faults: Sequence[Error]) -> None:
+        super().__init__("; ".join(fault.what for fault in faults), faults[0].do)
+        self.faults = tuple(faults)
+        self.args = (faults,)
+
+    def __str__(self) -> str:
+        return "\n".join(map(str, self.faults))
+
+
+class Unfit(SettingsFault):
+    """One thing that is wrong with a change."""
+
+    name = "settings.unfit"
+    code = FINDING
+
+
+class Restart(SettingsFault):
+    name = "settings.restart"
+    what = "{key} is no shared setting: {why}"
+    do = "write {key} in the charters of those whom it is meant for, and restart them"
+    code = FINDING
+
+
+class Waits(SettingsFault):
+    name = "settings.waits"
+    what = "revision {revision} is committed, and not in force after {within:g} s: it waits for {names}"
+    do = ("start or let go on those named, or apply `gone = true` at members.NAME for one that never starts again with its "
+          "disk; `pathsaddle settings status` tells when it is in force")
+    code = FINDING
+
+
+class Unreached(SettingsFault):
+    name = "settings.unreached"
+    what = "{address}: no answer to {word!r}: {why}"
+    do = ("start the keeper that has {address} at its control (`python -m pathsaddle.settings keep FILE`), or name another "
+          "keeper's by --at")
+    code = FINDING
+
+
+class Defect(SettingsFault):
+    name = "settings.defect"
+    what = "{address}: {why}"
+    do = "report the trace in the log of the keeper at {address}"
+    code = FINDING
+
+
+class BadFile(SettingsFault):
+    """The file of keepers and members, or of a change, says what can't be meant."""
+
+    name = "settings.file"
+
+
+class NoDisk(SettingsFault):
+    """A folder can't be read or written, or holds what we did not write."""
+
+    name = "settings.disk"
--- /dev/null
+++ b/tests/test_settings_disk.py
@@ -0,0 +1,210 @@
+"""Shared settings between the machines and the world: datagrams, and a folder that crashes leave as they will."""
+
+import random
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+import msgspec
+
+from pathsaddle.settings import disk, wire
+from pathsaddle.settings.disk import Folder
+from pathsaddle.settings.faults import NoDisk
+from pathsaddle.settings.forms import Group, Put, canonical, digest_of
+from pathsaddle.settings.store import Store
+from pathsaddle.settings.sync import (
+    GROUP,
+    OFFERS,
+    PIECE,
+    Announce,
+    Asking,
+    Commit,
+    Have,
+    Haves,
+    Kept,
+    Offer,
+    Piece,
+    Renewal,
+    Want,
+    Write,
+    size_of,
+)
+
+KEY = b"sixteen bytes or more"
+
+
+def line(count, first=1, before=""):
+    """Groups that follow one another."""
+    found = []
+    for revision in range(first, first + count):
+        group = Group(revision, before, "a", "r", 0, (Put(f"customers.c{revision % 7}", canonical({"allowance": revision})),))
+        found.append(group)
+        before = digest_of(group)
+    return found
+
+
+class WireStory(unittest.TestCase):
+    D = "d" * 32
+
+    def said(self):
+        group = line(1)[0]
+        return [Asking("m", 1, 2, 3, self.D), Asking("m", 1, 2, 0, ""), Renewal("k", "m", 1, 2, 3, self.D), Offer("k", group),
+                Kept("k", 1, self.D), Commit("k", (1, self.D), (group,)), Have("m", 1, self.D),
+                Haves("k", ((1, self.D, ("m", "n")),)), Announce("k", GROUP, self.D, (1, self.D), 3000, True),
+                Want("m", GROUP, self.D, 0, 8), Piece("k", GROUP, self.D, 2, b"x" * PIECE)]
+
+    def test_each_message_comes_as_it_went_and_takes_the_bytes_that_the_purse_paid(self):
+        for said in self.said():
+            with self.subTest(type(said).__name__):
+                data = wire.encode(said, KEY)
+                self.assertEqual(wire.decode(data, KEY), said)
+                self.assertEqual(len(data), size_of(said))
+
+    def test_what_is_cut_a_strangers_of_another_form_or_means_nothing_is_refused_by_its_reason(self):
+        data = wire.encode(self.said()[0], KEY)
+        with mock.patch.object(wire, "FORM", 84):
+            newer = wire.encode(self.said()[0], KEY)
+        bad = [("cut", data[:9]), ("stranger", data[:-1] + bytes((data[-1] ^ 1,))), ("cut", data + bytes(1200)),
+               ("newer", newer)]
+        for said in (Asking("", 1, 2, 3, self.D), Asking("m" * 65, 1, 2, 3, self.D), Have("m", 0, self.D), Have("m", 3, ""),
+                     Have("m", -1, ""), Commit("k", (1, "")), Piece("k", 2, self.D, 0, b"x"), Piece("k", GROUP, self.D, -1, b""),
+                     Piece("k", GROUP, self.D, 0, b"x" * (PIECE + 1)), Want("m", GROUP, self.D, 0, 0),
+                     Announce("k", GROUP, "d", (1, self.D), 3), Haves("k", ((1, "x", ("m",)),))):
+            bad.append(("cut", wire.encode(said, KEY)))
+        for why, one in bad:
+            with self.subTest(why), self.assertRaisesRegex(wire.Refused, why):
+                wire.decode(one, KEY)
+        with self.assertRaisesRegex(wire.Refused, "stranger"):
+            wire.decode(data, b"another key of ours")
+
+    def test_bytes_that_chance_changed_are_refused_and_nothing_else_is_raised(self):
+        chance = random.Random(7)
+        for _ in range(2000):
+            body = bytearray(bytes((wire.FORM,)) + msgspec.msgpack.encode(chance.choice(self.said())))
+            for _ in range(chance.randrange(1, 4)):
+                body[chance.randrange(len(body))] = chance.randrange(256)
+            data = bytes(body) + wire.hmac.digest(KEY, bytes(body), "sha256")[:16]
+            try:
+                wire.decode(data, KEY)
+            except wire.Refused as why:
+                self.assertIn(str(why), wire.REASONS)
+
+
+class FolderStory(unittest.TestCase):
+    def setUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "m0"
+
+    def folder(self, keep=1024):
+        made = Folder(self.path, "m0", "members.m0.disk in ground.toml", keep=keep)
+        self.addCleanup(made.close)
+        return made
+
+    def test_what_was_written_is_there_again_and_the_life_grows(self):
+        folder, groups = self.folder(), line(5)
+        folder.write([Write(one) for one in groups[:3]])
+        folder.write([Write(groups[3]), Write(groups[4], committed=False)])
+        self.assertEqual(folder.life(50), 50)
+        again = self.folder()
+        self.assertEqual((again.store.revision, again.store.digest), (4, digest_of(groups[3])))
+        self.assertEqual([one for _, one in again.store.log], groups[:4])
+        self.assertEqual(again.offers, groups[4:])
+        self.assertEqual([again.life(50), again.life(60)], [51, 60])
+
+    def test_a_snapshot_takes_the_place_of_rows_and_log_and_what_follows_follows_it(self):
+        folder, groups = self.folder(), line(9)
+        there = Store(None, groups[:7])
+        folder.write([Write(one) for one in groups[:3]])
+        folder.write([Write(snapshot=there.snapshot()), Write(groups[7])])
+        again = self.folder()
+        self.assertEqual((again.store.revision, len(again.store.log)), (8, 1))
+        self.assertEqual(again.store.snapshot(), Store(None, groups[:8]).snapshot())
+
+    def test_a_crash_between_the_snapshots_rename_and_the_logs_leaves_the_snapshot(self):
+        folder, groups = self.folder(), line(9)
+        folder.write([Write(one) for one in groups[:7]])
+        folder._replaces("snapshot", disk.framed(disk.encoded(Store(None, groups[:5]).snapshot())))
+        again = self.folder()
+        self.assertEqual((again.store.revision, [one for _, one in again.store.log]), (7, groups[5:7]))
+        folder._replaces("snapshot", disk.framed(disk.encoded(Store(None, groups[:9]).snapshot())))
+        self.assertEqual((self.folder().store.revision, self.folder().store.log), (9, ()))
+
+    def test_offers_keep_their_order_the_latest_few_and_go_with_their_revision(self):
+        folder, first = self.folder(), line(1)[0]
+        offers = [Group(2, digest_of(first), "a", str(i), i, first.puts) for i in range(OFFERS + 3)]
+        folder.write([Write(first)])
+        for one in offers:
+            folder.write([Write(one, committed=False)])
+        self.assertEqual(self.folder().offers, offers[-OFFERS:])
+        folder.write([Write(offers[0])])
+        self.assertEqual(self.folder().offers, [])
+
+    def test_the_log_is_compacted_and_stays_bounded(self):
+        folder, groups = self.folder(keep=4), line(40)
+        sizes = []
+        for one in groups:
+            folder.write([Write(one)])
+            sizes.append((self.path / "log").stat().st_size)
+        again = self.folder(keep=4)
+        self.assertEqual(again.store.snapshot(), Store(None, groups).snapshot())
+        self.assertEqual([one for _, one in again.store.log], groups[-4:])
+        self.assertLessEqual(max(sizes), 10 * sizes[0] + 320)
+
+    def test_cut_anywhere_in_the_last_frame_all_before_it_is_there_and_the_tail_is_gone_for_good(self):
+        folder, groups = self.folder(), line(4)
+        folder.write([Write(one) for one in groups[:2]])
+        before = (self.path / "log").stat().st_size
+        folder.write([Write(one) for one in groups[2:]])
+        whole = (self.path / "log").read_bytes()
+        torn = [whole[:at] for at in range(before, len(whole))]
+        torn += [whole[:at] + bytes(len(whole) - at) for at in range(before + disk.HEAD, len(whole) - 1, 7)]
+        torn += [whole[:before] + bytes(64)]
+        for data in torn:
+            (self.path / "log").write_bytes(data)
+            again = self.folder()
+            self.assertEqual(again.store.revision, 2)
+            self.assertEqual((self.path / "log").stat().st_size, before)
+            again.write([Write(groups[2])])
+            self.assertEqual(self.folder().store.revision, 3)
+
+    def test_anything_else_that_is_wrong_is_an_error_that_says_where_and_what_to_do(self):
+        folder, groups = self.folder(), line(6)
+        folder.write([Write(groups[0])])
+        folder.write([Write(groups[1])])
+        folder.write([Write(groups[2]), Write(groups[4], committed=False)])
+        log, offers = (self.path / "log").read_bytes(), (self.path / "offers").read_bytes()
+        chance = random.Random(3)
+        one = len(disk.framed(disk._encode([disk.encoded(groups[0])])))
+        for at in sorted(chance.sample(range(2 * one), 60)):
+            with self.subTest(at), self.assertRaises(NoDisk) as caught:
+                (self.path / "log").write_bytes(log[:at] + bytes((log[at] ^ 0x11,)) + log[at + 1:])
+                self.folder()
+            self.assertIn("members.m0.disk in ground.toml", str(caught.exception))
+            self.assertEqual((self.path / "log").stat().st_size, len(log))  # left for who looks into it
+        (self.path / "log").write_bytes(log)
+        for name, data in (("offers", offers[:-1]), ("snapshot", b"x"), ("snapshot", disk.framed(b"x")),
+                           ("snapshot", disk.framed(disk.encoded(Store(None, line(1, 1)).snapshot())) * 2),
+                           ("log", log[one:]), ("log", log + log[:one])):
+            with self.subTest(name), self.assertRaises(NoDisk):
+                (self.path / name).write_bytes(data)
+                self.folder()
+            (self.path / "offers").write_bytes(offers)
+            (self.path / "log").write_bytes(log)
+            (self.path / "snapshot").unlink(missing_ok=True)
+        self.assertEqual(self.folder().store.revision, 3)
+
+    def test_a_disk_that_refuses_is_an_error_of_the_family(self):
+        folder = self.folder()
+        with (mock.patch.object(disk.os, "fsync", side_effect=OSError(28, "No space left on device")),
+              self.assertRaises(NoDisk) as caught):
+            folder.write([Write(line(1)[0])])
+        self.assertIn("no space left", str(caught.exception))
+        (self.path.parent / "file").write_text("")
+        with self.assertRaises(NoDisk):
+            Folder(self.path.parent / "file", "m0", "x")
+
+
+if __name__ == "__main__":
+    unittest.main()
