--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -296,8 +296,10 @@
 def main() -> int:
     from pathsaddle.cli.fleet import fleet
     from pathsaddle.cli.jobs import jobs
+    from pathsaddle.cli.settings import settings
     cli.add_command(jobs)
     cli.add_command(fleet)
+    cli.add_command(settings)
     try:
         cli.main(standalone_mode=False)
     except click.exceptions.Abort:
--- /dev/null
+++ b/pathsaddle/settings/driver.py
@@ -0,0 +1,769 @@
+"""The thin drivers: one socket, one timer, a folder in a thread of its own, and one of `sync.py`'s machines.
+
+What a machine made goes out once its writes are on disk, in order; only then a member acts by it. A fault inside a machine is
+caught here and told by name, and the machine is made anew from its disk, as after a crash: what it had in memory beyond the
+disk was said to nobody. A disk that can't be written ends the driver: nothing of that is said, and what it acted by stays.
+
+`tell(what, **more)` gets each thing that happens; who starts a driver decides where that goes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import socket
+import time
+import traceback
+from collections import deque
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any, Generic, TypeVar
+
+import msgspec
+
+from pathsaddle.errors import Error
+from pathsaddle.fleet.purse import Purse
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service.ground import Ground
+from pathsaddle.net.service.place import unhad
+from pathsaddle.net.wire.terms import Peer, peer_of
+from pathsaddle.ownership.driver import Register, steady
+from pathsaddle.ownership.driver import Told as Standing
+from pathsaddle.ownership.forms import Value
+from pathsaddle.settings.changes import puts_of
+from pathsaddle.settings.disk import Folder
+from pathsaddle.settings.faults import NoDisk, NoMajority, Outrun, Refused, Unfit
+from pathsaddle.settings.forms import START, WORDS, Group, Wrong, digest_of, encoded, value_of
+from pathsaddle.settings.sync import DATAGRAM, LEASE, SECOND, Happened, Keeper, Member, Ready, Said
+from pathsaddle.settings.wire import Refused as Unread
+from pathsaddle.settings.wire import decode, encode
+
+KEY = "settings"  # the voters' key
+AT_ONCE = 64  # datagrams in one turn
+PEERS = 4096  # addresses that a keeper knows
+QUEUE = 2048  # calls that wait for the disk; datagrams beyond are dropped, as any way may drop them
+MEND = SECOND  # until a machine that faulted is made anew
+LINGER = 0.3  # seconds for which a keeper stays the register's owner after a change, for the next
+TALK = 5.0  # seconds that who asks at the control address has for its line
+LINE = 4 << 20  # bytes of it
+ASKERS = 16
+WITHIN = 10.0  # seconds that a change may take to be committed, unless told
+HISTORY = 50  # groups that `history` tells, unless told
+
+
+@dataclass
+class Told:
+    """What a driver is told. keepers: addresses by name, nearest first. lease: ticks, the members'. at: the table and file
+    where all this stands, for an operator. control: host:port on the loopback, or none."""
+
+    name: str
+    region: str
+    key: bytes
+    listen: str
+    keepers: dict[str, str]
+    folder: Path
+    at: str
+    lease: int = LEASE
+    control: str = ""
+    most_bytes: int = 13_000
+    most_datagrams: int = 200
+
+
+@dataclass(frozen=True)
+class Acting:
+    """By what a member acts: a revision that is on its disk, narrowed by what it was offered."""
+
+    revision: int = 0
+    digest: str = ""
+    rows: Mapping[str, bytes] = field(default_factory=dict)
+    offers: bool = False
+
+
+C = TypeVar("C", Member, Keeper)
+Tell = Callable[..., None]
+
+
+class Driver(Generic[C]):
+    """What both have in common. Raises NoDisk, and what net/service/place.py says of an address."""
+
+    def __init__(self, told: Told, chance: Random, tell: Tell) -> None:
+        self.told, self.chance, self.tell = told, chance, tell
+        self.folder = Folder(told.folder, told.name, told.at)
+        self.life = self.folder.life(time.time_ns() // 1_000_000)
+        self.purse = Purse(told.most_bytes, told.most_datagrams, steady())
+        self.peers: dict[str, Peer] = {name: peer_of(address) for name, address in told.keepers.items()}
+        self.core: C | None = self._made()
+        self.sock = self._bound()
+        self.disk = ThreadPoolExecutor(1, "settings")
+        self.queue: deque[tuple[Ready, Acting]] = deque()
+        self.syncing = False
+        self.refused: dict[str, int] = {}
+        self.ended = asyncio.Event()
+        self.fault: Error | None = None  # by which it ended
+        self._events: asyncio.AbstractEventLoop
+        self._alarm: asyncio.TimerHandle | None = None
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._control: asyncio.Server | None = None
+        self._askers = 0
+
+    def _made(self) -> C:
+        raise NotImplementedError
+
+    def _acting(self, core: C) -> Acting:
+        return Acting()
+
+    def _bound(self) -> socket.socket:
+        told, sock = self.told, None
+        try:
+            sock, peer = Ground().datagrams(told.listen)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 20)
+            sock.bind(peer)
+        except (OSError, ValueError) as fault:
+            if sock is not None:
+                sock.close()
+            table, _, file = told.at.partition(" in ")
+            raise unhad(fault, f"{table}.listen", told.listen, file) from None
+        return sock
+
+    async def begin(self) -> None:
+        self._events = asyncio.get_running_loop()
+        self._events.add_reader(self.sock.fileno(), self._readable)
+        if self.told.control:
+            host, port = peer_of(self.told.control)[:2]
+            try:
+                self._control = await asyncio.start_server(self._answers, host, port, limit=LINE)
+            except OSError as fault:
+                table, _, file = self.told.at.partition(" in ")
+                raise unhad(fault, f"{table}.control", self.told.control, file) from None
+        self._turn(lambda core, now: core.wake(now))
+
+    async def end(self) -> None:
+        """Waits for what the disk is at; says nothing more."""
+        self.core = None
+        if self._alarm is not None:
+            self._alarm.cancel()
+        if self._control is not None:
+            self._control.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._events.remove_reader(self.sock.fileno())
+        self.sock.close()
+        await self._events.run_in_executor(None, self.disk.shutdown)
+        self.folder.close()
+
+    # Turns: a call into the machine, the disk, then the word.
+
+    def _turn(self, call: Callable[[C, int], int]) -> None:
+        core = self.core
+        if core is None:
+            return
+        try:
+            due = call(core, steady())
+            made, acting = core.ready(), self._acting(core)
+        except Exception as fault:  # noqa: BLE001  # whatever it is, as a crash
+            self._ill(fault)
+            return
+        self._sets(due)
+        if made.writes or made.out or made.told:
+            self.queue.append((made, acting))
+            self._drains()
+        self._after(core)
+
+    def _after(self, core: C) -> None:
+        """Whatever else a turn may ask for."""
+
+    def _looks(self) -> None:
+        """Something may have come to hold for which somebody waits."""
+
+    def _sets(self, due: int) -> None:
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._alarm = self._events.call_later(max(1, due - steady()) / SECOND, self._wake)
+
+    def _wake(self) -> None:
+        self._turn(lambda core, now: core.wake(now))
+
+    def _drains(self) -> None:
+        while self.queue and not self.syncing:
+            if self.queue[0][0].writes:
+                batch, self.queue = list(self.queue), deque()
+                self.syncing = True
+                self._runs(self._syncs(batch))
+            else:
+                self._does(*self.queue.popleft())
+
+    async def _syncs(self, batch: list[tuple[Ready, Acting]]) -> None:
+        writes = [one for made, _ in batch for one in made.writes]
+        try:
+            await self._events.run_in_executor(self.disk, self.folder.write, writes)
+        except Exception as fault:  # noqa: BLE001  # its own, or a defect of ours: the same
+            self._dies(fault if isinstance(fault, Error) else NoDisk(
+                f"{self.told.folder}: {type(fault).__name__}: {fault}", "report the trace in the log"), fault)
+            return
+        finally:
+            self.syncing = False
+        for made, acting in batch:
+            self._does(made, acting)
+        self._drains()
+
+    def _does(self, made: Ready, acting: Acting) -> None:
+        """What stands in `made` is on disk. It acts by it before it says so: who hears its word may tell it in force."""
+        try:
+            self._acts(acting)
+            for one in made.told:
+                self._tells(one)
+        except Exception as fault:  # noqa: BLE001  # of who listens: it keeps nobody from being told
+            self._says_fault(fault)
+        now = steady()
+        for to, said in made.out:
+            peer = self.peers.get(to)
+            if peer is None:
+                continue
+            try:
+                self.sock.sendto(encode(said, self.told.key), peer)
+            except OSError:  # as any way may lose it
+                self._counts("unsent", now)
+            except Exception as fault:  # noqa: BLE001  # this datagram alone
+                self._says_fault(fault)
+        self._looks()
+
+    def _acts(self, acting: Acting) -> None:
+        """On disk now."""
+
+    def _tells(self, one: Happened) -> None:
+        more = {key: value for key in ("revision", "digest", "name", "why") if (value := getattr(one, key))}
+        if one.keys:
+            more["keys"] = list(one.keys[:16])
+        self.tell(one.what, **more)
+
+    # What goes wrong.
+
+    def _says_fault(self, fault: BaseException) -> None:
+        told = "".join(traceback.format_exception(fault))[-2000:]
+        self.tell("driver.fault", why=f"{type(fault).__name__}: {fault}", trace=told)
+
+    def _ill(self, fault: BaseException) -> None:
+        """As a crash: what is in memory beyond the disk is forgotten."""
+        self._says_fault(fault)
+        self.core = None
+        self.queue.clear()
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._alarm = self._events.call_later(MEND / SECOND, self._mends)
+        self._looks()
+
+    def _mends(self) -> None:
+        if self.syncing:
+            self._alarm = self._events.call_later(MEND / SECOND, self._mends)
+            return
+        try:
+            self.folder.load()
+            self.life = self.folder.life(self.life + 1)
+            self.core = self._made()
+        except Error as fault:
+            self._dies(fault, fault)
+            return
+        self.tell("mended", life=self.life)
+        self._turn(lambda core, now: core.wake(now))
+
+    def _dies(self, fault: Error, cause: BaseException) -> None:
+        self.core, self.fault = None, fault
+        self.queue.clear()
+        if self._alarm is not None:
+            self._alarm.cancel()
+        self._says_fault(cause)
+        self.tell("ended", why=str(fault))
+        self.ended.set()
+        self._looks()
+
+    def _runs(self, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        task: asyncio.Task[Any] = self._events.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    # Datagrams
+
+    def _readable(self) -> None:
+        """By a reader: a datagram's source is wanted, and uvloop has no `sock_recvfrom`."""
+        try:
+            for _ in range(AT_ONCE):
+                data, source = self.sock.recvfrom(DATAGRAM + 1)
+                try:
+                    said = decode(data, self.told.key)
+                except Unread as why:
+                    self._counts(str(why), steady())
+                    continue
+                if len(self.queue) < QUEUE and self._knows(said, source):
+                    self._hears(said)
+        except BlockingIOError:
+            pass
+        except OSError:  # such as a peer's port that nobody has
+            self._counts("socket", steady())
+
+    def _hears(self, said: Said) -> None:
+        self._turn(lambda core, now: core.heard(said, now))
+
+    def _knows(self, said: Said, source: Peer) -> bool:
+        return said.name in self.told.keepers
+
+    def _counts(self, why: str, now: int) -> None:
+        """Anybody can send what is refused: a line each time that their count has doubled."""
+        self.refused[why] = count = self.refused.get(why, 0) + 1
+        if count & (count - 1) == 0:
+            self.tell("datagrams", why=why, count=count)
+
+    # The control address: a line of JSON asks, a line of JSON answers.
+
+    async def _answers(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._askers += 1
+        try:
+            if self._askers > ASKERS:
+                return
+            async with asyncio.timeout(TALK):
+                line = await reader.readline()
+            if not line:
+                return
+            told = await self._answer(line)
+            writer.write(json.dumps(told).encode() + b"\n")
+            async with asyncio.timeout(TALK):
+                await writer.drain()
+        except (OSError, ValueError, TimeoutError):  # ValueError: a line too long
+            pass
+        finally:
+            self._askers -= 1
+            with contextlib.suppress(Exception):
+                writer.close()
+
+    async def _answer(self, line: bytes) -> dict[str, Any]:
+        try:
+            asked = json.loads(line)
+            word = asked.get("word") if isinstance(asked, dict) else None
+            call = self._words().get(word or "")
+            if call is None:
+                raise Unfit("no such word", f"ask one of {', '.join(self._words())}")
+            if self.core is None:
+                raise NoMajority(f"{self.told.name} has ended, or is made anew after a fault of ours",
+                                 f"look in the log of {self.told.name}, and ask again, or another")
+            return await call(asked)
+        except Error as fault:
+            return {"error": {"name": fault.name, "what": fault.what, "do": fault.do, "code": fault.code,
+                              "lines": list(getattr(fault, "lines", ()))}}
+        except Exception as fault:  # noqa: BLE001  # a defect of ours ends this answer alone
+            self._says_fault(fault)
+            return {"error": {"name": "settings.defect", "what": f"{type(fault).__name__}: {fault}", "do": "", "code": 1}}
+
+    def _words(self) -> dict[str, Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]]:
+        raise NotImplementedError
+
+
+def _rows(rows: Mapping[str, bytes], key: str) -> dict[str, Any]:
+    """key: the whole or the beginning, up to a dot, of those that are wanted."""
+    return {one: value_of(value) for one, value in sorted(rows.items()) if not key or one == key or one.startswith(key + ".")}
+
+
+class MemberDriver(Driver[Member]):
+    """A dispatcher's part. `hear`: called with each Acting once it is on disk, and with the first at `begin`."""
+
+    def __init__(self, told: Told, chance: Random, tell: Tell) -> None:
+        self.hear: list[Callable[[Acting], None]] = []
+        super().__init__(told, chance, tell)
+        assert self.core is not None
+        self.acting = self._acting(self.core)
+
+    def _made(self) -> Member:
+        told = self.told
+        return Member(told.name, told.region, self.life, self.folder.store, list(told.keepers), self.chance, self.purse,
+                      steady(), told.lease)
+
+    def _acting(self, core: Member) -> Acting:
+        base = core.holder.base
+        if not core.proven:
+            return Acting()
+        return Acting(base.number, base.digest, core.rows(steady()), bool(core.holder.offers))
+
+    def _acts(self, acting: Acting) -> None:
+        if acting != self.acting:
+            self.acting = acting
+            for hear in self.hear:
+                hear(acting)
+
+    async def begin(self) -> None:
+        self.tell("member.began", life=self.life, revision=self.acting.revision, digest=self.acting.digest,
+                  rows=len(self.acting.rows), age_ms=self.folder.age(time.time()))
+        for hear in self.hear:
+            hear(self.acting)
+        await super().begin()
+
+    def leased(self) -> bool:
+        """Whether what it acts by was the latest, by a lease that still runs."""
+        core = self.core
+        if core is None:
+            return False
+        base = core.holder.base
+        return core.leased(steady()) and (self.acting.revision, self.acting.digest) == (base.number, base.digest)
+
+    def view(self) -> dict[str, Any]:
+        assert self.core is not None
+        now = steady()
+        told = self.core.status(now)
+        return {"name": self.told.name, "region": self.told.region, "life": self.life, "revision": self.acting.revision,
+                "digest": self.acting.digest, "rows": len(self.acting.rows), "known": told.known, "leased": self.leased(),
+                "left_ms": max(0, told.until - now) // 10 if told.leased else 0,
+                "proved_ms": None if told.age is None else told.age // 10, "offers": list(told.offers),
+                "keeper": told.keeper, "disk_age_ms": self.folder.age(time.time()), "datagrams": dict(self.refused)}
+
+    def _words(self) -> dict[str, Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]]:
+        return {"get": self._get, "status": self._status}
+
+    async def _get(self, asked: dict[str, Any]) -> dict[str, Any]:
+        return {"revision": self.acting.revision, "digest": self.acting.digest, "leased": self.leased(),
+                "rows": _rows(self.acting.rows, str(asked.get("key", "")))}
+
+    async def _status(self, asked: dict[str, Any]) -> dict[str, Any]:
+        return self.view()
+
+
+def packed(revision: int, digest: str, size: int) -> bytes:
+    """What stands in the register. size: bytes of the group."""
+    return msgspec.msgpack.encode((revision, bytes.fromhex(digest), size))
+
+
+def unpacked(value: Value) -> tuple[int, str]:
+    """Raises Wrong where somebody else writes under the key."""
+    if not value.data:
+        return START
+    try:
+        revision, digest, _ = msgspec.msgpack.decode(value.data, type=tuple[int, bytes, int])
+    except (msgspec.DecodeError, msgspec.ValidationError):
+        raise Wrong(f"the voters' key {KEY!r} holds what is no revision: take it out of fleet.owners.keys") from None
+    return revision, digest.hex()
+
+
+@dataclass(frozen=True)
+class Electorate:
+    """The voters. listen: where this keeper's own socket to them is; its voter's, if it is one."""
+
+    names: dict[str, str]
+    fleet: str
+    key: bytes
+    lease: int
+    listen: str
+
+
+class Committing:
+    """One standing for the register's key: from the first change until a while after the last."""
+
+    def __init__(self, told: Told, voters: Electorate, chance: Random) -> None:
+        host = peer_of(voters.listen)[0]
+        self.register = Register(
+            Standing(f"{told.name}.commits", voters.fleet, voters.key, voters.names, f"[{host}]:0" if ":" in host else f"{host}:0",
+                     told.folder, voters.lease, {KEY: True}, file=told.at), Ground(), chance, Counters())
+
+    async def owns(self, until: float) -> tuple[int, tuple[int, str]]:
+        """Its number, and what the register held under it. Raises NoMajority, Wrong."""
+        while time.monotonic() < until:
+            number = self.register.may_act(KEY)
+            value = await self.register.read(KEY) if number else None
+            if value is not None and value.number == number == self.register.may_act(KEY):
+                return number, unpacked(value)
+            await asyncio.sleep(0.02)
+        raise NoMajority("no majority of the voters lets us own the register: nothing was committed",
+                         "start those of voters.names that are down, or mend the ways to them, then apply again")
+
+    async def end(self) -> None:
+        """The key is given back, and that may be lost once."""
+        self.register.stop()
+        await asyncio.sleep(2 * self.register.owner.pace / SECOND)
+        self.register.end()
+
+
+class KeeperProcess(Driver[Keeper]):
+    """A keeper: texts on disk, the members of its region, the register by a majority of voters, changes from its control
+    address."""
+
+    def __init__(self, told: Told, voters: Electorate, chance: Random, tell: Tell) -> None:
+        """Raises also what ownership's Register does."""
+        self.voters = voters
+        self.reading: asyncio.Task[None] | None = None
+        self.proved: int | None = None  # when the last reading that was proven began
+        self.waits: list[tuple[Callable[[], bool], asyncio.Future[None]]] = []
+        self.changing = asyncio.Lock()
+        self.committing: Committing | None = None
+        self.changes = 0  # that were begun
+        self.kept = ""  # the digest of the last proposal that a majority of keepers, this one among them, has on disk
+        super().__init__(told, chance, tell)
+        self.logged = self.folder.store.revision  # the highest told whole
+        self.register = Register(
+            Standing(told.name, voters.fleet, voters.key, voters.names, voters.listen, told.folder, voters.lease, file=told.at),
+            Ground(), chance, Counters())
+
+    def _made(self) -> Keeper:
+        told = self.told
+        peers = [name for name in told.keepers if name != told.name]
+        return Keeper(told.name, told.region, self.life, self.folder.store, peers, self.chance, self.purse, steady(), told.lease,
+                      offers=self.folder.offers)
+
+    async def begin(self) -> None:
+        assert self.core is not None
+        self.tell("keeper.began", life=self.life, revision=self.core.store.revision, digest=self.core.store.digest)
+        self.register.begin()
+        await super().begin()
+
+    async def end(self) -> None:
+        committing, self.committing = self.committing, None
+        self.register.stop()
+        if committing is not None:
+            await committing.end()
+        await super().end()
+        self.register.end()
+
+    def _knows(self, said: Said, source: Peer) -> bool:
+        """Who has the key is a member by any name, and is where it was heard from last."""
+        if said.name == self.told.name:
+            return False
+        if said.name not in self.told.keepers:
+            if said.name not in self.peers and len(self.peers) >= PEERS:
+                del self.peers[next(one for one in self.peers if one not in self.told.keepers)]
+            self.peers[said.name] = source
+        return True
+
+    def _tells(self, one: Happened) -> None:
+        super()._tells(one)
+        if one.what == "kept":
+            self.kept = one.digest
+        if one.what == "committed" and self.core is not None:
+            # Before anybody hears of it from here: who judges the log finds it there before the first act.
+            store = self.core.store
+            groups = store.since(self.logged)
+            for group in groups if groups is not None else tuple(group for _, group in store.log):
+                if self.logged < group.revision <= one.revision:
+                    self.tell("group", revision=group.revision, digest=digest_of(group), author=group.author, reason=group.reason,
+                              puts=[(put.key, None if put.value is None else put.value.decode()) for put in group.puts])
+            self.logged = max(self.logged, one.revision)
+
+    def _after(self, core: Keeper) -> None:
+        if core.wants_reading and self.reading is None:
+            self.reading = self._runs(self._reads(core))
+
+    # The register
+
+    async def _reads(self, core: Keeper) -> None:
+        """One reading, by a majority, begun after `begins`."""
+        value: Value | None = None
+        latest = START
+        now = steady()
+        try:
+            number = core.begins(now)
+            value = await self.register.read(KEY)
+            if value is not None:
+                latest = unpacked(value)
+        except Wrong as fault:
+            value = None
+            self.tell("refused", why=str(fault))
+        except Exception as fault:  # noqa: BLE001  # whatever it is ends this reading alone
+            value = None
+            self._says_fault(fault)
+        finally:
+            self.reading = None
+        if self.core is not core:
+            return
+        if value is None:
+            self._turn(lambda core, now: core.unread(number, now))
+        else:
+            self.proved = now
+            self._turn(lambda core, now: core.read(number, *latest, now))
+
+    def _reads_at_once(self) -> None:
+        if self.core is not None:
+            self.core.wants_reading = True
+            self._after(self.core)
+
+    async def _until(self, holds: Callable[[], bool], until: float) -> bool:
+        """Whether it came to hold in time; looked at after each turn."""
+        if holds():
+            return True
+        done: asyncio.Future[None] = self._events.create_future()
+        self.waits.append((holds, done))
+        try:
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                await done
+        except TimeoutError:
+            return holds()
+        finally:
+            self.waits = [one for one in self.waits if one[1] is not done]
+        return True
+
+    def _looks(self) -> None:
+        for holds, done in list(self.waits):
+            if not done.done() and holds():
+                done.set_result(None)
+
+    # Changes
+
+    async def change(self, asked: dict[str, Any]) -> dict[str, Any]:
+        """Commits one group, all or none. Raises Refused, Restart, Outrun, NoMajority."""
+        rows, remove = asked.get("rows") or {}, asked.get("remove") or []
+        expect = asked.get("expect")
+        author, reason = str(asked.get("author", "")), str(asked.get("reason", ""))
+        puts = puts_of(rows, remove)
+        if max(len(author), len(reason)) > WORDS:
+            raise Refused([str(Unfit(key="reason", why=f"{WORDS} characters at most"))])
+        until = time.monotonic() + min(60.0, float(asked.get("within", WITHIN)))
+        self.changes += 1
+        mine = self.changes
+        try:
+            async with asyncio.timeout(max(0.0, until - time.monotonic())):
+                await self.changing.acquire()
+        except TimeoutError:
+            raise NoMajority("other changes were before it, and no majority answers them: nothing was committed",
+                             "start the voters and keepers that are down, then apply again") from None
+        try:
+            if self.committing is None:
+                self.committing = Committing(self.told, self.voters, self.chance)
+                self.committing.register.begin()
+            return await self._commits(self.committing, Group(0, "", author, reason, int(time.time() * 1000), puts), expect,
+                                       until)
+        except Wrong as fault:
+            raise Refused([str(Unfit(str(fault), "change that in what is applied, or see docs/settings-store.md"))]) from None
+        finally:
+            self.changing.release()
+            self._runs(self._lingers(mine))
+
+    async def _lingers(self, mine: int) -> None:
+        """Others may commit: the key is given back, unless more changes came here."""
+        await asyncio.sleep(LINGER)
+        async with self.changing:
+            if self.changes == mine and self.committing is not None:
+                committing, self.committing = self.committing, None
+                await committing.end()
+
+    def _keeps(self) -> Keeper:
+        """Raises NoMajority."""
+        if self.core is None:
+            raise NoMajority(f"{self.told.name} had a fault of ours: whether it was committed can't be told",
+                             "look at `pathsaddle settings history`, and apply again if it isn't there")
+        return self.core
+
+    async def _commits(self, committing: Committing, change: Group, expect: Any, until: float) -> dict[str, Any]:
+        while True:
+            number, latest = await committing.owns(until)
+            if expect is not None and latest[0] != expect:
+                await self._has(latest, until)
+                raise self._outrun(latest, expect)
+            if not await self._has(latest, until):
+                raise NoMajority(f"no keeper has the text of revision {latest[0]}: nothing was committed",
+                                 "start the keepers that are down, and apply again")
+            core = self._keeps()
+            puts = tuple(put for put in change.puts if core.store.terms.get(put.key) != put.value
+                         or (put.value is None and core.store.terms.get(put.key) is None))
+            if not puts:
+                return {"revision": latest[0], "digest": latest[1], "changed": False}
+            group = msgspec.structs.replace(change, revision=latest[0] + 1, before=latest[1], puts=puts)
+            digest = digest_of(group)
+            self._proposes(group)
+            if not await self._kept_by_most(core, digest, until):
+                self._withdraws()
+                raise NoMajority(f"no majority of the keepers has revision {group.revision} on disk: nothing was committed",
+                                 "start those of keepers that are down, or mend the ways to them, then apply again")
+            if self._keeps() is not core or committing.register.may_act(KEY) != number:
+                self._withdraws()
+                continue  # owned anew since the look: what was read may be no longer so
+            # From here on the number guards it: voters take the change only while this very owning is the last.
+            await committing.register.put(KEY, packed(group.revision, digest, len(encoded(group))))
+            settled = await self._settled(group.revision, digest, until)
+            if settled == (group.revision, digest) or (settled[0] > group.revision and self._has_made(group.revision, digest)):
+                return {"revision": group.revision, "digest": digest, "changed": True}
+            if settled != latest:
+                raise self._outrun(settled, latest[0])
+
+    def _proposes(self, group: Group) -> None:
+        """Raises Wrong."""
+        wrong: list[Wrong] = []
+
+        def call(core: Keeper, now: int) -> int:
+            try:
+                return core.propose(group, now)
+            except Wrong as fault:
+                wrong.append(fault)
+                return core.wake(now)
+        self._turn(call)
+        if wrong:
+            raise wrong[0]
+
+    async def _kept_by_most(self, core: Keeper, digest: str, until: float) -> bool:
+        return await self._until(lambda: self.core is not core or self.kept == digest, until)
+
+    def _withdraws(self) -> None:
+        def call(core: Keeper, now: int) -> int:
+            core.withdraw(now)
+            return core.wake(now)
+        self._turn(call)
+
+    async def _has(self, known: tuple[int, str], until: float) -> bool:
+        """Whether this keeper has the text of it, by its disk."""
+        while time.monotonic() < until:
+            self._reads_at_once()
+            if await self._until(lambda: self.core is None or self.core.store.revision >= known[0],
+                                 min(until, time.monotonic() + 0.2)):
+                return self._keeps().store.digest_at(known[0]) == known[1]
+        return False
+
+    def _has_made(self, revision: int, digest: str) -> bool:
+        return self._keeps().store.digest_at(revision) == digest
+
+    async def _settled(self, revision: int, digest: str, until: float) -> tuple[int, str]:
+        """What the register held by a majority's word after a change of which nobody may have heard what came. Raises
+        NoMajority."""
+        while time.monotonic() < until:
+            self._reads_at_once()
+            value = await self.register.read(KEY)
+            if value is not None:
+                found = unpacked(value)
+                if found[0] >= revision:
+                    await self._has(found, until)
+                return found
+            await asyncio.sleep(0.02)
+        raise NoMajority(f"no majority of the voters answers: whether revision {revision} was committed can't be told",
+                         f"start those of voters.names that are down, then see whether `pathsaddle settings history` has {digest[:8]}")
+
+    def _outrun(self, found: tuple[int, str], expected: Any) -> Outrun:
+        core = self._keeps()
+        last = core.store.log[-1][1] if core.store.log and core.store.digest == found[1] else None
+        return Outrun(revision=found[0], author=last.author if last else "somebody", reason=last.reason if last else "",
+                      expected=expected)
+
+    # What is asked at the control address
+
+    def _words(self) -> dict[str, Callable[[dict[str, Any]], Awaitable[dict[str, Any]]]]:
+        return {"get": self._get, "apply": self.change, "history": self._history, "status": self._status}
+
+    def _proved_ms(self) -> int | None:
+        return None if self.proved is None else (steady() - self.proved) // 10
+
+    async def _get(self, asked: dict[str, Any]) -> dict[str, Any]:
+        store = self._keeps().store
+        return {"revision": store.revision, "digest": store.digest, "proved_ms": self._proved_ms(),
+                "rows": _rows(store.terms.rows(), str(asked.get("key", "")))}
+
+    async def _history(self, asked: dict[str, Any]) -> dict[str, Any]:
+        store = self._keeps().store
+        most = max(1, int(asked.get("most") or HISTORY))
+        return {"revision": store.revision, "groups": [
+            {"revision": group.revision, "digest": digest, "author": group.author, "reason": group.reason, "at": group.at,
+             "puts": {put.key: None if put.value is None else value_of(put.value) for put in group.puts}}
+            for digest, group in store.log[-most:]]}
+
+    async def _status(self, asked: dict[str, Any]) -> dict[str, Any]:
+        now, core = steady(), self._keeps()
+        found = core.status(now)
+        revision = asked.get("revision")
+        return {"name": self.told.name, "region": self.told.region, "life": self.life, **found, "proved_ms": self._proved_ms(),
+                "in_force": revision is not None and core.core.force >= int(revision),
+                "members": sorted(core.store.terms.members()), "gone": list(core.core.gone), "clients": sorted(core.clients),
+                "keepers": list(self.told.keepers), "voters": sorted(self.voters.names), "datagrams": dict(self.refused)}
--- a/pathsaddle/settings/faults.py
+++ b/pathsaddle/settings/faults.py
@@ -31,19 +31,20 @@
     name = "settings.refused"
     code = FINDING
 
-    def __init__(self, faults: Sequence[Error]) -> None:
-        super().__init__("; ".join(fault.what for fault in faults), faults[0].do)
-        self.faults = tuple(faults)
-        self.args = (faults,)
+    def __init__(self, lines: Sequence[str]) -> None:
+        """lines: each an error of the family as it prints."""
+        super().__init__("; ".join(lines), "mend them all, and apply again")
+        self.lines = tuple(lines)
+        self.args = (lines,)
 
     def __str__(self) -> str:
-        return "\n".join(map(str, self.faults))
+        return "\n".join(self.lines)
 
 
 class Unfit(SettingsFault):
-    """One thing that is wrong with a change."""
-
     name = "settings.unfit"
+    what = "{key}: {why}"
+    do = "change {key} in what is applied"
     code = FINDING
 
 
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -18,9 +18,12 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import unittest
+from collections.abc import Coroutine
 from pathlib import Path
 from random import Random
+from typing import Any, Self
 from unittest import mock
 
 import pathsaddle
@@ -48,6 +51,11 @@
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.place import unhad
+from pathsaddle.ownership.log import found as begins_register
+from pathsaddle.settings.changes import puts_of
+from pathsaddle.settings.driver import Electorate, KeeperProcess
+from pathsaddle.settings.driver import Told as SettingsTold
+from pathsaddle.settings.ground import ground_of as settings_ground
 
 ROOT = Path(__file__).resolve().parent.parent
 GOOD = 'listen = "127.0.0.1:0"\ndiscovery = "127.0.0.1:9"\nname = "d"\n'
@@ -113,6 +121,55 @@
         return done.returncode, done.stderr
 
 
+def places(count: int, kind: int = socket.SOCK_STREAM) -> list[str]:
+    """Addresses that nobody has; each is held until all are found."""
+    with contextlib.ExitStack() as held:
+        socks = [held.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
+        for sock in socks:
+            sock.bind(("127.0.0.1", 0))
+        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
+
+
+class Keepers:
+    """Keepers of shared settings that vote, in a thread of their own."""
+
+    def __init__(self, ground: Path, count: int) -> None:
+        form = settings_ground(str(ground))
+        self.made: list[KeeperProcess] = []
+        for i in range(count):
+            row = form.keepers[f"k{i}"]
+            folder = Path(row.disk)
+            folder.mkdir(exist_ok=True)
+            begins_register(folder, f"k{i}", form.voters.names)
+            told = SettingsTold(f"k{i}", "r", KEY.encode(), row.address, {name: one.address for name, one in form.keepers.items()},
+                                folder, f"keepers.k{i} in {ground}", 20_000, row.control, 200_000, 1000)
+            electorate = Electorate(form.voters.names, "f", KEY.encode(), 5000, form.voters.names[f"k{i}"])
+            self.made.append(KeeperProcess(told, electorate, Random(i), lambda what, **more: None))
+        self.up = dict.fromkeys(range(count), True)
+        self.loop = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+
+    def runs(self, work: Coroutine[Any, Any, None]) -> None:
+        asyncio.run_coroutine_threadsafe(work, self.loop).result(30)
+
+    def __enter__(self) -> Self:
+        self.thread.start()
+        for one in self.made:
+            self.runs(one.begin())
+        return self
+
+    def stops(self, *which: int) -> None:
+        for i in which:
+            if self.up.pop(i, False):
+                self.runs(self.made[i].end())
+
+    def __exit__(self, *_: object) -> None:
+        self.stops(*list(self.up))
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(10)
+        self.loop.close()
+
+
 class CharterStory(Reading):
     CASES = (
         (GOOD + SCHEME + FLEET.replace("sixteen bytes or more", "short"), "charter.too-short",
@@ -651,6 +708,63 @@
             self.assertEqual((caught.exception.name, none in caught.exception.do), (name, True))
             KNOWN.add(name)  # printed by the log alone; a command prints each of its faults
 
+    def test_settings(self) -> None:
+        ground, control, udp = self.folder / "ground.toml", places(3), places(6, socket.SOCK_DGRAM)
+        text = f'key = "{KEY}"\n[voters]\nfleet = "f"\nkey = "{KEY}"\nlease = "500ms"\n[voters.names]\n' + "".join(
+            f'k{i} = "{udp[i]}"\n' for i in range(3)) + "".join(
+            f'[keepers.k{i}]\nregion = "r"\naddress = "{udp[3 + i]}"\ndisk = "{self.folder}/k{i}"\ncontrol = "{control[i]}"\n'
+            for i in range(3))
+        ground.write_text(text)
+        number = iter(range(99))
+
+        def other(old: str, new: str) -> str:
+            self.assertIn(old, text)
+            return self.file(text.replace(old, new), f"ground{next(number)}")
+        for told, name, *words in (
+                (("keep", str(self.folder / "none")), "charter.unreadable"), (("keep", other(KEY, "hush")), "settings.file", "key"),
+                (("keep", str(ground), "--keeper", "x"), "settings.file", "keepers.x", "k0, k1, k2"),
+                (("follow", str(ground), "--member", "m"), "settings.file", "[members.m]"),
+                (("keep", other(udp[3], "x")), "settings.file", "keepers.k0.address", "host:port"),
+                (("keep", other(control[0], "10.0.0.1:9")), "settings.file", "keepers.k0.control", "loopback"),
+                (("keep", other('"500ms"', '"10ms"')), "settings.file", "500ms at least"),
+                (("keep", other(f'k2 = "{udp[2]}"\n', "")), "settings.file", "voters.names"),
+                (("found", other(f"{self.folder}/k0", f"{ground}/x"), "--keeper", "k0"), "settings.disk", "keepers.k0.disk"),
+                (("keep", other(f"{self.folder}/k0", f"{ground}/x"), "--keeper", "k0"), "settings.disk", "keepers.k0 in"),
+                (("keep", other(udp[3], "192.0.2.1:9"), "--keeper", "k0"), "address.not-ours", "keepers.k0.listen")):
+            self.tells("settings", told, 2, name, *words)
+        good = self.file("[members.m]\nregion = 'r'\n[customers.a]\nallowance = 2\n", "good")
+        apply, at = ("settings", "apply"), ("--at", str(ground))
+        self.says((*apply, good, *at), 1, "settings.unreached", control[2], "--at")
+        self.says((*apply, good, "--at", "x:y"), 2, "charter.unreadable", "x:y")
+        self.says((*apply, good, "--at", other("control", "#")), 2, "settings.file", "keepers.NAME.control")
+        for change, name, *words in (
+                ("listen = 'x:1'", "settings.restart", "listen", "restart them"), ("[x]", "settings.unfit", "x", "known are"),
+                ("[customers.a]\nalowance = 1", "charter.unknown-key", "customers.a", "alowance"), ("", "settings.unfit"),
+                ("[customers]\na = 1", "charter.wrong-kind"), ("[budgets]\nb = 0", "charter.out-of-bounds"),
+                ("remove = ['x']", "settings.unfit", "'x'"), ("remove = 3", "settings.unfit", "a list"),
+                ("zones = 3", "settings.unfit", "zones: a list of names"), ("customers = 3", "settings.unfit", "by name"),
+                ("remove = ['zones']\nzones = ['a']", "settings.unfit", "second time"),
+                (f"[rules]\nask_within = '{'1' * 5000}s'", "settings.unfit", "4096 at most")):
+            self.says((*apply, self.file(change, "wrong"), *at), 1, name, *words)
+        code, said = self.command(*apply, self.file("listen = 'x:1'\nname = 'y'\n", "wrong"), *at)
+        self.assertEqual((code, len(said.splitlines())), (1, 2), said)
+        with self.assertRaises(errors.Error) as caught:
+            puts_of({"listen": 1}, [])
+        self.assertEqual(caught.exception.name, "settings.refused")
+        KNOWN.add("settings.refused")  # a command prints each of its lines
+        with Keepers(ground, 3) as keepers:
+            self.says((*apply, good, *at, "--wait", "--within", "0.5"), 1, "settings.waits", "revision 1", "waits for m", "members.NAME")
+            self.says((*apply, good, *at, "--expect", "0"), 1, "settings.outrun", "revision 1", "--expect 1")
+            self.says((*apply, self.file("remove = ['members.m']", "wrong"), *at), 1, "settings.unfit", "members.m can be removed")
+            self.says((*apply, self.file("remove = ['customers.b']", "wrong"), *at), 1, "settings.unfit", "customers.b")
+            with mock.patch.object(keepers.made[0], "_status", side_effect=ValueError("ours")):
+                self.says(("settings", "status", *at), 1, "settings.defect", "ours", control[0])
+            keepers.stops(1, 2)
+            with mock.patch("pathsaddle.settings.driver.WITHIN", 1.0):
+                self.says((*apply, self.file("[customers.b]", "b"), *at), 1, "settings.no-majority", "nothing was committed")
+        (self.folder / "k0/log").write_bytes(b"x" * 99)
+        self.tells("settings", ("keep", str(ground), "--keeper", "k0"), 2, "settings.disk", "move the folder away", "keepers.k0 in")
+
     def test_a_dispatchers_start_says_the_same_by_its_log(self) -> None:
         self.file(self.SPEC, "spec")
         ground = self.file(self.GROUND.format(self.folder), "ground")
@@ -707,7 +821,8 @@
 class TheWhole(unittest.TestCase):
     """Runs after this file's stories, by its name's place: what they met is held against the catalogue."""
 
-    OURS = ("charter", "cli", "experiment", "federation", "fleet", "histories", "jobs", "net", "ownership", "placement")
+    OURS = ("charter", "cli", "experiment", "federation", "fleet", "histories", "jobs", "net", "ownership", "placement",
+            "settings")
 
     def test_the_page_lists_every_error_with_its_words(self) -> None:
         load_all()
