--- a/pathsaddle/settings/driver.py
+++ b/pathsaddle/settings/driver.py
@@ -213,12 +213,20 @@
 
     def _does(self, made: Ready, acting: Acting) -> None:
         """What stands in `made` is on disk. It acts by it before it says so: who hears its word may tell it in force."""
+        if self.ended.is_set():
+            return
         try:
             self._acts(acting)
-            for one in made.told:
+        except Exception as fault:  # noqa: BLE001  # of who listens
+            # What isn't in service must not be said to be: silence, and keepers name it as the one they wait for.
+            self._dies(Unfit(f"revision {acting.revision} could not be taken into service: {type(fault).__name__}: {fault}",
+                             f"report the trace at driver.fault in the log of {self.told.name}, and restart it"), fault)
+            return
+        for one in made.told:
+            try:
                 self._tells(one)
-        except Exception as fault:  # noqa: BLE001  # of who listens: it keeps nobody from being told
-            self._says_fault(fault)
+            except Exception as fault:  # noqa: BLE001  # this line alone
+                self._says_fault(fault)
         now = steady()
         for to, said in made.out:
             peer = self.peers.get(to)
--- /dev/null
+++ b/tests/test_settings_driver.py
@@ -0,0 +1,116 @@
+"""Shared settings' drivers in one event loop: what happens when their own parts fail."""
+
+import asyncio
+import tempfile
+import time
+import unittest
+from pathlib import Path
+from random import Random
+from unittest import mock
+
+from pathsaddle.fleet.purse import Purse
+from pathsaddle.ownership.driver import steady
+from pathsaddle.settings.disk import Folder
+from pathsaddle.settings.driver import MemberDriver, Told
+from pathsaddle.settings.faults import NoDisk
+from pathsaddle.settings.forms import Group, Put, canonical, digest_of
+from pathsaddle.settings.sync import Commit, Have, Member, Write
+
+KEY = b"sixteen bytes or more"
+ONE = Group(1, "", "a", "r", 0, (Put("customers.a", canonical({"allowance": 9})),))
+TWO = Group(2, digest_of(ONE), "a", "r", 0, (Put("customers.a", canonical({"allowance": 5})),))
+
+
+class DriverStory(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path, self.seen, self.said = Path(folder.name) / "m", [], []
+        disk = Folder(self.path, "m", "x")
+        disk.write([Write(ONE)])
+        disk.close()
+        told = Told("m", "r", KEY, "127.0.0.1:0", {"k": "127.0.0.1:9"}, self.path, "members.m in x")
+        self.driver = MemberDriver(told, Random(1), lambda what, **more: self.seen.append((what, more)))
+        self.acting = []
+        self.driver.hear.append(lambda acting: self.acting.append(acting.revision))
+        await self.driver.begin()
+
+        async def ends():
+            await self.driver.end()
+        self.addAsyncCleanup(ends)
+        sends = self.driver.sock
+        self.driver.sock = mock.Mock(wraps=sends, sendto=lambda data, peer: self.said.append(data))
+
+    async def until(self, holds, bound=20.0):
+        end = time.monotonic() + bound
+        while not holds():
+            self.assertLess(time.monotonic(), end, self.seen)
+            await asyncio.sleep(0.01)
+
+    def commits(self):
+        self.driver._hears(Commit("k", (2, digest_of(TWO)), (TWO,)))
+
+    async def test_it_acts_and_speaks_by_a_revision_once_that_is_on_disk_and_not_before(self):
+        write = self.driver.folder.write
+        gate = asyncio.Event()
+        loop = asyncio.get_running_loop()
+
+        def slow(writes):
+            asyncio.run_coroutine_threadsafe(gate.wait(), loop).result(20)
+            write(writes)
+        with mock.patch.object(self.driver.folder, "write", slow):
+            self.commits()
+            await self.until(lambda: self.driver.syncing)
+            before = list(self.said)
+            self.driver._wake()
+            self.assertEqual((self.acting, self.driver.acting.revision, self.driver.leased()), ([1], 1, False))
+            self.assertEqual(self.said, before)
+            gate.set()
+            await self.until(lambda: self.driver.acting.revision == 2)
+        self.assertEqual(self.acting, [1, 2])
+        self.assertGreater(len(self.said), len(before))
+
+    async def test_a_fault_of_the_machine_is_told_by_name_and_it_is_made_anew_from_its_disk(self):
+        life = self.driver.life
+        with mock.patch.object(Member, "_committed", side_effect=ZeroDivisionError("ours")):
+            self.commits()
+        self.assertEqual([more["why"] for what, more in self.seen if what == "driver.fault"], ["ZeroDivisionError: ours"])
+        self.assertEqual((self.driver.core, self.driver.leased(), self.driver.acting.revision), (None, False, 1))
+        await self.until(lambda: self.driver.core is not None)
+        self.assertGreater(self.driver.life, life)
+        self.commits()
+        await self.until(lambda: self.acting == [1, 2])
+
+    async def test_a_disk_that_fails_ends_it_with_nothing_said_of_it_and_what_it_acted_by_stays(self):
+        said = []
+        with (mock.patch.object(self.driver.folder, "write", side_effect=NoDisk("full", "make room")),
+              mock.patch.object(self.driver, "_does", side_effect=lambda made, acting: said.append(made))):
+            self.commits()
+            await self.until(self.driver.ended.is_set)
+        self.assertFalse([one for made in said for _, one in made.out if isinstance(one, Have)])
+        self.assertEqual((self.acting, self.driver.acting.revision, self.driver.leased()), ([1], 1, False))
+        self.assertIsInstance(self.driver.fault, NoDisk)
+        again = Folder(self.path, "m", "x")
+        self.addCleanup(again.close)
+        self.assertEqual(again.store.revision, 1)
+
+    async def test_what_could_not_be_taken_into_service_is_never_said_to_be(self):
+        self.driver.hear.append(mock.Mock(side_effect=KeyError("theirs")))
+        self.said.clear()
+        with mock.patch("pathsaddle.settings.driver.encode", side_effect=lambda said, key: said):
+            self.commits()
+            await self.until(self.driver.ended.is_set)
+        self.assertEqual([one for one in self.said if isinstance(one, Have)], [])
+        self.assertIn("revision 2 could not be taken into service", str(self.driver.fault))
+        self.assertFalse(self.driver.leased())
+
+    async def test_all_that_it_sends_is_paid_by_its_purse(self):
+        self.driver.purse = self.driver.core.purse = Purse(100, 1, steady())  # half of it: not one asking
+        self.said.clear()
+        for _ in range(5):
+            self.driver._turn(lambda core, now: core.asks(now) or now)
+        self.assertEqual(self.said, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
