--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -329,6 +329,17 @@
     room: Count = 64
 
 
+class Settings(Form):
+    """Settings that all dispatchers share, changed at keepers; off where the table is missing.
+
+    ground: the file of keepers, voters and members (docs/settings-store.md).
+    member: this dispatcher's name there, as at members.NAME.
+    """
+
+    ground: File
+    member: str
+
+
 class Log(Form):
     """What is logged, to standard error.
 
@@ -365,6 +376,7 @@
     jobs: durable jobs; off where the table is missing.
     fleet: other dispatchers, and who of them is there; off where the table is missing.
     federation: other regions; off where the table is missing.
+    settings: what all dispatchers share, changed without a restart; off where the table is missing.
     """
 
     listen: Address
@@ -389,6 +401,7 @@
     jobs: Jobs | None = None
     fleet: Fleet | None = None
     federation: Federation | None = None
+    settings: Settings | None = None
 
     def amiss(self) -> Iterator[Amiss]:
         for key in ("listen", "discovery"):
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Mapping
 from pathlib import Path
 from random import Random, SystemRandom
 from typing import TYPE_CHECKING, Any
 
+from msgspec.structs import replace
+
 from pathsaddle.charter.form import Charter
 from pathsaddle.charter.service import in_service, retune
 from pathsaddle.charter.told import read, told
@@ -17,6 +20,9 @@
 
 if TYPE_CHECKING:
     from pathsaddle.fleet.driver import Fellows
+    from pathsaddle.net.service.ground import Fellows as Beside
+    from pathsaddle.settings.driver import Acting
+    from pathsaddle.settings.serving import Sharing
 
 
 class CharterGround(Ground):
@@ -27,13 +33,31 @@
         self.charter = read(path)  # by which we serve
         self._desk: Desk | None = None
         self._fellows: Fellows | None = None
+        self._file = self.charter  # what it says as far as it is in service, shared settings aside
+        self._sharing: Sharing | None = None
+        self._rows: dict[str, bytes] = {}  # shared settings' that are in service
 
     def file(self) -> str:
         return str(self.path)
 
     def told(self) -> str:
+        if self.charter.settings is not None and self._sharing is None:
+            self._shares()
         return json.dumps(told(self.charter))
 
+    def _shares(self) -> None:
+        """Before anything is built by the charter: what it has on disk it serves by from the first call on, and what asks
+        for a restart was given one. Raises Faulty where the rows don't fit this charter: to serve without them would go back
+        behind what it has said to have."""
+        from pathsaddle.settings.serving import Sharing
+        shared = self.charter.settings
+        assert shared is not None
+        self._sharing = Sharing(shared.ground, shared.member, self._applies)
+        acting = self._sharing.member.acting
+        if acting.revision:
+            self.charter = self._with(self._file, acting.rows)
+            self._rows = dict(acting.rows)
+
     def desk(self, *told: Any) -> Desk:
         self._desk = self._made(*told)
         return self._desk
@@ -57,9 +81,12 @@
         except Unusable as fault:  # the store knows its file alone
             raise type(fault)(f"{self.path}: jobs.path: {fault.what}", fault.do) from None
 
-    def fellows(self, counters: Counters) -> Fellows | None:
+    def fellows(self, counters: Counters) -> Beside | None:
         self._fellows = self._joined(counters)
-        return self._fellows
+        if self._sharing is None:
+            return self._fellows
+        self._sharing.fellows = self._fellows
+        return self._sharing
 
     def _joined(self, counters: Counters) -> Fellows | None:
         if self.charter.fleet is None:
@@ -80,10 +107,36 @@
 
     def moved(self) -> str:
         """The file again: what may change in service does, what may not is named and stays."""
-        for key in self.retune(read(self.path)):
+        wanted = read(self.path)
+        stays: dict[str, str] = {}
+        if self._sharing is not None:
+            self._file, stays = in_service(self._file, wanted)
+            wanted = self._with(self._file, self._rows) if self._rows else self._file
+        for key in stays | self.retune(wanted):
             logbook.stays(key=key)
         return self.charter.discovery
 
+    def _with(self, file: Charter, rows: Mapping[str, bytes]) -> Charter:
+        """The file's charter with the rows in place of its own. Raises Faulty."""
+        from pathsaddle.settings.applied import NAMED, charter_with
+        stands = {key: value for key, value in self._rows.items() if key.partition(".")[0] in NAMED}
+        if stands:  # hundreds of rows aren't read again for one that has changed
+            file = replace(file, customers=self.charter.customers, schemes=self.charter.schemes)
+        return charter_with(file, rows, stands)
+
+    def _applies(self, acting: Acting) -> None:
+        """A revision of shared settings, whole or not at all. Raises Faulty, Refused."""
+        if not acting.revision or acting.rows == self._rows:
+            return
+        wanted = self._with(self._file, acting.rows)
+        _, stays = in_service(self.charter, wanted)
+        if stays:
+            from pathsaddle.settings.faults import Refused, Unfit
+            raise Refused([str(Unfit(f"{key}: revision {acting.revision} can't change it in service: {why}",
+                                     f"restart the dispatcher of {self.path}")) for key, why in stays.items()])
+        self.retune(wanted)
+        self._rows = dict(acting.rows)
+
     def retune(self, wanted: Charter) -> dict[str, str]:
         """Takes a checked charter into service as far as that can be, between two events; the keys that stay, each with
         the reason."""
--- a/pathsaddle/charter/service.py
+++ b/pathsaddle/charter/service.py
@@ -36,6 +36,7 @@
     "rules.ask_within": "the list's clock runs by it", "reports": "what workers have told was read by it",
     "prices": "what was learnt was weighed by it", "reach": "connections stand by it", "log": "the log is open in its form",
     "jobs": "the store is open", "fleet": "others know this member by it", "federation": "other regions know this member by it",
+    "settings": "keepers know this member by it",
 }
 
 
--- a/pathsaddle/settings/__main__.py
+++ b/pathsaddle/settings/__main__.py
@@ -21,6 +21,7 @@
 from pathsaddle.settings.faults import NoDisk
 from pathsaddle.settings.forms import hashed
 from pathsaddle.settings.ground import GroundForm, ground_of, named
+from pathsaddle.settings.serving import told as member_told
 
 
 @click.group()
@@ -69,10 +70,7 @@
 def follow_command(file: str, name: str, acts: float) -> None:
     """Runs a member alone until SIGTERM, and logs by what it acts."""
     ground = ground_of(file)
-    row = named(file, "members", ground.members, name)
-    near = sorted(ground.keepers, key=lambda one: (ground.keepers[one].region != row.region, one))
-    told = Told(name, row.region, ground.key.encode(), row.listen, {one: ground.keepers[one].address for one in near},
-                Path(row.disk), f"members.{name} in {file}", int(ground.lease), row.control)
+    told = member_told(ground, file, name)
     chance = SystemRandom()
     tell = _log(ground, name)
 
--- a/pathsaddle/settings/applied.py
+++ b/pathsaddle/settings/applied.py
@@ -115,6 +115,24 @@
     return found
 
 
+def fitting(rows: Mapping[str, bytes], before: tuple[Charter, Mapping[str, bytes]] | None = None
+            ) -> tuple[Charter, Mapping[str, bytes]]:
+    """Whether rows fit together, in a charter that says of all else the least; what was made of them, for the next call's
+    `before`, which spares reading again what hasn't changed. What only a member's own charter tells (its machines, its zone,
+    its parts of budgets) isn't judged, nor that no scheme is there yet. Raises Faulty, each fault a line with its key."""
+    made, stands = before or (Charter(listen="127.0.0.1:1", discovery="127.0.0.1:1", schemes=[], fleet=Fleet(name="any", key="0" * 16, listen="127.0.0.1:1")), {})
+    if not any(key.startswith("schemes.") for key in rows):
+        rows = {**rows, "schemes.any": b'{"expiry":"10s","semantics":"repeatable","sla":"2s"}'}
+    machines: dict[str, None] = {}
+    for key, value in rows.items():
+        if key.startswith("schemes.") and isinstance(told := _json_at(key, value, []), dict):
+            machines |= {one: None for one in [told.get("machine")] if isinstance(one, str)}
+    # Of zones and rules without a row the defaults hold, not those of the revision before.
+    blank = Charter(listen="127.0.0.1:1", discovery="127.0.0.1:1", schemes=[])
+    stands = {key: value for key, value in stands.items() if key.partition(".")[0] in NAMED}
+    return charter_with(replace(made, machines=list(machines), zones=blank.zones, rules=blank.rules), rows, stands), rows
+
+
 def _keyed(amiss: Amiss, charter: Charter) -> Fault:
     """Under the row's key: an operator of shared settings knows no places in a list."""
     table, bracket, rest = amiss.key.partition("[")
--- a/pathsaddle/settings/driver.py
+++ b/pathsaddle/settings/driver.py
@@ -16,7 +16,7 @@
 import time
 import traceback
 from collections import deque
-from collections.abc import Awaitable, Callable, Coroutine, Mapping
+from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -25,6 +25,8 @@
 
 import msgspec
 
+from pathsaddle.charter.check import Faulty
+from pathsaddle.charter.form import Charter
 from pathsaddle.errors import Error
 from pathsaddle.fleet.purse import Purse
 from pathsaddle.net.memory.counters import Counters
@@ -34,10 +36,11 @@
 from pathsaddle.ownership.driver import Register, steady
 from pathsaddle.ownership.driver import Told as Standing
 from pathsaddle.ownership.forms import Value
+from pathsaddle.settings.applied import fitting
 from pathsaddle.settings.changes import puts_of
 from pathsaddle.settings.disk import Folder
 from pathsaddle.settings.faults import NoDisk, NoMajority, Outrun, Refused, Unfit
-from pathsaddle.settings.forms import START, WORDS, Group, Wrong, digest_of, encoded, value_of
+from pathsaddle.settings.forms import START, WORDS, Group, Put, Wrong, digest_of, encoded, value_of
 from pathsaddle.settings.sync import DATAGRAM, LEASE, SECOND, Happened, Keeper, Member, Ready, Said
 from pathsaddle.settings.wire import Refused as Unread
 from pathsaddle.settings.wire import decode, encode
@@ -504,6 +507,7 @@
         self.changing = asyncio.Lock()
         self.committing: Committing | None = None
         self.changes = 0  # that were begun
+        self.fitting: tuple[Charter, Mapping[str, bytes]] | None = None  # of the rows that were judged last
         self.kept = ""  # the digest of the last proposal that a majority of keepers, this one among them, has on disk
         super().__init__(told, chance, tell)
         self.logged = self.folder.store.revision  # the highest told whole
@@ -672,6 +676,7 @@
                          or (put.value is None and core.store.terms.get(put.key) is None))
             if not puts:
                 return {"revision": latest[0], "digest": latest[1], "changed": False}
+            self._fits(core, puts)
             group = msgspec.structs.replace(change, revision=latest[0] + 1, before=latest[1], puts=puts)
             digest = digest_of(group)
             self._proposes(group)
@@ -690,6 +695,19 @@
             if settled != latest:
                 raise self._outrun(settled, latest[0])
 
+    def _fits(self, core: Keeper, puts: Sequence[Put]) -> None:
+        """Rows that don't fit together are refused here: no dispatcher could take them into service. Raises Refused."""
+        rows = dict(core.store.terms.rows())
+        for put in puts:
+            if put.value is None:
+                rows.pop(put.key, None)
+            else:
+                rows[put.key] = put.value
+        try:
+            self.fitting = fitting(rows, self.fitting)
+        except Faulty as fault:
+            raise Refused(list(map(str, fault.faults))) from None
+
     def _proposes(self, group: Group) -> None:
         """Raises Wrong."""
         wrong: list[Wrong] = []
