Shared settings come into service in `serve`: [settings] in the charter

One that asks for a restart, or doesn't fit, is logged by key and the member falls silent. Observed in trials: an offer that asks for a restart ended the member before its commit was on disk, so that it took two restarts; such an offer is passed over now (Acting.terms has the revision's own rows), its commit is refused, one restart takes it.

--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -13,6 +13,7 @@
 from pathsaddle.charter.form import Charter
 from pathsaddle.charter.service import in_service, retune
 from pathsaddle.charter.told import read, told
+from pathsaddle.errors import Error
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.desk import Desk
@@ -125,17 +126,30 @@
         return charter_with(file, rows, stands)
 
     def _applies(self, acting: Acting) -> None:
-        """A revision of shared settings, whole or not at all. Raises Faulty, Refused."""
-        if not acting.revision or acting.rows == self._rows:
+        """A revision of shared settings, whole or not at all. An offer that can't come into service is passed over: what it
+        withdraws is in force once we say to have its commit, and at that it is refused. Raises Faulty, Unfit."""
+        if not acting.revision:
             return
-        wanted = self._with(self._file, acting.rows)
+        try:
+            self._takes(acting.rows, f"revision {acting.revision}{' with an offer' if acting.offers else ''}")
+        except Error as fault:
+            if not acting.offers or acting.terms is None:
+                raise
+            from pathsaddle.settings.serving import logged
+            logged(fault)
+            self._takes(acting.terms.rows(), f"revision {acting.revision}")
+
+    def _takes(self, rows: Mapping[str, bytes], which: str) -> None:
+        if rows == self._rows:
+            return
+        wanted = self._with(self._file, rows)
         _, stays = in_service(self.charter, wanted)
         if stays:
-            from pathsaddle.settings.faults import Refused, Unfit
-            raise Refused([str(Unfit(f"{key}: revision {acting.revision} can't change it in service: {why}",
-                                     f"restart the dispatcher of {self.path}")) for key, why in stays.items()])
+            from pathsaddle.settings.faults import Unfit
+            raise Unfit(f"{which} of shared settings can't come into service: "
+                        + "; ".join(f"{key}: {why}" for key, why in stays.items()), f"restart the dispatcher of {self.path}")
         self.retune(wanted)
-        self._rows = dict(acting.rows)
+        self._rows = dict(rows)
 
     def retune(self, wanted: Charter) -> dict[str, str]:
         """Takes a checked charter into service as far as that can be, between two events; the keys that stay, each with
--- a/pathsaddle/settings/driver.py
+++ b/pathsaddle/settings/driver.py
@@ -42,6 +42,7 @@
 from pathsaddle.settings.faults import NoDisk, NoMajority, Outrun, Refused, Unfit
 from pathsaddle.settings.forms import START, WORDS, Group, Put, Wrong, digest_of, encoded, value_of
 from pathsaddle.settings.sync import DATAGRAM, LEASE, SECOND, Happened, Keeper, Member, Ready, Said
+from pathsaddle.settings.terms import Terms
 from pathsaddle.settings.wire import Refused as Unread
 from pathsaddle.settings.wire import decode, encode
 
@@ -84,6 +85,7 @@
     digest: str = ""
     rows: Mapping[str, bytes] = field(default_factory=dict)
     offers: bool = False
+    terms: Terms | None = field(default=None, compare=False)  # that revision's own, by no offer narrowed
 
 
 C = TypeVar("C", Member, Keeper)
@@ -396,7 +398,7 @@
         base = core.holder.base
         if not core.proven:
             return Acting()
-        return Acting(base.number, base.digest, core.rows(steady()), bool(core.holder.offers))
+        return Acting(base.number, base.digest, core.rows(steady()), bool(core.holder.offers), base.spec)
 
     def _acts(self, acting: Acting) -> None:
         if acting != self.acting:
--- a/pathsaddle/settings/serving.py
+++ b/pathsaddle/settings/serving.py
@@ -34,13 +34,6 @@
         logbook.refused(name=one.name, what=one.what, do=one.do)
 
 
-def _tell(what: str, **more: Any) -> None:
-    if what == "driver.fault":
-        logbook.refused(name="settings.defect", what=more["why"], do=f"report its trace: {more['trace']}")
-    else:
-        logbook.note(text=f"settings {what} " + " ".join(f"{key}={value}" for key, value in more.items()))
-
-
 class Sharing:
     """What the dispatcher begins and ends; its fleet, where it has one, goes with it. `applies` takes a revision into
     service, whole or not at all, and raises an Error where it can't."""
@@ -49,16 +42,24 @@
         """Raises Faulty, BadFile, NoDisk, and what net/service/place.py says of an address."""
         self.applies = applies
         self.fellows: Fellows | None = None
-        self.member = MemberDriver(told(ground_of(file), file, name), SystemRandom(), _tell)
+        self.refused = False  # a revision: its fault was logged, and is none of ours
+        self.member = MemberDriver(told(ground_of(file), file, name), SystemRandom(), self._tell)
         self.member.hear.append(self._hears)
         self._beginning: asyncio.Task[None] | None = None
         self._ending: asyncio.Task[None] | None = None
 
+    def _tell(self, what: str, **more: Any) -> None:
+        if what != "driver.fault":
+            logbook.note(text=f"settings {what} " + " ".join(f"{key}={value}" for key, value in more.items()))
+        elif not self.refused:
+            logbook.refused(name="settings.defect", what=more["why"], do=f"report its trace: {more['trace']}")
+
     def _hears(self, acting: Acting) -> None:
         try:
             self.applies(acting)
         except Error as fault:
             logged(fault)
+            self.refused = True
             raise
 
     def begin(self) -> None:
