--- a/tests/test_settings_serve.py
+++ b/tests/test_settings_serve.py
@@ -2,14 +2,19 @@
 
 import asyncio
 import contextlib
+import json
 import os
 import re
 import signal
 import socket
 import sys
+import unittest
 from pathlib import Path
+from typing import ClassVar
 
+from pathsaddle.charter.check import Faulty
 from pathsaddle.errors import Error
+from pathsaddle.settings.applied import fitting
 from pathsaddle.settings.asking import ask
 from tests.test_program import ROOT
 from tests.test_settings_processes import free
@@ -17,14 +22,15 @@
 
 KEEPERS = ("k0", "k1", "k2")
 SCHEME = 'semantics = "repeatable"\nsla = "1s"\nexpiry = "3s"\n'
-FOUNDING = f'[members.d0]\nregion = "north"\n[customers.acme]\nallowance = 100\n[schemes.render]\n{SCHEME}'
+FOUNDING = f'[members.d0]\nregion = "north"\n[customers.acme]\nallowance = 100\n[schemes.render]\n{SCHEME}[budgets]\ngpu = 30\n'
 
 
 class ServeStory(Shutdown):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        udp = free(2 * len(KEEPERS) + 1, socket.SOCK_DGRAM)
-        self.control = dict(zip((*KEEPERS, "d0"), free(len(KEEPERS) + 1, socket.SOCK_STREAM), strict=True))
+        udp = free(2 * len(KEEPERS) + 2, socket.SOCK_DGRAM)
+        fleet, *control = free(len(KEEPERS) + 2, socket.SOCK_STREAM)
+        self.control = dict(zip((*KEEPERS, "d0"), control, strict=True))
         lines = ['key = "sixteen bytes or more"', 'lease = "2s"', f'log = "{self.folder}/log"',
                  "[voters]", 'fleet = "f"', 'key = "sixteen other bytes"', 'lease = "600ms"',
                  "names = { " + ", ".join(f'{name} = "{udp.pop()}"' for name in KEEPERS) + " }"]
@@ -37,14 +43,14 @@
         founding = [await self.runs("pathsaddle.settings", "found", str(self.ground), "--keeper", name) for name in KEEPERS]
         for process in founding:
             self.assertEqual(await process.wait(), 0)
-        for name in KEEPERS:
-            await self.runs("pathsaddle.settings", "keep", str(self.ground), "--keeper", name)
+        self.keepers = [await self.runs("pathsaddle.settings", "keep", str(self.ground), "--keeper", name) for name in KEEPERS]
         self.listed = await self.workers()
         self.charter = self.folder / "charter.toml"
         self.charter.write_text(
             f'listen = "127.0.0.1:{self.port}"\ndiscovery = "{await self.listen(self.tells_list)}"\n'
             f'zones = ["a"]\nmachines = ["m1"]\n[[customers]]\nname = "acme"\nallowance = 100.0\n'
-            f'[[schemes]]\nname = "render"\n{SCHEME}[settings]\nground = "{self.ground}"\nmember = "d0"\n')
+            f'[[schemes]]\nname = "render"\n{SCHEME}[settings]\nground = "{self.ground}"\nmember = "d0"\n'
+            f'[fleet]\nname = "f"\nkey = "sixteen bytes or more"\nlisten = "{udp.pop()}"\ncontrol = "{fleet}"\nbudgets = {{ gpu = 30 }}\n')
         await self.serves()
 
     async def runs(self, *words: str, **pipes: int) -> asyncio.subprocess.Process:
@@ -105,6 +111,14 @@
     async def asks(self, tag: str, owner: str) -> int:
         return (await self.call(job(tag, within=2900).replace(b"acme", owner.encode())))[0]
 
+    async def budget(self) -> int:
+        """Of gpu, as its fleet's part of the dispatcher goes by it."""
+        process = await self.runs("pathsaddle", "fleet", "show", "budgets", str(self.charter), "--json",
+                                  stdout=asyncio.subprocess.PIPE, stderr=asyncio.subprocess.PIPE)
+        out, err = await process.communicate()
+        self.assertEqual(process.returncode, 0, err)
+        return json.loads(out)["budgets"][0]["rate"]
+
     async def stands(self, name: str, force: int) -> None:
         async def holds() -> bool:
             return (await self.status(name)).get("force") == force
@@ -112,14 +126,14 @@
 
     async def test_a_customer_comes_and_a_quota_is_lowered_without_a_restart_and_it_starts_by_its_disk(self) -> None:
         await self.founded()
-        self.assertEqual([await self.asks("a", "acme"), await self.asks("b", "nova")], [200, 403])
+        self.assertEqual([await self.asks("a", "acme"), await self.asks("b", "nova"), await self.budget()], [200, 403, 30])
         pid = self.program.pid
         code, told = await self.apply("[customers.nova]\nallowance = 100\n", "--wait")
         self.assertEqual((code, "in force" in told), (0, True), told)
         self.assertEqual([await self.asks("c", "nova"), await self.asks("d", "nobody")], [200, 403])
 
         os.kill(pid, signal.SIGSTOP)  # a lowered quota waits for its word
-        code, told = await self.apply("[customers.nova]\nallowance = 7\n", "--wait", "--within", "3")
+        code, told = await self.apply("[customers.nova]\nallowance = 7\n[budgets]\ngpu = 20\n", "--wait", "--within", "3")
         self.assertEqual(code, 1, told)
         self.assertIn("waits for d0", told)
         told = await self.status("k0")
@@ -129,6 +143,8 @@
         self.assertEqual((await self.status("d0"))["revision"], 3)
         self.assertEqual((await self.asks("e", "nova"), self.program.returncode), (200, None))
 
+        self.assertEqual(await self.budget(), 20)
+
         text = self.charter.read_text()
         self.charter.write_text(text.replace('name = "acme"', 'name = "zeta"'))  # rows stand over the file that is reread
         self.program.send_signal(signal.SIGHUP)
@@ -138,9 +154,11 @@
         self.assertEqual([await self.asks("f", "nova"), await self.asks("g", "acme"), await self.asks("h", "zeta")],
                          [200, 200, 403])
         self.program.terminate()
+        for keeper in self.keepers:
+            keeper.kill()
         self.assertEqual(await asyncio.wait_for(self.program.wait(), 20), 0, self.err())
         await self.serves()
-        self.assertEqual([await self.asks("i", "nova"), await self.asks("j", "zeta")], [200, 403])
+        self.assertEqual([await self.asks("i", "nova"), await self.asks("j", "zeta"), await self.budget()], [200, 403, 20])
         self.assertNotIn("fault", self.err())
 
     async def test_what_asks_for_a_restart_is_named_and_not_said_to_be_had_and_what_fits_nowhere_is_not_committed(self) -> None:
@@ -178,4 +196,36 @@
         self.assertEqual((process.returncode, b"members.d9 is missing" in err), (2, True), err)
 
 
+class FittingStory(unittest.TestCase):
+    ROWS: ClassVar[dict[str, bytes]] = {
+            "customers.acme": b'{"allowance":5}', "schemes.render": b'{"expiry":"3s","machine":"m1","semantics":"repeatable"}',
+            "budgets.gpu": b"30", "members.d0": b'{"region":"north"}', "zones": b'["a","b"]', "rules": b'{"ask_within":"5s"}'}
+
+    def test_what_fits_in_some_charter_fits_and_what_only_a_members_charter_tells_is_not_judged(self) -> None:
+        for rows in (self.ROWS, {}, {"members.d0": b'{"region":"north"}'}):
+            charter, judged = fitting(rows)
+            self.assertLessEqual(rows.items(), judged.items())
+        self.assertEqual([one.name for one in charter.schemes], ["any"])
+
+    def test_what_was_judged_before_is_not_read_again_and_never_stands_for_a_row_that_went(self) -> None:
+        before = fitting(self.ROWS)
+        changed = {**self.ROWS, "customers.nova": b'{"allowance":7}'}
+        del changed["rules"], changed["zones"], changed["budgets.gpu"]
+        charter, _ = fitting(changed, before)
+        anew, _ = fitting(changed)
+        self.assertEqual(charter, anew)
+        self.assertIs(charter.customers[0], before[0].customers[0])
+
+    def test_what_fits_in_no_charter_is_named_a_line_each(self) -> None:
+        before = fitting(self.ROWS)
+        for more, keys in (({"zones": b'["a","a"]'}, ["zones"]),
+                           ({f"budgets.b{i}": b"1" for i in range(16)}, ["budgets"]),
+                           ({"budgets.gpu": b"2000000", "budgets.tpu": b"0"}, ["budgets.gpu", "budgets.tpu"])):
+            for known in (None, before):
+                with self.assertRaises(Faulty) as caught:
+                    fitting({**self.ROWS, **more}, known)
+                self.assertEqual([key for key in keys if key in str(caught.exception)], keys)
+                self.assertEqual(len(caught.exception.faults), len(keys))
+
+
 del Shutdown  # its stories are elsewhere
