--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -187,9 +187,10 @@
         self.must_ask, self.list_failures, self.list_lost, self.list_due, self.list_by = terms.must_ask, 0, now, FAR, -FAR
         # Pushed, a change counts as told once our agent has it, be there a watch or not, and binds a grace later.
         self.list_grace = max(0, terms.drain_grace - LIST_SLACK) if terms.pushed else FAR
-        # What discovery had 6 s before a birth counts as told from then on, whatever `known` says: nothing is sure.
-        self.list_asked, self.list_sure, self.list_had = now, now, False
-        self.list_word = LIST_SURE if terms.beats else FAR  # how long word stands while a watch is open
+        # On sockets what discovery had 6 s before a birth counts as told from then on, whatever `known` says; and word of
+        # an open watch stands no longer. Elsewhere it is good for as long as the list need not be asked for.
+        self.list_strict, self.list_word, self.list_had, self.list_asked = terms.beats, LIST_SURE if terms.beats else FAR, False, now
+        self.list_sure = now + min(self.list_grace, 0 if terms.beats else terms.ask_within - LIST_SLACK)
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
         self.known: dict[Any, int] = {}  # what was declined lately, and when it was first asked for
@@ -203,7 +204,7 @@
         self.list_spread = min((terms.dispatchers - 1) * SECOND // 10, terms.ask_within // 2)
         self.list_rarest = max(2 * SECOND, 3 * self.list_spread)
         if self.must_ask:
-            self.list_due = now + int(min(self.list_spread, LIST_SILENT) * self.random())
+            self.list_due = now + int(min(self.list_spread, LIST_SILENT if terms.beats else FAR) * self.random())
         self.runs, self.accounts, self.fall_time = dict[Scheme, deque[int]](), dict[Any, Account](), FAR
         self.retune(terms)
 
@@ -393,8 +394,7 @@
             return report.waiting
         return -(report.free or 0.0)
 
-    def crowded(self, book: Book) -> bool:
-        """Postings there have lately stood in its queue: no place for what others would lose by."""
+    def crowded(self, book: Book) -> bool:  # postings there have lately stood in its queue: no place for what others lose by
         return any(delay > self.late_start for delay in book.delays)
 
     def judge_starts(self) -> None:
@@ -470,7 +470,7 @@
         return sum(exp(-(self.now - when) / self.usual_run) for when in self.turned_away) / 8
 
     def chance(self, book: Book, txn: Txn) -> float:
-        """That it would end in time there: the paper's workers are alike, ours are not."""
+        # That it would end in time there: the paper's workers are alike, ours are not.
         return 1.0 / min(100.0, 1.0 + (book.pace / txn.ease) ** STEEP)
 
     def ease(self, txn: Txn) -> float:
@@ -1033,13 +1033,13 @@
             self.list_had = self.list_had and (took > 0 or self.now < self.list_sure)  # else we have stood still
             sure = min(self.now - (took or LIST_SILENT) + LIST_SURE, self.list_by if self.now < self.list_by else FAR)
             by = sure - max(LIST_ANSWER, took) - self.now
-            soon = self.list_had or news is ListNews.SILENT and self.list_failures < 2
-            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - self.list_had, 8),
-                       min(self.list_rarest, by) if soon else LIST_SURE)
+            had = self.list_had or not self.list_strict
+            soon = self.list_had or self.list_failures < 2 and (had or news is ListNews.SILENT)
+            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - had, 8), by if soon else LIST_SURE, self.list_rarest if had else FAR)
             if news is ListNews.FAILED and self.now >= self.list_by:
                 sure = min(sure, self.now - took + self.list_grace)
             # What had been missed before, by a birth or while we stood still, no failed call takes back.
-            self.list_sure = sure if self.list_had else self.list_sure
+            self.list_sure = sure if had else self.list_sure
             self.list_due, self.stirred = self.now + int(max(SECOND // 2, wait) * (0.1 + 0.9 * self.random())), True
             return
         if news is ListNews.MOVED:
@@ -1085,7 +1085,7 @@
         if self.must_ask:
             if self.now >= self.list_due:
                 # The call before is given up: it has failed.
-                if self.list_due == self.list_asked + self.ask_again and self.list_had:
+                if self.list_due == self.list_asked + self.ask_again and (self.list_had or not self.list_strict):
                     self.list_sure = max(self.list_sure, self.list_asked + min(LIST_SURE, self.list_grace))
                 self.list_asked, self.list_due = self.now, self.now + self.ask_again
                 self.door.subscribe()
