--- a/pathsaddle/charter/service.py
+++ b/pathsaddle/charter/service.py
@@ -58,7 +58,8 @@
         if bool(before.fleet.budgets) < bool(after.fleet.budgets):
             found["fleet.budgets"] = "a member that began without any carries nothing shared"
     elif (before.fleet is None) != (after.fleet is None):
-        found["fleet"] = WHY["fleet"]
+        # Its budgets as well: with the table itself they come and go, and there is nothing to take them into.
+        found["fleet"] = found["fleet.budgets"] = WHY["fleet"]
     return found
 
 
--- a/pathsaddle/emulator/hollow/scan.py
+++ b/pathsaddle/emulator/hollow/scan.py
@@ -111,6 +111,7 @@
         self.index = 1
         known = {"index": 1, "snapshot": True, "endpoints": []}
         self.born = birth(json.dumps(told(charter(setting), known)))
+        self.born.terms.beats = False  # the list here speaks by lines alone: no beat tells that it is still there
         self.scheme = self.born.terms.schemes[0]
         self.run = int(setting.run * SECOND)
         self.known: dict[str, Worker] = {}
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -169,6 +169,12 @@
                          {"gpu": Dealt(20, 20, 10 * TICKS), "cpu": Dealt(9, 9, 10 * TICKS)})
         self.assertEqual(limiter.budgets["gpu"].state.part, 20)
 
+    async def test_a_first_fleet_table_stays_with_all_that_stands_in_it(self) -> None:
+        """Its budgets were taken for a change in service, into a table that was not there: a fault of ours at SIGHUP."""
+        self.begin()
+        self.tells(fleet=FLEET, customers=[{"name": "acme", "allowance": 3.0}])
+        self.assertIsNone(self.ground.charter.fleet)
+
     async def test_a_durable_job_that_waits_is_served_by_the_words_it_was_accepted_by(self) -> None:
         path = self.path.with_name("jobs.db")
         self.begin(lambda *told: DurableDesk(*told, store=Store(path, ThreadWriter()),
