Names: Shelf is WorkerPool, a connection pool

Needed: a worker's connections are a connection pool in the field's words; "shelf" hid that.

Nothing else; no log line, counter or wire name had the word.

--- a/pathsaddle/net/memory/links.py
+++ b/pathsaddle/net/memory/links.py
@@ -32,8 +32,8 @@
 
 
 @dataclass(slots=True, eq=False)
-class Shelf(Generic[L]):
-    """One worker's connections."""
+class WorkerPool(Generic[L]):
+    """One worker's connections: its connection pool."""
 
     # Apart, and each in the order of `idle_since`: a fast worker's resting ones are most of its connections,
     # and who wants one that has rested must not go through them all.
@@ -63,110 +63,110 @@
         self.most = most  # over all workers: the rest of our descriptors belongs to clients
         self.keep_for = keep_for
         self.rest = rest  # after an answer: in which a second one to the same call may still come
-        self.shelves: dict[str, Shelf[L]] = {}
+        self.pools: dict[str, WorkerPool[L]] = {}
 
-    def shelf(self, worker: str) -> Shelf[L]:
-        shelf = self.shelves.get(worker)
-        if shelf is None:
-            shelf = self.shelves[worker] = Shelf()
-        return shelf
+    def pool(self, worker: str) -> WorkerPool[L]:
+        pool = self.pools.get(worker)
+        if pool is None:
+            pool = self.pools[worker] = WorkerPool()
+        return pool
 
     @property
     def count(self) -> int:
-        return sum(shelf.count for shelf in self.shelves.values())
+        return sum(pool.count for pool in self.pools.values())
 
     def most_each(self) -> int:
         """An even part each, so that one silent worker's connections leave room for all others'."""
-        return max(2, self.most // max(1, len(self.shelves)))
+        return max(2, self.most // max(1, len(self.pools)))
 
-    def take(self, shelf: Shelf[L], now: int) -> L | None:
+    def take(self, pool: WorkerPool[L], now: int) -> L | None:
         """An idle link that the worker will not have closed by the time our bytes are there, and on which no more
         can come that is not the next call's."""
-        resting, rested = shelf.resting, shelf.rested
+        resting, rested = pool.resting, pool.rested
         while resting and (now - resting[0].idle_since >= self.rest or resting[0].ended):
             rested.append(resting.popleft())
         while rested:
             link = rested.pop()
             if link.usable and now - link.idle_since < self.keep_for:
-                shelf.used += 1
+                pool.used += 1
                 return link
             link.end("idle" if now - link.idle_since >= self.keep_for else "worker-stirred")
         return None
 
-    def gives_up_resting(self, shelf: Shelf[L]) -> bool:
+    def gives_up_resting(self, pool: WorkerPool[L]) -> bool:
         """At the worker's cap: a new connection comes up sooner than one has rested. False where none rests."""
-        link = shelf.oldest()
+        link = pool.oldest()
         if link is None:
             return False
         link.end("resting")
         return True
 
-    def may_open(self, shelf: Shelf[L]) -> bool:
-        if shelf.count >= self.most_each():
+    def may_open(self, pool: WorkerPool[L]) -> bool:
+        if pool.count >= self.most_each():
             return False
         if self.count >= self.most:
             self.let_go_oldest()
         # The first to a worker may always come up: others' silence must not shut it out.
-        return self.count < self.most or not shelf.count
+        return self.count < self.most or not pool.count
 
-    def put_back(self, shelf: Shelf[L], link: L, now: int) -> None:
+    def put_back(self, pool: WorkerPool[L], link: L, now: int) -> None:
         """What lies unread on it by now is its reader's; it is looked for when the link is taken, and not twice."""
         if link.sound:
             link.idle_since = now
             if link.rests:
-                shelf.resting.append(link)
+                pool.resting.append(link)
             else:
-                shelf.rested.append(link)
+                pool.rested.append(link)
         else:
             link.end("worker-stirred")
-        self.release(shelf)
+        self.release(pool)
 
-    def release(self, shelf: Shelf[L]) -> None:
+    def release(self, pool: WorkerPool[L]) -> None:
         """A link is not in use any more, or one that was to come up never has."""
-        shelf.used -= 1
-        self._next(shelf)
+        pool.used -= 1
+        self._next(pool)
 
     def sweep(self, now: int) -> None:
-        for shelf in self.shelves.values():
-            for link in shelf.idle:
+        for pool in self.pools.values():
+            for link in pool.idle:
                 if now - link.idle_since >= self.keep_for:
                     link.end("idle")
-            shelf.rested = [link for link in shelf.rested if not link.ended]
-            shelf.resting = deque(link for link in shelf.resting if not link.ended)
+            pool.rested = [link for link in pool.rested if not link.ended]
+            pool.resting = deque(link for link in pool.resting if not link.ended)
 
     def drop_idle(self, worker: str, code: str) -> None:
-        shelf = self.shelves.get(worker)
-        while shelf is not None and (link := shelf.oldest()) is not None:
+        pool = self.pools.get(worker)
+        while pool is not None and (link := pool.oldest()) is not None:
             link.end(code)
 
     def forget(self, worker: str) -> None:
         """Nothing new goes there: the worker no longer counts among those that connections are shared by."""
         self.drop_idle(worker, "worker-gone")
-        shelf = self.shelves.get(worker)
-        if shelf is not None and not shelf.used and not shelf.waiters:
-            del self.shelves[worker]
+        pool = self.pools.get(worker)
+        if pool is not None and not pool.used and not pool.waiters:
+            del self.pools[worker]
 
-    async def turn(self, shelf: Shelf[L]) -> None:
-        """Until a link of the shelf has come free; the one that is woken and gives up wakes the next."""
+    async def turn(self, pool: WorkerPool[L]) -> None:
+        """Until a link of the pool has come free; the one that is woken and gives up wakes the next."""
         waiter: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        shelf.waiters.append(waiter)
+        pool.waiters.append(waiter)
         try:
             await waiter
         except asyncio.CancelledError:
             if waiter.done() and not waiter.cancelled():
-                self._next(shelf)
+                self._next(pool)
             raise
 
-    def _next(self, shelf: Shelf[L]) -> None:
-        while shelf.waiters:
-            waiter = shelf.waiters.popleft()
+    def _next(self, pool: WorkerPool[L]) -> None:
+        while pool.waiters:
+            waiter = pool.waiters.popleft()
             if not waiter.done():
                 waiter.set_result(None)
                 return
 
     def let_go_oldest(self) -> None:
-        shelf = min((shelf for shelf in self.shelves.values() if shelf.rested or shelf.resting),
-                    key=lambda shelf: (shelf.rested or shelf.resting)[0].idle_since, default=None)
-        link = shelf.oldest() if shelf is not None else None
+        pool = min((pool for pool in self.pools.values() if pool.rested or pool.resting),
+                    key=lambda pool: (pool.rested or pool.resting)[0].idle_since, default=None)
+        link = pool.oldest() if pool is not None else None
         if link is not None:
             link.end("room")
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -176,13 +176,13 @@
         if address and self.addresses.get(worker) != address:
             self.links.drop_idle(worker, "worker-moved")
             self.addresses[worker] = address
-            self.links.shelf(worker)
+            self.links.pool(worker)
 
     async def call(self, worker: str, method: str, target: bytes, headers: list[tuple[bytes, bytes]],
                    body: bytes = b"", begins: Callable[[Sending], None] = lambda sending: None) -> Message:
         """One call and its answer. `begins` is told right before the first byte and may raise to stop it; what it
         is given says later whether the last one is out."""
-        shelf = self.links.shelf(worker)
+        pool = self.links.pool(worker)
         link = await self._take(worker)
         try:
             sending = Bytes(link.sock)
@@ -202,23 +202,23 @@
             # Given up midway: the answer may still come, so nothing else may be asked here.
             if link.machine.asked:
                 link.end("given-up")
-            self.links.put_back(shelf, link, self.clock.now())
+            self.links.put_back(pool, link, self.clock.now())
 
     async def _take(self, worker: str) -> Link:
-        shelf = self.links.shelf(worker)
-        link = self.links.take(shelf, self.clock.now())
+        pool = self.links.pool(worker)
+        link = self.links.take(pool, self.clock.now())
         if link is not None:
             return link  # as nearly always: a timer that nobody waits for would cost more than all of this
         try:
             async with asyncio.timeout(seconds(self.connect_within)):
                 while True:
-                    link = self.links.take(shelf, self.clock.now())
+                    link = self.links.take(pool, self.clock.now())
                     if link is not None:
                         return link
-                    if self.links.may_open(shelf):
+                    if self.links.may_open(pool):
                         break
-                    if not self.links.gives_up_resting(shelf):
-                        await self.links.turn(shelf)
+                    if not self.links.gives_up_resting(pool):
+                        await self.links.turn(pool)
                 return await self._open(worker)
         except TimeoutError:
             self.counters.add("connect.late")
@@ -228,9 +228,9 @@
             raise NeverSent(str(fault)) from None
 
     async def _open(self, worker: str) -> Link:
-        shelf = self.links.shelf(worker)
+        pool = self.links.pool(worker)
         self.make_room()
-        shelf.used += 1
+        pool.used += 1
         address = self.addresses[worker]
         sock = None
         try:
@@ -239,7 +239,7 @@
         except BaseException:
             if sock is not None:
                 asyncio.get_running_loop().call_soon(sock.close)
-            self.links.release(shelf)
+            self.links.release(pool)
             raise
         self.counters.add("connect.made")
         return Link(sock, f"{worker}@{address}", self.counters, lambda: self.broke(worker))
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -404,10 +404,10 @@
         taken = []
         for worker in range(6):  # three times as many as `links.most`: each its first one
             self.assertTrue(self.front.spare_descriptor())
-            shelf = self.workers.links.shelf(f"w{worker}")
-            self.assertTrue(self.workers.links.may_open(shelf))
-            shelf.used += 1
-            taken.append(shelf)
+            pool = self.workers.links.pool(f"w{worker}")
+            self.assertTrue(self.workers.links.may_open(pool))
+            pool.used += 1
+            taken.append(pool)
             self.assertLessEqual(self.workers.links.count + len(self.front.visits), self.front.free)
         self.assertEqual([visit.code for visit in resting], ["room"] * 4 + [None] * 4, "the longest idle ones went")
         told = b'{"id":"a","from":"w","state":"started"}'
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -7,7 +7,7 @@
 from unittest import mock
 
 from pathsaddle.net.memory.counters import Counters
-from pathsaddle.net.memory.links import Links, Shelf
+from pathsaddle.net.memory.links import Links, WorkerPool
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.pump import Tallied, drain, stream
 from pathsaddle.net.service.workers import Workers
@@ -44,29 +44,29 @@
 class PoolStory(unittest.TestCase):
     def setUp(self) -> None:
         self.links: Links[Planted] = Links(64, KEEP, REST)
-        self.shelf: Shelf[Planted] = self.links.shelf("w")
+        self.pool: WorkerPool[Planted] = self.links.pool("w")
 
     def answered(self, now: int, rests: bool = True) -> Planted:
         link = Planted(rests)
-        self.shelf.used += 1
-        self.links.put_back(self.shelf, link, now)
+        self.pool.used += 1
+        self.links.put_back(self.pool, link, now)
         return link
 
     def test_none_is_taken_in_its_rest_and_of_those_that_have_rested_the_last_put_back(self) -> None:
         first, second, third = (self.answered(now) for now in (0, 10, 20))
-        self.assertIsNone(self.links.take(self.shelf, REST - 1))
-        self.assertIs(self.links.take(self.shelf, REST + 10), second)
-        self.assertIs(self.links.take(self.shelf, REST + 10), first)
-        self.assertIsNone(self.links.take(self.shelf, REST + 10))
-        self.assertIs(self.links.take(self.shelf, REST + 20), third)
-        self.assertEqual((self.shelf.used, self.shelf.count), (3, 3))
+        self.assertIsNone(self.links.take(self.pool, REST - 1))
+        self.assertIs(self.links.take(self.pool, REST + 10), second)
+        self.assertIs(self.links.take(self.pool, REST + 10), first)
+        self.assertIsNone(self.links.take(self.pool, REST + 10))
+        self.assertIs(self.links.take(self.pool, REST + 20), third)
+        self.assertEqual((self.pool.used, self.pool.count), (3, 3))
 
     def test_what_answered_a_look_is_taken_at_once_also_behind_resting_ones(self) -> None:
         self.answered(0)
         looked = self.answered(1, rests=False)
         self.answered(2)
-        self.assertIs(self.links.take(self.shelf, 2), looked)
-        self.assertIsNone(self.links.take(self.shelf, 2))
+        self.assertIs(self.links.take(self.pool, 2), looked)
+        self.assertIsNone(self.links.take(self.pool, 2))
 
     def test_resting_ones_are_not_gone_through_at_each_call(self) -> None:
         """A worker that answers fast has as many resting as it answers in a rest: each call looked at all of them."""
@@ -74,38 +74,38 @@
         for link in resting:
             link.looks = 0
         for now in range(5):
-            self.assertIsNone(self.links.take(self.shelf, 40 + now))
+            self.assertIsNone(self.links.take(self.pool, 40 + now))
         self.assertLessEqual(sum(link.looks for link in resting), 5)
 
     def test_one_that_ended_in_its_rest_is_never_taken_and_goes_at_the_next_sweep(self) -> None:
         links = [self.answered(now) for now in range(3)]
         links[1].end("worker-closed")
         self.links.sweep(5)
-        self.assertEqual(self.shelf.count, 2)
+        self.assertEqual(self.pool.count, 2)
         links[0].end("worker-closed")
-        self.assertIs(self.links.take(self.shelf, REST + 5), links[2])
-        self.assertIsNone(self.links.take(self.shelf, REST + 5))
+        self.assertIs(self.links.take(self.pool, REST + 5), links[2])
+        self.assertIsNone(self.links.take(self.pool, REST + 5))
 
     def test_one_with_an_answer_that_was_not_its_calls_is_not_put_back(self) -> None:
         link = Planted()
         link.sound = False
-        self.shelf.used += 1
-        self.links.put_back(self.shelf, link, 0)
-        self.assertEqual((self.shelf.count, link.code), (0, "worker-stirred"))
+        self.pool.used += 1
+        self.links.put_back(self.pool, link, 0)
+        self.assertEqual((self.pool.count, link.code), (0, "worker-stirred"))
 
     def test_one_on_which_something_lies_by_the_time_it_is_taken_is_ended(self) -> None:
         link = self.answered(0)
         link.quiet = False
-        self.assertIsNone(self.links.take(self.shelf, REST))
-        self.assertEqual((self.shelf.count, link.code), (0, "worker-stirred"))
+        self.assertIsNone(self.links.take(self.pool, REST))
+        self.assertEqual((self.pool.count, link.code), (0, "worker-stirred"))
 
     def test_resting_ones_count_against_the_caps_and_make_way_the_oldest_first(self) -> None:
         first, second = self.answered(0), self.answered(1)
-        self.assertTrue(self.links.gives_up_resting(self.shelf))
+        self.assertTrue(self.links.gives_up_resting(self.pool))
         self.assertEqual((first.code, second.code), ("resting", ""))
         self.links.let_go_oldest()
-        self.assertEqual((second.code, self.shelf.count), ("room", 0))
-        self.assertFalse(self.links.gives_up_resting(self.shelf))
+        self.assertEqual((second.code, self.pool.count), ("room", 0))
+        self.assertFalse(self.links.gives_up_resting(self.pool))
         self.links.let_go_oldest()
 
     def test_an_idle_one_of_old_is_let_go_and_a_worker_that_is_gone_keeps_none(self) -> None:
@@ -113,7 +113,7 @@
         self.links.sweep(KEEP)
         self.assertEqual((old.code, young.code), ("idle", ""))
         self.links.forget("w")
-        self.assertEqual((young.code, self.links.shelves), ("worker-gone", {}))
+        self.assertEqual((young.code, self.links.pools), ("worker-gone", {}))
 
 
 class CostStory(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -120,7 +120,7 @@
             workers = await self.workers(twice())
             if apart:
                 self.assertEqual((await self.post(workers)).status, 503)
-                link = workers.links.shelf("w").idle[0]
+                link = workers.links.pool("w").idle[0]
                 self.ahead += 0.06  # it has rested; the second answer is here, and its reader has not run
                 self.again.set()
                 while not link.ended and not link.sock.stirred():
@@ -137,7 +137,7 @@
         link: Any = None
         for plant in ("unread", "taken"):
             await self.post(workers)
-            link = workers.links.shelf("w").idle[-1]
+            link = workers.links.pool("w").idle[-1]
             self.ahead += 0.06
             if plant == "unread":
                 with mock.patch.object(Tallied, "stirred", side_effect=[True, False]):
@@ -249,7 +249,7 @@
         for task in stuck:
             task.cancel()
         await asyncio.gather(*stuck, return_exceptions=True)
-        self.assertEqual(workers.links.shelf("w").used, 0)
+        self.assertEqual(workers.links.pool("w").used, 0)
 
     async def test_refused_and_never_coming_up_are_known_not_to_have_run(self) -> None:
         workers = await self.workers(self.accepting)
