Names: a posting's Errand is an Exchange

Needed: what a worker is sent for a posting and what comes back is a request-response exchange; "errand" hid that, and stood for an indirect probe too.

The tests' own class Exchange (one call to a worker, played by the story) became `PlayedCall`, so that the word has one meaning. Nothing else.

--- a/pathsaddle/emulator/hollow/open_txns.py
+++ b/pathsaddle/emulator/hollow/open_txns.py
@@ -18,7 +18,7 @@
 from pathsaddle.charter.form import Charter
 from pathsaddle.charter.told import told
 from pathsaddle.loop import Loop
-from pathsaddle.net.memory.ledger import Entry, Errand, Ledger
+from pathsaddle.net.memory.ledger import Entry, Exchange, Ledger
 from pathsaddle.net.wire.birth import Birth, birth
 from pathsaddle.net.wire.http import Message
 from pathsaddle.trade import SECOND, ListNews, Outcome, Posting, Report, Txn, Worker
@@ -68,7 +68,7 @@
 
     def post(self, posting: Posting, within: int) -> None:
         entry = self.ledger[posting.txn.tag]
-        entry.errands.append(Errand(posting, entry, within))
+        entry.exchanges.append(Exchange(posting, entry, within))
 
     def cancel(self, posting: Posting) -> None:
         pass
@@ -199,7 +199,7 @@
         found[f"{name}_bytes"] = (tracemalloc.get_traced_memory()[0] - before) / point
         tracemalloc.stop()
         member.loop.turn()
-        out = sum(bool(entry.errands) for entry in member.ledger.unanswered())
+        out = sum(bool(entry.exchanges) for entry in member.ledger.unanswered())
         found[name] = out if name == "posted" else len(member.loop.choice.waiting)
         if name == "held":
             found |= looks(member)
@@ -247,7 +247,7 @@
     begun = time.process_time()
     for i, entry in enumerate(entries):
         posting = Posting(entry.txn, member.workers[i % len(member.workers)], 0, member.now - SECOND)
-        entry.errands.append(Errand(posting, entry, 600 * SECOND, begun=True, accepted=True))
+        entry.exchanges.append(Exchange(posting, entry, 600 * SECOND, begun=True, accepted=True))
         member.loop.resume(entry.txn, [posting])
     member.loop.turn()
     return (time.process_time() - begun) / point * 1e6
--- a/pathsaddle/emulator/judges/mutants.py
+++ b/pathsaddle/emulator/judges/mutants.py
@@ -150,9 +150,9 @@
     """A connection that broke after the last byte is taken for one that never came up."""
     end = Desk._end
 
-    def unsure(self: Desk, errand: Any, outcome: Outcome, *args: Any) -> None:
+    def unsure(self: Desk, exchange: Any, outcome: Outcome, *args: Any) -> None:
         doubt = outcome in (Outcome.RESET, Outcome.ERROR)
-        end(self, errand, Outcome.UNCONNECTED if doubt else outcome, *args)
+        end(self, exchange, Outcome.UNCONNECTED if doubt else outcome, *args)
     return [mock.patch.object(Desk, "_end", unsure)]
 
 
--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/desk.py
@@ -24,7 +24,7 @@
 from pathsaddle.federation.lend import Free
 from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.ways import Job, Place
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Sending
+from pathsaddle.net.memory.ledger import Answer, Entry, Exchange, Sending
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
@@ -164,17 +164,17 @@
         if not self._leaves(txn, come_back):
             super().decline(txn, come_back, elsewhere)
 
-    async def _carry(self, errand: Errand) -> None:
+    async def _carry(self, exchange: Exchange) -> None:
         """Each posting here is asked for by the spec as it stands now: it may have been tightened while a txn
         was held."""
-        txn = errand.posting.txn
+        txn = exchange.posting.txn
         if self.member.region in self.member.holder.rule(self.names[txn.scheme.index], self.member.now()).may:
-            await super()._carry(errand)
+            await super()._carry(exchange)
             return
-        self._end(errand, Outcome.MOOT)
+        self._end(exchange, Outcome.MOOT)
         if not txn.closed:
             if (
-                any(one.sent for one in errand.entry.errands)
+                any(one.sent for one in exchange.entry.exchanges)
                 and txn.scheme.semantics is not Semantics.REPEATABLE
             ):
                 self.reverse(txn)
@@ -200,7 +200,7 @@
         if entry.answer is None or txn.tag in self.foreign or entry.call.text(CROSSED) is not None:
             return False
         unknown = []
-        if txn.scheme.semantics is Semantics.REFERENCED and any(errand.sent for errand in entry.errands):
+        if txn.scheme.semantics is Semantics.REFERENCED and any(one.sent for one in entry.exchanges):
             unknown = [self.member.region]  # it may have run here: only where one group drops repeats of both
         place = self._choose(txn, unknown, {}, FAR)  # it has just been declined here
         if place.what != "send" or not self._sets_out(entry, place, come_back, unknown=unknown):
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/desk.py
@@ -21,7 +21,7 @@
 from pathsaddle.jobs.call import PATH, as_txn, digest, key_of, pack, unpack
 from pathsaddle.jobs.life import End, Job, Kind, Lease, Next, Record, Word
 from pathsaddle.jobs.store import Accepted, Fenced, Forget, Store, tell_done
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Whole
+from pathsaddle.net.memory.ledger import Answer, Entry, Exchange, Whole
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.service.desk import Desk
@@ -214,8 +214,8 @@
             if worker is None:
                 continue  # its word may still come, as a late result
             posting = Posting(entry.txn, worker, i, lease.at, taken=lease.at)
-            errand = Errand(posting, entry, 1 << 60, begun=True, sending=Whole(), accepted=True)
-            entry.errands.append(errand)
+            exchange = Exchange(posting, entry, 1 << 60, begun=True, sending=Whole(), accepted=True)
+            entry.exchanges.append(exchange)
             postings.append(posting)
             if lease.never_ran:
                 posting.outcome = Outcome.MOOT
@@ -236,7 +236,7 @@
             elif follows is Next.DOUBT:
                 posting.outcome = Outcome.RESET
             else:
-                self._start(self._heartbeat(kept, errand, lease))
+                self._start(self._heartbeat(kept, exchange, lease))
         for number, posting in enumerate(postings):
             posting.number = number
         out = any(posting.out for posting in postings)
@@ -325,8 +325,8 @@
 
     def _let_go(self, entry: Entry) -> None:
         """A job that ended before the decisions took it up again: they know nothing of its postings."""
-        for errand in entry.errands:
-            errand.posting.outcome = errand.posting.outcome or Outcome.MOOT
+        for exchange in entry.exchanges:
+            exchange.posting.outcome = exchange.posting.outcome or Outcome.MOOT
         entry.txn.closed = True
         self.ledger.close(entry)
 
@@ -500,10 +500,10 @@
             job.apply(Record(Kind.CANCEL, job.tag, self.clock.now()))
             entry = kept.entry
             if entry is not None and not entry.txn.closed:
-                for errand in entry.errands:
-                    if errand.posting.out and not errand.posting.cancelled:
-                        errand.posting.cancelled = True
-                        self.cancel(errand.posting)
+                for exchange in entry.exchanges:
+                    if exchange.posting.out and not exchange.posting.cancelled:
+                        exchange.posting.cancelled = True
+                        self.cancel(exchange.posting)
                 self._at()
                 self._guard(entry.txn, lambda: self.loop.hang_up(entry.txn))
             done = self._end_job(kept, End.CANCELLED, 410, b"")
@@ -536,48 +536,50 @@
 
     # One posting: its intent first.
 
-    async def _carry(self, errand: Errand) -> None:
-        posting = errand.posting
+    async def _carry(self, exchange: Exchange) -> None:
+        posting = exchange.posting
         kept = self.jobs.get(posting.txn.tag)
         if kept is None or not kept.job.open:
-            self._end(errand, Outcome.MOOT)
+            self._end(exchange, Outcome.MOOT)
             return
         job = kept.job
         record = Record(Kind.INTENT, job.tag, self.clock.now(), job.next_number, posting.worker.tag)
         job.apply(record)
         lease = job.leases[-1]
-        if not await self._surely(posting.sent + errand.within - MILLISECOND, record):
+        if not await self._surely(posting.sent + exchange.within - MILLISECOND, record):
             lease.never_ran = True
-            self._end(errand, Outcome.MOOT)
+            self._end(exchange, Outcome.MOOT)
             return
         self._changed(kept)
         if not posting.out or posting.txn.closed or self.store.fenced:
             self._clear(job, lease)
-            self._end(errand, Outcome.MOOT)
+            self._end(exchange, Outcome.MOOT)
             return
-        errand.entry.call.headers[b"job-lease"] = b"%d" % lease.number
-        errand.entry.call.lines = [pair for pair in errand.entry.call.lines if pair[0].lower() != b"job-lease"]
-        errand.entry.call.lines.append((b"Job-Lease", b"%d" % lease.number))
-        self._start(self._heartbeat(kept, errand, lease))
-        await super()._carry(errand)
-
-    def _end(self, errand: Errand, outcome: Outcome, report: Report | None = None, result: bytes = b"") -> None:
-        posting = errand.posting
+        exchange.entry.call.headers[b"job-lease"] = b"%d" % lease.number
+        exchange.entry.call.lines = [
+            pair for pair in exchange.entry.call.lines if pair[0].lower() != b"job-lease"]
+        exchange.entry.call.lines.append((b"Job-Lease", b"%d" % lease.number))
+        self._start(self._heartbeat(kept, exchange, lease))
+        await super()._carry(exchange)
+
+    def _end(self, exchange: Exchange, outcome: Outcome, report: Report | None = None,
+             result: bytes = b"") -> None:
+        posting = exchange.posting
         kept = self.jobs.get(posting.txn.tag)
         if kept is not None and posting.out and outcome.never_ran:
             lease = kept.job.lease_of(posting.worker.tag, None)
             if lease is not None and not lease.never_ran:
                 self._clear(kept.job, lease)
-        super()._end(errand, outcome, report, result)
+        super()._end(exchange, outcome, report, result)
 
     def _clear(self, job: Job, lease: Lease) -> None:
         record = Record(Kind.CLEAR, job.tag, number=lease.number)
         job.apply(record)
         self._put(record)
 
-    async def _heartbeat(self, kept: Kept, errand: Errand, lease: Lease) -> None:
+    async def _heartbeat(self, kept: Kept, exchange: Exchange, lease: Lease) -> None:
         """While the lease is out: a sign of life renews it, silence for its time has its worker asked."""
-        posting, job = errand.posting, kept.job
+        posting, job = exchange.posting, kept.job
         asked = self.clock.now()
         while posting.out and job.open:
             last = max(posting.sent, posting.noted or 0, asked)
@@ -585,7 +587,7 @@
             if left > 0:
                 await asyncio.sleep(seconds(left))
                 continue
-            if not errand.sent:
+            if not exchange.sent:
                 return
             word, result = await self._ask(job, lease)
             asked = self.clock.now()
@@ -594,12 +596,12 @@
             follows = life.lapsed(word, job.semantics, asked, job.expires)
             self.counters.add(f"jobs.lapsed.{follows.name.lower()}")
             if follows is Next.SETTLE:
-                self._end(errand, Outcome.SETTLED, result=result)
+                self._end(exchange, Outcome.SETTLED, result=result)
             elif follows is Next.CLEAR:
                 self._clear(job, lease)
-                self._end(errand, Outcome.MOOT)
+                self._end(exchange, Outcome.MOOT)
             elif follows is Next.DOUBT:
-                self._end(errand, Outcome.TIMED_OUT)
+                self._end(exchange, Outcome.TIMED_OUT)
             elif follows is Next.RESUME:
                 self._at()
                 self._guard(posting.txn, lambda: self.loop.news(posting, False, 0.0))
@@ -625,8 +627,8 @@
 
     def called_back(self, told: Callback) -> None:
         kept = self.jobs.get(told.tag)
-        errand = self.ledger.errand(told.tag, told.worker)
-        if (kept is not None and kept.job.open and errand is None and told.outcome is Outcome.SETTLED
+        exchange = self.ledger.exchange(told.tag, told.worker)
+        if (kept is not None and kept.job.open and exchange is None and told.outcome is Outcome.SETTLED
                 and kept.job.lease_of(told.worker, None) is not None):
             # A lease that was given up, and its worker has done the job all the same.
             self.counters.add("jobs.late_result")
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class Errand:
+class Exchange:
     """A posting on its way: what a worker has been sent for it, and what came back."""
 
     posting: Posting
@@ -55,11 +55,11 @@
     txn: Txn
     call: Message
     answer: Answer | None
-    errands: list[Errand] = field(default_factory=list)
+    exchanges: list[Exchange] = field(default_factory=list)
 
     @property
     def done(self) -> bool:
-        return self.txn.closed and not any(errand.posting.out for errand in self.errands)
+        return self.txn.closed and not any(exchange.posting.out for exchange in self.exchanges)
 
 
 class Ledger:
@@ -88,19 +88,19 @@
             if len(self._spent) > SPENT:
                 del self._spent[next(iter(self._spent))]
 
-    def errand(self, tag: str, worker: str) -> Errand | None:
+    def exchange(self, tag: str, worker: str) -> Exchange | None:
         """The posting that a worker's callback speaks of: the one that is out there, if any."""
         entry = self._entries.get(tag)
         if entry is not None:
-            for errand in reversed(entry.errands):
-                if errand.posting.worker.tag == worker and errand.posting.out:
-                    return errand
+            for exchange in reversed(entry.exchanges):
+                if exchange.posting.worker.tag == worker and exchange.posting.out:
+                    return exchange
         return None
 
-    def ambiguous(self, errand: Errand) -> bool:
+    def ambiguous(self, exchange: Exchange) -> bool:
         """Whether an earlier posting to the same worker was given up or lost: word from there may be about that one."""
-        return any(other.posting.worker is errand.posting.worker and other.posting.may_have_run
-                   for other in errand.entry.errands if other is not errand)
+        return any(other.posting.worker is exchange.posting.worker and other.posting.may_have_run
+                   for other in exchange.entry.exchanges if other is not exchange)
 
     def schemes(self) -> list[Scheme]:
         """By which something here was taken that is not over yet."""
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/desk.py
@@ -14,7 +14,7 @@
 
 from pathsaddle.loop import Loop
 from pathsaddle.net.memory.counters import Counters
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Ledger, Sending
+from pathsaddle.net.memory.ledger import Answer, Entry, Exchange, Ledger, Sending
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
 from pathsaddle.net.service.workers import Lost, NeverSent, Workers
@@ -59,23 +59,23 @@
         txn = posting.txn
         entry = self.ledger[txn.tag]
         left = txn.expires - self.clock.now()
-        errand = Errand(posting, entry, min(within, left) if within else left)
-        entry.errands.append(errand)
+        exchange = Exchange(posting, entry, min(within, left) if within else left)
+        entry.exchanges.append(exchange)
         self.counters.add("posting")
-        errand.alarm = self._events.call_later(max(0.0, seconds(errand.within)), self._late, errand)
-        errand.task = self._start(self._carry(errand))
+        exchange.alarm = self._events.call_later(max(0.0, seconds(exchange.within)), self._late, exchange)
+        exchange.task = self._start(self._carry(exchange))
 
     def cancel(self, posting: Posting) -> None:
-        errand = self.ledger[posting.txn.tag].errands[posting.number]
+        exchange = self.ledger[posting.txn.tag].exchanges[posting.number]
         if not posting.out:
             return
-        if errand.accepted:
-            self._start(self._withdraw(errand))
+        if exchange.accepted:
+            self._start(self._withdraw(exchange))
         else:
-            self._give_up(errand)  # no byte goes out after this; what has gone, the socket has counted
+            self._give_up(exchange)  # no byte goes out after this; what has gone, the socket has counted
             # The end of the connection takes its time, and the next copy may have a shorter way.
-            self._events.call_later(seconds(ON_ITS_WAY if errand.sent and not self.two_at_once else 0),
-                                    self._end, errand, Outcome.CANCELLED if errand.sent else Outcome.MOOT)
+            self._events.call_later(seconds(ON_ITS_WAY if exchange.sent and not self.two_at_once else 0),
+                                    self._end, exchange, Outcome.CANCELLED if exchange.sent else Outcome.MOOT)
 
     def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None:
         self._answer(txn, "declined", 503, b"", forms.come_back_header(come_back), keep=not elsewhere)
@@ -144,17 +144,17 @@
     def called_back(self, told: Callback) -> None:
         """Counts once: what is not about a posting that is out has been said before, or too late."""
         self.counters.add(f"callback.{told.name}")
-        errand = self.ledger.errand(told.tag, told.worker)
-        if errand is None or not errand.begun:
+        exchange = self.ledger.exchange(told.tag, told.worker)
+        if exchange is None or not exchange.begun:
             self.counters.add("callback.stray")
         elif told.outcome is not None:
             outcome = told.outcome
-            if outcome.never_ran and self.ledger.ambiguous(errand):
+            if outcome.never_ran and self.ledger.ambiguous(exchange):
                 outcome = Outcome.ERROR  # of which of its postings there it speaks nobody knows: no proof
-            self._end(errand, outcome, told.report, told.result)
+            self._end(exchange, outcome, told.report, told.result)
         elif told.note:
             self._at()
-            posting = errand.posting
+            posting = exchange.posting
             self._guard(posting.txn, lambda: self.loop.news(posting, told.started, told.level))
 
     def listed(self, news: ListNews, rows: list[Row]) -> None:
@@ -201,8 +201,8 @@
 
     # One posting, from its order to its one outcome.
 
-    async def _carry(self, errand: Errand) -> None:
-        posting, call = errand.posting, errand.entry.call
+    async def _carry(self, exchange: Exchange) -> None:
+        posting, call = exchange.posting, exchange.entry.call
         headers: list[tuple[bytes, bytes]] = []
 
         def begins(sending: Sending) -> None:
@@ -212,71 +212,72 @@
             if not self.loop.may_begin(posting):
                 self.counters.add("posting.withheld")
                 raise Withheld
-            errand.begun, errand.sending = True, sending
+            exchange.begun, exchange.sending = True, sending
             # What is left now: told as of the order, a worker hoped for as much longer as the dial had taken.
-            headers.extend(forms.posting_headers(call, posting.sent + errand.within - self.clock.now()))
+            headers.extend(forms.posting_headers(call, posting.sent + exchange.within - self.clock.now()))
 
         try:
             answer = await self.workers.call(
                 posting.worker.tag, "POST", call.target, headers, call.body, begins)
         except Withheld:
-            self._end(errand, Outcome.MOOT)
+            self._end(exchange, Outcome.MOOT)
         except NeverSent:
-            self._end(errand, Outcome.UNCONNECTED)
+            self._end(exchange, Outcome.UNCONNECTED)
         except Lost:
-            self._end(errand, Outcome.RESET)
+            self._end(exchange, Outcome.RESET)
         else:
             outcome = forms.outcome_of(answer)
             if outcome is None:
-                errand.accepted = True
+                exchange.accepted = True
                 if posting.out:
                     self._at()
                     self._guard(posting.txn, lambda: self.loop.taken(posting))
             else:
-                self._end(errand, outcome, self.words.report_in(answer))
+                self._end(exchange, outcome, self.words.report_in(answer))
 
-    def _late(self, errand: Errand) -> None:
+    def _late(self, exchange: Exchange) -> None:
         """The time it was given is up: no worker that got it in full can be said not to have run it."""
-        if errand.posting.out:
-            if errand.accepted:
-                self._start(self._delete(errand))
+        if exchange.posting.out:
+            if exchange.accepted:
+                self._start(self._delete(exchange))
             else:
-                self._give_up(errand)  # first: whether its last byte is out is settled by that
-            self._end(errand, Outcome.TIMED_OUT if errand.sent else Outcome.MOOT)
+                self._give_up(exchange)  # first: whether its last byte is out is settled by that
+            self._end(exchange, Outcome.TIMED_OUT if exchange.sent else Outcome.MOOT)
 
-    def _give_up(self, errand: Errand) -> None:
-        if errand.task is not None:
-            errand.task.cancel()  # closes the connection: before the 202 that is how a posting is withdrawn
+    def _give_up(self, exchange: Exchange) -> None:
+        if exchange.task is not None:
+            exchange.task.cancel()  # closes the connection: before the 202 that is how a posting is withdrawn
 
-    async def _withdraw(self, errand: Errand) -> None:
+    async def _withdraw(self, exchange: Exchange) -> None:
         """Where two at once are forbidden the next must not start before this one is known withdrawn."""
-        if await self._delete(errand) or self.two_at_once:
-            self._end(errand, Outcome.CANCELLED)
+        if await self._delete(exchange) or self.two_at_once:
+            self._end(exchange, Outcome.CANCELLED)
 
-    async def _delete(self, errand: Errand) -> bool:
+    async def _delete(self, exchange: Exchange) -> bool:
         """Whether the worker has been told in full that the posting is given up."""
         told: list[Sending] = []
         self.counters.add("withdrawal")
         try:
             async with asyncio.timeout(seconds(self.workers.connect_within)):
-                await self.workers.call(errand.posting.worker.tag, "DELETE",
-                                        forms.withdrawal_target(errand.posting.txn.tag), [], begins=told.append)
+                await self.workers.call(exchange.posting.worker.tag, "DELETE",
+                                        forms.withdrawal_target(exchange.posting.txn.tag), [],
+                                        begins=told.append)
         except (NeverSent, Lost, TimeoutError) as fault:
             self.counters.add("withdrawal.unanswered")
             if isinstance(fault, Lost):
                 return False  # a reset may have overtaken it on its way
         return any(sending.whole for sending in told)
 
-    def _end(self, errand: Errand, outcome: Outcome, report: Report | None = None,
+    def _end(self, exchange: Exchange, outcome: Outcome, report: Report | None = None,
              result: bytes = b"") -> None:
-        posting = errand.posting
+        posting = exchange.posting
         if not posting.out:
             return
-        if errand.alarm is not None:
-            errand.alarm.cancel()
-        if errand.sent and not errand.accepted and errand.task is not None:
+        if exchange.alarm is not None:
+            exchange.alarm.cancel()
+        if exchange.sent and not exchange.accepted and exchange.task is not None:
             # Its end overtook the 202, which may never come now.
-            self._events.call_later(seconds(self.workers.connect_within), errand.task.cancel)
+            self._events.call_later(seconds(self.workers.connect_within), exchange.task.cancel)
         self.counters.add(f"outcome.{outcome.name.lower()}")
         txn = posting.txn
         self._at()
@@ -285,7 +286,7 @@
         closes = outcome is Outcome.SETTLED or txn.closed
         spent = self.loop.now - posting.sent
         self._guard(txn, lambda: self.loop.ended(posting, outcome, spent, closes, report))
-        self.ledger.close(errand.entry)
+        self.ledger.close(exchange.entry)
 
     async def _look(self, worker: Worker) -> None:
         begun = self.clock.now()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -281,7 +281,7 @@
         entry = self.desk.ledger["a"]
         self.done("a", b"first")
         self.done("a", b"second")
-        self.desk._late(entry.errands[0])
+        self.desk._late(entry.exchanges[0])
         self.desk.hang_up(entry)
         await self.events.sock_sendall(sock, READY)
         came = await self.answer(sock)
--- a/tests/test_desk.py
+++ b/tests/test_desk.py
@@ -20,7 +20,7 @@
 from tests.fakehost import SETTINGS
 
 
-class Exchange:
+class PlayedCall:
     """One call to a worker, played by the story."""
 
     def __init__(self, worker: str, method: str, begins: Callable[[Sending], None]) -> None:
@@ -45,7 +45,7 @@
 
     def __init__(self) -> None:
         self.links = self
-        self.calls: list[Exchange] = []
+        self.calls: list[PlayedCall] = []
 
     def located(self, worker: str, address: str) -> None:
         pass
@@ -55,7 +55,7 @@
 
     async def call(self, worker: str, method: str, target: bytes, headers: Any, body: bytes = b"",
                    begins: Callable[[Sending], None] = lambda sending: None) -> Message:
-        self.calls.append(Exchange(worker, method, begins))
+        self.calls.append(PlayedCall(worker, method, begins))
         self.calls[-1].headers = headers
         return await self.calls[-1].reply
 
@@ -90,8 +90,8 @@
         self.desk.called_back(self.desk.words.callback(json.dumps(told).encode()))
         await self.settle()
 
-    async def replies(self, exchange: Exchange, status: int, **headers: bytes) -> None:
-        exchange.reply.set_result(Message(status=status, headers={
+    async def replies(self, call: PlayedCall, status: int, **headers: bytes) -> None:
+        call.reply.set_result(Message(status=status, headers={
             name.replace("_", "-").encode(): value for name, value in headers.items()}))
         await self.settle()
 
@@ -283,9 +283,9 @@
     async def test_what_two_workers_call_unusable_is_answered_and_no_worker_is_shut_for_it(self) -> None:
         self.open(workers=3)
         await self.ask("bad")
-        for exchange in self.played.calls:  # grows as the next is posted
-            exchange.write()
-            await self.replies(exchange, 400)
+        for call in self.played.calls:  # grows as the next is posted
+            call.write()
+            await self.replies(call, 400)
         self.assertEqual((len(self.played.calls), [answer[0] for answer in self.answers]), (2, [500]))
         books = self.desk.loop.choice.books.values()
         self.assertEqual([book.shut_until for book in books], [0, 0, 0])
