Names: the members' Errand is an IndirectProbe

Needed: a question carried for another member is SWIM's indirect probe; "errand" hid that.

Kinds on the wire (ASK, RELAYED, MISSED) stay. Nothing else.

--- a/pathsaddle/fleet/members.py
+++ b/pathsaddle/fleet/members.py
@@ -132,8 +132,8 @@
 
 
 @dataclass(slots=True)
-class Errand:
-    """Another's question that we carry."""
+class IndirectProbe:
+    """Another's question that we carry: SWIM's indirect probe."""
 
     asker: Row
     echo: int  # of the asker's question
@@ -176,7 +176,7 @@
         self.order: list[str] = []  # who is probed next, from the end
         self.probe: Probe | None = None
         self.walk: Walk | None = None
-        self.errands: dict[int, Errand] = {}
+        self.indirect_probes: dict[int, IndirectProbe] = {}
         self.failed: dict[str, None] = {}  # whose probes failed since anybody answered us
         self.judged_alone = False  # some of what we believe is `local`
         self.lately: deque[Member] = deque(maxlen=64)  # who was last heard from
@@ -239,8 +239,8 @@
             due = min(due, self.walk.sent + self.ways.beat if self.walk.sent > NEVER else now + self.ways.beat // 8)
         for member in self.accused.values():
             due = min(due, member.until)
-        for errand in self.errands.values():
-            due = min(due, errand.until)
+        for indirect in self.indirect_probes.values():
+            due = min(due, indirect.until)
         return max(due, now + 1)
 
     def period(self) -> int:
@@ -260,7 +260,7 @@
         self.promised = now
         self.probe = None
         self.beat_due = now + self.ways.beat // 2
-        self.errands.clear()
+        self.indirect_probes.clear()
         for member in self.accused.values():
             member.until += late + self.ways.beat
             member.begun += late + self.ways.beat
@@ -305,9 +305,9 @@
         if probe is not None and now >= probe.end:
             self.probe = None
             self._failed(probe, now)
-        for echo in [echo for echo, errand in self.errands.items() if now >= errand.until]:
-            errand = self.errands.pop(echo)
-            self._say(now, errand.asker, MISSED, echo=errand.echo, about=errand.about)
+        for echo in [echo for echo, indirect in self.indirect_probes.items() if now >= indirect.until]:
+            indirect = self.indirect_probes.pop(echo)
+            self._say(now, indirect.asker, MISSED, echo=indirect.echo, about=indirect.about)
         for member in [m for m in self.accused.values() if now >= m.until]:
             waited = (now - member.begun) // 10
             local = member.local or self.alone()
@@ -689,11 +689,11 @@
         if kind == PING:
             self._say(now, said.me, ACK, echo=said.echo)
         elif kind == ACK:
-            errand = self.errands.get(said.echo)
-            if errand is not None and errand.about == said.me.name:
-                del self.errands[said.echo]
-                self._send(now, errand.asker.address, errand.asker.name, RELAYED, errand.echo, errand.about,
-                           heard=[(said.me.name, said.me.life, 0)])
+            indirect = self.indirect_probes.get(said.echo)
+            if indirect is not None and indirect.about == said.me.name:
+                del self.indirect_probes[said.echo]
+                self._send(now, indirect.asker.address, indirect.asker.name, RELAYED, indirect.echo,
+                           indirect.about, heard=[(said.me.name, said.me.life, 0)])
             elif self.probe is not None and self.probe.echo == said.echo and self.probe.whom.row.name == said.me.name:
                 self._answered(sender, self.probe.sent, now)
                 self._heard_of(said, self.probe.sent)
@@ -701,9 +701,9 @@
                 self._health(-1)
         elif kind == ASK:
             whom = self.members.get(said.about)
-            if whom is not None and len(self.errands) < 256:
+            if whom is not None and len(self.indirect_probes) < 256:
                 echo = self.chance.getrandbits(53)
-                self.errands[echo] = Errand(said.me, said.echo, said.about, now + self.patience())
+                self.indirect_probes[echo] = IndirectProbe(said.me, said.echo, said.about, now + self.patience())
                 self._say(now, whom.row, PING, echo=echo)
         elif kind in (RELAYED, MISSED):
             probe = self.probe
--- a/tests/test_members.py
+++ b/tests/test_members.py
@@ -342,7 +342,7 @@
         self.assertTrue(all(m.until < 1 << 60 and m.row.state == SUSPECT for m in core.accused.values()))
         self.assertTrue(all(max(m.heard, m.heard_by) <= now for m in core.members.values()))
         self.assertEqual(core.size(), 1 + sum(m.here for m in core.members.values()))
-        self.assertLessEqual(len(core.errands), 256)
+        self.assertLessEqual(len(core.indirect_probes), 256)
         self.assertIn(core.health, range(9))
 
 
