Names: Visit is ClientConnection

Needed: an accepted connection is a connection in the field's words; "visit" hid that, in the listener, in the hollow workers and in tests.

Long lines were broken, nothing else.

Left: the counters `visit_end.*` and `visits_most`, which operators read (docs/on-call.md).

--- a/pathsaddle/emulator/hollow/served.py
+++ b/pathsaddle/emulator/hollow/served.py
@@ -76,7 +76,7 @@
         pass
 
 
-class _Visit(_Peer):
+class _ServerConnection(_Peer):
     """A connection that a dispatcher made to a worker."""
 
     def __init__(self, worker: Worker) -> None:
@@ -86,13 +86,13 @@
     def connection_made(self, transport: Any) -> None:
         super().connection_made(transport)
         self.tally.taken += 1
-        self.worker.visits[self] = None
+        self.worker.connections[self] = None
 
     def heard(self, said: Said) -> None:
         self.transport.write(self.worker.hears(said))
 
     def gone(self) -> None:
-        self.worker.visits.pop(self, None)
+        self.worker.connections.pop(self, None)
 
 
 class Back(_Peer):
@@ -176,20 +176,21 @@
 class Worker:
     """One hollow worker: what it holds is its name, its running jobs' timers and its connections."""
 
-    __slots__ = ("back", "fleet", "line", "name", "running", "server", "started", "visits")
+    __slots__ = ("back", "connections", "fleet", "line", "name", "running", "server", "started")
 
     def __init__(self, fleet: Workers, name: str) -> None:
         self.fleet = fleet
         self.name = name
         self.running: dict[str, asyncio.TimerHandle] = {}
         self.line: deque[tuple[str, float]] = deque()
-        self.visits: dict[_Visit, None] = {}
+        self.connections: dict[_ServerConnection, None] = {}
         self.back: Back | None = None
         self.server: Any = None
         self.started: float | None = None  # of the loop's clock; None: long ago
 
     async def opens(self, port: int = 0) -> str:
-        self.server = await self.fleet.loop.create_server(lambda: _Visit(self), "127.0.0.1", port, backlog=64)
+        self.server = await self.fleet.loop.create_server(
+            lambda: _ServerConnection(self), "127.0.0.1", port, backlog=64)
         return f"127.0.0.1:{self.server.sockets[0].getsockname()[1]}"
 
     def hears(self, said: Said) -> bytes:
@@ -262,8 +263,8 @@
         if self.server is not None:
             self.server.close()
             self.server = None
-        for visit in list(self.visits):
-            visit.transport.abort()
+        for connection in list(self.connections):
+            connection.transport.abort()
         if self.back is not None:
             self.back.end()
             self.back = None
@@ -313,7 +314,8 @@
 
     def connected(self) -> int:
         """Workers with a connection from or to the dispatcher."""
-        return sum(bool(w.visits) or w.back is not None and w.back.transport is not None for w in self.all)
+        return sum(
+            bool(w.connections) or w.back is not None and w.back.transport is not None for w in self.all)
 
     def end(self) -> None:
         for worker in self.all:
--- a/pathsaddle/emulator/served/roster.py
+++ b/pathsaddle/emulator/served/roster.py
@@ -62,13 +62,13 @@
 
     def _open(self) -> None:
         self.place = self.sites.place(f"roster{self.moves or ''}", "")
-        self.listeners = [Listener(self.place, address, self._visits(d))
+        self.listeners = [Listener(self.place, address, self._handler(d))
                           for d, address in enumerate(self.addresses)]
 
-    def _visits(self, dispatcher: int) -> Any:
-        def visit(sock: Any) -> Coroutine[Any, Any, None]:
+    def _handler(self, dispatcher: int) -> Any:
+        def handle(sock: Any) -> Coroutine[Any, Any, None]:
             return self._serve(sock, dispatcher)
-        return visit
+        return handle
 
     # Changes.
 
--- a/pathsaddle/emulator/served/workers.py
+++ b/pathsaddle/emulator/served/workers.py
@@ -124,14 +124,14 @@
         self.results: dict[str, str] = {}  # of what it has done since its start: done, or failed
         self.fences: dict[str, int] = {}  # by job: leases up to this one are refused
         self.links: dict[int, list[tuple[Wire, Hearing]]] = {}
-        self.listeners = [Listener(self.place, address, self._visits(i))
+        self.listeners = [Listener(self.place, address, self._handler(i))
                           for i, address in enumerate(self.addresses)]
         self._changed()
 
-    def _visits(self, dispatcher: int) -> Any:
-        def visit(sock: Any) -> Coroutine[Any, Any, None]:
+    def _handler(self, dispatcher: int) -> Any:
+        def handle(sock: Any) -> Coroutine[Any, Any, None]:
             return self._serve(sock, dispatcher)
-        return visit
+        return handle
 
     # Its ills.
 
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -36,11 +36,11 @@
 class Room:
     """What memory allows of what clients bring."""
 
-    visits: int
+    connections: int
     bodies: int
 
 
-class Visit:
+class ClientConnection:
     """One accepted connection."""
 
     def __init__(self, front: Front, sock: Tallied, peer: str) -> None:
@@ -310,8 +310,8 @@
         self.counters = counters
         self.free = free  # descriptors for accepted connections and for those to workers
         self.room = room
-        self.visits: dict[Visit, None] = {}
-        self.strangers: dict[Visit, None] = {}  # those of them that have brought nothing of use yet
+        self.connections: dict[ClientConnection, None] = {}
+        self.strangers: dict[ClientConnection, None] = {}  # those that have brought nothing of use yet
         self.held = 0  # bytes of bodies, of calls that are coming or open
         self.waste = memoryview(bytearray(64 * 1024))  # where what nobody will read goes, from all of them
         self.stopping = False
@@ -339,7 +339,7 @@
                     await asyncio.sleep(seconds(NO_ROOM))
                 continue
             self.welcome(sock, address)
-            while len(self.visits) > self.most and not self.make_room():
+            while len(self.connections) > self.most and not self.make_room():
                 # Wait for one to end instead of asking the kernel over and over for what it can't give.
                 self._room.clear()
                 try:
@@ -362,28 +362,29 @@
                 logbook.fault_client(fault, peer=f"{address[0]}:{address[1]}")
             sock.close()
             return
-        visit = Visit(self, sock, f"{address[0]}:{address[1]}")
-        self.visits[visit] = self.strangers[visit] = None
-        self.counters.most("visits_most", len(self.visits))
+        connection = ClientConnection(self, sock, f"{address[0]}:{address[1]}")
+        self.connections[connection] = self.strangers[connection] = None
+        self.counters.most("visits_most", len(self.connections))
 
     @property
     def most(self) -> int:
         """What links to workers do not hold, or may yet, as far as memory allows."""
         links = self.desk.workers.links
-        return min(self.room.visits, self.free - max(links.most, links.count))
+        return min(self.room.connections, self.free - max(links.most, links.count))
 
     def make_room(self) -> bool:
         """One is closed: first one that has had its last answer, then, as long as there are strangers, that one of
         them whose leaving costs least, if need be in a moment. By hundreds they had cut off all usual peers' idle
         connections; these go after them, the longest idle first."""
         now = self.clock.now()
-        leaving = [visit for visit in self.visits if visit.lingers is not None and visit.spare(now)]
-        for visit in sorted(leaving or self.strangers or self.visits, reverse=True,
-                            key=lambda visit: (visit.spare(now), -visit.idle_since)):
-            if not visit.spare(now):
+        leaving = [connection for connection in self.connections
+                   if connection.lingers is not None and connection.spare(now)]
+        for connection in sorted(leaving or self.strangers or self.connections, reverse=True,
+                                 key=lambda connection: (connection.spare(now), -connection.idle_since)):
+            if not connection.spare(now):
                 break
-            if visit.machine.over or not visit.unheard:
-                visit.end("room")
+            if connection.machine.over or not connection.unheard:
+                connection.end("room")
                 return True
         return False
 
@@ -391,32 +392,32 @@
         """Whether there is one for a connection to a worker that is not counted yet; if need be, an idle client's is
         closed for it. The first connection to each worker may always come up, beyond `links.most`: without this they
         and clients' together could pass what we have. The kernel gets it back a turn later, out of SPARE till then."""
-        if self.desk.workers.links.count + len(self.visits) >= self.free:
+        if self.desk.workers.links.count + len(self.connections) >= self.free:
             self.make_room()
-        return self.desk.workers.links.count + len(self.visits) < self.free
+        return self.desk.workers.links.count + len(self.connections) < self.free
 
-    def knows(self, visit: Visit) -> None:
-        self.strangers.pop(visit, None)
+    def knows(self, connection: ClientConnection) -> None:
+        self.strangers.pop(connection, None)
 
-    def weigh(self, visit: Visit) -> None:
+    def weigh(self, connection: ClientConnection) -> None:
         """Bodies together are bounded: each may be short enough, and all of them too much for us."""
-        self.held += visit.machine.held - visit.held
-        visit.held = visit.machine.held
-        if self.held > self.room.bodies and visit.machine.part is not None:
-            visit.machine.object(503, "no room for this body now")
+        self.held += connection.machine.held - connection.held
+        connection.held = connection.machine.held
+        if self.held > self.room.bodies and connection.machine.part is not None:
+            connection.machine.object(503, "no room for this body now")
 
     def sweep(self) -> None:
         now = self.clock.now()
-        for visit in list(self.visits):
-            visit.look(now)
-
-    def ended(self, visit: Visit) -> None:
-        self.visits.pop(visit, None)
-        self.strangers.pop(visit, None)
-        self.held -= visit.held
-        visit.held = 0
-        self.counters.add(f"visit_end.{visit.code}")
-        logbook.client_end(code=visit.code, peer=visit.peer, calls=visit.calls)
+        for connection in list(self.connections):
+            connection.look(now)
+
+    def ended(self, connection: ClientConnection) -> None:
+        self.connections.pop(connection, None)
+        self.strangers.pop(connection, None)
+        self.held -= connection.held
+        connection.held = 0
+        self.counters.add(f"visit_end.{connection.code}")
+        logbook.client_end(code=connection.code, peer=connection.peer, calls=connection.calls)
         self.freed()
 
     async def shut(self) -> None:
@@ -439,19 +440,22 @@
     def in_use(self) -> bool:
         """Whether a connection is open on which a client's next txn may come, or a first one is about to."""
         now = self.clock.now()
-        return any(visit.machine.busy or visit.outward or visit.fresh(now)
-                   or visit.known and not visit.worker and not visit.machine.over for visit in self.visits)
+        return any(connection.machine.busy or connection.outward or connection.fresh(now)
+                   or connection.known and not connection.worker and not connection.machine.over
+                   for connection in self.connections)
 
     def quiet(self) -> bool:
         """Closes what is idle; whether nothing is left that a client, or a worker for its callback, waits on."""
         now = self.clock.now()
-        for visit in list(self.visits):
-            if visit.lingers is not None:
-                if now - visit.lingers >= LAST:
-                    visit.end(visit.left())
-            elif visit.idle and not visit.worker and not visit.fresh(now) and not visit.unheard:
-                visit.end("stopping")
-        return all(visit.worker and not visit.outward and not visit.unheard for visit in self.visits)
+        for connection in list(self.connections):
+            if connection.lingers is not None:
+                if now - connection.lingers >= LAST:
+                    connection.end(connection.left())
+            elif (connection.idle and not connection.worker and not connection.fresh(now)
+                  and not connection.unheard):
+                connection.end("stopping")
+        return all(connection.worker and not connection.outward and not connection.unheard
+                   for connection in self.connections)
 
     def freed(self) -> None:
         self._room.set()
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -21,7 +21,7 @@
 from pathsaddle.trade import MILLISECOND, SECOND, ListNews
 
 SPARE = 12  # descriptors for the listener, discovery's watch and connections on their way out
-VISIT_MB = 0.02  # what a connection takes of us and of our tasks, measured
+CONNECTION_MB = 0.02  # what a connection takes of us and of our tasks, measured
 FEW, FEW_MB = 16, 1.0  # as many connections, and as much for bodies, are had in whatever room
 BEAT = SECOND // 4  # between looks at our own lag and at idle links
 SLACK = 50 * MILLISECOND  # what sockets are given on top of each limit of the rules
@@ -43,10 +43,10 @@
         free = told.sockets - ground.descriptors() - SPARE
         # So is memory: a part of what is left goes to connections, one to bodies, the rest is for all else.
         spare = max(0.0, 0.9 * told.memory_mb - ground.memory_mb())
-        room = Room(max(FEW, int(min(free, spare / 3 / VISIT_MB))),
+        room = Room(max(FEW, int(min(free, spare / 3 / CONNECTION_MB))),
                     int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
         self.workers = Workers(told.reach, free // 4, self.clock, self.counters, ground.stream)
-        told.terms.most_open = min(told.terms.most_open, min(room.visits, free - free // 4) * 3 // 4)
+        told.terms.most_open = min(told.terms.most_open, min(room.connections, free - free // 4) * 3 // 4)
         self.desk = ground.desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
                          lambda: self.roster.ask())
         self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
@@ -108,8 +108,8 @@
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         logbook.stopped(unanswered=len(self.desk.ledger.unanswered()))
         self.roster.stop("stopping")
-        for visit in list(self.front.visits):
-            visit.end("stopping")
+        for connection in list(self.front.connections):
+            connection.end("stopping")
         for worker in self.desk.known:
             self.workers.links.drop_idle(worker, "stopping")
 
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -15,7 +15,7 @@
 from pathsaddle.net.service import start as start_module
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.service.desk import Desk
-from pathsaddle.net.service.front import Front, Room, Visit
+from pathsaddle.net.service.front import ClientConnection, Front, Room
 from pathsaddle.net.service.pump import Tallied
 from pathsaddle.net.service.start import Dispatcher
 from pathsaddle.net.service.workers import Workers
@@ -84,20 +84,21 @@
         except asyncio.CancelledError:
             pass  # the story has ended
 
-    async def client(self, data: bytes = b"", room: int | None = None) -> tuple[socket.socket, Visit]:
-        """A client's bare socket, with room for so many bytes that it has not read, and the visit that it pays us."""
+    async def client(self, data: bytes = b"",
+                     room: int | None = None) -> tuple[socket.socket, ClientConnection]:
+        """A client's bare socket, with room for so many bytes that it has not read, and our side of it."""
         sock = socket.socket()
         self.addCleanup(sock.close)
         if room is not None:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, room)
         sock.setblocking(False)
-        before = set(self.front.visits)
+        before = set(self.front.connections)
         await self.events.sock_connect(sock, self.front.sock.getsockname())
-        await self.until(lambda: bool(set(self.front.visits) - before))
-        visit, = set(self.front.visits) - before
+        await self.until(lambda: bool(set(self.front.connections) - before))
+        connection, = set(self.front.connections) - before
         if data:
             await self.events.sock_sendall(sock, data)
-        return sock, visit
+        return sock, connection
 
     def listed(self) -> None:
         self.desk.listed(ListNews.WHOLE, [Row(Worker("w"), self.address)])
@@ -134,11 +135,11 @@
 class CrossingStory(Clients):
     """Bytes that come in the moment in which their connection would be closed."""
 
-    async def resting(self) -> tuple[socket.socket, Visit]:
-        sock, visit = await self.client(READY)
+    async def resting(self) -> tuple[socket.socket, ClientConnection]:
+        sock, connection = await self.client(READY)
         self.assertIn(b" 200 ", await self.answer(sock))
-        await self.until(lambda: visit.idle)
-        return sock, visit
+        await self.until(lambda: connection.idle)
+        return sock, connection
 
     def closes(self) -> dict[str, Callable[[], Any]]:
         return {"room": self.front.make_room, "stopping": self.front.quiet}
@@ -151,20 +152,20 @@
     async def test_a_call_that_the_kernel_has_handed_over_is_served_whatever_would_close_its_connection(self) -> None:
         for why, close in self.closes().items():
             with self.subTest(why):
-                sock, visit = await self.resting()
+                sock, connection = await self.resting()
                 Hooked.hook = close
                 await self.events.sock_sendall(sock, READY)
                 self.assertIn(b" 200 ", await self.answer(sock))
-                self.assertIsNone(visit.code)
+                self.assertIsNone(connection.code)
 
     async def test_a_call_that_lies_unread_in_the_kernel_is_served_whatever_would_close_its_connection(self) -> None:
         for why, close in self.closes().items():
             with self.subTest(why):
-                sock, visit = await self.resting()
+                sock, connection = await self.resting()
                 sock.sendall(READY)
                 close()  # in the same turn: nobody has read
                 self.assertIn(b" 200 ", await self.answer(sock))
-                self.assertIsNone(visit.code)
+                self.assertIsNone(connection.code)
 
     async def test_a_first_call_that_came_while_we_stood_still_is_served_and_drops_put_nothing_off(self) -> None:
         sock, _ = await self.client()
@@ -175,8 +176,8 @@
         Hooked.hook = self.sweep
         sock.sendall(READY)
         self.assertIn(b" 200 ", await self.answer(sock))
-        sock, visit = await self.client(READY[:5])
-        await self.until(lambda: visit.machine.midway)
+        sock, connection = await self.client(READY[:5])
+        await self.until(lambda: connection.machine.midway)
         sock.sendall(READY[5:6])
         self.sweep()
         self.assertIn(b" 408 ", await self.answer(sock))
@@ -184,37 +185,38 @@
     async def test_with_nothing_unheard_it_is_closed_all_the_same(self) -> None:
         for why, close in self.closes().items():
             with self.subTest(why):
-                sock, visit = await self.resting()
+                sock, connection = await self.resting()
                 close()
                 self.assertEqual(await self.rest(sock), b"")
-                self.assertEqual(visit.code, why)
+                self.assertEqual(connection.code, why)
 
 
 class GoneStory(Clients):
     """Clients that leave, or say their last, while something of theirs waits."""
 
     async def test_one_that_leaves_behind_a_full_buffer_is_seen_to_go_and_nothing_more_of_it_is_taken(self) -> None:
-        sock, visit = await self.client(job("a") + b"".join(job(f"b{i}") for i in range(50)))
-        await self.until(lambda: self.counters["posting.sent"] == 1 and visit.inward.full)
+        sock, connection = await self.client(job("a") + b"".join(job(f"b{i}") for i in range(50)))
+        await self.until(lambda: self.counters["posting.sent"] == 1 and connection.inward.full)
         sock.close()
         await self.until(lambda: self.counters["txn.hung_up"] == 1)
-        self.assertEqual((visit.code, self.counters["txn.taken"], self.counters["posting"]), ("hung-up", 1, 1))
+        self.assertEqual((connection.code, self.counters["txn.taken"], self.counters["posting"]),
+                         ("hung-up", 1, 1))
 
     async def test_what_is_too_much_behind_a_waiting_call_is_dropped_and_the_answer_says_so(self) -> None:
-        sock, visit = await self.client()
+        sock, connection = await self.client()
         behind = b"".join(job(f"b{i}") for i in range(10_000))
         async with asyncio.TaskGroup() as both:
             both.create_task(self.events.sock_sendall(sock, job("a") + behind))
             await self.until(lambda: self.counters["posting.sent"] == 1)
-            await self.until(lambda: visit.taken > 1_000_000)
-            self.assertLess(len(visit.inward._room), 5000, "it took no memory")
+            await self.until(lambda: connection.taken > 1_000_000)
+            self.assertLess(len(connection.inward._room), 5000, "it took no memory")
             self.done("a")
             answer = await self.answer(sock)
         self.assertIn(b" 200 ", answer)
         self.assertIn(b"\r\nConnection: close\r\n", answer)
         self.assertEqual(await self.rest(sock), b"")
         sock.close()
-        await self.until(lambda: visit.code == "last-answer")
+        await self.until(lambda: connection.code == "last-answer")
         self.assertEqual(self.counters["txn.taken"], 1)
 
     async def test_a_few_calls_behind_a_waiting_one_are_served_in_their_order(self) -> None:
@@ -248,11 +250,11 @@
         self.assertEqual(self.counters["posting.sent"], 0)
 
     async def test_a_call_behind_an_answered_one_is_not_sent_on_where_the_client_has_gone_by_then(self) -> None:
-        sock, visit = await self.client(job("a") + job("b"))
+        sock, connection = await self.client(job("a") + job("b"))
         await self.until(lambda: self.counters["posting.sent"] == 1)
         sock.close()
         self.done("a")  # in the same turn: the second is taken before its client's end is read
-        await self.until(lambda: visit.code is not None)
+        await self.until(lambda: connection.code is not None)
         self.listed()
         await self.client(job("c"))
         await self.until(lambda: self.counters["posting.sent"] == 2)
@@ -261,19 +263,19 @@
         self.assertEqual(self.posted, [b"Req-Id: a\r\n", b"Req-Id: c\r\n"])
 
     async def test_a_fin_while_it_waits_is_a_hang_up_and_under_an_answer_it_is_not(self) -> None:
-        sock, visit = await self.client(job("a"), room=100_000)
+        sock, connection = await self.client(job("a"), room=100_000)
         await self.until(lambda: self.counters["posting.sent"] == 1)
         self.done("a", b"x" * 8_000_000)
-        self.assertGreater(len(visit.outward), 0)
+        self.assertGreater(len(connection.outward), 0)
         sock.shutdown(socket.SHUT_WR)
-        await self.until(lambda: visit.said_last)
+        await self.until(lambda: connection.said_last)
         self.assertEqual((await self.rest(sock)).count(b"x"), 8_000_000)
-        self.assertEqual(visit.code, "last-answer")
-        sock, visit = await self.client(job("b"))
+        self.assertEqual(connection.code, "last-answer")
+        sock, connection = await self.client(job("b"))
         await self.until(lambda: self.counters["posting.sent"] == 2)
         sock.shutdown(socket.SHUT_WR)
         self.assertEqual(await self.rest(sock), b"")
-        self.assertEqual((visit.code, self.counters["txn.hung_up"]), ("hung-up", 1))
+        self.assertEqual((connection.code, self.counters["txn.hung_up"]), ("hung-up", 1))
 
     async def test_of_two_answers_due_in_one_moment_one_goes_out(self) -> None:
         sock, _ = await self.client(job("a"))
@@ -296,47 +298,48 @@
 
     LAST = b"Connection: close\r\n"
 
-    async def answered(self, tag: str = "a") -> tuple[socket.socket, Visit]:
+    async def answered(self, tag: str = "a") -> tuple[socket.socket, ClientConnection]:
         """A client that has read its last answer, and does not close."""
         before = self.counters["posting.sent"]
-        sock, visit = await self.client(job(tag, more=self.LAST))
+        sock, connection = await self.client(job(tag, more=self.LAST))
         await self.until(lambda: self.counters["posting.sent"] > before)
         self.done(tag)
         self.assertIn(b" 200 ", await self.answer(sock))
         self.assertEqual(await self.rest(sock), b"")
-        return sock, visit
+        return sock, connection
 
     async def test_bytes_behind_the_last_call_do_not_cost_its_answer(self) -> None:
         self.front.stopping = True  # it is us who says that this answer is the last
-        sock, visit = await self.client(room=10_000)
+        sock, connection = await self.client(room=10_000)
         sending = asyncio.create_task(self.events.sock_sendall(sock, job("a") + READY * 100_000))
         await self.until(lambda: self.counters["posting.sent"] == 1)
         self.done("a", b"y" * 300_000)
-        await self.until(lambda: not visit.outward)  # the most of it is with our kernel, and would go with a reset
+        # The most of it is with our kernel, and would go with a reset.
+        await self.until(lambda: not connection.outward)
         self.assertEqual((await self.rest(sock)).count(b"y"), 300_000)
         await sending
 
     async def test_nothing_that_comes_after_the_shutdown_is_taken(self) -> None:
-        sock, visit = await self.answered()
-        self.assertIsNone(visit.code)
-        before = visit.taken
+        sock, connection = await self.answered()
+        self.assertIsNone(connection.code)
+        before = connection.taken
         await self.events.sock_sendall(sock, job("late"))
-        await self.until(lambda: visit.taken > before)
+        await self.until(lambda: connection.taken > before)
         sock.close()
-        await self.until(lambda: visit.code == "last-answer")
+        await self.until(lambda: connection.code == "last-answer")
         self.assertEqual(self.counters["txn.taken"], 1)
 
     async def test_one_that_never_closes_is_let_go_in_time_and_first_of_all_for_room(self) -> None:
-        _, visit = await self.answered()
+        _, connection = await self.answered()
         with mock.patch.object(front_module, "QUIET", 0):
             self.front.sweep()
-        self.assertEqual(visit.code, "last-answer")
+        self.assertEqual(connection.code, "last-answer")
         idle, resting = await self.client(READY)
         self.assertIn(b" 200 ", await self.answer(idle))
-        _, visit = await self.answered("b")
+        _, connection = await self.answered("b")
         with mock.patch.object(front_module, "FIRST", 0):
             self.assertTrue(self.front.make_room())
-        self.assertEqual((visit.code, resting.code), ("room", None))
+        self.assertEqual((connection.code, resting.code), ("room", None))
 
 
 class AcceptStory(Clients):
@@ -357,7 +360,7 @@
         self.assertEqual(self.counters["visit_end.unwelcome"], 2)
 
     async def test_an_accept_that_fails_is_not_the_last_and_costs_nobody_his_connection(self) -> None:
-        resting, visit = await self.client(READY)
+        resting, connection = await self.client(READY)
         self.assertIn(b" 200 ", await self.answer(resting))
         for fault in (ConnectionAbortedError(errno.ECONNABORTED, "gone"), ZeroDivisionError()):
             with mock.patch.object(socket.socket, "accept", side_effect=fault):
@@ -368,17 +371,17 @@
             before = self.counters["accepted"]
             await self.until(lambda before=before: self.counters["accepted"] > before)  # type: ignore[misc]
             await self.served()
-        self.assertIsNone(visit.code)
+        self.assertIsNone(connection.code)
 
 
 class FloodStory(Clients):
     async def test_one_that_calls_and_calls_and_reads_nothing_costs_no_memory_and_is_served_as_it_reads(self) -> None:
         many = 20_000
-        sock, visit = await self.client(room=10_000)
-        visit.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 10_000)
+        sock, connection = await self.client(room=10_000)
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 10_000)
         sending = asyncio.create_task(self.events.sock_sendall(sock, READY * many))
-        await self.until(lambda: len(visit.outward) > 100_000 or visit.inward.full)
-        self.assertLess(len(visit.outward), 100_000)
+        await self.until(lambda: len(connection.outward) > 100_000 or connection.inward.full)
+        self.assertLess(len(connection.outward), 100_000)
         other, _ = await self.client(READY)
         self.assertIn(b" 200 ", await self.answer(other))
         count, came = 0, b""
@@ -387,7 +390,7 @@
                 came = came[-11:] + await self.events.sock_recv(sock, 1 << 16)
                 count += came.count(b"HTTP/1.1 200")
                 came = came.rpartition(b"HTTP/1.1 200")[2]
-        self.assertLess(len(visit.outward._room), 100_000)
+        self.assertLess(len(connection.outward._room), 100_000)
         await sending
 
 
@@ -398,9 +401,9 @@
         self.front.free, self.workers.links.most = 10, 2
         resting = []
         for _ in range(8):
-            sock, visit = await self.client(READY)
+            sock, connection = await self.client(READY)
             self.assertIn(b" 200 ", await self.answer(sock))
-            resting.append(visit)
+            resting.append(connection)
         taken = []
         for worker in range(6):  # three times as many as `links.most`: each its first one
             self.assertTrue(self.front.spare_descriptor())
@@ -408,13 +411,15 @@
             self.assertTrue(self.workers.links.may_open(pool))
             pool.used += 1
             taken.append(pool)
-            self.assertLessEqual(self.workers.links.count + len(self.front.visits), self.front.free)
-        self.assertEqual([visit.code for visit in resting], ["room"] * 4 + [None] * 4, "the longest idle ones went")
+            self.assertLessEqual(self.workers.links.count + len(self.front.connections), self.front.free)
+        self.assertEqual([connection.code for connection in resting], ["room"] * 4 + [None] * 4,
+                         "the longest idle ones went")
         told = b'{"id":"a","from":"w","state":"started"}'
-        sock, visit = await self.client(b"POST /callback HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(told), told))
+        sock, connection = await self.client(
+            b"POST /callback HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s" % (len(told), told))
         self.assertIn(b" 204 ", await self.answer(sock))
-        self.assertTrue(visit.worker)
-        self.assertLessEqual(self.workers.links.count + len(self.front.visits), self.front.free)
+        self.assertTrue(connection.worker)
+        self.assertLessEqual(self.workers.links.count + len(self.front.connections), self.front.free)
 
     async def test_none_is_had_where_every_client_waits_for_its_answer(self) -> None:
         self.front.free = 1
@@ -482,7 +487,7 @@
             socket.create_connection(address)
 
     async def test_one_just_accepted_is_given_time_for_its_first_call_before_the_end(self) -> None:
-        sock, visit = await self.client()
+        sock, connection = await self.client()
         self.assertFalse(self.front.quiet())
         self.assertTrue(self.front.in_use())
         await self.events.sock_sendall(sock, READY)
@@ -490,16 +495,16 @@
         _, silent = await self.client()
         with mock.patch.object(front_module, "FIRST", 0):
             self.assertTrue(self.front.quiet())
-        self.assertEqual((visit.code, silent.code), ("stopping", "stopping"))
+        self.assertEqual((connection.code, silent.code), ("stopping", "stopping"))
 
     async def test_the_end_waits_for_a_last_answer_to_arrive_but_not_for_ever(self) -> None:
         self.front.stopping = True
-        _, visit = await self.client(READY)
-        await self.until(lambda: visit.lingers is not None)
+        _, connection = await self.client(READY)
+        await self.until(lambda: connection.lingers is not None)
         self.assertFalse(self.front.quiet())
         with mock.patch.object(front_module, "LAST", 0):
             self.assertTrue(self.front.quiet())
-        self.assertEqual(visit.code, "last-answer")
+        self.assertEqual(connection.code, "last-answer")
 
 
 if __name__ == "__main__":
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -167,14 +167,14 @@
         self.assertNotIn(b"fault", self.log)
         self.assertLess(asyncio.get_running_loop().time() - since, LONGEST + MORE + SLOW)
 
-    async def visit(self, data: bytes, **more: Any) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def connect(self, data: bytes, **more: Any) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port, **more)
         self.addCleanup(writer.close)
         writer.write(data)
         return reader, writer
 
     async def call(self, data: bytes) -> tuple[int, bytes]:
-        reader, writer = await self.visit(data)
+        reader, writer = await self.connect(data)
         try:
             return await one_answer(reader)
         finally:
@@ -197,14 +197,14 @@
         await self.start(*await self.workers(6))
         body = b"x" * 60_000
         events = asyncio.get_running_loop()
-        visits, begun = {}, events.time()
+        readers, begun = {}, events.time()
         for tag, kind in (("part", "render"), ("written", "charge"), ("taken", "charge"), ("halves", "charge"),
                           ("never", "charge")):
-            visits[tag], _ = await self.visit(job(tag, kind, body))
-        for tag in visits:
+            readers[tag], _ = await self.connect(job(tag, kind, body))
+        for tag in readers:
             await asyncio.wait_for(self.event(self.came, tag).wait(), 5.0)
         call = job("body", "charge", body)
-        visits["body"], sends = await self.visit(call[:-len(body)])
+        readers["body"], sends = await self.connect(call[:-len(body)])
         small = socket.socket()
         small.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
         small.connect(("127.0.0.1", self.port))
@@ -216,10 +216,10 @@
         for tag in ("part", "written", "taken", "halves"):
             self.event(self.told, tag).set()
         sends.write(body)
-        visits["new"], _ = await self.visit(job("new", body=body))
-        answers = {tag: await self.last_answer(reader) for tag, reader in visits.items() if tag != "never"}
+        readers["new"], _ = await self.connect(job("new", body=body))
+        answers = {tag: await self.last_answer(reader) for tag, reader in readers.items() if tag != "never"}
         slow = events.time() - begun > LONGEST / 2
-        never = await self.last_answer(visits["never"])
+        never = await self.last_answer(readers["never"])
         await self.ends(since)
         rest = bytearray(begin)
         with contextlib.suppress(BlockingIOError):
@@ -238,7 +238,7 @@
 
     async def test_held_for_want_of_a_worker_it_is_declined_in_time(self) -> None:
         await self.start(ready=False)
-        reader, _ = await self.visit(job("held", "charge"))
+        reader, _ = await self.connect(job("held", "charge"))
         since = await self.tell()
         self.assertEqual((await self.last_answer(reader))[0], 503)
         await self.ends(since)
@@ -251,20 +251,20 @@
                 filler.setblocking(False)
                 filler.connect_ex(deaf.getsockname())
             await self.start("{}:{}".format(*deaf.getsockname()))
-            reader, _ = await self.visit(job("dialling", "charge"))
+            reader, _ = await self.connect(job("dialling", "charge"))
             since = await self.tell()
             self.assertEqual((await self.last_answer(reader))[0], 503)
             await self.ends(since)
 
     async def test_those_that_rest_until_the_end_and_call_in_that_moment_lose_nothing(self) -> None:
         await self.start(*await self.workers(3))
-        kept = [await self.visit(READY) for _ in range(60)]
+        kept = [await self.connect(READY) for _ in range(60)]
         for reader, _ in kept:
             self.assertEqual((await one_answer(reader))[0], 200)
         for i, (reader, writer) in enumerate(kept):
             writer.write(job(f"first{i}"))
             self.assertEqual((await one_answer(reader))[0], 200)
-        sentinel, _ = await self.visit(READY)
+        sentinel, _ = await self.connect(READY)
         await one_answer(sentinel)
         since = await self.tell()
         ended = asyncio.create_task(sentinel.read())
@@ -337,7 +337,7 @@
     async def test_signals_again_and_again_during_the_end_and_behind_it_change_nothing(self) -> None:
         where = self.stub("sitecustomize", LAST_OF_ALL)
         await self.start(*await self.workers(), env=where)
-        reader, _ = await self.visit(job("taken", "charge"))
+        reader, _ = await self.connect(job("taken", "charge"))
         await asyncio.wait_for(self.event(self.came, "taken").wait(), 5.0)
         self.program.send_signal(signal.SIGHUP)
         await self.tell()
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -303,7 +303,7 @@
         self.addCleanup(self.front.sock.close)
         self.address = self.front.sock.getsockname()
 
-    async def visit(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def connect(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await asyncio.open_connection(*self.address)
         self.addCleanup(writer.close)
         writer.write(data)
@@ -311,18 +311,18 @@
 
     async def test_at_the_limit_the_longest_idle_one_goes_and_the_new_one_is_served(self) -> None:
         ready = b"GET /ready HTTP/1.1\r\n\r\n"
-        first, _ = await self.visit(ready)
+        first, _ = await self.connect(ready)
         await first.readuntil(b"\r\n\r\n")
         for _ in range(3):
-            reader, _ = await self.visit(ready)
+            reader, _ = await self.connect(ready)
             self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
         self.assertEqual(await first.read(), b"")
         self.assertGreaterEqual(self.counters["visit_end.room"], 2)
 
     async def test_at_the_limit_one_whose_first_call_is_on_its_way_is_not_closed(self) -> None:
-        fresh = [await self.visit(b"") for _ in range(2)]
+        fresh = [await self.connect(b"") for _ in range(2)]
         await asyncio.sleep(0.02)
-        waiting, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        waiting, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         await asyncio.sleep(0.02)
         for reader, writer in fresh:
             writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
@@ -346,24 +346,24 @@
 
     async def test_a_peer_that_does_not_read_is_let_go_and_others_are_served(self) -> None:
         with mock.patch.object(front_module, "UNREAD", SECOND // 10):
-            await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+            await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
             await asyncio.sleep(0.02)
-            visit = next(iter(self.front.visits))
-            visit._put(b"x" * 30_000_000)
-            reader, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+            connection = next(iter(self.front.connections))
+            connection._put(b"x" * 30_000_000)
+            reader, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
             self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
             await asyncio.sleep(0.2)
         self.assertEqual(self.counters["visit_end.unread"], 1)
 
     async def test_too_long_a_body_is_413_even_while_the_client_is_still_writing(self) -> None:
         head = b"POST /render HTTP/1.1\r\nContent-Length: 900000\r\n\r\n"
-        reader, _ = await self.visit(head + b"x" * 900_000)
+        reader, _ = await self.connect(head + b"x" * 900_000)
         self.assertIn(b"413", await reader.readuntil(b"\r\n\r\n"))
 
     async def test_the_next_call_may_come_in_pieces_before_the_answer_to_the_first(self) -> None:
         job = (b"POST /render HTTP/1.1\r\nReq-Id: a\r\nReq-Kind: render\r\nReq-Owner: acme\r\n"
                b"Req-Deadline-Ms: 100\r\nContent-Length: 0\r\n\r\n")
-        reader, writer = await self.visit(job + b"GET /re")
+        reader, writer = await self.connect(job + b"GET /re")
         self.assertIn(b"503", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
         await asyncio.sleep(0.02)
         writer.write(b"ady HTTP/1.1\r\n\r\n")
@@ -371,23 +371,23 @@
 
     async def test_a_fault_in_one_connection_ends_that_one_alone(self) -> None:
         with mock.patch.object(self.front.desk, "take", side_effect=ZeroDivisionError):
-            reader, _ = await self.visit(b"POST /render HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+            reader, _ = await self.connect(b"POST /render HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
             self.assertEqual(await asyncio.wait_for(reader.read(), 1.0), b"")
-        reader, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        reader, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
         self.assertEqual(self.counters["visit_end.fault"], 1)
 
     async def test_a_peer_that_closes_its_side_after_the_call_still_gets_the_answer(self) -> None:
-        reader, writer = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        reader, writer = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         writer.write_eof()  # as a worker may after a callback: without the answer it would tell it again
         self.assertIn(b"200 OK", await asyncio.wait_for(reader.read(), 1.0))
 
     async def test_silence_and_half_a_call_end_in_time_and_what_is_kept_between_calls_stays(self) -> None:
         self.front.free = 20
-        kept, writer = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        kept, writer = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         await kept.readuntil(b"\r\n\r\n")
-        silent, _ = await self.visit(b"")
-        halves = [(await self.visit(half))[0] for half in (
+        silent, _ = await self.connect(b"")
+        halves = [(await self.connect(half))[0] for half in (
             b"POST /render HT", b"POST /render HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
             b"GET /ready HTTP/1.1\r\n\r\nGET /re")]
         await asyncio.sleep(0.05)
@@ -402,37 +402,37 @@
         self.assertIn(b"200 OK", await asyncio.wait_for(kept.readuntil(b"\r\n\r\n"), 1.0))
 
     async def test_a_peer_that_goes_on_sending_reads_its_answer_and_all_it_sent_took_no_memory(self) -> None:
-        reader, writer = await self.visit(b"POST /render HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n")
+        reader, writer = await self.connect(b"POST /render HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n")
         for _ in range(60):
             writer.write(b"x" * 1_000_000)
             await asyncio.wait_for(writer.drain(), 1.0)
-        visit = next(iter(self.front.visits))
-        self.assertEqual((self.front.held, len(visit.inward)), (0, 0))
+        connection = next(iter(self.front.connections))
+        self.assertEqual((self.front.held, len(connection.inward)), (0, 0))
         self.assertIn(b"413", await asyncio.wait_for(reader.read(), 1.0))
 
     async def test_bodies_that_are_short_enough_each_and_too_much_together_are_turned_away(self) -> None:
         head = b"POST /render HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"
-        first, _ = await self.visit(head + b"x" * 59_000)
+        first, _ = await self.connect(head + b"x" * 59_000)
         await asyncio.sleep(0.02)
-        second, _ = await self.visit(head + b"x" * 59_000)
+        second, _ = await self.connect(head + b"x" * 59_000)
         self.assertIn(b"503", await asyncio.wait_for(second.readuntil(b"\r\n\r\n"), 1.0))
         await asyncio.sleep(0.02)
         self.assertEqual(self.front.held, 59_000)
-        for visit in list(self.front.visits):
-            visit.end("closed")
+        for connection in list(self.front.connections):
+            connection.end("closed")
         self.assertEqual((self.front.held, first.at_eof()), (0, False))
 
     async def test_strangers_leave_before_usual_peers_whose_idle_connections_are_kept(self) -> None:
         job = (b"POST /render HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 10\r\n"
                b"Content-Length: 0\r\n\r\n")
         self.front.free = 12
-        usual, writer = await self.visit(job)
+        usual, writer = await self.connect(job)
         self.assertIn(b"503", await asyncio.wait_for(usual.readuntil(b"\r\n\r\n"), 1.0))
         for _ in range(4):
-            asked, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+            asked, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
             await asyncio.wait_for(asked.readuntil(b"\r\n\r\n"), 1.0)
-            await self.visit(b"")
-        late, _ = await self.visit(job.replace(b": a\r", b": b\r"))
+            await self.connect(b"")
+        late, _ = await self.connect(job.replace(b": a\r", b": b\r"))
         self.assertIn(b"503", await asyncio.wait_for(late.readuntil(b"\r\n\r\n"), 2.0))
         writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
         self.assertIn(b"200 OK", await asyncio.wait_for(usual.readuntil(b"\r\n\r\n"), 1.0))
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -49,7 +49,7 @@
         async with asyncio.timeout(20.0):
             while True:
                 try:
-                    return (await self.visit(data))[0]
+                    return (await self.connect(data))[0]
                 except OSError:
                     await asyncio.sleep(0.02)
 
