--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -16,8 +16,8 @@
 from pathsaddle.errors import Error
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
+from pathsaddle.net.service.txn_service import TxnService
 
 if TYPE_CHECKING:
     from pathsaddle.fleet.driver import Fellows
@@ -32,7 +32,7 @@
         self.path = path
         self.form = form  # of the log, where the command line says it
         self.charter = read(path)  # by which we serve
-        self._desk: Desk | None = None
+        self._service: TxnService | None = None
         self._fellows: Fellows | None = None
         self._file = self.charter  # what it says as far as it is in service, shared settings aside
         self._sharing: Sharing | None = None
@@ -59,24 +59,24 @@
             self.charter = self._with(self._file, acting.rows)
             self._rows = dict(acting.rows)
 
-    def desk(self, *told: Any) -> Desk:
-        self._desk = self._made(*told)
-        return self._desk
+    def service(self, *told: Any) -> TxnService:
+        self._service = self._made(*told)
+        return self._service
 
-    def _made(self, *told: Any) -> Desk:
+    def _made(self, *told: Any) -> TxnService:
         if self.charter.federation is not None:
-            from pathsaddle.federation.desk import FederatedDesk
             from pathsaddle.federation.driver import MemberProcess, ground_of
+            from pathsaddle.federation.txn_service import FederatedTxnService
             regions = self.charter.federation
             member = MemberProcess(ground_of(regions.ground), regions.member, serving=True)
-            return FederatedDesk(*told, member=member, doors=regions.doors, room=regions.room)
+            return FederatedTxnService(*told, member=member, doors=regions.doors, room=regions.room)
         if self.charter.jobs is None:
-            return Desk(*told)
-        from pathsaddle.jobs.desk import DurableDesk, Ways
+            return TxnService(*told)
         from pathsaddle.jobs.store import Store, ThreadWriter, Unusable
+        from pathsaddle.jobs.txn_service import DurableTxnService, Ways
         jobs = self.charter.jobs
         try:
-            return DurableDesk(*told, store=Store(Path(jobs.path), ThreadWriter()), ways=Ways(
+            return DurableTxnService(*told, store=Store(Path(jobs.path), ThreadWriter()), ways=Ways(
                 jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin),
                 chance=Random(self.charter.seed))
         except Unusable as fault:  # the store knows its file alone
@@ -155,8 +155,8 @@
         """Takes a checked charter into service as far as that can be, between two events; the keys that stay, each with
         the reason."""
         before, (self.charter, stays) = self.charter, in_service(self.charter, wanted)
-        if self._desk is not None:
-            retune(self._desk, before, self.charter)
+        if self._service is not None:
+            retune(self._service, before, self.charter)
         if self._fellows is not None:
             from pathsaddle.charter.fellows import dealt
             self._fellows.retune(dealt(self.charter))
--- a/pathsaddle/charter/service.py
+++ b/pathsaddle/charter/service.py
@@ -20,7 +20,7 @@
 from pathsaddle.charter.check import Amiss
 from pathsaddle.charter.form import IN_SERVICE, Charter, Customer, Scheme, changes
 from pathsaddle.charter.told import settings
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.wire import terms
 from pathsaddle.trade import Customer as Known
 from pathsaddle.trade import Scheme as Kind
@@ -115,9 +115,9 @@
     return found | {name: None for name in had if name not in names}
 
 
-def retune(desk: Desk, before: Charter, after: Charter) -> None:
-    """Takes `after` into service at the desk that serves by `before`: as `in_service` has made it, so that nothing in
-    it asks for a restart."""
+def retune(service: TxnService, before: Charter, after: Charter) -> None:
+    """Takes `after` into service where txns are served by `before`: as `in_service` has made it, so that nothing
+    in it asks for a restart."""
     schemes, customers = differing(before.schemes, after.schemes), differing(before.customers, after.customers)
     made = terms.terms(settings(replace(after, schemes=[one for one in schemes.values() if one is not None],
                                         customers=[one for one in customers.values() if one is not None])))
@@ -125,5 +125,6 @@
     kinds |= dict(zip((name for name, one in schemes.items() if one is not None), made.schemes, strict=True))
     owners: dict[str, Known | None] = dict.fromkeys(customers)
     owners |= dict(zip((name for name, one in customers.items() if one is not None), made.customers, strict=True))
-    words = desk.words.retuned(kinds, owners, after.zones)
-    desk.retune(replaced(made, schemes=list(words.schemes.values()), customers=list(words.customers.values())), words)
+    words = service.words.retuned(kinds, owners, after.zones)
+    service.retune(replaced(made, schemes=list(words.schemes.values()),
+                            customers=list(words.customers.values())), words)
--- a/pathsaddle/emulator/ground/links.py
+++ b/pathsaddle/emulator/ground/links.py
@@ -20,9 +20,9 @@
 
 from pathsaddle.emulator.ground.moments import HOST, Linked, Moments, OwnClock, Process
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.pump import Tallied
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.wire.terms import Peer, peer_of
 
 if TYPE_CHECKING:
@@ -364,13 +364,13 @@
     """What an emulated process takes from its host."""
 
     def __init__(self, host: Host, told: Callable[[], str] = lambda: "",
-                 desk: Callable[..., Desk] = Desk,
+                 service: Callable[..., TxnService] = TxnService,
                  fellows: Callable[[VirtualGround, Counters], Fellows | None] = lambda ground, counters: None) -> None:
         loop = host.net.loop
         super().__init__(Clock(loop.wall, loop.time))
         self.host = host
         self._told = told
-        self._desk = desk
+        self._service = service
         self._fellows = fellows
 
     def datagrams(self, address: str) -> tuple[socket.socket, Peer]:
@@ -384,8 +384,8 @@
         peer = peer_of(address)
         return cast(Tallied, self.host.net.stream(self.host)), peer
 
-    def desk(self, *told: Any) -> Desk:
-        return self._desk(*told)
+    def service(self, *told: Any) -> TxnService:
+        return self._service(*told)
 
     def descriptors(self) -> int:
         return len(self.host.sockets) + USUAL_DESCRIPTORS
--- a/pathsaddle/emulator/hollow/scan.py
+++ b/pathsaddle/emulator/hollow/scan.py
@@ -200,7 +200,7 @@
         return read - begun, time.thread_time_ns() - read
 
     def follows(self, news: ListNews, rows: Iterable[Row]) -> None:
-        """As the service's desk does it."""
+        """As the txn service does it."""
         told_now = []
         for row in rows:
             known = self.known.setdefault(row.worker.tag, row.worker)
--- a/pathsaddle/emulator/judges/mutants.py
+++ b/pathsaddle/emulator/judges/mutants.py
@@ -17,12 +17,12 @@
 from pathsaddle.fleet.members import Membership
 from pathsaddle.fleet.purse import Purse
 from pathsaddle.fleet.wire import Row
-from pathsaddle.jobs import desk, life
+from pathsaddle.jobs import life, txn_service
 from pathsaddle.jobs.call import key_of
-from pathsaddle.jobs.desk import DurableDesk
 from pathsaddle.jobs.life import Kind, Next, Record, Word, after_restart
 from pathsaddle.jobs.store import Accepted
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.jobs.txn_service import DurableTxnService
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.trade import SECOND, Outcome, Posting, Semantics, Standing, Txn
 
 Patches = list[Any]
@@ -36,9 +36,9 @@
 
 def _posts_after_the_answer() -> Patches:
     """A txn that has its answer is posted once more."""
-    answer = Desk._answer
+    answer = TxnService._answer
 
-    def again(self: Desk, txn: Txn, kind: str, *args: Any, **more: Any) -> None:
+    def again(self: TxnService, txn: Txn, kind: str, *args: Any, **more: Any) -> None:
         entry = self.ledger[txn.tag]
         answer(self, txn, kind, *args, **more)
         if kind == "settled" and txn.postings and not self.stopping:
@@ -49,7 +49,7 @@
                 with contextlib.suppress(Exception):
                     await self.workers.call(worker.tag, "POST", target, head, entry.call.body)
             self._events.call_later(0.2, lambda: self._start(stray()))
-    return [mock.patch.object(Desk, "_answer", again)]
+    return [mock.patch.object(TxnService, "_answer", again)]
 
 
 def _repeats_outside_the_group() -> Patches:
@@ -96,14 +96,14 @@
 
 def _ignores_drains() -> Patches:
     """What the list says of a worker that leaves is not heard."""
-    listed = Desk.listed
+    listed = TxnService.listed
 
-    def deaf(self: Desk, news: Any, rows: Any) -> None:
+    def deaf(self: TxnService, news: Any, rows: Any) -> None:
         for row in rows:
             if row.worker.standing is Standing.DRAINING:
                 row.worker.standing = Standing.READY
         listed(self, news, rows)
-    return [mock.patch.object(Desk, "listed", deaf)]
+    return [mock.patch.object(TxnService, "listed", deaf)]
 
 
 def _floods_the_cold() -> Patches:
@@ -115,9 +115,9 @@
 
 def _answers_late() -> Patches:
     """A reversal is held back until its client's expiry has passed."""
-    reverse = Desk.reverse
+    reverse = TxnService.reverse
 
-    def held(self: Desk, txn: Txn) -> None:
+    def held(self: TxnService, txn: Txn) -> None:
         entry = self.ledger[txn.tag]
 
         def now() -> None:
@@ -125,61 +125,61 @@
                 self.ledger._entries[txn.tag] = entry
                 reverse(self, txn)
         self._events.call_later(max(0, txn.expires - self.clock.now() + SECOND // 10) / SECOND, now)
-    return [mock.patch.object(Desk, "reverse", held)]
+    return [mock.patch.object(TxnService, "reverse", held)]
 
 
 def _loses_some() -> Patches:
     """Now and then nobody gets the answer."""
-    answer = Desk._answer
+    answer = TxnService._answer
 
-    def lost(self: Desk, txn: Txn, kind: str, *args: Any, **more: Any) -> None:
+    def lost(self: TxnService, txn: Txn, kind: str, *args: Any, **more: Any) -> None:
         if kind == "settled" and sum(map(ord, txn.tag)) % 50 == 0:
             self.ledger[txn.tag].answer = None
         answer(self, txn, kind, *args, **more)
-    return [mock.patch.object(Desk, "_answer", lost)]
+    return [mock.patch.object(TxnService, "_answer", lost)]
 
 
 def _makes_answers_up() -> Patches:
     """What ended in an error is answered as settled."""
-    def settled(self: Desk, txn: Txn) -> None:
+    def settled(self: TxnService, txn: Txn) -> None:
         self._answer(txn, "settled", 200, b"done")
-    return [mock.patch.object(Desk, "reverse", settled)]
+    return [mock.patch.object(TxnService, "reverse", settled)]
 
 
 def _says_never_sent() -> Patches:
     """A connection that broke after the last byte is taken for one that never came up."""
-    end = Desk._end
+    end = TxnService._end
 
-    def unsure(self: Desk, exchange: Any, outcome: Outcome, *args: Any) -> None:
+    def unsure(self: TxnService, exchange: Any, outcome: Outcome, *args: Any) -> None:
         doubt = outcome in (Outcome.RESET, Outcome.ERROR)
         end(self, exchange, Outcome.UNCONNECTED if doubt else outcome, *args)
-    return [mock.patch.object(Desk, "_end", unsure)]
+    return [mock.patch.object(TxnService, "_end", unsure)]
 
 
 def _records_after_sending() -> Patches:
     """The intent is written while the posting is on its way already."""
-    put = DurableDesk._surely
+    put = DurableTxnService._surely
 
-    async def later(self: DurableDesk, until: int, *writes: Any) -> bool:
+    async def later(self: DurableTxnService, until: int, *writes: Any) -> bool:
         if isinstance(writes[0], Record) and writes[0].kind is Kind.INTENT:
             self._events.call_later(1.0, lambda: self._start(put(self, FAR, *writes)))
             return True
         return await put(self, until, *writes)
-    return [mock.patch.object(DurableDesk, "_surely", later)]
+    return [mock.patch.object(DurableTxnService, "_surely", later)]
 
 
 def _answers_before_recording() -> Patches:
     """The final answer is told, and written a second later."""
-    ending = DurableDesk._ending
+    ending = DurableTxnService._ending
 
-    async def told_first(self: DurableDesk, kept: Any, record: Any, pending: Any, tell: Any) -> None:
+    async def told_first(self: DurableTxnService, kept: Any, record: Any, pending: Any, tell: Any) -> None:
         kept.pending = None
         tell(True)
         self._changed(kept)
         pending.set_result(None)
         await asyncio.sleep(1.0)
         await ending(self, kept, record, pending, lambda fine: None)
-    return [mock.patch.object(DurableDesk, "_ending", told_first)]
+    return [mock.patch.object(DurableTxnService, "_ending", told_first)]
 
 
 def _checks_no_lease() -> Patches:
@@ -192,16 +192,16 @@
 def _forgets_keys() -> Patches:
     """A submission under a known key is another job."""
     count = itertools.count()
-    return [mock.patch.object(desk, "key_of", lambda call: f"{key_of(call)}-{next(count)}")]
+    return [mock.patch.object(txn_service, "key_of", lambda call: f"{key_of(call)}-{next(count)}")]
 
 
 def _loses_the_accepted() -> Patches:
     """The client is told that its job is taken on, and nothing of it is on disk."""
-    put = DurableDesk._put
+    put = DurableTxnService._put
 
-    def nothing(self: DurableDesk, *writes: Any) -> Any:
+    def nothing(self: DurableTxnService, *writes: Any) -> Any:
         return put(self, *(write for write in writes if not isinstance(write, Accepted)))
-    return [mock.patch.object(DurableDesk, "_put", nothing)]
+    return [mock.patch.object(DurableTxnService, "_put", nothing)]
 
 
 def _forgets_the_others() -> Patches:
@@ -221,11 +221,11 @@
 
 def _hears_drains_late() -> Patches:
     """The list's news is taken up two seconds after it was told."""
-    listed = Desk.listed
+    listed = TxnService.listed
 
-    def late(self: Desk, news: Any, rows: Any) -> None:
+    def late(self: TxnService, news: Any, rows: Any) -> None:
         self._events.call_later(2.0, listed, self, news, rows)
-    return [mock.patch.object(Desk, "listed", late)]
+    return [mock.patch.object(TxnService, "listed", late)]
 
 
 def _ignores_lives() -> Patches:
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -27,7 +27,7 @@
 from pathsaddle.emulator.served.roster import Roster
 from pathsaddle.emulator.served.workers import Memories, Worker
 from pathsaddle.emulator.served.world import TICKS, Hosts, Sites, SocketSites, VirtualSites, World
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 
 if TYPE_CHECKING:  # earlier commits of ours, over which this is laid, have no jobs
     from pathsaddle.emulator.membership.stage import MembersStage
@@ -196,7 +196,7 @@
         from pathsaddle.net.service.start import Dispatcher
         from pathsaddle.net.wire.birth import birth
         ground = VirtualGround(host, lambda: json.dumps(self.told[dispatcher]),
-                               lambda *told: self._desk(dispatcher, *told),
+                               lambda *told: self._service(dispatcher, *told),
                                lambda ground, counters: self._fellows(dispatcher, ground, counters))
         try:
             await Dispatcher(birth(ground.told()), ground).run()
@@ -210,18 +210,18 @@
             return None
         return self.fleet.fellows(dispatcher, ground, counters, self.sites.zone_of(dispatcher))
 
-    def _desk(self, dispatcher: int, *told: Any) -> Desk:
+    def _service(self, dispatcher: int, *told: Any) -> TxnService:
         jobs = self.world.charter.jobs
         if jobs is None:
-            return Desk(*told)
-        from pathsaddle.jobs.desk import DurableDesk, Ways
+            return TxnService(*told)
         from pathsaddle.jobs.store import DiskWriter, Store
+        from pathsaddle.jobs.txn_service import DurableTxnService, Ways
         self.lives += 1
         chance = self.world.chance(f"disk {dispatcher} {self.lives}")
         disk = self.disks[dispatcher] = DiskWriter(self.net.loop, chance, self.world.plan.fleet.sync / TICKS)
         store = self.stores[dispatcher] = Store(Path(self.folder.name) / f"d{dispatcher}.db", disk, lock=False,
                                                 sync="OFF")
-        return DurableDesk(*told, store=store, chance=chance, ways=Ways(
+        return DurableTxnService(*told, store=store, chance=chance, ways=Ways(
             jobs.lease, jobs.retention, jobs.longest_poll, jobs.recover_within, jobs.margin))
 
     def _pull_the_plug(self, dispatcher: int) -> None:
--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/txn_service.py
@@ -1,8 +1,8 @@
 """The door of a dispatcher that may send jobs to another region, and takes some from there.
 
-It stands in the plain Desk's place where the charter has a `[federation]` table. All is decided as ever; only
-what would be declined here, which proves that nothing of it ran, is offered to the other regions that the
-spec allows, by a client's call at one of their doors. Its answer is the answer. A decline from there, or a
+It stands in the plain TxnService's place where the charter has a `[federation]` table. All is decided as
+ever; only what would be declined here, which proves that nothing of it ran, is offered to the other regions that
+the spec allows, by a client's call at one of their doors. Its answer is the answer. A decline from there, or a
 call whose last byte did not go out, proves that nothing ran there either; silence doesn't: then it is
 declined only if it may be repeated, and fails otherwise.
 
@@ -27,7 +27,7 @@
 from pathsaddle.net.memory.ledger import Answer, Entry, Exchange, Sending
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Message
@@ -59,7 +59,7 @@
         return self.sending is not None and self.sending.whole
 
 
-class FederatedDesk(Desk):
+class FederatedTxnService(TxnService):
     """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing
     is lent; a region's members' rooms together are what it can do at once."""
 
--- a/pathsaddle/jobs/desk.py
+++ b/pathsaddle/jobs/txn_service.py
@@ -1,8 +1,8 @@
 """The door with a store behind it: the same decisions, but each step is on disk before the next byte leaves.
 
-It stands in the plain Desk's place where the charter has a `[jobs]` table. What it does is told by `life`, which
-knows no I/O; what it posts, and to whom, is decided by Choice as ever. While the store can't be written new jobs
-are declined at once with the reason, what is open goes on, and the log says so.
+It stands in the plain TxnService's place where the charter has a `[jobs]` table. What it does is told by `life`,
+which knows no I/O; what it posts, and to whom, is decided by Choice as ever. While the store can't be written new
+jobs are declined at once with the reason, what is open goes on, and the log says so.
 """
 
 from __future__ import annotations
@@ -24,7 +24,7 @@
 from pathsaddle.net.memory.ledger import Answer, Entry, Exchange, Whole
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.wire.forms import Callback, Words
 from pathsaddle.net.wire.http import Broken, Message
@@ -74,7 +74,7 @@
         return self.job.changes - (self.pending is not None)
 
 
-class DurableDesk(Desk):
+class DurableTxnService(TxnService):
     def __init__(self, *told: Any, store: Store, ways: Ways, chance: Random) -> None:
         # First of all: where the store can't be had nothing has been asked of the event loop yet.
         self.born_with: list[tuple[Accepted, Job]] = store.open()
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -11,8 +11,8 @@
 from pathsaddle.net.memory.ledger import Entry
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.pump import Opening, Tallied, drain, stream, tallied
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Called, Message
 from pathsaddle.net.wire.ring import Ring
@@ -182,19 +182,19 @@
         try:
             path = call.target.partition(b"?")[0]
             if path == forms.READY:
-                self._answer(200 if self.front.desk.ready else 503)
-            elif call.method != b"POST" and not self.front.desk.takes(call):
+                self._answer(200 if self.front.service.ready else 503)
+            elif call.method != b"POST" and not self.front.service.takes(call):
                 raise Broken(405, "jobs come by POST")
             elif path == forms.CALLBACK:
-                told = self.front.desk.words.callback(call.body)
-                if told.worker in self.front.desk.known:
+                told = self.front.service.words.callback(call.body)
+                if told.worker in self.front.service.known:
                     self.worker = True
                     self.front.knows(self)
-                self.front.desk.heard(told, self.answer)
+                self.front.service.heard(told, self.answer)
             else:
                 # The answer may come before take() returns.
                 self.entry = None
-                entry = self.front.desk.take(call, self.answer)
+                entry = self.front.service.take(call, self.answer)
                 self.front.knows(self)
                 if entry is not None and entry.answer is not None:
                     self.entry = entry
@@ -292,7 +292,7 @@
         self._events.call_soon(self._close)
         entry, self.entry = self.entry, None
         if entry is not None:
-            self.front.desk.hang_up(entry)
+            self.front.service.hang_up(entry)
 
     def _close(self) -> None:
         try:
@@ -303,9 +303,9 @@
 
 
 class Front:
-    def __init__(self, listen: str, free: int, room: Room, desk: Desk, clock: Clock,
+    def __init__(self, listen: str, free: int, room: Room, service: TxnService, clock: Clock,
                  counters: Counters, opening: Opening = stream) -> None:
-        self.desk = desk
+        self.service = service
         self.clock = clock
         self.counters = counters
         self.free = free  # descriptors for accepted connections and for those to workers
@@ -334,7 +334,7 @@
                 logbook.accept_failed(why=fault)
                 # Nobody pays with his connection for a peer that went before it was accepted.
                 if code in FULL and not self.make_room():
-                    self.desk.workers.links.let_go_oldest()
+                    self.service.workers.links.let_go_oldest()
                 if code not in ITS_OWN:
                     await asyncio.sleep(seconds(NO_ROOM))
                 continue
@@ -369,7 +369,7 @@
     @property
     def most(self) -> int:
         """What links to workers do not hold, or may yet, as far as memory allows."""
-        links = self.desk.workers.links
+        links = self.service.workers.links
         return min(self.room.connections, self.free - max(links.most, links.count))
 
     def make_room(self) -> bool:
@@ -392,9 +392,9 @@
         """Whether there is one for a connection to a worker that is not counted yet; if need be, an idle client's is
         closed for it. The first connection to each worker may always come up, beyond `links.most`: without this they
         and clients' together could pass what we have. The kernel gets it back a turn later, out of SPARE till then."""
-        if self.desk.workers.links.count + len(self.connections) >= self.free:
+        if self.service.workers.links.count + len(self.connections) >= self.free:
             self.make_room()
-        return self.desk.workers.links.count + len(self.connections) < self.free
+        return self.service.workers.links.count + len(self.connections) < self.free
 
     def knows(self, connection: ClientConnection) -> None:
         self.strangers.pop(connection, None)
--- a/pathsaddle/net/service/ground.py
+++ b/pathsaddle/net/service/ground.py
@@ -14,7 +14,7 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import pump
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.wire.birth import WHERE, Unreadable, moved_to
 from pathsaddle.net.wire.terms import Peer
 
@@ -48,9 +48,9 @@
         """Our place among other dispatchers, where the operator wants one."""
         return None
 
-    def desk(self, *told: Any) -> Desk:
+    def service(self, *told: Any) -> TxnService:
         """The door behind which txns are decided; one with a store where the operator wants it."""
-        return Desk(*told)
+        return TxnService(*told)
 
     def descriptors(self) -> int:
         """How many are in use."""
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/roster.py
@@ -7,8 +7,8 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.pump import Opening, Tallied, outgoing, stream
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import MOST_RECORD, Broken, Calling
 from pathsaddle.net.wire.ring import Ring
@@ -62,10 +62,11 @@
             if self.lines or self.known or record.strip():  # no beat stands for a whole list
                 self.lines, self.heard = self.lines + 1, asyncio.get_running_loop().time()
             if record.strip():
-                self.roster.index, news, rows = self.roster.desk.words.list_line(record)
-                self.roster.desk.listed(news, rows)
+                self.roster.index, news, rows = self.roster.service.words.list_line(record)
+                self.roster.service.listed(news, rows)
             elif self.lines:
-                self.roster.desk.listed(ListNews.CHANGES, [])  # nothing has changed since our version, or the line before
+                # Nothing has changed since our version, or the line before.
+                self.roster.service.listed(ListNews.CHANGES, [])
 
     def read_out(self) -> bool:
         """What has reached us by now is what was told, also what the kernel has handed over while its reader has not
@@ -88,12 +89,12 @@
 
 
 class Roster:
-    def __init__(self, address: str, index: int, desk: Desk, counters: Counters,
+    def __init__(self, address: str, index: int, service: TxnService, counters: Counters,
                  opening: Opening = stream) -> None:
         self.opening = opening
         self.address = address
         self.index = index  # the version of the list that we hold
-        self.desk = desk
+        self.service = service
         self.counters = counters
         self._watch: Watch | None = None
         self._task: asyncio.Task[None] | None = None
@@ -120,7 +121,7 @@
         if address != self.address:
             self.stop("moved")
             self.address, self.index = address, 0
-            self.desk.listed(ListNews.MOVED, [])
+            self.service.listed(ListNews.MOVED, [])
 
     def stop(self, why: str) -> None:
         watch, self._watch = self._watch, None
@@ -156,7 +157,7 @@
             if sock is not None:
                 asyncio.get_running_loop().call_soon(sock.close)
         self._watch = None
-        self.desk.listed(ListNews.SILENT if code in ("silent", "unanswered") else ListNews.FAILED, [])
+        self.service.listed(ListNews.SILENT if code in ("silent", "unanswered") else ListNews.FAILED, [])
 
     async def _listen(self, sock: Tallied, peer: tuple[str, int], begun: float) -> str:
         """Until the watch ends; says how."""
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -47,13 +47,13 @@
                     int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
         self.workers = Workers(told.reach, free // 4, self.clock, self.counters, ground.stream)
         told.terms.most_open = min(told.terms.most_open, min(room.connections, free - free // 4) * 3 // 4)
-        self.desk = ground.desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
-                         lambda: self.roster.ask())
-        self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
-        self.desk.catch_up = self.roster.catch_up
-        self.desk.listed(ListNews.REMEMBERED, told.rows)
+        self.service = ground.service(told.terms, told.words, told.seed, self.clock, self.workers,
+                                      self.counters, lambda: self.roster.ask())
+        self.roster = Roster(told.discovery, told.index, self.service, self.counters, ground.stream)
+        self.service.catch_up = self.roster.catch_up
+        self.service.listed(ListNews.REMEMBERED, told.rows)
         try:
-            self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
+            self.front = Front(told.listen, free, room, self.service, self.clock, self.counters,
                                ground.stream)
         except (OSError, ValueError) as fault:
             from pathsaddle.net.service.place import unhad
@@ -72,26 +72,26 @@
         if self.fellows is not None:
             self.fellows.begin()  # first: where its control address can't be had, we never said that we serve
         logbook.serving()
-        beginning = events.create_task(self.desk.begin())
+        beginning = events.create_task(self.service.begin())
         watching = events.create_task(self._look_after())
         await self._stop.wait()
         await self._finish()
         watching.cancel()
         beginning.cancel()
-        await self.desk.finish()
+        await self.service.finish()
         if self.fellows is not None:
             self.fellows.end()
         self.report()
 
     async def _finish(self) -> None:
-        logbook.stopping(unanswered=len(self.desk.ledger.unanswered()))
+        logbook.stopping(unanswered=len(self.service.ledger.unanswered()))
         if self.fellows is not None:
             self.fellows.leave()
-        schemes = (*self.desk.words.schemes.values(), *self.desk.ledger.schemes())
+        schemes = (*self.service.words.schemes.values(), *self.service.ledger.schemes())
         longest = min(LONGEST, max((scheme.expiry for scheme in schemes), default=LONGEST))
         begun = self.clock.now()
         by = begun + longest + LATER
-        self.desk.stop(by)
+        self.service.stop(by)
         # Clients go on with the connections they have, and nobody else may be there for them: closed at once,
         # four in ten txns of a zone with one dispatcher failed until the next was ready.
         while self.clock.now() < begun + longest and (
@@ -103,14 +103,14 @@
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         await self.front.shut()
         # Whoever waited in the kernel's queue is answered, and no more than that: nothing is begun any more.
-        self.desk.stop(min(by, self.clock.now()))
+        self.service.stop(min(by, self.clock.now()))
         while not self.front.quiet() and self.clock.now() < by + LAST_BYTES:
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
-        logbook.stopped(unanswered=len(self.desk.ledger.unanswered()))
+        logbook.stopped(unanswered=len(self.service.ledger.unanswered()))
         self.roster.stop("stopping")
         for connection in list(self.front.connections):
             connection.end("stopping")
-        for worker in self.desk.known:
+        for worker in self.service.known:
             self.workers.links.drop_idle(worker, "stopping")
 
     async def _look_after(self) -> None:
--- a/pathsaddle/net/service/desk.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -31,7 +31,7 @@
     """Between the order and the first byte the reason to send has gone."""
 
 
-class Desk:
+class TxnService:
     def __init__(self, terms: Terms, words: Words, seed: int, clock: Clock, workers: Workers,
                  counters: Counters, watch: Callable[[], None]) -> None:
         self.two_at_once = terms.two_at_once
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -14,10 +14,10 @@
 from pathsaddle.net.service import front as front_module
 from pathsaddle.net.service import start as start_module
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.front import ClientConnection, Front, Room
 from pathsaddle.net.service.pump import Tallied
 from pathsaddle.net.service.start import Dispatcher
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Workers
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Callback, Row, Words
@@ -69,10 +69,11 @@
         self.counters, clock = Counters(), Clock()
         known = terms.terms(SETTINGS)
         self.workers = Workers(Reach(2000, 60_000), 8, clock, self.counters)
-        self.desk = Desk(known, Words(SETTINGS, known), 7, clock, self.workers, self.counters, lambda: None)
+        self.service = TxnService(known, Words(SETTINGS, known), 7, clock, self.workers, self.counters,
+                                  lambda: None)
         self.address = await self.peer(self.silent)
         self.listed()
-        self.front = Front("127.0.0.1:0", 20, Room(20, 100_000), self.desk, clock, self.counters)
+        self.front = Front("127.0.0.1:0", 20, Room(20, 100_000), self.service, clock, self.counters)
         self.addCleanup(self.front.sock.close)
         self.events = asyncio.get_running_loop()
 
@@ -101,11 +102,11 @@
         return sock, connection
 
     def listed(self) -> None:
-        self.desk.listed(ListNews.WHOLE, [Row(Worker("w"), self.address)])
+        self.service.listed(ListNews.WHOLE, [Row(Worker("w"), self.address)])
 
     def done(self, tag: str, result: bytes = b"!") -> None:
         """As the worker's callback tells it."""
-        self.desk.called_back(Callback(tag, "w", "done", Outcome.SETTLED, False, False, 0.0, result, None))
+        self.service.called_back(Callback(tag, "w", "done", Outcome.SETTLED, False, False, 0.0, result, None))
 
     async def until(self, holds: Callable[[], bool]) -> None:
         async with asyncio.timeout(10.0):
@@ -222,7 +223,7 @@
     async def test_a_few_calls_behind_a_waiting_one_are_served_in_their_order(self) -> None:
         sock, _ = await self.client(job("a") + job("b") + READY)
         for tag in ("a", "b"):
-            await self.until(lambda tag=tag: tag in self.desk.ledger)  # type: ignore[misc]
+            await self.until(lambda tag=tag: tag in self.service.ledger)  # type: ignore[misc]
             await self.until(lambda: self.counters["posting.sent"] == self.counters["txn.taken"])
             self.done(tag, tag.encode())
         came = b""
@@ -231,7 +232,7 @@
         self.assertLess(came.index(b"\r\n\r\na"), came.index(b"\r\n\r\nb"))
 
     async def test_nothing_of_one_that_left_while_it_was_held_is_posted_once_there_is_a_worker(self) -> None:
-        self.desk.listed(ListNews.WHOLE, [])
+        self.service.listed(ListNews.WHOLE, [])
         sock, _ = await self.client(job("a") + job("b"))
         await self.until(lambda: self.counters["txn.taken"] == 1)
         sock.close()
@@ -280,11 +281,11 @@
     async def test_of_two_answers_due_in_one_moment_one_goes_out(self) -> None:
         sock, _ = await self.client(job("a"))
         await self.until(lambda: self.counters["posting.sent"] == 1)
-        entry = self.desk.ledger["a"]
+        entry = self.service.ledger["a"]
         self.done("a", b"first")
         self.done("a", b"second")
-        self.desk._late(entry.exchanges[0])
-        self.desk.hang_up(entry)
+        self.service._late(entry.exchanges[0])
+        self.service.hang_up(entry)
         await self.events.sock_sendall(sock, READY)
         came = await self.answer(sock)
         while came.count(b"HTTP/1.1") < 2:
@@ -446,7 +447,7 @@
     async def finish(self, then: Callable[[], Any]) -> None:
         """The end of a dispatcher that was told so; in its last moment this happens."""
         dispatcher = Dispatcher.__new__(Dispatcher)
-        dispatcher.clock, dispatcher.desk, dispatcher.front = self.desk.clock, self.desk, self.front
+        dispatcher.clock, dispatcher.service, dispatcher.front = self.service.clock, self.service, self.front
         dispatcher.workers, dispatcher.roster, dispatcher.fellows = self.workers, mock.Mock(), None
         dispatcher.longest = SECOND
         quiet, moments = self.front.quiet, iter((then,))
--- a/tests/test_hollow_workers.py
+++ b/tests/test_hollow_workers.py
@@ -213,13 +213,13 @@
         self.heard: list[tuple[ListNews, list[str]]] = []
         given = settings(CHARTER)
 
-        class Desk:
+        class TxnService:
             words = Words(given, terms.terms(given))
 
-            def listed(desk, news, rows) -> None:
+            def listed(service, news, rows) -> None:
                 self.heard.append((news, [row.worker.tag for row in rows]))
                 self.rows = rows
-        self.roster = roster = Roster(await told.open(), index, Desk(), Counters())
+        self.roster = roster = Roster(await told.open(), index, TxnService(), Counters())
         self.roster.ask()
         self.addCleanup(roster.stop, "over")
         await self.until(lambda: self.heard)
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -102,4 +102,4 @@
                   "def one():\n    from pathsaddle.cli import main\nimport pathsaddle.trade\n")
         loaded, later = imports(source, self.known)
         self.assertEqual((loaded, later), ({"emulator.stage", "trade"}, {"cli.main"}))
-        self.assertEqual(upward("net.service.desk", loaded | later), ["emulator.stage", "cli.main"])
+        self.assertEqual(upward("net.service.txn_service", loaded | later), ["emulator.stage", "cli.main"])
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -16,7 +16,6 @@
 from pathsaddle.emulator.ground.links import Host, Net
 from pathsaddle.emulator.ground.moments import Moments
 from pathsaddle.jobs import life, model
-from pathsaddle.jobs.desk import DurableDesk, Ways
 from pathsaddle.jobs.life import End, Impossible, Job, Kind, Next, Record, Word
 from pathsaddle.jobs.store import (
     MIGRATIONS,
@@ -31,6 +30,7 @@
     rows,
     verify,
 )
+from pathsaddle.jobs.txn_service import DurableTxnService, Ways
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.ledger import Whole
 from pathsaddle.net.service.clock import Clock
@@ -211,7 +211,7 @@
 class Played:
     """Workers as the story has them: what was posted, what is asked, what is answered."""
 
-    def __init__(self, story: "DeskStory") -> None:
+    def __init__(self, story: "TxnServiceStory") -> None:
         self.story = story
         self.connect_within = SECOND
         self.posted: list[tuple[str, str, int]] = []  # worker, job, lease
@@ -247,8 +247,8 @@
         return Message(status=202)
 
 
-class DeskStory(unittest.TestCase):
-    """A desk on the virtual loop with a disk that loses what was not synced."""
+class TxnServiceStory(unittest.TestCase):
+    """A durable txn service on the virtual loop with a disk that loses what was not synced."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -270,9 +270,10 @@
         self.disk = DiskWriter(self.loop, Random(1), sync)
         self.store = Store(self.path, self.disk, lock=False, sync="OFF")
         known = terms.terms(TOLD)
-        self.desk = DurableDesk(known, Words(TOLD, known), 7, Clock(self.wall, self.loop.time), self.played,
-                                Counters(), lambda: None, store=self.store, ways=WAYS, chance=Random(1))
-        self.desk.listed(ListNews.WHOLE, [Row(Worker(f"w{i}"), "x:1") for i in range(workers)])
+        self.service = DurableTxnService(
+            known, Words(TOLD, known), 7, Clock(self.wall, self.loop.time), self.played, Counters(), lambda: None,
+            store=self.store, ways=WAYS, chance=Random(1))
+        self.service.listed(ListNews.WHOLE, [Row(Worker(f"w{i}"), "x:1") for i in range(workers)])
 
     def starts(self, **more: Any) -> None:
         self.host = Host(self.net, "d")
@@ -280,7 +281,7 @@
 
     def begins(self) -> None:
         assert self.host is not None
-        self.host.run(self.desk.begin)
+        self.host.run(self.service.begin)
         self.passes(0.5)
 
     def dies(self) -> None:
@@ -313,9 +314,9 @@
         async def take() -> None:
             try:
                 if target == b"/callback":
-                    self.desk.heard(self.desk.words.callback(body), answer)
+                    self.service.heard(self.service.words.callback(body), answer)
                 else:
-                    self.desk.take(message, answer)
+                    self.service.take(message, answer)
             except Broken as fault:
                 told.append((fault.status, {"why": str(fault)}))
         self.do(take())
@@ -336,7 +337,7 @@
             {"id": tag, "from": worker, "state": state, "result": "r"}).encode())[0]
 
     def submitted(self, **more: Any) -> str:
-        """A started desk with one job out at w0."""
+        """A started one with one job out at w0."""
         self.starts(**more)
         self.begins()
         status, told = self.submit()
@@ -376,7 +377,7 @@
 
         async def twice() -> None:
             for _ in range(2):
-                self.desk.take(message, lambda status, *_: said.append(status))
+                self.service.take(message, lambda status, *_: said.append(status))
         self.do(twice())
         self.passes(0.2)
         self.assertEqual(said, [503, 503])
@@ -436,7 +437,7 @@
         with mock.patch.dict(TOLD, gone):
             self.starts()
             self.begins()
-        self.assertTrue(self.desk.recovered)
+        self.assertTrue(self.service.recovered)
         self.assertEqual(self.status(tag)["state"], "leased")
 
     def test_a_fence_for_another_lease_says_nothing(self) -> None:
@@ -455,11 +456,12 @@
         self.assertEqual(self.call(b"GET", f"/jobs/{tag}".encode())[0], 503, "recovering: said at once")
         self.assertEqual(self.submit("other")[0], 503)
         during: list[int] = []
-        told = self.desk.words.callback(json.dumps({"id": tag, "from": "w0", "state": "done", "result": "r"}).encode())
+        told = self.service.words.callback(
+            json.dumps({"id": tag, "from": "w0", "state": "done", "result": "r"}).encode())
         self.do(asyncio.sleep(0))
 
         async def comes() -> None:
-            self.desk.heard(told, lambda status, *_: during.append(status))
+            self.service.heard(told, lambda status, *_: during.append(status))
         self.do(comes())
         self.played.words["w0"] = {"state": "running"}
         self.begins()
@@ -488,7 +490,7 @@
         self.assertEqual(self.back(tag, worker=first), 204)
         self.assertEqual(self.status(tag)["state"], "settled")
         self.assertEqual(self.back(tag, worker=second), 204)
-        self.assertEqual(self.desk.counters["jobs.settled"], 1)
+        self.assertEqual(self.service.counters["jobs.settled"], 1)
 
     def test_a_cancel_that_was_on_its_way_when_we_died(self) -> None:
         tag = self.submitted()
@@ -579,7 +581,7 @@
                           lines=list(head.items()), body=b"b")
 
         async def take() -> None:
-            self.desk.take(message, lambda status, *_: answers.append((status, self.loop.time())))
+            self.service.take(message, lambda status, *_: answers.append((status, self.loop.time())))
         begun = self.loop.time()
         self.do(take())
         self.passes(0.3)
@@ -607,7 +609,7 @@
         self.assertEqual(self.submit("third")[1]["why"], "the store is another process's now")
         self.passes(1.0)
         self.assertEqual(len(self.played.posted), 1)
-        self.assertFalse(self.desk.ready)
+        self.assertFalse(self.service.ready)
 
     def test_a_hundred_thousand_open_jobs_are_taken_up_in_time(self) -> None:
         self.starts()
@@ -620,9 +622,10 @@
         self.dies()
         self.starts()
         self.begins()
-        self.assertTrue(self.desk.recovered)
+        self.assertTrue(self.service.recovered)
         self.assertGreater(len(self.played.posted), 0)
-        self.assertLessEqual(self.desk.live, 512, "the others wait in order, and cost the decisions nothing")
+        self.assertLessEqual(self.service.live, 512,
+                             "the others wait in order, and cost the decisions nothing")
         self.passes(12.0)
         with contextlib.suppress(Exception):
             self.dies()
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -80,7 +80,7 @@
         self.ends, self.counters = asyncio.Event(), Counters()
         story = self
 
-        class Desk:
+        class TxnService:
             words = Words(SETTINGS, terms.terms(SETTINGS))
 
             def listed(self, news: ListNews, rows: list[Row]) -> None:
@@ -105,7 +105,8 @@
         self.place, self.other = Place(), Place()
         self.addCleanup(self.place.close)
         self.addCleanup(self.other.close)
-        self.roster = Roster(self.place.address, 4, Desk(), self.counters, opening)  # type: ignore[arg-type]
+        self.roster = Roster(
+            self.place.address, 4, TxnService(), self.counters, opening)  # type: ignore[arg-type]
         self.addAsyncCleanup(self.over)
 
     async def over(self) -> None:
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -24,8 +24,8 @@
 from pathsaddle.fleet.purse import SECOND as TICKS
 from pathsaddle.fleet.state.limiter import WINDOW, Dealt, Limiter
 from pathsaddle.fleet.state.shares import Back, Lend, Loan, Want
-from pathsaddle.jobs.desk import DurableDesk, Ways
 from pathsaddle.jobs.store import Store, ThreadWriter
+from pathsaddle.jobs.txn_service import DurableTxnService, Ways
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service.clock import Clock
 from pathsaddle.net.wire.birth import birth
@@ -34,9 +34,9 @@
 from pathsaddle.settings import applied
 from pathsaddle.trade import SECOND, ListNews, Outcome, Worker
 from tests.fakehost import FakeHost, scheme
-from tests.test_desk import PlayedWorkers
 from tests.test_program import ROOT
 from tests.test_shutdown import Shutdown, job, one_answer
+from tests.test_txn_service import PlayedWorkers
 
 BASE: dict[str, Any] = {
     "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "schemes": [
@@ -51,7 +51,7 @@
 
 
 class ServiceStory(unittest.IsolatedAsyncioTestCase):
-    """A charter's ground with a desk, no socket open."""
+    """A charter's ground with a txn service, no socket open."""
 
     def setUp(self) -> None:
         folder = tempfile.TemporaryDirectory()
@@ -67,8 +67,9 @@
         born = birth(self.ground.told())
         self.played: Any = PlayedWorkers()
         self.answers: list[tuple[int, bytes]] = []
-        self.desk = self.ground.desk(born.terms, born.words, 7, Clock(), self.played, Counters(), lambda: None)
-        self.desk.listed(ListNews.WHOLE, [Row(Worker(f"w{n}"), "x:1") for n in range(4)])
+        self.service = self.ground.service(born.terms, born.words, 7, Clock(), self.played, Counters(),
+                                           lambda: None)
+        self.service.listed(ListNews.WHOLE, [Row(Worker(f"w{n}"), "x:1") for n in range(4)])
 
     def tells(self, **more: Any) -> dict[str, str]:
         return self.ground.retune(charter(**more))
@@ -76,7 +77,7 @@
     def ask(self, tag: str, kind: str = "render", owner: str = "acme") -> Any:
         call = Message(b"POST", f"/{kind}".encode(), headers={
             b"req-id": tag.encode(), b"req-kind": kind.encode(), b"req-owner": owner.encode()})
-        return self.desk.take(call, lambda *answer: self.answers.append(answer[:2]))
+        return self.service.take(call, lambda *answer: self.answers.append(answer[:2]))
 
     def refused(self, tag: str, kind: str = "render", owner: str = "acme") -> int:
         with self.assertRaises(Broken) as caught:
@@ -93,8 +94,8 @@
                 call.write()
                 call.reply.set_result(Message(status=202))
         await self.settle()
-        worker = self.desk.ledger[tag].txn.postings[-1].worker.tag
-        self.desk.called_back(self.desk.words.callback(json.dumps(
+        worker = self.service.ledger[tag].txn.postings[-1].worker.tag
+        self.service.called_back(self.service.words.callback(json.dumps(
             {"id": tag, "from": worker, "state": "done", "result": "well"}).encode()))
         await self.settle()
 
@@ -128,28 +129,29 @@
         for tag in "abde":
             await self.done(tag)
         self.assertEqual(self.answers, [(200, b"well")] * 4)
-        self.assertEqual(list(self.desk.loop.choice.runs[young.txn.scheme]), list(self.desk.loop.choice.runs[was]))
+        runs = self.service.loop.choice.runs
+        self.assertEqual(list(runs[young.txn.scheme]), list(runs[was]))
         self.tells(schemes=BASE["schemes"][:1])
-        self.assertEqual(len(self.desk.loop.choice.runs), 1, "what nobody goes by any more is forgotten")
+        self.assertEqual(len(self.service.loop.choice.runs), 1, "what nobody goes by any more is forgotten")
 
     async def test_unchanged_schemes_and_teams_stay_the_same_objects(self) -> None:
         self.begin()
-        words = self.desk.words
+        words = self.service.words
         self.tells(customers=[{"name": "acme", "allowance": 1.0}, BASE["customers"][1]], rules={"cold_share": 0.5})
-        self.assertIs(self.desk.words.schemes["render"], words.schemes["render"])
-        self.assertIs(self.desk.words.customers["acme"], words.customers["acme"])
+        self.assertIs(self.service.words.schemes["render"], words.schemes["render"])
+        self.assertIs(self.service.words.customers["acme"], words.customers["acme"])
         self.assertEqual(words.customers["acme"].allowance, 1.0)
-        self.assertEqual(self.desk.loop.choice.cold_share, 0.5)
+        self.assertEqual(self.service.loop.choice.cold_share, 0.5)
 
     async def test_a_wrong_file_leaves_all_as_it_was_and_says_every_fault(self) -> None:
         self.begin()
-        words, served = self.desk.words, self.ground.charter
+        words, served = self.service.words, self.ground.charter
         self.path.write_text(json.dumps({**BASE, "customers": [{"name": "acme", "allowance": -1}],
                                          "schemes": [{"name": "render", "semantics": "never", "expiry": "1s"}]}))
         with self.assertRaises(Faulty) as caught:
             self.ground.moved()
         self.assertEqual([fault.path for fault in caught.exception.faults], ["schemes[0].semantics", "customers[0].allowance"])
-        self.assertIs(self.desk.words, words)
+        self.assertIs(self.service.words, words)
         self.assertIs(self.ground.charter, served)
 
     async def test_what_does_not_fit_a_key_that_stays_stays_too(self) -> None:
@@ -177,18 +179,18 @@
 
     async def test_a_durable_job_that_waits_is_served_by_the_words_it_was_accepted_by(self) -> None:
         path = self.path.with_name("jobs.db")
-        self.begin(lambda *told: DurableDesk(*told, store=Store(path, ThreadWriter()),
+        self.begin(lambda *told: DurableTxnService(*told, store=Store(path, ThreadWriter()),
                                              ways=Ways(20 * SECOND, 3600 * SECOND, SECOND, SECOND, 500), chance=Random(1)))
-        self.desk.recovered = True
+        self.service.recovered = True
         said = {b"req-kind": b"charge", b"req-owner": b"zeta", b"idempotency-key": b"k"}
         call = Message(b"POST", b"/jobs/charge", headers=said, lines=list(said.items()))
-        self.desk.take(call, lambda *answer: self.answers.append(answer[:2]))
-        kept = next(iter(self.desk.jobs.values()))
+        self.service.take(call, lambda *answer: self.answers.append(answer[:2]))
+        kept = next(iter(self.service.jobs.values()))
         self.tells(customers=BASE["customers"][:1], schemes=BASE["schemes"][:1])
-        self.assertEqual(self.desk._entry(kept).txn.scheme.expiry, 10 * SECOND)
+        self.assertEqual(self.service._entry(kept).txn.scheme.expiry, 10 * SECOND)
         self.assertIsNone(kept.words, "old words are not kept with what has ended")
         async with asyncio.timeout(20.0):
-            await asyncio.gather(*self.desk._tasks)
+            await asyncio.gather(*self.service._tasks)
 
 
 class QuotaStory(unittest.TestCase):
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -14,10 +14,10 @@
 from pathsaddle.net.service import front as front_module
 from pathsaddle.net.service import roster as roster_module
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.desk import Desk
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.pump import Tallied
 from pathsaddle.net.service.roster import Roster
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent, Workers
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
@@ -297,9 +297,9 @@
         self.counters, clock = Counters(), Clock()
         known = terms.terms(SETTINGS)
         workers = Workers(Reach(2000, 60_000), 8, clock, self.counters)
-        desk = Desk(known, Words(SETTINGS, known), 7, clock, workers, self.counters, lambda: None)
-        desk.listed(ListNews.WHOLE, [Row(Worker("w"), "127.0.0.1:1")])
-        self.front = Front("127.0.0.1:0", 10, Room(10, 100_000), desk, clock, self.counters)
+        service = TxnService(known, Words(SETTINGS, known), 7, clock, workers, self.counters, lambda: None)
+        service.listed(ListNews.WHOLE, [Row(Worker("w"), "127.0.0.1:1")])
+        self.front = Front("127.0.0.1:0", 10, Room(10, 100_000), service, clock, self.counters)
         self.addCleanup(self.front.sock.close)
         self.address = self.front.sock.getsockname()
 
@@ -370,7 +370,7 @@
         self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
 
     async def test_a_fault_in_one_connection_ends_that_one_alone(self) -> None:
-        with mock.patch.object(self.front.desk, "take", side_effect=ZeroDivisionError):
+        with mock.patch.object(self.front.service, "take", side_effect=ZeroDivisionError):
             reader, _ = await self.connect(b"POST /render HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
             self.assertEqual(await asyncio.wait_for(reader.read(), 1.0), b"")
         reader, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
@@ -509,11 +509,11 @@
 
         counters, clock, known = Counters(), Clock(), terms.terms(SETTINGS)
         workers = Workers(Reach(50 * MILLISECOND, 60_000), 8, clock, counters)
-        desk = Desk(known, Words(SETTINGS, known), 7, clock, workers, counters, lambda: None)
+        service = TxnService(known, Words(SETTINGS, known), 7, clock, workers, counters, lambda: None)
         worker = Worker("w")
-        desk.listed(ListNews.WHOLE, [Row(worker, await self.peer(silent))])
+        service.listed(ListNews.WHOLE, [Row(worker, await self.peer(silent))])
         outcomes: list[Outcome] = []
-        desk.loop.probed = lambda w, outcome, spent, report: outcomes.append(outcome)  # type: ignore
-        desk.probe(worker)
+        service.loop.probed = lambda w, outcome, spent, report: outcomes.append(outcome)  # type: ignore
+        service.probe(worker)
         await asyncio.sleep(0.15)
         self.assertEqual(outcomes, [Outcome.TIMED_OUT])
--- a/tests/test_desk.py
+++ b/tests/test_txn_service.py
@@ -11,7 +11,7 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.ledger import Entry, Sending, Whole
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
@@ -60,7 +60,7 @@
         return await self.calls[-1].reply
 
 
-class DeskStory(unittest.IsolatedAsyncioTestCase):
+class TxnServiceStory(unittest.IsolatedAsyncioTestCase):
     def open(self, two_at_once: bool = True, workers: int = 1, dropped_stay_open: bool = False) -> None:
         limits = {**SETTINGS["Limits"], "MayDuplicate": two_at_once, "Probing": False}
         duty = {**SETTINGS["Obligations"], "DroppedStayOpen": dropped_stay_open}
@@ -69,15 +69,16 @@
         self.played: Any = PlayedWorkers()
         self.answers: list[tuple[int, bytes, tuple[str, ...]]] = []
         self.counters = Counters()
-        self.desk = Desk(known, Words(told, known), 7, Clock(), self.played, self.counters, lambda: None)
+        self.service = TxnService(known, Words(told, known), 7, Clock(), self.played, self.counters,
+                                  lambda: None)
         self.rows = [Row(Worker(f"w{n}"), "x:1") for n in range(workers)]
-        self.desk.listed(ListNews.WHOLE, self.rows)
+        self.service.listed(ListNews.WHOLE, self.rows)
 
     async def ask(self, tag: str = "a", kind: str = "render", within: str = "5000") -> Entry:
         call = Message(b"POST", f"/{kind}".encode(), headers={
             b"req-id": tag.encode(), b"req-kind": kind.encode(), b"req-owner": b"acme",
             b"req-deadline-ms": within.encode()})
-        entry = self.desk.take(call, lambda *answer: self.answers.append(answer[:3]))
+        entry = self.service.take(call, lambda *answer: self.answers.append(answer[:3]))
         await self.settle()
         return entry
 
@@ -87,7 +88,7 @@
 
     async def back(self, state: str, tag: str = "a", worker: str = "w0", result: str = "done") -> None:
         told = {"id": tag, "from": worker, "state": state, "share": 0.5, "result": result}
-        self.desk.called_back(self.desk.words.callback(json.dumps(told).encode()))
+        self.service.called_back(self.service.words.callback(json.dumps(told).encode()))
         await self.settle()
 
     async def replies(self, call: PlayedCall, status: int, **headers: bytes) -> None:
@@ -104,7 +105,7 @@
         self.assertEqual(entry.txn.postings[0].level, 0.5)
         await self.back("done")
         self.assertEqual(self.answers, [(200, b"done", ())])
-        self.assertNotIn("a", self.desk.ledger)
+        self.assertNotIn("a", self.service.ledger)
 
     async def test_what_a_connection_came_up_too_late_for_is_withheld_at_its_first_byte(self) -> None:
         """Decided in time, and a dial of 1.5 s later the worker had started anew, the window had closed, or the
@@ -114,14 +115,15 @@
             entry = await self.ask(within="700")
             txn, posting = entry.txn, entry.txn.postings[0]
             if late == "anew":
-                row = Worker("w0", started=self.desk.clock.now())
-                self.desk.listed(ListNews.CHANGES, [Row(row, "x:1")])
+                row = Worker("w0", started=self.service.clock.now())
+                self.service.listed(ListNews.CHANGES, [Row(row, "x:1")])
             elif late == "window":
                 txn.scheme = dataclasses.replace(txn.scheme, semantics=Semantics.REFERENCED, window=SECOND)
-                before = Posting(txn, posting.worker, 0, self.desk.loop.now - SECOND, outcome=Outcome.RESET)
+                before = Posting(txn, posting.worker, 0, self.service.loop.now - SECOND,
+                                 outcome=Outcome.RESET)
                 txn.postings.insert(0, before)
             elif late == "expired":
-                txn.expires = self.desk.clock.now()
+                txn.expires = self.service.clock.now()
             self.played.calls[0].write()
             self.assertEqual(self.played.calls[0].withheld, late != "in time", late)
             await self.settle()
@@ -223,7 +225,7 @@
         self.played.calls[0].write()
         await self.replies(self.played.calls[0], 202)
         posting: Posting = entry.txn.postings[0]
-        self.desk.cancel(posting)
+        self.service.cancel(posting)
         await self.settle()
         self.assertTrue(posting.out, "the worker has not been told yet")
         self.played.calls[1].write()
@@ -234,7 +236,7 @@
         self.open(two_at_once=False)
         posting = (await self.ask()).txn.postings[0]
         self.played.calls[0].write()
-        self.desk.cancel(posting)
+        self.service.cancel(posting)
         await self.settle()
         self.assertTrue(self.played.calls[0].reply.cancelled() and posting.out)
         await self.settle(0.06)
@@ -242,18 +244,18 @@
 
     async def test_nothing_is_written_for_a_client_that_left_while_we_connected(self) -> None:
         self.open()
-        self.desk.hang_up(await self.ask())
+        self.service.hang_up(await self.ask())
         self.played.calls[0].write()
         await self.settle()
         self.assertTrue(self.played.calls[0].withheld)
         self.assertEqual((self.counters["outcome.moot"], self.answers), (1, []))
-        self.assertNotIn("a", self.desk.ledger)
+        self.assertNotIn("a", self.service.ledger)
 
     async def test_nothing_is_written_to_a_worker_that_was_told_to_drain_while_we_connected(self) -> None:
         self.open()
         await self.ask()
         self.rows[0].worker.standing = Standing.DRAINING
-        self.desk.listed(ListNews.CHANGES, self.rows)
+        self.service.listed(ListNews.CHANGES, self.rows)
         self.played.calls[0].write()
         await self.settle()
         self.assertTrue(self.played.calls[0].withheld)
@@ -264,7 +266,7 @@
             self.open(dropped_stay_open=stay_open)
             await self.ask()
             for standing in told:
-                self.desk.listed(ListNews.CHANGES, [Row(Worker("w0", standing=Standing[standing]), "x:1")])
+                self.service.listed(ListNews.CHANGES, [Row(Worker("w0", standing=Standing[standing]), "x:1")])
             self.played.calls[0].write()
             await self.settle()
             self.assertIs(self.played.calls[0].withheld, withheld, (stay_open, told))
@@ -287,7 +289,7 @@
             call.write()
             await self.replies(call, 400)
         self.assertEqual((len(self.played.calls), [answer[0] for answer in self.answers]), (2, [500]))
-        books = self.desk.loop.choice.books.values()
+        books = self.service.loop.choice.books.values()
         self.assertEqual([book.shut_until for book in books], [0, 0, 0])
 
     async def test_a_worker_alone_in_calling_it_unusable_is_shut(self) -> None:
@@ -297,12 +299,12 @@
         await self.replies(self.played.calls[0], 400)
         self.played.calls[1].write()
         await self.back("done", worker=self.played.calls[1].worker)
-        failed = {worker.tag: book.failed for worker, book in self.desk.loop.choice.books.items()}
+        failed = {worker.tag: book.failed for worker, book in self.service.loop.choice.books.items()}
         self.assertEqual(failed, {self.played.calls[0].worker: 1, self.played.calls[1].worker: 0})
 
     async def test_a_fault_in_the_decisions_reverses_one_txn_and_the_next_is_served(self) -> None:
         self.open()
-        with mock.patch.object(self.desk.loop.choice, "appraise", side_effect=ZeroDivisionError):
+        with mock.patch.object(self.service.loop.choice, "appraise", side_effect=ZeroDivisionError):
             await self.ask("bad")
         await self.ask("good")
         self.assertEqual([answer[0] for answer in self.answers], [500])
@@ -313,11 +315,11 @@
 
     async def test_a_fault_in_a_turn_costs_one_txn_its_life_and_not_its_answer(self) -> None:
         self.open()
-        with mock.patch.object(self.desk.loop.choice, "sent", side_effect=ZeroDivisionError):
+        with mock.patch.object(self.service.loop.choice, "sent", side_effect=ZeroDivisionError):
             await self.ask("bad")
         self.assertEqual([answer[0] for answer in self.answers], [500])
         await self.settle(0.03)
-        self.assertFalse(self.desk.ledger.unanswered())
+        self.assertFalse(self.service.ledger.unanswered())
         await self.ask("good")
         self.played.calls[-1].write()
         await self.back("done", tag="good")
@@ -327,15 +329,15 @@
         self.open()
         await self.ask("runs", kind="charge")
         self.played.calls[0].write()
-        self.desk.stop(self.desk.clock.now() + 600)
+        self.service.stop(self.service.clock.now() + 600)
         await self.ask("comes")
         await self.settle(0.1)
         self.assertEqual(sorted(answer[0] for answer in self.answers), [500, 503])
-        self.assertFalse(self.desk.ready)
+        self.assertFalse(self.service.ready)
 
     async def test_a_decline_tells_when_to_come_back_and_no_worker_is_not_ready(self) -> None:
         self.open(workers=0)
-        self.assertFalse(self.desk.ready)
+        self.assertFalse(self.service.ready)
         await self.ask(within="30")
         await self.settle(0.05)
         self.assertEqual(self.answers, [(503, b"", ("Retry-After: 2.0000",))])
@@ -343,10 +345,10 @@
     async def test_events_that_wait_together_share_one_turn(self) -> None:
         self.open()
         await self.settle()
-        turns, turn = [], self.desk.loop.turn
-        self.desk.loop.turn = lambda: (turns.append(1), turn())[1]  # type: ignore[method-assign]
+        turns, turn = [], self.service.loop.turn
+        self.service.loop.turn = lambda: (turns.append(1), turn())[1]  # type: ignore[method-assign]
         for tag in ("a", "b", "c"):
-            self.desk.take(Message(b"POST", b"/render", headers={
+            self.service.take(Message(b"POST", b"/render", headers={
                 b"req-id": tag.encode(), b"req-owner": b"acme"}), lambda *_: None)
         await self.settle()
         self.assertEqual(len(turns), 1)
