Names: Roster is DiscoveryWatch, the stand-in DiscoveryServer

Needed: the list of workers is service discovery in the field's words, and what the dispatcher has of it is a watch; "roster" hid that, and stood for both ends.

Long lines were broken, nothing else.

Left, since operators read or write them: the plan key `fleet.roster_rate`, the faults `roster-restart`, `roster-moves`, `roster-late` (and the methods found by these names), what such a fault strikes ("roster" in an unfit plan's message and in docs/emulator.md).

--- a/pathsaddle/cli/main.py
+++ b/pathsaddle/cli/main.py
@@ -124,8 +124,8 @@
 @click.option("--events", type=click.Path(dir_okay=False), help="Keep the event log here.")
 @click.option("--log", type=click.Path(), help="Keep the dispatchers' logs: a file, or on sockets a folder.")
 def demo(virtual: bool, fleet: bool, seed: int, seconds: float | None, events: str | None, log: str | None) -> None:
-    """Four dispatchers, twelve workers, clients and a roster, with a frozen worker, a drained one and a killed
-    dispatcher; prints what became of the jobs and whether each rule was kept."""
+    """Four dispatchers, twelve workers, clients and discovery, with a frozen worker, a drained one and a
+    killed dispatcher; prints what became of the jobs and whether each rule was kept."""
     import pathsaddle.emulator
     path = Path(pathsaddle.emulator.__file__).parent / ("demo-fleet.toml" if fleet else "demo.toml")
     sys.exit(_one(path, "virtual" if virtual else "sockets", seed, events, seconds, log))
--- a/pathsaddle/emulator/__init__.py
+++ b/pathsaddle/emulator/__init__.py
@@ -1,4 +1,4 @@
-"""What is served, emulated: workers, roster, clients and the network, on sockets or in virtual time.
+"""What is served, emulated: workers, discovery, clients and the network, on sockets or in virtual time.
 
 - `plan`, `events`, `stage`: what a run is told, what it leaves behind, how it goes.
 - `ground/`: what it stands on; knows nobody who stands there.
--- a/pathsaddle/emulator/faults/faults.py
+++ b/pathsaddle/emulator/faults/faults.py
@@ -11,7 +11,7 @@
 from pathsaddle.emulator.ground.air import Air, Blight
 from pathsaddle.emulator.plan import FAULTS, Trouble, named
 from pathsaddle.emulator.served.clients import Clients
-from pathsaddle.emulator.served.roster import Roster
+from pathsaddle.emulator.served.discovery import DiscoveryServer
 from pathsaddle.emulator.served.workers import OneSided, Worker
 from pathsaddle.emulator.served.world import TICKS, Way, World
 
@@ -250,14 +250,14 @@
 
 
 class ServedFaults(Faults):
-    """Also what strikes those whom dispatchers serve and those who serve for them: workers, roster, load."""
+    """Also what strikes those whom dispatchers serve and who serve for them: workers, discovery, load."""
 
     def __init__(self, world: World, start: Callable[[Coroutine[Any, Any, None]], object], dispatchers: Dispatchers,
                  air: Air, died: Callable[[int], None], parted: Callable[[], None], workers: dict[str, Worker],
-                 roster: Roster, clients: Clients, moved: Callable[[int], None]) -> None:
-        """`moved`: a dispatcher's operator writes where the roster is."""
+                 discovery: DiscoveryServer, clients: Clients, moved: Callable[[int], None]) -> None:
+        """`moved`: a dispatcher's operator writes where discovery is."""
         super().__init__(world, start, dispatchers, air, died, parted)
-        self.workers, self.roster, self.clients, self.moved = workers, roster, clients, moved
+        self.workers, self.discovery, self.clients, self.moved = workers, discovery, clients, moved
 
     # Workers.
 
@@ -273,14 +273,14 @@
         worker.freeze()
         await self._lasts(trouble)
         worker.crash()
-        self.roster.change(name, "left")
+        self.discovery.change(name, "left")
         await asyncio.sleep(1.0)
         await self._again(name)
 
     async def _crash(self, trouble: Trouble, name: str) -> None:
         worker = self.workers[name]
         worker.crash()
-        self.roster.change(name, "left")
+        self.discovery.change(name, "left")
         await self._lasts(trouble)
         await self._again(name)
 
@@ -288,17 +288,17 @@
         worker = self.workers[name]
         worker.restart()
         if worker.place.alive:
-            self.roster.change(name, "active", since=worker.started)
+            self.discovery.change(name, "active", since=worker.started)
 
     async def _drain(self, trouble: Trouble, name: str) -> None:
         """Marked as leaving for a while; then its process ends once its jobs have, and later starts anew."""
         worker = self.workers[name]
-        self.roster.change(name, "leaving")
+        self.discovery.change(name, "leaving")
         await self._lasts(trouble)
         while worker.jobs and worker.place.alive:
             await asyncio.sleep(DRAIN_END)
         worker.crash(told=False)
-        self.roster.change(name, "left")
+        self.discovery.change(name, "left")
         await asyncio.sleep(BACK_AFTER)
         await self._again(name)
 
@@ -340,7 +340,7 @@
             await self._down(trouble, name, how, turn * trouble.strength)
 
     async def _down(self, trouble: Trouble, name: str, how: str, lasts: float) -> None:
-        worker, roster = self.workers[name], self.roster
+        worker, discovery = self.workers[name], self.discovery
         if how == "errors":
             worker.errors = 1.0
             await asyncio.sleep(lasts)
@@ -356,13 +356,13 @@
         else:
             worker.crash()
         if trouble.listed:
-            roster.change(name, "left")
+            discovery.change(name, "left")
         await asyncio.sleep(lasts)
         if how == "silence":
             worker.crash(told=False)
         worker.restart(trouble.listed)
         if trouble.listed and worker.place.alive:
-            roster.change(name, "active", since=worker.started)
+            discovery.change(name, "active", since=worker.started)
 
     async def _one_sided(self, trouble: Trouble, name: str) -> None:
         """Bad for some dispatchers, and as usual for the rest."""
@@ -415,19 +415,19 @@
         await self._lasts(trouble)
         worker.again = (0.0, "", 0.0)
 
-    # The roster.
+    # Discovery.
 
     async def _outage(self, trouble: Trouble, name: str) -> None:
-        self.roster.outage()
+        self.discovery.outage()
         await self._lasts(trouble)
-        self.roster.back()
+        self.discovery.back()
 
     async def _roster_restart(self, trouble: Trouble, name: str) -> None:
-        self.roster.restart()
+        self.discovery.restart()
 
     async def _roster_moves(self, trouble: Trouble, name: str) -> None:
         """To another address; the operator tells every dispatcher after `for`."""
-        self.roster.move()
+        self.discovery.move()
         await self._lasts(trouble)
         for number in self.dispatchers.numbers:
             self.moved(number)
@@ -435,13 +435,13 @@
 
     async def _watch_silent(self, trouble: Trouble, name: str) -> None:
         """The watches that are open now say nothing more, and stay open; who asks anew is answered."""
-        self.roster.hush()
+        self.discovery.hush()
 
     async def _roster_late(self, trouble: Trouble, name: str) -> None:
         """By `strength` seconds."""
-        self.roster.extra += int(trouble.strength * TICKS)
+        self.discovery.extra += int(trouble.strength * TICKS)
         await self._lasts(trouble)
-        self.roster.extra -= int(trouble.strength * TICKS)
+        self.discovery.extra -= int(trouble.strength * TICKS)
 
     # The load.
 
--- a/pathsaddle/emulator/hollow/served.py
+++ b/pathsaddle/emulator/hollow/served.py
@@ -328,9 +328,9 @@
 class _Asked(_Peer):
     """One connection to the hollow list."""
 
-    def __init__(self, roster: HollowList) -> None:
+    def __init__(self, discovery: HollowList) -> None:
         super().__init__(Tally(), calls=True)
-        self.roster = roster
+        self.discovery = discovery
         self.sent: int | None = None  # the version that its watch has; None: no watch
 
     def heard(self, said: Said) -> None:
@@ -339,12 +339,12 @@
             self.transport.write(speech.answer(404))
         elif "stream=1" in query:
             self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-            self.roster.watches(self, int(query.rpartition("index=")[2] or 0))
+            self.discovery.watches(self, int(query.rpartition("index=")[2] or 0))
         else:
-            self.transport.write(speech.answer(200, body=self.roster.line(None)))
+            self.transport.write(speech.answer(200, body=self.discovery.line(None)))
 
     def gone(self) -> None:
-        self.roster.watching.pop(self, None)
+        self.discovery.watching.pop(self, None)
 
 
 class HollowList:
--- a/pathsaddle/emulator/judges/judge.py
+++ b/pathsaddle/emulator/judges/judge.py
@@ -43,7 +43,7 @@
 
 FAR = 1 << 60
 SECOND = 10_000
-TOLD_WITHIN = 6 * SECOND  # what the roster has to tell counts as told by then, whether or not it arrived
+TOLD_WITHIN = 6 * SECOND  # what discovery has to tell counts as told by then, whether or not it arrived
 BAD_WITHIN = 12 * SECOND  # of a bad client, from its connect
 MOST = 3_600_000  # longest latency kept, ticks
 RULES = ("lost", "late", "twice", "after", "repeat", "decline", "together", "drain", "cold", "forgotten", "changed",
--- a/pathsaddle/emulator/membership/__init__.py
+++ b/pathsaddle/emulator/membership/__init__.py
@@ -1,1 +1,1 @@
-"""The world of members alone: no jobs, workers or roster, on the virtual ground."""
+"""The world of members alone: no jobs, workers or discovery, on the virtual ground."""
--- a/pathsaddle/emulator/plan.py
+++ b/pathsaddle/emulator/plan.py
@@ -70,8 +70,8 @@
     repeats: whether workers drop repeats of referenced txns within their group and window.
     weights: what the list says of a worker's size: the same for all, or lowered by what each says that it holds.
     fresh: how often a worker's report is made anew.
-    lag: how late the roster tells, drawn between.
-    roster_rate: calls a second that the roster works through in turn, for all dispatchers together, also those
+    lag: how late discovery tells, drawn between.
+    roster_rate: calls a second that discovery works through in turn, for all dispatchers together, also those
         that it has told after two seconds that they waited too long; 0: any number.
     sync: how long a sync of a dispatcher's disk takes, about.
     notice: after how long the front layer notices a dead dispatcher, drawn between.
@@ -196,7 +196,7 @@
     oneway: of a link: only what goes from `of` to `among`.
     extra: so much longer each way.
     turn: how long a worker that flaps is up and down once, about.
-    listed: whether the roster tells of what happens to a worker that flaps.
+    listed: whether discovery tells of what happens to a worker that flaps.
     after: the kind of another fault of this plan: `at` counts from each of its starts.
     """
 
@@ -296,7 +296,8 @@
     variants: other ways of the same plan, each run with the same seeds.
     bounds: what it must show.
     found: seeds that once found something, kept and run first.
-    only: "fleet": only what dispatchers tell one another, with no jobs, workers or roster, on the virtual ground.
+    only: "fleet": only what dispatchers tell one another, with no jobs, workers or discovery, on the virtual
+        ground.
     throughput: instead of the emulated fleet, as many jobs as one dispatcher takes.
     """
 
--- a/pathsaddle/emulator/served/__init__.py
+++ b/pathsaddle/emulator/served/__init__.py
@@ -1,1 +1,1 @@
-"""Who is around the dispatchers: workers, roster, clients, and the dispatchers' places in a fleet."""
+"""Who is around the dispatchers: workers, discovery, clients, and the dispatchers' places in a fleet."""
--- a/pathsaddle/emulator/served/roster.py
+++ b/pathsaddle/emulator/served/discovery.py
@@ -1,4 +1,4 @@
-"""The emulated roster: the list of workers, told late, by whole lists and watches; it may fail, forget, move."""
+"""Discovery emulated: workers' list, told late, by whole lists and watches; it may fail, forget, move."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
     wires: dict[Wire, None] = field(default_factory=dict)
 
 
-class Roster:
+class DiscoveryServer:
     def __init__(self, world: World, sites: Sites, workers: dict[str, Worker]) -> None:
         self.world = world
         self.sites = sites
--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -24,7 +24,7 @@
 from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.plan import SECRET, Plan, charter_of, worker_names
 from pathsaddle.emulator.served.clients import Clients, FrontLayer
-from pathsaddle.emulator.served.roster import Roster
+from pathsaddle.emulator.served.discovery import DiscoveryServer
 from pathsaddle.emulator.served.workers import Memories, Worker
 from pathsaddle.emulator.served.world import TICKS, Hosts, Sites, SocketSites, VirtualSites, World
 from pathsaddle.net.service.txn_service import TxnService
@@ -108,26 +108,26 @@
                 cell = cells.setdefault((k, zone, i // len(zones) // kind.cell), len(cells))
                 self.workers[name] = Worker(self.world, self.sites, memories, name, kind, zone, cell, addresses)
                 number += 1
-        self.roster = Roster(self.world, self.sites, self.workers)
-        self.roster.wall = self.wall()
+        self.discovery = DiscoveryServer(self.world, self.sites, self.workers)
+        self.discovery.wall = self.wall()
         seeds = self.world.chance("dispatchers")
         for d in self.numbers:
             mine = charter_of(plan, name=f"d{d}", listen=self.sites.listen_of(d), number=d,
-                              discovery=self.roster.addresses[d], zone=self.sites.zone_of(d),
+                              discovery=self.discovery.addresses[d], zone=self.sites.zone_of(d),
                               seed=f"{seeds.getrandbits(64):016x}")
-            self.told[d] = told(mine, self.roster.known(d))
+            self.told[d] = told(mine, self.discovery.known(d))
         self.front = FrontLayer(self.world, self.sites)
         self.clients = Clients(self.world, self.sites, self.front)
         self.faults = ServedFaults(self.world, self.sites.place("faults", "").start, self, self.air, self.front.died,
-                                   self.parted, self.workers, self.roster, self.clients, self.tell)
+                                   self.parted, self.workers, self.discovery, self.clients, self.tell)
 
     def wall(self) -> float:
         """Unix time at the run's moment 0."""
         raise NotImplementedError
 
     def tell(self, dispatcher: int) -> None:
-        """Its operator writes where the roster is now."""
-        self.told[dispatcher]["discovery"] = self.roster.addresses[dispatcher]
+        """Its operator writes where discovery is now."""
+        self.told[dispatcher]["discovery"] = self.discovery.addresses[dispatcher]
 
     async def play(self) -> None:
         """The whole run; its events are the world's."""
@@ -138,7 +138,7 @@
         async with asyncio.timeout(30.0):
             await asyncio.gather(*(self.front.ready(d) for d in self.numbers))
         world.begun = world.loop.time()
-        self.roster.wall = self.wall()
+        self.discovery.wall = self.wall()
         for name, worker in self.workers.items():
             world.add("worker", name=name, zone=worker.zone, cell=worker.cell, slots=worker.kind.slots,
                       speed=worker.speed)
@@ -183,7 +183,7 @@
     async def start(self, dispatcher: int, again: bool = False) -> None:
         told = self.told[dispatcher]
         if again and self.world.plan.fleet.old_list == "death":
-            told["known"] = self.roster.known(dispatcher)
+            told["known"] = self.discovery.known(dispatcher)
         host = Host(self.net, f"d{dispatcher}", self.sites.zone_of(dispatcher), told["limits"]["sockets"])
         host.wall_off = self.hosts[dispatcher].wall_off if dispatcher in self.hosts else 0.0
         self.hosts[dispatcher] = host
@@ -285,7 +285,7 @@
 
     async def start(self, dispatcher: int, again: bool = False) -> None:
         if again and self.world.plan.fleet.old_list == "death":
-            self.told[dispatcher]["known"] = self.roster.known(dispatcher)
+            self.told[dispatcher]["known"] = self.discovery.known(dispatcher)
         if self.world.charter.fleet is not None and self.relays is None:
             self.relays = Relays(self.world.now, self.air, {f"d{d}": (
                 self.sites.address("member", d, 0), self.sites.address("relay", d, 0)) for d in self.numbers})
@@ -421,8 +421,8 @@
                 for d, listener in enumerate(worker.listeners):
                     cut = weather.parted(worker.zone, self.sites.zone_of(d), worker.name)
                     (listener.deafen if cut else listener.hear)()
-        if self.roster.place.alive:
-            for d, listener in enumerate(self.roster.listeners):
+        if self.discovery.place.alive:
+            for d, listener in enumerate(self.discovery.listeners):
                 (listener.deafen if weather.parted("", self.sites.zone_of(d)) else listener.hear)()
 
     async def finish(self) -> None:
--- a/pathsaddle/experiment/throughput.py
+++ b/pathsaddle/experiment/throughput.py
@@ -238,8 +238,8 @@
         config, command = folder / "d.json", [sys.executable, "-m", "pathsaddle"]
         config.write_text(json.dumps(told(mine, known)), encoding="utf-8")
         if charter.jobs is not None:
-            roster, address = _roster(known, context)
-            peers.append((roster, peers[0][1]))
+            discovery, address = _discovery(known, context)
+            peers.append((discovery, peers[0][1]))
             config.write_text(json.dumps({**plan.charter, "listen": listen, "discovery": address, "limits": {
                 "sockets": 8192}, "jobs": {**plan.charter["jobs"], "path": str(folder / "jobs.db")}}),
                 encoding="utf-8")
@@ -300,7 +300,7 @@
 
 
 def _tell_list(listening: Any, line: bytes) -> None:
-    """A roster that tells one list and then keeps its watches alive."""
+    """A discovery server that tells one list and then keeps its watches alive."""
     async def watch(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         try:
             await reader.readuntil(b"\r\n\r\n")
@@ -318,7 +318,7 @@
     asyncio.run(run())
 
 
-def _roster(known: dict[str, Any], context: Any) -> tuple[Any, str]:
+def _discovery(known: dict[str, Any], context: Any) -> tuple[Any, str]:
     import socket
     listening = socket.socket()
     listening.bind(("127.0.0.1", 0))
--- a/pathsaddle/net/service/roster.py
+++ b/pathsaddle/net/service/discovery.py
@@ -28,10 +28,10 @@
     elsewhere, or that was set back, gives the whole list to a version that it does not know.
     """
 
-    def __init__(self, roster: Roster, sock: Tallied) -> None:
-        self.roster, self.sock = roster, sock
+    def __init__(self, discovery: DiscoveryWatch, sock: Tallied) -> None:
+        self.discovery, self.sock = discovery, sock
         self.machine, self.inward = Calling(streams=True), Ring()
-        self.known = roster.index  # the version that was asked for
+        self.known = discovery.index  # the version that was asked for
         self.counted = 0  # bytes of it that have been fed
         self.lines = 0  # that have come, beats among them
         self.heard = asyncio.get_running_loop().time()  # when the last of them was read; before any: when it was called
@@ -62,11 +62,11 @@
             if self.lines or self.known or record.strip():  # no beat stands for a whole list
                 self.lines, self.heard = self.lines + 1, asyncio.get_running_loop().time()
             if record.strip():
-                self.roster.index, news, rows = self.roster.service.words.list_line(record)
-                self.roster.service.listed(news, rows)
+                self.discovery.index, news, rows = self.discovery.service.words.list_line(record)
+                self.discovery.service.listed(news, rows)
             elif self.lines:
                 # Nothing has changed since our version, or the line before.
-                self.roster.service.listed(ListNews.CHANGES, [])
+                self.discovery.service.listed(ListNews.CHANGES, [])
 
     def read_out(self) -> bool:
         """What has reached us by now is what was told, also what the kernel has handed over while its reader has not
@@ -88,7 +88,7 @@
         return self.lines > before
 
 
-class Roster:
+class DiscoveryWatch:
     def __init__(self, address: str, index: int, service: TxnService, counters: Counters,
                  opening: Opening = stream) -> None:
         self.opening = opening
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -13,9 +13,9 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
+from pathsaddle.net.service.discovery import DiscoveryWatch
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.ground import Ground
-from pathsaddle.net.service.roster import Roster
 from pathsaddle.net.service.workers import Workers
 from pathsaddle.net.wire.birth import WHERE, Birth, birth
 from pathsaddle.trade import MILLISECOND, SECOND, ListNews
@@ -35,7 +35,7 @@
 class Dispatcher:
     def __init__(self, told: Birth, ground: Ground) -> None:
         self.ground = ground
-        self.roster: Roster
+        self.discovery: DiscoveryWatch
         self.clock = ground.clock
         self.counters = Counters()
         self.memory_mb = told.memory_mb
@@ -48,9 +48,10 @@
         self.workers = Workers(told.reach, free // 4, self.clock, self.counters, ground.stream)
         told.terms.most_open = min(told.terms.most_open, min(room.connections, free - free // 4) * 3 // 4)
         self.service = ground.service(told.terms, told.words, told.seed, self.clock, self.workers,
-                                      self.counters, lambda: self.roster.ask())
-        self.roster = Roster(told.discovery, told.index, self.service, self.counters, ground.stream)
-        self.service.catch_up = self.roster.catch_up
+                                      self.counters, lambda: self.discovery.ask())
+        self.discovery = DiscoveryWatch(told.discovery, told.index, self.service, self.counters,
+                                        ground.stream)
+        self.service.catch_up = self.discovery.catch_up
         self.service.listed(ListNews.REMEMBERED, told.rows)
         try:
             self.front = Front(told.listen, free, room, self.service, self.clock, self.counters,
@@ -107,7 +108,7 @@
         while not self.front.quiet() and self.clock.now() < by + LAST_BYTES:
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         logbook.stopped(unanswered=len(self.service.ledger.unanswered()))
-        self.roster.stop("stopping")
+        self.discovery.stop("stopping")
         for connection in list(self.front.connections):
             connection.end("stopping")
         for worker in self.service.known:
@@ -140,7 +141,7 @@
             logbook.not_reread(why=" / ".join(str(fault).splitlines()))
             return
         logbook.reread(discovery=address)
-        self.roster.move(address)
+        self.discovery.move(address)
 
     def report(self) -> None:
         logbook.counters(counters=self.counters.text())
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -448,7 +448,7 @@
         """The end of a dispatcher that was told so; in its last moment this happens."""
         dispatcher = Dispatcher.__new__(Dispatcher)
         dispatcher.clock, dispatcher.service, dispatcher.front = self.service.clock, self.service, self.front
-        dispatcher.workers, dispatcher.roster, dispatcher.fellows = self.workers, mock.Mock(), None
+        dispatcher.workers, dispatcher.discovery, dispatcher.fellows = self.workers, mock.Mock(), None
         dispatcher.longest = SECOND
         quiet, moments = self.front.quiet, iter((then,))
 
--- a/tests/test_hollow_workers.py
+++ b/tests/test_hollow_workers.py
@@ -19,7 +19,7 @@
 from pathsaddle.emulator.hollow.served import Back, Clients, HollowList, Workers
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.roster import Roster
+from pathsaddle.net.service.discovery import DiscoveryWatch
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.service.workers import Workers as Links
 from pathsaddle.net.wire import forms, terms
@@ -219,9 +219,9 @@
             def listed(service, news, rows) -> None:
                 self.heard.append((news, [row.worker.tag for row in rows]))
                 self.rows = rows
-        self.roster = roster = Roster(await told.open(), index, TxnService(), Counters())
-        self.roster.ask()
-        self.addCleanup(roster.stop, "over")
+        self.discovery = discovery = DiscoveryWatch(await told.open(), index, TxnService(), Counters())
+        self.discovery.ask()
+        self.addCleanup(discovery.stop, "over")
         await self.until(lambda: self.heard)
         return told
 
@@ -233,17 +233,17 @@
         await self.until(lambda: self.heard)
         self.assertEqual(self.heard, [(ListNews.CHANGES, ["w00003"])])
         self.assertIs(self.rows[0].worker.standing, Standing.DRAINING)
-        self.assertEqual(self.roster.index, told.index)
+        self.assertEqual(self.discovery.index, told.index)
 
     async def test_who_watches_again_gets_what_it_missed(self) -> None:
         told = await self.watched(1)
-        self.roster.stop("a cut")
+        self.discovery.stop("a cut")
         await self.until(lambda: not told.watching)
         told.change("w00001")
         told.change("w00001")
         told.change("w00002")
         self.heard.clear()
-        self.roster.ask()
+        self.discovery.ask()
         await self.until(lambda: self.heard)
         self.assertEqual(self.heard, [(ListNews.CHANGES, ["w00001", "w00002"])])
 
--- a/tests/test_list_clock.py
+++ b/tests/test_list_clock.py
@@ -14,9 +14,9 @@
 from unittest import mock
 
 from pathsaddle.net.memory.counters import Counters
-from pathsaddle.net.service import roster as roster_module
+from pathsaddle.net.service import discovery as discovery_module
+from pathsaddle.net.service.discovery import COMES_UP, FIRST, DiscoveryWatch
 from pathsaddle.net.service.pump import Tallied, stream
-from pathsaddle.net.service.roster import COMES_UP, FIRST, Roster
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
 from pathsaddle.net.wire.terms import Peer
@@ -105,12 +105,12 @@
         self.place, self.other = Place(), Place()
         self.addCleanup(self.place.close)
         self.addCleanup(self.other.close)
-        self.roster = Roster(
+        self.discovery = DiscoveryWatch(
             self.place.address, 4, TxnService(), self.counters, opening)  # type: ignore[arg-type]
         self.addAsyncCleanup(self.over)
 
     async def over(self) -> None:
-        self.roster.stop("stopping")
+        self.discovery.stop("stopping")
         await asyncio.sleep(0)
         await asyncio.sleep(0)
 
@@ -121,7 +121,7 @@
 
     async def watches(self) -> socket.socket:
         """A watch that has its first list, index 5, and waits for more."""
-        self.roster.ask()
+        self.discovery.ask()
         side = await self.place.asked()
         side.send(HEAD + chunk(line(5, "active", whole=True)))
         await self.until(lambda: bool(self.told))
@@ -133,19 +133,19 @@
     async def test_what_lies_in_our_socket_when_the_watch_moves_is_told_before_it(self) -> None:
         side = await self.watches()
         side.send(chunk(line(6, "leaving")) + chunk(b"\n"))
-        self.roster.move(self.other.address)
+        self.discovery.move(self.other.address)
         self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), (CHANGES, []), (MOVED, [])])
-        self.roster.ask()
+        self.discovery.ask()
         side = await self.other.asked()
         self.assertIn(b"index=0 ", self.other.calls[0], "the new place's versions are its own")
         side.send(HEAD + chunk(line(2, "active", whole=True)))
         await self.until(lambda: len(self.told) == 5)
-        self.assertEqual((self.told[4], self.roster.index), (says(WHOLE, Standing.READY), 2))
+        self.assertEqual((self.told[4], self.discovery.index), (says(WHOLE, Standing.READY), 2))
 
     async def test_what_lies_there_when_a_call_is_given_up_for_another_is_told(self) -> None:
-        self.roster.ask()
+        self.discovery.ask()
         (await self.place.asked()).send(HEAD + chunk(line(5, "leaving", whole=True)))
-        self.roster.ask()
+        self.discovery.ask()
         self.assertEqual(self.told, [says(WHOLE, Standing.DRAINING)])
         await self.place.asked()
         self.assertIn(b"index=5 ", self.place.calls[1])
@@ -156,13 +156,13 @@
 
         def moves(count: int) -> None:
             self.after = None
-            asyncio.get_running_loop().call_soon(self.roster.move, self.other.address)
+            asyncio.get_running_loop().call_soon(self.discovery.move, self.other.address)
 
         self.after = moves
         side.send(chunk(line(6, "leaving")))
         await self.until(lambda: len(self.told) > 2)
         self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), (MOVED, [])])
-        self.assertEqual(self.roster.index, 0)
+        self.assertEqual(self.discovery.index, 0)
 
     async def test_both_of_them_in_order(self) -> None:
         side = await self.watches()
@@ -170,7 +170,7 @@
         def moves(count: int) -> None:
             self.after = None
             side.send(chunk(line(7, "left")))
-            asyncio.get_running_loop().call_soon(self.roster.move, self.other.address)
+            asyncio.get_running_loop().call_soon(self.discovery.move, self.other.address)
 
         self.after = moves
         side.send(chunk(line(6, "leaving")))
@@ -179,7 +179,7 @@
 
     async def test_after_a_stall_of_our_own_a_watch_that_has_spoken_is_not_silent(self) -> None:
         """Its time is up before what has come is read."""
-        with mock.patch.multiple(roster_module, LIST_SILENT=SECOND // 5):
+        with mock.patch.multiple(discovery_module, LIST_SILENT=SECOND // 5):
             side = await self.watches()
             await asyncio.sleep(0)
             side.send(chunk(line(6, "leaving")))
@@ -195,7 +195,7 @@
         for more, code in ((b"", "closed"), (b"0\r\n\r\n", "ended"), (b"zz\r\nnonsense", "malformed"), (b"", "reset")):
             self.told.clear()
             self.ends.clear()
-            self.roster.ask()
+            self.discovery.ask()
             side = await self.place.asked()
             side.send(HEAD + chunk(line(5, "active", whole=True)) + chunk(line(6, "leaving")) + chunk(b'{"ind') + more)
             if code == "reset":
@@ -214,11 +214,11 @@
         side = await self.watches()
         side.send(chunk(line(6, "leaving")))
         await self.until(self.socks[0].stirred)
-        self.roster.catch_up()
+        self.discovery.catch_up()
         self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING)])
         side.send(chunk(line(7, "left")))
         await self.until(lambda: len(self.told) > 2)
-        self.roster.catch_up()
+        self.discovery.catch_up()
         self.assertEqual(self.told[2:], [says(CHANGES, Standing.GONE)])
 
     async def test_the_same_where_the_kernel_has_handed_it_over_and_its_reader_has_not_resumed(self) -> None:
@@ -226,7 +226,7 @@
 
         def catches(count: int) -> None:
             self.after = None
-            asyncio.get_running_loop().call_soon(self.roster.catch_up)
+            asyncio.get_running_loop().call_soon(self.discovery.catch_up)
 
         self.after = catches
         side.send(chunk(line(6, "leaving")))
@@ -236,12 +236,12 @@
         self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), says(CHANGES, Standing.GONE)])
 
     async def test_what_was_read_so_counts_against_silence_from_then_on(self) -> None:
-        with mock.patch.multiple(roster_module, LIST_SILENT=SECOND // 2):
+        with mock.patch.multiple(discovery_module, LIST_SILENT=SECOND // 2):
             side = await self.watches()
             begun = asyncio.get_running_loop().time()
             side.send(chunk(b"\n"))
             await self.until(self.socks[0].stirred)
-            self.roster.catch_up()
+            self.discovery.catch_up()
             heard = asyncio.get_running_loop().time()
             await asyncio.wait_for(self.ends.wait(), 5.0)
             self.assertEqual(self.told[1:], [(CHANGES, []), (SILENT, [])])
@@ -252,7 +252,7 @@
         side = await self.watches()
         side.send(b"zz\r\nnonsense")
         await self.until(self.socks[0].stirred)
-        self.roster.catch_up()
+        self.discovery.catch_up()
         side.close()
         await asyncio.wait_for(self.ends.wait(), 5.0)
         self.assertEqual(self.told[1:], [(FAILED, [])])
@@ -262,7 +262,7 @@
     async def test_an_indented_list_may_be_split_at_each_byte(self) -> None:
         text = line(5, "leaving", whole=True).replace(b"{", b"{\n  ").replace(b",", b",\n\n  ").replace(b"}", b"\n}")
         said = HEAD + chunk(text) + chunk(line(6, "left"))
-        self.roster.ask()
+        self.discovery.ask()
         side = await self.place.asked()
         for at in range(len(said)):
             side.send(said[at:at + 1])
@@ -277,26 +277,26 @@
         side.send(chunk(line(2, "left", whole=True)))
         await self.until(lambda: len(self.told) > 2)
         self.assertEqual(self.told[1:], [says(CHANGES, Standing.DRAINING), says(WHOLE, Standing.GONE)])
-        self.roster.ask()
+        self.discovery.ask()
         await self.place.asked()
         self.assertIn(b"index=2 ", self.place.calls[1])
 
     async def test_a_beat_before_any_line_says_that_nothing_has_changed_but_never_of_a_place_that_we_moved_to(self) -> None:
-        self.roster.ask()
+        self.discovery.ask()
         (await self.place.asked()).send(HEAD + chunk(b"\n"))
         await self.until(lambda: bool(self.told))
         self.assertEqual(self.told, [(CHANGES, [])])
-        self.roster.move(self.other.address)
-        with mock.patch.multiple(roster_module, FIRST=SECOND // 5):
-            self.roster.ask()
+        self.discovery.move(self.other.address)
+        with mock.patch.multiple(discovery_module, FIRST=SECOND // 5):
+            self.discovery.ask()
             (await self.other.asked()).send(HEAD + chunk(b"\n"))
             await asyncio.wait_for(self.ends.wait(), 5.0)
         self.assertEqual(self.told[1:], [(MOVED, []), (SILENT, [])])
 
     async def test_drops_that_make_no_line_are_no_word(self) -> None:
         """Each byte had put the end of a watch off."""
-        self.roster.ask()
-        with mock.patch.multiple(roster_module, FIRST=SECOND // 5, LIST_SILENT=SECOND // 5):
+        self.discovery.ask()
+        with mock.patch.multiple(discovery_module, FIRST=SECOND // 5, LIST_SILENT=SECOND // 5):
             side = await self.place.asked()
             side.send(HEAD)
             dripped = 0
@@ -319,11 +319,11 @@
             sock.connect_ex((host, port))
             filling.append(sock)
             self.addCleanup(sock.close)
-        self.roster.move(dead.address)
-        self.roster.ask()
+        self.discovery.move(dead.address)
+        self.discovery.ask()
         await self.until(lambda: bool(self.socks))
-        self.roster.move(self.other.address)
-        self.roster.ask()
+        self.discovery.move(self.other.address)
+        self.discovery.ask()
         side = await self.other.asked()
         side.send(HEAD + chunk(line(1, "active", whole=True)))
         await self.until(lambda: len(self.told) > 2)
@@ -333,11 +333,11 @@
     async def test_twice_in_a_row_and_back(self) -> None:
         side = await self.watches()
         side.send(chunk(line(6, "leaving")))
-        self.roster.move(self.other.address)
-        self.roster.ask()
-        self.roster.move(self.place.address)
-        self.roster.ask()
-        self.roster.move(self.place.address)  # no move: what is under way goes on
+        self.discovery.move(self.other.address)
+        self.discovery.ask()
+        self.discovery.move(self.place.address)
+        self.discovery.ask()
+        self.discovery.move(self.place.address)  # no move: what is under way goes on
         side.close()
         side = await self.place.asked()
         self.assertIn(b"index=0 ", self.place.calls[1])
@@ -349,8 +349,8 @@
     async def test_to_an_address_where_nobody_is(self) -> None:
         await self.watches()
         self.other.listener.close()
-        self.roster.move(self.other.address)
-        self.roster.ask()
+        self.discovery.move(self.other.address)
+        self.discovery.ask()
         await asyncio.wait_for(self.ends.wait(), 5.0)
         self.assertEqual(self.told[1:], [(MOVED, []), (FAILED, [])])
 
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,12 +11,12 @@
 
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.ledger import Sending
+from pathsaddle.net.service import discovery as discovery_module
 from pathsaddle.net.service import front as front_module
-from pathsaddle.net.service import roster as roster_module
 from pathsaddle.net.service.clock import Clock
+from pathsaddle.net.service.discovery import DiscoveryWatch
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.pump import Tallied
-from pathsaddle.net.service.roster import Roster
 from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent, Workers
 from pathsaddle.net.wire import terms
@@ -453,9 +453,10 @@
                     done.set()
 
         self.counters = Counters()
-        self.roster = Roster(await self.peer(answering), 4, Told(), self.counters)  # type: ignore[arg-type]
-        with mock.patch.multiple(roster_module, LIST_SILENT=SECOND // 10, FIRST=SECOND // 5):
-            self.roster.ask()
+        self.discovery = DiscoveryWatch(
+            await self.peer(answering), 4, Told(), self.counters)  # type: ignore[arg-type]
+        with mock.patch.multiple(discovery_module, LIST_SILENT=SECOND // 10, FIRST=SECOND // 5):
+            self.discovery.ask()
             await asyncio.wait_for(done.wait(), 2.0)
         await asyncio.sleep(0.1)
         return told
@@ -479,7 +480,7 @@
         beat = (ListNews.CHANGES, 0)  # each is told: word stands for so long after it, and no longer
         self.assertEqual(await self.watch(beats), [(ListNews.WHOLE, 1), beat, beat, beat, (ListNews.SILENT, 0)])
         self.assertIn(b"index=4 ", self.call)
-        self.assertEqual((self.roster.index, self.came, self.counters["watch_end.silent"]), (5, 1, 1))
+        self.assertEqual((self.discovery.index, self.came, self.counters["watch_end.silent"]), (5, 1, 1))
 
     async def test_a_machine_that_is_cut_off_fails_the_call(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
