--- a/pathsaddle/emulator/served/roster.py
+++ b/pathsaddle/emulator/served/discovery.py
@@ -1,4 +1,4 @@
-"""The emulated roster: the list of workers, told late, by whole lists and watches; it may fail, forget, move."""
+"""Discovery emulated: workers' list, told late, by whole lists and watches; it may fail, forget, move."""
 
 from __future__ import annotations
 
@@ -40,7 +40,7 @@
     wires: dict[Wire, None] = field(default_factory=dict)
 
 
-class Roster:
+class DiscoveryServer:
     def __init__(self, world: World, sites: Sites, workers: dict[str, Worker]) -> None:
         self.world = world
         self.sites = sites
@@ -62,13 +62,13 @@
 
     def _open(self) -> None:
         self.place = self.sites.place(f"roster{self.moves or ''}", "")
-        self.listeners = [Listener(self.place, address, self._visits(d))
+        self.listeners = [Listener(self.place, address, self._handler(d))
                           for d, address in enumerate(self.addresses)]
 
-    def _visits(self, dispatcher: int) -> Any:
-        def visit(sock: Any) -> Coroutine[Any, Any, None]:
+    def _handler(self, dispatcher: int) -> Any:
+        def handle(sock: Any) -> Coroutine[Any, Any, None]:
             return self._serve(sock, dispatcher)
-        return visit
+        return handle
 
     # Changes.
 
--- a/pathsaddle/federation/desk.py
+++ b/pathsaddle/federation/txn_service.py
@@ -1,8 +1,8 @@
 """The door of a dispatcher that may send jobs to another region, and takes some from there.
 
-It stands in the plain Desk's place where the charter has a `[federation]` table. All is decided as ever; only
-what would be declined here, which proves that nothing of it ran, is offered to the other regions that the
-spec allows, by a client's call at one of their doors. Its answer is the answer. A decline from there, or a
+It stands in the plain TxnService's place where the charter has a `[federation]` table. All is decided as
+ever; only what would be declined here, which proves that nothing of it ran, is offered to the other regions that
+the spec allows, by a client's call at one of their doors. Its answer is the answer. A decline from there, or a
 call whose last byte did not go out, proves that nothing ran there either; silence doesn't: then it is
 declined only if it may be repeated, and fails otherwise.
 
@@ -24,10 +24,10 @@
 from pathsaddle.federation.lend import Free
 from pathsaddle.federation.spec import Rule
 from pathsaddle.federation.ways import Job, Place
-from pathsaddle.net.memory.ledger import Answer, Entry, Errand, Sending
+from pathsaddle.net.memory.ledger import Answer, Entry, Exchange, Sending
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent
 from pathsaddle.net.wire import forms
 from pathsaddle.net.wire.http import Broken, Message
@@ -59,7 +59,7 @@
         return self.sending is not None and self.sending.whole
 
 
-class FederatedDesk(Desk):
+class FederatedTxnService(TxnService):
     """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing
     is lent; a region's members' rooms together are what it can do at once."""
 
@@ -164,17 +164,17 @@
         if not self._leaves(txn, come_back):
             super().decline(txn, come_back, elsewhere)
 
-    async def _carry(self, errand: Errand) -> None:
+    async def _carry(self, exchange: Exchange) -> None:
         """Each posting here is asked for by the spec as it stands now: it may have been tightened while a txn
         was held."""
-        txn = errand.posting.txn
+        txn = exchange.posting.txn
         if self.member.region in self.member.holder.rule(self.names[txn.scheme.index], self.member.now()).may:
-            await super()._carry(errand)
+            await super()._carry(exchange)
             return
-        self._end(errand, Outcome.MOOT)
+        self._end(exchange, Outcome.MOOT)
         if not txn.closed:
             if (
-                any(one.sent for one in errand.entry.errands)
+                any(one.sent for one in exchange.entry.exchanges)
                 and txn.scheme.semantics is not Semantics.REPEATABLE
             ):
                 self.reverse(txn)
@@ -200,7 +200,7 @@
         if entry.answer is None or txn.tag in self.foreign or entry.call.text(CROSSED) is not None:
             return False
         unknown = []
-        if txn.scheme.semantics is Semantics.REFERENCED and any(errand.sent for errand in entry.errands):
+        if txn.scheme.semantics is Semantics.REFERENCED and any(one.sent for one in entry.exchanges):
             unknown = [self.member.region]  # it may have run here: only where one group drops repeats of both
         place = self._choose(txn, unknown, {}, FAR)  # it has just been declined here
         if place.what != "send" or not self._sets_out(entry, place, come_back, unknown=unknown):
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -13,15 +13,15 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import seconds
+from pathsaddle.net.service.discovery import DiscoveryWatch
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.ground import Ground
-from pathsaddle.net.service.roster import Roster
 from pathsaddle.net.service.workers import Workers
 from pathsaddle.net.wire.birth import WHERE, Birth, birth
 from pathsaddle.trade import MILLISECOND, SECOND, ListNews
 
 SPARE = 12  # descriptors for the listener, discovery's watch and connections on their way out
-VISIT_MB = 0.02  # what a connection takes of us and of our tasks, measured
+CONNECTION_MB = 0.02  # what a connection takes of us and of our tasks, measured
 FEW, FEW_MB = 16, 1.0  # as many connections, and as much for bodies, are had in whatever room
 BEAT = SECOND // 4  # between looks at our own lag and at idle links
 SLACK = 50 * MILLISECOND  # what sockets are given on top of each limit of the rules
@@ -35,7 +35,7 @@
 class Dispatcher:
     def __init__(self, told: Birth, ground: Ground) -> None:
         self.ground = ground
-        self.roster: Roster
+        self.discovery: DiscoveryWatch
         self.clock = ground.clock
         self.counters = Counters()
         self.memory_mb = told.memory_mb
@@ -43,17 +43,18 @@
         free = told.sockets - ground.descriptors() - SPARE
         # So is memory: a part of what is left goes to connections, one to bodies, the rest is for all else.
         spare = max(0.0, 0.9 * told.memory_mb - ground.memory_mb())
-        room = Room(max(FEW, int(min(free, spare / 3 / VISIT_MB))),
+        room = Room(max(FEW, int(min(free, spare / 3 / CONNECTION_MB))),
                     int(max(FEW_MB, min(1e3, spare / 4)) * 1e6))
         self.workers = Workers(told.reach, free // 4, self.clock, self.counters, ground.stream)
-        told.terms.most_open = min(told.terms.most_open, min(room.visits, free - free // 4) * 3 // 4)
-        self.desk = ground.desk(told.terms, told.words, told.seed, self.clock, self.workers, self.counters,
-                         lambda: self.roster.ask())
-        self.roster = Roster(told.discovery, told.index, self.desk, self.counters, ground.stream)
-        self.desk.catch_up = self.roster.catch_up
-        self.desk.listed(ListNews.REMEMBERED, told.rows)
+        told.terms.most_open = min(told.terms.most_open, min(room.connections, free - free // 4) * 3 // 4)
+        self.service = ground.service(told.terms, told.words, told.seed, self.clock, self.workers,
+                                      self.counters, lambda: self.discovery.ask())
+        self.discovery = DiscoveryWatch(told.discovery, told.index, self.service, self.counters,
+                                        ground.stream)
+        self.service.catch_up = self.discovery.catch_up
+        self.service.listed(ListNews.REMEMBERED, told.rows)
         try:
-            self.front = Front(told.listen, free, room, self.desk, self.clock, self.counters,
+            self.front = Front(told.listen, free, room, self.service, self.clock, self.counters,
                                ground.stream)
         except (OSError, ValueError) as fault:
             from pathsaddle.net.service.place import unhad
@@ -72,26 +73,26 @@
         if self.fellows is not None:
             self.fellows.begin()  # first: where its control address can't be had, we never said that we serve
         logbook.serving()
-        beginning = events.create_task(self.desk.begin())
+        beginning = events.create_task(self.service.begin())
         watching = events.create_task(self._look_after())
         await self._stop.wait()
         await self._finish()
         watching.cancel()
         beginning.cancel()
-        await self.desk.finish()
+        await self.service.finish()
         if self.fellows is not None:
             self.fellows.end()
         self.report()
 
     async def _finish(self) -> None:
-        logbook.stopping(unanswered=len(self.desk.ledger.unanswered()))
+        logbook.stopping(unanswered=len(self.service.ledger.unanswered()))
         if self.fellows is not None:
             self.fellows.leave()
-        schemes = (*self.desk.words.schemes.values(), *self.desk.ledger.schemes())
+        schemes = (*self.service.words.schemes.values(), *self.service.ledger.schemes())
         longest = min(LONGEST, max((scheme.expiry for scheme in schemes), default=LONGEST))
         begun = self.clock.now()
         by = begun + longest + LATER
-        self.desk.stop(by)
+        self.service.stop(by)
         # Clients go on with the connections they have, and nobody else may be there for them: closed at once,
         # four in ten txns of a zone with one dispatcher failed until the next was ready.
         while self.clock.now() < begun + longest and (
@@ -103,14 +104,14 @@
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
         await self.front.shut()
         # Whoever waited in the kernel's queue is answered, and no more than that: nothing is begun any more.
-        self.desk.stop(min(by, self.clock.now()))
+        self.service.stop(min(by, self.clock.now()))
         while not self.front.quiet() and self.clock.now() < by + LAST_BYTES:
             await asyncio.sleep(seconds(LAST_BYTES) / 5)
-        logbook.stopped(unanswered=len(self.desk.ledger.unanswered()))
-        self.roster.stop("stopping")
-        for visit in list(self.front.visits):
-            visit.end("stopping")
-        for worker in self.desk.known:
+        logbook.stopped(unanswered=len(self.service.ledger.unanswered()))
+        self.discovery.stop("stopping")
+        for connection in list(self.front.connections):
+            connection.end("stopping")
+        for worker in self.service.known:
             self.workers.links.drop_idle(worker, "stopping")
 
     async def _look_after(self) -> None:
@@ -140,7 +141,7 @@
             logbook.not_reread(why=" / ".join(str(fault).splitlines()))
             return
         logbook.reread(discovery=address)
-        self.roster.move(address)
+        self.discovery.move(address)
 
     def report(self) -> None:
         logbook.counters(counters=self.counters.text())
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -11,13 +11,13 @@
 
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.memory.ledger import Sending
+from pathsaddle.net.service import discovery as discovery_module
 from pathsaddle.net.service import front as front_module
-from pathsaddle.net.service import roster as roster_module
 from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.desk import Desk
+from pathsaddle.net.service.discovery import DiscoveryWatch
 from pathsaddle.net.service.front import Front, Room
 from pathsaddle.net.service.pump import Tallied
-from pathsaddle.net.service.roster import Roster
+from pathsaddle.net.service.txn_service import TxnService
 from pathsaddle.net.service.workers import Lost, NeverSent, Workers
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import Row, Words
@@ -120,7 +120,7 @@
             workers = await self.workers(twice())
             if apart:
                 self.assertEqual((await self.post(workers)).status, 503)
-                link = workers.links.shelf("w").idle[0]
+                link = workers.links.pool("w").idle[0]
                 self.ahead += 0.06  # it has rested; the second answer is here, and its reader has not run
                 self.again.set()
                 while not link.ended and not link.sock.stirred():
@@ -137,7 +137,7 @@
         link: Any = None
         for plant in ("unread", "taken"):
             await self.post(workers)
-            link = workers.links.shelf("w").idle[-1]
+            link = workers.links.pool("w").idle[-1]
             self.ahead += 0.06
             if plant == "unread":
                 with mock.patch.object(Tallied, "stirred", side_effect=[True, False]):
@@ -249,7 +249,7 @@
         for task in stuck:
             task.cancel()
         await asyncio.gather(*stuck, return_exceptions=True)
-        self.assertEqual(workers.links.shelf("w").used, 0)
+        self.assertEqual(workers.links.pool("w").used, 0)
 
     async def test_refused_and_never_coming_up_are_known_not_to_have_run(self) -> None:
         workers = await self.workers(self.accepting)
@@ -297,13 +297,13 @@
         self.counters, clock = Counters(), Clock()
         known = terms.terms(SETTINGS)
         workers = Workers(Reach(2000, 60_000), 8, clock, self.counters)
-        desk = Desk(known, Words(SETTINGS, known), 7, clock, workers, self.counters, lambda: None)
-        desk.listed(ListNews.WHOLE, [Row(Worker("w"), "127.0.0.1:1")])
-        self.front = Front("127.0.0.1:0", 10, Room(10, 100_000), desk, clock, self.counters)
+        service = TxnService(known, Words(SETTINGS, known), 7, clock, workers, self.counters, lambda: None)
+        service.listed(ListNews.WHOLE, [Row(Worker("w"), "127.0.0.1:1")])
+        self.front = Front("127.0.0.1:0", 10, Room(10, 100_000), service, clock, self.counters)
         self.addCleanup(self.front.sock.close)
         self.address = self.front.sock.getsockname()
 
-    async def visit(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    async def connect(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
         reader, writer = await asyncio.open_connection(*self.address)
         self.addCleanup(writer.close)
         writer.write(data)
@@ -311,18 +311,18 @@
 
     async def test_at_the_limit_the_longest_idle_one_goes_and_the_new_one_is_served(self) -> None:
         ready = b"GET /ready HTTP/1.1\r\n\r\n"
-        first, _ = await self.visit(ready)
+        first, _ = await self.connect(ready)
         await first.readuntil(b"\r\n\r\n")
         for _ in range(3):
-            reader, _ = await self.visit(ready)
+            reader, _ = await self.connect(ready)
             self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
         self.assertEqual(await first.read(), b"")
         self.assertGreaterEqual(self.counters["visit_end.room"], 2)
 
     async def test_at_the_limit_one_whose_first_call_is_on_its_way_is_not_closed(self) -> None:
-        fresh = [await self.visit(b"") for _ in range(2)]
+        fresh = [await self.connect(b"") for _ in range(2)]
         await asyncio.sleep(0.02)
-        waiting, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        waiting, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         await asyncio.sleep(0.02)
         for reader, writer in fresh:
             writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
@@ -346,48 +346,48 @@
 
     async def test_a_peer_that_does_not_read_is_let_go_and_others_are_served(self) -> None:
         with mock.patch.object(front_module, "UNREAD", SECOND // 10):
-            await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+            await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
             await asyncio.sleep(0.02)
-            visit = next(iter(self.front.visits))
-            visit._put(b"x" * 30_000_000)
-            reader, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+            connection = next(iter(self.front.connections))
+            connection._put(b"x" * 30_000_000)
+            reader, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
             self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
             await asyncio.sleep(0.2)
         self.assertEqual(self.counters["visit_end.unread"], 1)
 
     async def test_too_long_a_body_is_413_even_while_the_client_is_still_writing(self) -> None:
         head = b"POST /render HTTP/1.1\r\nContent-Length: 900000\r\n\r\n"
-        reader, _ = await self.visit(head + b"x" * 900_000)
+        reader, _ = await self.connect(head + b"x" * 900_000)
         self.assertIn(b"413", await reader.readuntil(b"\r\n\r\n"))
 
     async def test_the_next_call_may_come_in_pieces_before_the_answer_to_the_first(self) -> None:
         job = (b"POST /render HTTP/1.1\r\nReq-Id: a\r\nReq-Kind: render\r\nReq-Owner: acme\r\n"
                b"Req-Deadline-Ms: 100\r\nContent-Length: 0\r\n\r\n")
-        reader, writer = await self.visit(job + b"GET /re")
+        reader, writer = await self.connect(job + b"GET /re")
         self.assertIn(b"503", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
         await asyncio.sleep(0.02)
         writer.write(b"ady HTTP/1.1\r\n\r\n")
         self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
 
     async def test_a_fault_in_one_connection_ends_that_one_alone(self) -> None:
-        with mock.patch.object(self.front.desk, "take", side_effect=ZeroDivisionError):
-            reader, _ = await self.visit(b"POST /render HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        with mock.patch.object(self.front.service, "take", side_effect=ZeroDivisionError):
+            reader, _ = await self.connect(b"POST /render HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
             self.assertEqual(await asyncio.wait_for(reader.read(), 1.0), b"")
-        reader, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        reader, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         self.assertIn(b"200 OK", await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 1.0))
         self.assertEqual(self.counters["visit_end.fault"], 1)
 
     async def test_a_peer_that_closes_its_side_after_the_call_still_gets_the_answer(self) -> None:
-        reader, writer = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        reader, writer = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         writer.write_eof()  # as a worker may after a callback: without the answer it would tell it again
         self.assertIn(b"200 OK", await asyncio.wait_for(reader.read(), 1.0))
 
     async def test_silence_and_half_a_call_end_in_time_and_what_is_kept_between_calls_stays(self) -> None:
         self.front.free = 20
-        kept, writer = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+        kept, writer = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
         await kept.readuntil(b"\r\n\r\n")
-        silent, _ = await self.visit(b"")
-        halves = [(await self.visit(half))[0] for half in (
+        silent, _ = await self.connect(b"")
+        halves = [(await self.connect(half))[0] for half in (
             b"POST /render HT", b"POST /render HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc",
             b"GET /ready HTTP/1.1\r\n\r\nGET /re")]
         await asyncio.sleep(0.05)
@@ -402,37 +402,37 @@
         self.assertIn(b"200 OK", await asyncio.wait_for(kept.readuntil(b"\r\n\r\n"), 1.0))
 
     async def test_a_peer_that_goes_on_sending_reads_its_answer_and_all_it_sent_took_no_memory(self) -> None:
-        reader, writer = await self.visit(b"POST /render HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n")
+        reader, writer = await self.connect(b"POST /render HTTP/1.1\r\nContent-Length: 60000000\r\n\r\n")
         for _ in range(60):
             writer.write(b"x" * 1_000_000)
             await asyncio.wait_for(writer.drain(), 1.0)
-        visit = next(iter(self.front.visits))
-        self.assertEqual((self.front.held, len(visit.inward)), (0, 0))
+        connection = next(iter(self.front.connections))
+        self.assertEqual((self.front.held, len(connection.inward)), (0, 0))
         self.assertIn(b"413", await asyncio.wait_for(reader.read(), 1.0))
 
     async def test_bodies_that_are_short_enough_each_and_too_much_together_are_turned_away(self) -> None:
         head = b"POST /render HTTP/1.1\r\nContent-Length: 60000\r\n\r\n"
-        first, _ = await self.visit(head + b"x" * 59_000)
+        first, _ = await self.connect(head + b"x" * 59_000)
         await asyncio.sleep(0.02)
-        second, _ = await self.visit(head + b"x" * 59_000)
+        second, _ = await self.connect(head + b"x" * 59_000)
         self.assertIn(b"503", await asyncio.wait_for(second.readuntil(b"\r\n\r\n"), 1.0))
         await asyncio.sleep(0.02)
         self.assertEqual(self.front.held, 59_000)
-        for visit in list(self.front.visits):
-            visit.end("closed")
+        for connection in list(self.front.connections):
+            connection.end("closed")
         self.assertEqual((self.front.held, first.at_eof()), (0, False))
 
     async def test_strangers_leave_before_usual_peers_whose_idle_connections_are_kept(self) -> None:
         job = (b"POST /render HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 10\r\n"
                b"Content-Length: 0\r\n\r\n")
         self.front.free = 12
-        usual, writer = await self.visit(job)
+        usual, writer = await self.connect(job)
         self.assertIn(b"503", await asyncio.wait_for(usual.readuntil(b"\r\n\r\n"), 1.0))
         for _ in range(4):
-            asked, _ = await self.visit(b"GET /ready HTTP/1.1\r\n\r\n")
+            asked, _ = await self.connect(b"GET /ready HTTP/1.1\r\n\r\n")
             await asyncio.wait_for(asked.readuntil(b"\r\n\r\n"), 1.0)
-            await self.visit(b"")
-        late, _ = await self.visit(job.replace(b": a\r", b": b\r"))
+            await self.connect(b"")
+        late, _ = await self.connect(job.replace(b": a\r", b": b\r"))
         self.assertIn(b"503", await asyncio.wait_for(late.readuntil(b"\r\n\r\n"), 2.0))
         writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
         self.assertIn(b"200 OK", await asyncio.wait_for(usual.readuntil(b"\r\n\r\n"), 1.0))
@@ -453,9 +453,10 @@
                     done.set()
 
         self.counters = Counters()
-        self.roster = Roster(await self.peer(answering), 4, Told(), self.counters)  # type: ignore[arg-type]
-        with mock.patch.multiple(roster_module, LIST_SILENT=SECOND // 10, FIRST=SECOND // 5):
-            self.roster.ask()
+        self.discovery = DiscoveryWatch(
+            await self.peer(answering), 4, Told(), self.counters)  # type: ignore[arg-type]
+        with mock.patch.multiple(discovery_module, LIST_SILENT=SECOND // 10, FIRST=SECOND // 5):
+            self.discovery.ask()
             await asyncio.wait_for(done.wait(), 2.0)
         await asyncio.sleep(0.1)
         return told
@@ -479,7 +480,7 @@
         beat = (ListNews.CHANGES, 0)  # each is told: word stands for so long after it, and no longer
         self.assertEqual(await self.watch(beats), [(ListNews.WHOLE, 1), beat, beat, beat, (ListNews.SILENT, 0)])
         self.assertIn(b"index=4 ", self.call)
-        self.assertEqual((self.roster.index, self.came, self.counters["watch_end.silent"]), (5, 1, 1))
+        self.assertEqual((self.discovery.index, self.came, self.counters["watch_end.silent"]), (5, 1, 1))
 
     async def test_a_machine_that_is_cut_off_fails_the_call(self) -> None:
         async def silent(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -509,11 +510,11 @@
 
         counters, clock, known = Counters(), Clock(), terms.terms(SETTINGS)
         workers = Workers(Reach(50 * MILLISECOND, 60_000), 8, clock, counters)
-        desk = Desk(known, Words(SETTINGS, known), 7, clock, workers, counters, lambda: None)
+        service = TxnService(known, Words(SETTINGS, known), 7, clock, workers, counters, lambda: None)
         worker = Worker("w")
-        desk.listed(ListNews.WHOLE, [Row(worker, await self.peer(silent))])
+        service.listed(ListNews.WHOLE, [Row(worker, await self.peer(silent))])
         outcomes: list[Outcome] = []
-        desk.loop.probed = lambda w, outcome, spent, report: outcomes.append(outcome)  # type: ignore
-        desk.probe(worker)
+        service.loop.probed = lambda w, outcome, spent, report: outcomes.append(outcome)  # type: ignore
+        service.probe(worker)
         await asyncio.sleep(0.15)
         self.assertEqual(outcomes, [Outcome.TIMED_OUT])
