--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -20,14 +20,14 @@
 from random import Random
 from typing import Any
 
+from pathsaddle.beliefs import FAR, Account, Book, Type, Usual
+
 from pathsaddle.trade import (  # isort: skip  # as many to a line as fit: these names are most of the trade
     LIST_ANSWER, LIST_MOVED, LIST_SILENT, LIST_SLACK, LIST_SURE, MILLISECOND, SECOND, Cancel, Decline, Door,
     Gate, Group, ListNews, Order, Outcome, Post, Posting, Report, Reverse, Scheme, Semantics, Standing, Terms,
     Txn, Wait, Worker,
 )
 
-Type = tuple[float, int | None]  # what the paper calls j: slot count and the machine a scheme needs
-FAR = 1 << 60
 FEW_TURNED_AWAY = 0.3  # doubt below which a try without prompt word is better than holding
 HANDFUL = 8.0  # txns that must come in excess before a customer is taken to be over its share
 STEEP = 2  # how sharply the chance of ending in time falls with the time needed
@@ -43,100 +43,6 @@
 AGES = tuple(SECOND * n // 100 for n in (1, 20, 40, 70, 100, 140, 200, 280, 400, 550))
 
 
-class Book:
-    """What this dispatcher knows of one worker from its own traffic."""
-
-    def __init__(self, worker: Worker) -> None:
-        self.worker = worker
-        self.out: list[Posting] = []
-        self.head: dict[Type, float] = {}  # what a new worker starts with on top, fading as own jobs finish
-        self.owed: dict[Type, int] = {}  # backlogged work by type: added at each send, removed at its outcome
-        self.past: list[tuple[int, int]] = [(-FAR, 0)]  # (when, own out from then)
-        self.report: Report | None = None
-        self.reported = 0  # when the report came
-        self.word: tuple[float | None, ...] = ()  # its last report's figures
-        self.seen, self.own_then = -FAR, 0  # the moment that it describes, and own postings out at that moment
-        self.others: tuple[int, list[float]] | None = None  # others' load by each guess of the reports' age
-        self.readings: deque[float] = deque(maxlen=8)  # others' jobs there less the slots, as reported
-        self.sizes: deque[float] = deque(maxlen=8)  # slots, as the last reports add up
-        self.alive = 0  # last sign of life: an answer or a progress note
-        self.paces: deque[float] = deque(maxlen=12)  # time taken over time expected, of the last settled ones
-        self.pace = 1.0
-        self.size = 0.0  # slots: the most that the last reports add up to
-        self.believed, self.believed_until = 0.0, 0  # free slots as last worked out, until when if nothing happens
-        self.delays: deque[int] = deque(maxlen=8)  # from posting to start, of the last postings here
-        self.probing, self.asked = False, 0  # being probed, and when it last was
-        self.failed = 0  # failures in a row
-        self.full_at = self.proven = -FAR  # when it last turned us away, and when an own txn last settled there
-        self.erred_until = 0  # after an own posting failed there: until when no txn goes that it would be lost by
-        self.shut_until = 0  # after failures: nothing before this moment
-        self.suspect, self.doubted = False, 0  # silent for too long, since when: one posting at a time until it speaks
-        self.mute: dict[Scheme, tuple[int, int]] = {}  # left untaken here: (until when none go, how often)
-        self.reached = 0  # when the last posting was sent that has started
-        self.trial: Posting | None = None  # the last posting there since
-        self.trials = 0  # postings in a row that a suspect has swallowed
-        self.cold_sent: deque[tuple[int, int, bool]] = deque()  # (when, work, if cold then) of the last sends
-        self.started: int | None = worker.started
-        self.broke = -FAR  # when a connection to it last broke or was refused
-        self.wary = worker.started is not None  # it may be cold: one look for both, in each scan
-        self.dropped = -FAR  # when the list last called it gone, or left it out
-        self.risen = -FAR  # since when it is taken to have started anew, unlisted
-
-    def own_at(self, moment: int) -> int:
-        # Found by halves: ten guesses at a report's age, each looked for from the end, took a third of the CPU.
-        return self.past[max(0, bisect_left(self.past, (moment + 1,)) - 1)][1]
-
-    def counts(self, now: int) -> None:
-        self.past.append((now, len(self.out)))
-        if len(self.past) > 1024:
-            del self.past[:512]
-
-    def lives(self, now: int) -> None:
-        self.alive, self.suspect, self.trials, self.believed_until = now, False, 0, 0
-
-
-class Account:
-    """A customer's use of its share, as far as it comes through us."""
-
-    def __init__(self, allowance: float, now: int) -> None:
-        self.allowance = allowance  # txns in a tenth of a millisecond, over all dispatchers
-        self.purse = float("inf")  # full at the start, whatever its size turns out to be
-        self.filled, self.asked = now, deque[int](maxlen=64)
-
-    def rate(self, now: int) -> float:
-        return len(self.asked) / max(1, now - self.asked[0]) if len(self.asked) > 7 else 0.0
-
-    def size(self, part: float) -> float:
-        # Fewer txns than a handful say nothing of a rate: at half a txn a second most of a small customer's
-        # were taken to be over its share, while it was under.
-        return max(HANDFUL, 4 * self.allowance * part * SECOND)
-
-    def pays(self, now: int, part: float) -> bool:
-        self.purse, self.filled = min(self.size(part), self.purse + (now - self.filled) * self.allowance * part), now
-        if self.purse < 1.0:
-            return False
-        self.purse -= 1.0
-        return True
-
-
-class Usual:
-    """What the last looks at one zone's workers found: what is believed of those not heard from."""
-
-    def __init__(self) -> None:
-        self.seen: deque[tuple[int, float]] = deque(maxlen=32)  # (when, others' jobs less slots)
-        self.told = -1.0
-
-    def learns(self, now: int, told: float) -> None:
-        self.seen.append((now, told))
-        self.judge(now)
-
-    def judge(self, now: int, lasts: float = FAR) -> None:
-        while self.seen and now - self.seen[0][0] > lasts:
-            self.seen.popleft()
-        # A few samples say little: lean on one free slot, which is where a look begins.
-        self.told = (sum(told for _, told in self.seen) - 3.0) / (len(self.seen) + 3)
-
-
 class Choice:
     def __init__(self, terms: Terms, seed: int, now: int, door: Door, gate: Gate | None = None) -> None:
         chance = Random(seed)
@@ -153,12 +59,13 @@
         # Who has the next place in a turn is a sixth of us further on: neighbours may all be of one zone.
         apart = next(n for n in range(1 + self.dispatchers // 6, FAR) if gcd(n, self.dispatchers) == 1)
         self.cold_step = pow(apart, -1, self.dispatchers)
-        self.part = self.even_part = 1.0 / terms.dispatchers  # what part of the tier's traffic seems to come through us
+        self.part = self.even_part = 1.0 / terms.dispatchers  # what of the tier's traffic seems to be ours
         self.reserve = 1.5  # slots kept free of what is over its customer's share
         self.probe_every = 0 if not (terms.may_probe and terms.reports_in_probes) else (
             SECOND // 2 if not terms.reports_in_answers else SECOND // 10)
         # Probes may cost one point in a hundred of what is asked for, and no more.
-        self.probe_price, self.probe_income = terms.price_probe, min(100.0, 0.01 / max(0.0001, terms.price_probe))
+        self.probe_price = terms.price_probe
+        self.probe_income = min(100.0, 0.01 / max(0.0001, terms.price_probe))
         self.probe_purse, self.probe_always = 10 * self.probe_income, not terms.reports_in_answers
         self.probe_times: deque[int] = deque([self.tick], maxlen=16)
         self.tells_start, self.overtakes = terms.tells_start, terms.overtakes
@@ -176,7 +83,8 @@
         self.usual: dict[int, Usual] = {}  # by zone
         self.asked_of: deque[str] = deque(maxlen=KEYS)  # the keys of the last txns
         self.order = lru_cache(KEYS)(self.in_order)
-        self.works: deque[tuple[float, float]] = deque(maxlen=KEYS)  # (slots, slots times running time) of the last
+        # Of the last txns with a key: (slots, slots times running time).
+        self.works: deque[tuple[float, float]] = deque(maxlen=KEYS)
         self.wide_from = 0.0  # slots from which on a job takes a whole worker
         self.wide: dict[Book, None] = {}  # who serves jobs that take a whole worker, and no others
         self.dark: dict[int, dict[Worker, None]] = {}  # by zone: who broke since the last sign of life in it
@@ -184,19 +92,21 @@
         self.claims: deque[bool] = deque(maxlen=CLAIMS)  # whether the last that turned us away claimed room
         self.belied_until = -FAR  # a worker turned us away and claimed room: until when that speaks of all
         self.silence = terms.progress_every + terms.progress_every // 2
-        self.must_ask, self.list_failures, self.list_lost, self.list_due, self.list_by = terms.must_ask, 0, now, FAR, -FAR
-        # Pushed, a change counts as told once our agent has it, be there a watch or not, and binds a grace later.
+        self.must_ask, self.list_failures = terms.must_ask, 0
+        self.list_lost, self.list_due, self.list_by = now, FAR, -FAR
+        # Pushed, a change counts as told once our agent has it, watch or no watch, and binds a grace later.
         self.list_grace = max(0, terms.drain_grace - LIST_SLACK) if terms.pushed else FAR
-        # On sockets what discovery had 6 s before a birth counts as told from then on, whatever `known` says; and word of
-        # an open watch stands no longer. Elsewhere it is good for as long as the list need not be asked for.
-        self.list_strict, self.list_word, self.list_had, self.list_asked = terms.beats, LIST_SURE if terms.beats else FAR, False, now
+        # On sockets what discovery had 6 s before a birth counts as told from then on, whatever `known` says;
+        # and word of an open watch stands no longer. Elsewhere it is good while the list need not be asked.
+        self.list_strict, self.list_word = terms.beats, LIST_SURE if terms.beats else FAR
+        self.list_had, self.list_asked = False, now
         self.list_sure = now + min(self.list_grace, 0 if terms.beats else terms.ask_within - LIST_SLACK)
         self.stayed: deque[bool] = deque(maxlen=16)  # whether the last that waited at home found room there
         self.landed: deque[bool] = deque(maxlen=16)  # whether the last crossings were taken in
         self.known: dict[Any, int] = {}  # what was declined lately, and when it was first asked for
         self.mean_worth, self.worths = 1.0, deque[float](maxlen=96)
         self.arrivals: deque[int] = deque(maxlen=32)  # when the last txns came
-        # A call never answered must not leave us without word until we are deemed told, nor end before it can fail.
+        # A call never answered must not leave us wordless until deemed told, nor end before it can fail.
         self.ask_again = max(LIST_SILENT + LIST_SLACK, terms.ask_within // 2)
         # The list service works through all dispatchers' calls in turn, also through those that no longer
         # wait: asked by 28 in one moment it answered nobody for the rest of a day. So births, breaks and
@@ -204,32 +114,35 @@
         self.list_spread = min((terms.dispatchers - 1) * SECOND // 10, terms.ask_within // 2)
         self.list_rarest = max(2 * SECOND, 3 * self.list_spread)
         if self.must_ask:
-            self.list_due = now + int(min(self.list_spread, LIST_SILENT if terms.beats else FAR) * self.random())
+            spread = min(self.list_spread, LIST_SILENT) if terms.beats else self.list_spread
+            self.list_due = now + int(spread * self.random())
         self.runs, self.accounts, self.fall_time = dict[Scheme, deque[int]](), dict[Any, Account](), FAR
         self.retune(terms)
 
     def retune(self, terms: Terms, still: Iterable[Scheme] = ()) -> None:
-        """Terms that may change in service, from this moment on. A scheme whose index was there keeps what was learnt
-        of it; `still` are those that open txns were taken by and that are no more."""
+        """Terms that may change in service, from this moment on. A scheme whose index was there keeps what
+        was learnt of it; `still` are those that open txns were taken by and that are no more."""
         if terms.fall_time > self.fall_time:
-            self.born = self.now  # what went to the cold before the old span is forgotten: as after a start of ours
+            self.born = self.now  # what went to the cold before the old span is forgotten: as after our start
         self.schemes, now_by = terms.schemes, {s.index: s for s in terms.schemes}
         learnt = {s.index: runs for s, runs in self.runs.items()}
         self.runs = {s: learnt.get(s.index, deque(maxlen=48)) for s in (*terms.schemes, *still)}
         for book in self.books.values():
             book.mute = {now_by[s.index]: mute for s, mute in book.mute.items() if s.index in now_by}
-        self.accounts = {c: self.accounts.get(c) or Account(0.0, self.now) for c in terms.customers if c.allowance > 0}
+        self.accounts = {customer: self.accounts.get(customer) or Account(0.0, self.now, HANDFUL)
+                         for customer in terms.customers if customer.allowance > 0}
         for customer, account in self.accounts.items():
             account.allowance = customer.allowance / SECOND  # of which ours is a part
-        self.for_trials = ([s for s in terms.schemes if self.runs_again_anywhere(s)]
-                           or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED] or terms.schemes)
+        self.for_trials = (list(filter(self.runs_again_anywhere, terms.schemes))
+                           or [s for s in terms.schemes if s.semantics is Semantics.REFERENCED]
+                           or terms.schemes)
         self.all_at_risk = not any(map(self.runs_again_anywhere, self.for_trials))
         self.looks_around = self.probe_every and (self.probe_always or self.all_at_risk and self.silence)
         self.max_postings, self.two_at_once = terms.max_postings, terms.two_at_once
         self.may_cancel, self.dropped_stay_open = terms.may_cancel, terms.dropped_stay_open
         self.cold_share, self.cold_time, self.fall_time = terms.cold_share, terms.cold_time, terms.fall_time
         self.cold_whole = 0.5 * terms.fall_multiple * terms.fall_time
-        # Among many an even part of what a slot bears at its coldest holds no job: all of it goes to the turns.
+        # Among many an even part of what a slot bears at its coldest holds no job: all goes to the turns.
         self.cold_by_turns = self.cold_whole * terms.cold_share / terms.dispatchers < SECOND // 10
         # Prices, in units of the mean txn's worth.
         self.by_work, self.over_share = terms.value_by_work, terms.over_share
@@ -292,7 +205,7 @@
                 self.sent(posting)
 
     def last(self, txn: Txn) -> int:
-        return txn.expires - self.tick  # for its final answer; a dispatcher that is to end brings the expiry forward
+        return txn.expires - self.tick  # for its final answer; who is to end brings the expiry forward
 
     def may_post_again(self, txn: Txn) -> bool:
         """Rule 2, the first half: whether another posting, to some worker, can do no harm now."""
@@ -302,20 +215,24 @@
     def may_post(self, txn: Txn, worker: Worker) -> bool:
         """And whether to this worker; what is the same for all workers is asked once, for the CPU's sake."""
         return not any(p.out and p.worker is worker
-                       or p.may_have_run and not self.same_group(txn.scheme, p.worker, worker) for p in txn.postings)
+                       or p.may_have_run and not self.same_group(txn.scheme, p.worker, worker)
+                       for p in txn.postings)
 
     def may_begin(self, posting: Posting) -> bool:
         """The same again at its first byte: coming up, a connection took time."""
         txn, worker = posting.txn, posting.worker
-        return (not txn.closed and worker.may_get(self.dropped_stay_open) and worker.started == posting.incarnation
-                and not self.list_unsure(self.now) and self.now < min(self.last(txn), self.may_go_on_until(txn, posting)))
+        return (not txn.closed and worker.may_get(self.dropped_stay_open)
+                and worker.started == posting.incarnation and not self.list_unsure(self.now)
+                and self.now < min(self.last(txn), self.may_go_on_until(txn, posting)))
 
     def may_go_on_until(self, txn: Txn, but: Posting | None = None) -> int:
-        """Until when another posting, to some worker, could still do no harm; `but` is that one, if decided already."""
+        """Until when another posting, to some worker, could yet do no harm; `but` is one decided already."""
         risky = [p for p in txn.postings if p.may_have_run and p is not but]
         if self.unusable(txn):
             return 0
-        if len(txn.postings) - (but is not None) >= self.max_postings or risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
+        if len(txn.postings) - (but is not None) >= self.max_postings:
+            return 0
+        if risky and txn.scheme.semantics is Semantics.ONCE_ONLY:
             return 0
         if risky and txn.scheme.semantics is Semantics.REFERENCED:
             return min(p.sent for p in risky) + txn.scheme.window - self.tick
@@ -382,8 +299,8 @@
         return room
 
     def waits(self, book: Book) -> int:
-        """How long the first in line has waited. What was posted before one that has started, or before the worker
-        fell silent, is lost more likely than in line."""
+        """How long the first in line has waited. What was posted before one that has started, or before the
+        worker fell silent, is lost more likely than in line."""
         since = max(book.reached, book.doubted if book.suspect else 0)
         return next((self.now - p.sent for p in book.out if p.started is None and p.sent > since), 0)
 
@@ -394,7 +311,8 @@
             return report.waiting
         return -(report.free or 0.0)
 
-    def crowded(self, book: Book) -> bool:  # postings there have lately stood in its queue: no place for what others lose by
+    def crowded(self, book: Book) -> bool:
+        # Postings there have lately stood in its queue: no place for what others lose by.
         return any(delay > self.late_start for delay in book.delays)
 
     def judge_starts(self) -> None:
@@ -419,11 +337,12 @@
 
     def in_order(self, key: str) -> list[Book]:
         """The workers in the order in which they are to keep the key's data, alike at every dispatcher."""
-        return sorted(self.books.values(), key=lambda book: blake2b(f"{book.worker.lot} {key}".encode()).digest())
+        return sorted(self.books.values(),
+                      key=lambda book: blake2b(f"{book.worker.lot} {key}".encode()).digest())
 
     def keepers(self, txn: Txn) -> dict[Book, float]:
-        """The workers that keep the data of the txn's key: the first that are open to it in the key's order, as
-        many as the key's part of the traffic fills, and KEEPERS more.
+        """The workers that keep the data of the txn's key: the first that are open to it in the key's order,
+        as many as the key's part of the traffic fills, and KEEPERS more.
 
         Whoever else runs it fetches the data from a store that all share, and holds its slots meanwhile: sent
         anywhere, a quarter of a job more, and once the store had no more to give, jobs of no keeper held the
@@ -450,11 +369,11 @@
         return kept
 
     def judge_wide(self) -> None:
-        """Where a worker starts whatever fits, a job that needs all its slots waits until it is empty: 0.6 s at the
-        median, for jobs of 0.1 s. As many workers as such jobs fill, a quarter more, serve them and no others
-        but those often turned away elsewhere: the first of an order, alike at every dispatcher."""
+        """Where a worker starts whatever fits, a job that needs all its slots waits until it is empty: 0.6 s
+        at the median, for jobs of 0.1 s. As many workers as such jobs fill, a quarter more, serve them and no
+        others but those often turned away elsewhere: the first of an order, alike at every dispatcher."""
         self.wide.clear()
-        # What the smallest is known to hold is no measure: of a worker full of others' jobs we see little room.
+        # What the smallest is known to hold is no measure: of one full of others' jobs we see little room.
         sizes = sorted(book.size for book in self.books.values() if book.size > 0)
         if not self.overtakes or not sizes or len(self.works) < 64:
             return
@@ -483,8 +402,8 @@
         return ((machine is None or worker.machine == machine)
                 and (not txn.postings or self.may_post(txn, worker))
                 and (not book.mute or self.now >= book.mute.get(txn.scheme, (0, 0))[0])
-                # Only what can be posted again anywhere is risked on a suspect; where no scheme can, what may run
-                # again somewhere, else whatever comes, once a look was answered: or it stayed one for good.
+                # Only what can be posted again anywhere is risked on a suspect; where no scheme can, what may
+                # run again somewhere, else whatever comes, once a look was answered: or it stays for good.
                 and (not book.suspect or txn.scheme in self.for_trials
                      and (not self.all_at_risk or not self.probe_every or book.reported > book.doubted))
                 # And what one error loses is not risked where one has lately failed.
@@ -517,8 +436,8 @@
                       and self.now >= book.erred_until or self.eligible(book, txn))]
         self.ranked = loads
         if txn.scheme.semantics is Semantics.ONCE_ONLY and txn.key is None:
-            # What an error loses goes where we have lately seen one end well: each of forty dispatchers learnt
-            # of a failing worker by a txn of its own, and half of what that lost was once-only.
+            # What an error loses goes where we have lately seen one end well: each of forty dispatchers
+            # learnt of a failing worker by a txn of its own, and half of what that lost was once-only.
             proven = self.now - int(8 * self.usual_run)
             loads = [entry for entry in loads if entry[1].proven > proven] or loads
         if self.cross_price < CHEAP or txn.key is not None:
@@ -551,7 +470,7 @@
         return self.worth(txn) / self.mean_worth * (self.chance(far, txn) * taken - stay) > self.cross_price
 
     def list_unsure(self, now: int) -> bool:
-        """A change may count as told that we have not heard: nothing new that a drain would forbid goes out."""
+        """A change may count as told that we have not heard: nothing goes out that a drain would forbid."""
         return self.must_ask and now >= self.list_sure
 
     def grant(self) -> tuple[Txn, Worker] | None:
@@ -568,7 +487,8 @@
         most, blind = -float(FAR), False
         for _, _, txn in self.waiting[:64]:
             # Txns that are alike to every worker fail alike: one try for all of them, for the CPU's sake.
-            alike = (txn.scheme, txn.over, int(4 * self.worth(txn) / self.mean_worth), len(txn.postings), txn.key)
+            worth = int(4 * self.worth(txn) / self.mean_worth)
+            alike = (txn.scheme, txn.over, worth, len(txn.postings), txn.key)
             if alike in self.barred or self.now <= txn.barred_until:
                 continue
             if self.now < txn.looks_until and any(book.probing for book in txn.looks):
@@ -584,7 +504,8 @@
             tried = blind or txn.key is not None or most >= self.need(txn)
             book = self.best(txn, rooms or {}, blind) if tried else None
             looks = self.look(txn, book, rooms or {})
-            if book is not None and not looks and (not self.gate or self.gate.goes_out(txn, book.worker, self)):
+            if (book is not None and not looks
+                    and (not self.gate or self.gate.goes_out(txn, book.worker, self))):
                 self.granted = True
                 return txn, book.worker
             if book is None and not any(p.may_have_run for p in txn.postings):
@@ -592,20 +513,21 @@
         return None
 
     def rooms(self, books: Iterable[Book]) -> dict[Book, float]:
-        """Those of the workers that compete, with their room; not one of them is ranked before a txn needs it."""
+        """Those of the workers that compete, with their room; none is ranked before a txn needs it."""
         now = self.now
         # Whoever has not answered a look in the time that looks take may be gone: not now.
         overdue = -FAR if self.probe_always else now - 2 * max(self.probe_times) - self.tick
         dark = [zone for zone, until in self.dark_until.items() if now < until]
         return {book: book.believed if now < book.believed_until else self.room(book)
                 for book in books
-                if ((worker := book.worker).standing is Standing.READY or self.outlives(book)) and now >= book.shut_until
-                and not (dark and worker.zone in dark)
-                and not (book.suspect and self.trial_runs(book)) and not (book.probing and book.asked < overdue)}
+                if ((worker := book.worker).standing is Standing.READY or self.outlives(book))
+                and now >= book.shut_until and not (dark and worker.zone in dark)
+                and not (book.suspect and self.trial_runs(book))
+                and not (book.probing and book.asked < overdue)}
 
     def trial_runs(self, book: Book) -> bool:
-        """Whether a suspect has a posting that may yet tell. Where none can be withdrawn and none run again, one
-        that it swallowed stays out until its expiry: the next trial waits as long as those before it were mute."""
+        """Whether a suspect has a posting that may yet tell. Where none can be withdrawn and none run again,
+        one that it swallowed stays out until its expiry: the next waits as long as those before were mute."""
         if not self.all_at_risk:
             return bool(book.out)
         return (book.trial is not None and book.trial.out
@@ -656,13 +578,14 @@
 
     def appraise(self, txn: Txn) -> None:
         txn.kind, txn.work = self.type_of(txn), self.work_of(txn)
-        self.runs.setdefault(txn.scheme, deque(maxlen=48))  # terms may have changed twice since it was accepted
+        self.runs.setdefault(txn.scheme, deque(maxlen=48))  # terms may have changed twice since it was taken
         txn.mark = (txn.scheme, txn.customer, txn.hint, txn.slots, txn.memory)
         if txn.hint is not None:
             self.hints.append(txn.hint * txn.slots)
         txn.first = self.first_asked(txn)
         if not self.hears and self.dispatchers >= len(self.books):
-            txn.key = None  # nobody tells of load, and we send less than one worker runs: keepers fill up unseen
+            # Nobody tells of load, and we send less than one worker runs: keepers fill up unseen.
+            txn.key = None
         if txn.key is not None:
             txn.fair = len(self.books) * self.asked_of.count(txn.key) / max(1, len(self.asked_of))
             self.asked_of.append(txn.key)
@@ -794,14 +717,17 @@
         if not left:
             return True
         if self.now < self.born + self.fall_time or txn.hint is None and not self.runs[txn.scheme]:
-            return False  # what we sent before our own restart may still weigh on it; of what size it is nobody knows
+            return False  # what we sent before our own restart may weigh on it yet; its size nobody knows
         since = FAR if book.worker.started is None else book.worker.started  # sent since, told later
         spent = self.weighs(txn) + sum(w for at, w, cold in self.sent_lately(book) if cold or at >= since)
-        whole = self.cold_whole * self.able(left) * (self.least_slots if self.hints else book.size or self.least_slots)
+        slots = self.least_slots if self.hints else book.size or self.least_slots
+        whole = self.cold_whole * self.able(left) * slots
         if self.cold_by_turns:
             # Beyond N mean jobs in a span, what it is allowed, 2 root N + 2 are chance: half of it a turn: a
             # span touches two; a third of N is kept for what each gets wrong of runs (docs/fleet.md).
-            mean = self.mean_job * (1.0 if self.hints else self.unsure(sum(len(self.runs[s]) for s in self.schemes)))
+            mean = self.mean_job
+            if not self.hints:
+                mean *= self.unsure(sum(len(self.runs[s]) for s in self.schemes))
             jobs = 2.0 * whole / mean
             turn = (jobs * (1.0 if self.hints else 2 / 3) + 2.0 * sqrt(jobs) + 2.0) * mean / 2.0
             at_once = max(2, int(turn / mean / (2 if self.hints else 1)))  # uneven (hinted) ones by two
@@ -879,8 +805,8 @@
                 self.broke(book.worker)
                 self.darkens(book.worker)
             else:
-                # Where our next posting there is seconds away, waits that double from milliseconds never bind:
-                # each of forty dispatchers met the same failing workers three to four times.
+                # Where our next posting there is seconds away, waits that double from milliseconds never
+                # bind: each of forty dispatchers met the same failing workers three to four times.
                 long = int(8 * self.usual_run)
                 book.erred_until = self.now + long
                 book.shut_until = max(book.shut_until, self.now + min(long, self.turn_comes()))
@@ -910,8 +836,8 @@
 
     def darkens(self, worker: Worker) -> None:
         """A zone was lost five seconds before the list said so: each dispatcher has few txns to tell fifteen
-        workers by, and spent all four postings of one on them. Several that fail with no sign of life from any
-        of their zone speak for the rest of it, where there are other zones to go to."""
+        workers by, and spent all four postings of one on them. Several that fail with no sign of life from
+        any of their zone speak for the rest of it, where there are other zones to go to."""
         dark = self.dark.setdefault(worker.zone, {})
         dark[worker] = None
         if len(dark) >= FEW and any(book.worker.zone != worker.zone for book in self.books.values()):
@@ -937,8 +863,8 @@
             return
         word = (report.free, report.waiting, report.held)
         if self.tells_start and word == book.word and any(part is not None and part % 1.0 for part in word):
-            # A measured figure that is the same to its last digit is the same reading, now older, and must not
-            # stand over what starts have told since: taken for fresh, all met at whoever had once been idle.
+            # A measured figure, the same to its last digit, is the same reading, now older, and must not
+            # stand over what starts told since: taken for fresh, all met at whoever had once been idle.
             book.reported = self.now
             return
         book.word = word
@@ -972,7 +898,7 @@
             enough = best * (2.1 - len(self.misses) / 48) + 0.01
             gains = [off[0] - off[sums.index(best)] for _, off in self.misses]
             # And in most samples, by more than their spread: with few own postings between two reports a jump
-            # of others' load or two chose an age, and a third of all postings of forty dispatchers went blind.
+            # or two of others' load chose an age; a third of all postings of forty dispatchers went blind.
             if sum(gains) > SURE * sum(gain * gain for gain in gains) ** 0.5:
                 self.age = next(age for age, total in zip(AGES, sums) if total <= enough)
         if self.now < self.belied_until:
@@ -996,8 +922,8 @@
                 self.shows(book, posting)
 
     def shows(self, book: Book, posting: Posting) -> None:
-        """A start tells at first hand what was there when it was posted: a free slot, or a line as long as what
-        has run since."""
+        """A start tells at first hand what was there when it was posted: a free slot, or a line as long as
+        what has run since."""
         waited, size = self.now - posting.sent, book.size or self.least_slots
         free = book.report.free or 0.0 if book.report is not None else 0.0
         if waited <= self.late_start:
@@ -1027,20 +953,25 @@
         if news is ListNews.FAILED or news is ListNews.SILENT:
             self.list_lost = self.list_lost if self.list_failures else self.now
             self.list_failures += 1
-            # What a watch missed counts as told from its last line on, a failed call proves that nothing was to be had
-            # at its begin, and the next is over in time: doubled past that, drains broke. Births leave others room.
+            # What a watch missed counts as told from its last line on, a failed call proves that nothing was
+            # to be had at its begin, and the next is over in time: doubled past that, drains broke. Births
+            # leave others room.
             took = max(1, self.now - self.list_asked) if self.list_due < FAR else 0
-            self.list_had = self.list_had and (took > 0 or self.now < self.list_sure)  # else we have stood still
-            sure = min(self.now - (took or LIST_SILENT) + LIST_SURE, self.list_by if self.now < self.list_by else FAR)
+            self.list_had = self.list_had and (took > 0 or self.now < self.list_sure)  # else we stood still
+            sure = self.now - (took or LIST_SILENT) + LIST_SURE
+            if self.now < self.list_by:
+                sure = min(sure, self.list_by)
             by = sure - max(LIST_ANSWER, took) - self.now
             had = self.list_had or not self.list_strict
             soon = self.list_had or self.list_failures < 2 and (had or news is ListNews.SILENT)
-            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - had, 8), by if soon else LIST_SURE, self.list_rarest if had else FAR)
+            wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - had, 8),
+                       by if soon else LIST_SURE, self.list_rarest if had else FAR)
             if news is ListNews.FAILED and self.now >= self.list_by:
                 sure = min(sure, self.now - took + self.list_grace)
             # What had been missed before, by a birth or while we stood still, no failed call takes back.
             self.list_sure = sure if had else self.list_sure
-            self.list_due, self.stirred = self.now + int(max(SECOND // 2, wait) * (0.1 + 0.9 * self.random())), True
+            self.list_due = self.now + int(max(SECOND // 2, wait) * (0.1 + 0.9 * self.random()))
+            self.stirred = True
             return
         if news is ListNews.MOVED:
             # At once: what the new place tells counts as told soon; failures of the old say nothing of it.
@@ -1048,7 +979,8 @@
             self.list_by = self.list_sure = min(self.list_sure, self.now + LIST_MOVED)
             return
         if news is not ListNews.REMEMBERED:
-            self.list_failures, self.list_due, self.list_sure, self.list_had = 0, FAR, self.now + self.list_word, True
+            self.list_failures, self.list_due, self.list_had = 0, FAR, True
+            self.list_sure = self.now + self.list_word
         self.stirred, told = True, dict.fromkeys(workers)
         if news is ListNews.CHANGES and not told:
             return  # a beat: we have heard
@@ -1072,7 +1004,8 @@
             book.head = dict(mean)
             book.started = worker.started
             book.wary = book.wary or worker.started is not None
-            book.report, book.suspect, book.failed, book.shut_until, book.believed_until = None, False, 0, 0, 0
+            book.report, book.suspect = None, False
+            book.failed = book.shut_until = book.believed_until = 0
 
     def mean_backlog(self) -> dict[Type, float]:
         others = [book for worker, book in self.books.items()
@@ -1085,7 +1018,8 @@
         if self.must_ask:
             if self.now >= self.list_due:
                 # The call before is given up: it has failed.
-                if self.list_due == self.list_asked + self.ask_again and (self.list_had or not self.list_strict):
+                if (self.list_due == self.list_asked + self.ask_again
+                        and (self.list_had or not self.list_strict)):
                     self.list_sure = max(self.list_sure, self.list_asked + min(LIST_SURE, self.list_grace))
                 self.list_asked, self.list_due = self.now, self.now + self.ask_again
                 self.door.subscribe()
@@ -1113,12 +1047,14 @@
         return due
 
     def probe_around(self) -> int:
-        """The workers heard from longest ago, home ones first, as far as the purse goes; where answers report too,
-        the suspects alone. A suspect's return is earned: by an answered look, then by one posting that starts."""
+        """The workers heard from longest ago, home ones first, as far as the purse goes; where answers report
+        too, the suspects alone. A suspect's return is earned: by an answered look, then by one posting that
+        starts."""
         every = self.probe_every if self.probe_always else self.silence
         due = self.now + every
         for book in sorted(self.books.values(), key=lambda b: (b.worker.zone != self.home, b.asked)):
-            if book.probing or not (self.probe_always or book.suspect) or not book.worker.may_get(self.dropped_stay_open):
+            if (book.probing or not (self.probe_always or book.suspect)
+                    or not book.worker.may_get(self.dropped_stay_open)):
                 continue
             next_look = max(book.asked, book.reported) + every
             if self.now < next_look:
--- a/pathsaddle/emulator/hollow/scan.py
+++ b/pathsaddle/emulator/hollow/scan.py
@@ -19,10 +19,10 @@
 
 import msgspec
 
+from pathsaddle.beliefs import Book
 from pathsaddle.charter.check import check
 from pathsaddle.charter.form import Charter
 from pathsaddle.charter.told import told
-from pathsaddle.choice import Book
 from pathsaddle.loop import Loop
 from pathsaddle.net.wire.birth import birth
 from pathsaddle.net.wire.forms import Row
--- a/pathsaddle/emulator/hollow/teams.py
+++ b/pathsaddle/emulator/hollow/teams.py
@@ -24,9 +24,10 @@
 
 import msgspec
 
+from pathsaddle.beliefs import Account
 from pathsaddle.charter.form import Charter
 from pathsaddle.charter.told import read, settings
-from pathsaddle.choice import Account
+from pathsaddle.choice import HANDFUL
 from pathsaddle.emulator.hollow.serving import Ground, rss_mib
 from pathsaddle.loop import Loop
 from pathsaddle.trade import (
@@ -342,7 +343,7 @@
     share = setting.busy / teams
     even, within = 1.15 / setting.dispatchers, 0
     for second in range(setting.hops):
-        account = Account(share / SECOND, second * SECOND)
+        account = Account(share / SECOND, second * SECOND, HANDFUL)
         sends = max(10, int(10 * share))
         within += sum(account.pays(second * SECOND + i * SECOND // sends, even) for i in range(sends))
     return within / (share * setting.hops)
--- a/pathsaddle/experiment/baseline.py
+++ b/pathsaddle/experiment/baseline.py
@@ -10,7 +10,8 @@
 from collections.abc import Callable, Iterator
 from unittest import mock
 
-from pathsaddle.choice import Book, Choice
+from pathsaddle.beliefs import Book
+from pathsaddle.choice import Choice
 from pathsaddle.trade import Txn
 
 Pick = Callable[[Choice, list[Book]], Book]
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -11,7 +11,8 @@
         "emulator.placement", "emulator.federation", "emulator.ownership")
 # Of each part: what it may not import, wherever in its source the import stands.
 BELOW = {
-    "trade": ("net", "fleet", "jobs", "charter", *ABOVE),
+    "trade": ("beliefs", "choice", "loop", "net", "fleet", "jobs", "charter", *ABOVE),
+    "beliefs": ("choice", "loop", "net", "fleet", "jobs", "charter", *ABOVE),
     "choice": ("net", "fleet", "jobs", "charter", *ABOVE),
     "loop": ("net", "fleet", "jobs", "charter", *ABOVE),
     "net": ("fleet", *ABOVE),
