--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -1,6 +1,7 @@
 """The house's order, read from its source alone: no circle of imports, and none that runs upward."""
 
 import ast
+import tomllib
 import unittest
 from graphlib import CycleError, TopologicalSorter
 from pathlib import Path
@@ -98,6 +99,13 @@
         for part in [*BELOW, *(bar for barred in BELOW.values() for bar in barred)]:
             self.assertIn(part, self.known)
 
+    def test_the_decisions_can_be_read_at_night(self):
+        # 65 lines had been joined past the width to keep to the count.
+        policy = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text(encoding="utf-8"))["policy"]
+        lines = [line for name in policy for line in (ROOT / name).read_text(encoding="utf-8").splitlines()]
+        self.assertEqual([line for line in lines if len(line) > 110], [])
+        self.assertLessEqual(len(lines), 1130)
+
     def test_what_only_types_need_counts_and_what_a_function_imports_counts_apart(self):
         source = ("from typing import TYPE_CHECKING\nif TYPE_CHECKING:\n    from pathsaddle.emulator.stage import Stage\n"
                   "def one():\n    from pathsaddle.cli import main\nimport pathsaddle.trade\n")
