Five thousand wrong schemes are told by a law of lines, not within 10 s

Observed: `assertLess(time.process_time() - began, 10.0)`, 2.3 s on this machine at load 14: it holds by the machine's speed, and by 4.4 times. In its place: 5,000 schemes run less than ten times the lines of 500 (9.34 times measured: no more for each of many), and at most 28.6 million (22.9 million run; 1.25 times). 13 s of processor time more, for the count.

--- a/tests/test_federation.py
+++ b/tests/test_federation.py
@@ -1,10 +1,10 @@
 """The spec of a federation: checked whole, compared, in force by rule; every order of events to a depth."""
 
-import time
 import unittest
 from dataclasses import replace
 
 from pathsaddle.emulator.federation.mutants import IN_MODEL, mutant
+from pathsaddle.emulator.steps import Steps
 from pathsaddle.federation.check import Forbidden, check, versions, walk
 from pathsaddle.federation.faults import SpecFaulty
 from pathsaddle.federation.spec import parse
@@ -102,15 +102,20 @@
                 self.assertTrue(any(key in line and says in line for line in lines), lines)
 
     def test_five_thousand_schemes_all_wrong_are_told_whole_and_soon(self):
-        body = "".join(f'[schemes.s{i}]\nhome = "north"\n{OUT}data = "d{i % 100}"\n' for i in range(5000))
         data = "".join(f'[data.d{i}]\ncopies = {{ north = "0s" }}\n' for i in range(100))
-        began = time.process_time()
-        one = parse(REGIONS + body + data)
-        two = parse(REGIONS + body.replace('"west"', '"south"') + data)
-        changes = compared(one, two)
-        self.assertEqual(len(self.faults(body.replace('["west"]', '["wset"]') + data)), 5000)
-        self.assertEqual((len(changes), sum(row.tightens for row in changes)), (10_000, 5000))
-        self.assertLess(time.process_time() - began, 10.0)
+
+        def lines(count):
+            body = "".join(f'[schemes.s{i}]\nhome = "north"\n{OUT}data = "d{i % 100}"\n' for i in range(count))
+            with Steps() as steps:
+                one = parse(REGIONS + body + data)
+                two = parse(REGIONS + body.replace('"west"', '"south"') + data)
+                changes = compared(one, two)
+                self.assertEqual(len(self.faults(body.replace('["west"]', '["wset"]') + data)), count)
+            self.assertEqual((len(changes), sum(row.tightens for row in changes)), (2 * count, count))
+            return steps.lines
+        few, many = lines(500), lines(5000)
+        self.assertLess(many, 10 * few, "no more for each of many")
+        self.assertLess(many, 28_600_000)  # 22.9 million are run; 1.25 times as many
 
 
 class VersionsStory(unittest.TestCase):
