Stories hold the TCP port of the program that they start, so no other process is given it

Observed: a trial on this machine: 1,000 ports, bound, closed and handed on as `free_port` did; while 500 other listeners came up, as with other files of stories beside it, 47 were given away. The program then ends on its bind and the story polls a closed port for 20 s and errs with a bare TimeoutError.

A program that ends while it is awaited in `Shutdown.start` fails the story at once with its log. UDP ports are as before: our UDP sockets don't ask for SO_REUSEADDR.

--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -8,24 +8,18 @@
 import json
 import os
 import signal
-import socket
 import tempfile
 import tomllib
 import unittest
 from pathlib import Path
 
 from tests.fakehost import SETTINGS
+from tests.ports import tcp_port
 
 ROOT = Path(__file__).parent.parent
 RUN = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
 
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
-
-
 class ProgramStory(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.mood = "done"  # what the worker does with the next posting
@@ -36,7 +30,7 @@
         for server in (worker, discovery):
             self.addCleanup(server.close)
         self.worker = "{}:{}".format(*worker.sockets[0].getsockname())
-        self.port = free_port()
+        self.port = tcp_port()
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.config = Path(folder.name) / "config.json"
--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -18,6 +18,7 @@
 from pathsaddle.errors import Error
 from pathsaddle.settings.asking import ask
 from pathsaddle.settings.forms import hashed
+from tests.ports import tcp_port
 
 ROOT = Path(__file__).resolve().parent.parent
 KEEPERS = {"k0": "north", "k1": "south", "k2": "west"}
@@ -27,7 +28,9 @@
 
 
 def free(count, kind):
-    """Ports; each is held until all are found, so that none comes twice."""
+    """Addresses; each port is held until all are found, so that none comes twice."""
+    if kind == socket.SOCK_STREAM:
+        return [f"127.0.0.1:{tcp_port()}" for _ in range(count)]
     socks = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
     for sock in socks:
         sock.bind(("127.0.0.1", 0))
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -16,7 +16,8 @@
 from typing import Any
 
 from tests.fakehost import SETTINGS
-from tests.test_program import ROOT, free_port
+from tests.ports import tcp_port
+from tests.test_program import ROOT
 
 LONGEST = 3.0  # seconds: the expiry of all classes here, and with that the longest shutdown
 MORE = 0.7  # and so much later SIGKILL may come
@@ -48,7 +49,7 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
-        self.port = free_port()
+        self.port = tcp_port()
         self.log = b""
         self.listed: list[str] = []
 
@@ -128,6 +129,9 @@
                 with contextlib.suppress(OSError):
                     if (await self.call(READY))[0] == 200 or not ready:
                         break
+                if self.program.returncode is not None:
+                    assert self.program.stderr is not None
+                    self.fail(f"it has ended: {(await self.program.stderr.read()).decode()}")
                 await asyncio.sleep(0.02)
 
     async def spawn(self, config: Path, env: dict[str, str]) -> None:
