--- a/pathsaddle/emulator/settings/world.py
+++ b/pathsaddle/emulator/settings/world.py
@@ -23,7 +23,7 @@
 from pathsaddle.settings.batch import MADE, Change
 from pathsaddle.settings.forms import Group, Put, Snapshot, Wrong, canonical, digest_of, hashed
 from pathsaddle.settings.store import Store
-from pathsaddle.settings.sync import Keeper, Member, Said, Write, size_of
+from pathsaddle.settings.sync import Keeper, Member, Said, Write, nearest, size_of
 
 SECOND = 10_000
 NEAR = SECOND // 1000  # one way, within a region
@@ -108,7 +108,7 @@
             self.machine = Keeper(self.name, self.region, self.life, store, peers, chance, purse, self.now(), lease,
                                   offers=self.disk.offers)
         else:
-            near = sorted(world.keepers, key=lambda name: (world.keepers[name] != self.region, name))
+            near = nearest(world.keepers, self.name, self.region)
             self.machine = Member(self.name, self.region, self.life, store, near, chance, purse, self.now(), lease)
         world.log("begins", name=self.name, life=self.life, revision=store.revision, keeper=self.keeper)
         self.turn(lambda now: now)
--- a/pathsaddle/settings/serving.py
+++ b/pathsaddle/settings/serving.py
@@ -18,12 +18,13 @@
 from pathsaddle.net.service.ground import Fellows
 from pathsaddle.settings.driver import Acting, MemberDriver, Told
 from pathsaddle.settings.ground import GroundForm, ground_of, named
+from pathsaddle.settings.sync import nearest
 
 
 def told(ground: GroundForm, file: str, name: str) -> Told:
     """A member as the file of keepers has it, keepers of its region first. Raises BadFile."""
     row = named(file, "members", ground.members, name)
-    near = sorted(ground.keepers, key=lambda one: (ground.keepers[one].region != row.region, one))
+    near = nearest({one: keeper.region for one, keeper in ground.keepers.items()}, name, row.region)
     return Told(name, row.region, ground.key.encode(), row.listen, {one: ground.keepers[one].address for one in near},
                 Path(row.disk), f"members.{name} in {file}", int(ground.lease), row.control)
 
--- a/pathsaddle/settings/sync.py
+++ b/pathsaddle/settings/sync.py
@@ -245,6 +245,12 @@
     keeper: str
 
 
+def nearest(keepers: Mapping[str, str], name: str, region: str) -> list[str]:
+    """Those of that region first; of the others each member has an order of its own, so that who leaves a keeper doesn't go
+    where all others go. keepers: regions by name."""
+    return sorted(keepers, key=lambda one: (keepers[one] != region, hashed(f"{name} {one}".encode())))
+
+
 def size_of(said: Said) -> int:
     return len(_encode(said)) + ENVELOPE
 
@@ -382,6 +388,7 @@
         self.at = 0  # which keeper is asked
         self.tries = 0  # keepers in a row that said nothing
         self.asked: int | None = None  # when, and no answer yet
+        self.again_due = FAR  # when it is asked once more, lest one lost datagram send its member elsewhere
         self.ask_due = now + int(chance.uniform(0, SECOND // 4))  # all may start in this moment
         self.lag_due, self.lag_tries = FAR, 0
         self.home_due = FAR  # when the nearest keeper is tried again
@@ -434,13 +441,16 @@
     def wake(self, now: int) -> int:
         """When it is due next."""
         if self.asked is not None and now >= self.asked + ANSWER:
-            before, self.asked = self.keepers[self.at], None
+            before, self.asked, self.again_due = self.keepers[self.at], None, FAR
             self.at, self.tries = (self.at + 1) % len(self.keepers), self.tries + 1
             self.home_due = now + int(6 * self.lease * self.chance.uniform(0.5, 1.5)) if self.at else FAR
             self.tell("silent", name=before, why=f"{self.keepers[self.at]} is asked next")
             self.ask_due = now + self.backoff(self.tries - 2, self.lease // 2) if self.tries > 1 else now
         if now >= self.home_due and self.asked is None:
             self.at, self.home_due = 0, FAR
+        if now >= self.again_due:
+            self.again_due = FAR
+            self.asks(now)
         if now >= self.ask_due:
             self.asks(now)
         if self._behind() and now >= self.lag_due:
@@ -453,7 +463,8 @@
         self.holder, ask = self.holder.asks(now)
         base = self.holder.base
         self.say(self.keepers[self.at], Asking(self.name, self.life, ask.echo, base.number, base.digest), now)
-        self.asked = now if self.asked is None else self.asked
+        if self.asked is None:
+            self.asked, self.again_due = now, now + ANSWER // 2
         self.ask_due = now + int(self.lease / 3 * self.chance.uniform(0.8, 1.0))
 
     def _renewed(self, said: Renewal, now: int) -> None:
@@ -467,7 +478,7 @@
             self._lagging(now)
             return
         self.proved = asked if self.proved is None else max(self.proved, asked)
-        self.asked, self.tries = None, 0
+        self.asked, self.tries, self.again_due = None, 0, FAR
         self.ask_due = now + int(self.lease / 3 * self.chance.uniform(0.8, 1.0))
         self._lagging(now)
         if self.store.revision > before:
@@ -623,7 +634,7 @@
             self.was_leased = leased
             self.tell("leased" if leased else "alone", revision=self.holder.base.number, digest=self.holder.base.digest,
                       until=self.holder.until)
-        return min(self.ask_due, FAR if self.asked is None else self.asked + ANSWER, self.lag_due,
+        return min(self.ask_due, self.again_due, FAR if self.asked is None else self.asked + ANSWER, self.lag_due,
                    self.home_due if self.asked is None else FAR,
                    self.holder.ends() if leased else FAR, min((part.due for part in self.parts.values()), default=FAR))
 
--- a/tests/test_settings_core.py
+++ b/tests/test_settings_core.py
@@ -28,6 +28,7 @@
 )
 from pathsaddle.settings.store import Store
 from pathsaddle.settings.sync import (
+    ANSWER,
     LEASE,
     OFFERS,
     SECOND,
@@ -41,6 +42,7 @@
     Offer,
     Renewal,
     Said,
+    nearest,
     size_of,
 )
 from pathsaddle.settings.terms import LIMITS, Terms, allows, narrower
@@ -722,6 +724,33 @@
         self.assertLessEqual(len(keeper.offers), OFFERS)
         self.assertIn(digest_of(first), keeper.offers)
 
+    def test_one_datagram_that_is_lost_sends_nobody_to_another_keeper(self):
+        """One in fifty lost, two hundred members were soon at keepers of other regions, for a minute each time."""
+        store, _ = self.start()
+        member = Member("m0", "north", 1, store.copy(), ("k0", "k1"), random.Random(1), Ample(), 0)
+        member.asks(0)
+        self.assertEqual([(to, said.echo) for to, said in member.ready().out], [("k0", 1)])
+        due = member.wake(ANSWER // 2)
+        self.assertEqual([(to, said.echo) for to, said in member.ready().out], [("k0", 2)])
+        self.assertEqual(due, ANSWER)
+        member.heard(Renewal("k0", "m0", 1, 2, 1, store.digest), due - 1)
+        self.assertGreater(member.wake(due), due)
+        self.assertEqual((member.status(due).keeper, member.leased(due)), ("k0", True))
+        member.asks(2 * SECOND)  # both lost
+        member.wake(2 * SECOND + ANSWER // 2)
+        member.ready()
+        member.wake(2 * SECOND + ANSWER)
+        self.assertEqual([to for to, _ in member.ready().out], ["k1"])
+
+    def test_who_leaves_a_keeper_doesnt_go_where_all_others_go(self):
+        """All went to the first by name: at 400 changes a minute it had half of 200 members, and no purse for them."""
+        keepers = {f"k{i}": f"r{i}" for i in range(8)}
+        orders = [nearest(keepers, f"m{i}", "r3") for i in range(700)]
+        self.assertEqual({order[0] for order in orders}, {"k3"})
+        seconds = [sum(order[1] == name for order in orders) for name in keepers if name != "k3"]
+        self.assertTrue(all(60 < count < 140 for count in seconds), seconds)
+        self.assertEqual(orders, [nearest(dict(reversed(keepers.items())), f"m{i}", "r3") for i in range(700)])
+
     def test_an_asking_is_answered_only_by_a_reading_that_began_after_it(self):
         store, _ = self.start()
         keeper = Keeper("k0", "north", 1, store.copy(), (), random.Random(1), Ample(), 0)
--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -1,6 +1,7 @@
 """Shared settings as real processes: three keepers that vote, four members; SIGSTOP, kill -9, disks that are kept. What
 members acted by is judged from their logs alone; each process dies with the test that started it."""
 
+import asyncio
 import json
 import os
 import signal
@@ -12,8 +13,11 @@
 import time
 import unittest
 from pathlib import Path
+from random import Random
 
 from pathsaddle.emulator.events import Event, read
+from pathsaddle.emulator.ground.air import Air, Blight, Meter
+from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.settings.judge import judge
 from pathsaddle.errors import Error
 from pathsaddle.settings.asking import ask
@@ -37,21 +41,71 @@
     return found
 
 
-class ProcessesStory(unittest.TestCase):
+class Ways(Relays):
+    """What keepers and members say to one another, through sockets of ours, in a thread of its own: ways that are cut, and what
+    each sent and got in any second. Voters' ways are their own."""
+
+    def __init__(self, ways):
+        self.began = time.monotonic()
+        self.got = {name: Meter() for name in ways}
+        self.events = asyncio.new_event_loop()
+        self.thread = threading.Thread(target=self.events.run_forever)
+        self.thread.start()
+        air = Air(Random(1), lambda sender, taker: 0.0)
+        air.meters = {name: Meter() for name in ways}
+        asyncio.run_coroutine_threadsafe(self.binds(air, ways), self.events).result(10)
+
+    async def binds(self, air, ways):
+        super().__init__(lambda: int((time.monotonic() - self.began) * 10_000), air, ways)
+
+    def _go(self, sender, taker, data):
+        self.got[taker].add(self.now() / 10_000, len(data))
+        super()._go(sender, taker, data)
+
+    def cut(self, sender, taker):
+        """One way; the blight, to be mended by."""
+        blight = Blight(frozenset((sender,)), frozenset((taker,)), oneway=True, lost=1.0)
+        self.does(lambda: self.air.blights.update({blight: None}))
+        return blight
+
+    def mend(self, blight):
+        self.does(lambda: self.air.blights.pop(blight))
+
+    def does(self, call):
+        async def there():
+            call()
+        asyncio.run_coroutine_threadsafe(there(), self.events).result(10)
+
+    def end(self):
+        self.does(super().end)
+        self.events.call_soon_threadsafe(self.events.stop)
+        self.thread.join(10)
+        self.events.close()
+
+
+class Stand(unittest.TestCase):
+    relayed = False
+
     def setUp(self):
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder, self.processes = Path(folder.name), {}
-        udp = free(2 * len(KEEPERS) + len(MEMBERS), socket.SOCK_DGRAM)
+        udp = free(3 * len(KEEPERS) + 2 * len(MEMBERS), socket.SOCK_DGRAM)
         tcp = free(len(KEEPERS) + len(MEMBERS), socket.SOCK_STREAM)
         self.control = dict(zip((*KEEPERS, *MEMBERS), tcp, strict=True))
         lines = ['key = "sixteen bytes or more"', 'lease = "2s"', f'log = "{self.folder}/log"',
                  "[voters]", 'fleet = "f"', 'key = "sixteen other bytes"', 'lease = "600ms"',
                  "names = { " + ", ".join(f'{name} = "{udp.pop()}"' for name in KEEPERS) + " }"]
+        own = {name: udp.pop() for name in (*KEEPERS, *MEMBERS)}
+        ours = {name: udp.pop() if self.relayed else own[name] for name in own}
         for table, names in (("keepers", KEEPERS), ("members", MEMBERS)):
             for name, region in names.items():
                 lines += [f"[{table}.{name}]", f'region = "{region}"', f'disk = "{self.folder}/{name}"',
-                          f'control = "{self.control[name]}"', f'{"address" if name in KEEPERS else "listen"} = "{udp.pop()}"']
+                          f'control = "{self.control[name]}"', f'listen = "{own[name]}"']
+                lines += [f'address = "{ours[name]}"'] * (name in KEEPERS)
+        if self.relayed:
+            self.ways = Ways({name: (own[name], ours[name]) for name in own})
+            self.addCleanup(self.ways.end)
         self.ground = self.folder / "ground.toml"
         self.ground.write_text("\n".join(lines) + "\n")
         founding = [self.runs("-m", "pathsaddle.settings", "found", str(self.ground), "--keeper", name) for name in KEEPERS]
@@ -160,8 +214,8 @@
         self.assertGreater(sum(one.what == "acts" for one in told), 50)
         return rows
 
-    # Stories
 
+class ProcessesStory(Stand):
     def test_two_authors_at_once_one_is_outrun_and_all_act_by_the_others_change(self):
         begun = [self.begins("apply", self.file(f"[customers.c0]\nallowance = {50 + i}\n"), "--expect", "1", "--reason", f"n{i}",
                              "--at", self.control[name], "--wait") for i, name in enumerate(("k0", "k1"))]
@@ -249,5 +303,120 @@
         self.good()
 
 
+    def test_authors_that_wait_are_committed_together_and_who_is_refused_or_outrun_leaves_the_others_whole(self):
+        asked = [{"rows": {f"customers.c{i}": {"allowance": 10 + i}}, "reason": f"n{i}"} for i in range(6)] + [
+            {"rows": {"customers.c0": {"allowance": 1}}, "expect": 0, "reason": "late"},
+            {"rows": {}, "remove": ["customers.nobody"], "reason": "no such"},
+            {"rows": {"rules": {"nonsense": 1}}, "reason": "no rule"}]
+        told = {}
+
+        def author(one):
+            try:
+                told[one["reason"]] = ask(self.control["k0"], "apply", 40.0, within=30.0, **one)
+            except Error as fault:
+                told[one["reason"]] = fault
+        authors = [threading.Thread(target=author, args=(one,)) for one in asked]
+        for one in authors:
+            one.start()
+        for one in authors:
+            one.join(60)
+        self.assertEqual([told[name].name for name in ("late", "no such", "no rule")],
+                         ["settings.outrun", "settings.refused", "settings.refused"])
+        self.assertEqual(sorted(told[f"n{i}"]["revision"] for i in range(6)), list(range(2, 8)))
+        self.acts(7, *MEMBERS)
+        rows = ask(self.control["k2"], "get", key="customers")["rows"]
+        self.assertEqual([rows[f"customers.c{i}"]["allowance"] for i in range(6)], list(range(10, 16)))
+        groups = {row.more["revision"]: row.more["reason"] for row in self.good() if row.what == "group"}
+        self.assertEqual({revision: groups[revision] for revision in range(2, 8)},
+                         {told[f"n{i}"]["revision"]: f"n{i}" for i in range(6)})
+
+
+class WaysStory(Stand):
+    relayed = True
+
+    def changes(self, at, revision, **rows):
+        """Committed at that keeper as that revision."""
+        told = ask(self.control[at], "apply", 40.0, rows={f"customers.{name}": {"allowance": most} for name, most in rows.items()},
+                   within=30.0)
+        self.assertEqual((told["revision"], told["changed"]), (revision, True))
+
+    def in_force(self, revision, *names):
+        for name in names:
+            self.until(lambda name=name: self.status(name)["force"] == revision, f"{revision} in force, by {name}")
+
+    def test_single_ways_are_cut_and_who_hears_or_is_heard_by_another_keeper_has_each_change(self):
+        cut = self.ways.cut("k0", "m0")  # m0 is heard, and hears nothing of its keeper
+        self.until(lambda: self.status("m0")["keeper"] != "k0", "it asks another")
+        self.changes("k0", 2, c0=5)
+        self.in_force(2, *KEEPERS)
+        self.acts(2, *MEMBERS)
+        self.ways.mend(cut)
+
+        cut = self.ways.cut("m1", "k0")  # m1 hears its keeper, and isn't heard
+        self.until(lambda: self.status("m1")["keeper"] != "k0", "it asks another")
+        self.changes("k0", 3, c1=5)
+        self.in_force(3, *KEEPERS)
+        self.acts(3, *MEMBERS)
+        self.ways.mend(cut)
+
+        self.assertNotIn("m2", [*self.status("k0")["clients"], *self.status("k2")["clients"]])
+        cuts = [self.ways.cut("k1", name) for name in ("k0", "k2")]  # what m2 says to have goes to k1 alone
+        self.changes("k0", 4, c2=5)
+        self.in_force(4, "k1")
+        for name in ("k0", "k2"):
+            self.until(lambda name=name: self.status(name)["waits_for"] == ["m2"], f"{name} knows of all but one")
+            self.assertEqual(self.status(name)["force"], 3)
+        for cut in cuts:
+            self.ways.mend(cut)
+        self.in_force(4, *KEEPERS)
+
+        cuts = [self.ways.cut("k0", "k1"), self.ways.cut("k2", "k1")]  # k1 hears the voters, and no keeper
+        self.changes("k0", 5, c3=5)
+        self.until(lambda: self.status("k1")["known"] == 5, "it reads that there is one")
+        self.assertEqual((self.status("k1")["revision"], self.status("k1")["waits_for"]), (4, ["?"]))
+        self.in_force(5, "k0", "k2")  # who asked k1 asks another
+        self.acts(5, *MEMBERS)
+        for cut in cuts:
+            self.ways.mend(cut)
+        self.in_force(5, "k1")
+        self.good()
+
+    def test_a_hundred_changes_within_a_minute_all_in_force_and_no_second_over_what_a_process_may_send(self):
+        """Drawn moments over 20 s, three times as close as they may come; some rows twice, most at one keeper; a thread each."""
+        chance, began, told = Random(7), time.monotonic(), {}
+        ended, pause = [], threading.Event()
+
+        def author(number, moment, at, key, most):
+            pause.wait(max(0.0, began + moment - time.monotonic()))
+            try:
+                told[number] = ask(self.control[at], "apply", 40.0, rows={key: {"allowance": most}}, author="drawn",
+                                   reason=f"change {number}", within=30.0)
+            except Error as fault:
+                told[number] = fault
+            ended.append(time.monotonic())
+        drawn = sorted(chance.uniform(0.0, 20.0) for _ in range(100))
+        authors = [threading.Thread(target=author, args=(i, moment, "k1" if i % 10 == 9 else "k0",
+                                                         f"customers.c{chance.randrange(12)}", 1000 + i))
+                   for i, moment in enumerate(drawn)]
+        for one in authors:
+            one.start()
+        for one in authors:
+            one.join(100)
+        self.assertEqual([one for one in told.values() if isinstance(one, Error) or not one["changed"]], [])
+        self.assertEqual(sorted(one["revision"] for one in told.values()), list(range(2, 102)))
+        self.assertLess(max(ended) - began, 60.0)
+        self.in_force(101, *KEEPERS)
+        self.acts(101, *MEMBERS)
+        self.took = time.monotonic() - began
+        groups = {row.more["revision"]: row.more["reason"] for row in self.good() if row.what == "group"}
+        self.assertEqual({revision: groups[revision] for revision in range(2, 102)},
+                         {one["revision"]: f"change {number}" for number, one in told.items()})
+        for name in MEMBERS:
+            self.assertLess(self.ways.air.meters[name].most(0), 13_000, name)
+            self.assertLess(self.ways.got[name].most(0), 13_000, name)
+        for name in KEEPERS:
+            self.assertLess(self.ways.air.meters[name].most(0), 200_000, name)
+
+
 if __name__ == "__main__":
     unittest.main()
