--- a/pathsaddle/emulator/hollow/settings.py
+++ b/pathsaddle/emulator/hollow/settings.py
@@ -87,7 +87,7 @@
     regions = min(setting.regions, max(1, members))
     plan = Plan(regions=regions, members=members, keepers=regions, customers=setting.teams, changes=changes,
                 seconds=setting.seconds, quiet=25.0, loss=setting.loss, doubled=0.0, faults=0.0, acts=False, lease=10.0, log=1024,
-                founded=True, astray=0.0)
+                founded=True)
     world = Metered(plan, seed)
     away = world.regions[-1]
     if setting.lost:
--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -381,6 +381,40 @@
         self.in_force(5, "k1")
         self.good()
 
+    def test_a_keeper_dies_between_offer_and_change_and_what_was_offered_never_was(self):
+        """What keepers answer to the one that commits is cut off: all have its offer on disk, and the register isn't asked."""
+        cuts = [self.ways.cut(name, "k0") for name in ("k1", "k2")]
+        told = []
+
+        def author(i):
+            with self.assertRaises(Error) as caught:
+                ask(self.control["k0"], "apply", 40.0, rows={f"customers.c{i}": {"allowance": 1 + i}}, within=30.0)
+            told.append(caught.exception.name)
+        authors = [threading.Thread(target=author, args=(i,)) for i in range(3)]
+        for one in authors:
+            one.start()
+        for name in ("k1", "k2", *MEMBERS):
+            self.until(lambda name=name: 2 in self.status(name)["offers"], f"{name} holds the offer")
+        self.kills("k0")
+        for one in authors:
+            one.join(60)
+        self.assertEqual(told, ["settings.unreached"] * 3)
+        for cut in cuts:
+            self.ways.mend(cut)
+        held = ask(self.control["m0"], "get", key="customers")
+        self.assertEqual((held["revision"], sorted(row["allowance"] for row in held["rows"].values())[1:]), (1, [100] * 5))
+        self.assertEqual({self.status(name)["known"] for name in ("k1", "k2")}, {1})
+        self.changes("k1", 2, c4=7)  # what it may do until then is what both allow
+        self.acts(2, *MEMBERS)
+        rows = ask(self.control["m0"], "get", key="customers")["rows"]
+        self.assertEqual([rows[f"customers.c{i}"]["allowance"] for i in range(6)], [100, 100, 100, 100, 7, 100])
+        self.starts("k0")  # with the offer on its disk
+        self.until(lambda: (self.status("k0")["revision"], self.status("k0")["force"]) == (2, 2), "it has what it missed")
+        self.changes("k0", 3, c0=50)
+        self.in_force(3, *KEEPERS)
+        self.acts(3, *MEMBERS)
+        self.good()
+
     def test_a_hundred_changes_within_a_minute_all_in_force_and_no_second_over_what_a_process_may_send(self):
         """Drawn moments over 20 s, three times as close as they may come; some rows twice, most at one keeper; a thread each."""
         chance, began, told = Random(7), time.monotonic(), {}
