--- a/pathsaddle/fleet/state/carry.py
+++ b/pathsaddle/fleet/state/carry.py
@@ -144,6 +144,7 @@
         self.counts: dict[str, int] = {}
         # echo -> (when, whom) of comparisons that may still be answered
         self.asked: dict[int, tuple[int, str]] = {}
+        self.compared: str | None = None  # the last name of the last page compared; "": of all; None: none was
         self.documents: dict[bytes, bytes] = {}
         self.partial: dict[bytes, Partial] = {}
         self.giving: dict[tuple[str, bytes, int], None] = {}  # (to, digest, number) asked of us
@@ -379,10 +380,15 @@
         if not self.peers:
             return
         to = to if to in self.peers else self.chance.choice(sorted(self.peers))
+        turn = first is None
         if first is None:
+            # Page after page, so that each name has its turn: from a drawn name to the end, the first of N
+            # names was compared once in N, and a record of its that was not passed on was lacked for as long.
             names = sorted(self.origins)
-            start = self.chance.randrange(len(names)) if len(names) > ROWS else 0
-            first = names[start - 1] if start else ""
+            if self.compared is None:  # a drawn begin alone, so that not all compare the same at once
+                start = self.chance.randrange(len(names)) if len(names) > ROWS else 0
+                self.compared = names[start - 1] if start else ""
+            first = self.compared if self.compared < names[-1] else ""
         rows: list[Row] = []
         room, last = self._room(to) - 40, ""
         for name in self._between(first, ""):
@@ -398,6 +404,8 @@
             del self.asked[old]
         if self.send(to, [Compare(echo, first, last, rows)], now, COMPARISONS):
             self.asked[echo] = now, to
+            if turn:
+                self.compared = last
 
     # Hearing.
 
--- a/tests/test_carry.py
+++ b/tests/test_carry.py
@@ -12,9 +12,9 @@
 from pathsaddle.emulator.state.judge import judge
 from pathsaddle.fleet.purse import SECOND, Purse
 from pathsaddle.fleet.state import check_carry
-from pathsaddle.fleet.state.carry import Carry
+from pathsaddle.fleet.state.carry import ROWS, Carry, Origin
 from pathsaddle.fleet.state.check import Exceeded
-from pathsaddle.fleet.state.form import BODY
+from pathsaddle.fleet.state.form import BODY, Compare, decode
 from pathsaddle.fleet.state.limiter import WINDOW, Dealt, Limiter
 from pathsaddle.fleet.state.shared import SPARE, Shared
 from pathsaddle.fleet.state.shares import Lend, Want
@@ -148,6 +148,54 @@
             b.put("t", bytes(401), 0)
 
 
+class TurnsStory(unittest.TestCase):
+    """More names than a page holds: the first of 50 was compared once in 50 times, most in every second."""
+
+    NAMES = tuple(f"m{n:02}" for n in range(50))
+
+    def setUp(self):
+        self.one = Carry("m25", 7, "f", KEY, Purse(24_000, 60, 0), SECOND, Random(5), 0)
+        for name in self.NAMES:
+            self.one.joined(name, 7, name)
+            self.one.origins.setdefault(name, Origin(7, seen=1))
+
+    def compared(self, beats):
+        """How often each name was, over so many beats; of how many comparisons."""
+        times, pages = dict.fromkeys(self.NAMES, 0), 0
+        for now in range(self.one.compare_due, self.one.compare_due + beats * SECOND, SECOND // 50):
+            self.one.wake(now)
+            for _, data in self.one.out:
+                for said in decode(data, KEY, "f").said:
+                    if isinstance(said, Compare):
+                        pages += 1
+                        for row in said.rows:
+                            times[row.name] += 1
+            self.one.out.clear()
+        return times, pages
+
+    def test_each_name_is_compared_as_often_as_any_other(self):
+        times, pages = self.compared(60)
+        rounds = pages // -(-len(self.NAMES) // ROWS)
+        self.assertGreater(rounds, 10)
+        self.assertLessEqual(max(times.values()) - min(times.values()), 1, times)
+        self.assertGreaterEqual(min(times.values()), rounds - 1)
+
+    def test_a_comparison_that_the_purse_refuses_is_not_the_names_turn(self):
+        self.compared(1)
+        before = self.one.compared
+        self.one.purse.left[0] = -24_000  # and what a beat brings back
+        self.one.wake(self.one.compare_due)
+        self.assertEqual((self.one.counts["held back"], self.one.compared, self.one.out), (1, before, []))
+
+    def test_names_that_end_or_come_between_two_pages_take_nobodys_turn(self):
+        self.compared(1)
+        self.one.ended(self.one.compared or self.NAMES[-1], 7)  # that which the next page begins behind
+        times, _ = self.compared(8)
+        there = [times[name] for name in self.NAMES if name in self.one.origins]
+        self.assertEqual(len(there), 49)
+        self.assertGreaterEqual(min(there), 1)
+
+
 class EveryOrderStory(unittest.TestCase):
     """Three members, one that writes two topics and begins anew: compared, passed on, lost, doubled, late."""
 
