Hollow members: one form of a play on the virtual ground for three measures

members, members_load and members_peaks each repeated how a play is begun, ended and read, what it needs and which of its figures are counts. Now `Play`, `counted` and `needed` of fleet_ground.py.

--- a/pathsaddle/emulator/hollow/fleet_ground.py
+++ b/pathsaddle/emulator/hollow/fleet_ground.py
@@ -9,9 +9,9 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Iterable
 from random import Random
-from typing import Any
+from typing import Any, Generic, TypeVar
 
 import msgspec
 
@@ -318,20 +318,36 @@
                 member.host.kill()
 
 
+Its = TypeVar("Its", bound=FleetSetting)
 
-def played(fleet: HollowFleet, play: Callable[[], Coroutine[Any, Any, None]]) -> None:
-    """Runs it in virtual time, and ends the fleet whatever happens. RuntimeError: a fault that nobody caught."""
-    try:
-        fleet.loop.run_until_complete(play())
-    finally:
-        fleet.close()
-        fleet.loop.close()
-    if fleet.loop.faults:
-        raise RuntimeError(f"a fault that nobody caught: {fleet.loop.faults[0]}")
 
+class Play(Generic[Its]):
+    """One play of a measure on this ground, in virtual time; `run` fills `figures`."""
 
-def fleet_of(point: int, seed: int, setting: FleetSetting) -> HollowFleet:
-    return HollowFleet(point, seed, setting, Moments())  # type: ignore[abstract]  # what is left out, nobody calls
+    def __init__(self, point: int, seed: int, setting: Its) -> None:
+        self.setting, self.figures = setting, dict[str, float]()
+        # Abstract: what the loop leaves out, nobody calls.
+        self.fleet = HollowFleet(point, seed, setting, Moments())  # type: ignore[abstract]
+
+    async def run(self) -> None:
+        raise NotImplementedError
+
+    def played(self, names: Iterable[str]) -> dict[str, float]:
+        """These figures; the fleet ends whatever happens. RuntimeError: a fault that nobody caught."""
+        fleet = self.fleet
+        try:
+            fleet.loop.run_until_complete(self.run())
+        finally:
+            fleet.close()
+            fleet.loop.close()
+        if fleet.loop.faults:
+            raise RuntimeError(f"a fault that nobody caught: {fleet.loop.faults[0]}")
+        return {name: self.figures[name] for name in names}
+
+
+def counted(figures: Iterable[str]) -> frozenset[str]:
+    """All but processor times."""
+    return frozenset(name for name in figures if not name.endswith("us_s"))
 
 
 def peaked(costs: dict[str, float], name: str) -> dict[str, float]:
@@ -350,6 +366,6 @@
                 ("us_s", "us/s", "processor time of the cores per member"))}
 
 
-def needed(point: int) -> tuple[int, float]:
+def needed(point: int, setting: FleetSetting) -> tuple[int, float]:
     """One process; measured 31 MiB at 10 members, 149 MiB at 200."""
     return 1, 40 + point * 0.3 + point * point * 0.002
--- a/pathsaddle/emulator/hollow/members.py
+++ b/pathsaddle/emulator/hollow/members.py
@@ -14,13 +14,12 @@
 
 from pathsaddle.emulator.hollow.fleet_ground import (
     FleetSetting,
-    HollowFleet,
     Member,
-    fleet_of,
+    Play,
+    counted,
     needed,
     peak_figures,
     peaked,
-    played,
 )
 
 TOPIC = "told"
@@ -53,18 +52,11 @@
     "held_back_s": ("1/s", "datagrams that a member's purse refused, over the whole play, mean (hollow, emulated)"),
     "wrong_deaths": ("count", "judgements `dead` of members that ran (hollow, emulated)"),
 } | peak_figures({"deaths": "a few are killed, two seconds apart, until all know"})
-COUNTED = frozenset(name for name in FIGURES if not name.endswith("us_s"))
+COUNTED = counted(FIGURES)
+needs = needed
 
 
-def needs(point: int, setting: Setting) -> tuple[int, float]:
-    return needed(point)
-
-
-class Play:
-    def __init__(self, fleet: HollowFleet, setting: Setting) -> None:
-        self.fleet, self.setting = fleet, setting
-        self.figures: dict[str, float] = {}
-
+class Played(Play[Setting]):
     async def run(self) -> None:
         fleet = self.fleet
         fleet.introduce()
@@ -118,6 +110,4 @@
 
 def measure(point: int, seed: int, setting: Setting) -> dict[str, float]:
     """One play with `point` hollow members; bytes, counts and spans are of virtual time."""
-    play = Play(fleet_of(point, seed, setting), setting)
-    played(play.fleet, play.run)
-    return {name: play.figures[name] for name in FIGURES}
+    return Played(point, seed, setting).played(FIGURES)
--- a/pathsaddle/emulator/hollow/members_load.py
+++ b/pathsaddle/emulator/hollow/members_load.py
@@ -15,12 +15,11 @@
 from pathsaddle.emulator.hollow.fleet_ground import (
     LOOK,
     FleetSetting,
-    HollowFleet,
-    fleet_of,
+    Play,
+    counted,
     needed,
     peak_figures,
     peaked,
-    played,
 )
 
 TOPIC = "load"
@@ -42,17 +41,13 @@
     "held_back_s": ("1/s", "datagrams that a member's purse refused while all tell, on the mean (hollow, emulated)"),
     "wrong_deaths": ("count", "judgements `dead` of members that ran (hollow, emulated)"),
 } | peak_figures({"load": "each tells a load record at the pace of the overload gate's driver"})
-COUNTED = frozenset(name for name in FIGURES if not name.endswith("us_s"))
+COUNTED = counted(FIGURES)
+needs = needed
 
 
-def needs(point: int, setting: Setting) -> tuple[int, float]:
-    return needed(point)
-
-
-class Play:
-    def __init__(self, fleet: HollowFleet, setting: Setting) -> None:
-        self.fleet, self.setting = fleet, setting
-        self.figures: dict[str, float] = {}
+class Played(Play[Setting]):
+    def __init__(self, point: int, seed: int, setting: Setting) -> None:
+        super().__init__(point, seed, setting)
         self.written: dict[tuple[str, bytes], float] = {}  # when, by whose and what
 
     async def run(self) -> None:
@@ -109,6 +104,4 @@
 
 def measure(point: int, seed: int, setting: Setting) -> dict[str, float]:
     """One play with `point` hollow members; bytes, counts and spans are of virtual time."""
-    play = Play(fleet_of(point, seed, setting), setting)
-    played(play.fleet, play.run)
-    return {name: play.figures[name] for name in FIGURES}
+    return Played(point, seed, setting).played(FIGURES)
--- a/pathsaddle/emulator/hollow/members_peaks.py
+++ b/pathsaddle/emulator/hollow/members_peaks.py
@@ -13,13 +13,12 @@
 from pathsaddle.emulator.ground.air import Blight
 from pathsaddle.emulator.hollow.fleet_ground import (
     FleetSetting,
-    HollowFleet,
     Member,
-    fleet_of,
+    Play,
+    counted,
     needed,
     peak_figures,
     peaked,
-    played,
 )
 
 
@@ -42,18 +41,11 @@
                   "release": "a tenth leaves at once and is back two seconds later, until all know",
                   "zone": "a zone is killed, is back later, until all know",
                   "region": "a region is apart for a minute, then until all know all"})
-COUNTED = frozenset(name for name in FIGURES if not name.endswith("us_s"))
+COUNTED = counted(FIGURES)
+needs = needed
 
 
-def needs(point: int, setting: Setting) -> tuple[int, float]:
-    return needed(point)
-
-
-class Play:
-    def __init__(self, fleet: HollowFleet, setting: Setting) -> None:
-        self.fleet, self.setting = fleet, setting
-        self.figures: dict[str, float] = {}
-
+class Played(Play[Setting]):
     async def run(self) -> None:
         fleet = self.fleet
         await self.peak("start", self.start)
@@ -112,6 +104,4 @@
 
 def measure(point: int, seed: int, setting: Setting) -> dict[str, float]:
     """One play with `point` hollow members; bytes, counts and spans are of virtual time."""
-    play = Play(fleet_of(point, seed, setting), setting)
-    played(play.fleet, play.run)
-    return {name: play.figures[name] for name in FIGURES}
+    return Played(point, seed, setting).played(FIGURES)
