--- a/pathsaddle/fleet/state/carry.py
+++ b/pathsaddle/fleet/state/carry.py
@@ -61,8 +61,10 @@
 MOST_DOCUMENTS = 8
 WINDOW = 8  # pieces asked for at once
 MOST_GIVING = 16  # pieces asked of us that wait for the purse
-# What is left of the purse to others: probes and answers first, then shares, comparisons, news, bulk.
-SHARES, COMPARISONS, NEWS, BULK = 0.1, 0.3, 0.4, 0.6
+# What is left of the purse to others: probes, answers and shares first, then all else of membership's, then
+# comparisons, news, bulk. Down to what it may leave, carrying spends it all while many tell of much: as long as that
+# was less than membership's news needs, no accusation went round and each suspicion lasted its longest.
+SHARES, COMPARISONS, NEWS, BULK = 0.1, 0.45, 0.5, 0.6
 
 
 @dataclass(slots=True)
@@ -144,6 +146,7 @@
         self.counts: dict[str, int] = {}
         # echo -> (when, whom) of comparisons that may still be answered
         self.asked: dict[int, tuple[int, str]] = {}
+        self.compared: str | None = None  # the last name of the last page compared; "": of all; None: none was
         self.documents: dict[bytes, bytes] = {}
         self.partial: dict[bytes, Partial] = {}
         self.giving: dict[tuple[str, bytes, int], None] = {}  # (to, digest, number) asked of us
@@ -379,10 +382,15 @@
         if not self.peers:
             return
         to = to if to in self.peers else self.chance.choice(sorted(self.peers))
+        turn = first is None
         if first is None:
+            # Page after page, so that each name has its turn: from a drawn name to the end, the first of N
+            # names was compared once in N, and a record of its that was not passed on was lacked for as long.
             names = sorted(self.origins)
-            start = self.chance.randrange(len(names)) if len(names) > ROWS else 0
-            first = names[start - 1] if start else ""
+            if self.compared is None:  # a drawn begin alone, so that not all compare the same at once
+                start = self.chance.randrange(len(names)) if len(names) > ROWS else 0
+                self.compared = names[start - 1] if start else ""
+            first = self.compared if self.compared < names[-1] else ""
         rows: list[Row] = []
         room, last = self._room(to) - 40, ""
         for name in self._between(first, ""):
@@ -398,6 +406,8 @@
             del self.asked[old]
         if self.send(to, [Compare(echo, first, last, rows)], now, COMPARISONS):
             self.asked[echo] = now, to
+            if turn:
+                self.compared = last
 
     # Hearing.
 
