How many connections to workers there are is counted as they come and go

Ruled out: asking it less often; front.py asks at each accept since rooms change at each. The story fails without it (the walk is seen).

--- a/pathsaddle/net/memory/links.py
+++ b/pathsaddle/net/memory/links.py
@@ -33,15 +33,26 @@
 
 @dataclass(slots=True, eq=False)
 class Shelf(Generic[L]):
-    """One worker's connections."""
+    """One worker's connections. What comes and goes here is counted where it does, in `links` too."""
 
+    links: Links[L]
     # Apart, and each in the order of `idle_since`: a fast worker's resting ones are most of its connections,
     # and who wants one that has rested must not go through them all.
     rested: list[L] = field(default_factory=list)
     resting: deque[L] = field(default_factory=deque)
-    used: int = 0  # in use or coming up
+    _used: int = 0
     waiters: deque[asyncio.Future[None]] = field(default_factory=deque)
 
+    @property
+    def used(self) -> int:
+        """In use or coming up."""
+        return self._used
+
+    @used.setter
+    def used(self, used: int) -> None:
+        self.links.count += used - self._used
+        self._used = used
+
     @property
     def idle(self) -> list[L]:
         """All that no call is out on, about the longest idle first."""
@@ -53,9 +64,10 @@
 
     def oldest(self) -> L | None:
         """The one that has been idle for about the longest, no more among them."""
-        if self.rested:
-            return self.rested.pop(0)
-        return self.resting.popleft() if self.resting else None
+        if not self.rested and not self.resting:
+            return None
+        self.links.count -= 1
+        return self.rested.pop(0) if self.rested else self.resting.popleft()
 
 
 class Links(Generic[L]):
@@ -64,17 +76,15 @@
         self.keep_for = keep_for
         self.rest = rest  # after an answer: in which a second one to the same call may still come
         self.shelves: dict[str, Shelf[L]] = {}
+        # All shelves' together. Asked several times an accept: as a sum over 1,900 shelves it took 190 us.
+        self.count = 0
 
     def shelf(self, worker: str) -> Shelf[L]:
         shelf = self.shelves.get(worker)
         if shelf is None:
-            shelf = self.shelves[worker] = Shelf()
+            shelf = self.shelves[worker] = Shelf(self)
         return shelf
 
-    @property
-    def count(self) -> int:
-        return sum(shelf.count for shelf in self.shelves.values())
-
     def most_each(self) -> int:
         """An even part each, so that one silent worker's connections leave room for all others'."""
         return max(2, self.most // max(1, len(self.shelves)))
@@ -87,6 +97,7 @@
             rested.append(resting.popleft())
         while rested:
             link = rested.pop()
+            self.count -= 1
             if link.usable and now - link.idle_since < self.keep_for:
                 shelf.used += 1
                 return link
@@ -113,6 +124,7 @@
         """What lies unread on it by now is its reader's; it is looked for when the link is taken, and not twice."""
         if link.sound:
             link.idle_since = now
+            self.count += 1
             if link.rests:
                 shelf.resting.append(link)
             else:
@@ -131,8 +143,10 @@
             for link in shelf.idle:
                 if now - link.idle_since >= self.keep_for:
                     link.end("idle")
+            before = shelf.count
             shelf.rested = [link for link in shelf.rested if not link.ended]
             shelf.resting = deque(link for link in shelf.resting if not link.ended)
+            self.count -= before - shelf.count
 
     def drop_idle(self, worker: str, code: str) -> None:
         shelf = self.shelves.get(worker)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from random import Random
 from unittest import mock
 
 from pathsaddle.net.memory.counters import Counters
@@ -52,6 +53,38 @@
         self.links.put_back(self.shelf, link, now)
         return link
 
+    def test_how_many_there_are_is_known_without_a_walk_over_all_workers(self) -> None:
+        """Asked several times an accept: a sum over 1,900 workers' shelves took 190 us each time."""
+        chance, out = Random(7), 0
+        for now in range(2000):
+            shelf = self.links.shelf(f"w{chance.randrange(5)}")
+            step = chance.randrange(8)
+            if step == 0:
+                shelf.used += 1  # as one that comes up
+            elif step == 1 and shelf.used:
+                self.links.release(shelf)
+            elif step == 2:
+                self.links.take(shelf, now)
+            elif step == 3 and shelf.used:
+                link = Planted(rests=chance.random() < 0.5)
+                link.sound = chance.random() < 0.8
+                self.links.put_back(shelf, link, now)
+            elif step == 4:
+                self.links.gives_up_resting(shelf)
+            elif step == 5:
+                self.links.let_go_oldest()
+            elif step == 6 and chance.random() < 0.2:
+                self.links.sweep(now)
+            elif step == 7 and chance.random() < 0.2:
+                self.links.forget(f"w{chance.randrange(5)}")
+            there = sum(one.used + len(one.idle) for one in self.links.shelves.values())
+            self.assertEqual(self.links.count, there)
+            out = max(out, there)
+        self.assertGreater(out, 5)
+        with mock.patch.object(Shelf, "count", new_callable=mock.PropertyMock) as each:
+            self.assertEqual(self.links.count, there)
+            each.assert_not_called()
+
     def test_none_is_taken_in_its_rest_and_of_those_that_have_rested_the_last_put_back(self) -> None:
         first, second, third = (self.answered(now) for now in (0, 10, 20))
         self.assertIsNone(self.links.take(self.shelf, REST - 1))
