Plans: owners with 1 and 5% lost and at their peaks; starts with slow workers and in a release

Needed: docs/CAPACITY.md names them as not measured. owners_peaks restarts all voters at one moment, members a tenth at a time, and slows one voter down; starts_peaks is starts.py's play with one worker in a hundred slow, or all workers drained a tenth at a time. Ruled out: a key for it in starts.py and owners.py, since each change of their text lets all kept plays of eleven plans be played again. What was lost needed no text: the setting was there.

--- a/tests/test_hollow_load.py
+++ b/tests/test_hollow_load.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from pathsaddle.emulator.events import Event
-from pathsaddle.emulator.hollow import gangs, jobs_store, open_sockets, open_txns, starts
+from pathsaddle.emulator.hollow import gangs, jobs_store, open_sockets, open_txns, starts, starts_peaks
 from pathsaddle.emulator.hollow.waits import percentile
 from pathsaddle.trade import SECOND
 
@@ -165,12 +165,32 @@
         self.assertTrue(all(job[0].expires >= now + 3600 * SECOND for job in rows[45:]))
 
 
+class StartsPeaks(Measures):
+    def test_a_hundredth_of_the_workers_is_slow_and_a_release_takes_each_once(self) -> None:
+        slow = starts_peaks.Setting(load=0.9, run=2.0, slots=1)
+        self.assertEqual([row["of"] for row in starts_peaks.troubles(90, slow)], ["east-0", "east-25"])
+        release = starts_peaks.Setting(peak="release")
+        rows = starts_peaks.troubles(90, release)
+        self.assertEqual(sorted(row["of"] for row in rows), sorted(starts_peaks.names(90, release)))
+        moments = [row["at"] for row in rows]
+        self.assertEqual(len(dict.fromkeys(moments)), 10)
+        self.assertLessEqual(max(moments.count(at) for at in moments), len(rows) // 10 + 1)
+
+    def test_the_troubles_are_in_the_play_and_the_measure_is_starts_again_after_it(self) -> None:
+        more = {"seconds": 5.0, "warm": 2.0, "load": 0.8}
+        found = self.plays(starts_peaks, 12, peak="release", **more)
+        calm = self.plays(starts, 12, **more)
+        self.assertNotEqual([found[name] for name in sorted(found)], [calm[name] for name in sorted(calm)])
+        self.assertEqual((found["workers"], found["findings"]), (calm["workers"], 0))
+
+
 class Plans(unittest.TestCase):
     """Each plan of these measures fits its measure; the rig's own checks are its own tests'."""
 
     def test_settings_points_slopes_and_bounds_are_the_measures(self) -> None:
         measures: dict[str, Any] = {
             "starts": starts,
+            "starts_peaks": starts_peaks,
             "gangs": gangs,
             "open_txns": open_txns,
             "open_sockets": open_sockets,
--- a/tests/test_hollow_members.py
+++ b/tests/test_hollow_members.py
@@ -7,7 +7,15 @@
 from pathlib import Path
 from unittest import mock
 
-from pathsaddle.emulator.hollow import members, members_load, members_peaks, owners, places, sockets_members
+from pathsaddle.emulator.hollow import (
+    members,
+    members_load,
+    members_peaks,
+    owners,
+    owners_peaks,
+    places,
+    sockets_members,
+)
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -51,6 +59,14 @@
                 self.assertEqual(processes, 1)
                 self.assertGreater(memory, 0)
 
+    def test_owners_peaks_hang_on_the_seed_alone_and_each_is_seen(self):
+        setting = owners_peaks.Setting(settle=6.0, watched=10.0, each=1.5)
+        one, again = (owners_peaks.measure(6, 3, setting) for _ in range(2))
+        self.assertEqual((one, sorted(one)), (again, sorted(owners_peaks.FIGURES)))
+        self.assertGreater(one["new_unowned_s"], 0.0)
+        self.assertGreater(one["release_lost"], 0.0)
+        self.assertEqual((one["slow_unowned_s"], one["slow_lost"]), (0.0, 0.0), "four of five are enough")
+
     def test_at_rest_nobody_is_taken_for_dead_and_all_know_all(self):
         told = members.measure(8, 1, members.Setting())
         self.assertEqual((told["wrong_deaths"], told["rows_kept"]), (0.0, 7.0))
