jobs_store: where none has ended, and a plan for it

Needed: docs/CAPACITY.md knows neither ended nor open jobs beyond 100,000. With no ended job there is nothing to read back, so its spans are 0.

--- a/pathsaddle/emulator/hollow/jobs_store.py
+++ b/pathsaddle/emulator/hollow/jobs_store.py
@@ -76,7 +76,7 @@
 
 
 def needs(point: int, setting: Setting) -> tuple[int, float]:
-    return 2, 600.0
+    return 2, 500.0 + 0.006 * min(point, setting.open)
 
 
 def writes(count: int, seed: int, setting: Setting, now: int) -> list[list[Write]]:
@@ -146,7 +146,8 @@
         rows = written(point, seed, setting, now)
         timed = min(point, TIMED)
         chance = Random(f"{seed} looks")
-        looked = {chance.randrange(max(1, point - setting.open)): True for _ in range(LOOKED_AT)}
+        ended = max(0, point - setting.open)
+        looked = {chance.randrange(ended): True for _ in range(LOOKED_AT if ended else 0)}
         tags: list[Accepted] = []
         store = store_at(path)
         store.open()
@@ -171,8 +172,8 @@
         begun = time.process_time()
         found = store.open(ended=False)
         opened = time.process_time() - begun
-        reads = sorted(spent(store.ended, one.job) for one in tags)
-        keys = sorted(spent(store.under, one.owner, one.key) for one in tags)
+        reads = [spent(store.ended, one.job) for one in tags]
+        keys = [spent(store.under, one.owner, one.key) for one in tags]
         close(store)
         del found
         store = store_at(path)
@@ -202,9 +203,9 @@
         "held_bytes": held,
         "write_us": wrote / timed * 1e6,
         "open_s": opened,
-        "read_us": reads[len(reads) // 2],
-        "read_most_us": reads[-1],
-        "key_us": keys[len(keys) // 2],
+        "read_us": median(reads),
+        "read_most_us": max(reads, default=0.0),
+        "key_us": median(keys),
         "forget_s": forgot,
         "forgotten": point - left,
         "left": left,
@@ -218,6 +219,11 @@
     return first
 
 
+def median(spans: list[float]) -> float:
+    """0 where there are none, since no job has ended."""
+    return sorted(spans)[len(spans) // 2] if spans else 0.0
+
+
 def spent(look: Callable[..., object], *told: object) -> float:
     """us of one look that has to find something."""
     begun = time.perf_counter()
