The story of the minute's letting go fails without it

It passed with FORGETS at 60,000 s: the job ended right before its process began, so that its retention was over at an eighth. The job ends 60 s into a process's life now, and the story fails with FORGETS at 60,000 s.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -455,14 +455,16 @@
 
     def test_jobs_past_their_retention_are_let_go_a_minute_s_worth_at_a_time(self) -> None:
         """An eighth of a month's at once, 112,000, keeps the disk for seconds, in which new jobs are declined."""
-        self.ended(1, room=0)
-        self.dies()
-        self.ways = dataclasses.replace(WAYS, retention=960 * SECOND)
+        self.ways = dataclasses.replace(WAYS, retention=9600 * SECOND)
         self.starts()
         self.begins()
-        self.passes(950.0)
+        self.passes(60.0)  # the eighths of a retention count from the start
+        tag = str(self.submit()[1]["id"])
+        self.passes(0.2)
+        self.assertEqual(self.back(tag), 204)
+        self.passes(9590.0)
         self.assertEqual(len(list(rows(self.path))), 1)
-        self.passes(75.0)  # the next eighth would be 55 s later
+        self.passes(140.0)  # the next eighth would be 1,000 s later
         self.assertEqual(list(rows(self.path)), [])
 
     def test_an_ended_job_whose_rows_are_flipped_or_that_can_not_be_read(self) -> None:
