--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -370,10 +370,10 @@
         # Word of others' jobs fades as those end and others come: back to what it mostly is here.
         told = self.burden(report) - book.own_then
         kept = exp(-(self.now - book.seen) / self.usual_run)
-        # Few own readings say less than what is usual in its zone. Where nobody tells of load, a slot is taken to be
-        # free, as before any word: the line that a late start had told of kept its worker out for good.
-        mostly = -1.0 if usual is None else (sum(book.readings) + 2.0 * told_usual) / (len(book.readings) + 2)
-        told = kept * told + (1.0 - kept) * mostly
+        if usual is not None:
+            # Few own readings say less than what is usual in its zone.
+            mostly = (sum(book.readings) + 2.0 * told_usual) / (len(book.readings) + 2)
+            told = kept * told + (1.0 - kept) * mostly
         room = -told - len(book.out)
         if self.tells_start and (waits := self.waits(book)) > self.late_start:
             # What has not started by now stands in a line that is no shorter than what would have run since;
