--- a/tests/measures/trouble.py
+++ b/tests/measures/trouble.py
@@ -4,14 +4,13 @@
 import subprocess
 import sys
 import threading
-import time
 from pathlib import Path
 
 import msgspec
 
 FIGURES = {"size": ("bytes", "the point"), "speed": ("ms", "a figure of the machine's")}
 COUNTED = frozenset({"size"})
-SLEEPS = [sys.executable, "-c", "import time; time.sleep(600)"]
+STAYS = [sys.executable, "-c", "import threading; threading.Event().wait(600)"]  # until it is ended
 
 
 class Setting(msgspec.Struct, forbid_unknown_fields=True):
@@ -34,11 +33,13 @@
         part.rename(Path(setting.folder) / name)
 
     if setting.how == "a moment":  # it ends by itself, a little later
-        subprocess.Popen([sys.executable, "-c", "import time; time.sleep(0.1)"])
+        subprocess.Popen([sys.executable, "-c", "import sys; sys.stdin.read()"], stdin=subprocess.PIPE)  # until ours closes
     elif setting.how:
         for name, apart in (("child", False), ("apart", True)):  # apart: in a session of its own
-            told(name, subprocess.Popen(SLEEPS, start_new_session=apart).pid)
+            told(name, subprocess.Popen(STAYS, start_new_session=apart).pid)
         told("play", os.getpid())
+        if (Path(setting.folder) / "all-told").exists():  # a pipe by name, at which the story waits
+            (Path(setting.folder) / "all-told").write_text("x")
     if setting.how == "breaks":
         raise ValueError("no such size")
     if setting.how == "dies":
@@ -47,7 +48,7 @@
         threading.Event().wait(600)
     if setting.how == "takes":
         taken = bytearray(b"x") * (80 << 20)
-        time.sleep(600)
+        threading.Event().wait(600)
         return {"size": len(taken)}
     if setting.how == "no number":
         return {"size": float("nan"), "other": 1.0}
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -2,11 +2,11 @@
 behind."""
 
 import os
+import select
 import signal
 import subprocess
 import sys
 import tempfile
-import time
 import unittest
 from pathlib import Path
 from typing import get_args
@@ -242,8 +242,10 @@
     def test_an_interrupt_leaves_nothing_behind(self):
         for told in (signal.SIGINT, signal.SIGTERM, signal.SIGKILL):
             with self.subTest(told.name):
-                for name in ("play", "child", "apart"):
+                for name in ("play", "child", "apart", "all-told"):
                     (self.folder / name).unlink(missing_ok=True)
+                os.mkfifo(self.folder / "all-told")
+                started = self.opened(os.open(self.folder / "all-told", os.O_RDONLY | os.O_NONBLOCK))
                 path = self.file(PLAN.format(folder=self.folder, how="hangs", bound=""))
                 code = (
                     "from pathsaddle.experiment import scale\n"
@@ -251,13 +253,15 @@
                 )
                 rig = subprocess.Popen([sys.executable, "-c", code], cwd=ROOT, stderr=subprocess.DEVNULL)
                 try:
-                    self.until(lambda: (self.folder / "play").exists())
+                    self.until(started)
+                    over = [self.opened(os.pidfd_open(int((self.folder / name).read_text())))
+                            for name in ("play", "child")]
                     rig.send_signal(told)
                     rig.wait(30)
                     if told is not signal.SIGKILL:
                         self.ended("play", "child", "apart")
                     else:  # nobody is left to look: the play ends itself, with its group
-                        self.until(lambda: self.gone("play") and self.gone("child"))
+                        self.until(*over)
                 finally:
                     rig.kill()
                     rig.wait()
@@ -272,11 +276,14 @@
             return False
         return True
 
-    def until(self, holds) -> None:
-        end = time.monotonic() + 30
-        while not holds():
-            self.assertLess(time.monotonic(), end, "it did not come")
-            time.sleep(0.01)
+    def until(self, *readable: int) -> None:
+        """Each of these descriptors can be read: a process is over, or something was written."""
+        for one in readable:
+            self.assertTrue(select.select([one], [], [], 30)[0], "it did not come")
+
+    def opened(self, fd: int) -> int:
+        self.addCleanup(os.close, fd)
+        return fd
 
 
 class Command(Rigging):
