Control metered by what it was for, with a budget, in a dispatcher that serves

Till now control could be told apart only by running a process with and without. Weighed: sampling the stack, a profiler, with and without (pathsaddle/metering.py says why not). Change: metering.py (a meter around the calls by which drivers of control are entered; what is metered within a call counts for that alone; each step of the list's reader), charter/metered.py (list, looks, reports, log, the budget's lines), [control] in the charter, 'fleet show control', counters control.*. Not in it: the event loop's own turns, housekeeping, the look at the watch before each posting.

--- a/pathsaddle/charter/form.py
+++ b/pathsaddle/charter/form.py
@@ -351,6 +351,19 @@
     form: Literal["text", "json"] = "text"
 
 
+class Control(Form):
+    """What control may cost, apart from txns: the list, membership, what members share, owners, settings, the spec.
+
+    core: the part of a core that it may take, as a mean over a minute; beyond, a line says so; none: whatever it takes.
+    bytes: that it may send, and receive, in any second; likewise.
+    meter: whether its cost is metered, by what it was for (docs/running.md).
+    """
+
+    core: Annotated[float, Meta(gt=0, le=1)] | None = None
+    bytes: Count | None = None
+    meter: bool = True
+
+
 class Charter(Form):
     """One dispatcher, as its operator wants it.
 
@@ -373,6 +386,7 @@
     prices: what things cost.
     reach: connections to workers.
     log: what is logged.
+    control: what control may cost.
     jobs: durable jobs; off where the table is missing.
     fleet: other dispatchers, and who of them is there; off where the table is missing.
     federation: other regions; off where the table is missing.
@@ -398,6 +412,7 @@
     prices: Prices = field(default_factory=Prices)
     reach: Reach = field(default_factory=Reach)
     log: Log = field(default_factory=Log)
+    control: Control = field(default_factory=Control)
     jobs: Jobs | None = None
     fleet: Fleet | None = None
     federation: Federation | None = None
@@ -445,7 +460,8 @@
 IN_SERVICE = frozenset((
     "discovery", "log.level", "zones", "schemes", "customers", "rules.answer_slack", "rules.drain_grace",
     "rules.dropped_stay_open", "rules.cold_share", "rules.cold_time", "rules.fall_multiple", "rules.fall_time",
-    "allowed.postings", "allowed.cancel", "allowed.come_back", "prices.cross", "prices.over_share", "fleet.budgets"))
+    "allowed.postings", "allowed.cancel", "allowed.come_back", "prices.cross", "prices.over_share", "fleet.budgets",
+    "control.core", "control.bytes"))
 
 
 def changes(before: Charter, after: Charter) -> list[str]:
--- a/pathsaddle/charter/ground.py
+++ b/pathsaddle/charter/ground.py
@@ -16,10 +16,13 @@
 from pathsaddle.errors import Error
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
+from pathsaddle.net.service.discovery import DiscoveryWatch
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.txn_service import TxnService
+from pathsaddle.net.wire.forms import Words
 
 if TYPE_CHECKING:
+    from pathsaddle.charter.metered import Metered
     from pathsaddle.fleet.driver import Fellows
     from pathsaddle.net.service.ground import Fellows as Beside
     from pathsaddle.settings.driver import Acting
@@ -39,6 +42,7 @@
         self._file = self.charter  # what it says as far as it is in service, shared settings aside
         self._sharing: Sharing | None = None
         self._rows: dict[str, bytes] = {}  # shared settings' that are in service
+        self._metered: Metered | None = None
 
     def file(self) -> str:
         return str(self.path)
@@ -61,16 +65,33 @@
             self.charter = self._with(self._file, acting.rows)
             self._rows = dict(acting.rows)
 
-    def service(self, *told: Any) -> TxnService:
-        self._service = self._made(*told)
+    def service(self, terms: Any, words: Words, *told: Any) -> TxnService:
+        """As `net` asks for it: terms, words, seed, clock, workers, counters, the asking for the list."""
+        if self.charter.control.meter:
+            from pathsaddle.charter.metered import Metered, MeteredWords
+            self._metered = Metered(self.charter.control, told[3], self.memory_mb)
+            self._metered.begins()
+            self.open_log()
+            words = MeteredWords.of(words, self._metered.meter)
+        self._service = self._made(terms, words, *told)
+        if self._metered is not None:
+            self._metered.service(self._service)
         return self._service
 
+    def watch(self, address: str, index: int, service: TxnService, counters: Counters) -> DiscoveryWatch:
+        if self._metered is None:
+            return super().watch(address, index, service, counters)
+        from pathsaddle.charter.metered import MeteredWatch
+        return MeteredWatch(self._metered.meter, address, index, service, counters, self.stream)
+
     def _made(self, *told: Any) -> TxnService:
         if self.charter.federation is not None:
             from pathsaddle.federation.driver import MemberProcess, ground_of
             from pathsaddle.federation.txn_service import FederatedTxnService
             regions = self.charter.federation
             member = MemberProcess(ground_of(regions.ground), regions.member, serving=True)
+            if self._metered is not None:
+                member.meter = self._metered.meter
             return FederatedTxnService(*told, member=member, doors=regions.doors, room=regions.room)
         if self.charter.jobs is None:
             return TxnService(*told)
@@ -87,6 +108,11 @@
 
     def fellows(self, counters: Counters) -> Beside | None:
         self._fellows = self._joined(counters)
+        if self._metered is not None:
+            if self._fellows is not None:
+                self._fellows.metered(self._metered.meter, self._metered.view)
+            if self._sharing is not None:
+                self._sharing.member.meter = self._metered.meter
         if self._sharing is None:
             return self._fellows
         self._sharing.fellows = self._fellows
@@ -107,7 +133,8 @@
         return Fellows(told, self, Lives(Path(folder) if folder else None, told.name), SystemRandom(), counters)
 
     def open_log(self) -> None:
-        logbook.open_log(self.charter.log.level, self.form or self.charter.log.form)
+        sink = [self._metered.writes] if self._metered is not None else []
+        logbook.open_log(self.charter.log.level, self.form or self.charter.log.form, *sink)
 
     def moved(self) -> str:
         """The file again: what may change in service does, what may not is named and stays."""
@@ -163,6 +190,8 @@
         if self._fellows is not None:
             from pathsaddle.charter.fellows import dealt
             self._fellows.retune(dealt(self.charter))
+        if self._metered is not None:
+            self._metered.budget = self.charter.control
         if before.log.level != self.charter.log.level:
             self.open_log()
         return stays
--- a/pathsaddle/charter/service.py
+++ b/pathsaddle/charter/service.py
@@ -35,6 +35,7 @@
     "allowed.two_at_once": "open txns were withdrawn under the old rule", "allowed.probe": "looks are dealt out at the start",
     "rules.ask_within": "the list's clock runs by it", "reports": "what workers have told was read by it",
     "prices": "what was learnt was weighed by it", "reach": "connections stand by it", "log": "the log is open in its form",
+    "control": "the meter hangs where it was hung at the start",
     "jobs": "the store is open", "fleet": "others know this member by it", "federation": "other regions know this member by it",
     "settings": "keepers know this member by it",
 }
--- a/pathsaddle/cli/fleet.py
+++ b/pathsaddle/cli/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from io import StringIO
 from pathlib import Path
 from typing import Any
 
@@ -36,16 +37,19 @@
 
 
 @fleet.command()
-@click.argument("what", type=click.Choice(["budgets"]))
+@click.argument("what", type=click.Choice(["budgets", "control"]))
 @click.argument("charter")
 @click.option("--json", "as_json", is_flag=True, help="All that it says, as one JSON object.")
 def show(what: str, charter: str, as_json: bool) -> None:
-    """What the dispatcher of CHARTER (or at HOST:PORT) shares with others: who holds how much of each budget, how old
-    that word is (docs/shared-state.md)."""
+    """budgets: what the dispatcher of CHARTER (or at HOST:PORT) shares with others, who holds how much of each, how old
+    that word is (docs/shared-state.md). control: what control costs it, by what it was for (docs/running.md)."""
     told = _asked(charter, what)
     if as_json:
         click.echo(json.dumps(told))
         return
+    if what == "control":
+        click.echo(_control(told))
+        return
     from rich.console import Console
     from rich.table import Table
     table = Table(title=f"budgets as {told['name']}/{told['life']} holds them", title_justify="left")
@@ -61,6 +65,35 @@
     Console(width=160).print(table)
 
 
+def _control(told: dict[str, Any]) -> str:
+    """A row a purpose, the dearest first; what grows with txns stands below the sum."""
+    from rich.console import Console
+    from rich.table import Table
+    budget = told["budget"]
+    bounds = [f"{budget['core']:g} of a core" if budget["core"] is not None else "",
+              f"{budget['bytes']} bytes a second" if budget["bytes"] is not None else ""]
+    table = Table(title=f"control of {told['name']}/{told['life']} over {told['seconds']:.0f} s, memory {told['memory_mb']:.1f} MB "
+                  f"({told['memory_mb_at_start']:.1f} at the start); budget: {', '.join(filter(None, bounds)) or 'none'}",
+                  title_justify="left")
+    for name in ("for", "calls", "of a core", "us", "most us in a second", "bytes in a second", "most", "bytes out a second", "most "):
+        table.add_column(name)
+
+    def row(name: str, one: dict[str, Any]) -> None:
+        table.add_row(name, str(one.get("calls", "")), f"{one['core']:.5f}", str(one["us"]), str(one["most_us"]),
+                      f"{one['in_s']:.1f}", str(one["most_in"]), f"{one['out_s']:.1f}", str(one["most_out"]))
+    parts = sorted(told["purposes"].items(), key=lambda part: -part[1]["us"])
+    for name, one in parts:
+        if not one["txns"]:
+            row(name, one)
+    row("all of these", told["control"])
+    for name, one in parts:
+        if one["txns"]:
+            row(f"{name} (with txns)", one)
+    console = Console(width=160, record=True, file=StringIO())
+    console.print(table)
+    return console.export_text()
+
+
 @fleet.command()
 @click.argument("charter")
 @click.option("--json", "as_json", is_flag=True, help="All that it says, as one JSON object.")
--- a/pathsaddle/emulator/hollow/served.py
+++ b/pathsaddle/emulator/hollow/served.py
@@ -356,7 +356,7 @@
         if path != "/v1/endpoints":
             self.transport.write(speech.answer(404))
         elif "stream=1" in query:
-            self.transport.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+            self.discovery.writes(self, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             self.discovery.watches(self, int(query.rpartition("index=")[2] or 0))
         else:
             self.transport.write(speech.answer(200, body=self.discovery.line(None)))
@@ -375,6 +375,7 @@
         self.watching: dict[_Asked, None] = {}
         self.watched = 0  # watches begun
         self.whole_bytes = self.change_bytes = 0  # of the last line of each kind, its chunk's frame with it
+        self.written = 0  # bytes, to all watches
         self.server: Any = None
         self.beat: asyncio.TimerHandle | None = None
 
@@ -386,7 +387,7 @@
 
     def _beats(self) -> None:
         for asked in self.watching:
-            asked.transport.write(b"1\r\n\n\r\n")
+            self.writes(asked, b"1\r\n\n\r\n")
         self.beat = asyncio.get_running_loop().call_later(BEAT, self._beats)
 
     def line(self, names: list[str] | None) -> bytes:
@@ -412,7 +413,11 @@
             self.change_bytes = len(chunk)
         for asked in those:
             asked.sent = self.index
-            asked.transport.write(chunk)
+            self.writes(asked, chunk)
+
+    def writes(self, asked: _Asked, data: bytes) -> None:
+        self.written += len(data)
+        asked.transport.write(data)
 
     def change(self, *names: str) -> None:
         """Told at once, all of them in one line, to all who watch."""
--- a/pathsaddle/federation/driver.py
+++ b/pathsaddle/federation/driver.py
@@ -43,6 +43,7 @@
     encode,
 )
 from pathsaddle.fleet.purse import Purse
+from pathsaddle.metering import Unmetered
 from pathsaddle.net.service.place import unhad
 from pathsaddle.net.wire.terms import peer_of
 from pathsaddle.trade import SECOND
@@ -156,6 +157,7 @@
         self.refused, self.refused_at = 0, self.now() - SECOND
         self.texts: dict[tuple[int, str], bytes] = {}
         self.transport: asyncio.DatagramTransport | None = None
+        self.meter = Unmetered()
         folder = Path(ground.log)
         had(folder, "log", ground.file)
         self._log = (folder / f"{name}.jsonl").open("ab", buffering=0)
@@ -184,6 +186,10 @@
         self.transport = transport
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
+        self.meter.came("spec", len(data))
+        self.meter.runs("spec", lambda: self._receives(data, addr))
+
+    def _receives(self, data: bytes, addr: Any) -> None:
         try:
             said = decode(data, self.key)
         except Refused as reason:
@@ -214,6 +220,7 @@
         assert len(data) <= MOST
         if self.purse.pays(len(data), self.now()):
             self.transport.sendto(data, peer)
+            self.meter.went("spec", len(data))
 
     def serve(self, said: Said) -> None:
         """Some pieces of a text that somebody wants: to the end of their dozen, after which it asks for more."""
@@ -231,7 +238,7 @@
     async def every(self, ticks: int, call: Callable[[], None]) -> None:
         while True:
             try:
-                call()
+                self.meter.runs("spec", call)
             except Exception as fault:  # noqa: BLE001  # whatever it is ends this round alone
                 self.log("driver.fault", why=f"{type(fault).__name__}: {fault}")
             await asyncio.sleep(ticks * self.chance.uniform(0.8, 1.2) / SECOND)
--- a/pathsaddle/fleet/asking.py
+++ b/pathsaddle/fleet/asking.py
@@ -68,6 +68,12 @@
     do = "write the budgets that all members share in [fleet.budgets] of its charter, alike at all, and restart it"
 
 
+class NotMetered(Unasked):
+    name = "control.unmetered"
+    what = "{address}: {why}"
+    do = "write `meter = true` in [control] of its charter, or take the key out, and restart it"
+
+
 class Ended(Unasked):
     name = "control.ended"
     what = "{address}: {why}"
@@ -80,7 +86,7 @@
     do = "report the trace at `fault-control` in the log of the dispatcher at {address}"
 
 
-TOLD: dict[str, type[Unasked]] = {kind.name: kind for kind in (NoSuchWord, NoBudgets, Ended, Faulted)}
+TOLD: dict[str, type[Unasked]] = {kind.name: kind for kind in (NoSuchWord, NoBudgets, NotMetered, Ended, Faulted)}
 
 
 async def ask(address: str, word: str, within: float) -> dict[str, Any]:
--- a/pathsaddle/fleet/driver.py
+++ b/pathsaddle/fleet/driver.py
@@ -24,6 +24,7 @@
 from pathsaddle.fleet.state.limiter import Dealt
 from pathsaddle.fleet.state.shared import Shared
 from pathsaddle.fleet.wire import ALIVE, CARRIED, DEAD, FORM, LEFT, MOST, STATES, Row
+from pathsaddle.metering import Purpose, Unmetered
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
@@ -35,7 +36,7 @@
 ASKERS = 8  # of them at a time
 WAKES = 8  # failures of the core's timer in a row by which the membership ends
 DOUBT = SECOND  # between two log lines of faults: what comes in between is counted
-WORDS = ("members", "budgets")  # that may be asked at the control address
+WORDS = ("members", "budgets", "control")  # that may be asked at the control address
 
 
 def _said(fault: Exception) -> str:
@@ -80,6 +81,8 @@
         self.clock = ground.clock
         self.on_change: list[Callable[[Change], None]] = []
         self.quiet = False  # no log line for each change, where a thousand of them share one machine
+        self.meter = Unmetered()
+        self.control: Callable[[], dict[str, Any]] | None = None  # what is told of control's cost, where it is metered
         now = self.clock.now()
         life = life_of(now // MILLISECOND, lives.last(), chance)
         try:
@@ -132,6 +135,12 @@
             self._tasks.append(self._events.create_task(self._listen(self._control)))
         self._wake()
 
+    def metered(self, meter: Unmetered, control: Callable[[], dict[str, Any]]) -> None:
+        """Before `begin`: what membership and carrying cost is metered, and told at the control address."""
+        self.meter, self.control = meter, control
+        if self.shared is not None:
+            self.shared.meter = meter
+
     def retune(self, budgets: dict[str, Dealt]) -> None:
         """Other budgets from now on (`Limiter.retune`); where none was told at the start nothing is shared."""
         if self.shared is not None and not self.ended:
@@ -193,16 +202,19 @@
         try:
             hears = (self.shared if self.shared is not None and data[:1] == bytes((CARRIED,)) and not self.core.silent
                      else self.core)
-            hears.heard(data, self.clock.now())
+            purpose: Purpose = "membership" if hears is self.core else "carrying"
+            self.meter.came(purpose, len(data))
+            self.meter.runs(purpose, lambda: hears.heard(data, self.clock.now()))
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
             self._fault("a datagram", fault, "it is dropped, the next is read")
 
     def _wake(self) -> None:
         self._alarm = None
         try:
-            due = self.core.wake(self.clock.now())
-            if self.shared is not None and not (self.core.silent or self.core.gone):
-                due = min(due, self.shared.wake(self.clock.now()))
+            due = self.meter.runs("membership", lambda: self.core.wake(self.clock.now()))
+            shared = self.shared
+            if shared is not None and not (self.core.silent or self.core.gone):
+                due = min(due, self.meter.runs("carrying", lambda: shared.wake(self.clock.now())))
             self._flush()
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
             self._failed += 1
@@ -245,6 +257,9 @@
 
     def _flush(self) -> None:
         """What changed is logged, a new life is on disk, then what is to be said is said."""
+        self.meter.runs("membership", self._flushes)
+
+    def _flushes(self) -> None:
         core = self.core
         changes, core.changes = core.changes, []
         if core.me.life != self.life:
@@ -267,10 +282,13 @@
                     self.counters.add("fleet.fault")
                     logbook.fault_hearer(fault, member=change.name, why=_said(fault))
         out, core.out = core.out, []
+        self._send("membership", out)
         if self.shared is not None:
-            out += self._shared(self.shared)
+            self.meter.runs("carrying", lambda: self._send("carrying", self._shared()))
             if core.silent:  # another process has our name, and with it our part
                 self.shared.limiter.close()
+
+    def _send(self, purpose: Purpose, out: list[tuple[str, bytes]]) -> None:
         for address, data in out:
             peer = self._peer(address)
             if peer is None:
@@ -282,6 +300,7 @@
             else:
                 self.counters.add("fleet.sent")
                 self.counters.add("fleet.bytes", len(data))
+                self.meter.went(purpose, len(data))
 
     def _stir(self) -> None:
         self._events.call_soon(self._flush)
@@ -294,8 +313,10 @@
         elif member.row.form >= CARRIED:
             shared.joined(change.name, member.row.life, member.row.address)
 
-    def _shared(self, shared: Shared) -> list[tuple[str, bytes]]:
+    def _shared(self) -> list[tuple[str, bytes]]:
         """What the shared state has to say; notes are logged."""
+        shared = self.shared
+        assert shared is not None
         shared.say(self.clock.now())
         for note in shared.limiter.notes:
             self.counters.add(f"fleet.budget.{note.what}")
@@ -379,6 +400,10 @@
                 if self.shared is None:
                     return json.dumps({"fault": "its charter's [fleet.budgets] names none", "name": "control.no-budgets"}).encode()
                 return json.dumps(self.shared.view(self.clock.now())).encode()
+            if word == "control":
+                if self.control is None:
+                    return json.dumps({"fault": "its charter's [control] has meter = false", "name": "control.unmetered"}).encode()
+                return json.dumps({"name": self.told.name, "life": self.life, **self.control()}).encode()
             return json.dumps(self.view()).encode()
         except Exception as fault:  # noqa: BLE001  # a defect of ours, whatever it is
             self.counters.add("fleet.fault")
--- a/pathsaddle/fleet/overload/driver.py
+++ b/pathsaddle/fleet/overload/driver.py
@@ -39,7 +39,7 @@
         now = self.fellows.clock.now()
         due = now + TELLS
         try:
-            due = self._moment(now)
+            due = self.fellows.meter.runs("level", lambda: self._moment(now))
         except Exception as fault:  # noqa: BLE001
             # a defect of ours, whatever it is: the gate goes by its own part meanwhile
             self.fellows.counters.add("fleet.fault")
--- a/pathsaddle/fleet/state/shared.py
+++ b/pathsaddle/fleet/state/shared.py
@@ -10,9 +10,10 @@
 
 from pathsaddle.fleet.purse import Purse
 from pathsaddle.fleet.state.carry import SHARES, Carry
-from pathsaddle.fleet.state.form import BODY, Lent, Returned, Saying, Wanted
+from pathsaddle.fleet.state.form import BODY, Lent, Packet, Returned, Saying, Wanted
 from pathsaddle.fleet.state.limiter import Dealt, Limiter
 from pathsaddle.fleet.state.shares import Back, Lend, Want
+from pathsaddle.metering import Unmetered
 
 SPARE = "spare"  # the topic under which each tells what it would lend
 _encode = msgspec.msgpack.Encoder().encode
@@ -30,6 +31,7 @@
         self.beat = beat
         self.told_due = now
         self.out = self.carry.out
+        self.meter = Unmetered()
 
     def joined(self, name: str, life: int, address: str) -> None:
         self.carry.joined(name, life, address)
@@ -58,8 +60,13 @@
         packet = self.carry.heard(data, now)
         if packet is None:
             return
+        self.limiter.heard_at = now
+        if packet.said:
+            self.meter.runs("shares", lambda: self._hears(packet, now))
+        self.say(now)
+
+    def _hears(self, packet: Packet, now: int) -> None:
         limiter = self.limiter
-        limiter.heard_at = now
         for said in packet.said:
             if isinstance(said, Wanted):
                 limiter.asked(said.budget, Want(packet.name, packet.life, said.number, said.units,
@@ -70,10 +77,15 @@
                 limiter.lent(said.budget,
                              Lend(packet.name, packet.life, packet.to, said.taker_life, said.number,
                                   said.units, said.lease), now)
-        self.say(now)
 
     def wake(self, now: int) -> int:
         """Does what is due; when it wants to be called again."""
+        self.meter.runs("shares", lambda: self._shares(now))
+        self.say(now)
+        self.carry.wake(now)
+        return self.due(now)
+
+    def _shares(self, now: int) -> None:
         limiter = self.limiter
         if now >= self.told_due and limiter.budgets:
             # Rarer among many, so that what all tell together stays the same.
@@ -90,9 +102,6 @@
                     if name in limiter.spares and shown.member != self.carry.name:
                         limiter.spares[name][shown.member] = units
         limiter.wake(now)
-        self.say(now)
-        self.carry.wake(now)
-        return self.due(now)
 
     def _spare(self, now: int) -> bytes:
         """What it would lend, as far as a record has room: 16 budgets with names of over 22 characters have more to say
--- a/pathsaddle/net/service/logbook.py
+++ b/pathsaddle/net/service/logbook.py
@@ -58,6 +58,7 @@
 counters = line("counters", "INFO", "counters {counters}")
 late = line("late", "WARNING", "late by {ms} ms")
 memory = line("memory", "WARNING", "memory {mb:.0f} of {most:.0f} MB")
+control_over = line("control-over", "WARNING", "control took {how}, most of it for {most}")
 untold = line("untold", "ERROR", "{variable} does not say where the configuration is")
 refused = line("refused", "ERROR", "{what}; {do} [{name}]")
 accept_failed = line("accept-failed", "WARNING", "accept failed: {why}")
--- a/pathsaddle/ownership/driver.py
+++ b/pathsaddle/ownership/driver.py
@@ -20,6 +20,7 @@
 from pathsaddle.errors import access, why
 from pathsaddle.fleet.lives import Lives
 from pathsaddle.fleet.purse import Purse
+from pathsaddle.metering import Unmetered
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.net.wire.terms import Peer, peer_of
@@ -118,6 +119,7 @@
         self.inbox: list[tuple[str, dict[str, int], Message]] = []
         self.own: list[tuple[str, int, Message]] = []  # what we say to ourselves
         self.syncing = False
+        self.meter = Unmetered()
         self.disk = ThreadPoolExecutor(1, "register")
         self.reads: dict[int, asyncio.Future[Value | None]] = {}
         self.puts: dict[tuple[str, int], asyncio.Future[bool]] = {}
@@ -231,6 +233,9 @@
         finally:
             self.syncing = False
         self.counters.add("ownership.syncs")
+        self.meter.runs("owners", lambda: self._synced(voter, out))
+
+    def _synced(self, voter: Voter, out: list[tuple[str, Message]]) -> None:
         self._say(out, voter.start)
         self._show(voter)
         if self.inbox or voter.writes:
@@ -265,12 +270,16 @@
     # Datagrams and the timer.
 
     def _readable(self) -> None:
+        self.meter.runs("owners", self._reads)
+
+    def _reads(self) -> None:
         """By a reader, since a datagram's source is wanted, where those are answered that the charter doesn't
         name, and uvloop has no `sock_recvfrom`."""
         told = self.told
         try:
             for _ in range(AT_ONCE):
                 data, source = self.sock.recvfrom(MOST + 1)
+                self.meter.came("owners", len(data))
                 try:
                     said = decode(data, told.key, told.fleet, self.group, told.name)
                 except Unread as why:
@@ -301,6 +310,9 @@
                 self.owner.heard(said.name, said.start, message, now)
 
     def _wake(self) -> None:
+        self.meter.runs("owners", self._wakes)
+
+    def _wakes(self) -> None:
         if self._alarm is not None:
             self._alarm.cancel()
             self._alarm = None
@@ -370,6 +382,7 @@
                     else:
                         self.counters.add("ownership.sent")
                         self.counters.add("ownership.bytes", len(data))
+                        self.meter.went("owners", len(data))
 
     def _tell(self, one: Happened) -> None:
         if one.what == "owner":
--- a/pathsaddle/ownership/fellows.py
+++ b/pathsaddle/ownership/fellows.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from pathlib import Path
 from random import SystemRandom
 from typing import Any
 
 from pathsaddle.charter.form import Charter
 from pathsaddle.fleet.driver import Fellows
+from pathsaddle.metering import Unmetered
 from pathsaddle.ownership.driver import Register, Told
 
 
@@ -29,6 +31,10 @@
         super().__init__(*more)
         self.register = Register(told(charter, self.told.file), self.ground, SystemRandom(), self.counters)
 
+    def metered(self, meter: Unmetered, control: Callable[[], dict[str, Any]]) -> None:
+        super().metered(meter, control)
+        self.register.meter = meter
+
     def begin(self) -> None:
         super().begin()
         self.register.begin()
--- a/pathsaddle/settings/driver.py
+++ b/pathsaddle/settings/driver.py
@@ -29,6 +29,7 @@
 from pathsaddle.charter.form import Charter
 from pathsaddle.errors import Error
 from pathsaddle.fleet.purse import Purse
+from pathsaddle.metering import Unmetered
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service.ground import Ground
 from pathsaddle.net.service.place import unhad
@@ -110,6 +111,7 @@
         self.refused: dict[str, int] = {}
         self.ended = asyncio.Event()
         self.fault: Error | None = None  # by which it ended
+        self.meter = Unmetered()
         self._events: asyncio.AbstractEventLoop
         self._alarm: asyncio.TimerHandle | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -192,7 +194,7 @@
         self._alarm = self._events.call_later(max(1, due - steady()) / SECOND, self._wake)
 
     def _wake(self) -> None:
-        self._turn(lambda core, now: core.wake(now))
+        self.meter.runs("settings", lambda: self._turn(lambda core, now: core.wake(now)))
 
     def _drains(self) -> None:
         while self.queue and not self.syncing:
@@ -213,6 +215,9 @@
             return
         finally:
             self.syncing = False
+        self.meter.runs("settings", lambda: self._synced(batch))
+
+    def _synced(self, batch: list[tuple[Ready, Acting]]) -> None:
         for made, acting in batch:
             self._does(made, acting)
         self._drains()
@@ -239,7 +244,9 @@
             if peer is None:
                 continue
             try:
-                self.sock.sendto(encode(said, self.told.key), peer)
+                data = encode(said, self.told.key)
+                self.sock.sendto(data, peer)
+                self.meter.went("settings", len(data))
             except OSError:  # as any way may lose it
                 self._counts("unsent", now)
             except Exception as fault:  # noqa: BLE001  # this datagram alone
@@ -304,10 +311,14 @@
     # Datagrams
 
     def _readable(self) -> None:
+        self.meter.runs("settings", self._receives)
+
+    def _receives(self) -> None:
         """By a reader: a datagram's source is wanted, and uvloop has no `sock_recvfrom`."""
         try:
             for _ in range(AT_ONCE):
                 data, source = self.sock.recvfrom(DATAGRAM + 1)
+                self.meter.came("settings", len(data))
                 try:
                     said = decode(data, self.told.key)
                 except Unread as why:
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -32,6 +32,7 @@
 from pathsaddle.charter.told import read
 from pathsaddle.cli.main import main
 from pathsaddle.emulator import stage
+from pathsaddle.emulator.hollow import control
 from pathsaddle.emulator.hollow import workers as hollow
 from pathsaddle.experiment import scale, slope, throughput
 from pathsaddle.experiment.keep import Result, Store
@@ -435,6 +436,9 @@
         with mock.patch.object(hollow, "READY_IN", 0.0), self.assertRaises(hollow.NeverReady) as hollowed:
             hollow.measure(2, 1, hollow.Setting())
         self.reads(str(hollowed.exception), "hollow.never-ready", "0 s", "quieter machine")
+        with mock.patch.object(control, "LONGEST", 0.0), self.assertRaises(control.NoMeter) as unmetered:
+            control.measure(2, 1, control.Setting(members=0))
+        self.reads(str(unmetered.exception), "hollow.no-meter", "0 s", "quieter machine")
 
     @unittest.skipUnless((ROOT / ".git").exists(), "no repository")
     def test_commits_that_cant_run(self) -> None:
@@ -619,6 +623,7 @@
         self.assertEqual(self.lines[0][0], "fault_control")
         self.assertEqual((await asking.ask(self.control, "members", 5.0))["name"], "a")
         self.assertIn("[control.no-budgets]", await self.ask("budgets"))
+        self.assertIn("[control.unmetered]", await self.ask("control"))
         self.assertIn("'nonsense' was asked, and it knows members", said := await self.ask("nonsense"))
         self.assertIn("same release", said)
 
--- /dev/null
+++ b/tests/test_metering.py
@@ -0,0 +1,266 @@
+"""Stories of control's meter: what each purpose cost is counted once, and told where an operator asks."""
+
+import asyncio
+import json
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from pathsaddle.charter.form import Control
+from pathsaddle.charter.metered import MINUTE, Metered, MeteredWatch, MeteredWords
+from pathsaddle.charter.told import settings
+from pathsaddle.cli.fleet import _control
+from pathsaddle.emulator.hollow import control
+from pathsaddle.emulator.hollow.workers import charter
+from pathsaddle.metering import PURPOSES, WITH_TXNS, ControlMeter, Unmetered
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service import logbook
+from pathsaddle.net.wire import terms
+from pathsaddle.net.wire.forms import Words
+from pathsaddle.net.wire.http import Message
+
+S = 1_000_000_000
+
+
+class Clocks:
+    """Processor time and steady time, moved by hand."""
+
+    def __init__(self) -> None:
+        self.thread = self.steady = 0
+        self.meter = ControlMeter(lambda: self.thread, lambda: self.steady)
+
+    def works(self, ns: int) -> None:
+        self.thread += ns
+        self.steady += ns
+
+    def spent(self) -> dict[str, int]:
+        return {purpose: one.ns for purpose, one in self.meter.spent.items() if one.ns}
+
+
+class TheMeter(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clocks = Clocks()
+        self.meter = self.clocks.meter
+
+    def test_what_is_metered_within_counts_for_that_alone(self) -> None:
+        def carries() -> None:
+            self.clocks.works(30)
+            self.meter.runs("shares", lambda: self.clocks.works(50))
+            self.clocks.works(20)
+
+        def wakes() -> None:
+            self.clocks.works(100)
+            self.meter.runs("carrying", carries)
+            self.meter.runs("log", lambda: self.clocks.works(7))
+        self.meter.runs("membership", wakes)
+        self.assertEqual(self.clocks.spent(), {"membership": 100, "carrying": 50, "shares": 50, "log": 7})
+        self.assertEqual(self.meter.all.ns, 200, "what grows with txns is no part of control's own")
+
+    def test_a_call_that_raises_is_counted_and_leaves_no_frame(self) -> None:
+        def fails() -> None:
+            self.clocks.works(10)
+            raise ValueError
+        for _ in range(2):
+            with self.assertRaises(ValueError):
+                self.meter.runs("list", fails)
+        self.meter.runs("owners", lambda: self.clocks.works(5))
+        self.assertEqual(self.clocks.spent(), {"list": 20, "owners": 5})
+        self.assertFalse(self.meter.within("list"))
+
+    def test_the_most_of_a_second_and_the_sum(self) -> None:
+        for second, size in ((0, 100), (0, 200), (1, 250), (3, 10)):
+            self.clocks.steady = second * S
+            self.meter.came("list", size)
+            self.meter.went("membership", size)
+        told = self.meter.view()
+        self.assertEqual((told["purposes"]["list"]["in"], told["purposes"]["list"]["most_in"]), (560, 300))
+        self.assertEqual((told["control"]["out"], told["control"]["most_out"]), (560, 300))
+        self.assertEqual(told["control"]["in_s"], round(560 / 3, 1))
+
+    def test_what_nobody_has_done_is_not_told(self) -> None:
+        self.assertEqual(self.meter.view()["purposes"], {})
+
+    def test_it_grows_with_nothing(self) -> None:
+        for n in range(10_000):
+            self.clocks.steady = n * S // 7
+            self.meter.came("list", n)
+        self.assertEqual(len(self.meter.spent), len(PURPOSES))
+        self.assertEqual((self.meter._inner, self.meter._outer), ([], []))
+
+    def test_a_driver_that_nobody_meters_does_what_it_did(self) -> None:
+        none = Unmetered()
+        none.came("list", 5)
+        none.went("list", 5)
+        self.assertEqual(none.runs("list", lambda: 7), 7)
+
+
+class Steps(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.clocks = Clocks()
+        self.meter = self.clocks.meter
+        self.after = 0
+
+    def stepped(self) -> None:
+        self.after += 1
+
+    async def test_each_step_counts_and_waiting_does_not(self) -> None:
+        gate: asyncio.Future[int] = asyncio.get_running_loop().create_future()
+
+        async def work() -> int:
+            self.clocks.works(10)
+            got = await gate
+            self.clocks.works(20)
+            return got
+        task = asyncio.create_task(self.meter.steps("list", work(), self.stepped))
+        await asyncio.sleep(0)
+        self.clocks.works(1000)  # others'
+        gate.set_result(3)
+        self.assertEqual(await task, 3)
+        self.assertEqual((self.clocks.spent(), self.after), ({"list": 30}, 2))
+
+    async def test_a_cancel_reaches_it_with_its_word_and_its_last_step_counts(self) -> None:
+        heard = []
+
+        async def work() -> None:
+            try:
+                await asyncio.get_running_loop().create_future()
+            except asyncio.CancelledError as why:
+                heard.append(str(why))
+                self.clocks.works(40)
+                raise
+        task = asyncio.create_task(self.meter.steps("looks", work()))
+        await asyncio.sleep(0)
+        task.cancel("replaced")
+        with self.assertRaises(asyncio.CancelledError):
+            await task
+        self.assertEqual((heard, self.clocks.spent()), (["replaced"], {"looks": 40}))
+
+    async def test_a_timeout_within_it_ends_what_it_bounds_and_no_more(self) -> None:
+        async def work() -> str:
+            try:
+                async with asyncio.timeout(0):
+                    await asyncio.get_running_loop().create_future()
+            except TimeoutError:
+                return "late"
+            return "never"
+        self.assertEqual(await asyncio.create_task(self.meter.steps("list", work())), "late")
+
+    async def test_what_it_raises_comes_out(self) -> None:
+        async def work() -> None:
+            await asyncio.sleep(0)
+            raise OSError("gone")
+        with self.assertRaises(OSError):
+            await self.meter.steps("list", work(), self.stepped)
+        self.assertEqual(self.after, 2)
+
+
+class TheBudget(unittest.TestCase):
+    """Beyond it a line says so, and what took most: once a minute, counted each time."""
+
+    def setUp(self) -> None:
+        self.clocks = Clocks()
+        self.counters = Counters()
+        with mock.patch("pathsaddle.charter.metered.ControlMeter", lambda: self.clocks.meter):
+            self.metered = Metered(Control(core=0.036, bytes=1000), self.counters, lambda: 30.0)
+        self.lines: list[dict[str, str]] = []
+        patched = mock.patch.object(logbook, "control_over", lambda **fields: self.lines.append(fields))
+        patched.start()
+        self.addCleanup(patched.stop)
+
+    def second(self, second: int, got: int, said: int = 0, us: int = 0) -> None:
+        self.clocks.steady = second * S
+        self.clocks.meter.came("list", got)
+        self.clocks.meter.went("membership", said)
+        self.clocks.meter.runs("carrying", lambda: setattr(self.clocks, "thread", self.clocks.thread + us * 1000))
+
+    def test_a_second_beyond_the_bytes_is_told_once_a_minute_and_counted_each_time(self) -> None:
+        for second in range(70):
+            self.second(second, 1001 if second in (3, 4, 65) else 1000)
+        self.assertEqual([line["how"] for line in self.lines], ["1001 bytes received in one second of 1000"] * 2)
+        self.assertEqual({line["most"] for line in self.lines}, {"list"})
+        self.assertEqual(self.counters["control.over.received"], 3)
+
+    def test_what_is_sent_has_the_same_bound(self) -> None:
+        self.second(0, 0, 1500)
+        self.second(1, 0)
+        self.assertEqual([(line["how"], line["most"]) for line in self.lines],
+                         [("1500 bytes sent in one second of 1000", "membership")])
+
+    def test_a_minute_beyond_its_part_of_a_core_is_told(self) -> None:
+        for second in range(2 * MINUTE + 1):
+            self.second(second, 0, 0, 35_000 if second < MINUTE else 37_000)
+        self.assertEqual([line["most"] for line in self.lines], ["carrying"])
+        self.assertIn("0.0370 of a core over a minute of 0.036", self.lines[0]["how"])
+
+    def test_the_counters_have_each_purpose(self) -> None:
+        self.second(0, 700, 300, 50)
+        self.second(1, 0)
+        self.assertEqual((self.counters["control.list.in"], self.counters["control.membership.out"],
+                          self.counters["control.carrying.us"]), (700, 300, 50))
+
+    def test_another_budget_binds_from_the_next_second_on(self) -> None:
+        self.second(0, 900)
+        self.metered.budget = Control(bytes=800)
+        self.second(1, 0)
+        self.assertEqual(len(self.lines), 1)
+
+    def test_the_table_that_an_operator_sees_has_a_row_a_purpose_and_the_sum(self) -> None:
+        self.second(0, 900, 10, 50)
+        text = _control({"name": "n0", "life": 1, **json.loads(json.dumps(self.metered.view()))})
+        for word in ("list", "membership", "carrying", "all of these", "0.036 of a core", "1000 bytes a second"):
+            self.assertIn(word, text)
+
+
+class WhatHangsOnIt(unittest.TestCase):
+    def setUp(self) -> None:
+        self.meter = ControlMeter()
+        given = settings(charter(control.Setting(), "127.0.0.1:1", "127.0.0.1:1"))
+        self.words = MeteredWords.of(Words(given, terms.terms(given)), self.meter)
+
+    def test_words_read_as_before_and_stay_metered_when_terms_change(self) -> None:
+        changed = self.words.retuned({}, {})
+        self.assertIsInstance(changed, MeteredWords)
+        report = changed.report({"x0": 2.0, "queue": 1})
+        self.assertIsNotNone(report)
+        self.assertEqual((self.meter.spent["reports"].calls, self.meter.spent["reports"].got), (1, len('{"x0": 2.0, "queue": 1}')))
+
+    def test_an_answer_to_a_look_counts_for_looks_and_one_to_a_posting_does_not(self) -> None:
+        answer = Message(status=200, lines=[(b"srv-load", b"x0=2,queue=1")], headers={b"srv-load": b"x0=2,queue=1"})
+        self.words.report_in(answer)
+        self.assertEqual(self.meter.spent["looks"].got, 0)
+        self.meter.runs("looks", lambda: self.words.report_in(answer))
+        self.assertEqual(self.meter.spent["looks"].got, len("HTTP/1.1 200 OK\r\n\r\n") + len("srv-load: x0=2,queue=1\r\n"))
+
+    def test_bytes_of_each_connection_of_the_watch_are_counted_once(self) -> None:
+        socks = [SimpleNamespace(taken=0, given=0) for _ in range(2)]
+        opened = iter(socks)
+        watch = MeteredWatch(self.meter, "a:1", 0, SimpleNamespace(), Counters(), lambda address: (next(opened), ("a", 1)))
+        watch.opening("a:1")
+        socks[0].taken, socks[0].given = 100, 40
+        watch._tallies()
+        watch._tallies()
+        socks[0].taken = 130
+        watch.opening("a:1")
+        socks[1].taken = 7
+        watch._tallies()
+        self.assertEqual((self.meter.spent["list"].got, self.meter.spent["list"].said), (137, 40))
+
+
+class ARealDispatcher(unittest.TestCase):
+    def test_its_list_is_told_to_the_byte_and_no_more_time_than_the_process_took(self) -> None:
+        """One play of the measure: a real `serve` with hollow peers, asked at its control address."""
+        found = control.measure(60, 1, control.Setting(rest=0.5, steady=1.0, changes=10, changes_rate=50.0))
+        self.assertEqual(found["faults"], 0)
+        self.assertEqual(found["list_bytes_untold"], 0, "what the hollow list wrote and the meter has not")
+        self.assertEqual(found["list_in"], found["list_bytes_whole"] + found["list_bytes_rest"])
+        self.assertGreater(found["txns"], 10)
+        self.assertEqual(found["over_the_process"], 0, "purposes took more than the whole process")
+        for figure in ("list_us", "membership_us", "log_us"):
+            self.assertGreater(found[figure], 0, figure)
+
+    def test_what_grows_with_txns_is_named(self) -> None:
+        self.assertEqual(WITH_TXNS, ("reports", "looks", "log"))
+
+
+if __name__ == "__main__":
+    unittest.main()
