UDP ports that no other process is given, for programs that are started

Ruled out: SO_REUSEADDR as for TCP (two sockets of UDP would both be bound, and one hears nothing). Change: emulator/ground/ports.py gives ports below those that the kernel deals out, each claimed by a TCP socket of its number; stories, rig and plays with processes take theirs there.

--- a/pathsaddle/emulator/hollow/control.py
+++ b/pathsaddle/emulator/hollow/control.py
@@ -22,12 +22,12 @@
 import msgspec
 import uvloop
 
+from pathsaddle.emulator.ground.ports import udp_ports
 from pathsaddle.emulator.hollow import sockets_members, workers
 from pathsaddle.emulator.hollow.fleet_ground import KEY
 from pathsaddle.emulator.hollow.served import Clients, HollowList, Workers, until
 from pathsaddle.emulator.hollow.sockets_members import LONGEST, Shard, spent_us
 from pathsaddle.emulator.stage import ends_with_us
-from pathsaddle.emulator.state.processes import free_ports
 from pathsaddle.errors import FINDING, Error
 from pathsaddle.fleet.asking import asked
 from pathsaddle.metering import PURPOSES, ControlMeter
@@ -136,7 +136,7 @@
         """Hollow members in a process of their own: their addresses."""
         if not self.setting.members:
             return []
-        addresses = [f"127.0.0.1:{port}" for port in free_ports(self.setting.members)]
+        addresses = [f"127.0.0.1:{port}" for port in udp_ports(self.setting.members)]
         told = sockets_members.Setting(shard=len(addresses), budgets=self.setting.budgets)
         shard = Shard(self.ends, self.space, {"first": 0, "addresses": addresses, "seed": self.seed,
                                               "setting": msgspec.to_builtins(told)})
@@ -157,7 +157,7 @@
             "name": "real", "dispatchers": max(self.setting.dispatchers, count), "number": count - 1,
             "limits": {"sockets": self.setting.sockets}, "control": {"meter": self.setting.meter},
             "schemes": [{"name": "task", "semantics": "repeatable", "sla": "2s", "expiry": "10s"}],
-            "fleet": {"name": "hollow", "key": KEY.decode(), "listen": f"127.0.0.1:{free_ports(1)[0]}",
+            "fleet": {"name": "hollow", "key": KEY.decode(), "listen": f"127.0.0.1:{udp_ports(1)[0]}",
                       "seeds": addresses[:3], "control": self.control, "lease": "2s",
                       "budgets": {f"budget-{n:03}": 10 * count for n in range(self.setting.budgets)}}}
         file = self.space / "real.json"
--- a/pathsaddle/emulator/hollow/sockets_members.py
+++ b/pathsaddle/emulator/hollow/sockets_members.py
@@ -24,9 +24,9 @@
 
 import msgspec
 
+from pathsaddle.emulator.ground.ports import udp_ports
 from pathsaddle.emulator.hollow.fleet_ground import KEY, introduced
 from pathsaddle.emulator.hollow.places import places
-from pathsaddle.emulator.state.processes import free_ports
 from pathsaddle.fleet.driver import Fellows, Told
 from pathsaddle.fleet.lives import Lives
 from pathsaddle.fleet.members import Ways
@@ -123,7 +123,7 @@
     """One play with `point` hollow members. NoAnswer: a process of it failed."""
     with ExitStack() as ends:
         folder = Path(ends.enter_context(tempfile.TemporaryDirectory()))
-        addresses = [f"127.0.0.1:{port}" for port in free_ports(point)]
+        addresses = [f"127.0.0.1:{port}" for port in udp_ports(point)]
         shards = [Shard(ends, folder, {"first": first, "addresses": addresses, "seed": seed,
                                        "setting": msgspec.to_builtins(setting)})
                   for first in range(0, point, setting.shard)]
@@ -215,7 +215,7 @@
         count = len(addresses) + 1
         text = CHARTER.format(name=f"r0-z00-{kind}", count=count, number=count - 1)
         if kind == "real":
-            text += FLEET.format(key=KEY.decode(), address=f"127.0.0.1:{free_ports(1)[0]}", folder=folder,
+            text += FLEET.format(key=KEY.decode(), address=f"127.0.0.1:{udp_ports(1)[0]}", folder=folder,
                                  seeds=json.dumps(addresses[:3]))
             text += "".join(f"budget-{n:03} = {10 * count}\n" for n in range(setting.budgets))
         path = folder / f"{kind}.toml"
--- a/pathsaddle/emulator/overload/processes.py
+++ b/pathsaddle/emulator/overload/processes.py
@@ -12,11 +12,9 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 import tempfile
 import time
-from contextlib import closing
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -24,6 +22,7 @@
 
 from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.ground.air import Air, Blight
+from pathsaddle.emulator.ground.ports import udp_places
 from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.overload.judge import Judge
 from pathsaddle.trade import SECOND
@@ -44,16 +43,11 @@
     end: float = 36.0
 
 
-def free(kind: int = socket.SOCK_DGRAM) -> str:
-    with closing(socket.socket(socket.AF_INET, kind)) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{sock.getsockname()[1]}"
-
-
 async def play(folder: Path, times: Times, seed: int) -> list[Event]:
     """One run; its processes are ended whatever happens."""
     names = [f"d{number}" for number in range(MEMBERS)]
-    ways = {name: (free(), free()) for name in names}
+    places = iter(udp_places(2 * MEMBERS))
+    ways = {name: (next(places), next(places)) for name in names}
     began = time.monotonic()
     start = int(time.time() * SECOND)
     air = Air(Random(seed), lambda one, other: 0.001)
--- a/pathsaddle/emulator/state/processes.py
+++ b/pathsaddle/emulator/state/processes.py
@@ -15,7 +15,6 @@
 import os
 import shutil
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
@@ -28,6 +27,7 @@
 
 from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.ground.air import Air, Blight
+from pathsaddle.emulator.ground.ports import udp_ports
 from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.state.judge import Verdict, judge
 from pathsaddle.fleet.purse import SECOND
@@ -41,21 +41,11 @@
     ctypes.CDLL(None).prctl(1, int(signal.SIGKILL), 0, 0, 0)
 
 
-def free_ports(count: int) -> list[int]:
-    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    ports = [sock.getsockname()[1] for sock in socks]
-    for sock in socks:
-        sock.close()
-    return ports
-
-
 class Run:
     def __init__(self, folder: Path, seed: int, members: int = 7) -> None:
         self.folder, self.seed, self.chance = folder, seed, Random(f"processes {seed}")
         self.names = [f"d{n}" for n in range(members)]
-        ports = free_ports(2 * members)
+        ports = udp_ports(2 * members)
         self.own = dict(zip(self.names, (f"127.0.0.1:{port}" for port in ports[:members]), strict=True))
         self.ours = dict(zip(self.names, (f"127.0.0.1:{port}" for port in ports[members:]), strict=True))
         self.start = time.monotonic()
--- a/tests/test_carry_processes.py
+++ b/tests/test_carry_processes.py
@@ -4,14 +4,15 @@
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import unittest
 from pathlib import Path
 
+from pathsaddle.emulator.ground.ports import udp_ports
 from pathsaddle.emulator.state.judge import Event, judge
+from tests.ports import tcp_port
 
 ROOT = Path(__file__).resolve().parent.parent
 
@@ -34,12 +35,7 @@
 
     def test_the_budgets_of_a_running_dispatcher_are_shown(self):
         with tempfile.TemporaryDirectory() as folder:
-            socks = [socket.socket(socket.AF_INET, kind) for kind in (socket.SOCK_DGRAM, socket.SOCK_STREAM)]
-            for sock in socks:
-                sock.bind(("127.0.0.1", 0))
-            listen, control = (sock.getsockname()[1] for sock in socks)
-            for sock in socks:
-                sock.close()
+            listen, control = udp_ports(1)[0], tcp_port()
             path = Path(folder) / "charter.toml"
             path.write_text(f"""name = "alone"
 listen = "127.0.0.1:0"
--- a/tests/test_errors.py
+++ b/tests/test_errors.py
@@ -32,6 +32,8 @@
 from pathsaddle.charter.told import read
 from pathsaddle.cli.main import main
 from pathsaddle.emulator import stage
+from pathsaddle.emulator.ground import ports
+from pathsaddle.emulator.ground.ports import udp_places
 from pathsaddle.emulator.hollow import control
 from pathsaddle.emulator.hollow import workers as hollow
 from pathsaddle.experiment import scale, slope, throughput
@@ -125,6 +127,8 @@
 
 def places(count: int, kind: int = socket.SOCK_STREAM) -> list[str]:
     """Addresses that nobody has; each is held until all are found."""
+    if kind == socket.SOCK_DGRAM:
+        return udp_places(count)
     with contextlib.ExitStack() as held:
         socks = [held.enter_context(socket.socket(socket.AF_INET, kind)) for _ in range(count)]
         for sock in socks:
@@ -436,6 +440,11 @@
         with mock.patch.object(hollow, "READY_IN", 0.0), self.assertRaises(hollow.NeverReady) as hollowed:
             hollow.measure(2, 1, hollow.Setting())
         self.reads(str(hollowed.exception), "hollow.never-ready", "0 s", "quieter machine")
+        with mock.patch.object(ports, "LEAST", 1 << 16), mock.patch.object(ports, "Random") as one, self.assertRaises(
+                ports.NoPort) as taken:
+            one.return_value.randrange.return_value = 1 << 16
+            udp_places(1)
+        self.reads(str(taken.exception), "emulator.no-port", "65536", "ss -ulnp")
         with mock.patch.object(control, "LONGEST", 0.0), self.assertRaises(control.NoMeter) as unmetered:
             control.measure(2, 1, control.Setting(members=0))
         self.reads(str(unmetered.exception), "hollow.no-meter", "0 s", "quieter machine")
--- a/tests/test_federation_dispatchers.py
+++ b/tests/test_federation_dispatchers.py
@@ -12,6 +12,7 @@
 
 from pathsaddle.emulator.events import read
 from pathsaddle.emulator.federation.judge import judged
+from pathsaddle.emulator.ground.ports import udp_ports
 from tests.ports import tcp_port
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -58,9 +59,7 @@
 def free(kind=socket.SOCK_STREAM):
     if kind == socket.SOCK_STREAM:
         return tcp_port()
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return udp_ports(1)[0]
 
 
 class DispatchersStory(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_federation_processes.py
+++ b/tests/test_federation_processes.py
@@ -16,6 +16,7 @@
 
 from pathsaddle.emulator.events import read
 from pathsaddle.emulator.federation.judge import judged
+from pathsaddle.emulator.ground.ports import udp_ports
 from pathsaddle.federation import wire
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -57,12 +58,6 @@
     return SPEC.format(", " + listed if listed else "", listed)
 
 
-def free():
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 class Relay:
     """All that is sent to one process passes here, until it is cut."""
 
@@ -100,7 +95,7 @@
                  f'log = "{self.folder}/log"']
         for kind, names in (("members", NAMES), ("keepers", ("k0", "k1"))):
             for name in names:
-                port = free()
+                port = udp_ports(1)[0]
                 relay = self.relays[name] = Relay(port)
                 self.addCleanup(relay.end)
                 lines += [
--- a/tests/test_fleet_processes.py
+++ b/tests/test_fleet_processes.py
@@ -13,6 +13,7 @@
 
 from pathsaddle.emulator.events import read
 from pathsaddle.emulator.ground.air import Air, Blight
+from pathsaddle.emulator.ground.ports import udp_ports
 from pathsaddle.emulator.ground.relays import Streams
 from tests.ports import tcp_port
 
@@ -43,9 +44,7 @@
 def free(kind):
     if kind == socket.SOCK_STREAM:
         return tcp_port()
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    return udp_ports(1)[0]
 
 
 class ProcessStory(unittest.TestCase):
--- a/tests/test_ownership_processes.py
+++ b/tests/test_ownership_processes.py
@@ -18,6 +18,7 @@
 
 from pathsaddle.emulator.events import Event
 from pathsaddle.emulator.ground.air import Air, Blight
+from pathsaddle.emulator.ground.ports import udp_places
 from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.ownership import linear
 from pathsaddle.emulator.ownership.judge import judge
@@ -50,23 +51,13 @@
 """
 
 
-def free(count):
-    socks = [socket.socket(socket.AF_INET, socket.SOCK_DGRAM) for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    found = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
-    for sock in socks:
-        sock.close()
-    return found
-
-
 class Fleet:
     """Three voters, others that stand for the key `k`; what they send one another passes through relays."""
 
     def __init__(self, case, folder, members=3):
         self.case, self.folder = case, Path(folder)
         self.names = ["v0", "v1", "v2", *(f"m{i}" for i in range(members))]
-        ports = free(2 * len(self.names))
+        ports = udp_places(2 * len(self.names))
         self.own = dict(zip(self.names, ports[::2], strict=True))
         self.ours = dict(zip(self.names, ports[1::2], strict=True))
         self.air = Air(Random(1), lambda one, other: 0.0)
@@ -81,7 +72,7 @@
         for name in self.names:
             (self.folder / name).mkdir()
             voters = "\n".join(f'{voter} = "{self.ours[voter]}"' for voter in self.names[:3])
-            self.charter(name).write_text(CHARTER.format(fleet=free(1)[0], 
+            self.charter(name).write_text(CHARTER.format(fleet=udp_places(1)[0], 
                 name=name, own=self.own[name], folder=self.folder / name, voters=voters,
                 keys='"k"' if name[0] == "m" else ""))
 
@@ -295,7 +286,7 @@
     def test_dispatchers_that_vote_and_stand_themselves_have_one_owner_and_the_next_at_sigterm(self):
         with tempfile.TemporaryDirectory() as folder:
             names = ["v0", "v1", "v2"]
-            own = dict(zip(names, free(3), strict=True))
+            own = dict(zip(names, udp_places(3), strict=True))
             rows = "\n".join(f'{name} = "{address}"' for name, address in own.items())
             processes = {}
 
@@ -307,7 +298,7 @@
             for name in names:
                 (Path(folder) / name).mkdir()
                 path = Path(folder) / f"{name}.toml"
-                path.write_text(CHARTER.format(fleet=free(1)[0], name=name, own=own[name],
+                path.write_text(CHARTER.format(fleet=udp_places(1)[0], name=name, own=own[name],
                                                folder=Path(folder) / name, voters=rows, keys='"k"'))
                 subprocess.run([sys.executable, "-m", "pathsaddle.ownership", "found", str(path)], cwd=ROOT,
                                check=True)
@@ -336,11 +327,11 @@
     def test_a_voter_of_other_voters_and_a_second_founding_are_refused_with_what_to_do(self):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "charter.toml"
-            voters = {name: address for name, address in zip("abc", free(3), strict=True)}
+            voters = {name: address for name, address in zip("abc", udp_places(3), strict=True)}
 
             def ends(word, **names):
                 rows = "\n".join(f'{name} = "{address}"' for name, address in names.items())
-                path.write_text(CHARTER.format(fleet=free(1)[0], name="a", own=voters["a"], folder=folder,
+                path.write_text(CHARTER.format(fleet=udp_places(1)[0], name="a", own=voters["a"], folder=folder,
                                                voters=rows, keys=""))
                 done = subprocess.run([sys.executable, "-m", "pathsaddle.ownership", word, str(path)],
                                       cwd=ROOT,
--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -17,6 +17,7 @@
 
 from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.ground.air import Air, Blight, Meter
+from pathsaddle.emulator.ground.ports import udp_places
 from pathsaddle.emulator.ground.relays import Relays
 from pathsaddle.emulator.settings.judge import judge
 from pathsaddle.errors import Error
@@ -32,16 +33,10 @@
 
 
 def free(count, kind):
-    """Addresses; each port is held until all are found, so that none comes twice."""
+    """Addresses that no other process is given."""
     if kind == socket.SOCK_STREAM:
         return [f"127.0.0.1:{tcp_port()}" for _ in range(count)]
-    socks = [socket.socket(socket.AF_INET, kind) for _ in range(count)]
-    for sock in socks:
-        sock.bind(("127.0.0.1", 0))
-    found = [f"127.0.0.1:{sock.getsockname()[1]}" for sock in socks]
-    for sock in socks:
-        sock.close()
-    return found
+    return udp_places(count)
 
 
 class Ways(Relays):
