--- a/pathsaddle/choice.py
+++ b/pathsaddle/choice.py
@@ -968,7 +968,8 @@
             # one that it answers, waited for or not: where all came again within 6 s nobody was answered.
             late = self.list_strict and news is ListNews.FAILED and took > LIST_ANSWER
             wait = min(max(SECOND // 2, self.list_spread) << min(self.list_failures - had, 8),
-                       by if soon else self.list_rarest if late else LIST_SURE, self.list_rarest if had else FAR)
+                       by if soon else self.list_rarest if late else LIST_SURE,
+                       self.list_rarest if had else FAR)
             if news is ListNews.FAILED and self.now >= self.list_by:
                 sure = min(sure, self.now - took + self.list_grace)
             # What had been missed before, by a birth or while we stood still, no failed call takes back.
--- a/tests/test_joined.py
+++ b/tests/test_joined.py
@@ -15,6 +15,7 @@
 
 from pathsaddle.emulator.events import Event, read
 from pathsaddle.emulator.federation.judge import judged
+from pathsaddle.emulator.ground.ports import udp_places
 from pathsaddle.emulator.ownership import linear
 from pathsaddle.emulator.ownership.judge import judge
 from pathsaddle.emulator.placement.judge import judged as placed
@@ -22,7 +23,7 @@
 from pathsaddle.placement.check import broken
 from pathsaddle.placement.inventory import State
 from pathsaddle.placement.ledger import made
-from tests.test_ownership_processes import CHARTER, free
+from tests.test_ownership_processes import CHARTER
 from tests.test_placement_processes import Hands, Planner, inventory
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -47,7 +48,7 @@
         self.folder = Path(folder.name)
         self.running, self.pause = {}, threading.Event()
         self.addCleanup(self.end)
-        self.voters = dict(zip(VOTERS, free(3), strict=True))
+        self.voters = dict(zip(VOTERS, udp_places(3), strict=True))
         self.rows_of_voters = "\n".join(f'{name} = "{address}"' for name, address in self.voters.items())
         for name in VOTERS:
             charter = self.charter(name, self.voters[name], "")
@@ -93,7 +94,7 @@
         lines = ['key = "sixteen bytes or more"', 'lease = "1s"', "drill = 20.0", f'spec = "{self.folder}/1.toml"',
                  f'log = "{self.folder}/log"', "[voters]", 'fleet = "f"', 'key = "sixteen bytes or more"', 'lease = "600ms"',
                  "[voters.names]", self.rows_of_voters]
-        ports = free(5)
+        ports = udp_places(5)
         for name, address in zip(("k0", "k1", "k2"), ports, strict=False):
             lines += [f"[keepers.{name}]", f'address = "{address}"', f'disk = "{self.folder}/{name}"']
         for name, region, address in (("n0", "north", ports[3]), ("w0", "west", ports[4])):
@@ -260,7 +261,7 @@
         self.hands = Hands(self.kept)
 
     def planner(self, name, *words):
-        charter = self.charter(name, free(1)[0], '"plan"')
+        charter = self.charter(name, udp_places(1)[0], '"plan"')
         planner = Planner(self.path, name, 1.0, "--charter", str(charter), "--seconds", "1", *words)
         self.addCleanup(planner.end)
         return planner
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -18,6 +18,7 @@
 from pathsaddle.fleet.overload.level import DEAD, FALLS, RISES, Level, Sums
 from pathsaddle.fleet.overload.standing import BANDS, PERIOD, Ask, band, drawn
 from pathsaddle.fleet.overload.word import MOST, TELLS, Word, packed, read, short
+from pathsaddle.metering import Unmetered
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import logbook
 from pathsaddle.trade import SECOND, Outcome, Scheme
@@ -330,7 +331,7 @@
 class DriverStory(unittest.IsolatedAsyncioTestCase):
     async def test_a_fault_in_a_moment_is_logged_and_the_next_moment_is_set_all_the_same(self) -> None:
         """It ended the level's timer unseen: the gate went on by the level that stood, for good."""
-        fellows = SimpleNamespace(counters=Counters(), clock=SimpleNamespace(now=lambda: 7 * SECOND), shared=SimpleNamespace(
+        fellows = SimpleNamespace(counters=Counters(), meter=Unmetered(), clock=SimpleNamespace(now=lambda: 7 * SECOND), shared=SimpleNamespace(
             carry=SimpleNamespace(records=lambda topic, now: [], put=mock.Mock())))
         gate = mock.Mock(ways=SimpleNamespace(members=3))
         gate.wake.side_effect = [ZeroDivisionError("of ours"), 8 * SECOND]
