What took most of a minute beyond its budget is named by that minute's own time

Observed, on reading the change again: control-over for processor time named the purposes by all that they had taken since the start, so a dear start (a whole list) was named for an hour's later trouble; and ControlMeter.timed was called by nobody. Change: charter/metered.py keeps what each purpose had taken when the minute began; the unused call went. A story fails on the text before (list for carrying) and passes now; tests.test_metering and test_charter, 34 stories, pass; ruff and mypy clean.

--- a/pathsaddle/charter/metered.py
+++ b/pathsaddle/charter/metered.py
@@ -87,7 +87,8 @@
         self.meter.second_ended = self._second_ended
         self.bare_mb = memory_mb()
         self._counted = {purpose: (0, 0, 0) for purpose in PURPOSES}
-        self._minute = (0, 0)  # the second at which it began, and processor time by then
+        self._minute = 0  # the second at which it began
+        self._spent_by = dict.fromkeys(PURPOSES, 0)  # processor time by then, ns
         self._said: dict[str, int] = {}  # by what was over: the second of its last line
 
     def begins(self) -> None:
@@ -124,13 +125,13 @@
             if self.budget.bytes is not None and (took := self.meter.all.last[at]) > self.budget.bytes:
                 self._over(way, f"{took} bytes {way} in one second of {self.budget.bytes}",
                            {purpose: one.last[at] for purpose, one in self.meter.bound()})
-        at, spent_by = self._minute
-        if self.meter.second >= at + MINUTE:
-            core = (self.meter.all.ns - spent_by) / 1e9 / (self.meter.second - at)
-            self._minute = (self.meter.second, self.meter.all.ns)
+        if self.meter.second >= self._minute + MINUTE:
+            took_ns = {purpose: one.ns - self._spent_by[purpose] for purpose, one in self.meter.bound()}
+            core = sum(took_ns.values()) / 1e9 / (self.meter.second - self._minute)
+            self._minute = self.meter.second
+            self._spent_by = {purpose: one.ns for purpose, one in self.meter.spent.items()}
             if self.budget.core is not None and core > self.budget.core:
-                self._over("core", f"{core:.4f} of a core over a minute of {self.budget.core:g}",
-                           {purpose: one.ns for purpose, one in self.meter.bound()})
+                self._over("core", f"{core:.4f} of a core over a minute of {self.budget.core:g}", took_ns)
 
     def _over(self, what: str, how: str, parts: Mapping[Purpose, int]) -> None:
         self.counters.add(f"control.over.{what}")
--- a/pathsaddle/metering.py
+++ b/pathsaddle/metering.py
@@ -14,14 +14,12 @@
 
 import time
 from collections.abc import Awaitable, Callable, Generator
-from functools import wraps
-from typing import Any, Literal, ParamSpec, TypeVar
+from typing import Any, Literal, TypeVar
 
 Purpose = Literal["list", "membership", "carrying", "shares", "owners", "spec", "settings", "level", "reports", "looks", "log"]
 PURPOSES: tuple[Purpose, ...] = (
     "list", "membership", "carrying", "shares", "owners", "spec", "settings", "level", "reports", "looks", "log")
 WITH_TXNS: tuple[Purpose, ...] = ("reports", "looks", "log")  # that grow with txns: no budget of control binds them
-P = ParamSpec("P")
 T = TypeVar("T")
 
 
@@ -115,12 +113,6 @@
             self.spent[purpose].calls += 1
             self._adds(purpose, max(0, took - inner), 0, 0)
 
-    def timed(self, purpose: Purpose, call: Callable[P, T]) -> Callable[P, T]:
-        @wraps(call)
-        def metered(*args: P.args, **more: P.kwargs) -> T:
-            return self.runs(purpose, lambda: call(*args, **more))
-        return metered
-
     async def steps(self, purpose: Purpose, work: Awaitable[T], after: Callable[[], None] = lambda: None) -> T:
         """A coroutine whose every step, from one wait to the next, is metered; what is thrown into it, such as its
         cancellation, reaches it. `after` each step."""
--- a/tests/test_metering.py
+++ b/tests/test_metering.py
@@ -192,6 +192,14 @@
         self.assertEqual([line["most"] for line in self.lines], ["carrying"])
         self.assertIn("0.0370 of a core over a minute of 0.036", self.lines[0]["how"])
 
+    def test_what_took_most_of_a_minute_is_of_that_minute_and_not_of_the_whole_life(self) -> None:
+        self.clocks.meter.runs("list", lambda: setattr(self.clocks, "thread", 9 * S))  # long ago, and never since
+        self.second(MINUTE, 0)
+        self.lines.clear()
+        for second in range(MINUTE, 3 * MINUTE + 1):
+            self.second(second, 0, 0, 40_000)
+        self.assertEqual({line["most"] for line in self.lines}, {"carrying"})
+
     def test_the_counters_have_each_purpose(self) -> None:
         self.second(0, 700, 300, 50)
         self.second(1, 0)
