--- a/pathsaddle/emulator/hollow/open_txns.py
+++ b/pathsaddle/emulator/hollow/open_txns.py
@@ -17,7 +17,7 @@
 from pathsaddle.config.loader import platform_config
 from pathsaddle.config.schema import Configuration
 from pathsaddle.config.validation import validate
-from pathsaddle.net.memory.ledger import Entry, Exchange, Ledger
+from pathsaddle.net.memory.ledger import Entry, Exchange, KnownSending, Ledger
 from pathsaddle.net.wire.birth import StartConfig, birth
 from pathsaddle.net.wire.http import Message
 from pathsaddle.scheduler_driver import SchedulerDriver
@@ -249,7 +249,9 @@
     begun = time.process_time()
     for i, entry in enumerate(entries):
         posting = Posting(entry.txn, member.workers[i % len(member.workers)], 0, member.now - SECOND)
-        entry.exchanges.append(Exchange(posting, entry, 600 * SECOND, has_begun=True, is_accepted=True))
+        entry.exchanges.append(
+            Exchange(posting, entry, 600 * SECOND, sending=KnownSending(), is_accepted=True)
+        )
         member.loop.resume_txn(entry.txn, [posting])
     member.loop.run_pending()
     return (time.process_time() - begun) / point * 1e6
--- a/pathsaddle/jobs/recovery.py
+++ b/pathsaddle/jobs/recovery.py
@@ -136,15 +136,15 @@
             self._cancellation.finish_interrupted(job)
             return
         entry = self._run_queue.open_entry(job)
+        workers = {lease.worker for lease in machine.leases}
+        entry.earlier_workers = frozenset(workers.difference(self._host.known))
         attempts = []
         for i, lease in enumerate(machine.leases):
             worker = self._host.known.get(lease.worker)
             if worker is None:
                 continue  # its report may still come, as a late result
             attempt = Posting(entry.txn, worker, i, lease.intended_at, accepted_at=lease.intended_at)
-            exchange = Exchange(
-                attempt, entry, NO_TIME_LIMIT, has_begun=True, sending=KnownSending(), is_accepted=True
-            )
+            exchange = Exchange(attempt, entry, NO_TIME_LIMIT, sending=KnownSending(), is_accepted=True)
             entry.exchanges.append(exchange)
             attempts.append(attempt)
             if lease.never_ran:
--- a/pathsaddle/jobs/run_queue.py
+++ b/pathsaddle/jobs/run_queue.py
@@ -61,6 +61,7 @@
                 status = getattr(error, "status", 400)
                 self._host.end_job(job, FinalAnswer(JobOutcome.FAILED, status, str(error).encode()))
                 continue
+            entry.earlier_workers = frozenset(lease.worker for lease in job.machine.leases)
             self.run(job, entry, [])
 
     def schedule_admission(self) -> None:
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -8,7 +8,7 @@
 from typing import Protocol
 
 from pathsaddle.net.wire.http import Message
-from pathsaddle.scheduler_types import Posting, Scheme, Txn
+from pathsaddle.scheduler_types import Outcome, Posting, Scheme, Txn
 
 MAX_CLOSED_IDS = 4096  # covers the txns that close within the longest expiry, in little memory
 Answer = Callable[[int, bytes, tuple[str, ...], bool], None]
@@ -36,13 +36,14 @@
     posting: Posting
     entry: Entry
     timeout_ticks: int
-    has_begun: bool = False  # the first byte is sent
     sending: Sending | None = None  # set from the first byte on
     is_accepted: bool = (
         False  # the worker answered 202: cancelling takes a request, closing no longer suffices
     )
     timer: asyncio.TimerHandle | None = None
     task: asyncio.Task[None] | None = None
+    reported_outcome: Outcome | None = None  # in the callback that ended the posting; it may be repeated
+    is_given_up: bool = False  # it is being withdrawn from its worker, and ends after that
 
     @property
     def is_sent(self) -> bool:
@@ -52,15 +53,31 @@
         """
         return self.sending is not None and self.sending.is_complete
 
+    def may_still_report(self, outcome: Outcome) -> bool:
+        """Return whether the worker may yet send a callback with this outcome for the ended posting.
+
+        A worker reports one outcome and repeats that callback until it is answered; the answer may be lost.
+        If no callback has ended the posting, any may come, unless its request was never complete or its
+        answer was a rejection.
+        """
+        if self.reported_outcome is not None:
+            return outcome is self.reported_outcome
+        return self.is_sent and self.posting.outcome is not Outcome.FULL
+
 
 @dataclass(slots=True, eq=False)
 class Entry:
-    """A txn, the client's request as received, and the callback that answers its connection."""
+    """A txn, the client's request as received, and the callback that answers its connection.
+
+    `earlier_workers` names the workers that had postings of it under an earlier process, of which no exchange
+    is known here; their callbacks may still come.
+    """
 
     txn: Txn
     request: Message
     answer: Answer | None
     exchanges: list[Exchange] = field(default_factory=list)
+    earlier_workers: frozenset[str] = frozenset()
 
     @property
     def is_done(self) -> bool:
@@ -109,13 +126,14 @@
                     return exchange
         return None
 
-    def is_ambiguous(self, exchange: Exchange) -> bool:
-        """Return whether an earlier posting to the same worker was given up or lost and may have run.
+    def is_ambiguous(self, exchange: Exchange, outcome: Outcome) -> bool:
+        """Return whether a callback with this outcome may be about an earlier posting to the same worker.
 
-        The worker's messages for the txn may then refer to that posting instead of this one.
+        A callback names the txn and the worker, but not the posting.
         """
-        return any(
-            other.posting.worker is exchange.posting.worker and other.posting.may_have_run
+        worker = exchange.posting.worker
+        return worker.tag in exchange.entry.earlier_workers or any(
+            other.posting.worker is worker and other.may_still_report(outcome)
             for other in exchange.entry.exchanges
             if other is not exchange
         )
--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -104,20 +104,8 @@
         A worker that has accepted it with 202 is sent a DELETE. Before that, closing the connection withdraws
         the posting.
         """
-        exchange = self.ledger[posting.txn.tag].exchanges[posting.number]
-        if not posting.is_in_flight:
-            return
-        if exchange.is_accepted:
-            self._start(self._withdraw(exchange))
-        else:
-            self._abort_request(exchange)  # no byte is sent after this; the socket has counted those before
-            # The next posting may reach its worker sooner than the end of the connection reaches this one.
-            self._events.call_later(
-                seconds(CLOSE_PROPAGATION_DELAY if exchange.is_sent and not self.two_at_once else 0),
-                self._end,
-                exchange,
-                Outcome.CANCELLED if exchange.is_sent else Outcome.MOOT,
-            )
+        if posting.is_in_flight:
+            self._give_up(self.ledger[posting.txn.tag].exchanges[posting.number], Outcome.CANCELLED)
 
     def decline(self, txn: Txn, come_back: int, elsewhere: bool) -> None:
         """Answer a txn with 503.
@@ -211,13 +199,12 @@
         """Apply a callback; a duplicate or late one matches no posting in flight and is only counted."""
         self.counters.add(f"callback.{callback.state_name}")
         exchange = self.ledger.find_exchange(callback.tag, callback.worker)
-        if exchange is None or not exchange.has_begun:
-            self.counters.add("callback.stray")
+        if exchange is None or not exchange.is_sent:
+            self.counters.add("callback.stray")  # a worker knows nothing of a request before its last byte
+        elif callback.outcome is Outcome.SETTLED:
+            self._end(exchange, Outcome.SETTLED, callback.report, callback.result)
         elif callback.outcome is not None:
-            outcome = callback.outcome
-            if outcome.never_ran and self.ledger.is_ambiguous(exchange):
-                outcome = Outcome.ERROR  # it may refer to an earlier posting at that worker: no proof
-            self._end(exchange, outcome, callback.report, callback.result)
+            self._on_failure_reported(exchange, callback.outcome, callback.report)
         elif callback.is_progress:
             self._at()
             posting = exchange.posting
@@ -225,6 +212,22 @@
                 posting.txn, lambda: self.loop.on_progress(posting, callback.has_started, callback.progress)
             )
 
+    def _on_failure_reported(self, exchange: Exchange, outcome: Outcome, report: LoadReport | None) -> None:
+        """End a posting that its worker reports as failed or returned, if the callback is surely about it.
+
+        A callback that may be about an earlier posting at that worker proves nothing: this posting may be
+        running. It is given up at the worker before the txn is posted again; a txn that may not be posted
+        again keeps waiting for its result.
+        """
+        if not self.ledger.is_ambiguous(exchange, outcome):
+            exchange.reported_outcome = outcome
+            self._end(exchange, outcome, report)
+            return
+        self.counters.add("callback.ambiguous")
+        self._at()
+        if self.loop.can_post_after(exchange.posting):
+            self._give_up(exchange, Outcome.ERROR if outcome.never_ran else outcome)
+
     def listed(self, update: ListUpdate, rows: list[ListRow]) -> None:
         """Apply an update of discovery's list: addresses here, states in the scheduler."""
         listed_workers = []
@@ -297,7 +300,7 @@
             if not self.loop.can_begin_posting(posting):
                 self.counters.add("posting.withheld")
                 raise PostingWithheldError
-            exchange.has_begun, exchange.sending = True, sending
+            exchange.sending = sending
             # The remaining time is computed at the first byte, since the worker counts it from the request's
             # arrival. Computed at the start of the posting, it would let the worker keep working longer than
             # the client waits, by the connect time.
@@ -338,10 +341,27 @@
         if exchange.task is not None:
             exchange.task.cancel()  # closes the connection, which withdraws a posting before its 202
 
-    async def _withdraw(self, exchange: Exchange) -> None:
+    def _give_up(self, exchange: Exchange, outcome: Outcome) -> None:
+        """Withdraw a posting from its worker, and end it with this outcome after that."""
+        if exchange.is_given_up:
+            return
+        exchange.is_given_up = True
+        if exchange.is_accepted:
+            self._start(self._withdraw(exchange, outcome))
+            return
+        self._abort_request(exchange)  # no byte is sent after this; the socket has counted those before
+        # The next posting may reach its worker sooner than the end of the connection reaches this one.
+        self._events.call_later(
+            seconds(CLOSE_PROPAGATION_DELAY if exchange.is_sent and not self.two_at_once else 0),
+            self._end,
+            exchange,
+            outcome if exchange.is_sent else Outcome.MOOT,
+        )
+
+    async def _withdraw(self, exchange: Exchange, outcome: Outcome) -> None:
         """Withdraw an accepted posting; without hedging it ends only once the worker has been notified."""
         if await self._send_withdrawal(exchange) or self.two_at_once:
-            self._end(exchange, Outcome.CANCELLED)
+            self._end(exchange, outcome)
 
     async def _send_withdrawal(self, exchange: Exchange) -> bool:
         """Send the withdrawal of a posting and return whether the worker has received it in full."""
--- a/pathsaddle/scheduler_driver.py
+++ b/pathsaddle/scheduler_driver.py
@@ -104,6 +104,10 @@
         """
         return self.scheduler.can_begin(posting)
 
+    def can_post_after(self, posting: Posting) -> bool:
+        """Return whether the txn may be posted again even if this posting has run."""
+        return self.now < self.scheduler.postable_until(posting.txn)
+
     def on_posting_accepted(self, posting: Posting) -> None:
         """Record the worker's acknowledgement of a posting."""
         posting.accepted_at = self.now
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -710,6 +710,25 @@
         self.assertEqual(self.call_back(job_id, "failed"), 204, "out of order, and too late to matter")
         self.assertEqual(self.status(job_id)["state"], "settled")
 
+    def test_a_returned_of_before_a_restart_does_not_end_the_next_attempt_there(self) -> None:
+        """Guards against running a once-only job twice: the crash lost the answer to `returned`."""
+        job_id = self.start_with_running_job()
+        self.fake_workers.mode = "hangs"
+        self.assertEqual(self.call_back(job_id, "returned"), 204)
+        self.advance(0.2)
+        self.crash()
+        self.fake_workers.mode = "take"
+        self.fake_workers.reports["w0"] = {"state": "never", "fence": 2}
+        self.start()
+        self.begin()
+        self.advance(3.0)
+        sent = len(self.fake_workers.attempts)
+        self.assertEqual(self.call_back(job_id, "returned"), 204)
+        self.advance(3.0)
+        self.assertEqual((sent, len(self.fake_workers.attempts)), (2, 2))
+        self.assertEqual(self.call_back(job_id), 204)
+        self.assertEqual(self.status(job_id)["state"], "settled")
+
     def test_a_worker_silent_for_long_that_then_reports_progress_keeps_its_lease(self) -> None:
         job_id = self.start_with_running_job()
         self.fake_workers.reports["w0"] = {"state": "running"}
--- a/tests/test_txn_service.py
+++ b/tests/test_txn_service.py
@@ -16,9 +16,20 @@
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import ListRow, MessageDecoder
 from pathsaddle.net.wire.http import HttpError, Message
-from pathsaddle.scheduler_types import SECOND, ListedState, ListUpdate, Outcome, Posting, Semantics, Worker
+from pathsaddle.scheduler_types import (
+    SECOND,
+    ListedState,
+    ListUpdate,
+    LoadReport,
+    Outcome,
+    Posting,
+    Semantics,
+    Worker,
+)
 from tests.fakehost import SETTINGS
 
+TIMEOUT_SECONDS = 30.0  # for anything that a test waits for, even on a busy machine
+
 
 class FakeCall:
     """One request to a worker, whose progress the test controls."""
@@ -111,6 +122,11 @@
         for _ in range(5):
             await asyncio.sleep(time / 5)
 
+    async def until(self, is_true: Callable[[], bool]) -> None:
+        async with asyncio.timeout(TIMEOUT_SECONDS):
+            while not is_true():
+                await self.settle(0.01)
+
     async def send_callback(
         self, state: str, tag: str = "a", worker: str = "w0", result: str = "done"
     ) -> None:
@@ -202,6 +218,67 @@
         await self.send_callback("returned")
         self.assertTrue(all(posting.may_have_run for posting in entry.txn.postings))
 
+    async def ask_until_second_posting(self, kind: str, state: str) -> Entry:
+        """Have a txn's first posting end by a callback with this state, and its second one accepted."""
+        entry = await self.ask(kind=kind)
+        for number in range(2):
+            await self.until(lambda number=number: len(self.fake_workers.calls) > number)
+            self.fake_workers.calls[number].write()
+            await self.send_reply(self.fake_workers.calls[number], 202)
+            if not number:
+                await self.send_callback(state)
+                worker, room = entry.txn.postings[0].worker, LoadReport(free_slots=2.0)
+                self.service.loop.on_probe_result(worker, Outcome.SETTLED, 0, room)
+                self.service.loop.run_pending()
+        return entry
+
+    async def test_a_repeated_returned_does_not_end_the_next_posting_at_that_worker(self) -> None:
+        """Guards against running a once-only txn twice.
+
+        A worker repeats `returned` until it is answered. The repeat was taken for the outcome of its next
+        posting, which was running, and the txn was posted to another worker.
+        """
+        self.open()
+        entry = await self.ask_until_second_posting("charge", "returned")
+        await self.send_callback("returned")
+        self.assertTrue(entry.txn.postings[1].is_in_flight)
+        self.assertEqual((len(self.fake_workers.calls), self.counters["callback.ambiguous"]), (2, 1))
+        await self.send_callback("done")
+        self.assertEqual(self.answers, [(200, b"done", ())])
+
+    async def test_a_repeated_failure_withdraws_the_next_posting_before_another_begins(self) -> None:
+        """Guards against two postings at once: a repeated `failed` or `lost` ended one that was running."""
+        for state in ("returned", "failed", "lost"):
+            with self.subTest(state):
+                self.open(allows_hedging=False)
+                entry = await self.ask_until_second_posting("render", state)
+                await self.send_callback(state)
+                self.assertEqual([call.method for call in self.fake_workers.calls[2:]], ["DELETE"])
+                self.assertTrue(entry.txn.postings[1].is_in_flight)
+                await self.send_callback(state)
+                self.fake_workers.calls[2].write()
+                await self.send_reply(self.fake_workers.calls[2], 204)
+                self.assertFalse(entry.txn.postings[1].is_in_flight)
+                await self.until(lambda: len(self.fake_workers.calls) > 3)
+                self.assertEqual(self.fake_workers.calls[3].method, "POST")
+
+    async def test_a_callback_that_repeats_no_earlier_one_ends_its_posting(self) -> None:
+        """The worker has reported `returned` for the first posting, so that `lost` is about the second."""
+        self.open()
+        entry = await self.ask_until_second_posting("charge", "returned")
+        await self.send_callback("lost")
+        self.assertIs(entry.txn.postings[1].outcome, Outcome.RESET)
+        self.assertEqual([answer[0] for answer in self.answers], [500])
+
+    async def test_a_callback_before_the_last_byte_of_its_posting_is_stray(self) -> None:
+        """Guards against taking an earlier posting's callback for one that is still being written."""
+        self.open()
+        entry = await self.ask_until_second_posting("charge", "returned")
+        self.fake_workers.calls[1].sending.is_complete = False
+        await self.send_callback("lost")
+        self.assertTrue(entry.txn.postings[1].is_in_flight)
+        self.assertEqual(self.counters["callback.stray"], 1)
+
     async def test_done_before_the_202_and_repeated_counts_once(self) -> None:
         self.open()
         await self.ask()
