--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -19,6 +19,7 @@
 from pathsaddle.scheduler_types import MILLISECOND, SECOND
 
 LISTEN_BACKLOG = 1024
+NO_ROOM_FOR_HEAD = "no room for so large a head now"
 WRITE_TIMEOUT = 10 * SECOND  # for a peer to read what is written to it
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # per connection; at this size the peer's further requests wait
 REQUEST_TIMEOUT = 5 * SECOND // 2  # for a complete request, from the accept or its first byte
@@ -41,10 +42,18 @@
     Attributes:
         connections: The largest number of accepted connections.
         bodies: The largest sum of request bodies, in bytes.
+        heads: The sum of the memory of request heads, in bytes, beyond which larger heads than `head_share`
+            are refused.
     """
 
     connections: int
     bodies: int
+    heads: int
+
+    @property
+    def head_share(self) -> int:
+        """The memory that the heads of one connection may always take, in bytes."""
+        return self.heads // self.connections
 
 
 class ClientConnection:
@@ -64,6 +73,7 @@
         self.idle_since = self.began_at
         self.last_read_at = self.began_at  # when the last bytes arrived
         self.held_body_bytes = 0  # its part of `Front.held_body_bytes`
+        self.held_head_bytes = 0  # its part of `Front.held_head_bytes`
         self.lingers_since: int | None = None  # when this side was shut down; input is then discarded
         self.peer_has_closed = False  # the peer closed its side while an answer was being written
         self.code: str | None = None  # the reason code, once the connection has ended
@@ -190,12 +200,12 @@
                 chunk = self.input.data()
                 machine.feed(chunk)
                 self.input.drop(len(chunk))
-                self.front.update_body_bytes(self)
+                self.front.update_held_bytes(self)
                 self._put(machine.take_interim_response())
         objection = machine.error_response()
         if objection:
             self.front.counters.add("objection")
-            self.front.update_body_bytes(self)
+            self.front.update_held_bytes(self)
             self._put(objection)
         while machine.is_closed and self.input:
             self.input.drop(len(self.input.data()))
@@ -217,6 +227,8 @@
                     self.is_worker = True
                     self.front.mark_proven(self)
                 self.front.service.heard(callback, self.answer)
+            elif self.front.exceeds_head_limit(self):
+                raise HttpError(503, NO_ROOM_FOR_HEAD)
             else:
                 # `take` may call `answer` before it returns.
                 self.entry = None
@@ -242,7 +254,7 @@
         keep = self.is_worker or (keep and not self.front.is_stopping)
         self._put(self.machine.respond(status, body, headers, keep))
         self.idle_since = self.front.clock.now()
-        self.front.update_body_bytes(self)
+        self.front.update_held_bytes(self)
 
     def _put(self, data: bytes) -> None:
         if data and self.code is None:
@@ -358,6 +370,7 @@
         self.connections: dict[ClientConnection, None] = {}
         self.unproven: dict[ClientConnection, None] = {}  # those that have carried no txn or callback yet
         self.held_body_bytes = 0  # bytes of the bodies of incomplete and open requests
+        self.held_head_bytes = 0  # memory of their heads
         self.discard_buffer = memoryview(bytearray(64 * 1024))  # shared by all connections
         self.is_stopping = False
         self._descriptor_freed = asyncio.Event()
@@ -462,12 +475,27 @@
         """Mark a connection as one of a regular peer."""
         self.unproven.pop(connection, None)
 
-    def update_body_bytes(self, connection: ClientConnection) -> None:
-        """Update the sum of all bodies and refuse this connection's body with 503 if the sum is too large."""
-        self.held_body_bytes += connection.machine.held_bytes - connection.held_body_bytes
-        connection.held_body_bytes = connection.machine.held_bytes
-        if self.held_body_bytes > self.limits.bodies and connection.machine.partial is not None:
-            connection.machine.reject(503, "no room for this body now")
+    def update_held_bytes(self, connection: ClientConnection) -> None:
+        """Update the sums of all bodies and heads; refuse this request with 503 if one of them is too large.
+
+        Of the heads, only those over their share are refused: a regular request is small and keeps its turn.
+        """
+        machine = connection.machine
+        self.held_body_bytes += machine.held_bytes - connection.held_body_bytes
+        self.held_head_bytes += machine.held_head_bytes - connection.held_head_bytes
+        connection.held_body_bytes, connection.held_head_bytes = machine.held_bytes, machine.held_head_bytes
+        if machine.partial is None:
+            return
+        if self.held_body_bytes > self.limits.bodies:
+            machine.reject(503, "no room for this body now")
+        elif self.exceeds_head_limit(connection):
+            machine.reject(503, NO_ROOM_FOR_HEAD)
+
+    def exceeds_head_limit(self, connection: ClientConnection) -> bool:
+        """Return whether memory for heads is short and this connection's heads take more than their share."""
+        return (
+            self.held_head_bytes > self.limits.heads and connection.held_head_bytes > self.limits.head_share
+        )
 
     def sweep(self) -> None:
         """Enforce the time limits of all connections."""
@@ -480,7 +508,8 @@
         self.connections.pop(connection, None)
         self.unproven.pop(connection, None)
         self.held_body_bytes -= connection.held_body_bytes
-        connection.held_body_bytes = 0
+        self.held_head_bytes -= connection.held_head_bytes
+        connection.held_body_bytes = connection.held_head_bytes = 0
         self.counters.add(f"visit_end.{connection.code}")
         logbook.client_end(code=connection.code, peer=connection.peer, calls=connection.calls)
         self.on_descriptor_freed()
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -22,7 +22,7 @@
 
 SPARE_DESCRIPTORS = 12  # for the listener, discovery's watch and connections that are being closed
 CONNECTION_MB = 0.02  # memory of one connection, its tasks included
-MIN_CONNECTIONS, MIN_BODY_MB = 16, 1.0  # granted however little room there is
+MIN_CONNECTIONS, MIN_BODY_MB, MIN_HEAD_MB = 16, 1.0, 0.5  # granted however little room there is
 SWEEP_INTERVAL = SECOND // 4  # between checks of the event loop's lag, of idle connections and of memory
 LAG_WARNING_THRESHOLD = 50 * MILLISECOND  # each time limit is 50 ms longer on real sockets
 COMING = SECOND // 2  # how long after SIGTERM clients are expected to open new connections
@@ -55,11 +55,13 @@
         self.memory_mb = config.memory_mb
         # Descriptors that the event loop and the log have open already are counted as used.
         free = config.sockets - environment.descriptors() - SPARE_DESCRIPTORS
-        # Of the free memory, a third is for connections, a quarter for bodies, and the rest for all else.
+        # Of the free memory, a third is for connections, a quarter for bodies, an eighth for heads, which may
+        # take twice that (`ClientLimits.head_share`), and the rest for all else.
         free_mb = max(0.0, 0.9 * config.memory_mb - environment.memory_mb())
         limits = ClientLimits(
             max(MIN_CONNECTIONS, int(min(free, free_mb / 3 / CONNECTION_MB))),
             int(max(MIN_BODY_MB, min(1e3, free_mb / 4)) * 1e6),
+            int(max(MIN_HEAD_MB, min(1e3, free_mb / 8)) * 1e6),
         )
         self.workers = Workers(config.timeouts, free // 4, self.clock, self.counters, environment.stream)
         config.scheduler.max_open_txns = min(
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -10,6 +10,9 @@
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_HEAD_BYTES = 16 * 1024
+MAX_HEADERS = 100  # lines of a head; each takes far more memory than its text if that is short
+HEADER_OVERHEAD_BYTES = 240  # memory of one header besides its text: its objects, and its place in the tables
+MESSAGE_OVERHEAD_BYTES = 400  # memory of a message besides its headers and its body
 MAX_RECORD_BYTES = 4 * 1024 * 1024  # bytes of a worker list of some twenty thousand workers
 MAX_RAW_BYTES = 8 * MAX_BODY_BYTES  # head, body and chunk framing; many small chunks multiply the framing
 REASONS = {
@@ -56,6 +59,7 @@
     raw_headers: list[tuple[bytes, bytes]] = field(default_factory=list)  # as received, to be forwarded
     body: bytes = b""
     keep_alive: bool = True
+    head_memory_bytes: int = 0  # an estimate of the memory that its head takes
 
     def text(self, name: bytes) -> str | None:
         """Return the value of a header by its lower-case name, or None if it is missing."""
@@ -63,6 +67,16 @@
         return None if value is None else value.decode("latin-1")
 
 
+def head_memory(text_bytes: int, headers: int) -> int:
+    """Return an estimate of the memory in bytes that a head takes.
+
+    Args:
+        text_bytes: The length of its text; names are held as received and in lower case.
+        headers: The number of its header lines.
+    """
+    return MESSAGE_OVERHEAD_BYTES + 2 * text_bytes + HEADER_OVERHEAD_BYTES * headers
+
+
 class MessageParser:
     """Assembles messages from the callbacks of httptools, and enforces the size limits while bytes arrive."""
 
@@ -72,14 +86,14 @@
         self.has_head = False  # whether its head is complete
         self.raw_bytes = 0  # its bytes so far, with those that httptools buffers until a line is complete
         self.head_bytes = 0
-        self.body_bytes = 0
-        self.chunks: list[bytes] = []
+        self.header_count = 0  # trailer fields included
+        self.body = bytearray()  # of the message that is being received
         self.fault: HttpError | None = None
 
     def on_message_begin(self) -> None:
         """Start a new message."""
         self.partial, self.has_head, self.raw_bytes, self.head_bytes = Message(), False, 0, 0
-        self.body_bytes, self.chunks = 0, []
+        self.header_count, self.body = 0, bytearray()
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request target."""
@@ -91,6 +105,9 @@
         """Add a header; trailer fields are ignored."""
         assert self.partial is not None
         self._count_head_bytes(len(name) + len(value))
+        self.header_count += 1
+        if self.header_count > MAX_HEADERS:
+            self._reject(431, f"over {MAX_HEADERS} header lines")
         if self.has_head:
             return  # a trailer field must not change the head, which has been processed
         self.partial.headers[name.lower()] = value
@@ -98,18 +115,18 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body."""
-        self.body_bytes += len(chunk)
-        if self.body_bytes > MAX_BODY_BYTES:
+        if len(self.body) + len(chunk) > MAX_BODY_BYTES:
             self._reject(413, "body over 64 KiB")
-        self.chunks.append(chunk)
+        self.body += chunk
 
     def on_message_complete(self) -> None:
         """Queue the complete message."""
         assert self.partial is not None
-        self.partial.body = b"".join(self.chunks)
+        self.partial.body = bytes(self.body)
+        self.partial.head_memory_bytes = head_memory(self.head_bytes, self.header_count)
         self.finish(self.partial)
         self.messages.append(self.partial)
-        self.partial, self.chunks = None, []
+        self.partial, self.body = None, bytearray()
 
     def finish(self, message: Message) -> None:
         """Set the fields of a complete message that only the parser knows."""
@@ -150,7 +167,9 @@
         self.is_closed = False  # whether the last response was sent, so that nothing more is read
         self.is_discarding = False  # whether bytes after the unanswered request are discarded
         self._keep_alive = True
-        self._body_bytes = 0
+        self._body_bytes = 0  # of the unanswered request
+        self._head_bytes = 0  # memory of its head
+        self._complete_head_bytes = 0  # memory of the heads of the queued and the unanswered request
         self._interim_response = b""  # to be sent before the client sends the body
 
     def feed(self, data: bytes | memoryview) -> None:
@@ -205,11 +224,21 @@
             self._interim_response = b"HTTP/1.1 100 Continue\r\n\r\n"
 
     def finish(self, message: Message) -> None:
-        """Set the method and whether the connection stays open."""
+        """Set the method and whether the connection stays open, and count its head as held."""
+        self._complete_head_bytes += message.head_memory_bytes
         message.method = self._parser.get_method()
         message.keep_alive = self._parser.should_keep_alive()
         self._interim_response = b""
 
+    @property
+    def held_head_bytes(self) -> int:
+        """An estimate of the memory of the heads of the partial, the queued and the unanswered request."""
+        if self.partial is None:
+            return self._complete_head_bytes
+        # Until the head is complete, a part of its text may be buffered without being counted as a header.
+        text_bytes = self.head_bytes if self.has_head else self.raw_bytes
+        return self._complete_head_bytes + head_memory(text_bytes, self.header_count)
+
     @property
     def has_partial_request(self) -> bool:
         """Whether a request is partly received or queued: a close would lose it."""
@@ -227,6 +256,7 @@
         self.is_busy = True
         call = self.messages.popleft()
         self._keep_alive, self._body_bytes = call.keep_alive, len(call.body)
+        self._head_bytes = call.head_memory_bytes
         return call
 
     def discard_rest(self) -> None:
@@ -242,7 +272,7 @@
         if self.fault is None or self.is_busy or self.is_closed or self.messages:
             return b""
         self.is_busy, self._keep_alive, self._body_bytes = True, False, self.held_bytes
-        self.partial, self.chunks = None, []
+        self.partial, self.body = None, bytearray()
         return self.respond(self.fault.status, str(self.fault).encode())
 
     def respond(
@@ -252,6 +282,8 @@
         assert self.is_busy and not self.is_closed
         self.is_busy = False
         self.held_bytes -= self._body_bytes
+        self._complete_head_bytes -= self._head_bytes
+        self._head_bytes = 0
         self.is_closed = not (keep and self._keep_alive)
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}", *headers]
         if status != 204:
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -79,7 +79,9 @@
         )
         self.address = await self.peer(self.silent)
         self.listed()
-        self.front = Front("127.0.0.1:0", 20, ClientLimits(20, 100_000), self.service, clock, self.counters)
+        self.front = Front(
+            "127.0.0.1:0", 20, ClientLimits(20, 100_000, 100_000), self.service, clock, self.counters
+        )
         self.addCleanup(self.front.sock.close)
         self.events = asyncio.get_running_loop()
 
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -13,6 +13,7 @@
 import unittest
 from collections.abc import Callable
 from pathlib import Path
+from typing import ClassVar
 
 from tests.fakehost import SETTINGS
 from tests.ports import tcp_port
@@ -22,7 +23,11 @@
 RUN = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
 
 
-class ProgramStory(unittest.IsolatedAsyncioTestCase):
+class Program(unittest.IsolatedAsyncioTestCase):
+    """One program, with a worker and a discovery that the test plays."""
+
+    limits: ClassVar = {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+
     async def asyncSetUp(self) -> None:
         self.mood = "done"  # what the worker does with the next posting
         self.seen: list[bytes] = []  # the first lines of what came to the worker
@@ -43,7 +48,7 @@
                     "listen": f"127.0.0.1:{self.port}",
                     "seed": "8c1f30d27a5be964",
                     "discovery": "{}:{}".format(*discovery.sockets[0].getsockname()),
-                    "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                    "limits": self.limits,
                     "known": {"index": 0, "snapshot": True, "endpoints": []},
                     "settings": SETTINGS,
                 }
@@ -175,6 +180,8 @@
             % (kind.encode(), tag.encode(), kind.encode(), within, len(body), body)
         )
 
+
+class ProgramStory(Program):
     async def test_settled_and_the_path_goes_on_unchanged(self) -> None:
         status, _, body = await self.call(self.job("a", body=b"x" * 60_000))
         self.assertEqual((status, body), (200, b"X" * 60_000))
--- a/tests/test_sockets.py
+++ b/tests/test_sockets.py
@@ -392,7 +392,9 @@
             config, MessageDecoder(SETTINGS, config), 7, clock, workers, self.counters, lambda: None
         )
         service.listed(ListUpdate.COMPLETE, [ListRow(Worker("w"), "127.0.0.1:1")])
-        self.front = Front("127.0.0.1:0", 10, ClientLimits(10, 100_000), service, clock, self.counters)
+        self.front = Front(
+            "127.0.0.1:0", 10, ClientLimits(10, 100_000, 100_000), service, clock, self.counters
+        )
         self.addCleanup(self.front.sock.close)
         self.address = self.front.sock.getsockname()
 
@@ -530,6 +532,25 @@
             connection.end("closed")
         self.assertEqual((self.front.held_body_bytes, first.at_eof()), (0, False))
 
+    async def test_heads_beyond_their_total_are_refused_if_large_and_usual_ones_are_served(self) -> None:
+        """Guards against taking all memory for unfinished heads, and against refusing usual clients then."""
+        self.front.descriptor_limit = 20
+        large = b"POST /render HTTP/1.1\r\n" + b"X: %s\r\n" % (b"y" * 12_000)
+        for _ in range(5):
+            await self.connect(large)
+        await until(lambda: self.counters["objection"])
+        self.assertLess(self.front.held_head_bytes, 2 * self.front.limits.heads)
+        usual, _ = await self.connect(b"GET /ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn(b"200 OK", await asyncio.wait_for(usual.readuntil(b"\r\n\r\n"), TIMEOUT_SECONDS))
+        complete, _ = await self.connect(
+            large.replace(b"y" * 12_000, b"y" * 11_000)
+            + b"Req-Id: a\r\nReq-Owner: acme\r\nContent-Length: 0\r\n\r\n"
+        )
+        self.assertIn(b"503", await asyncio.wait_for(complete.readuntil(b"\r\n\r\n"), TIMEOUT_SECONDS))
+        for connection in list(self.front.connections):
+            connection.end("closed")
+        self.assertEqual(self.front.held_head_bytes, 0)
+
     async def test_connections_without_txns_are_evicted_before_those_of_regular_peers(self) -> None:
         job = (
             b"POST /render HTTP/1.1\r\nReq-Id: a\r\nReq-Owner: acme\r\nReq-Deadline-Ms: 10\r\n"
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -5,7 +5,14 @@
 
 from pathsaddle.net.wire import forms, terms
 from pathsaddle.net.wire.forms import MessageDecoder
-from pathsaddle.net.wire.http import MAX_BODY_BYTES, ClientProtocol, HttpError, Message, ServerProtocol
+from pathsaddle.net.wire.http import (
+    MAX_BODY_BYTES,
+    MAX_HEADERS,
+    ClientProtocol,
+    HttpError,
+    Message,
+    ServerProtocol,
+)
 from pathsaddle.net.wire.ring import INITIAL_BYTES, Ring
 from pathsaddle.scheduler_types import ListedState, ListUpdate, Outcome, Semantics
 from tests.fakehost import SETTINGS
@@ -161,6 +168,29 @@
         machine = parse_requests(b"GET / HTTP/1.1\r\n", b"X: " + b"y" * 20000 + b"\r\nZ: 1\r\n")
         self.assertTrue(machine.error_response().startswith(b"HTTP/1.1 431"))
 
+    def test_more_header_lines_than_a_head_may_have_get_431_however_short(self) -> None:
+        """Guards against heads of many short lines, each of which takes far more memory than its bytes."""
+        for lines, status in ((MAX_HEADERS, 0), (MAX_HEADERS + 1, 431)):
+            machine = parse_requests(b"GET / HTTP/1.1\r\n" + b"a:\r\n" * lines + b"\r\n")
+            self.assertEqual(machine.fault and machine.fault.status, status or None)
+        trailers = REQUEST.replace(b"Content-Length: 5", b"Transfer-Encoding: chunked")[:-5] + b"0\r\n"
+        machine = parse_requests(trailers + b"a:\r\n" * (MAX_HEADERS + 1) + b"\r\n")
+        self.assertEqual(machine.fault and machine.fault.status, 431)
+
+    def test_a_request_counts_as_held_until_its_response(self) -> None:
+        """The memory of heads: of one that is coming in, of those that wait, and of the unanswered one."""
+        machine = parse_requests(REQUEST * 2 + REQUEST[:60])
+        sizes = [machine.held_head_bytes]
+        for _ in range(2):
+            machine.next_request()
+            machine.respond(200)
+            sizes.append(machine.held_head_bytes)
+        self.assertEqual(sorted(sizes, reverse=True), sizes)
+        self.assertGreater(sizes[2], 0)
+        machine.feed(b"\0")
+        self.assertTrue(machine.error_response())
+        self.assertEqual((machine.held_head_bytes, machine.held_bytes), (0, 0))
+
     def test_a_client_that_expects_100_continue_gets_it_once(self) -> None:
         machine = parse_requests(REQUEST[:-5].replace(b"Host", b"Expect: 100-continue\r\nHost"))
         self.assertTrue(machine.take_interim_response().startswith(b"HTTP/1.1 100"))
@@ -186,6 +216,12 @@
                 report and (report.held_slots, report.queued_jobs, report.free_slots), (7.0, 2.0, 0.5)
             )
 
+    def test_a_response_with_too_many_header_lines_is_rejected(self) -> None:
+        machine = ClientProtocol()
+        machine.send_request("GET", b"/", "x:1", [])
+        with self.assertRaises(HttpError):
+            machine.feed(b"HTTP/1.1 200 OK\r\n" + b"a:\r\n" * (MAX_HEADERS + 1) + b"\r\n")
+
     def test_a_response_without_a_request_is_rejected(self) -> None:
         with self.assertRaises(HttpError):
             ClientProtocol().feed(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
