The emulator's own kill is no death when its end is noticed after the restart

Cause: the SIGKILL is the plan's own: experiments/fleet-sockets.toml kills d6 at 18 s for 50 ms. SocketStage kept by dispatcher whose end was asked for, and `start` forgot it for the new process; if the exit of the old one was noticed after those 50 ms, it was logged as a death. The new process also could begin while the killed one still held its ports.

Change: the expected end belongs to the process; a restart waits for the end of the process before it.

--- a/pathsaddle/emulator/stage.py
+++ b/pathsaddle/emulator/stage.py
@@ -320,7 +320,7 @@
         self.command = command
         self.root = root
         self.processes: dict[int, asyncio.subprocess.Process] = {}
-        self.meant: dict[int, None] = {}  # whose end was asked for
+        self.expected_ends: set[asyncio.subprocess.Process] = set()  # those that were told to end, or killed
         self.relays: Relays | None = None
         self.first_life: dict[int, bytes] = {}
         # The platform's file has no word for a store or a fleet.
@@ -332,6 +332,8 @@
         return time.time() - (self.world.loop.time() - self.world.begun)
 
     async def start(self, dispatcher: int, again: bool = False) -> None:
+        if dispatcher in self.processes:
+            await self.processes[dispatcher].wait()  # a killed process may still hold its ports for a while
         if again and self.world.plan.fleet.old_list == "death":
             self.told[dispatcher]["known"] = self.discovery.known(dispatcher)
         if self.world.charter.fleet is not None and self.relays is None:
@@ -345,7 +347,6 @@
             )
         self.tell_file(dispatcher)
         self.world.add("started", dispatcher=dispatcher)
-        self.meant.pop(dispatcher, None)
         with (self.folder / f"d{dispatcher}.log").open("ab") as log:
             command = self.command
             if self.chartered:
@@ -371,7 +372,7 @@
 
     async def _watch(self, dispatcher: int, process: asyncio.subprocess.Process) -> None:
         code = await process.wait()
-        if dispatcher not in self.meant:
+        if process not in self.expected_ends:
             self.world.add("died", dispatcher=dispatcher, why=f"exit {code}")
         elif code == 0:
             self.world.add("ended_itself", dispatcher=dispatcher)
@@ -418,12 +419,12 @@
 
     def kill(self, dispatcher: int) -> None:
         self.world.add("killed", dispatcher=dispatcher)
-        self.meant[dispatcher] = None
+        self.expected_ends.add(self.processes[dispatcher])
         self.signal(dispatcher, signal.SIGKILL)
 
     def signal(self, dispatcher: int, sig: int) -> None:
         if sig == signal.SIGTERM:
-            self.meant[dispatcher] = None
+            self.expected_ends.add(self.processes[dispatcher])
         with contextlib.suppress(ProcessLookupError):
             self.processes[dispatcher].send_signal(sig)
 
@@ -530,7 +531,7 @@
                         dispatcher=d,
                         seconds=(int(spent[11]) + int(spent[12])) / os.sysconf("SC_CLK_TCK"),
                     )
-                self.meant[d] = None
+                self.expected_ends.add(process)
                 with contextlib.suppress(ProcessLookupError):
                     process.kill()
                 await process.wait()
