A posting given up before its 202 is read is withdrawn by DELETE where two at once are forbidden

Cause: TxnService.cancel closed the connection 150 ms after the posting and ended it 50 ms later; the worker's 202 was on its way, so the close withdrew nothing, and no DELETE was sent. The acceptance was never read, so Scheduler.accept_deadline did not grow. Evidence: tests/test_slow_way.py on the text before, twelve workers, three jobs: four copies of one job at once; with two workers none, as both were paused for the class.

Change: where two at once are forbidden a DELETE follows the close of a posting that was sent whole, and the posting ends with its answer, or after the connect timeout, not before 50 ms. The time to the answer counts among the acceptances seen. With copies allowed nothing changes.

Open: a worker that cannot be reached within the connect timeout is given up by the close alone.

--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -9,6 +9,7 @@
 import asyncio
 import inspect
 from collections.abc import Callable, Coroutine
+from enum import Enum
 from functools import partial
 from typing import Any
 
@@ -41,6 +42,14 @@
     """After its start and before its first byte, a posting lost the reason to be sent; it is not sent."""
 
 
+class Withdrawal(Enum):
+    """What became of the request that withdraws a posting."""
+
+    ANSWERED = "the worker answered it"
+    DELIVERED = "the worker has received it in full"
+    FAILED = "the worker may not have received it"
+
+
 class TxnService:
     """Runs txns: takes requests from clients, sends postings to workers, and answers the clients.
 
@@ -102,7 +111,7 @@
         """Withdraw a posting.
 
         A worker that has accepted it with 202 is sent a DELETE. Before that, closing the connection withdraws
-        the posting.
+        the posting; without hedging a DELETE follows, since a 202 may be on its way.
         """
         if posting.is_in_flight:
             self._give_up(self.ledger[posting.txn.tag].exchanges[posting.number], Outcome.CANCELLED)
@@ -346,25 +355,35 @@
         if exchange.is_given_up:
             return
         exchange.is_given_up = True
-        if exchange.is_accepted:
+        if not exchange.is_accepted:
+            self._abort_request(exchange)  # no byte is sent after this; the socket has counted those before
+        if not exchange.is_sent:
+            self._events.call_soon(self._end, exchange, Outcome.MOOT)
+        elif exchange.is_accepted or not self.two_at_once:
             self._start(self._withdraw(exchange, outcome))
-            return
-        self._abort_request(exchange)  # no byte is sent after this; the socket has counted those before
-        # The next posting may reach its worker sooner than the end of the connection reaches this one.
-        self._events.call_later(
-            seconds(CLOSE_PROPAGATION_DELAY if exchange.is_sent and not self.two_at_once else 0),
-            self._end,
-            exchange,
-            outcome if exchange.is_sent else Outcome.MOOT,
-        )
+        else:
+            self._events.call_soon(self._end, exchange, outcome)
 
     async def _withdraw(self, exchange: Exchange, outcome: Outcome) -> None:
-        """Withdraw an accepted posting; without hedging it ends only once the worker has been notified."""
-        if await self._send_withdrawal(exchange) or self.two_at_once:
+        """Withdraw a posting by a request; without hedging an accepted one ends only once that has arrived.
+
+        One that is not accepted has been withdrawn by the end of its connection, unless a 202 was on its way:
+        then the worker runs it, and only the request ends it. Where no request arrives within the connect
+        timeout, the end of the connection has to do.
+        """
+        started_at = self.clock.now()
+        result = await self._send_withdrawal(exchange)
+        duration = self.clock.now() - started_at
+        if not exchange.is_accepted:
+            if result is Withdrawal.ANSWERED:
+                self.loop.on_withdrawal_answered(exchange.posting, duration)
+            # The next posting may reach its worker sooner than the end of the connection reaches this one.
+            await asyncio.sleep(seconds(max(0, CLOSE_PROPAGATION_DELAY - duration)))
+        if result is not Withdrawal.FAILED or self.two_at_once or not exchange.is_accepted:
             self._end(exchange, outcome)
 
-    async def _send_withdrawal(self, exchange: Exchange) -> bool:
-        """Send the withdrawal of a posting and return whether the worker has received it in full."""
+    async def _send_withdrawal(self, exchange: Exchange) -> Withdrawal:
+        """Send the withdrawal of a posting."""
         sendings: list[Sending] = []
         self.counters.add("withdrawal")
         try:
@@ -378,9 +397,10 @@
                 )
         except (RequestNotSentError, ConnectionLostError, TimeoutError) as fault:
             self.counters.add("withdrawal.unanswered")
-            if isinstance(fault, ConnectionLostError):
-                return False  # the worker may have reset the connection before it read the request
-        return any(sending.is_complete for sending in sendings)
+            if not isinstance(fault, ConnectionLostError) and any(one.is_complete for one in sendings):
+                return Withdrawal.DELIVERED
+            return Withdrawal.FAILED  # a worker may have reset the connection before it read the request
+        return Withdrawal.ANSWERED
 
     def _end(
         self, exchange: Exchange, outcome: Outcome, report: LoadReport | None = None, result: bytes = b""
--- a/pathsaddle/scheduler.py
+++ b/pathsaddle/scheduler.py
@@ -1347,6 +1347,15 @@
         self.accept_delays.append(self.now - posting.sent_at)
         self.workers[posting.worker].scheme_pauses.pop(posting.txn.scheme, None)
 
+    def on_withdrawal_answered(self, posting: Posting, delay: int) -> None:
+        """Learn how long an acceptance may take now from the withdrawal of a posting that was not accepted.
+
+        The acceptance of a withdrawn posting is never read. Without this the deadline for acceptances would
+        stay too short for as long as the way to the workers is slow.
+        """
+        if posting.accepted_at is None and delay > max(self.accept_delays, default=0):
+            self.accept_delays.append(delay)
+
     def on_progress(self, posting: Posting) -> None:
         """Record a sign of life of the worker, and the start of the posting if it has just started."""
         state = self.workers[posting.worker]
--- a/pathsaddle/scheduler_driver.py
+++ b/pathsaddle/scheduler_driver.py
@@ -108,6 +108,10 @@
         """Return whether the txn may be posted again even if this posting has run."""
         return self.now < self.scheduler.postable_until(posting.txn)
 
+    def on_withdrawal_answered(self, posting: Posting, delay_ticks: int) -> None:
+        """Record how long a worker took to answer the withdrawal of a posting that it had not accepted."""
+        self.scheduler.on_withdrawal_answered(posting, delay_ticks)
+
     def on_posting_accepted(self, posting: Posting) -> None:
         """Record the worker's acknowledgement of a posting."""
         posting.accepted_at = self.now
--- /dev/null
+++ b/tests/test_slow_way.py
@@ -0,0 +1,97 @@
+"""Where two postings at once are forbidden, a slow way to the workers must not put two out.
+
+Real sockets; the workers play the way: what reaches them, and what they answer, arrives `WAY_SECONDS` later.
+"""
+
+import asyncio
+import unittest
+
+from pathsaddle.net.memory.counters import Counters
+from pathsaddle.net.service.clock import Clock
+from pathsaddle.net.service.txn_service import TxnService
+from pathsaddle.net.service.workers import Workers
+from pathsaddle.net.wire import terms
+from pathsaddle.net.wire.forms import ListRow, MessageDecoder
+from pathsaddle.net.wire.http import Message
+from pathsaddle.net.wire.terms import ConnectionTimeouts
+from pathsaddle.scheduler_types import MILLISECOND, ListUpdate, LoadReport, Worker
+from tests import test_sockets
+from tests.fakehost import SETTINGS
+
+WAY_SECONDS = 0.1  # each way, of the 50 to 140 ms that the pages name
+JOBS, WORKERS = 3, 12
+
+
+class SlowWorker:
+    """A worker that takes each job at once and runs it until it is withdrawn."""
+
+    def __init__(self, test: "SlowWayTest", name: str) -> None:
+        self.test = test
+        self.name = name
+        self.way_seconds = 0.0
+        self.running: set[str] = set()
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        while True:
+            try:
+                head = await reader.readuntil(b"\r\n\r\n")
+            except (asyncio.IncompleteReadError, ConnectionError):
+                return
+            await asyncio.sleep(self.way_seconds)
+            status = 202 if head.startswith(b"POST") else 204
+            if status == 202 and reader.at_eof():
+                return  # its end came before the answer: the posting is given up
+            if status == 202:
+                self.take(head.split(b"Req-Id: ")[1].split(b"\r\n")[0].decode())
+            else:
+                self.running.discard(head.split()[1].rpartition(b"/")[2].decode())
+            await asyncio.sleep(self.way_seconds)
+            writer.write(b"HTTP/1.1 %d x\r\n%s\r\n" % (status, b"Content-Length: 0\r\n" * (status == 202)))
+
+    def take(self, tag: str) -> None:
+        self.running.add(tag)
+        at = [worker.name for worker in self.test.slow_workers if tag in worker.running]
+        self.test.most_at_once = max(self.test.most_at_once, len(at))
+
+
+class SlowWayTest(test_sockets.Peers):
+    async def asyncSetUp(self) -> None:
+        limits = {**SETTINGS["Limits"], "MayDuplicate": False, "Probing": False}
+        settings = {**SETTINGS, "Limits": limits}
+        config = terms.terms(settings)
+        clock, self.counters = Clock(), Counters()
+        self.most_at_once = 0
+        workers = Workers(ConnectionTimeouts(700 * MILLISECOND, 60_000), 32, clock, self.counters)
+        decoder = MessageDecoder(settings, config)
+        self.service = TxnService(config, decoder, 7, clock, workers, self.counters, lambda: None)
+        self.slow_workers = [SlowWorker(self, f"w{i}") for i in range(WORKERS)]
+        rows = [ListRow(Worker(one.name), await self.peer(one.serve)) for one in self.slow_workers]
+        self.service.listed(ListUpdate.COMPLETE, rows)
+        for row in rows:
+            self.service.loop.scheduler.apply_report(
+                self.service.loop.scheduler.workers[row.worker], LoadReport(free_slots=64.0)
+            )
+
+    async def ask(self, tag: str) -> None:
+        headers = {b"req-id": tag.encode(), b"req-owner": b"acme", b"req-deadline-ms": b"4000"}
+        raw = [(b"Req-Id", tag.encode())]
+        call = Message(b"POST", b"/render", headers=headers, raw_headers=raw)
+        self.service.take(call, lambda *_: None)
+        await asyncio.sleep(0.02)
+
+    async def test_a_posting_whose_acceptance_is_on_its_way_does_not_run_beside_the_next(self) -> None:
+        """Guards against two at once: the connection was closed before the 202 on it was read, and no DELETE sent."""
+        for i in range(4):
+            await self.ask(f"quick-{i}")
+        await test_sockets.until(lambda: len(self.service.loop.scheduler.accept_delays) >= 4)
+        for worker in self.slow_workers:
+            worker.way_seconds = WAY_SECONDS
+        for i in range(JOBS):
+            await self.ask(f"slow-{i}")
+        await asyncio.sleep(1.5)
+        self.assertEqual(self.most_at_once, 1)
+        self.assertGreater(self.counters["outcome.cancelled"], 0, "the way was slow enough to matter")
+
+
+if __name__ == "__main__":
+    unittest.main()
