New connections that carry a request are taken at once while idle clients hold the descriptors

Cause: at the limit the accept loop evicts one connection for each that it takes; the one just taken is unproven until its request is read, no idle proven one was evicted beside an unproven one, and nothing woke the loop when it was proven. It waited for 50 ms or another connection's end.

Change: a proven connection wakes the loop; an idle proven one is evicted while at most an eighth of the connections are unproven and none of these can go.

Why it works: the loop's pace is that of reading requests. Silent strangers beyond an eighth push out nobody, as before.

The new test failed before and holds; test_clients and test_sockets hold. Open: a job's time counts from its reading.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from pathsaddle.net.memory.counters import Counters
@@ -32,6 +33,9 @@
 RESOURCE_ERRNOS = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 # An accept fails because of that connection alone; the next accept may succeed.
 CONNECTION_ERRNOS = (errno.ECONNABORTED, errno.EPROTO)
+UNPROVEN_DIVISOR = (
+    8  # of the connections, one part may be unproven before no idle proven one is evicted for them
+)
 ACCEPT_RETRY_DELAY = 50 * MILLISECOND  # after a failed accept, and between attempts to free a descriptor
 
 
@@ -435,20 +439,27 @@
     def evict_connection(self) -> bool:
         """Evict one connection and return whether there was one to evict.
 
-        Lingering connections go first, then unproven ones, which have carried no txn or callback yet. As long
-        as there is an unproven connection, no idle proven one is evicted, even if no unproven one is
-        evictable yet; the accept loop then retries. Otherwise hundreds of unproven connections would push
-        out the idle connections of all regular peers. Within each group, the highest priority goes first; of
-        equal priorities, the connection that has been idle for the longest.
+        Lingering connections go first, then unproven ones, which have carried no txn or callback yet. If none
+        of those is evictable, an idle proven one goes, as long as there are few unproven ones: room is needed
+        for new connections that carry a request. Beyond that the accept loop retries. Otherwise hundreds of
+        unproven connections would push out the idle connections of all regular peers. Within each group, the
+        highest priority goes first; of equal priorities, the connection that has been idle for the longest.
         """
         now = self.clock.now()
-        lingering = [
-            connection
+        candidates = [self.unproven]
+        if len(self.unproven) <= max(1, self.max_connections // UNPROVEN_DIVISOR):
+            candidates.append(self.connections)
+        lingering = {
+            connection: None
             for connection in self.connections
             if connection.lingers_since is not None and connection.eviction_priority(now)
-        ]
+        }
+        return any(self._evict_one_of(group, now) for group in (lingering, *candidates))
+
+    def _evict_one_of(self, connections: Iterable[ClientConnection], now: int) -> bool:
+        """Evict the connection with the highest eviction priority; return whether one was evictable."""
         for connection in sorted(
-            lingering or self.unproven or self.connections,
+            connections,
             reverse=True,
             key=lambda connection: (connection.eviction_priority(now), -connection.idle_since),
         ):
@@ -473,7 +484,9 @@
 
     def mark_proven(self, connection: ClientConnection) -> None:
         """Mark a connection as one of a regular peer."""
-        self.unproven.pop(connection, None)
+        if connection in self.unproven:
+            del self.unproven[connection]
+            self.on_descriptor_freed()  # an idle connection may be evictable now
 
     def update_held_bytes(self, connection: ClientConnection) -> None:
         """Update the sums of all bodies and heads; refuse this request with 503 if one of them is too large.
@@ -568,5 +581,5 @@
         )
 
     def on_descriptor_freed(self) -> None:
-        """Wake the accept loop: a connection has ended or become idle."""
+        """Wake the accept loop: a connection has ended, has become idle or is proven."""
         self._descriptor_freed.set()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -456,6 +456,24 @@
             self.workers.links.count + len(self.front.connections), self.front.descriptor_limit
         )
 
+    async def test_idle_clients_make_room_at_once_for_new_ones_that_carry_a_request(self) -> None:
+        """Guards against jobs that wait in the accept queue until they are too late.
+
+        Each accepted connection was unproven until its request was read, and no idle client was evicted for the
+        next one before another connection had ended or 50 ms had passed.
+        """
+        self.front.descriptor_limit, self.workers.links.max_links = 12, 2
+        for i in range(10):
+            sock, _ = await self.client(post_request(f"idle-{i}", within=1))
+            self.assertIn(b" 503 ", await self.read_answer(sock))
+        with mock.patch.object(front_module, "ACCEPT_RETRY_DELAY", 60 * SECOND):
+            for i in range(8):
+                sock = socket.create_connection(self.front.sock.getsockname())
+                self.addCleanup(sock.close)
+                sock.sendall(post_request(f"new-{i}"))
+            await self.until(lambda: self.counters["txn.taken"] == 18)
+        self.assertEqual(self.counters["visit_end.room"], 8)
+
     async def test_no_client_that_waits_for_an_answer_is_evicted(self) -> None:
         self.front.descriptor_limit = 1
         sock, _ = await self.client(post_request("a"))
