An impossible number in a load report is a malformed report, counted and logged, no fault

Cause: float() of a large integer raises OverflowError, and takes nan and inf; deep JSON raises RecursionError; none was caught.

Change: figures are parsed to finite numbers. A report that fails is passed over, counted as report.malformed and logged at 1, 2, 4, 8 and so on; what it came with still counts. The same parser reads `share` of a callback (400).

--- a/pathsaddle/net/service/logbook.py
+++ b/pathsaddle/net/service/logbook.py
@@ -78,6 +78,7 @@
 refused = line("refused", "ERROR", "{what}; {do} [{name}]")
 accept_failed = line("accept-failed", "WARNING", "accept failed: {why}")
 no_list = line("no-list", "WARNING", "discovery said what is no list: {why}")
+report_malformed = line("report-malformed", "WARNING", "load report passed over, {count} so far: {why}")
 note = line("note", "INFO", "note {text}")
 store_ill = line("store-ill", "WARNING", "store can't be written: {why}")
 store_lost = line("store-lost", "ERROR", "store is another process's now: {why}")
--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -70,6 +70,7 @@
         self.dropped_stay_open = config.delisted_workers_usable
         self.look_target = forms.probe_target(config.reports_in_probes)
         self.words = words
+        words.on_malformed_report = self._on_malformed_report
         self.clock = clock
         self.workers = workers
         self.counters = counters
@@ -221,6 +222,13 @@
                 posting.txn, lambda: self.loop.on_progress(posting, callback.has_started, callback.progress)
             )
 
+    def _on_malformed_report(self, reason: str) -> None:
+        """Count a load report that cannot be decoded, and log ever fewer of them."""
+        self.counters.add("report.malformed")
+        count = self.counters["report.malformed"]
+        if count & (count - 1) == 0:
+            logbook.report_malformed(count=count, why=reason)
+
     def _on_failure_reported(self, exchange: Exchange, outcome: Outcome, report: LoadReport | None) -> None:
         """End a posting that its worker reports as failed or returned, if the callback is surely about it.
 
@@ -275,6 +283,7 @@
         """
         self._at()
         self.words, self.dropped_stay_open = words, config.delisted_workers_usable
+        words.on_malformed_report = self._on_malformed_report
         self.loop.scheduler.update_config(
             config, [scheme for scheme in self.ledger.open_schemes() if scheme not in config.schemes]
         )
--- a/pathsaddle/net/wire/forms.py
+++ b/pathsaddle/net/wire/forms.py
@@ -4,10 +4,11 @@
 
 import json
 import re
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from copy import copy
 from dataclasses import dataclass
 from itertools import count
+from math import isfinite
 from typing import Any
 from urllib.parse import quote
 from zlib import crc32
@@ -83,6 +84,14 @@
     return float(text)
 
 
+def parse_finite(value: Any) -> float:
+    """Return a worker's figure as a number; raises ValueError, TypeError or OverflowError if it is none."""
+    number = float(value)
+    if not isfinite(number):
+        raise ValueError(f"{value!r:.20} is not finite")
+    return number
+
+
 def parse_pairs(text: str) -> dict[str, str]:
     """Parse `name=value,name=value`; parts without a value are ignored."""
     return dict(part.strip().split("=", 1) for part in text.split(",") if "=" in part)
@@ -116,6 +125,8 @@
         self.zones: dict[str, int] = {name: i for i, name in enumerate(settings.names("Azs"))}
         self.machines: dict[str, int] = {name: i for i, name in enumerate(settings.names("Kinds"))}
         self._new_indexes = count(max(len(self.schemes), len(self.customers)))  # an index is never reused
+        # Called with the reason for each load report that cannot be decoded.
+        self.on_malformed_report: Callable[[str], None] = lambda reason: None
 
     @staticmethod
     def _names(settings: terms.SettingsSection, key: str) -> list[str]:
@@ -228,11 +239,18 @@
                 outcome,
                 is_progress,
                 state == STARTED,
-                float(message.get("share") or 0.0),
+                parse_finite(message.get("share") or 0.0),
                 result.encode("utf-8", "surrogatepass"),
                 self.decode_report(load) if load is not None else None,
             )
-        except (ValueError, KeyError, TypeError, AttributeError, RecursionError) as fault:
+        except (
+            ValueError,
+            KeyError,
+            TypeError,
+            AttributeError,
+            OverflowError,
+            RecursionError,
+        ) as fault:
             raise HttpError(400, f"no callback: {type(fault).__name__}") from None
 
     def decode_report(self, load: Any) -> LoadReport | None:
@@ -244,10 +262,13 @@
         if isinstance(load, str):
             load = parse_pairs(load)
         try:
-            values = [(name, float(value)) for name, value in load.items() if value not in (None, "", "-")]
-            return terms.report(values) if any(value for _, value in values) else None
-        except (ValueError, TypeError, AttributeError):
+            values = [
+                (name, parse_finite(value)) for name, value in load.items() if value not in (None, "", "-")
+            ]
+        except (ValueError, TypeError, AttributeError, OverflowError) as fault:
+            self.on_malformed_report(str(fault))
             return None
+        return terms.report(values) if any(value for _, value in values) else None
 
     def extract_report(self, answer: Message) -> LoadReport | None:
         """Decode the load report in the `Srv-Load` header or in the body of a worker's answer, if any."""
@@ -257,9 +278,10 @@
         if answer.body.lstrip()[:1] == b"{":
             try:
                 body = json.loads(answer.body)
-                return self.decode_report(body.get("load", body))
-            except ValueError:
+            except (ValueError, RecursionError) as fault:
+                self.on_malformed_report(type(fault).__name__)
                 return None
+            return self.decode_report(body.get("load", body))
         return self.decode_report(answer.body.decode("latin-1")) if b"=" in answer.body else None
 
     # From discovery.
--- a/tests/test_txn_service.py
+++ b/tests/test_txn_service.py
@@ -472,6 +472,16 @@
         await self.settle(0.05)
         self.assertEqual(self.answers, [(503, b"", ("Retry-After: 2.0000",))])
 
+    async def test_a_malformed_report_is_counted_and_its_answer_still_counts(self) -> None:
+        self.open(workers=2)
+        await self.ask()
+        self.fake_workers.calls[0].write()
+        await self.send_reply(
+            self.fake_workers.calls[0], 503, srv_declined=b"1", srv_load=b"x0=" + b"9" * 400
+        )
+        self.assertEqual((self.counters["report.malformed"], self.counters["outcome.full"]), (1, 1))
+        self.assertEqual((self.counters["fault"], len(self.fake_workers.calls)), (0, 2))
+
     async def test_events_due_together_share_one_scheduling_pass(self) -> None:
         self.open()
         await self.settle()
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -403,3 +403,27 @@
             self.assertEqual(report and (report.free_slots, report.queued_jobs), (2.0, 1.0))
         for body in (b"", b"OK", b"{", b"x0=?", b"err_rps=0,rps=0.000,waiting=0,x0=0"):
             self.assertIsNone(words().extract_report(Message(status=200, body=body)))
+
+    def test_a_report_or_callback_with_an_impossible_number_is_malformed_and_no_fault(self) -> None:
+        """Guards against an OverflowError out of the decoder, and against nan in the scheduler's estimates."""
+        huge = b"9" * 400
+        bodies = (
+            b'{"x0":%s}' % huge,
+            b'{"x0":1e999}',
+            b'{"x0":NaN}',
+            b"x0=inf",
+            b"x0=?",
+            b'{"x0":[1]}',
+            b"{",
+            b'{"load":' + b"[" * 20_000,
+        )
+        for body in bodies:
+            decoder, reasons = words(), []
+            decoder.on_malformed_report = reasons.append
+            self.assertIsNone(decoder.extract_report(Message(status=200, body=body)), body[:20])
+            self.assertEqual(len(reasons), 1, body[:20])
+        callback = words().decode_callback(b'{"id":"a","from":"w","state":"done","load":{"x0":%s}}' % huge)
+        self.assertEqual((callback.outcome, callback.report), (Outcome.SETTLED, None))
+        for share in (huge, b"NaN", b"Infinity"):
+            with self.assertRaises(HttpError):
+                words().decode_callback(b'{"id":"a","from":"w","state":"running","share":%s}' % share)
