--- a/pathsaddle/scheduler.py
+++ b/pathsaddle/scheduler.py
@@ -25,6 +25,7 @@
 from random import Random
 from typing import Any
 
+from pathsaddle.acceptance import AcceptanceDelays
 from pathsaddle.worker_state import FOREVER, CustomerUsage, WorkerState, WorkType, ZoneBaseline
 
 from pathsaddle.scheduler_types import (  # isort: skip
@@ -133,7 +134,7 @@
         self.has_load_reports = config.reports_in_answers or (config.can_probe and config.reports_in_probes)
         self.fleet_start_delays: deque[int] = deque(maxlen=32)  # from sending a posting to its start, ticks
         # From sending a posting to its acceptance, ticks.
-        self.accept_delays: deque[int] = deque(maxlen=32)
+        self.acceptance_delays = AcceptanceDelays()
         # When workers last rejected a posting as full.
         self.rejection_times: deque[int] = deque(maxlen=8)
         self.mean_run_time = self.mean_job_work = float(SECOND)
@@ -323,7 +324,7 @@
             yield Wait(min(self.answer_by(txn), self.recheck_at(posting)))
             if posting.is_in_flight and self.now < self.answer_by(txn) and self.should_move(txn, posting):
                 if self.allows_hedging and not (
-                    self.can_cancel and self.now >= self.accept_deadline(posting)
+                    self.can_cancel and self.now >= self.acceptance_delays.deadline(posting)
                 ):
                     break
                 if not posting.is_cancelled:
@@ -998,7 +999,7 @@
 
     def recheck_at(self, posting: Posting) -> int:
         """Return when a posting has to be checked next for acceptance or silence."""
-        if self.now < (due := self.accept_deadline(posting)) < FOREVER:
+        if self.now < (due := self.acceptance_delays.deadline(posting)) < FOREVER:
             return due
         if not self.silence_timeout:
             return FOREVER
@@ -1012,7 +1013,7 @@
         """Decide whether to look for another worker, as this one is silent or has not accepted the txn."""
         state = self.workers[posting.worker]
         self.update_suspicion(state)
-        is_unaccepted = self.now >= self.accept_deadline(posting)
+        is_unaccepted = self.now >= self.acceptance_delays.deadline(posting)
         if is_unaccepted and not posting.is_cancelled:
             _, pause_count = state.scheme_pauses.get(txn.scheme, (0, 0))
             state.scheme_pauses[txn.scheme] = (
@@ -1025,16 +1026,6 @@
             and self.now < self.post_until(txn)
         )
 
-    def accept_deadline(self, posting: Posting) -> int:
-        """Return the time by which the worker should have accepted the posting.
-
-        Workers report acceptance at once. A worker may serve all schemes but one and look alive by the
-        others: a third of one scheme's txns waited for their expiry at such workers.
-        """
-        if posting.accepted_at is not None or posting.last_progress_at is not None or not self.accept_delays:
-            return FOREVER
-        return posting.sent_at + min(SECOND, max(150 * MILLISECOND, 3 * max(self.accept_delays)))
-
     def update_suspicion(self, state: WorkerState) -> None:
         """Make a worker with postings a suspect after the silence timeout without a sign of life."""
         is_silent = (
@@ -1344,17 +1335,13 @@
 
     def on_posting_accepted(self, posting: Posting) -> None:
         """Record that the worker has accepted the posting, which ends the pause of its scheme there."""
-        self.accept_delays.append(self.now - posting.sent_at)
+        self.acceptance_delays.record(self.now - posting.sent_at)
         self.workers[posting.worker].scheme_pauses.pop(posting.txn.scheme, None)
 
     def on_withdrawal_answered(self, posting: Posting, delay: int) -> None:
-        """Learn how long an acceptance may take now from the withdrawal of a posting that was not accepted.
-
-        The acceptance of a withdrawn posting is never read. Without this the deadline for acceptances would
-        stay too short for as long as the way to the workers is slow.
-        """
-        if posting.accepted_at is None and delay > max(self.accept_delays, default=0):
-            self.accept_delays.append(delay)
+        """Learn from the withdrawal of an unaccepted posting how long an acceptance may take now."""
+        if posting.accepted_at is None:
+            self.acceptance_delays.record_withdrawal(delay)
 
     def on_progress(self, posting: Posting) -> None:
         """Record a sign of life of the worker, and the start of the posting if it has just started."""
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -277,14 +277,14 @@
     def test_the_answer_to_a_withdrawal_shows_how_long_an_acceptance_may_take(self) -> None:
         """Guards against giving up each posting on a slow way: its acceptance was never read, nor learnt from."""
         host = FakeHost(scheme(sla_time=6 * SECOND), allows_hedging=False)
-        scheduler = host.loop.scheduler
+        deadline = host.loop.scheduler.acceptance_delays.deadline
         host.ask("quick")
         host.take(host.posted[0])
         host.ask("slow")
         slow = host.posted[1]
-        self.assertEqual(scheduler.accept_deadline(slow) - slow.sent_at, 150 * MILLISECOND)
+        self.assertEqual(deadline(slow) - slow.sent_at, 150 * MILLISECOND)
         host.loop.on_withdrawal_answered(slow, 200 * MILLISECOND)
-        self.assertEqual(scheduler.accept_deadline(slow) - slow.sent_at, 600 * MILLISECOND)
+        self.assertEqual(deadline(slow) - slow.sent_at, 600 * MILLISECOND)
 
     def test_without_acceptance_messages_no_posting_counts_as_unaccepted(self) -> None:
         host = FakeHost(workers=2)
--- a/tests/test_slow_way.py
+++ b/tests/test_slow_way.py
@@ -83,7 +83,12 @@
         """Guards against two at once: the connection was closed before the 202 on it was read, and no DELETE sent."""
         for i in range(4):
             await self.ask(f"quick-{i}")
-        await test_sockets.until(lambda: len(self.service.loop.scheduler.accept_delays) >= 4)
+        await test_sockets.until(
+            lambda: all(
+                entry.txn.postings and entry.txn.postings[0].accepted_at
+                for entry in self.service.ledger.unanswered_entries()
+            )
+        )
         for worker in self.slow_workers:
             worker.way_seconds = WAY_SECONDS
         for i in range(JOBS):
