--- a/pathsaddle/jobs/job_service.py
+++ b/pathsaddle/jobs/job_service.py
@@ -108,7 +108,7 @@
         await self.recovery.run(self.store.findings)
         early, self._early_callbacks = self._early_callbacks, []
         for one in early:
-            self.heard(one.callback, one.answer)
+            self.receive_callback(one.callback, one.answer)
         self._start(self._sweeper.run())
 
     async def finish(self) -> None:
@@ -162,20 +162,20 @@
 
     # What workers bring.
 
-    def heard(self, told: Callback, answer: Answer) -> None:
+    def receive_callback(self, callback: Callback, answer: Answer) -> None:
         """Answer a worker's callback with 204 only once what it led to is on disk.
 
         A worker that has its 204 will not repeat the callback. Before the recovery is done, callbacks with an
         outcome are held.
         """
-        if not self.recovery.is_done and told.outcome is not None:
-            self._early_callbacks.append(EarlyCallback(told, answer))
+        if not self.recovery.is_done and callback.outcome is not None:
+            self._early_callbacks.append(EarlyCallback(callback, answer))
             return
         self._completion.last_commit = None
-        self.called_back(told)
+        self.apply_callback(callback)
         commit, self._completion.last_commit = self._completion.last_commit, None
-        job = self.registry.jobs.get(told.tag)
-        if commit is None and job is not None and told.outcome is not None:
+        job = self.registry.jobs.get(callback.tag)
+        if commit is None and job is not None and callback.outcome is not None:
             commit = job.end_commit
         if commit is None:
             answer(204, b"", (), True)
@@ -188,23 +188,23 @@
 
         commit.add_done_callback(send)
 
-    def called_back(self, told: Callback) -> None:
+    def apply_callback(self, callback: Callback) -> None:
         """Act on a callback; a result of a lease that was given up is taken while the job is open."""
-        job = self.registry.jobs.get(told.tag)
-        exchange = self.ledger.find_exchange(told.tag, told.worker)
+        job = self.registry.jobs.get(callback.tag)
+        exchange = self.ledger.find_exchange(callback.tag, callback.worker)
         if (
             job is not None
             and job.machine.is_open
             and exchange is None
-            and told.outcome is Outcome.SETTLED
-            and job.machine.find_lease(told.worker) is not None
+            and callback.outcome is Outcome.SETTLED
+            and job.machine.find_lease(callback.worker) is not None
         ):
             self.counters.add("jobs.late_result")
-            self._completion.succeed(job, told.result)
+            self._completion.succeed(job, callback.result)
             return
-        if job is not None and not job.machine.is_open and told.outcome is not None:
+        if job is not None and not job.machine.is_open and callback.outcome is not None:
             self.counters.add("jobs.after_end")
-        super().called_back(told)
+        super().apply_callback(callback)
 
     # One attempt: its intent first, its lease cleared where it never ran.
 
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -230,7 +230,7 @@
                 if callback.worker in self.front.service.known:
                     self.is_worker = True
                     self.front.mark_proven(self)
-                self.front.service.heard(callback, self.answer)
+                self.front.service.receive_callback(callback, self.answer)
             elif self.front.exceeds_head_limit(self):
                 raise HttpError(503, NO_ROOM_FOR_HEAD)
             else:
--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -200,12 +200,12 @@
         self._guard(entry.txn, lambda: self.loop.abandon_txn(entry.txn))
         self.ledger.close(entry)
 
-    def heard(self, callback: Callback, answer: Answer) -> None:
+    def receive_callback(self, callback: Callback, answer: Answer) -> None:
         """Answer a worker's complete callback at once, then apply it."""
         answer(204, b"", (), True)
-        self.called_back(callback)
+        self.apply_callback(callback)
 
-    def called_back(self, callback: Callback) -> None:
+    def apply_callback(self, callback: Callback) -> None:
         """Apply a callback; a duplicate or late one matches no posting in flight and is only counted."""
         self.counters.add(f"callback.{callback.state_name}")
         exchange = self.ledger.find_exchange(callback.tag, callback.worker)
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -115,7 +115,9 @@
 
     def finish_txn(self, tag: str, result: bytes = b"!") -> None:
         """Apply the worker's callback that the txn is done."""
-        self.service.called_back(Callback(tag, "w", "done", Outcome.SETTLED, False, False, 0.0, result, None))
+        self.service.apply_callback(
+            Callback(tag, "w", "done", Outcome.SETTLED, False, False, 0.0, result, None)
+        )
 
     async def until(self, is_true: Callable[[], bool]) -> None:
         async with asyncio.timeout(10.0):
--- a/tests/test_config_reload.py
+++ b/tests/test_config_reload.py
@@ -105,7 +105,7 @@
                 call.reply.set_result(Message(status=202))
         await self.settle()
         worker = self.service.ledger[tag].txn.postings[-1].worker.tag
-        self.service.called_back(
+        self.service.apply_callback(
             self.service.words.decode_callback(
                 json.dumps({"id": tag, "from": worker, "state": "done", "result": "well"}).encode()
             )
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -381,7 +381,7 @@
         async def take() -> None:
             try:
                 if target == b"/callback":
-                    self.service.heard(self.service.words.decode_callback(body), answer)
+                    self.service.receive_callback(self.service.words.decode_callback(body), answer)
                 else:
                     self.service.take(message, answer)
             except HttpError as fault:
@@ -699,7 +699,7 @@
         self.run_work(asyncio.sleep(0))
 
         async def comes() -> None:
-            self.service.heard(callback, lambda status, *_: during.append(status))
+            self.service.receive_callback(callback, lambda status, *_: during.append(status))
 
         self.run_work(comes())
         self.fake_workers.reports["w0"] = {"state": "running"}
--- a/tests/test_txn_service.py
+++ b/tests/test_txn_service.py
@@ -131,7 +131,7 @@
         self, state: str, tag: str = "a", worker: str = "w0", result: str = "done"
     ) -> None:
         callback = {"id": tag, "from": worker, "state": state, "share": 0.5, "result": result}
-        self.service.called_back(self.service.words.decode_callback(json.dumps(callback).encode()))
+        self.service.apply_callback(self.service.words.decode_callback(json.dumps(callback).encode()))
         await self.settle()
 
     async def send_reply(self, call: FakeCall, status: int, **headers: bytes) -> None:
