The settings story goes on until enough applications are logged to judge

Cause: the story ends when the changes are in force, on a quick start sooner than its members have logged as many as its check of size demands; nothing made it wait for them.

--- a/tests/test_settings_processes.py
+++ b/tests/test_settings_processes.py
@@ -30,6 +30,7 @@
 from tests.ports import tcp_port
 
 ROOT = Path(__file__).resolve().parent.parent
+MIN_APPLICATIONS = 50  # logged by all members, for a judgement of them to mean something
 KEEPERS = {"k0": "north", "k1": "south", "k2": "west"}
 MEMBERS = {"m0": "north", "m1": "north", "m2": "south", "m3": "west"}
 FOUNDING = "".join(f'[members.{name}]\nregion = "{region}"\n' for name, region in MEMBERS.items()) + "".join(
@@ -315,7 +316,14 @@
         self.until(holds, f"{names} act by {revision}")
 
     def good(self):
-        """The judge's word on all that members did, and no fault of ours."""
+        """The judge's word on all that members did, and no fault of ours.
+
+        The members go on until they have logged enough to judge: a busy machine makes them slow.
+        """
+        self.until(
+            lambda: sum(row.what == "acts" for row in self.rows()) > MIN_APPLICATIONS,
+            f"more than {MIN_APPLICATIONS} applications are logged",
+        )
         rows, told, values = self.rows(), [], {}
         for row in rows:
             if row.what == "group" and row.more["revision"] not in {
@@ -339,7 +347,7 @@
         self.assertEqual(
             [row for row in rows if row.what in ("driver.fault", "diverged", "refused", "full")], []
         )
-        self.assertGreater(sum(one.what == "acts" for one in told), 50)
+        self.assertGreater(sum(one.what == "acts" for one in told), MIN_APPLICATIONS)
         return rows
 
 
