--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,12 +3,11 @@
 # Python, stand in these files alone, and need nothing beyond the standard library.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-.venv/bin/python - review/standins_2.py review/{6,7,8,9,10}/case.py <<'PY'
+.venv/bin/python - review/standins_{2,3}.py review/{6,7,8,9,10}/case.py <<'PY'
 import pathlib
 import sys
 
 for path in map(pathlib.Path, sys.argv[1:]):
-    if path.exists():
-        compile(path.read_text(), str(path), "exec")
-        print("built", path)
+    compile(path.read_text(), str(path), "exec")
+    print("built", path)
 PY
--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -147,7 +147,8 @@
             connection; None: never.
         dies_after: The seconds after which its process dies under the next job, which its machine's agent
             tells as `lost`; None: never.
-        drops_repeats: It drops a repeat of a request by its id: the one effect's result is told again.
+        remembers_s: For so many seconds it drops a repeat of a request, by its id: the result of the one
+            effect is told again.
         make_result: What a request's result is.
         ports: Where it listens, by the dispatcher that this address is for.
         runs: The id, the body and the beginning of each effect.
@@ -162,7 +163,7 @@
     answer_delay: float = 0.0
     second_answer_after: float | None = None
     dies_after: float | None = None
-    drops_repeats: bool = False
+    remembers_s: float = 0.0
     make_result: Callable[[HttpMessage], str] = lambda request: f"result for {request.body.decode()}"
     ports: dict[str, int] = field(default_factory=dict)
     runs: list[tuple[str, bytes, float]] = field(default_factory=list)
@@ -222,7 +223,8 @@
             tag = request.headers["req-id"]
             told = int(request.headers.get("req-deadline-ms", "0"))
             self.told_ms[tag] = self.record.now(), told
-            if self.drops_repeats and any(tag == one for one, _, _ in self.runs):
+            since = self.record.now() - self.remembers_s
+            if any(tag == one and at > since for one, _, at in self.runs):
                 self.record.add(f"{self.name} drops {request.target} {request.body!r}: {tag} is a repeat")
                 self.spawn(self._tell_known(tag, callbacks_to))
                 return ACCEPTED, b""
