--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -46,11 +46,11 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
+def free_port() -> int:
     """Return a port of the loopback that nobody has now."""
     for _ in range(1000):
         port = random.randint(FIRST_PORT, LAST_PORT)
-        with socket.socket(socket.AF_INET, kind) as sock, contextlib.suppress(OSError):
+        with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind((HOST, port))
             return port
     raise CouldNotRunError("no free port")
@@ -145,14 +145,11 @@
         answer_delay: The seconds from a request to its answer.
         second_answer_after: The seconds after an answer at which the same answer comes once more on that
             connection; None: never.
-        dies_after: The seconds after which its process dies under the next job, which its machine's agent
-            tells as `lost`; None: never.
         remembers_s: For so many seconds it drops a repeat of a request, by its id: the result of the one
             effect is told again.
         make_result: What a request's result is.
         ports: Where it listens, by the dispatcher that this address is for.
         runs: The id, the body and the beginning of each effect.
-        told_ms: The times that the attempts told, by id.
         results: The results of ended jobs, by id.
     """
 
@@ -162,12 +159,10 @@
     slots: int = 8
     answer_delay: float = 0.0
     second_answer_after: float | None = None
-    dies_after: float | None = None
     remembers_s: float = 0.0
     make_result: Callable[[HttpMessage], str] = lambda request: f"result for {request.body.decode()}"
     ports: dict[str, int] = field(default_factory=dict)
     runs: list[tuple[str, bytes, float]] = field(default_factory=list)
-    told_ms: dict[str, tuple[float, int]] = field(default_factory=dict)
     results: dict[str, str] = field(default_factory=dict)
     _tasks: set[asyncio.Future[None]] = field(default_factory=set)
     _done: dict[str, asyncio.Event] = field(default_factory=dict)
@@ -221,15 +216,13 @@
     def _take(self, request: HttpMessage, callbacks_to: str) -> tuple[int, bytes]:
         if request.method == "POST":
             tag = request.headers["req-id"]
-            told = int(request.headers.get("req-deadline-ms", "0"))
-            self.told_ms[tag] = self.record.now(), told
             since = self.record.now() - self.remembers_s
             if any(tag == one and at > since for one, _, at in self.runs):
                 self.record.add(f"{self.name} drops {request.target} {request.body!r}: {tag} is a repeat")
                 self.spawn(self._tell_known(tag, callbacks_to))
                 return ACCEPTED, b""
             self.runs.append((tag, request.body, self.record.now()))
-            self.record.add(f"{self.name} runs {tag} {request.body!r}, told {told} ms")
+            self.record.add(f"{self.name} runs {tag} {request.body!r}")
             self.spawn(self._run(tag, self.make_result(request), callbacks_to))
             return ACCEPTED, b""
         if request.method == "GET" and request.target.startswith("/jobs/"):
@@ -252,12 +245,6 @@
         return OK, json.dumps(told).encode()
 
     async def _run(self, tag: str, result: str, callbacks_to: str) -> None:
-        if self.dies_after is not None:
-            after, self.dies_after = self.dies_after, None
-            await asyncio.sleep(after)
-            self.record.add(f"{self.name} dies under {tag}, which its machine's agent tells")
-            await self._tell({"id": tag, "from": self.name, "state": "lost"}, callbacks_to)
-            return
         await asyncio.sleep(self.work_s)
         self.results[tag] = result
         self._done.setdefault(tag, asyncio.Event()).set()
@@ -337,9 +324,7 @@
 class Program:
     """One process of the project, started by a line of the shell as the platform does."""
 
-    def __init__(
-        self, record: Record, folder: Path, name: str, words: str = "", config: Path | None = None
-    ) -> None:
+    def __init__(self, record: Record, folder: Path, name: str, words: str) -> None:
         """Take what is needed to start it.
 
         Args:
@@ -347,13 +332,10 @@
             folder: A temporary folder.
             name: Its name in the record.
             words: What stands behind the deploy file's `run` line.
-            config: The file that $GW_CONFIG names.
         """
         self.record, self.name = record, name
         self.line = f"{tomllib.loads((ROOT / 'deploy/balancer.toml').read_text())['run']}{words}"
         self.environment = {**os.environ, "TMPDIR": str(folder)}
-        if config is not None:
-            self.environment["GW_CONFIG"] = str(config)
         self.log_path = folder / f"{name}.log"
         self.port = free_port()
         self.process: asyncio.subprocess.Process | None = None
@@ -382,17 +364,6 @@
             await asyncio.sleep(0.05)
         raise CouldNotRunError(f"{self.name} is not ready: {self.log_path.read_text()[-2000:]}")
 
-    async def wait(self) -> None:
-        """Wait until it has ended by itself."""
-        if self.process is not None:
-            await self.process.wait()
-
-    def send(self, number: signal.Signals) -> None:
-        """Send it a signal."""
-        if self.process is not None and self.process.returncode is None:
-            self.record.add(f"{self.name} gets {number.name}")
-            self.process.send_signal(number)
-
     async def kill(self) -> None:
         """Kill it."""
         if self.process is not None and self.process.returncode is None:
@@ -416,102 +387,22 @@
     folder: Path
     programs: list[Program] = field(default_factory=list)
 
-    def program(self, name: str, words: str = "", config: Path | None = None) -> Program:
-        """Return a process of the project, which is not started yet and which ends with the case."""
-        program = Program(self.record, self.folder, name, words, config)
-        self.programs.append(program)
-        return program
-
     async def start_by_charter(self, name: str, charter: str, workers: list[Worker], **more: str) -> Program:
-        """Start a dispatcher by an operator's file; see `start_program`."""
-        program = self.program(name, f" serve {self.folder / name}.toml")
-        await self.start_program(program, charter, workers, **more)
-        return program
-
-    async def start_program(self, program: Program, charter: str, workers: list[Worker], **more: str) -> None:
         """Start a dispatcher by an operator's file, in which {listen} and the like are filled in."""
+        path = self.folder / f"{name}.toml"
+        program = Program(self.record, self.folder, name, f" serve {path}")
+        self.programs.append(program)
         for worker in workers:
             await worker.listen(program.address)
         discovery = Discovery(workers, program.address)
         await discovery.start()
-        told = {"name": program.name, "listen": program.address, "discovery": discovery.address, **more}
-        path = self.folder / f"{program.name}.toml"
+        told = {"name": name, "listen": program.address, "discovery": discovery.address, **more}
         path.write_text(charter.format(folder=self.folder, **told))
         await program.start()
         await program.wait_until_ready()
-
-    async def start_by_deploy_file(
-        self, name: str, settings: dict[str, Any], workers: list[Worker]
-    ) -> Program:
-        """Start a dispatcher as the platform does."""
-        path = self.folder / f"{name}.json"
-        program = self.program(name, config=path)
-        for worker in workers:
-            await worker.listen(program.address)
-        discovery = Discovery(workers, program.address)
-        await discovery.start()
-        told = {
-            "name": name,
-            "listen": program.address,
-            "discovery": discovery.address,
-            "seed": "8c1f30d27a5be964",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
-            "known": {"index": 0, "snapshot": True, "endpoints": []},
-            "settings": settings,
-        }
-        path.write_text(json.dumps(told))
-        await program.start()
-        await program.wait_until_ready()
         return program
 
 
-def settings_of(schemes: list[dict[str, Any]]) -> dict[str, Any]:
-    """Return the settings of one dispatcher, in the form and with the figures of the wire page's example."""
-    second = 1_000_000_000
-    return {
-        "Azs": ["a"],
-        "Balancers": 1,
-        "Clients": {"MarksRetry": False},
-        "Discovery": "subscribe",
-        "FamilyInfo": {
-            "ClassKind": [-1 for _ in schemes],
-            "ClassStretch": [1.25 for _ in schemes],
-            "Progress": 2 * second,
-            "QueueOrder": "fifo",
-            "TellsStart": False,
-        },
-        "Kinds": ["m1"],
-        "Limits": {
-            "Cancelling": True,
-            "ConnectTimeout": second // 4,
-            "IdleClose": 60 * second,
-            "MaxPostings": 4,
-            "MaxRetryAfter": 2 * second,
-            "MayDuplicate": True,
-            "OpenCap": 20_000,
-            "Peers": False,
-            "Probing": True,
-            "RetryAfter": True,
-            "StreamsPerConn": 1,
-        },
-        "Me": 0,
-        "Obligations": {
-            "AnswerSlack": 8_000_000,
-            "AskEvery": 10 * second,
-            "ColdShare": 0.3,
-            "DrainGrace": second // 2,
-            "Fall": 2 * second,
-            "FallMultiple": 4.0,
-            "RampTime": 9 * second,
-        },
-        "Prices": {"CrossZone": 0.12, "LateFail": 0.03, "Probe": 0.002, "Waste": 0.02},
-        "Report": {"Fields": ["x0", "waiting", "active"], "Source": "answers"},
-        "Schemes": [{"OverdueValue": 0.0, "Streaming": False, "Value": 2.0, **scheme} for scheme in schemes],
-        "Workload": "jobs",
-        "Zone": 0,
-    }
-
-
 def main(case: Callable[[Stage], Awaitable[bool]], here: Path) -> None:
     """Run a case, write its record, end all that it started, and exit as the cases do.
 
