--- a/pathsaddle/config/assembly.py
+++ b/pathsaddle/config/assembly.py
@@ -27,6 +27,7 @@
 # The part of the process's memory that the calls of durable jobs may take: one in 16 for those that ended,
 # half for those that are open.
 ENDED_JOBS_MEMORY_DIVISOR, OPEN_JOBS_MEMORY_DIVISOR = 16, 2
+JOB_ID_SUFFIX_BITS = 64
 
 
 class ServiceArguments(NamedTuple):
@@ -98,7 +99,11 @@
     )
     try:
         store = Store(Path(jobs.path), ThreadWriter())
-        return JobService(*arguments, store=store, options=options, rng=Random(configuration.seed))
+        # Not from the configured seed, which dispatchers may share: each of them would give out the same ids.
+        id_suffix = f"{SystemRandom().getrandbits(JOB_ID_SUFFIX_BITS):0{JOB_ID_SUFFIX_BITS // 4}x}"
+        return JobService(
+            *arguments, store=store, options=options, rng=Random(configuration.seed), id_suffix=id_suffix
+        )
     except StoreUnusableError as error:  # the store knows its own path only, not the operator's file and key
         raise type(error)(f"{file}: jobs.path: {error.what}", error.do) from None
 
--- a/pathsaddle/jobs/admission.py
+++ b/pathsaddle/jobs/admission.py
@@ -30,19 +30,20 @@
 from pathsaddle.scheduler_types import SECOND, Txn
 
 FULL_LOG_INTERVAL: Ticks = 60 * SECOND  # between two log lines of memory that is full of open jobs
-JOB_ID_RANDOM_BITS = 32  # so that the ids of two stores differ
+JOB_ID_RANDOM_BITS = 32
 
 
 class JobAdmission:
     """Accepts new jobs, or says why not."""
 
-    def __init__(self, context: JobContext, rng: Random) -> None:
+    def __init__(self, context: JobContext, rng: Random, id_suffix: str) -> None:
         self._host = context.host
         self._registry = context.registry
         self._commits = context.commits
         self._run_queue = context.run_queue
         self._options = context.options
         self._rng = rng
+        self._id_suffix = id_suffix
         self._submission_count = 0
         self._full_logged_at: Ticks = -FULL_LOG_INTERVAL
 
@@ -113,7 +114,8 @@
     def _new_job_id(self) -> str:
         self._submission_count += 1
         random_part = self._rng.getrandbits(JOB_ID_RANDOM_BITS)
-        return f"j{self._commits.store.epoch:x}-{self._submission_count:x}-{random_part:08x}"
+        epoch = self._commits.store.epoch
+        return f"j{epoch:x}-{self._submission_count:x}-{random_part:08x}{self._id_suffix}"
 
     @staticmethod
     def _make_job(request: Txn, owner: str, key: str | None, digest: bytes, call: Message) -> ActiveJob:
--- a/pathsaddle/jobs/job_service.py
+++ b/pathsaddle/jobs/job_service.py
@@ -66,13 +66,20 @@
         store: A store that is not open yet.
         options: What the configuration says of jobs.
         rng: Draws a part of each job's id.
+        id_suffix: The end of each job's id. Workers know repeats by the id, so that no two processes, and no
+            two lives of one, may have the same; empty where `rng` alone makes the ids differ.
 
     Raises:
         StoreUnusableError: The store cannot be opened.
     """
 
     def __init__(
-        self, *request_service_arguments: Any, store: Store, options: JobServiceOptions, rng: Random
+        self,
+        *request_service_arguments: Any,
+        store: Store,
+        options: JobServiceOptions,
+        rng: Random,
+        id_suffix: str = "",
     ) -> None:
         # First of all: where the store can't be had nothing has been asked of the event loop yet.
         stored_jobs = store.open(include_ended=False)
@@ -91,7 +98,7 @@
             options=options,
         )
         self._completion = JobCompletion(context)
-        self._admission = JobAdmission(context, rng)
+        self._admission = JobAdmission(context, rng, id_suffix)
         self._cancellation = JobCancellation(context)
         self._leases = JobLeases(context)
         self._sweeper = RetentionSweeper(context)
