--- a/pathsaddle/federation/request_handler.py
+++ b/pathsaddle/federation/request_handler.py
@@ -1,10 +1,13 @@
 """The door of a dispatcher that may send jobs to another region, and takes some from there.
 
 It stands in the plain TxnService's place where the charter has a `[federation]` table. All is decided as
-ever; only what would be declined here, which proves that nothing of it ran, is offered to the other regions that
-the spec allows, by a client's call at one of their doors. Its answer is the answer. A decline from there, or a
-call whose last byte did not go out, proves that nothing ran there either; silence doesn't: then it is
-declined only if it may be repeated, and fails otherwise.
+ever; only what would be declined here is offered to the other regions that the spec allows, by a client's call
+at one of their doors. Its answer is the answer. A call whose last byte did not go out proves that nothing ran
+there; silence doesn't: then it is declined only if it may be repeated, and fails otherwise. A decline proves
+it, too, but for referenced txns, which may be declined after a run: there the header `Crossed-Never-Ran` does.
+
+A referenced txn that may have run, here or in another region, is sent to a further one only where workers drop
+its repeats and only while they recognize them: the time that is told with it ends before that.
 
 A client whose txn belongs to another region is sent home; here its txn is foreign. What has crossed once
 stays: a call that names the region it came from is served here or declined here. Foreign jobs are let in by
@@ -15,7 +18,6 @@
 
 import asyncio
 from dataclasses import dataclass
-from functools import partial
 from typing import Any
 
 from pathsaddle.errors import Error
@@ -34,6 +36,8 @@
 from pathsaddle.scheduler_types import MILLISECOND, Outcome, Semantics, Txn
 
 CROSSED = b"crossed-from"
+NEVER_RAN = b"crossed-never-ran"  # with a decline: no attempt of the txn may have run in that region
+NEVER_RAN_HEADER = "Crossed-Never-Ran: 1"
 LAST = 30 * MILLISECOND  # before its expiry an answer is given, whatever is out
 FAR = 1 << 50
 
@@ -41,7 +45,8 @@
 @dataclass(eq=False)
 class Crossing:
     """One txn of ours that is at another region's door. unknown, again: as in `Job`, over all doors that it
-    was at.
+    was at. repeat_deadline: until when a further attempt may begin, since an earlier one may have run; None:
+    none may. begun_at: when its first byte went out.
     """
 
     txn: Txn
@@ -51,6 +56,8 @@
     region: str
     unknown: list[str]
     again: dict[str, int]
+    repeat_deadline: int | None = None
+    begun_at: int = 0
     sending: Sending | None = None
     task: asyncio.Task[None] | None = None
     alarm: asyncio.TimerHandle | None = None
@@ -59,6 +66,13 @@
     def sent(self) -> bool:
         return self.sending is not None and self.sending.is_complete
 
+    @property
+    def ends_at(self) -> int:
+        """When its answer counts no more: at the txn's expiry, or when its repeats are not recognized."""
+        if self.repeat_deadline is None:
+            return self.txn.expires_at
+        return min(self.txn.expires_at, self.repeat_deadline)
+
 
 class FederatedRequestHandler(TxnService):
     """doors: region -> where its dispatchers take calls. room: how many txns may be open here before nothing
@@ -133,7 +147,8 @@
             # It belongs elsewhere: home first, and here only as a lender.
             elsewhere = Entry(txn, call, answer)
             place = self._choose(txn, [], {}, 0)
-            if place.what == "send" and self._sets_out(elsewhere, place, 0):
+            crossing = Crossing(txn, elsewhere, answer, f"{txn.tag}/{self.member.name}", place.region, [], {})
+            if place.what == "send" and self._sets_out(crossing, place, 0):
                 txn.is_closed = True  # to the decisions here: they never see it
                 return elsewhere
             why = place.code if place.what != "run" else self._lent(scheme, rule, now)
@@ -144,7 +159,7 @@
             self.member.log(
                 "job.refused", now, txn=txn.tag, scheme=scheme, why=why, version=holder.base.number
             )
-            answer(503, b"", (), True)
+            answer(503, b"", (NEVER_RAN_HEADER,) if call.text(CROSSED) is not None else (), True)
             return None
         self._lets_in(txn, scheme, rule, now)
         return super().take(call, answer)
@@ -170,9 +185,42 @@
             return "" if self.member.region in rule.may else "residency"
         return self.member.abroad.lent_to(scheme, rule, self.free(), now)
 
-    def _answer(self, txn: Txn, *told: Any, **more: Any) -> None:
+    def _answer(
+        self,
+        txn: Txn,
+        kind: str,
+        status: int,
+        body: bytes = b"",
+        headers: tuple[str, ...] = (),
+        keep: bool = True,
+    ) -> None:
         self.foreign.pop(txn.tag, None)
-        super()._answer(txn, *told, **more)
+        entry = self.ledger[txn.tag]
+        has_crossed = entry.request.text(CROSSED) is not None
+        if kind == "declined" and has_crossed and self._first_possible_run(entry) is None:
+            headers = (*headers, NEVER_RAN_HEADER)
+        super()._answer(txn, kind, status, body, headers, keep)
+
+    @staticmethod
+    def _first_possible_run(entry: Entry) -> int | None:
+        """When the first posting here that may have run was sent; None: none may have."""
+        return min(
+            (x.posting.sent_at for x in entry.exchanges if x.is_sent and x.posting.may_have_run), default=None
+        )
+
+    def _repeat_deadline(self, txn: Txn, sent_at: int, known: int | None = None) -> int | None:
+        """Until when a txn that may have run since `sent_at` may be sent to a further region; None: always.
+
+        known: the deadline by earlier attempts. A txn whose repeats only a part of the workers drops together
+        may not be sent to those of another region.
+        """
+        if txn.scheme.semantics is Semantics.REPEATABLE:
+            return None
+        scheduler = self.loop.scheduler
+        if not scheduler.is_repeatable_anywhere(txn.scheme):
+            return 0
+        deadline = scheduler.repeat_deadline(txn.scheme, sent_at)
+        return deadline if known is None else min(deadline, known)
 
     # To another region.
 
@@ -199,10 +247,18 @@
                 super().decline(txn, 0, True)
             self.loop.abandon_txn(txn)
 
-    def _choose(self, txn: Txn, unknown: list[str], again: dict[str, int], own_wait: int) -> Candidate:
+    def _choose(
+        self,
+        txn: Txn,
+        unknown: list[str],
+        again: dict[str, int],
+        own_wait: int,
+        repeat_deadline: int | None = None,
+    ) -> Candidate:
         member, now = self.member, self.member.now()
         holder, name = member.holder, self.names[txn.scheme.index]
-        left = now + txn.expires_at - self.clock.now() - LAST
+        ends_at = txn.expires_at if repeat_deadline is None else min(txn.expires_at, repeat_deadline)
+        left = now + ends_at - self.clock.now() - LAST
         job = RoutedRequest(txn.tag, name, txn.scheme.sla_time, left, member.region, unknown, again)
         member.abroad.ways.own_wait = own_wait
         place = member.abroad.ways.choose(
@@ -218,41 +274,36 @@
         entry = self.ledger[txn.tag]
         if entry.answer is None or txn.tag in self.foreign or entry.request.text(CROSSED) is not None:
             return False
-        unknown = []
-        if txn.scheme.semantics is Semantics.REFERENCED and any(one.is_sent for one in entry.exchanges):
+        unknown, repeat_deadline = [], None
+        first_run = self._first_possible_run(entry)
+        if txn.scheme.semantics is Semantics.REFERENCED and first_run is not None:
             unknown = [self.member.region]  # it may have run here: only where one group drops repeats of both
-        place = self._choose(txn, unknown, {}, FAR)  # it has just been declined here
-        if place.what != "send" or not self._sets_out(entry, place, come_back, unknown=unknown):
+            repeat_deadline = self._repeat_deadline(txn, first_run, txn.remote_repeat_deadline)
+        place = self._choose(txn, unknown, {}, FAR, repeat_deadline)  # it has just been declined here
+        crossing = Crossing(
+            txn,
+            entry,
+            entry.answer,
+            f"{txn.tag}/{self.member.name}",
+            place.region,
+            unknown,
+            {},
+            repeat_deadline,
+        )
+        if place.what != "send" or not self._sets_out(crossing, place, come_back):
             self.counters.add(f"abroad.not.{place.code}")
             return False
         entry.answer = None
         self._events.call_soon(self.ledger.close, entry)
         return True
 
-    def _sets_out(
-        self,
-        entry: Entry,
-        place: Candidate,
-        come_back: int,
-        before: Crossing | None = None,
-        unknown: list[str] | None = None,
-    ) -> bool:
-        """Whether there is a door to go to; then its answer is the answer. before: it comes back from
-        another.
-        """
-        txn, member, now = entry.txn, self.member, self.member.now()
+    def _sets_out(self, crossing: Crossing, place: Candidate, come_back: int) -> bool:
+        """Whether there is a door to go to; then its answer is the answer."""
+        txn, member, now = crossing.txn, self.member, self.member.now()
         doors = self.doors.get(place.region)
         if not doors:
             return False
         rule = member.holder.rule(self.names[txn.scheme.index], now)
-        if before is None:
-            crossing = Crossing(
-                txn, entry, entry.answer, f"{txn.tag}/{member.name}", place.region, unknown or [], {}
-            )
-        else:
-            crossing = Crossing(
-                txn, entry, before.answer, f"{before.post}+", place.region, before.unknown, before.again
-            )
         self.crossings[txn.tag] = crossing
         self.counters.add(f"abroad.sent.{place.code}")
         member.abroad.ways.opened(place.region, place.region != rule.home)
@@ -271,11 +322,16 @@
             line=place.line,
             **{"from": member.region},
         )
-        due = seconds(txn.expires_at - self.clock.now() - LAST)
-        crossing.alarm = self._events.call_later(max(0.0, due), self._overdue, crossing)
-        crossing.task = self._start(self._cross(crossing, entry.request, place, doors, come_back))
+        self._set_alarm(crossing)
+        crossing.task = self._start(self._cross(crossing, crossing.entry.request, place, doors, come_back))
         return True
 
+    def _set_alarm(self, crossing: Crossing) -> None:
+        if crossing.alarm is not None:
+            crossing.alarm.cancel()
+        due = seconds(crossing.ends_at - self.clock.now() - LAST)
+        crossing.alarm = self._events.call_later(max(0.0, due), self._overdue, crossing)
+
     async def _cross(
         self, crossing: Crossing, call: Message, place: Candidate, doors: list[str], come_back: int
     ) -> None:
@@ -284,14 +340,19 @@
         self.workers.set_address(name, door)
         # Its decline must be back before ours is due: silence would be all that we know.
         way = self.member.abroad.ways.ways[place.region].patience()
-        left = crossing.txn.expires_at - self.clock.now() - 2 * LAST - way
-        headers = [row for row in forms.posting_headers(call, left) if row[0].lower() != CROSSED]
+        headers: list[tuple[bytes, bytes]] = []
 
         def begins(sending: Sending) -> None:
             # Connecting took time, and a process may stand still between its look and its sending.
             now = self.member.now()
             if place.region not in self.member.holder.rule(self.names[crossing.txn.scheme.index], now).may:
                 raise RequestNotSentError("the spec was tightened")
+            crossing.begun_at = self.clock.now()
+            left = crossing.ends_at - crossing.begun_at - 2 * LAST - way
+            if left <= 0:
+                raise RequestNotSentError("no time is left")
+            headers.extend(row for row in forms.posting_headers(call, left) if row[0].lower() != CROSSED)
+            headers.append((b"Crossed-From", self.member.region.encode()))
             crossing.sending = sending
 
         try:
@@ -299,7 +360,7 @@
                 name,
                 "POST",
                 call.target,
-                [*headers, (b"Crossed-From", self.member.region.encode())],
+                headers,
                 call.body,
                 begins,
             )
@@ -310,7 +371,13 @@
         else:
             if answer.status == 200:
                 self._crossed(crossing, "settled", body=answer.body)
-            elif answer.status in (429, 503) or 400 <= answer.status < 500:
+            elif answer.status in (429, 503):
+                is_proof = (
+                    crossing.txn.scheme.semantics is not Semantics.REFERENCED
+                    or answer.headers.get(NEVER_RAN) == b"1"
+                )
+                self._crossed(crossing, "declined", come_back, is_proof=is_proof)
+            elif 400 <= answer.status < 500:
                 self._crossed(crossing, "declined", come_back)
             else:
                 self._crossed(crossing, "reversed", come_back)
@@ -321,7 +388,10 @@
         if crossing.task is not None:
             crossing.task.cancel()
 
-    def _crossed(self, crossing: Crossing, outcome: str, come_back: int = 0, body: bytes = b"") -> None:
+    def _crossed(
+        self, crossing: Crossing, outcome: str, come_back: int = 0, body: bytes = b"", is_proof: bool = True
+    ) -> None:
+        """What became of it there. is_proof: whether a decline proves that nothing ran."""
         if self.crossings.pop(crossing.txn.tag, None) is None:
             return
         if crossing.alarm is not None:
@@ -329,38 +399,52 @@
         member, txn = self.member, crossing.txn
         now = member.now()
         told = "unknown" if outcome == "reversed" else outcome
+        may_have_run = outcome != "declined" or not is_proof
         lent = (
             crossing.region != member.holder.base.spec.rule(self.names[txn.scheme.index], member.region).home
         )
         member.abroad.ways.ended(crossing.region, told, lent, now)
-        member.log("abroad.ended", now, post=crossing.post, txn=txn.tag, outcome=outcome)
+        logged = "unknown" if outcome == "declined" and may_have_run else outcome
+        member.log("abroad.ended", now, post=crossing.post, txn=txn.tag, outcome=logged)
         self.counters.add(f"abroad.{outcome}")
         if crossing.answer is None:
             return
-        if outcome != "settled" and self._goes_on(crossing, outcome, come_back):
+        ran_before = bool(crossing.unknown)
+        if outcome != "settled" and self._goes_on(crossing, may_have_run, come_back):
             return
-        # Declined, if nothing ran anywhere or it may be repeated; what may have run and may not, failed.
+        # Declined, if that is the word from there and nothing ran before, or it may be repeated; else failed.
         headers: tuple[str, ...] = ()
         if outcome == "settled":
             kind, status = "settled", 200
-        elif not crossing.unknown or txn.scheme.semantics is Semantics.REPEATABLE:
+        elif (outcome == "declined" and not ran_before) or txn.scheme.semantics is Semantics.REPEATABLE:
             kind, status, headers = "declined", 503, forms.retry_after_header(come_back)
         else:
             kind, status = "reversed", 500
         self.counters.add(f"txn.{kind}")
         crossing.answer(status, body, headers, True)
 
-    def _goes_on(self, crossing: Crossing, outcome: str, come_back: int) -> bool:
+    def _goes_on(self, crossing: Crossing, may_have_run: bool, come_back: int) -> bool:
         """Nothing came of it there: whether another place is found, by the same choice."""
         txn, member, now = crossing.txn, self.member, self.member.now()
-        if outcome != "declined":
+        if may_have_run:
             crossing.unknown.append(crossing.region)
+            crossing.repeat_deadline = self._repeat_deadline(txn, crossing.begun_at, crossing.repeat_deadline)
         crossing.again[crossing.region] = now + int(member.abroad.ways.ways[crossing.region].trip)
         if self.stopping is not None or self.clock.now() + 2 * LAST >= txn.expires_at:
             return False
-        place = self._choose(txn, crossing.unknown, crossing.again, FAR)
+        place = self._choose(txn, crossing.unknown, crossing.again, FAR, crossing.repeat_deadline)
         if place.what == "send":
-            return self._sets_out(crossing.entry, place, come_back, crossing)
+            further = Crossing(
+                txn,
+                crossing.entry,
+                crossing.answer,
+                f"{crossing.post}+",
+                place.region,
+                crossing.unknown,
+                crossing.again,
+                crossing.repeat_deadline,
+            )
+            return self._sets_out(further, place, come_back)
         if place.what != "run" or self.ledger.has_seen(txn.tag):
             return False
         # It belongs elsewhere, and the decisions here have not seen it yet.
@@ -370,6 +454,7 @@
             return False
         self._lets_in(txn, scheme, rule, now)
         crossing.entry.answer, txn.is_closed = crossing.answer, False
+        txn.remote_repeat_deadline = crossing.repeat_deadline
         self.ledger.open(crossing.entry)
         self.counters.add("txn.taken")
         self._at()
@@ -392,7 +477,5 @@
     def stop(self, by: int) -> None:
         for crossing in self.crossings.values():
             if crossing.txn.shorten_deadline(by) and crossing.alarm is not None:
-                crossing.alarm.cancel()
-                due = seconds(by - self.clock.now() - LAST)
-                crossing.alarm = self._events.call_later(max(0.0, due), partial(self._overdue, crossing))
+                self._set_alarm(crossing)
         super().stop(by)
--- a/pathsaddle/scheduler.py
+++ b/pathsaddle/scheduler.py
@@ -389,13 +389,28 @@
             return 0
         if possible_runs and txn.scheme.semantics is Semantics.ONCE_ONLY:
             return 0
-        if possible_runs and txn.scheme.semantics is Semantics.REFERENCED:
-            return min(p.sent_at for p in possible_runs) + txn.scheme.window - self.tick
-        return FOREVER
+        if txn.scheme.semantics is not Semantics.REFERENCED:
+            return FOREVER
+        deadlines = [self.repeat_deadline(txn.scheme, p.sent_at) for p in possible_runs]
+        if txn.remote_repeat_deadline is not None:
+            # Workers of another region are in none of the groups that only a part of the workers forms.
+            deadlines.append(txn.remote_repeat_deadline if self.is_repeatable_anywhere(txn.scheme) else 0)
+        return min(deadlines, default=FOREVER)
+
+    def repeat_deadline(self, scheme: Scheme, sent_at: int) -> int:
+        """Return until when a referenced txn may be sent again.
+
+        Args:
+            scheme: Its scheme; workers recognize a repeat for the scheme's window.
+            sent_at: When the first attempt that may have run was sent.
+        """
+        return sent_at + scheme.window - self.tick
 
     def can_decline(self, txn: Txn) -> bool:
         """Decide whether the client may safely be told to try again (rule 2, second half)."""
-        return self.is_repeatable_anywhere(txn.scheme) or not any(p.may_have_run for p in txn.postings)
+        return self.is_repeatable_anywhere(txn.scheme) or not (
+            txn.remote_repeat_deadline is not None or any(p.may_have_run for p in txn.postings)
+        )
 
     def is_unusable(self, txn: Txn) -> bool:
         """Return whether two workers agree that the request is unusable, so that a retry is pointless."""
--- a/pathsaddle/scheduler_types.py
+++ b/pathsaddle/scheduler_types.py
@@ -172,6 +172,8 @@
     postings: list[Posting] = field(default_factory=list)
     is_closed: bool = False
     is_deadline_shortened: bool = False  # a shutdown moved `expires_at` to an earlier time
+    # Until when workers recognize a repeat of an attempt that another region made; None: none may have run.
+    remote_repeat_deadline: int | None = None
     lifecycle: Generator[Action, Any, None] | None = None
     queue_entry: tuple[tuple[float, int], int, Txn] | None = None  # its entry in the queue
     first_seen_at: int = 0  # when its client first sent it, as far as known
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -62,6 +62,22 @@
         host.passes(10 * SECOND)
         self.assertEqual((len(host.posted), host.answers), (2, {"a": ["reversed"]}))
 
+    def test_a_referenced_txn_that_ran_in_another_region_keeps_to_the_window_of_that_attempt(self) -> None:
+        """A region that took it back posted it with a window of its own, after workers had forgotten it."""
+        for group, postings, answer in (
+            (DeduplicationGroup.ALL, 1, "declined"),
+            (DeduplicationGroup.ZONE, 0, "reversed"),
+        ):
+            with self.subTest(group):
+                host = FakeHost(scheme(REFERENCED, group=group, window=9 * SECOND))
+                host.ask("a", remote_repeat_deadline=host.now + 2 * SECOND)
+                self.assertEqual(len(host.posted), postings)
+                host.passes(2 * SECOND)
+                for posting in host.posted:
+                    host.end(posting, Outcome.ERROR)
+                host.passes(10 * SECOND)
+                self.assertEqual((len(host.posted), host.answers), (postings, {"a": [answer]}))
+
 
 class DrainTest(unittest.TestCase):
     def test_a_held_txn_does_not_go_to_a_worker_that_drains(self) -> None:
