Free what a connection had read when it ends, not when the collector runs

Cause: httptools' parser and ServerProtocol refer to each other, and the parser keeps the text of an unfinished line, so that ended connections waited for the garbage collector, which counts objects, not bytes; the sums of heads and bodies had let go of them already. Ruled out, each 23 to 27 MB: short fields, half bodies, 900 KB bodies, long paths.

--- a/pathsaddle/net/service/discovery.py
+++ b/pathsaddle/net/service/discovery.py
@@ -196,6 +196,14 @@
         async with asyncio.timeout(seconds(CONNECT_TIMEOUT)):
             await events.sock_connect(sock, peer)
         watch = self._watch = WatchConnection(self, sock)
+        try:
+            return await self._follow_watch(watch, started_at)
+        finally:
+            watch.http.release()
+
+    async def _follow_watch(self, watch: WatchConnection, started_at: float) -> str:
+        """Receive updates over an open connection until the watch ends; return its end code."""
+        events, sock = asyncio.get_running_loop(), watch.sock
         watch.last_line_at = started_at
         await events.sock_sendall(
             sock, watch.http.send_request("GET", forms.watch_target(self.index), self.address, [])
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -337,6 +337,7 @@
             if task is not None and task is not asyncio.current_task():
                 task.cancel()
         self.front.on_connection_ended(self)
+        self.machine.release()
         # After the tasks have released the descriptor; otherwise a new connection could reuse its number.
         self._events.call_soon(self._close)
         entry, self.entry = self.entry, None
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -197,7 +197,11 @@
             self._answer.exception()  # marks it as retrieved: a failed write raises its own error instead
         self._reader.cancel()
         # After the reader has released the descriptor; otherwise a new connection could reuse its number.
-        self._event_loop.call_soon(self.sock.close)
+        self._event_loop.call_soon(self._close)
+
+    def _close(self) -> None:
+        self.sock.close()
+        self.machine.release()
 
 
 class Workers:
--- a/pathsaddle/net/wire/http.py
+++ b/pathsaddle/net/wire/http.py
@@ -89,6 +89,7 @@
         self.header_count = 0  # trailer fields included
         self.body = bytearray()  # of the message that is being received
         self.fault: HttpError | None = None
+        self._parser: httptools.HttpRequestParser | httptools.HttpResponseParser | None = None
 
     def on_message_begin(self) -> None:
         """Start a new message."""
@@ -132,6 +133,16 @@
         """Set the fields of a complete message that only the parser knows."""
         raise NotImplementedError
 
+    def release(self) -> None:
+        """Drop what was received and the parser, which may hold the text of a head; nothing more is parsed.
+
+        The parser and this object refer to each other. Otherwise their memory would stay in use until the
+        garbage collector runs, which counts objects and not their bytes.
+        """
+        self._parser = None
+        self.partial, self.body = None, bytearray()
+        self.messages.clear()
+
     def _count_head_bytes(self, count: int) -> None:
         self.head_bytes += count
         if self.head_bytes > MAX_HEAD_BYTES:
@@ -145,11 +156,11 @@
     def _reject(self, status: int, why: str) -> None:
         raise self.reject(status, why)
 
-    def _parse(
-        self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes | memoryview
-    ) -> None:
+    def _parse(self, data: bytes | memoryview) -> None:
+        if self._parser is None:
+            return
         try:
-            parser.feed_data(data)
+            self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             self.reject(400, "no other protocol is spoken here")
         except httptools.HttpParserError as fault:
@@ -172,10 +183,20 @@
         self._complete_head_bytes = 0  # memory of the heads of the queued and the unanswered request
         self._interim_response = b""  # to be sent before the client sends the body
 
+    @property
+    def _request_parser(self) -> httptools.HttpRequestParser:
+        assert isinstance(self._parser, httptools.HttpRequestParser)
+        return self._parser
+
+    def release(self) -> None:
+        """Drop what was received; of the unanswered request nothing is held here."""
+        super().release()
+        self.held_bytes, self._complete_head_bytes = self._body_bytes, self._head_bytes
+
     def feed(self, data: bytes | memoryview) -> None:
         """Parse received bytes; a malformed or oversized request sets `fault`."""
         if self.fault is None and not self.is_closed:
-            self._parse(self._parser, data)
+            self._parse(data)
             self.raw_bytes += len(data)
             max_bytes, status = (MAX_RAW_BYTES, 413) if self.has_head else (MAX_HEAD_BYTES, 431)
             if self.partial is not None and self.raw_bytes > max_bytes:
@@ -207,7 +228,7 @@
         """
         assert self.partial is not None
         self.has_head = True
-        version, headers = self._parser.get_http_version(), self.partial.headers
+        version, headers = self._request_parser.get_http_version(), self.partial.headers
         if version not in ("1.0", "1.1"):
             self._reject(505, "neither HTTP/1.0 nor HTTP/1.1")
         if (coding := headers.get(b"transfer-encoding")) is not None:
@@ -226,8 +247,8 @@
     def finish(self, message: Message) -> None:
         """Set the method and whether the connection stays open, and count its head as held."""
         self._complete_head_bytes += message.head_memory_bytes
-        message.method = self._parser.get_method()
-        message.keep_alive = self._parser.should_keep_alive()
+        message.method = self._request_parser.get_method()
+        message.keep_alive = self._request_parser.should_keep_alive()
         self._interim_response = b""
 
     @property
@@ -271,8 +292,7 @@
         """
         if self.fault is None or self.is_busy or self.is_closed or self.messages:
             return b""
-        self.is_busy, self._keep_alive, self._body_bytes = True, False, self.held_bytes
-        self.partial, self.body = None, bytearray()
+        self.is_busy, self._keep_alive = True, False
         return self.respond(self.fault.status, str(self.fault).encode())
 
     def respond(
@@ -284,7 +304,10 @@
         self.held_bytes -= self._body_bytes
         self._complete_head_bytes -= self._head_bytes
         self._head_bytes = 0
+        self._body_bytes = 0
         self.is_closed = not (keep and self._keep_alive)
+        if self.is_closed:
+            self.release()
         lines = [f"HTTP/1.1 {status} {REASONS.get(status, 'Other')}", *headers]
         if status != 204:
             lines.append(f"Content-Length: {len(body)}")
@@ -332,7 +355,7 @@
         """
         if not self.is_awaiting_response:
             raise HttpError(400, "received a response without a request")
-        self._parse(self._parser, data)
+        self._parse(data)
         self.raw_bytes += len(data)
         if (
             self.partial is not None
@@ -358,9 +381,14 @@
         if 100 <= self.messages[-1].status < 200:
             self.messages.pop()
 
+    @property
+    def _response_parser(self) -> httptools.HttpResponseParser:
+        assert isinstance(self._parser, httptools.HttpResponseParser)
+        return self._parser
+
     def on_headers_complete(self) -> None:
         """Record the status."""
-        self.has_head, self.status = True, self._parser.get_status_code()
+        self.has_head, self.status = True, self._response_parser.get_status_code()
 
     def on_body(self, chunk: bytes) -> None:
         """Append a part of the body, or buffer it for `records`."""
@@ -371,8 +399,13 @@
 
     def finish(self, message: Message) -> None:
         """Set the status and whether the connection stays open."""
-        message.status = self._parser.get_status_code()
-        message.keep_alive = self._parser.should_keep_alive()
+        message.status = self._response_parser.get_status_code()
+        message.keep_alive = self._response_parser.should_keep_alive()
+
+    def release(self) -> None:
+        """Drop what was received, an incomplete record included."""
+        super().release()
+        self.stream_buffer, self.partial_record = bytearray(), bytearray()
 
     def records(self) -> list[bytes]:
         """Return the JSON objects that are complete by now in a streamed response.
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -10,6 +10,7 @@
 import resource
 import unittest
 from pathlib import Path
+from random import Random
 from typing import ClassVar
 
 from tests.test_program import BOUND, Program
@@ -36,14 +37,15 @@
 }
 
 
+def private_memory_mb(process: int) -> float:
+    """A process's own resident pages, without those that it shares."""
+    resident, shared = Path(f"/proc/{process}/statm").read_text().split()[1:3]
+    return (int(resident) - int(shared)) * resource.getpagesize() / 1e6
+
+
 class ClientMemoryTest(Program):
     limits: ClassVar = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": SOCKETS}
 
-    def memory_mb(self) -> float:
-        """The program's own resident pages, without those that it shares."""
-        resident, shared = Path(f"/proc/{self.program.pid}/statm").read_text().split()[1:3]
-        return (int(resident) - int(shared)) * resource.getpagesize() / 1e6
-
     async def stop_inside(self, number: int, form: str) -> None:
         """Send an unfinished request, and stay until the program ends the connection."""
         reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
@@ -59,14 +61,42 @@
             with self.subTest(form):
                 self.mood = "hold"
                 bad = [asyncio.create_task(self.stop_inside(i, form)) for i in range(BAD_CLIENTS)]
-                most = self.memory_mb()
+                most = private_memory_mb(self.program.pid)
                 while not all(task.done() for task in bad):
                     await asyncio.sleep(0.01)
-                    most = max(most, self.memory_mb())
+                    most = max(most, private_memory_mb(self.program.pid))
                 self.assertLess(most, MEMORY_MB)
                 self.mood = "done"
                 self.assertEqual((await self.call(self.job(f"usual-{number}")))[0], 200)
 
 
+class ComingAndGoingTest(Program):
+    """Hundreds of clients that stop inside a request, and come again as soon as they are answered."""
+
+    limits: ClassVar = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
+
+    async def visit(self, rng: Random) -> None:
+        """Come again and again: for the answer, or for some time without reading."""
+        for _ in range(8):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            with contextlib.suppress(ConnectionError):
+                writer.write(REQUESTS["a long header line"])
+                await writer.drain()
+                if rng.random() < 0.7:
+                    await asyncio.wait_for(reader.read(1), BOUND)
+                else:
+                    await asyncio.sleep(3 * rng.random())
+            writer.transport.abort()
+
+    async def test_what_connections_that_have_ended_had_read_takes_no_memory(self) -> None:
+        """Guards against a kill for memory: each ended connection kept its head until the garbage collector ran."""
+        bad = [asyncio.create_task(self.visit(Random(number))) for number in range(400)]
+        most = 0.0
+        while not all(task.done() for task in bad):
+            await asyncio.sleep(0.01)
+            most = max(most, private_memory_mb(self.program.pid))
+        self.assertLess(most, MEMORY_MB)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -306,9 +306,10 @@
         sock, _ = await self.client(post_request("a"))
         await self.until(lambda: self.counters["posting.sent"] == 1)
         entry = self.service.ledger["a"]
+        exchange = entry.exchanges[0]
         self.finish_txn("a", b"first")
         self.finish_txn("a", b"second")
-        self.service._time_out(entry.exchanges[0])
+        self.service._time_out(exchange)
         self.service.hang_up(entry)
         await self.events.sock_sendall(sock, READY)
         received = await self.read_answer(sock)
--- a/tests/test_txn_service.py
+++ b/tests/test_txn_service.py
@@ -154,6 +154,14 @@
         self.assertEqual(self.answers, [(200, b"done", ())])
         self.assertNotIn("a", self.service.ledger)
 
+    async def test_a_closed_txn_and_its_postings_do_not_keep_each_other_in_memory(self) -> None:
+        """Guards against a kill for memory: its request stayed until the garbage collector ran."""
+        self.open()
+        entry = await self.ask()
+        self.fake_workers.calls[0].write()
+        await self.send_callback("done")
+        self.assertEqual((entry.is_done, entry.exchanges), (True, []))
+
     async def test_a_posting_whose_reason_ended_while_connecting_is_withheld(self) -> None:
         """Guards against sending a posting whose reason ended while its connection was opened.
 
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -1,7 +1,9 @@
 """The wire formats on bytes alone, without sockets."""
 
+import gc
 import json
 import unittest
+import weakref
 
 from pathsaddle.net.wire import forms, terms
 from pathsaddle.net.wire.forms import MessageDecoder
@@ -199,6 +201,36 @@
         self.assertIsNotNone(machine.next_request())
 
 
+class ReleaseTest(unittest.TestCase):
+    """Memory of a connection is free when it ends, whenever the garbage collector runs next."""
+
+    def setUp(self) -> None:
+        gc.disable()
+        self.addCleanup(gc.enable)
+
+    def test_a_released_connection_holds_neither_parser_nor_bytes(self) -> None:
+        """Guards against a kill for memory: parser and connection kept each other, with a head's text."""
+        server, client = parse_requests(b"POST / HTTP/1.1\r\nX: " + b"y" * 9000), ClientProtocol(streams=True)
+        client.send_request("GET", b"/", "x", [])
+        client.feed(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n[1,2,")
+        for protocol in (server, client):
+            protocol.release()
+        self.assertEqual((server.held_bytes, server.held_head_bytes, client.stream_buffer), (0, 0, b""))
+        held = [weakref.ref(server), weakref.ref(client)]
+        del server, client, protocol
+        self.assertEqual([one() for one in held], [None, None])
+
+    def test_a_last_answer_drops_what_was_read_behind_its_request(self) -> None:
+        """What lingers after its last answer holds no memory: only its input is discarded."""
+        server = parse_requests(REQUEST + REQUEST + b"POST /render HTTP/1.1\r\nX: " + b"y" * 9000)
+        self.assertIsNotNone(server.next_request())
+        server.discard_rest()
+        server.respond(200)
+        self.assertEqual(
+            (server.held_bytes, server.held_head_bytes, server.has_partial_request), (0, 0, False)
+        )
+
+
 class CallingTest(unittest.TestCase):
     def test_a_response_split_anywhere_is_the_same_response(self) -> None:
         answer = (
