Let a closed txn go of its postings, which refer back to it

Change: a txn that is closed and has no posting in flight drops its postings. Two tests take the posting before its txn closes; what they assert is the same.

--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -113,8 +113,9 @@
     def close(self, entry: Entry) -> None:
         """Remove a txn if its final answer is sent and none of its postings is in flight; keep its id."""
         if entry.is_done and self._entries.pop(entry.txn.tag, None) is not None:
-            # They refer to the entry: its request would be in memory until the garbage collector runs.
+            # They refer back, so that all of it would be in memory until the garbage collector runs.
             entry.exchanges.clear()
+            entry.txn.postings.clear()
             self._closed_ids[entry.txn.tag] = None
             if len(self._closed_ids) > MAX_CLOSED_IDS:
                 del self._closed_ids[next(iter(self._closed_ids))]
--- a/tests/test_txn_service.py
+++ b/tests/test_txn_service.py
@@ -15,7 +15,7 @@
 from pathsaddle.net.service.workers import ConnectionLostError, RequestNotSentError
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import ListRow, MessageDecoder
-from pathsaddle.net.wire.http import HttpError, Message
+from pathsaddle.net.wire.http import Message
 from pathsaddle.scheduler_types import (
     SECOND,
     ListedState,
@@ -160,7 +160,7 @@
         entry = await self.ask()
         self.fake_workers.calls[0].write()
         await self.send_callback("done")
-        self.assertEqual((entry.is_done, entry.exchanges), (True, []))
+        self.assertEqual((entry.is_done, entry.exchanges, entry.txn.postings), (True, [], []))
 
     async def test_a_posting_whose_reason_ended_while_connecting_is_withheld(self) -> None:
         """Guards against sending a posting whose reason ended while its connection was opened.
@@ -210,8 +210,9 @@
         call = self.fake_workers.calls[0]
         call.begins(call.sending)
         call.sending.is_complete = True
+        posting = entry.txn.postings[0]
         await self.settle(0.3)
-        self.assertIs(entry.txn.postings[0].outcome, Outcome.TIMED_OUT)
+        self.assertIs(posting.outcome, Outcome.TIMED_OUT)
         self.assertEqual([answer[0] for answer in self.answers], [500])
 
     async def test_returned_proves_nothing_after_an_earlier_posting_to_the_same_worker(self) -> None:
@@ -274,8 +275,9 @@
         """The worker has reported `returned` for the first posting, so that `lost` is about the second."""
         self.open()
         entry = await self.ask_until_second_posting("charge", "returned")
+        posting = entry.txn.postings[1]
         await self.send_callback("lost")
-        self.assertIs(entry.txn.postings[1].outcome, Outcome.RESET)
+        self.assertIs(posting.outcome, Outcome.RESET)
         self.assertEqual([answer[0] for answer in self.answers], [500])
 
     async def test_a_callback_before_the_last_byte_of_its_posting_is_stray(self) -> None:
