Know a closed request's id for its expiry, not for 4,096 others

Reproduced with one dispatcher: after 6,000 others in 7.2 s a once-only id was posted again (200).

Cause: the ledger kept closed ids by count, 4,096, which is four seconds at 1,000 requests a second; the longest expiry was ten. Federation: a txn that went straight home was in no ledger at all.

A crossing that ends leaves its id in the ledger.

Why it works: time decides what may be forgotten, memory what is refused; neither depends on rate.

--- a/pathsaddle/emulator/hollow/open_txns.py
+++ b/pathsaddle/emulator/hollow/open_txns.py
@@ -99,7 +99,7 @@
         self.setting = setting
         self.born = birth_of(seed, setting)
         self.now = 100 * SECOND
-        self.ledger = Ledger()
+        self.ledger = Ledger(lambda: self.now, lambda txn: txn.scheme.expiry)
         self.door = Door(self.ledger)
         self.loop = SchedulerDriver(self.door, self.born.scheduler, seed, self.now)
         self.loop.set_now(self.now)
--- a/pathsaddle/federation/request_handler.py
+++ b/pathsaddle/federation/request_handler.py
@@ -141,8 +141,9 @@
         here = self.member.region
         if call.text(CROSSED) is None and here == rule.home and here in rule.may:
             return super().take(call, answer)
-        if self.ledger.has_seen(txn.tag) or txn.tag in self.crossings:
+        if txn.tag in self.crossings:
             raise HttpError(409, "this id is not new")
+        self.check_id(txn.tag)
         if call.text(CROSSED) is None:
             # It belongs elsewhere: home first, and here only as a lender.
             elsewhere = Entry(txn, call, answer)
@@ -408,6 +409,7 @@
         member.log("abroad.ended", now, post=crossing.post, txn=txn.tag, outcome=logged)
         self.counters.add(f"abroad.{outcome}")
         if crossing.answer is None:
+            self._remember_id(txn)
             return
         ran_before = bool(crossing.unknown)
         if outcome != "settled" and self._goes_on(crossing, may_have_run, come_back):
@@ -421,8 +423,14 @@
         else:
             kind, status = "reversed", 500
         self.counters.add(f"txn.{kind}")
+        self._remember_id(txn)
         crossing.answer(status, body, headers, True)
 
+    def _remember_id(self, txn: Txn) -> None:
+        """Keep the id of a txn that the decisions here may never have seen."""
+        if not self.ledger.has_seen(txn.tag):
+            self.ledger.remember(txn)
+
     def _goes_on(self, crossing: Crossing, may_have_run: bool, come_back: int) -> bool:
         """Nothing came of it there: whether another place is found, by the same choice."""
         txn, member, now = crossing.txn, self.member, self.member.now()
--- a/pathsaddle/jobs/job_service.py
+++ b/pathsaddle/jobs/job_service.py
@@ -160,6 +160,11 @@
             self._cancellation.take_cancel_call(call, answer)
         return None
 
+    @staticmethod
+    def id_lifetime(txn: Txn) -> int:
+        """Return 0: the store knows the ids of closed jobs."""
+        return 0
+
     def hang_up(self, entry: Entry) -> None:
         """The client of a call is gone: nothing more is done for it, and the store says so."""
         super().hang_up(entry)
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -7,10 +7,10 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from pathsaddle.net.memory.closed_ids import ClosedIds
 from pathsaddle.net.wire.http import Message
 from pathsaddle.scheduler_types import Outcome, Posting, Scheme, Txn
 
-MAX_CLOSED_IDS = 4096  # covers the txns that close within the longest expiry, in little memory
 Answer = Callable[[int, bytes, tuple[str, ...], bool], None]
 
 
@@ -86,19 +86,36 @@
 
 
 class Ledger:
-    """The open txns by id, and the ids of recently closed ones."""
+    """The open txns by id, and the ids of closed ones.
 
-    def __init__(self) -> None:
+    Attributes:
+        closed_ids: Those of the closed ones, for as long as a repeat may come.
+    """
+
+    def __init__(self, now: Callable[[], int], id_lifetime: Callable[[Txn], int]) -> None:
+        """Hold no txn yet.
+
+        Args:
+            now: Returns the time, in ticks.
+            id_lifetime: Returns for how long the id of a txn that closes now must be known, in ticks.
+        """
+        self._now = now
+        self._id_lifetime = id_lifetime
         self._entries: dict[str, Entry] = {}
-        self._closed_ids: dict[str, None] = {}
+        self.closed_ids = ClosedIds()
 
     def has_seen(self, tag: str) -> bool:
-        """Return whether a txn with this id is open or was closed recently.
+        """Return whether a txn with this id is open, or was closed and may come again.
 
         Clients use a new id for each call. A call with an id that was used before belongs to someone else,
         and workers would take its postings for repeats of the first.
         """
-        return tag in self._entries or tag in self._closed_ids
+        return tag in self._entries or tag in self.closed_ids
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the id of one more txn could not be remembered without forgetting one that is needed."""
+        return not self.closed_ids.has_room(len(self._entries), self._now())
 
     def __contains__(self, tag: str) -> bool:
         return tag in self._entries
@@ -116,9 +133,12 @@
             # They refer back, so that all of it would be in memory until the garbage collector runs.
             entry.exchanges.clear()
             entry.txn.postings.clear()
-            self._closed_ids[entry.txn.tag] = None
-            if len(self._closed_ids) > MAX_CLOSED_IDS:
-                del self._closed_ids[next(iter(self._closed_ids))]
+            self.remember(entry.txn)
+
+    def remember(self, txn: Txn) -> None:
+        """Keep the id of a txn that is closed."""
+        now = self._now()
+        self.closed_ids.add(txn.tag, now + self._id_lifetime(txn), now)
 
     def find_exchange(self, tag: str, worker: str) -> Exchange | None:
         """Return the posting in flight that a worker's callback refers to, if there is one."""
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -22,7 +22,8 @@
 
 SPARE_DESCRIPTORS = 12  # for the listener, discovery's watch and connections that are being closed
 CONNECTION_MB = 0.02  # memory of one connection, its tasks included
-MIN_CONNECTIONS, MIN_BODY_MB, MIN_HEAD_MB = 16, 1.0, 0.5  # granted however little room there is
+# Granted however little room there is.
+MIN_CONNECTIONS, MIN_BODY_MB, MIN_HEAD_MB, MIN_CLOSED_IDS_MB = 16, 1.0, 0.5, 0.25
 SWEEP_INTERVAL = SECOND // 4  # between checks of the event loop's lag, of idle connections and of memory
 LAG_WARNING_THRESHOLD = 50 * MILLISECOND  # each time limit is 50 ms longer on real sockets
 COMING = SECOND // 2  # how long after SIGTERM clients are expected to open new connections
@@ -56,7 +57,8 @@
         # Descriptors that the event loop and the log have open already are counted as used.
         free = config.sockets - environment.descriptors() - SPARE_DESCRIPTORS
         # Of the free memory, a third is for connections, a quarter for bodies, an eighth for heads, which may
-        # take twice that (`ClientLimits.head_share`), and the rest for all else.
+        # take twice that (`ClientLimits.head_share`), a sixteenth for the ids of closed txns, and the rest
+        # for all else.
         free_mb = max(0.0, 0.9 * config.memory_mb - environment.memory_mb())
         limits = ClientLimits(
             max(MIN_CONNECTIONS, int(min(free, free_mb / 3 / CONNECTION_MB))),
@@ -76,6 +78,7 @@
             self.counters,
             lambda: self.discovery.call_discovery(),
         )
+        self.service.ledger.closed_ids.max_bytes = int(max(MIN_CLOSED_IDS_MB, min(1e3, free_mb) / 16) * 1e6)
         self.discovery = environment.watch(config.discovery, config.list_index, self.service, self.counters)
         self.service.catch_up = self.discovery.catch_up
         self.service.listed(ListUpdate.CACHED, config.list_rows)
--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -78,7 +78,7 @@
         self.catch_up: Callable[[], None] = lambda: None  # handles the list updates that have arrived by now
         # Probes a worker; metering wraps it.
         self.looks: Callable[[Worker], Coroutine[Any, Any, None]] = self._probe
-        self.ledger = Ledger()
+        self.ledger = Ledger(clock.now, self.id_lifetime)
         self.known: dict[str, Worker] = {}
         self.stopping: int | None = None  # when the shutdown must have answered every txn; None while running
         self._tasks: dict[asyncio.Task[None], None] = {}
@@ -180,8 +180,7 @@
         """
         self._at()
         txn = self.words.decode_txn(call, self.loop.now)
-        if self.ledger.has_seen(txn.tag):
-            raise HttpError(409, "this id is not new")
+        self.check_id(txn.tag)
         if self.stopping is not None:
             txn.shorten_deadline(self.stopping)
         entry = Entry(txn, call, answer)
@@ -190,6 +189,26 @@
         self._guard(txn, lambda: self.loop.start_txn(txn))
         return entry
 
+    def check_id(self, tag: str) -> None:
+        """Check that a request with this id may be taken.
+
+        Raises:
+            HttpError: The id is not new (409), or it could not be remembered (503).
+        """
+        if self.ledger.has_seen(tag):
+            raise HttpError(409, "this id is not new")
+        if self.ledger.is_full:
+            self.counters.add("ids.full")
+            raise HttpError(503, "no room to remember this id")
+
+    @staticmethod
+    def id_lifetime(txn: Txn) -> int:
+        """Return for how long the id of a closed txn must be known, in ticks.
+
+        Its client may send it again for as long as it would have waited for the answer.
+        """
+        return max(txn.scheme.expiry, txn.expires_at - txn.arrived_at)
+
     def hang_up(self, entry: Entry) -> None:
         """Abandon a txn whose client has closed its connection."""
         entry.answer = None
--- a/tests/test_federation_window.py
+++ b/tests/test_federation_window.py
@@ -20,7 +20,7 @@
 from pathsaddle.net.service.workers import ConnectionLostError
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import ListRow, MessageDecoder
-from pathsaddle.net.wire.http import Message
+from pathsaddle.net.wire.http import HttpError, Message
 from pathsaddle.scheduler_types import MILLISECOND, SECOND, ListUpdate, Worker
 from tests.fakehost import SETTINGS
 
@@ -123,7 +123,7 @@
     def advance(self, time: float) -> None:
         self.moments.run_until_complete(asyncio.sleep(time))
 
-    def start(self, group: str = "all") -> None:
+    def start(self, group: str = "all", here: str = "north") -> None:
         row = {
             "Name": "book",
             "Semantics": "keyed",
@@ -136,14 +136,16 @@
         settings = {**SETTINGS, "Schemes": [row]}
         spec = parse(SPEC)
         holder = SimpleNamespace(
-            base=SimpleNamespace(spec=spec, number=1), rule=lambda scheme, now: spec.rule(scheme, "north")
+            base=SimpleNamespace(spec=spec, number=1), rule=lambda scheme, now: spec.rule(scheme, here)
         )
         abroad = SimpleNamespace(
-            ways=RegionRouter("n0", "north", ["west", "east"]), lent_to=lambda *asked: "", free=None
+            ways=RegionRouter("n0", here, [one for one in spec.regions if one != here]),
+            lent_to=lambda *asked: "",
+            free=None,
         )
         member: Any = SimpleNamespace(
             name="n0",
-            region="north",
+            region=here,
             holder=holder,
             abroad=abroad,
             now=self.clock.now,
@@ -162,7 +164,7 @@
                 Counters(),
                 lambda: None,
                 member=member,
-                doors={"west": ["west:1"], "east": ["east:1"]},
+                doors={region: [f"{region}:1"] for region in spec.regions if region != here},
                 room=64,
             )
             self.service.listed(ListUpdate.COMPLETE, [ListRow(Worker("w0"), "x:1")])
@@ -182,7 +184,9 @@
         )
 
         async def take() -> None:
-            self.service.take(message, lambda status, body, lines, keep: self.answers.append((status, lines)))
+            self.entry = self.service.take(
+                message, lambda status, body, lines, keep: self.answers.append((status, lines))
+            )
 
         self.run_work(take)
 
@@ -268,6 +272,19 @@
         self.assertEqual(self.sent_to("door:east:1"), [])
         self.assertEqual(self.answers, [(500, ())])
 
+    def test_the_id_of_a_txn_that_only_another_region_saw_is_known_after_its_client_left(self) -> None:
+        """It was sent there a second time: no ledger here had it, and another door may not know it either."""
+        self.start(here="west")
+        self.workers.answers["door:north:1"] = [TAKEN, SERVED]
+        self.workers.delays["door:north:1"] = 1.0
+        self.call()
+        self.advance(0.5)
+        assert self.entry is not None
+        self.service.hang_up(self.entry)
+        with self.assertRaises(HttpError) as refused:
+            self.call()
+        self.assertEqual(refused.exception.status, 409)
+
     def test_a_decline_to_another_region_says_whether_it_may_have_run(self) -> None:
         """The other side of that proof: only a region where no attempt may have run gives it."""
         for answer, is_proof in ((FULL, True), (LOST, False)):
--- a/tests/test_txn_service.py
+++ b/tests/test_txn_service.py
@@ -15,7 +15,7 @@
 from pathsaddle.net.service.workers import ConnectionLostError, RequestNotSentError
 from pathsaddle.net.wire import terms
 from pathsaddle.net.wire.forms import ListRow, MessageDecoder
-from pathsaddle.net.wire.http import Message
+from pathsaddle.net.wire.http import HttpError, Message
 from pathsaddle.scheduler_types import (
     SECOND,
     ListedState,
@@ -162,6 +162,31 @@
         await self.send_callback("done")
         self.assertEqual((entry.is_done, entry.exchanges, entry.txn.postings), (True, [], []))
 
+    async def test_an_id_whose_client_left_is_not_run_again_after_thousands_of_others(self) -> None:
+        """A once-only request ran twice: its id was forgotten after 4,096 others, within seconds."""
+        self.open()
+        entry = await self.ask("left", "charge")
+        self.fake_workers.calls[0].write()
+        self.service.hang_up(entry)
+        await self.send_callback("failed", "left")
+        for number in range(5000):
+            self.service.hang_up(await self.ask(f"other-{number}"))
+        with self.assertRaises(HttpError) as refused:
+            await self.ask("left", "charge")
+        self.assertEqual(refused.exception.status, 409)
+
+    async def test_where_no_more_ids_can_be_remembered_new_requests_are_refused(self) -> None:
+        """Forgetting an id that may come again would be the worse end."""
+        self.open()
+        self.service.ledger.closed_ids.max_bytes = 0
+        accepted = 0
+        with self.assertRaises(HttpError) as refused:
+            for number in range(10_000):
+                self.service.hang_up(await self.ask(str(number)))
+                accepted += 1
+        self.assertEqual((refused.exception.status, self.counters["ids.full"]), (503, 1))
+        self.assertTrue(all(self.service.ledger.has_seen(str(number)) for number in range(accepted)))
+
     async def test_a_posting_whose_reason_ended_while_connecting_is_withheld(self) -> None:
         """Guards against sending a posting whose reason ended while its connection was opened.
 
