Send nothing for a client that has left behind bytes that are not read yet

Cause: the close was noticed only where the reader came to the end of the stream, some forty turns of the event loop after the first request, whose attempt begins within two. While the bytes fill the kernel's buffers the close has not even arrived: asking the kernel alone (a trial) was not enough.

Change: before an attempt what has arrived behind its request is read, for 50 ms at most; right before the first byte the kernel is asked whether the client has closed, also behind unread bytes. Calls to another region too. Sound clients have nothing unread: no delay.

--- a/pathsaddle/emulator/ground/links.py
+++ b/pathsaddle/emulator/ground/links.py
@@ -226,6 +226,10 @@
         side = self.side
         return side is None or bool(side.inbound) or side.fault is not None or side.closed or side.ended
 
+    def has_peer_closed(self) -> bool:
+        side = self.side
+        return side is None or side.fault is not None or side.closed or side.ended
+
     def recv(self, most: int, flags: int = 0) -> bytes:
         """What lies here now; like a socket that doesn't block where nothing does."""
         side = self.side
--- a/pathsaddle/federation/request_handler.py
+++ b/pathsaddle/federation/request_handler.py
@@ -66,6 +66,12 @@
     def sent(self) -> bool:
         return self.sending is not None and self.sending.is_complete
 
+    @property
+    def client_has_left(self) -> bool:
+        """Whether its client has closed its connection, also behind bytes that are not read yet."""
+        client = self.entry.client
+        return self.answer is not None and client is not None and client.has_peer_closed()
+
     @property
     def ends_at(self) -> int:
         """When its answer counts no more: at the txn's expiry, or when its repeats are not recognized."""
@@ -348,6 +354,9 @@
             now = self.member.now()
             if place.region not in self.member.holder.rule(self.names[crossing.txn.scheme.index], now).may:
                 raise RequestNotSentError("the spec was tightened")
+            if crossing.client_has_left:
+                self.hang_up(crossing.entry)
+                raise RequestNotSentError("the client has left")
             crossing.begun_at = self.clock.now()
             left = crossing.ends_at - crossing.begun_at - 2 * LAST - way
             if left <= 0:
@@ -356,6 +365,7 @@
             headers.append((b"Crossed-From", self.member.region.encode()))
             crossing.sending = sending
 
+        await self.read_ahead(crossing.entry)
         try:
             answer = await self.workers.call(
                 name,
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -22,6 +22,16 @@
         """Whether the kernel has accepted the last byte; from then on the request may have run."""
 
 
+class ClientSocket(Protocol):
+    """The socket of a client's connection."""
+
+    def has_peer_closed(self) -> bool:
+        """Return whether the client has closed its side, as far as the kernel knows."""
+
+    def has_unread_input(self) -> bool:
+        """Return whether there is input that is not read yet, perhaps with a close behind it."""
+
+
 @dataclass(slots=True, eq=False)
 class KnownSending:
     """A transmission whose state is known without a socket of this process, as after a restart."""
@@ -70,7 +80,7 @@
     """A txn, the client's request as received, and the callback that answers its connection.
 
     `earlier_workers` names the workers that had postings of it under an earlier process, of which no exchange
-    is known here; their callbacks may still come.
+    is known here; their callbacks may still come. `client` is the connection that the client waits on.
     """
 
     txn: Txn
@@ -78,6 +88,17 @@
     answer: Answer | None
     exchanges: list[Exchange] = field(default_factory=list)
     earlier_workers: frozenset[str] = frozenset()
+    client: ClientSocket | None = None
+
+    @property
+    def has_client_left(self) -> bool:
+        """Whether the client has closed its connection, also behind bytes that are not read yet."""
+        return self.answer is not None and self.client is not None and self.client.has_peer_closed()
+
+    @property
+    def has_unread_input(self) -> bool:
+        """Whether the client has sent more than its request, which is not read yet."""
+        return self.answer is not None and self.client is not None and self.client.has_unread_input()
 
     @property
     def is_done(self) -> bool:
--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -238,6 +238,7 @@
                 self.front.mark_proven(self)
                 if entry is not None and entry.answer is not None:
                     self.entry = entry
+                    entry.client = self.sock
         except HttpError as fault:
             self.front.counters.add(f"malformed.{fault.status}")
             self._answer(fault.status, str(fault).encode())
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import select
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -52,6 +53,15 @@
             pass
         return True
 
+    def has_peer_closed(self) -> bool:
+        """Return whether the peer has closed its side or reset the connection, also behind unread bytes."""
+        poller = select.poll()
+        try:
+            poller.register(self.fileno(), select.POLLRDHUP)
+            return bool(poller.poll(0))
+        except (OSError, ValueError):
+            return self.fileno() < 0
+
 
 # Returns a new socket and the parsed address; simulations pass their own.
 SocketFactory = Callable[[str], tuple[CountingSocket, Peer]]
--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -35,6 +35,8 @@
 )
 
 FAULT_RETRY_DELAY = 10 * MILLISECOND  # an immediate retry could spin on the same fault
+READ_AHEAD_TIME = 50 * MILLISECOND  # for which a posting waits for input behind its request to be read
+MAX_READ_AHEAD_TURNS = 1000  # of the event loop, where its clock stands still
 CLOSE_PROPAGATION_DELAY = 50 * MILLISECOND  # how long the end of a connection takes to reach a worker
 
 
@@ -219,6 +221,24 @@
         self._guard(entry.txn, lambda: self.loop.abandon_txn(entry.txn))
         self.ledger.close(entry)
 
+    def end_if_client_left(self, entry: Entry) -> None:
+        """Abandon a txn whose client has closed its connection behind bytes that are not read yet."""
+        if entry.has_client_left:
+            self.counters.add("txn.left_unread")
+            self.hang_up(entry)
+
+    async def read_ahead(self, entry: Entry) -> None:
+        """Let the reader of the client's connection reach the end of what has arrived behind the request.
+
+        A client that sent much and left is otherwise noticed only after an attempt for it has begun: while
+        its bytes fill the kernel's buffers, its close has not even arrived.
+        """
+        deadline = self.clock.now() + READ_AHEAD_TIME
+        for _ in range(MAX_READ_AHEAD_TURNS):
+            if not entry.has_unread_input or entry.has_client_left or self.clock.now() >= deadline:
+                break
+            await asyncio.sleep(0)
+
     def receive_callback(self, callback: Callback, answer: Answer) -> None:
         """Answer a worker's complete callback at once, then apply it."""
         answer(204, b"", (), True)
@@ -334,6 +354,7 @@
             """
             self.catch_up()
             self.loop.set_now(self.clock.now())
+            self.end_if_client_left(exchange.entry)
             if not self.loop.can_begin_posting(posting):
                 self.counters.add("posting.withheld")
                 raise PostingWithheldError
@@ -345,6 +366,7 @@
                 forms.posting_headers(call, posting.sent_at + exchange.timeout_ticks - self.clock.now())
             )
 
+        await self.read_ahead(exchange.entry)
         try:
             answer = await self.workers.call(
                 posting.worker.tag, "POST", call.target, headers, call.body, begin_sending
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -218,6 +219,27 @@
         self.assertIn("txn.hung_up=1", log)
         self.assertIn("code=hung-up", log)
 
+    async def test_nothing_is_sent_for_a_client_that_left_behind_much_unread_input(self) -> None:
+        """Guards against an attempt for a client that had gone: its FIN was seen only after all its bytes."""
+        for number in range(6):
+            await self.call(self.job(f"usual-{number}"))  # so that a connection to the worker is kept
+            await asyncio.sleep(0.1)  # and has rested
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+            writer.write(b"GET /ready HTTP/1.1\r\n\r\n")
+            await reader.readuntil(b"\r\n\r\n")
+            sock = writer.get_extra_info("socket")
+            self.program.send_signal(signal.SIGSTOP)
+            requests = [self.job(f"left-{number}-{i}", "charge", body=b"x" * 60_000) for i in range(40)]
+            with contextlib.suppress(BlockingIOError):
+                os.write(sock.fileno(), b"".join(requests))
+            writer.transport.abort()
+            await asyncio.sleep(0.2)
+            self.program.send_signal(signal.SIGCONT)
+        await self.call(self.job("last"))
+        _, log = await self.stopped()
+        self.assertIn("posting.sent=7 ", log)
+        self.assertEqual(sum(line.startswith(b"POST /charge") for line in self.seen), 0)
+
     async def test_malformed_and_unknown_calls_get_their_answers_and_nobody_else_minds(self) -> None:
         for data, status in (
             (b"\x01\x02\r\n\r\n", 400),
