Refuse the slowest request where slow writers take all room for connections

Cause: 161 connections fit; one that goes on writing could neither be evicted while its request arrived nor after its 408, and each wave's time began when the one before had timed out.

Change: where nothing can be evicted, the slowest request on an unproven connection gets 503; lingering connections, which hold no request, may be as many again and go 0.2 s after their answer; while room is short a connection's time counts from the beginning of the shortage, 1 s at most.

The new test of test_clients times out on the text before. test_clients, test_sockets, test_shutdown, test_program, test_client_memory, test_virtual, test_start, test_socket_stage hold.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -21,6 +21,7 @@
 
 LISTEN_BACKLOG = 1024
 NO_ROOM_FOR_HEAD = "no room for so large a head now"
+NO_ROOM_FOR_SLOW_REQUEST = "no room for so slow a request now"
 WRITE_TIMEOUT = 10 * SECOND  # for a peer to read what is written to it
 MAX_UNREAD_ANSWER_BYTES = 16 * 1024  # per connection; at this size the peer's further requests wait
 REQUEST_TIMEOUT = 5 * SECOND // 2  # for a complete request, from the accept or its first byte
@@ -34,6 +35,8 @@
 # An accept fails because of that connection alone; the next accept may succeed.
 CONNECTION_ERRNOS = (errno.ECONNABORTED, errno.EPROTO)
 UNPROVEN_DIVISOR = 8  # up to this part of the connections may be unproven while idle proven ones are evicted
+MAX_ACCEPT_DELAY = SECOND  # by which a request's time is shortened where connections wait to be accepted
+FULL_LULL = 100 * MILLISECOND  # after so long without a lack of room nobody has waited for it
 ACCEPT_RETRY_DELAY = 50 * MILLISECOND  # after a failed accept, and between attempts to free a descriptor
 
 
@@ -71,9 +74,10 @@
         self.entry: Entry | None = None  # the txn whose answer the client waits for
         self.calls = 0
         self.is_worker = False  # it has carried callbacks; it stays open until the process ends
-        self.began_at: int | None = front.clock.now()  # when the next request began to arrive; None: not yet
-        self.idle_since = self.began_at
-        self.last_read_at = self.began_at  # when the last bytes arrived
+        self.idle_since = front.clock.now()
+        self.last_read_at = self.idle_since  # when the last bytes arrived
+        # When the next request began to arrive, or the peer may have connected; None: not yet.
+        self.began_at: int | None = self.idle_since - front.accept_delay(self.idle_since)
         self.held_body_bytes = 0  # its part of `Front.held_body_bytes`
         self.held_head_bytes = 0  # its part of `Front.held_head_bytes`
         self.lingers_since: int | None = None  # when this side was shut down; input is then discarded
@@ -123,6 +127,22 @@
         """Whether it has carried a txn or a callback; regular peers send one first of all."""
         return self not in self.front.unproven
 
+    @property
+    def arriving_since(self) -> int | None:
+        """Since when the bytes of a request have been arriving, if that is all that is in progress."""
+        machine = self.machine
+        if self.began_at is None or not machine.has_partial_request:
+            return None
+        if machine.is_busy or machine.is_closed or self.output:
+            return None
+        return max(self.began_at, self.idle_since)
+
+    def shed(self) -> None:
+        """Refuse the request that is arriving; what still comes of it is discarded."""
+        self.front.lingering[self] = None
+        self.machine.reject(503, NO_ROOM_FOR_SLOW_REQUEST)
+        self.process_input()
+
     async def _read(self) -> None:
         """Read until the connection ends, also while a request waits for its answer.
 
@@ -276,6 +296,7 @@
                 # Input is discarded from now on; lingering connections are the first to be evicted.
                 self.sock.shutdown(socket.SHUT_WR)
                 self.lingers_since = self.last_read_at = self.front.clock.now()
+                self.front.lingering[self] = None
             elif self.is_idle:
                 self.front.on_descriptor_freed()
             elif not self.machine.is_busy:
@@ -317,7 +338,8 @@
         if machine.is_busy or self.output:
             return 0
         if machine.is_closed:
-            return 3 if now - self.last_read_at >= FIRST_BYTE_TIMEOUT else 0
+            since = self.last_read_at if self.lingers_since is None else self.lingers_since
+            return 3 if now - since >= FIRST_BYTE_TIMEOUT else 0
         if self.has_unseen:
             return 0
         if self.calls and not machine.has_partial_request and not self.input:
@@ -373,12 +395,14 @@
         self.limits = limits
         self.connections: dict[ClientConnection, None] = {}
         self.unproven: dict[ClientConnection, None] = {}  # those that have carried no txn or callback yet
+        self.lingering: dict[ClientConnection, None] = {}  # those that read on only to discard
         self.held_body_bytes = 0  # bytes of the bodies of incomplete and open requests
         self.held_head_bytes = 0  # memory of their heads
         self.discard_buffer = memoryview(bytearray(64 * 1024))  # shared by all connections
         self.is_stopping = False
         self._descriptor_freed = asyncio.Event()
         self._is_shut = False  # no further connection is accepted
+        self._full_since = self._last_full_at = 0  # when connections had to wait to be accepted
         self.sock, address = opening(listen)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(address)
@@ -402,6 +426,8 @@
                     await asyncio.sleep(seconds(ACCEPT_RETRY_DELAY))
                 continue
             self.add_connection(sock, address)
+            if len(self.connections) > self.max_connections:
+                self._note_lack_of_room()
             while len(self.connections) > self.max_connections and not self.evict_connection():
                 # Wait for a connection to end instead of repeating an accept that fails.
                 self._descriptor_freed.clear()
@@ -410,6 +436,7 @@
                         await self._descriptor_freed.wait()
                 except TimeoutError:
                     pass  # a new connection may have become evictable
+                self._note_lack_of_room()
 
     def add_connection(self, accepted: socket.socket, address: tuple[str, int]) -> None:
         """Set up an accepted connection; one that cannot be set up is closed."""
@@ -430,11 +457,27 @@
         self.connections[connection] = self.unproven[connection] = None
         self.counters.most("visits_most", len(self.connections))
 
+    def accept_delay(self, now: int) -> int:
+        """Return for how long a connection that is accepted now may have waited for it, in ticks."""
+        if now - self._last_full_at >= FULL_LULL:
+            return 0
+        return min(now - self._full_since, MAX_ACCEPT_DELAY)
+
+    def _note_lack_of_room(self) -> None:
+        now = self.clock.now()
+        if now - self._last_full_at >= FULL_LULL:
+            self._full_since = now
+        self._last_full_at = now
+
     @property
     def max_connections(self) -> int:
-        """The connection limit: bounded by memory and by the descriptors that worker links may use."""
+        """The connection limit: bounded by memory and by the descriptors that worker links may use.
+
+        Lingering connections hold no request: as many again of them fit into the memory.
+        """
         links = self.service.workers.links
-        return min(self.limits.connections, self.descriptor_limit - max(links.max_links, links.count))
+        by_memory = self.limits.connections + min(len(self.lingering), self.limits.connections)
+        return min(by_memory, self.descriptor_limit - max(links.max_links, links.count))
 
     def evict_connection(self) -> bool:
         """Evict one connection and return whether there was one to evict.
@@ -444,6 +487,8 @@
         for new connections that carry a request. Beyond that the accept loop retries. Otherwise hundreds of
         unproven connections would push out the idle connections of all regular peers. Within each group, the
         highest priority goes first; of equal priorities, the connection that has been idle for the longest.
+        Where none can go, the slowest request on an unproven connection is refused: hundreds of slow writers
+        would otherwise keep others waiting in the accept queue.
         """
         now = self.clock.now()
         candidates = [self.unproven]
@@ -454,7 +499,21 @@
             for connection in self.connections
             if connection.lingers_since is not None and connection.eviction_priority(now)
         }
-        return any(self._evict_one_of(group, now) for group in (lingering, *candidates))
+        return any(
+            self._evict_one_of(group, now) for group in (lingering, *candidates)
+        ) or self._shed_slowest(now)
+
+    def _shed_slowest(self, now: int) -> bool:
+        """Refuse the request that has been arriving for longest; return whether there was a slow one."""
+        slow = [
+            connection
+            for connection in self.unproven
+            if connection.arriving_since is not None and now - connection.arriving_since >= FIRST_BYTE_TIMEOUT
+        ]
+        if not slow:
+            return False
+        min(slow, key=lambda connection: connection.arriving_since or 0).shed()
+        return True
 
     def _evict_one_of(self, connections: Iterable[ClientConnection], now: int) -> bool:
         """Evict the connection with the highest eviction priority; return whether one was evictable."""
@@ -520,6 +579,7 @@
         """Remove a connection that has ended."""
         self.connections.pop(connection, None)
         self.unproven.pop(connection, None)
+        self.lingering.pop(connection, None)
         self.held_body_bytes -= connection.held_body_bytes
         self.held_head_bytes -= connection.held_head_bytes
         connection.held_body_bytes = connection.held_head_bytes = 0
--- a/tests/test_clients.py
+++ b/tests/test_clients.py
@@ -13,8 +13,8 @@
 from pathsaddle.net.memory.counters import Counters
 from pathsaddle.net.service import front as front_module
 from pathsaddle.net.service import start as start_module
-from pathsaddle.net.service.clock import Clock
-from pathsaddle.net.service.front import ClientConnection, ClientLimits, Front
+from pathsaddle.net.service.clock import Clock, seconds
+from pathsaddle.net.service.front import REQUEST_TIMEOUT, ClientConnection, ClientLimits, Front
 from pathsaddle.net.service.pump import CountingSocket
 from pathsaddle.net.service.start import Dispatcher
 from pathsaddle.net.service.txn_service import TxnService
@@ -387,6 +387,38 @@
             await self.assert_served()
         self.assertEqual(self.counters["visit_end.unwelcome"], 2)
 
+    async def trickle(self) -> None:
+        """Connect and write a head a byte at a time, until the connection ends."""
+        sock = socket.socket()
+        sock.setblocking(False)
+        try:
+            await self.events.sock_connect(sock, self.front.sock.getsockname())
+            await self.events.sock_sendall(sock, b"POST /render HTTP/1.1\r\nX: ")
+            while True:
+                await self.events.sock_sendall(sock, b"y")
+                await asyncio.sleep(0.03)
+        except OSError:
+            pass
+        finally:
+            sock.close()
+
+    async def test_slow_writers_beyond_the_limit_keep_no_regular_client_waiting_for_their_time_out(
+        self,
+    ) -> None:
+        """Guards against a usual client's wait of 5 s in the accept queue, behind hundreds of slow writers."""
+        slow = [asyncio.create_task(self.trickle()) for _ in range(2 * self.front.max_connections)]
+        await self.until(lambda: len(self.front.connections) >= self.front.max_connections)
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setblocking(False)
+        await self.events.sock_connect(sock, self.front.sock.getsockname())
+        await self.events.sock_sendall(sock, post_request("usual"))
+        async with asyncio.timeout(seconds(REQUEST_TIMEOUT)):
+            while not self.counters["txn.taken"]:
+                await asyncio.sleep(0.002)
+        for task in slow:
+            task.cancel()
+
     async def test_after_a_failed_accept_others_are_accepted_and_no_connection_is_evicted(self) -> None:
         idle_connections, connection = await self.client(READY)
         self.assertIn(b" 200 ", await self.read_answer(idle_connections))
