--- a/pathsaddle/emulator/ground/links.py
+++ b/pathsaddle/emulator/ground/links.py
@@ -228,7 +228,7 @@
 
     def has_peer_closed(self) -> bool:
         side = self.side
-        return side is None or side.fault is not None or side.closed or side.ended
+        return side is None or (not side.inbound and (side.fault is not None or side.closed or side.ended))
 
     def recv(self, most: int, flags: int = 0) -> bytes:
         """What lies here now; like a socket that doesn't block where nothing does."""
--- a/pathsaddle/federation/request_handler.py
+++ b/pathsaddle/federation/request_handler.py
@@ -68,7 +68,7 @@
 
     @property
     def client_has_left(self) -> bool:
-        """Whether its client has closed its connection, also behind bytes that are not read yet."""
+        """Whether its client has closed its connection, which the reader has not seen yet."""
         client = self.entry.client
         return self.answer is not None and client is not None and client.has_peer_closed()
 
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -26,7 +26,7 @@
     """The socket of a client's connection."""
 
     def has_peer_closed(self) -> bool:
-        """Return whether the client has closed its side, as far as the kernel knows."""
+        """Return whether the next to be read is the client's close."""
 
     def has_unread_input(self) -> bool:
         """Return whether there is input that is not read yet, perhaps with a close behind it."""
@@ -92,7 +92,7 @@
 
     @property
     def has_client_left(self) -> bool:
-        """Whether the client has closed its connection, also behind bytes that are not read yet."""
+        """Whether the next to be read of the client's connection is its close."""
         return self.answer is not None and self.client is not None and self.client.has_peer_closed()
 
     @property
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import select
 import socket
 from collections.abc import Callable
 from typing import Any
@@ -54,13 +53,13 @@
         return True
 
     def has_peer_closed(self) -> bool:
-        """Return whether the peer has closed its side or reset the connection, also behind unread bytes."""
-        poller = select.poll()
+        """Return whether the next to be read is the end of the stream or a reset."""
         try:
-            poller.register(self.fileno(), select.POLLRDHUP)
-            return bool(poller.poll(0))
-        except (OSError, ValueError):
-            return self.fileno() < 0
+            return not self.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return False
+        except OSError:
+            return True
 
 
 # Returns a new socket and the parsed address; simulations pass their own.
--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -222,7 +222,7 @@
         self.ledger.close(entry)
 
     def end_if_client_left(self, entry: Entry) -> None:
-        """Abandon a txn whose client has closed its connection behind bytes that are not read yet."""
+        """Abandon a txn whose client has closed its connection, which its reader has not seen yet."""
         if entry.has_client_left:
             self.counters.add("txn.left_unread")
             self.hang_up(entry)
