--- a/pathsaddle/federation/request_handler.py
+++ b/pathsaddle/federation/request_handler.py
@@ -439,7 +439,7 @@
     def _remember_id(self, txn: Txn) -> None:
         """Keep the id of a txn that the decisions here may never have seen."""
         if not self.ledger.has_seen(txn.tag):
-            self.ledger.remember(txn)
+            self.ledger.remember(txn, may_have_run=True)
 
     def _goes_on(self, crossing: Crossing, may_have_run: bool, come_back: int) -> bool:
         """Nothing came of it there: whether another place is found, by the same choice."""
--- a/pathsaddle/net/memory/ledger.py
+++ b/pathsaddle/net/memory/ledger.py
@@ -11,6 +11,7 @@
 from pathsaddle.net.wire.http import Message
 from pathsaddle.scheduler_types import Outcome, Posting, Scheme, Txn
 
+MAX_REFUSED_IDS_BYTES = 128 * 1024
 Answer = Callable[[int, bytes, tuple[str, ...], bool], None]
 
 
@@ -110,7 +111,9 @@
     """The open txns by id, and the ids of closed ones.
 
     Attributes:
-        closed_ids: Those of the closed ones, for as long as a repeat may come.
+        closed_ids: Those of the closed ones that may have run, for as long as a repeat may come.
+        refused_ids: Those of the last ones that never ran: a repeat of them does no harm, so that a flood of
+            them takes no room from the others.
     """
 
     def __init__(self, now: Callable[[], int], id_lifetime: Callable[[Txn], int]) -> None:
@@ -123,7 +126,7 @@
         self._now = now
         self._id_lifetime = id_lifetime
         self._entries: dict[str, Entry] = {}
-        self.closed_ids = ClosedIds()
+        self.closed_ids, self.refused_ids = ClosedIds(), ClosedIds(MAX_REFUSED_IDS_BYTES)
 
     def has_seen(self, tag: str) -> bool:
         """Return whether a txn with this id is open, or was closed and may come again.
@@ -131,7 +134,7 @@
         Clients use a new id for each call. A call with an id that was used before belongs to someone else,
         and workers would take its postings for repeats of the first.
         """
-        return tag in self._entries or tag in self.closed_ids
+        return tag in self._entries or tag in self.closed_ids or tag in self.refused_ids
 
     @property
     def is_full(self) -> bool:
@@ -151,15 +154,18 @@
     def close(self, entry: Entry) -> None:
         """Remove a txn if its final answer is sent and none of its postings is in flight; keep its id."""
         if entry.is_done and self._entries.pop(entry.txn.tag, None) is not None:
+            self.remember(entry.txn, any(posting.may_have_run for posting in entry.txn.postings))
             # They refer back, so that all of it would be in memory until the garbage collector runs.
             entry.exchanges.clear()
             entry.txn.postings.clear()
-            self.remember(entry.txn)
 
-    def remember(self, txn: Txn) -> None:
+    def remember(self, txn: Txn, may_have_run: bool) -> None:
         """Keep the id of a txn that is closed."""
         now = self._now()
-        self.closed_ids.add(txn.tag, now + self._id_lifetime(txn), now)
+        if may_have_run:
+            self.closed_ids.add(txn.tag, now + self._id_lifetime(txn), now)
+        else:
+            self.refused_ids.add(txn.tag, now, now)
 
     def find_exchange(self, tag: str, worker: str) -> Exchange | None:
         """Return the posting in flight that a worker's callback refers to, if there is one."""
