Count sockets that are being closed against the descriptor limit

Cause: an ended connection keeps its descriptor for one event loop iteration. Links opened in one iteration at the limit each hold two, more than the reserve of 12; a link for which no client could be evicted was opened all the same; at shutdown the whole accept queue was accepted.

Change: ClosingSockets counts them; beyond 8 they count as used, and new links and accepts wait for the next iteration. A link without a descriptor waits for one within the connect timeout.

--- a/pathsaddle/net/service/front.py
+++ b/pathsaddle/net/service/front.py
@@ -361,8 +361,7 @@
                 task.cancel()
         self.front.on_connection_ended(self)
         self.machine.release()
-        # After the tasks have released the descriptor; otherwise a new connection could reuse its number.
-        self._events.call_soon(self._close)
+        self.front.closing_sockets.close_soon(self._events, self._close)
         entry, self.entry = self.entry, None
         if entry is not None:
             self.front.service.hang_up(entry)
@@ -389,6 +388,7 @@
         opening: SocketFactory = stream,
     ) -> None:
         self.service = service
+        self.closing_sockets = service.workers.closing_sockets
         self.clock = clock
         self.counters = counters
         self.descriptor_limit = descriptor_limit  # for accepted connections and links to workers together
@@ -413,6 +413,8 @@
         event_loop = asyncio.get_running_loop()
         while not self._is_shut:
             try:
+                while self.closing_sockets.unreserved_count:
+                    await self.closing_sockets.wait_for_descriptor()
                 sock, address = await event_loop.sock_accept(self.sock)
             except Exception as fault:  # noqa: BLE001  # the next accept may succeed
                 code = fault.errno or 0 if isinstance(fault, OSError) else 0
@@ -534,12 +536,17 @@
 
         The first connection to each worker is allowed beyond `links.max_links`. Without this check, those
         connections and the clients' together could exceed the descriptor limit. The descriptor of an evicted
-        connection is returned to the kernel one event loop iteration later; until then the reserve
-        (`SPARE_DESCRIPTORS` in start.py) covers it.
+        connection is returned to the kernel one event loop iteration later: until then, those beyond the
+        reserve (`ClosingSockets`) count as used.
         """
-        if self.service.workers.links.count + len(self.connections) >= self.descriptor_limit:
+        if self.open_count >= self.descriptor_limit:
             self.evict_connection()
-        return self.service.workers.links.count + len(self.connections) < self.descriptor_limit
+        return self.open_count + self.closing_sockets.unreserved_count < self.descriptor_limit
+
+    @property
+    def open_count(self) -> int:
+        """How many accepted connections and links to workers are open."""
+        return self.service.workers.links.count + len(self.connections)
 
     def mark_proven(self, connection: ClientConnection) -> None:
         """Mark a connection as one of a regular peer."""
@@ -601,12 +608,20 @@
             await asyncio.sleep(0)
         self._accepting.cancel()
         try:
-            while is_kernel_socket:
+            while is_kernel_socket and await self._wait_for_descriptor():
                 self.add_connection(*self.sock.accept())
         except OSError:
             pass  # the queue is empty, or no descriptor is left
         self.sock.close()
 
+    async def _wait_for_descriptor(self) -> bool:
+        """Return whether an accepted connection can have a descriptor once those being closed are free."""
+        while not self.ensure_free_descriptor():
+            if not self.closing_sockets.count:
+                return False
+            await self.closing_sockets.wait_for_descriptor()
+        return True
+
     def is_in_use(self) -> bool:
         """Return whether an open connection may still carry a client's next or first txn."""
         now = self.clock.now()
--- a/pathsaddle/net/service/pump.py
+++ b/pathsaddle/net/service/pump.py
@@ -10,6 +10,10 @@
 from pathsaddle.net.service.clock import seconds
 from pathsaddle.net.wire.ring import Ring
 from pathsaddle.net.wire.terms import Peer, parse_peer
+from pathsaddle.scheduler_types import MILLISECOND
+
+CLOSING_DESCRIPTORS = 8  # kept free for sockets that are being closed
+DESCRIPTOR_RETRY_DELAY = 5 * MILLISECOND  # between checks for a free descriptor
 
 
 class CountingSocket(socket.socket):
@@ -62,6 +66,35 @@
             return True
 
 
+class ClosingSockets:
+    """The sockets whose connections have ended and that still hold their descriptors.
+
+    A socket is closed one event loop iteration after its connection has ended, when its reading task has
+    released the descriptor; otherwise a new connection could reuse its number.
+    """
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def close_soon(self, event_loop: asyncio.AbstractEventLoop, close: Callable[[], object]) -> None:
+        """Call `close` in the next event loop iteration."""
+        self.count += 1
+        event_loop.call_soon(self._close, close)
+
+    def _close(self, close: Callable[[], object]) -> None:
+        self.count -= 1
+        close()
+
+    @property
+    def unreserved_count(self) -> int:
+        """How many there are beyond the descriptors that are kept free for them."""
+        return max(0, self.count - CLOSING_DESCRIPTORS)
+
+    async def wait_for_descriptor(self) -> None:
+        """Wait until one of them is closed; without any, until a connection may have ended."""
+        await asyncio.sleep(0 if self.count else seconds(DESCRIPTOR_RETRY_DELAY))
+
+
 # Returns a new socket and the parsed address; simulations pass their own.
 SocketFactory = Callable[[str], tuple[CountingSocket, Peer]]
 
--- a/pathsaddle/net/service/start.py
+++ b/pathsaddle/net/service/start.py
@@ -20,7 +20,7 @@
 from pathsaddle.net.wire.birth import WHERE, StartConfig, birth
 from pathsaddle.scheduler_types import MILLISECOND, SECOND, ListUpdate
 
-SPARE_DESCRIPTORS = 12  # for the listener, discovery's watch and connections that are being closed
+SPARE_DESCRIPTORS = 12  # for the listener, an accept, the discovery watch, and sockets that are being closed
 CONNECTION_MB = 0.02  # memory of one connection, its tasks included
 # Granted however little room there is.
 MIN_CONNECTIONS, MIN_BODY_MB, MIN_HEAD_MB, MIN_CLOSED_IDS_MB = 16, 1.0, 0.5, 0.25
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -12,7 +12,14 @@
 from pathsaddle.net.memory.links import Links
 from pathsaddle.net.service import logbook
 from pathsaddle.net.service.clock import Clock, seconds
-from pathsaddle.net.service.pump import CountingSocket, SocketFactory, drain, outgoing, stream
+from pathsaddle.net.service.pump import (
+    ClosingSockets,
+    CountingSocket,
+    SocketFactory,
+    drain,
+    outgoing,
+    stream,
+)
 from pathsaddle.net.wire.http import ClientProtocol, HttpError, Message
 from pathsaddle.net.wire.ring import Ring
 from pathsaddle.net.wire.terms import ConnectionTimeouts
@@ -55,11 +62,13 @@
         sock: CountingSocket,
         peer: str,
         counters: Counters,
+        closing_sockets: ClosingSockets,
         on_broken: Callable[[], None] = lambda: None,
     ) -> None:
         self.sock = sock
         self.peer = peer
         self.counters = counters
+        self.closing_sockets = closing_sockets
         self.on_broken = on_broken
         self.machine = ClientProtocol()
         self.input, self.output = Ring(), Ring()
@@ -196,8 +205,7 @@
             self._answer.set_exception(ConnectionLostError(code))
             self._answer.exception()  # marks it as retrieved: a failed write raises its own error instead
         self._reader.cancel()
-        # After the reader has released the descriptor; otherwise a new connection could reuse its number.
-        self._event_loop.call_soon(self._close)
+        self.closing_sockets.close_soon(self._event_loop, self._close)
 
     def _close(self) -> None:
         self.sock.close()
@@ -223,8 +231,9 @@
         self.on_connection_broken: Callable[[str], None] = lambda worker: None
         idle_margin = max(500, reach.idle_timeout // 10)
         self.links: Links[Link] = Links(sockets, max(0, reach.idle_timeout - idle_margin), REST_AFTER_ANSWER)
-        # Called before each new connection, to free a descriptor for it.
-        self.free_descriptor: Callable[[], object] = lambda: None
+        self.closing_sockets = ClosingSockets()
+        # Called before each new connection, to free a descriptor for it; returns whether there is one.
+        self.free_descriptor: Callable[[], bool] = lambda: True
         self.addresses: dict[str, str] = {}
 
     def set_address(self, worker: str, address: str) -> None:
@@ -292,8 +301,10 @@
                     if link is not None:
                         return link
                     if self.links.try_make_room(pool):
-                        break
-                    if not self.links.close_cooling(pool):
+                        if self.free_descriptor():
+                            break
+                        await self.closing_sockets.wait_for_descriptor()
+                    elif not self.links.close_cooling(pool):
                         await self.links.wait_for_link(pool)
                 return await self._open_link(worker)
         except TimeoutError:
@@ -305,7 +316,6 @@
 
     async def _open_link(self, worker: str) -> Link:
         pool = self.links.pool(worker)
-        self.free_descriptor()
         pool.used_count += 1
         address = self.addresses[worker]
         sock = None
@@ -314,8 +324,14 @@
             await asyncio.get_running_loop().sock_connect(sock, peer)
         except BaseException:
             if sock is not None:
-                asyncio.get_running_loop().call_soon(sock.close)
+                self.closing_sockets.close_soon(asyncio.get_running_loop(), sock.close)
             self.links.release_slot(pool)
             raise
         self.counters.add("connect.made")
-        return Link(sock, f"{worker}@{address}", self.counters, lambda: self.on_connection_broken(worker))
+        return Link(
+            sock,
+            f"{worker}@{address}",
+            self.counters,
+            self.closing_sockets,
+            lambda: self.on_connection_broken(worker),
+        )
