Count postings that are unaccepted at once as one pause of their scheme

Cause: a scheme's pause at a worker that has not accepted a posting doubles for each in a row (2 to 16 s). Each posting counted, so that one stall of a moment, with all that the worker held, made a pause of 16 s. Evidence: the scheduler's state at the decline (pause number 12, all counted at one moment; no suspicion, no ejection, 9.7 free slots).

Change: a posting that was sent before the last pause began does not lengthen it (pause_after, SchemePause).

Not mended: a stall of 0.2 s still pauses the only worker for 2 s (ten jobs declined at 2.0 s).

--- a/pathsaddle/acceptance.py
+++ b/pathsaddle/acceptance.py
@@ -5,12 +5,35 @@
 from collections import deque
 
 from pathsaddle.scheduler_types import MILLISECOND, SECOND, Posting
-from pathsaddle.worker_state import FOREVER
+from pathsaddle.worker_state import FOREVER, SchemePause
 
 MIN_ACCEPT_TIMEOUT = 150 * MILLISECOND
 MAX_ACCEPT_TIMEOUT = SECOND
 DELAY_MULTIPLE = 3  # of the longest delay seen
 SAMPLE_COUNT = 32
+MIN_PAUSE = (
+    2 * SECOND
+)  # of a scheme at a worker that did not accept a posting; each in a row is twice as long
+MAX_PAUSE_DOUBLINGS = 3
+
+
+def pause_after(posting: Posting, previous: SchemePause | None, now: int) -> SchemePause:
+    """Return the pause of a scheme at a worker that has not accepted this posting in time.
+
+    Postings that were sent before a pause began do not lengthen it: all that a stalled worker holds are
+    unaccepted at once, for one reason.
+
+    Args:
+        posting: The posting that was not accepted.
+        previous: The scheme's last pause there; None if the worker has accepted a posting since.
+        now: The current time, in ticks.
+    """
+    if previous is None:
+        return SchemePause(now, now + MIN_PAUSE, 1)
+    if posting.sent_at <= previous.began_at:
+        return previous
+    doublings = min(previous.number, MAX_PAUSE_DOUBLINGS)
+    return SchemePause(now, now + (MIN_PAUSE << doublings), previous.number + 1)
 
 
 class AcceptanceDelays:
--- a/pathsaddle/scheduler.py
+++ b/pathsaddle/scheduler.py
@@ -25,7 +25,7 @@
 from random import Random
 from typing import Any
 
-from pathsaddle.acceptance import AcceptanceDelays
+from pathsaddle.acceptance import AcceptanceDelays, pause_after
 from pathsaddle.worker_state import FOREVER, CustomerUsage, WorkerState, WorkType, ZoneBaseline
 
 from pathsaddle.scheduler_types import (  # isort: skip
@@ -620,7 +620,7 @@
         return (
             (machine is None or worker.machine == machine)
             and (not txn.postings or self.can_post_to(txn, worker))
-            and (not state.scheme_pauses or self.now >= state.scheme_pauses.get(txn.scheme, (0, 0))[0])
+            and (not state.scheme_pauses or not state.is_paused(txn.scheme, self.now))
             # A suspect gets only txns that may run again at any worker. If no scheme allows that, it gets
             # referenced txns, and if there are no referenced schemes either, any txn. In these two cases it
             # has to answer a probe first (where probes carry reports). Without any txns it would stay a
@@ -1030,11 +1030,8 @@
         self.update_suspicion(state)
         is_unaccepted = self.now >= self.acceptance_delays.deadline(posting)
         if is_unaccepted and not posting.is_cancelled:
-            _, pause_count = state.scheme_pauses.get(txn.scheme, (0, 0))
-            state.scheme_pauses[txn.scheme] = (
-                self.now + (2 * SECOND << min(pause_count, 3)),
-                pause_count + 1,
-            )
+            previous = state.scheme_pauses.get(txn.scheme)
+            state.scheme_pauses[txn.scheme] = pause_after(posting, previous, self.now)
         return (
             (state.is_suspect or is_unaccepted)
             and (self.allows_hedging or self.can_cancel)
--- a/pathsaddle/worker_state.py
+++ b/pathsaddle/worker_state.py
@@ -8,6 +8,7 @@
 
 from bisect import bisect_left
 from collections import deque
+from dataclasses import dataclass
 
 from pathsaddle.scheduler_types import SECOND, LoadReport, Posting, Scheme, Worker
 
@@ -15,6 +16,15 @@
 FOREVER = 1 << 60
 
 
+@dataclass(frozen=True, slots=True)
+class SchemePause:
+    """A time in which a worker gets no posting of a scheme, since it did not accept one in time."""
+
+    began_at: int
+    ends_at: int
+    number: int  # how many pauses in a row, this one included
+
+
 class WorkerState:
     """What this dispatcher has observed of one worker through its own traffic."""
 
@@ -56,8 +66,8 @@
         # The worker was silent for too long, and when that was noticed. Until it shows a sign of life, it
         # gets one posting at a time.
         self.is_suspect, self.suspected_at = False, 0
-        # Schemes whose postings this worker did not accept in time: (no posting before, pauses in a row).
-        self.scheme_pauses: dict[Scheme, tuple[int, int]] = {}
+        # The last pause of each scheme whose postings this worker did not accept in time.
+        self.scheme_pauses: dict[Scheme, SchemePause] = {}
         self.last_reached_at = 0  # latest send time of a posting that has started
         self.trial_posting: Posting | None = None  # the last posting sent while it was suspect
         self.lost_trials = 0  # trial postings in a row that ended without an answer
@@ -76,6 +86,11 @@
         # A binary search: linear scans for ten assumed report ages took a third of the CPU time.
         return self.in_flight_history[max(0, bisect_left(self.in_flight_history, (moment + 1,)) - 1)][1]
 
+    def is_paused(self, scheme: Scheme, now: int) -> bool:
+        """Return whether the worker gets no posting of the scheme now."""
+        pause = self.scheme_pauses.get(scheme)
+        return pause is not None and now < pause.ends_at
+
     def record_in_flight(self, now: int) -> None:
         """Append the current number of own postings in flight to the history."""
         self.in_flight_history.append((now, len(self.in_flight)))
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -274,6 +274,39 @@
             host.ask(tag, 1)
         self.assertIn(unaccepted.worker, [p.worker for p in host.posted if p.txn.scheme.index == 1])
 
+    def test_postings_that_are_unaccepted_at_once_pause_their_scheme_once(self) -> None:
+        """Guards against jobs declined for 16 s after a stall of 0.2 s: each posting it held doubled the pause."""
+        host = FakeHost(scheme(sla_time=5 * SECOND), workers=1)
+        host.ask("sound")
+        host.take(host.posted[0])
+        host.end(host.posted[0])
+        for tag in "ab":
+            host.ask(tag, lasts=SECOND)
+        stalled = host.posted[1:]
+        self.assertEqual(len(stalled), 2)
+        host.passes(SECOND // 4)
+        for posting in stalled:
+            host.end(posting, Outcome.CANCELLED)
+        host.ask("later")
+        self.assertEqual(len(host.posted), 3)
+        host.passes(2 * SECOND)
+        self.assertEqual([posting.txn.tag for posting in host.posted[3:]], ["later"])
+
+    def test_a_posting_that_is_unaccepted_after_a_pause_makes_the_next_one_longer(self) -> None:
+        host = FakeHost(scheme(sla_time=20 * SECOND, expiry=30 * SECOND), workers=1)
+        host.ask("sound")
+        host.take(host.posted[0])
+        host.end(host.posted[0])
+        host.ask("left")
+        for seconds in (2, 4):
+            host.passes(SECOND // 4)
+            host.end(host.posted[-1], Outcome.CANCELLED)
+            count = len(host.posted)
+            host.passes(seconds * SECOND - SECOND // 2)
+            self.assertEqual(len(host.posted), count)
+            host.passes(SECOND // 2)
+            self.assertEqual(len(host.posted), count + 1)
+
     def test_the_answer_to_a_withdrawal_shows_how_long_an_acceptance_may_take(self) -> None:
         """Guards against giving up each posting on a slow way: its acceptance was never read, nor learnt from."""
         host = FakeHost(scheme(sla_time=6 * SECOND), allows_hedging=False)
