--- a/pathsaddle/jobs/completion.py
+++ b/pathsaddle/jobs/completion.py
@@ -7,17 +7,23 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 from pathsaddle.jobs.active_job import ActiveJob, FinalAnswer
 from pathsaddle.jobs.errors import STORE_IO_ERRORS, StoreFencedError
 from pathsaddle.jobs.job_context import JobContext
-from pathsaddle.jobs.job_host import Notify, notify_nobody
 from pathsaddle.jobs.state_machine import JobEnded, JobOutcome
 from pathsaddle.jobs.store_commits import RETRY_INTERVAL
 from pathsaddle.jobs.store_writer import resolve
-from pathsaddle.net.memory.ledger import Entry
 from pathsaddle.net.service.clock import seconds
 
+Notify = Callable[[bool], None]  # told whether the end is on disk; at once where that is not known in time
+HTTP_RESULT_UNKNOWN = 500
+
+
+def notify_nobody(_is_recorded: bool) -> None:
+    """Do nothing: nobody waits on a connection for this job."""
+
 
 class JobCompletion:
     """Ends jobs.
@@ -36,15 +42,18 @@
         self.last_commit: asyncio.Future[None] | None = None
 
     def end_job(
-        self, job: ActiveJob, answer: FinalAnswer, notify: Notify = notify_nobody
+        self, job: ActiveJob, answer: FinalAnswer, headers: tuple[str, ...] = (), keep: bool = True
     ) -> asyncio.Future[None] | None:
-        """Give a job its final answer, unless it has one.
+        """Give a job its final answer, unless it has one, and answer the client that waits for it.
+
+        The client is answered when the end is on disk; with 500 where that is not known by the job's expiry
+        or can no more be had, as nobody will ever know what became of it here.
 
         Args:
             job: The job.
             answer: How it ends.
-            notify: Called once: with True when the end is on disk, with False where that is not known by the
-                job's expiry or can no more be had.
+            headers: Of the answer on the client's connection.
+            keep: Whether the connection stays open.
 
         Returns:
             The future that is done once the end is on disk; None where the job had ended before.
@@ -58,35 +67,31 @@
         end_commit = job.end_commit = self.last_commit = self._host.event_loop.create_future()
         self._run_queue.release_slot(job)
         self._host.counters.add(f"jobs.{answer.outcome.value}")
+        notify = self._take_client(job, answer, headers, keep)
         self._host.start_task(self._record_end(job, ended, end_commit, notify))
         self._run_queue.schedule_admission()
         return end_commit
 
-    def answer_request(
-        self, job: ActiveJob, entry: Entry, answer: FinalAnswer, headers: tuple[str, ...], keep: bool
-    ) -> None:
-        """End the job of a request that the decisions have answered, and then tell the client that waits.
-
-        Args:
-            job: The job.
-            entry: Its request.
-            answer: How it ends.
-            headers: Of the answer on the client's connection.
-            keep: Whether the connection stays open.
-        """
+    def _take_client(
+        self, job: ActiveJob, answer: FinalAnswer, headers: tuple[str, ...], keep: bool
+    ) -> Notify:
+        """Close the job's request; return what answers the client that waits on its connection."""
+        entry = job.entry
+        if entry is None:
+            return notify_nobody
+        self._host.event_loop.call_soon(self._host.ledger.close, entry)
         send, entry.answer = entry.answer, None
+        if send is None:
+            return notify_nobody
 
         def notify(is_recorded: bool) -> None:
-            """Answer the client that waits, if there is one."""
-            if send is None:
-                return
+            """Answer the client that waits."""
             if is_recorded:
                 send(answer.status, answer.body, headers, keep)
-            else:  # nothing can be promised of it: nobody will ever know what became of it here
-                send(500, b"", (), keep)
+            else:
+                send(HTTP_RESULT_UNKNOWN, b"", (), keep)
 
-        self.end_job(job, answer, notify)
-        self._host.event_loop.call_soon(self._host.ledger.close, entry)
+        return notify
 
     def succeed(self, job: ActiveJob, result: bytes) -> None:
         """End a job with a worker's result, also where its lease was given up."""
--- a/pathsaddle/jobs/job_host.py
+++ b/pathsaddle/jobs/job_host.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Protocol
 
 from pathsaddle.jobs.active_job import ActiveJob, FinalAnswer
@@ -18,12 +18,6 @@
 from pathsaddle.net.wire.forms import MessageDecoder
 from pathsaddle.scheduler_types import Outcome, Posting, Txn, Worker
 
-Notify = Callable[[bool], None]  # told whether the end is on disk; at once where that is not known in time
-
-
-def notify_nobody(_is_recorded: bool) -> None:
-    """Do nothing: nobody waits on a connection for this job."""
-
 
 class JobHost(Protocol):
     """The request service, as its parts see it.
@@ -80,6 +74,6 @@
         """Answer a request with a worker's result."""
 
     def end_job(
-        self, job: ActiveJob, answer: FinalAnswer, notify: Notify = notify_nobody
+        self, job: ActiveJob, answer: FinalAnswer, headers: tuple[str, ...] = (), keep: bool = True
     ) -> asyncio.Future[None] | None:
         """Give a job its one final answer (`JobCompletion.end_job`)."""
--- a/pathsaddle/jobs/job_service.py
+++ b/pathsaddle/jobs/job_service.py
@@ -23,7 +23,6 @@
 from pathsaddle.jobs.cancellation import JobCancellation
 from pathsaddle.jobs.completion import JobCompletion
 from pathsaddle.jobs.job_context import JobContext
-from pathsaddle.jobs.job_host import Notify, notify_nobody
 from pathsaddle.jobs.leases import JobLeases
 from pathsaddle.jobs.polling import JobPolling
 from pathsaddle.jobs.recovery import JobRecovery
@@ -247,7 +246,8 @@
             return
         self.counters.add(f"txn.{kind}")
         answer = FinalAnswer(JobOutcome(kind), status, body)
-        self._completion.answer_request(job, self.ledger[txn.tag], answer, headers, keep)
+        self.end_job(job, answer, headers, keep)
+        self._events.call_soon(self.ledger.close, self.ledger[txn.tag])
 
     # What the parts need of the request service (`JobHost`).
 
@@ -298,7 +298,7 @@
         self._answer(entry.txn, "settled", 200, result)
 
     def end_job(
-        self, job: ActiveJob, answer: FinalAnswer, notify: Notify = notify_nobody
+        self, job: ActiveJob, answer: FinalAnswer, headers: tuple[str, ...] = (), keep: bool = True
     ) -> asyncio.Future[None] | None:
         """Give a job its one final answer (`JobCompletion.end_job`)."""
-        return self._completion.end_job(job, answer, notify)
+        return self._completion.end_job(job, answer, headers, keep)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -772,6 +772,46 @@
         self.assertEqual(self.call_back(job_id), 204)
         self.assertEqual(self.status(job_id)["state"], "cancelled")
 
+    def take_waiting_call(self) -> list[int]:
+        """Make a call whose client waits on its connection; return the statuses that it is answered."""
+        statuses: list[int] = []
+        head = {b"Req-Owner": b"acme", b"Req-Id": b"call", b"Req-Deadline-Ms": b"4000"}
+        lines = list(head.items())
+        message = Message(
+            b"POST", b"/charge", headers={n.lower(): v for n, v in lines}, raw_headers=lines, body=b"b"
+        )
+
+        async def take() -> None:
+            self.service.take(message, lambda status, *_: statuses.append(status))
+
+        self.run_work(take())
+        self.advance(0.3)
+        return statuses
+
+    def test_the_client_of_a_call_whose_job_is_cancelled_is_answered(self) -> None:
+        """Guards against a client that waits for ever: only polls were told of the end of a cancelled job."""
+        for workers in (1, 0):
+            with self.subTest(workers=workers):
+                self.path = self.path.with_name(f"jobs-{workers}.db")
+                self.start(workers=workers)
+                self.begin()
+                statuses = self.take_waiting_call()
+                self.assertEqual(self.call(b"DELETE", b"/jobs/call")[1]["state"], "cancelled")
+                self.assertEqual(statuses, [410])
+                self.advance(5.0)
+                self.assertEqual(statuses, [410], "one final answer")
+
+    def test_a_cancelled_job_leaves_no_request_in_memory(self) -> None:
+        """Guards against a growth of memory: a job that was cancelled before any attempt stayed in the ledger."""
+        self.start(workers=0)
+        self.begin()
+        job_id = self.submit()[1]["id"]
+        self.advance(0.2)
+        self.assertIn(job_id, self.service.ledger)
+        self.call(b"DELETE", f"/jobs/{job_id}".encode())
+        self.advance(0.2)
+        self.assertNotIn(job_id, self.service.ledger)
+
     def test_expiry_while_the_dispatcher_is_down(self) -> None:
         job_id = self.start_with_running_job()
         self.crash()
