--- a/pathsaddle/jobs/worker_client.py
+++ b/pathsaddle/jobs/worker_client.py
@@ -45,7 +45,7 @@
         target = b"/jobs/%s?fence=%d" % (job_id.encode(), lease.number)
         try:
             async with asyncio.timeout(seconds(self._workers.connect_timeout)):
-                answer = await self._workers.call(lease.worker, "GET", target, [])
+                answer = await self._workers.call(lease.worker, "GET", target, [], is_query=True)
         except (RequestNotSentError, ConnectionLostError, TimeoutError):
             return UNKNOWN
         try:
--- a/pathsaddle/net/memory/links.py
+++ b/pathsaddle/net/memory/links.py
@@ -106,23 +106,35 @@
         """Return each worker's equal share of the limit: one silent worker must leave links to the others."""
         return max(2, self.max_links // max(1, len(self.pools)))
 
-    def acquire(self, pool: WorkerPool[L], now: int) -> L | None:
+    def acquire(self, pool: WorkerPool[L], now: int, for_query: bool = False) -> L | None:
         """Return an idle link that is safe for the next call, or None if there is none.
 
         The worker will not close it before the call's bytes arrive, and a late answer to an earlier call can
         no longer arrive on it.
+
+        Args:
+            pool: The worker's pool.
+            now: The current time, in ticks.
+            for_query: Whether a late answer to a probe would be taken for the call's own, too.
         """
         cooling, ready = pool.cooling, pool.ready
         while cooling and (now - cooling[0].idle_since >= self.cooldown or cooling[0].has_ended):
             ready.append(cooling.popleft())
-        while ready:
+        used_lately: list[L] = []
+        found = None
+        while ready and found is None:
             link = ready.pop()
+            if for_query and not link.has_ended and now - link.idle_since < self.cooldown:
+                used_lately.append(link)
+                continue
             self.count -= 1
             if link.is_usable and now - link.idle_since < self.idle_timeout:
                 pool.used_count += 1
-                return link
-            link.end("idle" if now - link.idle_since >= self.idle_timeout else "worker-stirred")
-        return None
+                found = link
+            else:
+                link.end("idle" if now - link.idle_since >= self.idle_timeout else "worker-stirred")
+        ready.extend(reversed(used_lately))
+        return found
 
     def close_cooling(self, pool: WorkerPool[L]) -> bool:
         """Close the pool's oldest idle link to make room for a new one; return False if none is idle.
--- a/pathsaddle/net/service/workers.py
+++ b/pathsaddle/net/service/workers.py
@@ -77,6 +77,7 @@
         self.has_ended = False
         self.needs_cooldown = False
         self._method = ""  # of the current request, or of the last one
+        self._is_probe = False  # that request is a probe
         self._previous_was_probe = False  # the request before it was a probe
         self._has_stray_answer = False  # an answer arrived that was not for the current request
         self._read_bytes = 0  # how many of the bytes in `sock.received_bytes` the reading task has seen
@@ -95,11 +96,12 @@
         """Whether the link is sound and the kernel holds no unread input for it."""
         return self.is_sound and not self.sock.has_unread_input()
 
-    async def write(self, method: str, data: bytes, sending: RequestTransmission) -> None:
+    async def write(self, method: str, is_query: bool, data: bytes, sending: RequestTransmission) -> None:
         """Write one request.
 
         Args:
             method: The HTTP method.
+            is_query: Whether it is a GET that is no probe.
             data: The whole request.
             sending: Tracks whether the last byte is written.
 
@@ -107,10 +109,11 @@
             OSError: The connection broke while the request was written.
         """
         self.calls += 1
-        self._previous_was_probe, self._method = self._method == "GET", method
+        self._previous_was_probe, self._method = self._is_probe, method
         # The answer to a probe cannot be mistaken for the answer to a posting: no rest is needed after a
-        # probe.
-        self.needs_cooldown = method != "GET"
+        # probe. Queries are sent only on links that have rested all the same (`Links.acquire`).
+        self._is_probe = method == "GET" and not is_query
+        self.needs_cooldown = not self._is_probe
         self._answer = self._event_loop.create_future()
         self._sending, sending.end_offset = sending, self.sock.sent_bytes + len(data)
         self.output.put(data)
@@ -251,6 +254,7 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
         begins: Callable[[Sending], None] = lambda sending: None,
+        is_query: bool = False,
     ) -> Message:
         """Send one request to a worker and return its answer.
 
@@ -262,19 +266,21 @@
             body: The request body.
             begins: Called right before the first byte is written. An exception that it raises stops the
                 request. Its argument tells later whether the last byte is written.
+            is_query: Whether it is a GET whose answer must be its own, unlike a probe's: HTTP answers do not
+                name their request, and a worker may answer one twice.
 
         Raises:
             RequestNotSentError: The request has not run.
             ConnectionLostError: The request may have run.
         """
         pool = self.links.pool(worker)
-        link = await self._acquire_link(worker)
+        link = await self._acquire_link(worker, is_query)
         try:
             sending = RequestTransmission(link.sock)
             begins(sending)
             try:
                 call = link.machine.send_request(method, target, self.addresses[worker], headers, body)
-                await link.write(method, call, sending)
+                await link.write(method, is_query, call, sending)
             except OSError as fault:
                 link.end("worker-unwritten")
                 if sending.is_complete:
@@ -289,15 +295,15 @@
                 link.end("given-up")
             self.links.put_back(pool, link, self.clock.now())
 
-    async def _acquire_link(self, worker: str) -> Link:
+    async def _acquire_link(self, worker: str, is_query: bool) -> Link:
         pool = self.links.pool(worker)
-        link = self.links.acquire(pool, self.clock.now())
+        link = self.links.acquire(pool, self.clock.now(), is_query)
         if link is not None:
             return link  # the common case: without the timer, which costs more than the rest of the method
         try:
             async with asyncio.timeout(seconds(self.connect_timeout)):
                 while True:
-                    link = self.links.acquire(pool, self.clock.now())
+                    link = self.links.acquire(pool, self.clock.now(), is_query)
                     if link is not None:
                         return link
                     if self.links.try_make_room(pool):
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -275,6 +275,7 @@
         headers: list[tuple[bytes, bytes]],
         body: bytes = b"",
         begins: Any = lambda sending: None,
+        is_query: bool = False,
     ) -> Message:
         if method == "GET" and target.startswith(b"/jobs/"):
             self.queries.append((worker, target.decode()))
