--- a/pathsaddle/net/service/txn_service.py
+++ b/pathsaddle/net/service/txn_service.py
@@ -37,6 +37,7 @@
 FAULT_RETRY_DELAY = 10 * MILLISECOND  # an immediate retry could spin on the same fault
 READ_AHEAD_TIME = 50 * MILLISECOND  # for which a posting waits for input behind its request to be read
 MAX_READ_AHEAD_TURNS = 1000  # of the event loop, where its clock stands still
+WITHDRAWAL_RETRY_DELAY = 200 * MILLISECOND
 CLOSE_PROPAGATION_DELAY = 50 * MILLISECOND  # how long the end of a connection takes to reach a worker
 
 
@@ -412,7 +413,26 @@
         elif exchange.is_accepted or not self.two_at_once:
             self._start(self._withdraw(exchange, outcome))
         else:
-            self._events.call_soon(self._end, exchange, outcome)
+            self._end_unconfirmed(exchange, outcome)
+
+    def _end_unconfirmed(self, exchange: Exchange, outcome: Outcome) -> None:
+        """End a posting, and keep its worker from another of the same txn until the withdrawal is answered.
+
+        A 202 may be on its way: the worker runs the posting then, whether or not the connection is closed.
+        """
+        exchange.posting.may_still_run = True
+        self._start(self._confirm_withdrawal(exchange))
+        self._events.call_soon(self._end, exchange, outcome)
+
+    async def _confirm_withdrawal(self, exchange: Exchange) -> None:
+        """Send the withdrawal of a posting until it is answered, as long as its txn may be posted again."""
+        while not exchange.posting.txn.is_closed:
+            started_at = self.clock.now()
+            if await self._send_withdrawal(exchange) is Withdrawal.ANSWERED:
+                self._at()
+                self.loop.on_withdrawal_answered(exchange.posting, self.clock.now() - started_at)
+                return
+            await asyncio.sleep(seconds(WITHDRAWAL_RETRY_DELAY))
 
     async def _withdraw(self, exchange: Exchange, outcome: Outcome) -> None:
         """Withdraw a posting by a request; without hedging an accepted one ends only once that has arrived.
@@ -429,8 +449,10 @@
                 self.loop.on_withdrawal_answered(exchange.posting, duration)
             # The next posting may reach its worker sooner than the end of the connection reaches this one.
             await asyncio.sleep(seconds(max(0, CLOSE_PROPAGATION_DELAY - duration)))
-        if result is not Withdrawal.FAILED or self.two_at_once or not exchange.is_accepted:
+        if result is not Withdrawal.FAILED:
             self._end(exchange, outcome)
+        elif self.two_at_once or not exchange.is_accepted:
+            self._end_unconfirmed(exchange, outcome)
 
     async def _send_withdrawal(self, exchange: Exchange) -> Withdrawal:
         """Send the withdrawal of a posting."""
--- a/pathsaddle/scheduler.py
+++ b/pathsaddle/scheduler.py
@@ -356,7 +356,7 @@
         `can_post_again` holds the checks that are the same for all workers, so that they run once.
         """
         return not any(
-            (p.is_in_flight and p.worker is worker)
+            (p.worker is worker and (p.is_in_flight or p.may_still_run))
             or (p.may_have_run and not self.shares_dedup_group(txn.scheme, p.worker, worker))
             for p in txn.postings
         )
@@ -1351,7 +1351,12 @@
         self.workers[posting.worker].scheme_pauses.pop(posting.txn.scheme, None)
 
     def on_withdrawal_answered(self, posting: Posting, delay: int) -> None:
-        """Learn from the withdrawal of an unaccepted posting how long an acceptance may take now."""
+        """Record that a posting no longer runs.
+
+        Where it was not accepted, this shows how long an acceptance may take now.
+        """
+        posting.may_still_run = False
+        self.has_events = True
         if posting.accepted_at is None:
             self.acceptance_delays.record_withdrawal(delay)
 
--- a/pathsaddle/scheduler_driver.py
+++ b/pathsaddle/scheduler_driver.py
@@ -109,7 +109,7 @@
         return self.now < self.scheduler.postable_until(posting.txn)
 
     def on_withdrawal_answered(self, posting: Posting, delay_ticks: int) -> None:
-        """Record how long a worker took to answer the withdrawal of a posting that it had not accepted."""
+        """Record that a worker has answered the withdrawal of a posting, and how long that took."""
         self.scheduler.on_withdrawal_answered(posting, delay_ticks)
 
     def on_posting_accepted(self, posting: Posting) -> None:
--- a/pathsaddle/scheduler_types.py
+++ b/pathsaddle/scheduler_types.py
@@ -214,6 +214,7 @@
     progress: float = 0.0
     work: int = 0
     is_cancelled: bool = False
+    may_still_run: bool = False  # it has ended here, but its worker has not confirmed that it is withdrawn
     worker_started_at: int | None = None  # the worker's listed start when the posting was decided
 
     @property
