Withdraw an attempt whose lease has lapsed before the next one

Cause: JobLeases._act_on_lapse ended the attempt at the dispatcher alone.

Change: the attempt is given up like any other: it ends once its DELETE has arrived; where none does, no other follows while two at once are forbidden.

--- a/pathsaddle/jobs/job_host.py
+++ b/pathsaddle/jobs/job_host.py
@@ -70,6 +70,9 @@
     def end_attempt(self, exchange: Exchange, outcome: Outcome, result: bytes = b"") -> None:
         """Give an attempt its one outcome; a successful one answers its request."""
 
+    def give_up_attempt(self, exchange: Exchange, outcome: Outcome) -> None:
+        """Withdraw an attempt from its worker, and give it its outcome after that."""
+
     def answer_success(self, entry: Entry, result: bytes) -> None:
         """Answer a request with a worker's result."""
 
--- a/pathsaddle/jobs/job_service.py
+++ b/pathsaddle/jobs/job_service.py
@@ -293,6 +293,10 @@
         """Give an attempt its one outcome; a successful one answers its request."""
         self._end(exchange, outcome, result=result)
 
+    def give_up_attempt(self, exchange: Exchange, outcome: Outcome) -> None:
+        """Withdraw an attempt from its worker, and give it its outcome after that."""
+        self._give_up(exchange, outcome)
+
     def answer_success(self, entry: Entry, result: bytes) -> None:
         """Answer a request with a worker's result."""
         self._answer(entry.txn, "settled", 200, result)
--- a/pathsaddle/jobs/leases.py
+++ b/pathsaddle/jobs/leases.py
@@ -112,7 +112,7 @@
                 self.clear(machine, lease)
                 self._host.end_attempt(exchange, Outcome.MOOT)
             case LeaseDecision.DOUBT:
-                self._host.end_attempt(exchange, Outcome.TIMED_OUT)
+                self._host.give_up_attempt(exchange, Outcome.TIMED_OUT)
             case LeaseDecision.RESUME:
                 self._host.note_progress(exchange.posting)
             case LeaseDecision.ASK_AGAIN:
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -260,6 +260,8 @@
         self.attempts: list[tuple[str, str, int]] = []  # worker, job, lease
         self.reports: dict[str, dict[str, Any] | None] = {}  # by worker: its answer to a query
         self.queries: list[tuple[str, str]] = []
+        self.withdrawals: list[tuple[str, int]] = []  # worker, attempts sent before
+        self.loses_withdrawals = False
         self.mode = "take"
         self.on_connection_broken: Any = None
         self.links = mock.Mock()
@@ -283,6 +285,10 @@
             if report is None:
                 raise RequestNotSentError("silent")
             return Message(status=200 if report else 404, body=json.dumps(report).encode())
+        if method == "DELETE":
+            self.withdrawals.append((worker, len(self.attempts)))
+            if self.loses_withdrawals:
+                raise RequestNotSentError("silent")
         if method != "POST":
             return Message(status=200, body=b'{"x0":8,"queue":0,"inflight":0}')
         if self.mode == "hangs":
@@ -753,6 +759,25 @@
         self.assertEqual(self.call_back(job_id, worker=second), 204)
         self.assertEqual(self.service.counters["jobs.settled"], 1)
 
+    def test_an_attempt_whose_lease_has_lapsed_is_withdrawn_before_the_next(self) -> None:
+        """Guards against two attempts at once where that is forbidden: a lapsed one was ended here alone."""
+        self.start(workers=2)
+        self.begin()
+        self.service.two_at_once = False
+        self.submit(scheme=b"render")
+        self.advance(7.0)
+        self.assertEqual(len(self.fake_workers.attempts), 2)
+        self.assertEqual(self.fake_workers.withdrawals[:1], [(self.fake_workers.attempts[0][0], 1)])
+
+    def test_without_a_withdrawal_no_attempt_follows_a_lapsed_lease_where_two_are_forbidden(self) -> None:
+        self.start(workers=2)
+        self.begin()
+        self.service.two_at_once = False
+        self.fake_workers.loses_withdrawals = True
+        self.submit(scheme=b"render")
+        self.advance(7.0)
+        self.assertEqual(len(self.fake_workers.attempts), 1)
+
     def test_a_cancel_that_was_under_way_at_a_crash(self) -> None:
         job_id = self.start_with_running_job()
 
